--- /dev/null
+++ b/Makefile
@@ -0,0 +1,122 @@
+# Builds the one shipped binary, the stand-ins and the tests.
+# Sources are found by place: src/<slice>/*.c is the library, src/<slice>/test-*.c one unit test
+# program each, src/cli/main.c the binary, testing/standin/<name>/*.c one stand-in program each,
+# testing/harness/*.c the harness, testing/process/test-*.c one process test program each,
+# testing/bench/<name>.c one measurement program each.
+BUILD ?= build
+CC = gcc
+PKGS = glib-2.0 liburcu libtirpc libmicrohttpd neon jansson
+# pkg-config is asked lazily, because `make setup` may have to install it first.
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
+SAN ?=
+OPT ?= -O2 -g
+CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
+LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lpthread -lm
+
+LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c),$(wildcard src/*/*.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libsapphirerun.a
+UNIT_SRC := $(wildcard src/*/test-*.c)
+UNIT := $(UNIT_SRC:%.c=$(BUILD)/%)
+STANDINS := $(notdir $(patsubst %/,%,$(wildcard testing/standin/*/)))
+STANDIN_BIN := $(STANDINS:%=$(BUILD)/standin-%)
+HARNESS_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard testing/harness/*.c))
+PROCESS_SRC := $(wildcard testing/process/test-*.c)
+PROCESS := $(PROCESS_SRC:%.c=$(BUILD)/%)
+BENCH_SRC := $(wildcard testing/bench/*.c)
+BENCH := $(BENCH_SRC:%.c=$(BUILD)/%)
+EXAMPLE_SRC := $(wildcard examples/*.c)
+EXAMPLE := $(EXAMPLE_SRC:%.c=$(BUILD)/%)
+BIN := $(BUILD)/sapphirerun
+ALL_C := $(wildcard src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h testing/*/*/*.c testing/*/*/*.h examples/*.c)
+HAND_C := $(filter-out %_xdr.c %_xdr.h,$(ALL_C))
+
+.PHONY: all setup demo check check-unit check-process check-asan check-tsan bench format format-check tidy cppcheck clean
+.SECONDARY:
+
+all: $(BIN) $(STANDIN_BIN) $(UNIT) $(PROCESS) $(BENCH) $(EXAMPLE)
+
+setup:
+	@scripts/setup
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+# Generated XDR code is not held to our warnings.
+$(BUILD)/%_xdr.o: %_xdr.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -Wno-unused-variable -Wno-error -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BIN): $(BUILD)/src/cli/main.o $(LIB)
+	$(CC) $^ -o $@ $(LIBS)
+
+$(UNIT): $(BUILD)/src/%: $(BUILD)/src/%.o $(LIB)
+	$(CC) $^ -o $@ $(LIBS) -lcmocka
+
+define STANDIN_RULE
+$(BUILD)/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard testing/standin/$(1)/*.c)) $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard testing/common/*.c)) $(LIB)
+	$$(CC) $$^ -o $$@ $$(LIBS)
+endef
+$(foreach s,$(STANDINS),$(eval $(call STANDIN_RULE,$(s))))
+
+$(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(LIB)
+	$(CC) $^ -o $@ $(LIBS) -lcmocka
+
+$(BENCH): $(BUILD)/testing/bench/%: $(BUILD)/testing/bench/%.o $(HARNESS_OBJ) $(LIB)
+	$(CC) $^ -o $@ $(LIBS)
+
+$(EXAMPLE): $(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+	$(CC) $^ -o $@ $(LIBS)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+demo: setup
+	@$(MAKE) --no-print-directory -s -j8 all
+	@BUILD=$(BUILD) scripts/demo
+
+check: setup
+	@$(MAKE) --no-print-directory -j8 all
+	@BUILD=$(BUILD) scripts/run-tests unit process
+
+check-unit: all
+	@BUILD=$(BUILD) scripts/run-tests unit
+
+check-process: all
+	@BUILD=$(BUILD) scripts/run-tests process
+
+check-asan:
+	@$(MAKE) --no-print-directory -s -j8 BUILD=build-asan OPT='-O1 -g' SAN='-fsanitize=address,undefined -fno-sanitize-recover=undefined' unit-programs
+	@BUILD=build-asan SUITE=asan scripts/run-tests unit
+
+check-tsan:
+	@$(MAKE) --no-print-directory -s -j8 BUILD=build-tsan OPT='-O1 -g' SAN='-fsanitize=thread' unit-programs
+	@BUILD=build-tsan SUITE=tsan scripts/run-tests unit
+
+.PHONY: unit-programs
+unit-programs: $(UNIT)
+
+bench: setup
+	@$(MAKE) --no-print-directory -s -j8 all
+	@BUILD=$(BUILD) scripts/bench
+
+format:
+	clang-format -i $(HAND_C)
+
+format-check:
+	clang-format --dry-run --Werror $(HAND_C)
+
+tidy:
+	@printf '%s\n' $(filter %.c,$(HAND_C)) | xargs -P 8 -n 2 scripts/tidy $(CFLAGS) --
+
+cppcheck:
+	cppcheck --quiet --std=c11 --enable=warning,portability,performance --inline-suppr --error-exitcode=1 --suppress=missingIncludeSystem --suppress=unknownMacro --suppress=normalCheckLevelMaxBranches -Isrc -Iinclude -j 8 $(filter %.c,$(HAND_C))
+
+clean:
+	rm -rf build build-asan build-tsan
