--- /dev/null
+++ b/src/platform/platform-memory.h
@@ -0,0 +1,14 @@
+/* A platform in this process' memory, for unit tests of other slices: versions, conditional
+ * updates, and faults on demand. */
+#pragma once
+
+#include "platform/platform.h"
+
+struct sr_platform *
+sr_platform_memory_new (void);
+void
+sr_platform_memory_set_out (struct sr_platform *platform, bool out);
+void
+sr_platform_memory_lose_answers (struct sr_platform *platform, unsigned count);
+unsigned
+sr_platform_memory_writes (struct sr_platform *platform);
--- /dev/null
+++ b/src/route/route.h
@@ -0,0 +1,77 @@
+/* Choice of a backend server for one attempt of a request. */
+#pragma once
+
+#include "config/config.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct sr_router;
+
+struct sr_router_options
+{
+  const char *data_centre;
+  uint32_t seed;
+};
+
+enum sr_route_verdict
+{
+  SR_ROUTE_PICKED,
+  SR_ROUTE_BUSY, /* all are at their limit: wait for a place */
+  SR_ROUTE_NONE  /* the service has no backend server that takes new work */
+};
+
+struct sr_route_query
+{
+  const char *service;
+  uint64_t affinity;         /* hash of the prompt's prefix; 0 for none */
+  const GPtrArray *excluded; /* names (char *) that already failed this request; may be NULL */
+  int64_t now_us;
+};
+
+/* A place taken at a backend server. The strings are copies. */
+struct sr_route
+{
+  char backend[64];
+  char address[16];
+  unsigned port;
+  bool checks_fence;
+  int64_t picked_us;
+};
+
+enum sr_route_result
+{
+  SR_ROUTE_RESULT_OK,
+  SR_ROUTE_RESULT_REFUSED, /* full: an error answer, nothing ran */
+  SR_ROUTE_RESULT_FAILED,  /* connection, timeout, cut or malformed */
+  SR_ROUTE_RESULT_CANCELLED
+};
+
+struct sr_route_report
+{
+  enum sr_route_result result;
+  int64_t first_byte_us; /* latency; 0 when none came */
+  int running;           /* load that rode on the answer; -1 when none did */
+  int waiting;
+  int64_t now_us;
+};
+
+struct sr_router *
+sr_router_new (const struct sr_router_options *options);
+void
+sr_router_delete (struct sr_router *router);
+void
+sr_router_apply (struct sr_router *router, struct sr_config *config, int64_t now_us);
+enum sr_route_verdict
+sr_router_pick (struct sr_router *router,
+                const struct sr_route_query *query,
+                struct sr_route *route);
+void
+sr_router_done (struct sr_router *router,
+                const struct sr_route *route,
+                const struct sr_route_report *report);
+unsigned
+sr_router_places (struct sr_router *router, const char *service, int64_t now_us);
+void
+sr_router_print_status (struct sr_router *router, GString *json, int64_t now_us);
