--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 SAN ?=
 OPT ?= -O2 -g
-CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
+CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -I. -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
 LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lpthread -lm
 
 LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c),$(wildcard src/*/*.c))
@@ -23,6 +23,7 @@
 STANDINS := $(notdir $(patsubst %/,%,$(wildcard testing/standin/*/)))
 STANDIN_BIN := $(STANDINS:%=$(BUILD)/standin-%)
 HARNESS_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard testing/harness/*.c))
+COMMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard testing/common/*.c))
 PROCESS_SRC := $(wildcard testing/process/test-*.c)
 PROCESS := $(PROCESS_SRC:%.c=$(BUILD)/%)
 BENCH_SRC := $(wildcard testing/bench/*.c)
@@ -66,10 +67,10 @@
 endef
 $(foreach s,$(STANDINS),$(eval $(call STANDIN_RULE,$(s))))
 
-$(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(LIB)
+$(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS) -lcmocka
 
-$(BENCH): $(BUILD)/testing/bench/%: $(BUILD)/testing/bench/%.o $(HARNESS_OBJ) $(LIB)
+$(BENCH): $(BUILD)/testing/bench/%: $(BUILD)/testing/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
 $(EXAMPLE): $(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
