--- a/testing/standin/engine/engine.c
+++ b/testing/standin/engine/engine.c
@@ -66,6 +66,8 @@
 static bool
 serves_model_ (const struct engine *engine, const char *model);
 static bool
+is_full_ (const struct engine *engine);
+static bool
 fence_passes_ (struct engine *engine, const struct engine_call *call);
 static enum engine_fault
 take_fault_ (struct engine *engine, int64_t *after);
@@ -124,14 +126,11 @@
   known = g_hash_table_lookup (engine->runs, call->request);
   if (fault == ENGINE_FAULT_LOADING)
     verdict = ENGINE_LOADING;
-  else if (fault == ENGINE_FAULT_REFUSE)
-    verdict = ENGINE_FULL;
   else if (known != NULL && known->state == RUN_CANCELLED)
     verdict = ENGINE_CANCELLED;
   else if (!fence_passes_ (engine, call))
     verdict = ENGINE_FENCE;
-  else if (engine->running >= engine->options.slots
-           && (int)g_queue_get_length (engine->waiting) >= engine->options.queue_max)
+  else if (fault == ENGINE_FAULT_REFUSE || is_full_ (engine))
     verdict = ENGINE_FULL;
   if (verdict == ENGINE_ADMITTED)
     {
@@ -357,6 +356,13 @@
   return false;
 }
 
+static bool
+is_full_ (const struct engine *engine)
+{
+  return engine->running >= engine->options.slots
+         && (int)g_queue_get_length (engine->waiting) >= engine->options.queue_max;
+}
+
 /* Whether the call's fencing number is not below the highest one seen for its request. */
 static bool
 fence_passes_ (struct engine *engine, const struct engine_call *call)
