--- /dev/null
+++ b/src/http/exchange.h
@@ -0,0 +1,51 @@
+/* One HTTP/1.1 request and its answer over a connection of its own, through neon. */
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+enum sr_exchange_status
+{
+  SR_EXCHANGE_OK,
+  SR_EXCHANGE_NOT_SENT, /* no connection came about: no byte reached the server */
+  SR_EXCHANGE_TIMEOUT,  /* the server was silent for too long */
+  SR_EXCHANGE_BROKEN    /* the connection or the answer broke off, or was malformed */
+};
+
+struct sr_exchange_options
+{
+  const char *address; /* IP number */
+  unsigned port;
+  const char *source_address; /* bound for the connection; NULL for any */
+  int connect_timeout_s;
+  int idle_timeout_s; /* longest silence of the server */
+  const char *method;
+  const char *path;
+  const char *const *headers; /* name, value, name, value, .., NULL; may be NULL */
+  const char *body;           /* may be NULL */
+  size_t body_length;
+};
+
+struct sr_exchange;
+
+struct sr_exchange *
+sr_exchange_new (const struct sr_exchange_options *options);
+void
+sr_exchange_delete (struct sr_exchange *exchange);
+enum sr_exchange_status
+sr_exchange_begin (struct sr_exchange *exchange);
+enum sr_exchange_status
+sr_exchange_read (struct sr_exchange *exchange, char *buffer, size_t size, size_t *length);
+enum sr_exchange_status
+sr_exchange_finish (struct sr_exchange *exchange);
+enum sr_exchange_status
+sr_exchange_read_all (struct sr_exchange *exchange, GString *body, size_t max_bytes);
+int
+sr_exchange_code (const struct sr_exchange *exchange);
+const char *
+sr_exchange_header (const struct sr_exchange *exchange, const char *name);
+bool
+sr_exchange_was_connected (const struct sr_exchange *exchange);
+const char *
+sr_exchange_status_to_string (enum sr_exchange_status status);
--- /dev/null
+++ b/src/platform/platform-http.c
@@ -0,0 +1,412 @@
+#include "platform/platform-http.h"
+
+#include "base/counters.h"
+#include "base/log.h"
+#include "http/exchange.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  BODY_MAX_BYTES = 4 << 20,
+  PATH_MAX_BYTES = 512,
+  HTTP_OK = 200,
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_FOUND = 404,
+  HTTP_CONFLICT = 412,
+  HTTP_TOO_LARGE = 413,
+  HTTP_LIMITED = 429,
+  CONNECT_TIMEOUT_S = 1,
+  FAILURES_BEFORE_FAST_REFUSAL = 2,
+  PROBE_INTERVAL_US = 500000,
+  US_PER_MS = 1000,
+  MS_PER_S = 1000
+};
+
+/* Refuses calls at once while the platform is known to be out, letting one probe through at a time.
+ */
+struct outage_gate
+{
+  pthread_mutex_t mutex;
+  unsigned failures;
+  int64_t next_probe_us;
+};
+
+struct http_platform
+{
+  struct sr_platform base;
+  GString *address;
+  GString *source_address;
+  unsigned port;
+  int timeout_s;
+  struct outage_gate gate;
+};
+
+/* One call: what is sent, and what came back. */
+struct http_call
+{
+  const char *method;
+  const char *path;
+  const char *body;
+  size_t length;
+  int64_t expected_version;
+  bool is_conditional;
+  int extra_wait_s;
+  GString *answer;
+  int64_t version;
+};
+
+static struct sr_counter calls_total
+    = { .name = "platform_calls_total", .help = "Calls to the platform that were sent." };
+static struct sr_counter failures_total
+    = { .name = "platform_failures_total",
+        .help = "Calls to the platform without a usable answer." };
+static struct sr_counter fast_refusals_total
+    = { .name = "platform_fast_refusals_total", .help = "Calls not sent in a known outage." };
+
+static enum sr_platform_status
+get_ (struct sr_platform *platform,
+      const char *kind,
+      const char *name,
+      GString *body,
+      int64_t *version);
+static enum sr_platform_status
+put_ (struct sr_platform *platform,
+      const char *kind,
+      const char *name,
+      const char *body,
+      size_t length,
+      int64_t expected_version,
+      int64_t *version);
+static enum sr_platform_status
+list_ (struct sr_platform *platform,
+       const char *kind,
+       const char *prefix,
+       const char *after,
+       unsigned limit,
+       GPtrArray *names,
+       bool *more);
+static enum sr_platform_status
+watch_ (struct sr_platform *platform,
+        const char *kind,
+        const char *name,
+        int64_t after_version,
+        int wait_ms,
+        GString *body,
+        int64_t *version);
+static enum sr_platform_status
+instances_ (struct sr_platform *platform, GString *body);
+static enum sr_platform_status
+remove_ (struct sr_platform *platform,
+         const char *kind,
+         const char *name,
+         int64_t expected_version);
+static void
+finish_ (struct sr_platform *platform);
+static enum sr_platform_status
+call_ (struct http_platform *http, struct http_call *call);
+static enum sr_platform_status
+call_sent_ (struct http_platform *http, struct http_call *call);
+static enum sr_platform_status
+status_from_answer_ (struct sr_exchange *exchange, struct http_call *call);
+static bool
+gate_enter_ (struct http_platform *http);
+static void
+gate_leave_ (struct http_platform *http, bool failed);
+static bool
+list_read_ (const GString *answer, GPtrArray *names, bool *more);
+
+static const struct sr_platform_vtable http_vtable = {
+  .get = get_,
+  .put = put_,
+  .list = list_,
+  .watch = watch_,
+  .instances = instances_,
+  .remove = remove_,
+  .finish = finish_,
+};
+
+/* Creates a client of the platform at OPTIONS' address. Nothing is sent yet. The caller owns the
+ * one reference. */
+struct sr_platform *
+sr_platform_http_new (const struct sr_platform_http_options *options)
+{
+  struct http_platform *http = g_new0 (struct http_platform, 1);
+
+  http->base.vtable = &http_vtable;
+  http->base.reference_count = 1;
+  http->address = g_string_new (options->address);
+  http->source_address
+      = options->source_address != NULL ? g_string_new (options->source_address) : NULL;
+  http->port = options->port;
+  http->timeout_s = options->timeout_s;
+  pthread_mutex_init (&http->gate.mutex, NULL);
+  sr_counter_register (&calls_total);
+  sr_counter_register (&failures_total);
+  sr_counter_register (&fast_refusals_total);
+  return &http->base;
+}
+
+static enum sr_platform_status
+get_ (struct sr_platform *platform,
+      const char *kind,
+      const char *name,
+      GString *body,
+      int64_t *version)
+{
+  char path[PATH_MAX_BYTES];
+  struct http_call call = { .method = "GET", .path = path, .answer = body };
+  enum sr_platform_status status;
+
+  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
+  status = call_ ((struct http_platform *)platform, &call);
+  *version = call.version;
+  return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_OUT : status;
+}
+
+static enum sr_platform_status
+put_ (struct sr_platform *platform,
+      const char *kind,
+      const char *name,
+      const char *body,
+      size_t length,
+      int64_t expected_version,
+      int64_t *version)
+{
+  char path[PATH_MAX_BYTES];
+  g_autoptr (GString) answer = g_string_new (NULL);
+  struct http_call call = { .method = "PUT",
+                            .path = path,
+                            .body = body,
+                            .length = length,
+                            .expected_version = expected_version,
+                            .is_conditional = true,
+                            .answer = answer };
+  enum sr_platform_status status;
+
+  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
+  status = call_ ((struct http_platform *)platform, &call);
+  *version = call.version;
+  return status;
+}
+
+static enum sr_platform_status
+list_ (struct sr_platform *platform,
+       const char *kind,
+       const char *prefix,
+       const char *after,
+       unsigned limit,
+       GPtrArray *names,
+       bool *more)
+{
+  char path[PATH_MAX_BYTES];
+  g_autoptr (GString) answer = g_string_new (NULL);
+  struct http_call call = { .method = "GET", .path = path, .answer = answer };
+  enum sr_platform_status status;
+
+  snprintf (path, sizeof path, "/v1/objects/%s?prefix=%s&after=%s&limit=%u", kind,
+            prefix != NULL ? prefix : "", after != NULL ? after : "", limit);
+  status = call_ ((struct http_platform *)platform, &call);
+  if (status == SR_PLATFORM_OK && !list_read_ (answer, names, more))
+    return SR_PLATFORM_OUT;
+  return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_OUT : status;
+}
+
+static enum sr_platform_status
+watch_ (struct sr_platform *platform,
+        const char *kind,
+        const char *name,
+        int64_t after_version,
+        int wait_ms,
+        GString *body,
+        int64_t *version)
+{
+  char path[PATH_MAX_BYTES];
+  struct http_call call = { .method = "GET",
+                            .path = path,
+                            .answer = body,
+                            .extra_wait_s = (wait_ms + MS_PER_S - 1) / MS_PER_S };
+  enum sr_platform_status status;
+
+  snprintf (path, sizeof path, "/v1/watch/%s/%s?after=%" G_GINT64_FORMAT "&wait_ms=%d", kind, name,
+            after_version, wait_ms);
+  status = call_ ((struct http_platform *)platform, &call);
+  *version = call.version;
+  return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_OUT : status;
+}
+
+static enum sr_platform_status
+instances_ (struct sr_platform *platform, GString *body)
+{
+  struct http_call call = { .method = "GET", .path = "/v1/instances", .answer = body };
+  enum sr_platform_status status = call_ ((struct http_platform *)platform, &call);
+
+  return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_OUT : status;
+}
+
+static enum sr_platform_status
+remove_ (struct sr_platform *platform, const char *kind, const char *name, int64_t expected_version)
+{
+  char path[PATH_MAX_BYTES];
+  g_autoptr (GString) answer = g_string_new (NULL);
+  struct http_call call = { .method = "DELETE",
+                            .path = path,
+                            .expected_version = expected_version,
+                            .is_conditional = true,
+                            .answer = answer };
+
+  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
+  return call_ ((struct http_platform *)platform, &call);
+}
+
+static void
+finish_ (struct sr_platform *platform)
+{
+  struct http_platform *http = (struct http_platform *)platform;
+
+  g_string_free (http->address, TRUE);
+  if (http->source_address != NULL)
+    g_string_free (http->source_address, TRUE);
+  pthread_mutex_destroy (&http->gate.mutex);
+  g_free (http);
+}
+
+static enum sr_platform_status
+call_ (struct http_platform *http, struct http_call *call)
+{
+  enum sr_platform_status status;
+
+  if (!gate_enter_ (http))
+    {
+      sr_counter_add (&fast_refusals_total, 1);
+      return SR_PLATFORM_OUT;
+    }
+  sr_counter_add (&calls_total, 1);
+  status = call_sent_ (http, call);
+  gate_leave_ (http, status == SR_PLATFORM_OUT || status == SR_PLATFORM_UNKNOWN);
+  return status;
+}
+
+static enum sr_platform_status
+call_sent_ (struct http_platform *http, struct http_call *call)
+{
+  char if_match[32];
+  const char *headers[] = { "If-Match", if_match, NULL };
+  struct sr_exchange_options options
+      = { .address = http->address->str,
+          .port = http->port,
+          .source_address = http->source_address != NULL ? http->source_address->str : NULL,
+          .connect_timeout_s = CONNECT_TIMEOUT_S,
+          .idle_timeout_s = http->timeout_s + call->extra_wait_s,
+          .method = call->method,
+          .path = call->path,
+          .headers = call->is_conditional ? headers : NULL,
+          .body = call->body,
+          .body_length = call->length };
+  enum sr_platform_status status = SR_PLATFORM_UNKNOWN;
+  struct sr_exchange *exchange;
+
+  snprintf (if_match, sizeof if_match, "%" G_GINT64_FORMAT, call->expected_version);
+  exchange = sr_exchange_new (&options);
+  if (exchange == NULL)
+    return SR_PLATFORM_OUT;
+  if (sr_exchange_begin (exchange) == SR_EXCHANGE_OK)
+    status = status_from_answer_ (exchange, call);
+  else if (!sr_exchange_was_connected (exchange))
+    status = SR_PLATFORM_OUT;
+  sr_exchange_delete (exchange);
+  return status;
+}
+
+static enum sr_platform_status
+status_from_answer_ (struct sr_exchange *exchange, struct http_call *call)
+{
+  const char *version = sr_exchange_header (exchange, "X-Version");
+  int code = sr_exchange_code (exchange);
+
+  call->version = version != NULL ? g_ascii_strtoll (version, NULL, 10) : 0;
+  g_string_truncate (call->answer, 0);
+  if (sr_exchange_read_all (exchange, call->answer, BODY_MAX_BYTES) != SR_EXCHANGE_OK)
+    return SR_PLATFORM_UNKNOWN;
+  switch (code)
+    {
+    case HTTP_OK:
+      return SR_PLATFORM_OK;
+    case HTTP_NO_CONTENT:
+      return SR_PLATFORM_UNCHANGED;
+    case HTTP_NOT_FOUND:
+      return SR_PLATFORM_ABSENT;
+    case HTTP_CONFLICT:
+      return SR_PLATFORM_CONFLICT;
+    case HTTP_TOO_LARGE:
+      return SR_PLATFORM_TOO_LARGE;
+    case HTTP_LIMITED:
+      return SR_PLATFORM_LIMITED;
+    default:
+      return SR_PLATFORM_OUT;
+    }
+}
+
+static bool
+gate_enter_ (struct http_platform *http)
+{
+  struct outage_gate *gate = &http->gate;
+  int64_t now_us = g_get_monotonic_time ();
+  bool open;
+
+  pthread_mutex_lock (&gate->mutex);
+  open = gate->failures < FAILURES_BEFORE_FAST_REFUSAL || now_us >= gate->next_probe_us;
+  if (open && gate->failures >= FAILURES_BEFORE_FAST_REFUSAL)
+    gate->next_probe_us = now_us + PROBE_INTERVAL_US;
+  pthread_mutex_unlock (&gate->mutex);
+  return open;
+}
+
+static void
+gate_leave_ (struct http_platform *http, bool failed)
+{
+  struct outage_gate *gate = &http->gate;
+  bool was_out;
+  bool is_out;
+
+  pthread_mutex_lock (&gate->mutex);
+  was_out = gate->failures >= FAILURES_BEFORE_FAST_REFUSAL;
+  gate->failures = failed ? gate->failures + 1 : 0;
+  is_out = gate->failures >= FAILURES_BEFORE_FAST_REFUSAL;
+  if (is_out && !was_out)
+    gate->next_probe_us = g_get_monotonic_time () + PROBE_INTERVAL_US;
+  pthread_mutex_unlock (&gate->mutex);
+  if (failed)
+    sr_counter_add (&failures_total, 1);
+  if (is_out != was_out)
+    sr_log (is_out ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE, "platform", "the platform is %s",
+            is_out ? "out" : "back");
+}
+
+static bool
+list_read_ (const GString *answer, GPtrArray *names, bool *more)
+{
+  json_t *root = json_loadb (answer->str, answer->len, 0, NULL);
+  json_t *objects = json_object_get (root, "objects");
+  json_t *each;
+  size_t i;
+
+  if (!json_is_array (objects))
+    {
+      json_decref (root);
+      return false;
+    }
+  json_array_foreach (objects, i, each)
+  {
+    const char *name = json_string_value (json_object_get (each, "name"));
+
+    if (name != NULL)
+      g_ptr_array_add (names, g_strdup (name));
+  }
+  *more = json_is_true (json_object_get (root, "more"));
+  json_decref (root);
+  return true;
+}
--- /dev/null
+++ b/src/platform/platform.c
@@ -0,0 +1,100 @@
+#include "platform/platform.h"
+
+static const char *const status_strings[]
+    = { "ok", "absent", "conflict", "unchanged", "limited", "too large", "out", "unknown" };
+
+/* Takes a reference to PLATFORM and returns it. */
+struct sr_platform *
+sr_platform_ref (struct sr_platform *platform)
+{
+  g_atomic_int_inc (&platform->reference_count);
+  return platform;
+}
+
+/* Gives a reference back; the last one frees PLATFORM. NULL is allowed. */
+void
+sr_platform_unref (struct sr_platform *platform)
+{
+  if (platform != NULL && g_atomic_int_dec_and_test (&platform->reference_count))
+    platform->vtable->finish (platform);
+}
+
+/* Reads the object KIND/NAME: replaces BODY and sets *VERSION. OK, ABSENT (version 0), LIMITED or
+ * OUT. */
+enum sr_platform_status
+sr_platform_get (struct sr_platform *platform,
+                 const char *kind,
+                 const char *name,
+                 GString *body,
+                 int64_t *version)
+{
+  return platform->vtable->get (platform, kind, name, body, version);
+}
+
+/* Writes KIND/NAME if its version is EXPECTED_VERSION (0: if it is absent). OK sets *VERSION to the
+ * new version, CONFLICT to the one there. LIMITED, TOO_LARGE and OUT had no effect; after UNKNOWN
+ * the caller reads back. */
+enum sr_platform_status
+sr_platform_put (struct sr_platform *platform,
+                 const char *kind,
+                 const char *name,
+                 const char *body,
+                 size_t length,
+                 int64_t expected_version,
+                 int64_t *version)
+{
+  return platform->vtable->put (platform, kind, name, body, length, expected_version, version);
+}
+
+/* Appends to NAMES (strings freed by the array) up to LIMIT names of KIND that begin with PREFIX
+ * and come after AFTER (NULL: from the first), in order. *MORE tells whether there are others. */
+enum sr_platform_status
+sr_platform_list (struct sr_platform *platform,
+                  const char *kind,
+                  const char *prefix,
+                  const char *after,
+                  unsigned limit,
+                  GPtrArray *names,
+                  bool *more)
+{
+  return platform->vtable->list (platform, kind, prefix, after, limit, names, more);
+}
+
+/* Waits up to WAIT_MS for a version of KIND/NAME above AFTER_VERSION, and gives it like a get.
+ * UNCHANGED when none came. */
+enum sr_platform_status
+sr_platform_watch (struct sr_platform *platform,
+                   const char *kind,
+                   const char *name,
+                   int64_t after_version,
+                   int wait_ms,
+                   GString *body,
+                   int64_t *version)
+{
+  return platform->vtable->watch (platform, kind, name, after_version, wait_ms, body, version);
+}
+
+/* Replaces BODY by the platform's (lagging) JSON list of instances. */
+enum sr_platform_status
+sr_platform_instances (struct sr_platform *platform, GString *body)
+{
+  return platform->vtable->instances (platform, body);
+}
+
+/* Deletes KIND/NAME if its version is EXPECTED_VERSION. */
+enum sr_platform_status
+sr_platform_remove (struct sr_platform *platform,
+                    const char *kind,
+                    const char *name,
+                    int64_t expected_version)
+{
+  return platform->vtable->remove (platform, kind, name, expected_version);
+}
+
+/* Returns the name of STATUS. */
+const char *
+sr_platform_status_to_string (enum sr_platform_status status)
+{
+  g_assert ((size_t)status < G_N_ELEMENTS (status_strings));
+  return status_strings[status];
+}
