Fault proxy and balancer stand-ins

Cause: the process tests cut, silence and delay pairs of processes. Change: testing/common/forward (epoll TCP forwarder), testing/standin/proxy (rules, datagrams) and testing/standin/balancer as docs/PROTOCOLS.md says. A cut is an accepted connection that is reset, because the kernel accepts before the rule is known.

--- /dev/null
+++ b/testing/standin/proxy/datagrams.c
@@ -0,0 +1,244 @@
+#include "testing/standin/proxy/datagrams.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  DATAGRAM_MAX_BYTES = 65536,
+  IDLE_MAX_US = 60 * 1000 * 1000,
+  US_PER_MS = 1000,
+  IP_BYTES = 16
+};
+
+/* A listening address. */
+struct port
+{
+  struct forward_watch watch;
+  struct datagrams *datagrams;
+  struct forward_link link;
+  char ip[IP_BYTES];
+  GHashTable *flows; /* key of the client's address -> struct flow */
+};
+
+/* A client of a port, with a socket of its own towards the target. */
+struct flow
+{
+  struct forward_watch watch;
+  struct port *port;
+  struct sockaddr_in client;
+  char ip[IP_BYTES];
+  int64_t used_us;
+};
+
+/* A datagram that is sent later. */
+struct delayed
+{
+  int64_t due_us;
+  int fd;
+  struct sockaddr_in to;
+  size_t length;
+  char bytes[];
+};
+
+struct datagrams
+{
+  struct forwarder *forwarder;
+  const struct rules *rules;
+  GPtrArray *ports;
+  GQueue delayed;
+  struct datagram_counts counts;
+  char buffer[DATAGRAM_MAX_BYTES];
+};
+
+static void
+port_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
+static void
+flow_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
+static struct flow *
+find_flow_ (struct port *port, const struct sockaddr_in *client);
+static void
+send_ (struct datagrams *datagrams,
+       struct forward_policy policy,
+       int fd,
+       const struct sockaddr_in *to,
+       size_t length);
+static void
+drop_idle_flows_ (struct port *port, int64_t now_us);
+
+/* Nothing is forwarded until datagrams_listen. */
+struct datagrams *
+datagrams_new (struct forwarder *forwarder, const struct rules *rules)
+{
+  struct datagrams *datagrams = g_new0 (struct datagrams, 1);
+
+  datagrams->forwarder = forwarder;
+  datagrams->rules = rules;
+  datagrams->ports = g_ptr_array_new ();
+  g_queue_init (&datagrams->delayed);
+  return datagrams;
+}
+
+/* Forwards the datagrams of a link; false when its address cannot be bound. */
+bool
+datagrams_listen (struct datagrams *datagrams, const struct forward_link *link)
+{
+  struct port *port = g_new0 (struct port, 1);
+
+  port->datagrams = datagrams;
+  port->link = *link;
+  forward_print_ip (&link->listen, port->ip);
+  port->flows = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  port->watch.ready = port_ready_;
+  port->watch.fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  g_ptr_array_add (datagrams->ports, port);
+  if (bind (port->watch.fd, (struct sockaddr *)&link->listen, sizeof link->listen) != 0)
+    return false;
+  forwarder_watch (datagrams->forwarder, &port->watch, EPOLLIN);
+  return true;
+}
+
+/* Sends the delayed datagrams that are due; returns whether some are left. */
+bool
+datagrams_tick (struct datagrams *datagrams, int64_t now_us)
+{
+  GList *link = datagrams->delayed.head;
+
+  while (link != NULL)
+    {
+      GList *next = link->next;
+      struct delayed *delayed = link->data;
+
+      if (delayed->due_us <= now_us)
+        {
+          sendto (delayed->fd, delayed->bytes, delayed->length, MSG_NOSIGNAL,
+                  (struct sockaddr *)&delayed->to, sizeof delayed->to);
+          g_queue_delete_link (&datagrams->delayed, link);
+          g_free (delayed);
+        }
+      link = next;
+    }
+  return !g_queue_is_empty (&datagrams->delayed);
+}
+
+/* What was forwarded and dropped so far. */
+struct datagram_counts
+datagrams_counts (const struct datagrams *datagrams)
+{
+  return datagrams->counts;
+}
+
+static void
+port_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events)
+{
+  struct port *port = (struct port *)watch;
+  struct datagrams *datagrams = port->datagrams;
+  struct sockaddr_in client = { 0 };
+  socklen_t size = sizeof client;
+  ssize_t got;
+
+  while ((got = recvfrom (watch->fd, datagrams->buffer, sizeof datagrams->buffer, 0,
+                          (struct sockaddr *)&client, &size))
+         >= 0)
+    {
+      struct flow *flow = find_flow_ (port, &client);
+
+      send_ (datagrams, rules_find (datagrams->rules, flow->ip, port->ip), flow->watch.fd,
+             &port->link.target, (size_t)got);
+      size = sizeof client;
+    }
+}
+
+static void
+flow_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events)
+{
+  struct flow *flow = (struct flow *)watch;
+  struct port *port = flow->port;
+  struct datagrams *datagrams = port->datagrams;
+  ssize_t got;
+
+  while ((got = recv (watch->fd, datagrams->buffer, sizeof datagrams->buffer, 0)) >= 0)
+    {
+      flow->used_us = g_get_monotonic_time ();
+      send_ (datagrams, rules_find (datagrams->rules, port->ip, flow->ip), port->watch.fd,
+             &flow->client, (size_t)got);
+    }
+}
+
+static struct flow *
+find_flow_ (struct port *port, const struct sockaddr_in *client)
+{
+  gint64 key = ((gint64)client->sin_addr.s_addr << 16) | client->sin_port;
+  struct flow *flow = g_hash_table_lookup (port->flows, &key);
+  struct sockaddr_in source = port->link.listen;
+
+  if (flow == NULL)
+    {
+      drop_idle_flows_ (port, g_get_monotonic_time ());
+      flow = g_new0 (struct flow, 1);
+      flow->port = port;
+      flow->client = *client;
+      forward_print_ip (client, flow->ip);
+      flow->watch.ready = flow_ready_;
+      flow->watch.fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+      source.sin_port = 0;
+      if (bind (flow->watch.fd, (struct sockaddr *)&source, sizeof source) != 0)
+        g_warning ("cannot send from %s", port->ip);
+      forwarder_watch (port->datagrams->forwarder, &flow->watch, EPOLLIN);
+      g_hash_table_insert (port->flows, g_memdup2 (&key, sizeof key), flow);
+    }
+  flow->used_us = g_get_monotonic_time ();
+  return flow;
+}
+
+/* Sends the buffer's first LENGTH bytes as the policy says. */
+static void
+send_ (struct datagrams *datagrams,
+       struct forward_policy policy,
+       int fd,
+       const struct sockaddr_in *to,
+       size_t length)
+{
+  struct delayed *delayed;
+
+  if (policy.mode == FORWARD_CUT || policy.mode == FORWARD_SILENCE)
+    {
+      datagrams->counts.dropped++;
+      return;
+    }
+  datagrams->counts.passed++;
+  if (policy.mode == FORWARD_PASS)
+    {
+      sendto (fd, datagrams->buffer, length, MSG_NOSIGNAL, (struct sockaddr *)to, sizeof *to);
+      return;
+    }
+  delayed = g_malloc (sizeof *delayed + length);
+  delayed->due_us = g_get_monotonic_time () + (int64_t)policy.delay_ms * US_PER_MS;
+  delayed->fd = fd;
+  delayed->to = *to;
+  delayed->length = length;
+  memcpy (delayed->bytes, datagrams->buffer, length);
+  g_queue_push_tail (&datagrams->delayed, delayed);
+}
+
+/* Closes the sockets of clients that have not been heard of for a minute. */
+static void
+drop_idle_flows_ (struct port *port, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, port->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct flow *flow = value;
+
+      if (now_us - flow->used_us < IDLE_MAX_US)
+        continue;
+      forwarder_watch (port->datagrams->forwarder, &flow->watch, 0);
+      close (flow->watch.fd);
+      g_free (flow);
+      g_hash_table_iter_remove (&iter);
+    }
+}
