--- /dev/null
+++ b/src/entry/intake.c
@@ -0,0 +1,230 @@
+#include "entry/intake.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+  REQUEST_ID_MAX_BYTES = 128,
+  DEADLINE_MAX_MS = 3600 * 1000,
+  US_PER_MS = 1000
+};
+
+static const char bearer[] = "Bearer ";
+static const char *const priority_names[] = { "interactive", "normal", "batch" };
+
+static enum sr_error
+read_headers_ (const struct sr_intake *intake,
+               const struct sr_intake_options *options,
+               struct sr_run_order *order);
+static enum sr_error
+read_budget_ (const struct sr_intake *intake,
+              const struct sr_config_team *team,
+              struct sr_run_order *order);
+static enum sr_error
+read_body_ (const struct sr_intake *intake,
+            const struct sr_config_service *service,
+            struct sr_run_order *order,
+            bool *stream);
+static enum sr_error
+read_model_body_ (const json_t *root,
+                  const struct sr_config_service *service,
+                  struct sr_run_order *order,
+                  bool *stream);
+static bool
+read_priority_ (const char *text, enum sr_priority *priority);
+static void
+set_fingerprint_ (const struct sr_intake *intake, struct sr_run_order *order);
+
+/* Checks INTAKE against the configuration. On SR_ERROR_NONE *ORDER is the caller's, *STREAM tells
+ * whether the answer is to be streamed. Else *ORDER is NULL; nothing has been run or counted. */
+enum sr_error
+sr_intake_read (const struct sr_intake *intake,
+                const struct sr_intake_options *options,
+                struct sr_run_order **order,
+                bool *stream)
+{
+  const struct sr_config_service *service = sr_config_service (options->config, intake->service);
+  const struct sr_config_team *team = NULL;
+  struct sr_run_order *read = NULL;
+  enum sr_error error;
+
+  *order = NULL;
+  *stream = false;
+  error = sr_intake_team (options->config, intake->authorization, &team);
+  if (error != SR_ERROR_NONE)
+    return error;
+  if (service == NULL)
+    return SR_ERROR_UNKNOWN_SERVICE;
+  read = g_new0 (struct sr_run_order, 1);
+  read->team = g_string_new (team->name->str);
+  read->team_weight = team->weight;
+  read->service = g_string_new (service->name->str);
+  error = read_headers_ (intake, options, read);
+  if (error != SR_ERROR_NONE)
+    goto fail;
+  if (service->kind == SR_SERVICE_PLAIN && !service->repeatable && !read->request_was_given)
+    {
+      error = SR_ERROR_BAD_HEADER;
+      goto fail;
+    }
+  error = read_budget_ (intake, team, read);
+  if (error != SR_ERROR_NONE)
+    goto fail;
+  error = read_body_ (intake, service, read, stream);
+  if (error != SR_ERROR_NONE)
+    goto fail;
+  set_fingerprint_ (intake, read);
+  *order = read;
+  return SR_ERROR_NONE;
+
+fail:
+  sr_run_order_free (read);
+  return error;
+}
+
+/* Finds the team whose key AUTHORIZATION carries. *TEAM stays owned by CONFIG. */
+enum sr_error
+sr_intake_team (struct sr_config *config,
+                const char *authorization,
+                const struct sr_config_team **team)
+{
+  const char *key;
+
+  if (authorization == NULL || !g_str_has_prefix (authorization, bearer))
+    return SR_ERROR_BAD_KEY;
+  key = authorization + strlen (bearer);
+  *team = sr_config_team_by_key (config, key, strlen (key));
+  return *team != NULL ? SR_ERROR_NONE : SR_ERROR_BAD_KEY;
+}
+
+/* Tells whether ID can be a request id: 1 to 128 bytes of [A-Za-z0-9._:-]. */
+bool
+sr_intake_id_is_valid (const char *id)
+{
+  size_t length = strlen (id);
+
+  if (length == 0 || length > REQUEST_ID_MAX_BYTES)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    {
+      if (!g_ascii_isalnum (id[i]) && strchr ("._:-", id[i]) == NULL)
+        return false;
+    }
+  return true;
+}
+
+static enum sr_error
+read_headers_ (const struct sr_intake *intake,
+               const struct sr_intake_options *options,
+               struct sr_run_order *order)
+{
+  gint64 deadline_ms = options->default_deadline_ms;
+
+  order->request_was_given = intake->idempotency_key != NULL;
+  if (order->request_was_given && !sr_intake_id_is_valid (intake->idempotency_key))
+    return SR_ERROR_BAD_HEADER;
+  order->request
+      = g_string_new (order->request_was_given ? intake->idempotency_key : options->made_id);
+  if (intake->deadline_ms != NULL
+      && !g_ascii_string_to_signed (intake->deadline_ms, 10, 1, DEADLINE_MAX_MS, &deadline_ms,
+                                    NULL))
+    return SR_ERROR_BAD_HEADER;
+  order->deadline_us = options->now_us + deadline_ms * US_PER_MS;
+  order->priority = SR_PRIORITY_NORMAL;
+  if (intake->priority != NULL && !read_priority_ (intake->priority, &order->priority))
+    return SR_ERROR_BAD_HEADER;
+  return SR_ERROR_NONE;
+}
+
+static enum sr_error
+read_budget_ (const struct sr_intake *intake,
+              const struct sr_config_team *team,
+              struct sr_run_order *order)
+{
+  const char *name = intake->budget;
+
+  if (name == NULL && team->budgets->len > 0)
+    name = ((const GString *)team->budgets->pdata[0])->str;
+  if (name == NULL || !sr_config_team_owns_budget (team, name))
+    return SR_ERROR_BUDGET_NOT_YOURS;
+  order->budget = g_string_new (name);
+  return SR_ERROR_NONE;
+}
+
+static enum sr_error
+read_body_ (const struct sr_intake *intake,
+            const struct sr_config_service *service,
+            struct sr_run_order *order,
+            bool *stream)
+{
+  json_t *root = json_loadb (intake->body->str, intake->body->len, JSON_REJECT_DUPLICATES, NULL);
+  enum sr_error error = SR_ERROR_NONE;
+
+  if (!json_is_object (root))
+    error = SR_ERROR_BAD_JSON;
+  else if (service->kind == SR_SERVICE_MODEL)
+    error = read_model_body_ (root, service, order, stream);
+  else
+    order->text = g_string_new_len (intake->body->str, (gssize)intake->body->len);
+  json_decref (root);
+  return error;
+}
+
+static enum sr_error
+read_model_body_ (const json_t *root,
+                  const struct sr_config_service *service,
+                  struct sr_run_order *order,
+                  bool *stream)
+{
+  const json_t *prompt = json_object_get (root, "prompt");
+  const json_t *max_tokens = json_object_get (root, "max_tokens");
+  const json_t *streamed = json_object_get (root, "stream");
+
+  if (!json_is_string (prompt))
+    return SR_ERROR_BAD_FIELD;
+  if (max_tokens != NULL && !json_is_integer (max_tokens))
+    return SR_ERROR_BAD_FIELD;
+  if (streamed != NULL && !json_is_boolean (streamed))
+    return SR_ERROR_BAD_FIELD;
+  order->max_tokens
+      = max_tokens != NULL ? json_integer_value (max_tokens) : service->max_output_tokens;
+  if (order->max_tokens < 1 || order->max_tokens > service->max_output_tokens)
+    return SR_ERROR_BAD_FIELD;
+  order->text = g_string_new_len (json_string_value (prompt), (gssize)json_string_length (prompt));
+  *stream = json_is_true (streamed);
+  return SR_ERROR_NONE;
+}
+
+static bool
+read_priority_ (const char *text, enum sr_priority *priority)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (priority_names); i++)
+    {
+      if (strcmp (text, priority_names[i]) == 0)
+        {
+          *priority = (enum sr_priority)i;
+          return true;
+        }
+    }
+  return false;
+}
+
+/* The same key with another service, budget or body is another request. */
+static void
+set_fingerprint_ (const struct sr_intake *intake, struct sr_run_order *order)
+{
+  XXH3_state_t *state = XXH3_createState ();
+  XXH128_hash_t hash;
+
+  XXH3_128bits_reset (state);
+  XXH3_128bits_update (state, order->service->str, order->service->len + 1);
+  XXH3_128bits_update (state, order->budget->str, order->budget->len + 1);
+  XXH3_128bits_update (state, intake->body->str, intake->body->len);
+  hash = XXH3_128bits_digest (state);
+  XXH3_freeState (state);
+  order->fingerprint[0] = hash.high64;
+  order->fingerprint[1] = hash.low64;
+}
--- /dev/null
+++ b/src/request/run.h
@@ -0,0 +1,137 @@
+/* One request on its way through this instance: what was asked, how far it is, and its answer. The
+ * first caller and those who retry listen to the same run. */
+#pragma once
+
+#include "admit/admit.h"
+#include "base/outcome.h"
+#include "config/config.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum sr_run_state
+{
+  SR_RUN_QUEUED,
+  SR_RUN_RUNNING,
+  SR_RUN_DONE
+};
+
+/* Why a request was not answered, in the order of its names in run.c. */
+enum sr_error
+{
+  SR_ERROR_NONE,
+  SR_ERROR_BAD_JSON,
+  SR_ERROR_BAD_FIELD,
+  SR_ERROR_BAD_HEADER,
+  SR_ERROR_TRUNCATED,
+  SR_ERROR_BAD_KEY,
+  SR_ERROR_NO_BUDGET,
+  SR_ERROR_BUDGET_NOT_YOURS,
+  SR_ERROR_UNKNOWN_SERVICE,
+  SR_ERROR_UNKNOWN_REQUEST,
+  SR_ERROR_KEY_REUSED,
+  SR_ERROR_KEY_EXPIRED,
+  SR_ERROR_TOO_LARGE,
+  SR_ERROR_QUEUE_FULL,
+  SR_ERROR_DEADLINE,
+  SR_ERROR_BACKEND_FAILED,
+  SR_ERROR_PLATFORM_OUT,
+  SR_ERROR_NO_BACKEND,
+  SR_ERROR_STOPPING,
+  SR_ERROR_STARTING,
+  SR_ERROR_TIMEOUT,
+  SR_ERROR_IN_PROGRESS,
+  SR_ERROR_ABANDONED,
+  SR_ERROR_BILL_NOT_PLACED
+};
+
+/* What a caller asked for. Immutable once the run exists. */
+struct sr_run_order
+{
+  GString *team;
+  GString *request;
+  bool request_was_given; /* the caller chose the id, so a retry may come */
+  GString *service;
+  GString *budget;
+  GString *text; /* model: the prompt; plain: the JSON body */
+  int64_t max_tokens;
+  unsigned team_weight;
+  enum sr_priority priority;
+  int64_t deadline_us; /* monotonic */
+  uint64_t fingerprint[2];
+  bool is_look_up; /* only asks what became of an order */
+};
+
+/* The end of a run. */
+struct sr_run_result
+{
+  enum sr_outcome outcome;
+  enum sr_error error;
+  int64_t retry_after_ms; /* 0: coming back does not help */
+  int64_t prompt_tokens;
+  int64_t output_tokens;
+  int64_t billed_tokens;
+};
+
+struct sr_run;
+
+/* Called once when there is more text, or the end. The run is locked: the listener must not call
+ * it. */
+typedef void (*sr_run_listener) (void *data);
+
+struct sr_run *
+sr_run_new (struct sr_run_order *order, struct sr_config *config);
+struct sr_run *
+sr_run_ref (struct sr_run *run);
+void
+sr_run_unref (struct sr_run *run);
+const struct sr_run_order *
+sr_run_order (const struct sr_run *run);
+struct sr_config *
+sr_run_config (const struct sr_run *run);
+const struct sr_config_service *
+sr_run_service (const struct sr_run *run);
+void
+sr_run_order_free (struct sr_run_order *order);
+
+enum sr_run_state
+sr_run_state (struct sr_run *run);
+void
+sr_run_set_running (struct sr_run *run);
+void
+sr_run_append (struct sr_run *run, const char *text, size_t length, unsigned tokens);
+void
+sr_run_set_result_text (struct sr_run *run, const char *text, size_t length);
+void
+sr_run_finish (struct sr_run *run, const struct sr_run_result *result);
+const struct sr_run_result *
+sr_run_result (struct sr_run *run);
+int64_t
+sr_run_tokens (struct sr_run *run);
+int64_t
+sr_run_finished_us (struct sr_run *run);
+
+size_t
+sr_run_text_length (struct sr_run *run);
+void
+sr_run_copy_text (struct sr_run *run, size_t offset, GString *out);
+bool
+sr_run_wait_for_more (
+    struct sr_run *run, size_t offset, bool whole, sr_run_listener listener, void *data);
+void
+sr_run_add_listener (struct sr_run *run);
+void
+sr_run_drop_listener (struct sr_run *run, void *data);
+bool
+sr_run_is_abandoned (struct sr_run *run, int64_t now_us);
+
+const char *
+sr_run_state_to_string (enum sr_run_state state);
+const char *
+sr_error_code (enum sr_error error);
+const char *
+sr_error_message (enum sr_error error);
+int
+sr_error_http_status (enum sr_error error);
--- /dev/null
+++ b/src/request/table.h
@@ -0,0 +1,35 @@
+/* The runs of this instance by team and request id: retries join a run in progress or find the
+ * stored answer. */
+#pragma once
+
+#include "request/run.h"
+
+struct sr_run_table;
+
+struct sr_run_table_options
+{
+  unsigned answers_kept_max;
+  int64_t answer_kept_us;
+};
+
+enum sr_run_found
+{
+  SR_RUN_FOUND_NEW,
+  SR_RUN_FOUND_JOINED,
+  SR_RUN_FOUND_OTHER_BODY
+};
+
+struct sr_run_table *
+sr_run_table_new (const struct sr_run_table_options *options);
+void
+sr_run_table_delete (struct sr_run_table *table);
+enum sr_run_found
+sr_run_table_begin (struct sr_run_table *table, struct sr_run *candidate, struct sr_run **run);
+struct sr_run *
+sr_run_table_find (struct sr_run_table *table, const char *team, const char *request);
+void
+sr_run_table_ended (struct sr_run_table *table, struct sr_run *run);
+void
+sr_run_table_expire (struct sr_run_table *table, int64_t now_us);
+unsigned
+sr_run_table_in_progress (struct sr_run_table *table);
