--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -7,7 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Sections and keys of the file carry the same names, for example [instance] name. */
+/* Sections and keys of the file carry the names of the members, without the section's own name
+ * before them: name is [instance] name, platform_port is [platform] port. */
 struct sr_settings
 {
   /* [instance] */
@@ -48,5 +49,10 @@
 
 struct sr_settings *
 sr_settings_load (const char *path, struct sr_findings *findings);
+struct sr_settings *
+sr_settings_parse (const char *file_name,
+                   const char *text,
+                   size_t length,
+                   struct sr_findings *findings);
 void
 sr_settings_delete (struct sr_settings *settings);
