--- /dev/null
+++ b/src/config/config.c
@@ -0,0 +1,227 @@
+#include "config/config.h"
+
+#include "config/snapshot.h"
+
+#include <string.h>
+
+static void
+team_free_ (void *data);
+static void
+budget_free_ (void *data);
+static void
+service_free_ (void *data);
+static void
+backend_free_ (void *data);
+static void
+config_free_ (struct sr_config *config);
+static unsigned char
+digest_difference_ (const unsigned char *a, const unsigned char *b);
+
+/* Reads a whole configuration from LENGTH bytes of TEXT and checks it, references between sections
+ * included. FILE_NAME is only for the findings. Returns a snapshot that carries REVISION, with one
+ * reference that is the caller's, or NULL after adding every fault to FINDINGS. */
+struct sr_config *
+sr_config_parse (const char *file_name,
+                 const char *text,
+                 size_t length,
+                 int64_t revision,
+                 struct sr_findings *findings)
+{
+  struct sr_config *config = config_new (revision);
+  size_t before = sr_findings_count (findings);
+
+  config_add_sections (config, file_name, text, length, findings);
+  if (config_finish (config, findings) && sr_findings_count (findings) == before)
+    return config;
+  sr_config_unref (config);
+  return NULL;
+}
+
+/* Creates an empty snapshot to be filled with config_add_sections and checked with config_finish.
+ * It has one reference, the caller's. */
+struct sr_config *
+config_new (int64_t revision)
+{
+  struct sr_config *config = g_new0 (struct sr_config, 1);
+
+  config->revision = revision;
+  config->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
+  config->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, budget_free_);
+  config->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free_);
+  config->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, backend_free_);
+  config->all_backends = g_ptr_array_new ();
+  config->all_budgets = g_ptr_array_new ();
+  config->digests = g_array_new (FALSE, TRUE, sizeof (struct config_digest));
+  config->strings = g_string_chunk_new (4096);
+  atomic_store (&config->reference_count, 1);
+  return config;
+}
+
+/* Takes a reference to CONFIG and returns it. Any thread. */
+struct sr_config *
+sr_config_ref (struct sr_config *config)
+{
+  atomic_fetch_add (&config->reference_count, 1);
+  return config;
+}
+
+/* Gives a reference back; the last one frees CONFIG. NULL is allowed. Any thread. */
+void
+sr_config_unref (struct sr_config *config)
+{
+  if (config != NULL && atomic_fetch_sub (&config->reference_count, 1) == 1)
+    config_free_ (config);
+}
+
+/* Returns the revision under which CONFIG was accepted. */
+int64_t
+sr_config_revision (const struct sr_config *config)
+{
+  return config->revision;
+}
+
+/* Returns the team that has this KEY of KEY_LENGTH bytes, or NULL. The key is digested, and its
+ * digest compared with that of every key there is, always to the last byte, so that the time taken
+ * tells nothing of any stored digest. */
+const struct sr_config_team *
+sr_config_team_by_key (const struct sr_config *config, const char *key, size_t key_length)
+{
+  GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
+  unsigned char digest[CONFIG_DIGEST_BYTES];
+  gsize digest_length = sizeof (digest);
+  uintptr_t found = 0;
+
+  g_checksum_update (checksum, (const guchar *)key, (gssize)key_length);
+  g_checksum_get_digest (checksum, digest, &digest_length);
+  g_checksum_free (checksum);
+  for (unsigned i = 0; i < config->digests->len; i++)
+    {
+      const struct config_digest *known = &g_array_index (config->digests, struct config_digest, i);
+      uintptr_t difference = digest_difference_ (known->bytes, digest);
+      uintptr_t mask = (difference - 1) >> 8; /* all ones above the byte when equal, else 0 */
+
+      mask = (uintptr_t)0 - (mask & 1);
+      found |= (uintptr_t)known->team & mask;
+    }
+  return (const struct sr_config_team *)found; // NOLINT(performance-no-int-to-ptr)
+}
+
+/* Returns the team NAME, or NULL. */
+const struct sr_config_team *
+sr_config_team (const struct sr_config *config, const char *name)
+{
+  const struct config_team *team = g_hash_table_lookup (config->teams, name);
+
+  return team != NULL ? &team->team : NULL;
+}
+
+/* Tells whether BUDGET is one of TEAM's. */
+bool
+sr_config_team_owns_budget (const struct sr_config_team *team, const char *budget)
+{
+  return g_hash_table_contains (team->budget_set, budget);
+}
+
+/* Returns the service NAME, or NULL. */
+const struct sr_config_service *
+sr_config_service (const struct sr_config *config, const char *name)
+{
+  const struct config_service *service = g_hash_table_lookup (config->services, name);
+
+  return service != NULL ? &service->service : NULL;
+}
+
+/* Returns the backend servers (struct sr_config_backend) of SERVICE, leaving ones included, or NULL
+ * when there is no such service. */
+const GPtrArray *
+sr_config_service_backends (const struct sr_config *config, const char *service)
+{
+  const struct config_service *found = g_hash_table_lookup (config->services, service);
+
+  return found != NULL ? found->backends : NULL;
+}
+
+/* Returns all backend servers (struct sr_config_backend). */
+const GPtrArray *
+sr_config_backends (const struct sr_config *config)
+{
+  return config->all_backends;
+}
+
+/* Returns the names (GString) of all budgets. */
+const GPtrArray *
+sr_config_budgets (const struct sr_config *config)
+{
+  return config->all_budgets;
+}
+
+/* Returns 0 when both digests are equal, else 1 to 255, after looking at every byte. */
+static unsigned char
+digest_difference_ (const unsigned char *a, const unsigned char *b)
+{
+  unsigned char difference = 0;
+
+  for (int i = 0; i < CONFIG_DIGEST_BYTES; i++)
+    difference |= a[i] ^ b[i];
+  return difference;
+}
+
+static void
+config_free_ (struct sr_config *config)
+{
+  g_array_unref (config->digests);
+  g_ptr_array_unref (config->all_budgets);
+  g_ptr_array_unref (config->all_backends);
+  g_hash_table_unref (config->backends);
+  g_hash_table_unref (config->services);
+  g_hash_table_unref (config->budgets);
+  g_hash_table_unref (config->teams);
+  g_string_chunk_free (config->strings);
+  g_free (config);
+}
+
+static void
+team_free_ (void *data)
+{
+  struct config_team *node = data;
+
+  g_string_free (node->team.name, TRUE);
+  g_ptr_array_unref (node->team.key_digests);
+  g_ptr_array_unref (node->team.budgets);
+  g_hash_table_unref (node->team.budget_set);
+  g_free (node);
+}
+
+static void
+budget_free_ (void *data)
+{
+  struct config_budget *node = data;
+
+  g_string_free (node->name, TRUE);
+  g_free (node);
+}
+
+static void
+service_free_ (void *data)
+{
+  struct config_service *node = data;
+
+  g_string_free (node->service.name, TRUE);
+  g_string_free (node->service.model, TRUE);
+  g_string_free (node->service.version, TRUE);
+  g_string_free (node->service.adapter, TRUE);
+  g_ptr_array_unref (node->backends);
+  g_free (node);
+}
+
+static void
+backend_free_ (void *data)
+{
+  struct config_backend *node = data;
+
+  g_string_free (node->backend.name, TRUE);
+  g_string_free (node->backend.service, TRUE);
+  g_string_free (node->backend.address, TRUE);
+  g_string_free (node->backend.data_centre, TRUE);
+  g_free (node);
+}
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
   GPtrArray *key_digests; /* lower-case hex SHA-256 of each key, GString */
   GPtrArray *budgets;     /* names (GString), the default one first */
   unsigned weight;        /* share in queues, default 1 */
+  GHashTable *budget_set; /* the same names, for sr_config_team_owns_budget */
 };
 
 struct sr_config_service
--- /dev/null
+++ b/src/config/references.c
@@ -0,0 +1,211 @@
+#include "config/snapshot.h"
+
+#include <string.h>
+
+static void
+resolve_budgets_ (struct sr_config *config, struct sr_findings *findings);
+static void
+resolve_team_ (struct sr_config *config,
+               struct config_team *team,
+               GPtrArray *owned,
+               struct sr_findings *findings);
+static void
+resolve_backends_ (struct sr_config *config, struct sr_findings *findings);
+static void
+collect_digests_ (struct sr_config *config, struct sr_findings *findings);
+static void
+add_digest_ (struct sr_config *config, const struct sr_config_team *team, const char *hex);
+static GPtrArray *
+sorted_values_ (GHashTable *table);
+static int
+compare_keys_ (const void *a, const void *b);
+static void
+add_finding_ (struct sr_findings *findings,
+              const struct config_origin *origin,
+              const char *kind,
+              const GString *name,
+              const char *key,
+              const char *message,
+              const char *about);
+
+/* Ends the building of CONFIG: resolves and checks the references between its sections, and fills
+ * the tables for look-ups. Returns false after adding faults to FINDINGS. */
+bool
+config_finish (struct sr_config *config, struct sr_findings *findings)
+{
+  size_t before = sr_findings_count (findings);
+
+  resolve_budgets_ (config, findings);
+  resolve_backends_ (config, findings);
+  collect_digests_ (config, findings);
+  return sr_findings_count (findings) == before;
+}
+
+/* Gives each team its budgets: first those that it lists, in that order, then the others that name
+ * it, in the order of their names. */
+static void
+resolve_budgets_ (struct sr_config *config, struct sr_findings *findings)
+{
+  g_autoptr (GHashTable) owned
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  g_autoptr (GPtrArray) budgets = sorted_values_ (config->budgets);
+  g_autoptr (GPtrArray) teams = sorted_values_ (config->teams);
+
+  for (size_t i = 0; i < budgets->len; i++)
+    {
+      struct config_budget *budget = g_ptr_array_index (budgets, i);
+      GPtrArray *list = g_hash_table_lookup (owned, budget->team);
+
+      g_ptr_array_add (config->all_budgets, budget->name);
+      if (*budget->team != '\0' && !g_hash_table_contains (config->teams, budget->team))
+        add_finding_ (findings, &budget->origin, "budget", budget->name, "team",
+                      "there is no team ", budget->team);
+      if (list == NULL)
+        {
+          list = g_ptr_array_new ();
+          g_hash_table_insert (owned, (char *)budget->team, list);
+        }
+      g_ptr_array_add (list, budget->name);
+    }
+  for (size_t i = 0; i < teams->len; i++)
+    {
+      struct config_team *team = g_ptr_array_index (teams, i);
+
+      resolve_team_ (config, team, g_hash_table_lookup (owned, team->team.name->str), findings);
+    }
+}
+
+/* Replaces the list of budgets of TEAM as it was written by the whole one; OWNED are the names of
+ * the budgets that name the team, or NULL. */
+static void
+resolve_team_ (struct sr_config *config,
+               struct config_team *team,
+               GPtrArray *owned,
+               struct sr_findings *findings)
+{
+  GPtrArray *written = team->team.budgets;
+
+  team->team.budgets = g_ptr_array_new ();
+  for (size_t i = 0; i < written->len; i++)
+    {
+      const GString *name = g_ptr_array_index (written, i);
+      const struct config_budget *budget = g_hash_table_lookup (config->budgets, name->str);
+      const char *problem = NULL;
+
+      if (budget == NULL)
+        problem = "there is no budget ";
+      else if (strcmp (budget->team, team->team.name->str) != 0)
+        problem = "another team has the budget ";
+      else if (!g_hash_table_add (team->team.budget_set, budget->name->str))
+        problem = "names twice the budget ";
+      else
+        g_ptr_array_add (team->team.budgets, budget->name);
+      if (problem != NULL)
+        add_finding_ (findings, &team->origin, "team", team->team.name, "budgets", problem,
+                      name->str);
+    }
+  g_ptr_array_unref (written);
+  for (size_t i = 0; owned != NULL && i < owned->len; i++)
+    {
+      GString *name = g_ptr_array_index (owned, i);
+
+      if (g_hash_table_add (team->team.budget_set, name->str))
+        g_ptr_array_add (team->team.budgets, name);
+    }
+}
+
+/* Gives each service its backend servers, in the order of their names. */
+static void
+resolve_backends_ (struct sr_config *config, struct sr_findings *findings)
+{
+  g_autoptr (GHashTable) places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GPtrArray) backends = sorted_values_ (config->backends);
+
+  for (size_t i = 0; i < backends->len; i++)
+    {
+      struct config_backend *node = g_ptr_array_index (backends, i);
+      struct sr_config_backend *backend = &node->backend;
+      struct config_service *service
+          = g_hash_table_lookup (config->services, backend->service->str);
+      char *place = g_strdup_printf ("%s:%u", backend->address->str, backend->port);
+
+      g_ptr_array_add (config->all_backends, backend);
+      if (service != NULL)
+        g_ptr_array_add (service->backends, backend);
+      else if (backend->service->len > 0)
+        add_finding_ (findings, &node->origin, "backend", backend->name, "service",
+                      "there is no service ", backend->service->str);
+      if (backend->port != 0 && g_hash_table_contains (places, place))
+        add_finding_ (findings, &node->origin, "backend", backend->name, "address",
+                      "another backend server has the address ", place);
+      g_hash_table_add (places, place);
+    }
+}
+
+/* Collects the digests of all teams' keys; no two may be equal. */
+static void
+collect_digests_ (struct sr_config *config, struct sr_findings *findings)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) teams = sorted_values_ (config->teams);
+
+  for (size_t i = 0; i < teams->len; i++)
+    {
+      const struct config_team *team = g_ptr_array_index (teams, i);
+
+      for (size_t j = 0; j < team->team.key_digests->len; j++)
+        {
+          const GString *hex = g_ptr_array_index (team->team.key_digests, j);
+
+          if (g_hash_table_add (seen, hex->str))
+            add_digest_ (config, &team->team, hex->str);
+          else
+            add_finding_ (findings, &team->origin, "team", team->team.name, "key_digest",
+                          "stands twice in the configuration: ", hex->str);
+        }
+    }
+}
+
+static void
+add_digest_ (struct sr_config *config, const struct sr_config_team *team, const char *hex)
+{
+  struct config_digest digest = { .team = team };
+
+  for (int i = 0; i < CONFIG_DIGEST_BYTES; i++)
+    digest.bytes[i] = (unsigned char)(g_ascii_xdigit_value (hex[2 * i]) << 4
+                                      | g_ascii_xdigit_value (hex[2 * i + 1]));
+  g_array_append_val (config->digests, digest);
+}
+
+/* Returns the values of a table from names to sections, in the order of the names. */
+static GPtrArray *
+sorted_values_ (GHashTable *table)
+{
+  GPtrArray *values = g_ptr_array_sized_new (g_hash_table_size (table));
+  g_autofree void **keys = g_hash_table_get_keys_as_array (table, NULL);
+
+  qsort (keys, g_hash_table_size (table), sizeof (*keys), compare_keys_);
+  for (unsigned i = 0; i < g_hash_table_size (table); i++)
+    g_ptr_array_add (values, g_hash_table_lookup (table, keys[i]));
+  return values;
+}
+
+static int
+compare_keys_ (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+static void
+add_finding_ (struct sr_findings *findings,
+              const struct config_origin *origin,
+              const char *kind,
+              const GString *name,
+              const char *key,
+              const char *message,
+              const char *about)
+{
+  g_autofree char *section = g_strdup_printf ("%s %s", kind, name->str);
+
+  sr_findings_add (findings, origin->file, origin->line, section, key, "%s%s", message, about);
+}
