Budgets drawn on the platform by each instance, and topup

Cause: the first request needs prepaid tokens. Change: the platform's record of a budget (record), the ledger of one budget at one instance with doubtful writes and loans (ledger), the threads around it (budget, draw, worker), top-ups applied once by id. No witness and no loans between instances yet: a crashed holder's allotment stays on the record.

--- /dev/null
+++ b/src/budget/budget.c
@@ -0,0 +1,315 @@
+#include "budget/budget-private.h"
+
+#include "base/counters.h"
+#include "base/thread.h"
+
+#include <string.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  WORK_RING_CAPACITY = 4096,
+  WAIT_MAX_US = 2000000,      /* longest wait of a reservation for tokens */
+  RETRY_OUT_MS = 1000,        /* told to callers while the platform is out */
+  RETRY_EXHAUSTED_MS = 30000, /* told to callers of an exhausted budget: only a top-up helps */
+  HAND_OVER_POLL_US = 20000
+};
+
+struct sr_reservation
+{
+  struct sr_budget_entry *entry;
+  GArray *parts; /* struct sr_part */
+  int64_t tokens;
+};
+
+static struct sr_counter reserved_total
+    = { .name = "budget_reservations_total", .help = "Reservations granted." };
+static struct sr_counter exhausted_total
+    = { .name = "budget_exhausted_total", .help = "Reservations refused: no tokens left." };
+static struct sr_counter unreachable_total
+    = { .name = "budget_unreachable_total", .help = "Reservations refused: nobody to ask." };
+
+static GArray *
+wait_for_tokens_ (struct sr_budgets *budgets,
+                  struct sr_budget_entry *entry,
+                  int64_t tokens,
+                  int64_t end_us);
+static void
+draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us);
+static bool
+hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+static GPtrArray *
+entries_with_record_ (struct sr_budgets *budgets);
+
+/* Creates the budgets of one instance. The caller owns them and frees them with
+ * sr_budgets_delete. */
+struct sr_budgets *
+sr_budgets_new (const struct sr_budgets_options *options)
+{
+  struct sr_budgets *budgets = g_new0 (struct sr_budgets, 1);
+
+  budgets->options = *options;
+  budgets->instance = g_strdup (options->instance);
+  budgets->data_centre = g_strdup (options->data_centre);
+  pthread_mutex_init (&budgets->mutex, NULL);
+  sr_cond_init (&budgets->changed);
+  budgets->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sr_budget_entry_free);
+  budgets->work = sr_ring_new (WORK_RING_CAPACITY);
+  sr_counter_register (&reserved_total);
+  sr_counter_register (&exhausted_total);
+  sr_counter_register (&unreachable_total);
+  return budgets;
+}
+
+/* Frees BUDGETS, which must be stopped and without open reservations. NULL is allowed. */
+void
+sr_budgets_delete (struct sr_budgets *budgets)
+{
+  if (budgets == NULL)
+    return;
+  g_hash_table_unref (budgets->entries);
+  sr_ring_delete (budgets->work);
+  pthread_cond_destroy (&budgets->changed);
+  pthread_mutex_destroy (&budgets->mutex);
+  g_free (budgets->instance);
+  g_free (budgets->data_centre);
+  g_free (budgets);
+}
+
+/* Starts the threads of BUDGETS. Returns false when the system gives none. */
+bool
+sr_budgets_start (struct sr_budgets *budgets)
+{
+  while (budgets->n_workers < SR_BUDGET_WORKERS)
+    {
+      if (!sr_thread_start (&budgets->workers[budgets->n_workers], 0, sr_budget_worker_run,
+                            budgets))
+        goto fail;
+      budgets->n_workers++;
+    }
+  if (!sr_thread_start (&budgets->upkeep, 0, sr_budget_upkeep_run, budgets))
+    goto fail;
+  budgets->started = true;
+  return true;
+
+fail:
+  sr_budgets_stop (budgets);
+  return false;
+}
+
+/* Ends the threads of BUDGETS; waiting reservations are refused. */
+void
+sr_budgets_stop (struct sr_budgets *budgets)
+{
+  pthread_mutex_lock (&budgets->mutex);
+  budgets->stopping = true;
+  pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+  sr_ring_close (budgets->work);
+  for (unsigned i = 0; i < budgets->n_workers; i++)
+    pthread_join (budgets->workers[i], NULL);
+  budgets->n_workers = 0;
+  if (budgets->started)
+    pthread_join (budgets->upkeep, NULL);
+  budgets->started = false;
+}
+
+/* Adds the messages of this slice to SERVER, before it is started. */
+void
+sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server)
+{
+}
+
+/* Reserves TOKENS (> 0) of BUDGET. Out of what this instance holds at once; else it waits for more
+ * at most until the monotonic DEADLINE_US, and never longer than two seconds. On success
+ * RESERVATION is set, to be ended by sr_budgets_settle; else RETRY_AFTER_MS says when coming back
+ * can help. */
+enum sr_budget_verdict
+sr_budgets_reserve (struct sr_budgets *budgets,
+                    const char *budget,
+                    int64_t tokens,
+                    int64_t deadline_us,
+                    struct sr_reservation **reservation,
+                    int64_t *retry_after_ms)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  enum sr_budget_verdict verdict = SR_BUDGET_RESERVED;
+  struct sr_budget_entry *entry;
+  GArray *parts;
+
+  g_assert (tokens > 0);
+  *retry_after_ms = 0;
+  pthread_mutex_lock (&budgets->mutex);
+  entry = sr_budget_entry_get (budgets, budget);
+  parts = sr_ledger_reserve (entry->ledger, tokens, now_us);
+  if (parts == NULL && now_us >= entry->refused_until_us)
+    parts = wait_for_tokens_ (budgets, entry, tokens, MIN (deadline_us, now_us + WAIT_MAX_US));
+  if (parts != NULL)
+    {
+      *reservation = g_new0 (struct sr_reservation, 1);
+      **reservation = (struct sr_reservation){ entry, parts, tokens };
+      draw_ahead_ (budgets, entry, now_us);
+      sr_counter_add (&reserved_total, 1);
+    }
+  else
+    {
+      bool exhausted = entry->verdict == SR_BUDGET_EXHAUSTED;
+
+      verdict = exhausted ? SR_BUDGET_EXHAUSTED : SR_BUDGET_UNREACHABLE;
+      *retry_after_ms = exhausted ? RETRY_EXHAUSTED_MS : RETRY_OUT_MS;
+      sr_counter_add (exhausted ? &exhausted_total : &unreachable_total, 1);
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return verdict;
+}
+
+/* Ends RESERVATION, of which USED_TOKENS were consumed, and frees it. Where that is not known, it
+ * must be the reserved number. */
+void
+sr_budgets_settle (struct sr_budgets *budgets,
+                   struct sr_reservation *reservation,
+                   int64_t used_tokens)
+{
+  struct sr_budget_entry *entry = reservation->entry;
+
+  pthread_mutex_lock (&budgets->mutex);
+  sr_ledger_settle (entry->ledger, reservation->parts, MAX (used_tokens, 0));
+  if (entry->waiting > 0)
+    pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+  g_free (reservation);
+}
+
+/* Appends a JSON object, budget names to what is held of them here, to JSON. */
+void
+sr_budgets_print_status (struct sr_budgets *budgets, GString *json)
+{
+  GHashTableIter iterator;
+  const char *separator = "";
+  void *value;
+
+  g_string_append_c (json, '{');
+  pthread_mutex_lock (&budgets->mutex);
+  g_hash_table_iter_init (&iterator, budgets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      const struct sr_budget_entry *entry = value;
+      const struct sr_source *own = entry->ledger->own;
+
+      g_string_append_printf (json,
+                              "%s\"%s\":{\"available\":%" G_GINT64_FORMAT
+                              ",\"granted\":%" G_GINT64_FORMAT ",\"used\":%" G_GINT64_FORMAT
+                              ",\"reserved\":%" G_GINT64_FORMAT "}",
+                              separator, entry->name, sr_ledger_available (entry->ledger),
+                              own == NULL ? 0 : own->granted, own == NULL ? 0 : own->used,
+                              own == NULL ? 0 : own->reserved);
+      separator = ",";
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  g_string_append_c (json, '}');
+}
+
+/* Gives back everything that is held here, at most until the monotonic DEADLINE_US. Called when no
+ * request is in progress any more. Returns false when something could not be given back; it then
+ * stays on the platform's record until another instance recovers it. */
+bool
+sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us)
+{
+  GPtrArray *entries;
+  bool done = false;
+
+  while (!done)
+    {
+      done = true;
+      entries = entries_with_record_ (budgets);
+      for (unsigned i = 0; i < entries->len; i++)
+        {
+          if (g_get_monotonic_time () >= deadline_us
+              || !hand_over_entry_ (budgets, entries->pdata[i]))
+            done = false;
+        }
+      g_ptr_array_unref (entries);
+      if (g_get_monotonic_time () >= deadline_us)
+        break;
+      if (!done)
+        g_usleep (HAND_OVER_POLL_US);
+    }
+  return done;
+}
+
+/* Called with the mutex held. Waits until TOKENS could be reserved, or an attempt to get them that
+ * began after this call has ended without them, or END_US. */
+static GArray *
+wait_for_tokens_ (struct sr_budgets *budgets,
+                  struct sr_budget_entry *entry,
+                  int64_t tokens,
+                  int64_t end_us)
+{
+  uint64_t attempt = entry->started + 1;
+  GArray *parts = NULL;
+
+  entry->waiting += tokens;
+  while (parts == NULL && !budgets->stopping)
+    {
+      if (!entry->busy)
+        sr_budget_entry_enqueue (budgets, entry);
+      if (!sr_cond_wait_until (&budgets->changed, &budgets->mutex, end_us))
+        break;
+      parts = sr_ledger_reserve (entry->ledger, tokens, g_get_monotonic_time ());
+      if (entry->finished >= attempt && entry->verdict != SR_BUDGET_RESERVED)
+        break;
+    }
+  entry->waiting -= tokens;
+  return parts;
+}
+
+static void
+draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us)
+{
+  struct sr_ledger *ledger = entry->ledger;
+  int64_t target = sr_ledger_demand (ledger, now_us, ledger->options.cover_us);
+
+  if (now_us < entry->refused_until_us || sr_budget_platform_is_out (budgets, now_us))
+    return;
+  if (sr_ledger_available (ledger) < target / 2 && !entry->busy)
+    sr_budget_entry_enqueue (budgets, entry);
+}
+
+static bool
+hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+{
+  bool done = false;
+
+  pthread_mutex_lock (&budgets->mutex);
+  if (!entry->busy)
+    {
+      entry->busy = true;
+      pthread_mutex_unlock (&budgets->mutex);
+      sr_budget_give_back (budgets, entry, true);
+      pthread_mutex_lock (&budgets->mutex);
+      entry->busy = false;
+      done = entry->ledger->own == NULL;
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return done;
+}
+
+static GPtrArray *
+entries_with_record_ (struct sr_budgets *budgets)
+{
+  GPtrArray *entries = g_ptr_array_new ();
+  GHashTableIter iterator;
+  void *value;
+
+  pthread_mutex_lock (&budgets->mutex);
+  g_hash_table_iter_init (&iterator, budgets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct sr_budget_entry *entry = value;
+
+      if (entry->ledger->own != NULL)
+        g_ptr_array_add (entries, entry);
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return entries;
+}
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -1,6 +1,10 @@
 /* Prepaid budgets: tokens reserved before a request runs and settled after it. */
 #pragma once
 
+#include "member/member.h"
+#include "peer/peer.h"
+#include "platform/platform.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -16,6 +20,36 @@
 struct sr_budgets;
 struct sr_reservation;
 
+/* The strings are copied; platform and peers must outlive the budgets. */
+struct sr_budgets_options
+{
+  struct sr_platform *platform;
+  struct sr_peer_client *peers; /* NULL: no loans and no witness */
+  struct sr_members *members;   /* NULL: alone, unless view is set */
+  /* The view of the other instances, the caller owns a reference; NULL: sr_members_view of members
+   */
+  struct sr_member_view *(*view) (void *data);
+  void *view_data;
+  const char *instance;
+  const char *data_centre;
+  uint64_t incarnation;
+  unsigned allotment_cover_s;
+  unsigned idle_return_s;
+  unsigned settle_interval_ms;
+  bool without_witness; /* a crashed holder's allotment is then written off as a whole */
+  uint32_t seed;
+};
+
+struct sr_budgets *
+sr_budgets_new (const struct sr_budgets_options *options);
+void
+sr_budgets_delete (struct sr_budgets *budgets);
+bool
+sr_budgets_start (struct sr_budgets *budgets);
+void
+sr_budgets_stop (struct sr_budgets *budgets);
+void
+sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server);
 enum sr_budget_verdict
 sr_budgets_reserve (struct sr_budgets *budgets,
                     const char *budget,
--- /dev/null
+++ b/src/budget/draw.c
@@ -0,0 +1,223 @@
+#include "budget/budget-private.h"
+
+#include <unistd.h>
+
+enum
+{
+  TRIES_MAX = 12,
+  BACKOFF_MIN_US = 500,
+  BACKOFF_SPREAD_US = 4000, /* for each try that lost against another writer */
+  OUT_BACKOFF_US = 500000   /* an unreachable platform is asked again after this */
+};
+
+/* One conditional update of a budget's object. */
+struct update
+{
+  struct sr_record *record;
+  int64_t version;
+  bool write; /* the edit changed the record */
+  enum sr_draw_result result;
+};
+
+typedef void (*edit_function) (struct sr_budgets *budgets,
+                               struct sr_budget_entry *entry,
+                               int64_t need,
+                               struct update *update);
+
+static enum sr_draw_result
+update_ (struct sr_budgets *budgets,
+         struct sr_budget_entry *entry,
+         edit_function edit,
+         int64_t need);
+static enum sr_platform_status
+read_ (struct sr_budgets *budgets, const char *name, struct update *update);
+static enum sr_platform_status
+write_ (struct sr_budgets *budgets, const char *name, const struct update *update);
+static void
+note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status);
+static void
+edit_draw_ (struct sr_budgets *budgets,
+            struct sr_budget_entry *entry,
+            int64_t need,
+            struct update *update);
+static void
+edit_keep_ (struct sr_budgets *budgets,
+            struct sr_budget_entry *entry,
+            int64_t need,
+            struct update *update);
+static void
+edit_close_ (struct sr_budgets *budgets,
+             struct sr_budget_entry *entry,
+             int64_t need,
+             struct update *update);
+
+/* Tells whether the platform failed so recently that it is not asked again yet. Called with the
+ * mutex held. */
+bool
+sr_budget_platform_is_out (struct sr_budgets *budgets, int64_t now_us)
+{
+  return now_us < budgets->platform_out_until_us;
+}
+
+/* Draws on the platform so that NEED tokens, and those of the demand to come, can be reserved.
+ * Called by a worker without the mutex; blocks for the calls to the platform. */
+enum sr_draw_result
+sr_budget_draw (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need)
+{
+  return update_ (budgets, entry, edit_draw_, need);
+}
+
+/* Writes to the platform what was spent, and gives back what demand does not ask for; closes the
+ * own record when CLOSE is set and no reservation is open. Returns false when the platform could
+ * not be asked. */
+bool
+sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close)
+{
+  return update_ (budgets, entry, close ? edit_close_ : edit_keep_, 0) != SR_DRAW_OUT;
+}
+
+/* A write whose answer was lost, or that another one has overtaken, is resolved by the next read.
+ */
+static enum sr_draw_result
+update_ (struct sr_budgets *budgets,
+         struct sr_budget_entry *entry,
+         edit_function edit,
+         int64_t need)
+{
+  enum sr_platform_status status = SR_PLATFORM_OUT;
+  struct update update = { 0 };
+
+  for (unsigned try = 0; try < TRIES_MAX; try++)
+    {
+      update = (struct update){ .result = SR_DRAW_DONE };
+      status = read_ (budgets, entry->name, &update);
+      if (status != SR_PLATFORM_OK)
+        break;
+      pthread_mutex_lock (&budgets->mutex);
+      sr_ledger_read (entry->ledger, update.record, update.version);
+      edit (budgets, entry, need, &update);
+      pthread_mutex_unlock (&budgets->mutex);
+      if (!update.write)
+        break;
+      status = write_ (budgets, entry->name, &update);
+      if (status == SR_PLATFORM_OK)
+        {
+          pthread_mutex_lock (&budgets->mutex);
+          sr_ledger_written (entry->ledger, update.record);
+          pthread_mutex_unlock (&budgets->mutex);
+          break;
+        }
+      if (status != SR_PLATFORM_CONFLICT && status != SR_PLATFORM_UNKNOWN)
+        break;
+      sr_record_delete (update.record);
+      update.record = NULL;
+      usleep (BACKOFF_MIN_US + (unsigned)g_random_int_range (0, BACKOFF_SPREAD_US) * (try + 1));
+    }
+  sr_record_delete (update.record);
+  pthread_mutex_lock (&budgets->mutex);
+  note_reachable_ (budgets, status);
+  pthread_mutex_unlock (&budgets->mutex);
+  return status == SR_PLATFORM_OK ? update.result : SR_DRAW_OUT;
+}
+
+/* A budget without an object was never paid into: it reads as an empty record. */
+static enum sr_platform_status
+read_ (struct sr_budgets *budgets, const char *name, struct update *update)
+{
+  GString *body = g_string_new (NULL);
+  enum sr_platform_status status;
+
+  status
+      = sr_platform_get (budgets->options.platform, SR_BUDGET_KIND, name, body, &update->version);
+  if (status == SR_PLATFORM_ABSENT)
+    {
+      update->record = sr_record_new ();
+      update->version = 0;
+      status = SR_PLATFORM_OK;
+    }
+  else if (status == SR_PLATFORM_OK)
+    {
+      update->record = sr_record_parse (body->str, body->len);
+      if (update->record == NULL)
+        {
+          g_warning ("budget %s: the platform's object is malformed", name);
+          status = SR_PLATFORM_OUT;
+        }
+    }
+  g_string_free (body, TRUE);
+  return status;
+}
+
+static enum sr_platform_status
+write_ (struct sr_budgets *budgets, const char *name, const struct update *update)
+{
+  GString *body = g_string_new (NULL);
+  enum sr_platform_status status;
+  int64_t version;
+
+  sr_record_print (update->record, body);
+  status = sr_platform_put (budgets->options.platform, SR_BUDGET_KIND, name, body->str, body->len,
+                            update->version, &version);
+  g_string_free (body, TRUE);
+  return status;
+}
+
+static void
+note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status)
+{
+  if (status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT)
+    budgets->platform_out_until_us = 0;
+  else
+    budgets->platform_out_until_us = g_get_monotonic_time () + OUT_BACKOFF_US;
+}
+
+static void
+edit_draw_ (struct sr_budgets *budgets,
+            struct sr_budget_entry *entry,
+            int64_t need,
+            struct update *update)
+{
+  struct sr_ledger *ledger = entry->ledger;
+  int64_t available = sr_ledger_available (ledger);
+  int64_t want = sr_ledger_demand (ledger, g_get_monotonic_time (), ledger->options.cover_us);
+
+  update->write = sr_ledger_close_left_over (ledger, update->record);
+  need -= available;
+  want -= available;
+  if (MAX (need, want) <= 0)
+    return;
+  if (sr_record_remaining (update->record) < need)
+    update->result = SR_DRAW_SHORT;
+  if (sr_record_remaining (update->record) <= 0)
+    return;
+  sr_ledger_draw (ledger, update->record, update->version, need, want, NULL, 0);
+  update->write = true;
+}
+
+static void
+edit_keep_ (struct sr_budgets *budgets,
+            struct sr_budget_entry *entry,
+            int64_t need,
+            struct update *update)
+{
+  struct sr_ledger *ledger = entry->ledger;
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t keep = 0;
+
+  update->write = sr_ledger_close_left_over (ledger, update->record);
+  if (sr_record_remaining (update->record) >= 0 && !sr_ledger_is_idle (ledger, now_us))
+    keep = sr_ledger_demand (ledger, now_us, ledger->options.cover_us);
+  if (sr_ledger_give_back (ledger, update->record, update->version, keep, false))
+    update->write = true;
+}
+
+static void
+edit_close_ (struct sr_budgets *budgets,
+             struct sr_budget_entry *entry,
+             int64_t need,
+             struct update *update)
+{
+  update->write = sr_ledger_close_left_over (entry->ledger, update->record);
+  if (sr_ledger_give_back (entry->ledger, update->record, update->version, 0, true))
+    update->write = true;
+}
--- /dev/null
+++ b/src/budget/ledger.h
@@ -0,0 +1,140 @@
+/* The tokens of one budget at one instance: a state machine without thread, lock or clock. */
+#pragma once
+
+#include "budget/record.h"
+
+struct sr_ledger_options
+{
+  const char *instance;
+  const char *data_centre;
+  uint64_t incarnation;
+  int64_t cover_us;         /* demand that an allotment covers */
+  int64_t ceiling_cover_us; /* demand that a raise of the ceiling covers */
+  int64_t idle_us;          /* without a reservation for this long, tokens are given back */
+};
+
+/* What one borrower has out of an own record. Both counters only rise, so that lost, repeated and
+ * reordered messages are harmless. */
+struct sr_loan
+{
+  char borrower[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t incarnation;
+  int64_t lent;
+  int64_t returned;
+};
+
+/* Tokens this instance may use: granted by the platform (own), or lent by another holder. */
+struct sr_source
+{
+  struct sr_holder_id id; /* the own record, or the lender's */
+  bool own;
+  bool open;       /* false: what is left may be used, nothing is added or given back */
+  bool on_record;  /* own: the platform is known to have the record */
+  bool gone;       /* own: the platform is known to have closed the record */
+  int64_t granted; /* own: confirmed by the platform; loan: lent so far */
+  int64_t ceiling; /* own: acknowledged by the witness */
+  int64_t used;    /* settled requests */
+  int64_t reserved;
+  int64_t given;                          /* own: out on loan; loan: returned so far */
+  char witness[SR_BUDGET_NAME_MAX_BYTES]; /* own: empty for none */
+  uint64_t witness_incarnation;
+  GArray *loans; /* own: struct sr_loan */
+  /* A write whose answer is not known: until a read shows a later version, the smaller of both
+   * grants counts. */
+  bool in_doubt;
+  int64_t doubt_version; /* version that the write expected */
+  int64_t doubt_granted;
+};
+
+struct sr_part
+{
+  struct sr_source *source;
+  int64_t tokens;
+};
+
+struct sr_ledger
+{
+  struct sr_ledger_options options;
+  GPtrArray *sources;    /* struct sr_source */
+  struct sr_source *own; /* the open record, or NULL */
+  uint64_t generation;
+  double rate; /* tokens a second, decaying average */
+  int64_t rate_us;
+  int64_t last_use_us;
+};
+
+struct sr_ledger *
+sr_ledger_new (const struct sr_ledger_options *options);
+void
+sr_ledger_delete (struct sr_ledger *ledger);
+int64_t
+sr_source_limit (const struct sr_source *source);
+int64_t
+sr_source_available (const struct sr_source *source);
+int64_t
+sr_ledger_available (const struct sr_ledger *ledger);
+int64_t
+sr_ledger_committed (const struct sr_ledger *ledger);
+GArray *
+sr_ledger_reserve (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
+void
+sr_ledger_settle (struct sr_ledger *ledger, GArray *parts, int64_t used);
+int64_t
+sr_ledger_demand (struct sr_ledger *ledger, int64_t now_us, int64_t cover_us);
+bool
+sr_ledger_is_idle (const struct sr_ledger *ledger, int64_t now_us);
+
+/* The own record on the platform. */
+void
+sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version);
+bool
+sr_ledger_close_left_over (const struct sr_ledger *ledger, struct sr_record *record);
+void
+sr_ledger_draw (struct sr_ledger *ledger,
+                struct sr_record *record,
+                int64_t version,
+                int64_t need,
+                int64_t want,
+                const char *witness,
+                uint64_t witness_incarnation);
+bool
+sr_ledger_give_back (
+    struct sr_ledger *ledger, struct sr_record *record, int64_t version, int64_t keep, bool close);
+void
+sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record);
+
+/* The witness of the own record. */
+int64_t
+sr_ledger_ceiling_wanted (struct sr_ledger *ledger, int64_t need, int64_t now_us);
+void
+sr_ledger_raised (struct sr_ledger *ledger,
+                  const struct sr_holder_id *id,
+                  int64_t ceiling,
+                  bool sealed);
+
+/* Loans, lender's side. */
+struct sr_loan_answer
+{
+  bool has_record;
+  struct sr_holder_id lender;
+  int64_t lent;
+};
+
+void
+sr_ledger_lend (struct sr_ledger *ledger,
+                const struct sr_holder_id *lender,
+                const char *borrower,
+                uint64_t incarnation,
+                int64_t returned,
+                int64_t need,
+                int64_t want,
+                int64_t now_us,
+                struct sr_loan_answer *answer);
+
+/* Loans, borrower's side. */
+struct sr_source *
+sr_ledger_loan_from (const struct sr_ledger *ledger, const char *lender);
+int64_t
+sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
+int64_t
+sr_ledger_return_loan (struct sr_ledger *ledger, const struct sr_holder_id *lender, int64_t keep);
--- /dev/null
+++ b/src/budget/record.c
@@ -0,0 +1,323 @@
+#include "budget/record.h"
+
+#include <jansson.h>
+#include <string.h>
+
+enum
+{
+  LARGEST_SHARE_DIVISOR = 4 /* a grant ahead of demand takes at most this part of what is left */
+};
+
+static const int64_t PREPAID_MAX_TOKENS = INT64_C (1) << 60;
+
+static void
+top_up_free_ (void *data);
+static bool
+parse_top_ups_ (struct sr_record *record, const json_t *list);
+static bool
+parse_holders_ (struct sr_record *record, const json_t *list);
+static bool
+copy_name_ (char *target, const char *source);
+static json_t *
+holder_to_json_ (const struct sr_record_holder *holder);
+static json_t *
+top_up_to_json_ (const struct sr_record_top_up *top_up);
+
+/* Tells whether LEFT and RIGHT name the same holder's record. */
+bool
+sr_holder_id_equal (const struct sr_holder_id *left, const struct sr_holder_id *right)
+{
+  return left->incarnation == right->incarnation && left->generation == right->generation
+         && strcmp (left->instance, right->instance) == 0;
+}
+
+/* Creates the record of a budget that nobody has paid into. Freed with sr_record_delete. */
+struct sr_record *
+sr_record_new (void)
+{
+  struct sr_record *record = g_new0 (struct sr_record, 1);
+
+  record->top_ups = g_ptr_array_new_with_free_func (top_up_free_);
+  record->holders = g_array_new (FALSE, TRUE, sizeof (struct sr_record_holder));
+  return record;
+}
+
+/* Frees RECORD. NULL is allowed. */
+void
+sr_record_delete (struct sr_record *record)
+{
+  if (record == NULL)
+    return;
+  g_ptr_array_unref (record->top_ups);
+  g_array_unref (record->holders);
+  g_free (record);
+}
+
+/* Reads the JSON of sr_record_print. Returns NULL when it is malformed; else the caller owns the
+ * record. */
+struct sr_record *
+sr_record_parse (const char *text, size_t length)
+{
+  struct sr_record *record = sr_record_new ();
+  json_t *root = json_loadb (text, length, 0, NULL);
+  json_t *top_ups;
+  json_t *holders;
+  json_int_t prepaid;
+  json_int_t settled;
+  json_int_t written_off;
+  bool good;
+
+  good = root != NULL
+         && json_unpack (root, "{s:I,s:I,s:I,s:o,s:o}", "prepaid", &prepaid, "settled", &settled,
+                         "written_off", &written_off, "top_ups", &top_ups, "holders", &holders)
+                == 0
+         && parse_top_ups_ (record, top_ups) && parse_holders_ (record, holders);
+  if (good)
+    {
+      record->prepaid = prepaid;
+      record->settled = settled;
+      record->written_off = written_off;
+    }
+  json_decref (root);
+  if (good)
+    return record;
+  sr_record_delete (record);
+  return NULL;
+}
+
+/* Appends RECORD as one JSON object to OUT. */
+void
+sr_record_print (const struct sr_record *record, GString *out)
+{
+  json_t *top_ups = json_array ();
+  json_t *holders = json_array ();
+  json_t *root;
+  char *text;
+
+  for (unsigned i = 0; i < record->top_ups->len; i++)
+    json_array_append_new (top_ups, top_up_to_json_ (record->top_ups->pdata[i]));
+  for (unsigned i = 0; i < record->holders->len; i++)
+    json_array_append_new (
+        holders, holder_to_json_ (&g_array_index (record->holders, struct sr_record_holder, i)));
+  root = json_pack ("{s:I,s:I,s:I,s:o,s:o}", "prepaid", (json_int_t)record->prepaid, "settled",
+                    (json_int_t)record->settled, "written_off", (json_int_t)record->written_off,
+                    "top_ups", top_ups, "holders", holders);
+  text = json_dumps (root, JSON_COMPACT);
+  g_string_append (out, text);
+  free (text);
+  json_decref (root);
+}
+
+/* Returns the tokens granted to the open holders, spent or not. */
+int64_t
+sr_record_outstanding (const struct sr_record *record)
+{
+  int64_t sum = 0;
+
+  for (unsigned i = 0; i < record->holders->len; i++)
+    sum += g_array_index (record->holders, struct sr_record_holder, i).granted;
+  return sum;
+}
+
+/* Returns the tokens that can still be granted. Negative after a correction that took back tokens
+ * which holders had already been granted. */
+int64_t
+sr_record_remaining (const struct sr_record *record)
+{
+  return record->prepaid - record->settled - sr_record_outstanding (record);
+}
+
+/* Returns the open holder ID of RECORD, or NULL. Valid until the record changes. */
+struct sr_record_holder *
+sr_record_find (const struct sr_record *record, const struct sr_holder_id *id)
+{
+  for (unsigned i = 0; i < record->holders->len; i++)
+    {
+      struct sr_record_holder *holder
+          = &g_array_index (record->holders, struct sr_record_holder, i);
+
+      if (sr_holder_id_equal (&holder->id, id))
+        return holder;
+    }
+  return NULL;
+}
+
+/* Adds an open holder ID without tokens. Valid until the record changes. */
+struct sr_record_holder *
+sr_record_open (struct sr_record *record, const struct sr_holder_id *id, const char *data_centre)
+{
+  struct sr_record_holder holder = { .id = *id };
+
+  g_strlcpy (holder.data_centre, data_centre, sizeof holder.data_centre);
+  g_array_append_val (record->holders, holder);
+  return sr_record_find (record, id);
+}
+
+/* Grants HOLDER of RECORD at least NEED more tokens where they remain, and up to WANT as long as
+ * that is at most a quarter of what remains, so that allotments shrink geometrically as the budget
+ * runs out. When fewer than NEED remain, all of them are granted: holders pool the rest by lending.
+ * Returns the tokens granted, 0 when none remain. */
+int64_t
+sr_record_grant (struct sr_record *record,
+                 struct sr_record_holder *holder,
+                 int64_t need,
+                 int64_t want)
+{
+  int64_t remaining = MAX (sr_record_remaining (record), 0);
+  int64_t ahead = MIN (want, remaining / LARGEST_SHARE_DIVISOR);
+  int64_t tokens = MIN (MAX (need, ahead), remaining);
+
+  tokens = MAX (tokens, 0);
+  holder->granted += tokens;
+  return tokens;
+}
+
+/* Closes holder ID, if it is open, as having spent SPENT tokens; the rest of its grant can be
+ * granted again. */
+void
+sr_record_close (struct sr_record *record, const struct sr_holder_id *id, int64_t spent)
+{
+  struct sr_record_holder *holder = sr_record_find (record, id);
+
+  if (holder == NULL)
+    return;
+  record->settled += CLAMP (spent, 0, holder->granted);
+  g_array_remove_index (record->holders,
+                        holder - &g_array_index (record->holders, struct sr_record_holder, 0));
+}
+
+/* Closes holder ID, if it is open, as having spent all of its grant. */
+void
+sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id)
+{
+  struct sr_record_holder *holder = sr_record_find (record, id);
+
+  if (holder == NULL)
+    return;
+  record->written_off += holder->granted - holder->spent;
+  sr_record_close (record, id, holder->granted);
+}
+
+/* Applies the top-up ID of TOKENS (negative: a correction) to RECORD, once. */
+enum sr_top_up_verdict
+sr_record_top_up (
+    struct sr_record *record, const char *id, int64_t tokens, const char *who, int64_t time_ms)
+{
+  struct sr_record_top_up *top_up;
+
+  for (unsigned i = 0; i < record->top_ups->len; i++)
+    {
+      const struct sr_record_top_up *known = record->top_ups->pdata[i];
+
+      if (strcmp (known->id->str, id) == 0)
+        return known->tokens == tokens ? SR_TOP_UP_REPEATED : SR_TOP_UP_CONFLICT;
+    }
+  if (tokens > PREPAID_MAX_TOKENS - record->prepaid || tokens < -record->prepaid)
+    return SR_TOP_UP_OVERFLOW;
+  top_up = g_new0 (struct sr_record_top_up, 1);
+  top_up->id = g_string_new (id);
+  top_up->who = g_string_new (who);
+  top_up->tokens = tokens;
+  top_up->time_ms = time_ms;
+  g_ptr_array_add (record->top_ups, top_up);
+  record->prepaid += tokens;
+  return SR_TOP_UP_APPLIED;
+}
+
+static void
+top_up_free_ (void *data)
+{
+  struct sr_record_top_up *top_up = data;
+
+  g_string_free (top_up->id, TRUE);
+  g_string_free (top_up->who, TRUE);
+  g_free (top_up);
+}
+
+static bool
+parse_top_ups_ (struct sr_record *record, const json_t *list)
+{
+  size_t index;
+  json_t *each;
+
+  if (!json_is_array (list))
+    return false;
+  json_array_foreach (list, index, each)
+  {
+    struct sr_record_top_up *top_up;
+    const char *id;
+    const char *who;
+    json_int_t tokens;
+    json_int_t time_ms;
+
+    if (json_unpack (each, "{s:s,s:s,s:I,s:I}", "id", &id, "who", &who, "tokens", &tokens,
+                     "time_ms", &time_ms)
+        != 0)
+      return false;
+    top_up = g_new0 (struct sr_record_top_up, 1);
+    top_up->id = g_string_new (id);
+    top_up->who = g_string_new (who);
+    top_up->tokens = tokens;
+    top_up->time_ms = time_ms;
+    g_ptr_array_add (record->top_ups, top_up);
+  }
+  return true;
+}
+
+static bool
+parse_holders_ (struct sr_record *record, const json_t *list)
+{
+  size_t index;
+  json_t *each;
+
+  if (!json_is_array (list))
+    return false;
+  json_array_foreach (list, index, each)
+  {
+    struct sr_record_holder holder = { 0 };
+    const char *instance;
+    const char *data_centre;
+    const char *witness;
+    json_int_t numbers[5];
+
+    if (json_unpack (each, "{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I}", "instance", &instance,
+                     "incarnation", &numbers[0], "generation", &numbers[1], "data_centre",
+                     &data_centre, "granted", &numbers[2], "spent", &numbers[3], "witness",
+                     &witness, "witness_incarnation", &numbers[4])
+            != 0
+        || !copy_name_ (holder.id.instance, instance)
+        || !copy_name_ (holder.data_centre, data_centre) || !copy_name_ (holder.witness, witness))
+      return false;
+    holder.id.incarnation = (uint64_t)numbers[0];
+    holder.id.generation = (uint64_t)numbers[1];
+    holder.granted = numbers[2];
+    holder.spent = numbers[3];
+    holder.witness_incarnation = (uint64_t)numbers[4];
+    g_array_append_val (record->holders, holder);
+  }
+  return true;
+}
+
+static bool
+copy_name_ (char *target, const char *source)
+{
+  return g_strlcpy (target, source, SR_BUDGET_NAME_MAX_BYTES) < SR_BUDGET_NAME_MAX_BYTES;
+}
+
+static json_t *
+holder_to_json_ (const struct sr_record_holder *holder)
+{
+  return json_pack ("{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I}", "instance", holder->id.instance,
+                    "incarnation", (json_int_t)holder->id.incarnation, "generation",
+                    (json_int_t)holder->id.generation, "data_centre", holder->data_centre,
+                    "granted", (json_int_t)holder->granted, "spent", (json_int_t)holder->spent,
+                    "witness", holder->witness, "witness_incarnation",
+                    (json_int_t)holder->witness_incarnation);
+}
+
+static json_t *
+top_up_to_json_ (const struct sr_record_top_up *top_up)
+{
+  return json_pack ("{s:s,s:s,s:I,s:I}", "id", top_up->id->str, "who", top_up->who->str, "tokens",
+                    (json_int_t)top_up->tokens, "time_ms", (json_int_t)top_up->time_ms);
+}
--- /dev/null
+++ b/src/budget/record.h
@@ -0,0 +1,90 @@
+/* The platform's object of one budget: what was paid in, what is settled, and who holds tokens. */
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SR_BUDGET_KIND "budget"
+
+enum
+{
+  SR_BUDGET_NAME_MAX_BYTES = 64,
+  SR_TOP_UP_ID_MAX_BYTES = 128
+};
+
+/* Names one holder's record for all time: an instance starts a new incarnation with each start of
+ * its process, and a new generation each time its record was closed. */
+struct sr_holder_id
+{
+  char instance[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t incarnation;
+  uint64_t generation;
+};
+
+/* A holder may use granted tokens in all, and no more than its witness has acknowledged. */
+struct sr_record_holder
+{
+  struct sr_holder_id id;
+  char data_centre[SR_BUDGET_NAME_MAX_BYTES];
+  int64_t granted;
+  int64_t spent;                          /* as last reported; never more than granted */
+  char witness[SR_BUDGET_NAME_MAX_BYTES]; /* empty: none, the holder may use all of its grant */
+  uint64_t witness_incarnation;
+};
+
+struct sr_record_top_up
+{
+  GString *id;
+  GString *who;
+  int64_t tokens;
+  int64_t time_ms; /* real time */
+};
+
+struct sr_record
+{
+  int64_t prepaid;     /* sum of the top-ups and corrections */
+  int64_t settled;     /* spent by closed holders */
+  int64_t written_off; /* the part of settled that nobody could vouch for */
+  GPtrArray *top_ups;  /* struct sr_record_top_up */
+  GArray *holders;     /* struct sr_record_holder, open ones */
+};
+
+enum sr_top_up_verdict
+{
+  SR_TOP_UP_APPLIED,
+  SR_TOP_UP_REPEATED, /* this id was applied before, with the same tokens */
+  SR_TOP_UP_CONFLICT, /* this id was applied before, with other tokens */
+  SR_TOP_UP_OVERFLOW  /* the sum would leave the range of the counter or go below zero */
+};
+
+bool
+sr_holder_id_equal (const struct sr_holder_id *left, const struct sr_holder_id *right);
+struct sr_record *
+sr_record_new (void);
+void
+sr_record_delete (struct sr_record *record);
+struct sr_record *
+sr_record_parse (const char *text, size_t length);
+void
+sr_record_print (const struct sr_record *record, GString *out);
+int64_t
+sr_record_outstanding (const struct sr_record *record);
+int64_t
+sr_record_remaining (const struct sr_record *record);
+struct sr_record_holder *
+sr_record_find (const struct sr_record *record, const struct sr_holder_id *id);
+struct sr_record_holder *
+sr_record_open (struct sr_record *record, const struct sr_holder_id *id, const char *data_centre);
+int64_t
+sr_record_grant (struct sr_record *record,
+                 struct sr_record_holder *holder,
+                 int64_t need,
+                 int64_t want);
+void
+sr_record_close (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
+void
+sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id);
+enum sr_top_up_verdict
+sr_record_top_up (
+    struct sr_record *record, const char *id, int64_t tokens, const char *who, int64_t time_ms);
--- /dev/null
+++ b/src/budget/top-up.c
@@ -0,0 +1,131 @@
+#include "budget/top-up.h"
+
+enum
+{
+  TRIES_MAX = 50,
+  BACKOFF_US = 20000,
+  LIST_LIMIT = 500
+};
+
+static enum sr_platform_status
+try_ (struct sr_platform *platform,
+      const struct sr_top_up_request *request,
+      struct sr_top_up_result *result);
+static struct sr_record *
+read_ (struct sr_platform *platform,
+       const char *budget,
+       int64_t *version,
+       enum sr_platform_status *status);
+
+/* Applies REQUEST once, whoever else writes to the budget meanwhile. A lost answer is resolved by
+ * reading the record back: the id of the top-up is in it or not. RESULT says what came of it; with
+ * a status other than OK the request may be repeated with the same id. */
+void
+sr_top_up_apply (struct sr_platform *platform,
+                 const struct sr_top_up_request *request,
+                 struct sr_top_up_result *result)
+{
+  for (unsigned try = 0; try < TRIES_MAX; try++)
+    {
+      *result = (struct sr_top_up_result){ 0 };
+      result->status = try_ (platform, request, result);
+      if (result->status != SR_PLATFORM_CONFLICT && result->status != SR_PLATFORM_UNKNOWN
+          && result->status != SR_PLATFORM_LIMITED)
+        return;
+      g_usleep (BACKOFF_US);
+    }
+}
+
+/* Calls CALLBACK for every budget whose name begins with PREFIX, in name order, until it returns
+ * false. */
+enum sr_platform_status
+sr_budget_read_all (struct sr_platform *platform,
+                    const char *prefix,
+                    sr_budget_callback callback,
+                    void *data)
+{
+  enum sr_platform_status status = SR_PLATFORM_OK;
+  GString *after = g_string_new ("");
+  bool more = true;
+
+  while (more && status == SR_PLATFORM_OK)
+    {
+      GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+
+      status = sr_platform_list (platform, SR_BUDGET_KIND, prefix, after->str, LIST_LIMIT, names,
+                                 &more);
+      for (unsigned i = 0; i < names->len && status == SR_PLATFORM_OK; i++)
+        {
+          int64_t version;
+          struct sr_record *record = read_ (platform, names->pdata[i], &version, &status);
+
+          if (record != NULL && !callback (names->pdata[i], record, data))
+            more = false;
+          sr_record_delete (record);
+        }
+      if (names->len > 0)
+        g_string_assign (after, names->pdata[names->len - 1]);
+      else
+        more = false;
+      g_ptr_array_unref (names);
+    }
+  g_string_free (after, TRUE);
+  return status;
+}
+
+static enum sr_platform_status
+try_ (struct sr_platform *platform,
+      const struct sr_top_up_request *request,
+      struct sr_top_up_result *result)
+{
+  enum sr_platform_status status;
+  int64_t version;
+  struct sr_record *record = read_ (platform, request->budget, &version, &status);
+  GString *body;
+
+  if (record == NULL)
+    return status;
+  result->version = version;
+  result->verdict
+      = sr_record_top_up (record, request->id, request->tokens, request->who, request->time_ms);
+  if (result->verdict == SR_TOP_UP_APPLIED)
+    {
+      body = g_string_new (NULL);
+      sr_record_print (record, body);
+      status = sr_platform_put (platform, SR_BUDGET_KIND, request->budget, body->str, body->len,
+                                version, &result->version);
+      g_string_free (body, TRUE);
+    }
+  result->prepaid = record->prepaid;
+  result->beyond = MAX (-sr_record_remaining (record), 0);
+  sr_record_delete (record);
+  return status;
+}
+
+/* Returns NULL with STATUS set when the object could not be read; an absent one is an empty record
+ * of version 0. */
+static struct sr_record *
+read_ (struct sr_platform *platform,
+       const char *budget,
+       int64_t *version,
+       enum sr_platform_status *status)
+{
+  GString *body = g_string_new (NULL);
+  struct sr_record *record = NULL;
+
+  *version = 0;
+  *status = sr_platform_get (platform, SR_BUDGET_KIND, budget, body, version);
+  if (*status == SR_PLATFORM_ABSENT)
+    {
+      record = sr_record_new ();
+      *status = SR_PLATFORM_OK;
+    }
+  else if (*status == SR_PLATFORM_OK)
+    {
+      record = sr_record_parse (body->str, body->len);
+      if (record == NULL)
+        *status = SR_PLATFORM_OUT;
+    }
+  g_string_free (body, TRUE);
+  return record;
+}
--- /dev/null
+++ b/src/budget/worker.c
@@ -0,0 +1,124 @@
+#include "budget/budget-private.h"
+
+#include "base/thread.h"
+
+enum
+{
+  UPKEEP_INTERVAL_US = 100000,
+  US_PER_MS = 1000,
+  REFUSED_US = 300000 /* an exhausted budget is not asked for again before */
+};
+
+static void
+attempt_ (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+static struct sr_budget_entry *
+pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
+
+/* A worker: gets tokens for the budgets in the ring until it is closed. */
+void *
+sr_budget_worker_run (void *data)
+{
+  struct sr_budgets *budgets = data;
+  struct sr_budget_entry *entry;
+
+  while ((entry = sr_ring_pop (budgets->work, -1)) != NULL)
+    {
+      pthread_mutex_lock (&budgets->mutex);
+      entry->queued = false;
+      if (entry->busy)
+        entry = NULL; /* the worker at it queues it again when somebody still waits */
+      else
+        entry->busy = true;
+      pthread_mutex_unlock (&budgets->mutex);
+      if (entry != NULL)
+        attempt_ (budgets, entry);
+    }
+  return NULL;
+}
+
+/* The upkeep thread: reports what was spent and gives back what idles, a little at a time. */
+void *
+sr_budget_upkeep_run (void *data)
+{
+  struct sr_budgets *budgets = data;
+  int64_t settle_us = (int64_t)budgets->options.settle_interval_ms * US_PER_MS;
+  int64_t next_us = g_get_monotonic_time () + settle_us;
+
+  pthread_mutex_lock (&budgets->mutex);
+  while (!budgets->stopping)
+    {
+      int64_t now_us = g_get_monotonic_time ();
+      struct sr_budget_entry *entry = NULL;
+
+      if (now_us >= next_us && !sr_budget_platform_is_out (budgets, now_us))
+        entry = pick_upkeep_ (budgets, now_us);
+      if (entry == NULL)
+        {
+          sr_cond_wait_until (&budgets->changed, &budgets->mutex, now_us + UPKEEP_INTERVAL_US);
+          continue;
+        }
+      entry->busy = true;
+      pthread_mutex_unlock (&budgets->mutex);
+      sr_budget_give_back (budgets, entry, sr_ledger_is_idle (entry->ledger, now_us));
+      pthread_mutex_lock (&budgets->mutex);
+      entry->busy = false;
+      entry->synced_us = now_us;
+      entry->synced_used = entry->ledger->own == NULL ? 0 : entry->ledger->own->used;
+      if (entry->waiting > 0)
+        sr_budget_entry_enqueue (budgets, entry);
+      next_us = now_us + settle_us;
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return NULL;
+}
+
+static void
+attempt_ (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+{
+  enum sr_draw_result result = SR_DRAW_OUT;
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t need;
+  bool out;
+
+  pthread_mutex_lock (&budgets->mutex);
+  entry->started++;
+  need = entry->waiting;
+  out = sr_budget_platform_is_out (budgets, now_us);
+  pthread_mutex_unlock (&budgets->mutex);
+  if (!out)
+    result = sr_budget_draw (budgets, entry, need);
+  pthread_mutex_lock (&budgets->mutex);
+  entry->busy = false;
+  entry->finished = entry->started;
+  entry->verdict = result == SR_DRAW_DONE    ? SR_BUDGET_RESERVED
+                   : result == SR_DRAW_SHORT ? SR_BUDGET_EXHAUSTED
+                                             : SR_BUDGET_UNREACHABLE;
+  if (result == SR_DRAW_SHORT)
+    entry->refused_until_us = g_get_monotonic_time () + REFUSED_US;
+  pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+}
+
+/* Returns the budget whose report to the platform is the oldest, or NULL when none has news. */
+static struct sr_budget_entry *
+pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us)
+{
+  struct sr_budget_entry *oldest = NULL;
+  GHashTableIter iterator;
+  void *value;
+
+  g_hash_table_iter_init (&iterator, budgets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct sr_budget_entry *entry = value;
+      const struct sr_source *own = entry->ledger->own;
+
+      if (own == NULL || entry->busy)
+        continue;
+      if (own->used == entry->synced_used && !sr_ledger_is_idle (entry->ledger, now_us))
+        continue;
+      if (oldest == NULL || entry->synced_us < oldest->synced_us)
+        oldest = entry;
+    }
+  return oldest;
+}
