--- a/src/member/member.h
+++ b/src/member/member.h
@@ -2,10 +2,16 @@
 #pragma once
 
 #include "peer/peer.h"
+#include "platform/platform.h"
 
 #include <glib.h>
 #include <stdint.h>
 
+enum
+{
+  SR_MEMBER_NAME_MAX_BYTES = 64 /* with the final NUL */
+};
+
 enum sr_member_state
 {
   SR_MEMBER_ALIVE,
@@ -17,8 +23,8 @@
 /* One instance as seen from here. incarnation rises with each start of the process. */
 struct sr_member
 {
-  char name[64];
-  char data_centre[64];
+  char name[SR_MEMBER_NAME_MAX_BYTES];
+  char data_centre[SR_MEMBER_NAME_MAX_BYTES];
   struct sr_peer_address peer; /* advertised address and peers' port */
   unsigned entry_port;
   uint64_t incarnation;
@@ -28,7 +34,7 @@
   bool is_self;
 };
 
-/* The whole view of one moment, immutable. */
+/* The whole view of one moment, immutable, in the order of names. */
 struct sr_member_view
 {
   int reference_count;
@@ -38,8 +44,47 @@
 
 struct sr_members;
 
+/* Strings are copied. The counted objects and the client must outlive the members. */
+struct sr_members_options
+{
+  const char *name;
+  const char *data_centre;
+  const char *advertise_address;
+  unsigned peer_port;
+  unsigned entry_port;
+  uint64_t incarnation;   /* rises with each start: the real time in microseconds will do */
+  const GPtrArray *seeds; /* GString "IP:PORT"; NULL for none */
+  unsigned gossip_interval_ms;
+  unsigned gossip_fanout;
+  unsigned suspect_after_ms;     /* from the first failed probe */
+  unsigned dead_after_ms;        /* from the first failed probe */
+  uint32_t seed;                 /* of the random numbers */
+  struct sr_peer_client *client; /* NULL: no gossip, the view holds only this instance */
+  struct sr_platform *platform;  /* NULL: its list of instances is not read */
+  unsigned platform_interval_ms; /* between reads of that list; 0 for the default */
+};
+
+struct sr_members *
+sr_members_new (const struct sr_members_options *options);
+bool
+sr_members_start (struct sr_members *members);
+void
+sr_members_stop (struct sr_members *members);
+void
+sr_members_delete (struct sr_members *members);
+void
+sr_members_add_to_server (struct sr_members *members, struct sr_peer_server *server);
+void
+sr_members_set_revision (struct sr_members *members, int64_t revision);
+void
+sr_members_set_leaving (struct sr_members *members);
+
 struct sr_member_view *
 sr_members_view (struct sr_members *members);
+struct sr_member_view *
+sr_member_view_new (const struct sr_member *members, size_t length);
+struct sr_member_view *
+sr_member_view_ref (struct sr_member_view *view);
 void
 sr_member_view_unref (struct sr_member_view *view);
 const struct sr_member *
