Command line: check, version, and serve without its row

A configuration without any team is now a finding, so that an empty file never takes the place of the one in force.

--- /dev/null
+++ b/src/cli/cli.c
@@ -0,0 +1,51 @@
+#include "cli/cli.h"
+
+#include <stdio.h>
+
+/* Reads the arguments of a subcommand into TABLE, whose last entry is END. Returns CLI_GO_ON when
+ * the command is to run; otherwise its exit code, after the help has been printed on stdout or the
+ * errors on stderr. */
+int
+cli_parse (int argc,
+           char **argv,
+           void **table,
+           const struct arg_lit *help,
+           struct arg_end *end,
+           const char *description)
+{
+  int errors = arg_parse (argc, argv, table);
+
+  if (help->count > 0)
+    {
+      printf ("usage: sapphirerun %s", argv[0]);
+      arg_print_syntax (stdout, table, "\n");
+      printf ("%s\n", description);
+      arg_print_glossary (stdout, table, "  %-28s %s\n");
+      return CLI_EXIT_OK;
+    }
+  if (errors > 0)
+    {
+      arg_print_errors (stderr, end, argv[0]);
+      fprintf (stderr, "usage: sapphirerun %s", argv[0]);
+      arg_print_syntax (stderr, table, "\n");
+      return CLI_EXIT_USAGE;
+    }
+  return CLI_GO_ON;
+}
+
+/* Reads the file at PATH into TEXT, which the caller frees with g_free. Returns false after saying
+ * why on stderr. */
+bool
+cli_read_file (const char *path, char **text, size_t *length)
+{
+  g_autoptr (GError) error = NULL;
+  gsize size;
+
+  if (!g_file_get_contents (path, text, &size, &error))
+    {
+      fprintf (stderr, "%s\n", error->message);
+      return false;
+    }
+  *length = size;
+  return true;
+}
--- /dev/null
+++ b/src/cli/cli.h
@@ -0,0 +1,43 @@
+/* What the subcommands share: the table's row, the exit codes and the reading of arguments. */
+#pragma once
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdbool.h>
+
+enum cli_exit
+{
+  CLI_EXIT_OK = 0,
+  CLI_EXIT_REFUSED = 1, /* findings, a conflict, or the other side would not */
+  CLI_EXIT_USAGE = 2
+};
+
+/* One subcommand. argv[0] is its own name. */
+struct cli_command
+{
+  const char *name;
+  const char *summary;
+  int (*run) (int argc, char **argv);
+};
+
+enum
+{
+  CLI_GO_ON = -1
+};
+
+int
+cli_parse (int argc,
+           char **argv,
+           void **table,
+           const struct arg_lit *help,
+           struct arg_end *end,
+           const char *description);
+bool
+cli_read_file (const char *path, char **text, size_t *length);
+
+int
+cli_command_check (int argc, char **argv);
+int
+cli_command_serve (int argc, char **argv);
+int
+cli_command_version (int argc, char **argv);
--- /dev/null
+++ b/src/cli/command-check.c
@@ -0,0 +1,71 @@
+#include "cli/cli.h"
+#include "config/config.h"
+#include "settings/ini-reader.h"
+#include "settings/settings.h"
+
+#include <stdio.h>
+
+enum
+{
+  FILES_MAX = 100
+};
+
+static void
+check_file_ (const char *path, struct sr_findings *findings);
+static bool
+is_settings_ (const char *text, size_t length);
+
+/* Runs "check": reads files of settings or of configuration and prints every finding on stdout. */
+int
+cli_command_check (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
+  struct arg_file *files = arg_filen (NULL, NULL, "FILE", 1, FILES_MAX, "file to check");
+  struct arg_end *end = arg_end (10);
+  void *table[] = { help, files, end };
+  struct sr_findings *findings = sr_findings_new ();
+  int code = cli_parse (argc, argv, table, help, end,
+                        "Checks files of settings or of configuration as a whole.");
+
+  if (code != CLI_GO_ON)
+    goto out;
+  for (int i = 0; i < files->count; i++)
+    check_file_ (files->filename[i], findings);
+  sr_findings_print (findings, stdout);
+  code = sr_findings_count (findings) == 0 ? CLI_EXIT_OK : CLI_EXIT_REFUSED;
+
+out:
+  sr_findings_delete (findings);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return code;
+}
+
+/* Checks the file at PATH as what its sections say it is. */
+static void
+check_file_ (const char *path, struct sr_findings *findings)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  gsize length;
+
+  if (!g_file_get_contents (path, &text, &length, &error))
+    sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
+  else if (is_settings_ (text, length))
+    sr_settings_delete (sr_settings_parse (path, text, length, findings));
+  else
+    sr_config_unref (sr_config_parse (path, text, length, 0, findings));
+}
+
+/* Tells settings from a configuration: only settings have these sections. */
+static bool
+is_settings_ (const char *text, size_t length)
+{
+  struct sr_findings *ignored = sr_findings_new ();
+  struct sr_ini_document *document = sr_ini_read ("", text, length, ignored);
+  bool found
+      = sr_ini_find (document, "instance") != NULL || sr_ini_find (document, "platform") != NULL;
+
+  sr_ini_document_delete (document);
+  sr_findings_delete (ignored);
+  return found;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,9 +1,33 @@
 /* The program sapphirerun: picks the subcommand. */
+#include "cli/cli.h"
+
 #include <stdio.h>
+#include <string.h>
+
+static const struct cli_command commands_[] = {
+  { "check", "check files of settings or of configuration", cli_command_check },
+  { "version", "print the version", cli_command_version },
+};
+
+static void
+print_usage_ (FILE *stream)
+{
+  fprintf (stream, "usage: sapphirerun COMMAND [--help] ...\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (commands_); i++)
+    fprintf (stream, "  %-10s %s\n", commands_[i].name, commands_[i].summary);
+}
 
 int
 main (int argc, char **argv)
 {
-  fprintf (stderr, "usage: %s COMMAND\n", argv[0]);
-  return 2;
+  if (argc >= 2 && strcmp (argv[1], "--help") == 0)
+    {
+      print_usage_ (stdout);
+      return CLI_EXIT_OK;
+    }
+  for (size_t i = 0; argc >= 2 && i < G_N_ELEMENTS (commands_); i++)
+    if (strcmp (commands_[i].name, argv[1]) == 0)
+      return commands_[i].run (argc - 1, argv + 1);
+  print_usage_ (stderr);
+  return CLI_EXIT_USAGE;
 }
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -35,6 +35,8 @@
 {
   size_t before = sr_findings_count (findings);
 
+  if (g_hash_table_size (config->teams) == 0)
+    sr_findings_add (findings, "configuration", 0, NULL, NULL, "there is no team");
   resolve_budgets_ (config, findings);
   resolve_backends_ (config, findings);
   collect_digests_ (config, findings);
