--- a/src/config/config.c
+++ b/src/config/config.c
@@ -49,6 +49,7 @@
   config->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, budget_free_);
   config->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free_);
   config->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, backend_free_);
+  config->all_services = g_ptr_array_new ();
   config->all_backends = g_ptr_array_new ();
   config->all_budgets = g_ptr_array_new ();
   config->digests = g_array_new (FALSE, TRUE, sizeof (struct config_digest));
@@ -141,6 +142,13 @@
   return found != NULL ? found->backends : NULL;
 }
 
+/* Returns all services (struct sr_config_service), in the order of their names. */
+const GPtrArray *
+sr_config_services (const struct sr_config *config)
+{
+  return config->all_services;
+}
+
 /* Returns all backend servers (struct sr_config_backend). */
 const GPtrArray *
 sr_config_backends (const struct sr_config *config)
@@ -171,6 +179,7 @@
 {
   g_array_unref (config->digests);
   g_ptr_array_unref (config->all_budgets);
+  g_ptr_array_unref (config->all_services);
   g_ptr_array_unref (config->all_backends);
   g_hash_table_unref (config->backends);
   g_hash_table_unref (config->services);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -75,6 +75,8 @@
 const GPtrArray *
 sr_config_service_backends (const struct sr_config *config, const char *service);
 const GPtrArray *
+sr_config_services (const struct sr_config *config);
+const GPtrArray *
 sr_config_backends (const struct sr_config *config);
 const GPtrArray *
 sr_config_budgets (const struct sr_config *config); /* names, GString */
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -35,6 +35,8 @@
 {
   size_t before = sr_findings_count (findings);
 
+  if (g_hash_table_size (config->teams) == 0)
+    sr_findings_add (findings, "configuration", 0, NULL, NULL, "there is no team");
   resolve_budgets_ (config, findings);
   resolve_backends_ (config, findings);
   collect_digests_ (config, findings);
@@ -119,8 +121,15 @@
 resolve_backends_ (struct sr_config *config, struct sr_findings *findings)
 {
   g_autoptr (GHashTable) places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GPtrArray) services = sorted_values_ (config->services);
   g_autoptr (GPtrArray) backends = sorted_values_ (config->backends);
 
+  for (size_t i = 0; i < services->len; i++)
+    {
+      struct config_service *service = g_ptr_array_index (services, i);
+
+      g_ptr_array_add (config->all_services, &service->service);
+    }
   for (size_t i = 0; i < backends->len; i++)
     {
       struct config_backend *node = g_ptr_array_index (backends, i);
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -58,6 +58,7 @@
   GHashTable *budgets;  /* name to struct config_budget, which it owns */
   GHashTable *services; /* name to struct config_service, which it owns */
   GHashTable *backends; /* name to struct config_backend, which it owns */
+  GPtrArray *all_services;
   GPtrArray *all_backends;
   GPtrArray *all_budgets;
   GArray *digests;       /* struct config_digest */
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -89,8 +89,6 @@
 sr_run_unref (struct sr_run *run);
 const struct sr_run_order *
 sr_run_order (const struct sr_run *run);
-struct sr_config *
-sr_run_config (const struct sr_run *run);
 const struct sr_config_service *
 sr_run_service (const struct sr_run *run);
 void
