First versions of order, route and admit

Each owner popped from the queues needs one sr_admit_served, with took_us 0 when it was not dispatched. struct sr_route.is_probe asks for a new connection; sr_router_options.instance chooses the subset of a large service.

--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -39,6 +39,19 @@
   uint32_t seed;
 };
 
+/* What waits at this moment. */
+struct sr_admit_status
+{
+  unsigned waiting;
+  unsigned running;      /* popped and not yet served */
+  int64_t mean_took_us;  /* 0 before the first call */
+  int64_t drain_time_ms; /* time to serve what waits; 0 when not known */
+};
+
+const char *
+sr_priority_to_string (enum sr_priority priority);
+bool
+sr_priority_from_string (const char *text, enum sr_priority *priority);
 struct sr_admit *
 sr_admit_new (const struct sr_admit_options *options);
 void
@@ -59,6 +72,8 @@
 void
 sr_admit_served (struct sr_admit *admit,
                  const char *service,
-                 int64_t took_us); /* a call has ended */
+                 int64_t took_us); /* a popped request has ended; 0: it was not dispatched */
 bool
 sr_admit_may_retry (struct sr_admit *admit, const char *service); /* takes from the retry budget */
+void
+sr_admit_status (struct sr_admit *admit, const char *service, struct sr_admit_status *status);
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -12,6 +12,7 @@
 struct sr_router_options
 {
   const char *data_centre;
+  const char *instance; /* chooses the subset of a large service; NULL for none */
   uint32_t seed;
 };
 
@@ -33,10 +34,12 @@
 /* A place taken at a backend server. The strings are copies. */
 struct sr_route
 {
+  char service[64];
   char backend[64];
   char address[16];
   unsigned port;
   bool checks_fence;
+  bool is_probe; /* after failures: use a new connection */
   int64_t picked_us;
 };
 
@@ -63,6 +66,8 @@
 sr_router_delete (struct sr_router *router);
 void
 sr_router_apply (struct sr_router *router, struct sr_config *config, int64_t now_us);
+void
+sr_router_apply_backends (struct sr_router *router, const GPtrArray *backends, int64_t now_us);
 enum sr_route_verdict
 sr_router_pick (struct sr_router *router,
                 const struct sr_route_query *query,
--- /dev/null
+++ b/src/route/service-state.h
@@ -0,0 +1,40 @@
+/* The backend servers of one service as one instance sees them, and the choice among them. A state
+ * machine without thread, lock or clock. */
+#pragma once
+
+#include "route/backend-state.h"
+
+struct sr_service_state
+{
+  GString *name;
+  GPtrArray *backends; /* of struct sr_backend_state */
+  struct sr_load_prior prior;
+};
+
+enum
+{
+  SR_SUBSET_MAX = 64,      /* backend servers of a service that one instance uses */
+  SR_SUBSET_LOCAL_MAX = 48 /* of them in its own data centre, when there are others */
+};
+
+struct sr_service_state *
+sr_service_state_new (const char *name);
+void
+sr_service_state_delete (struct sr_service_state *service);
+void
+sr_service_state_apply (struct sr_service_state *service,
+                        const GPtrArray *backends,
+                        const struct sr_router_options *options,
+                        int64_t now_us);
+enum sr_route_verdict
+sr_service_state_pick (struct sr_service_state *service,
+                       const struct sr_route_query *query,
+                       GRand *random,
+                       struct sr_route *route);
+bool
+sr_service_state_report (struct sr_service_state *service,
+                         const char *backend,
+                         const struct sr_route_report *report,
+                         GRand *random);
+unsigned
+sr_service_state_places (const struct sr_service_state *service, int64_t now_us);
