--- a/src/config/config.h
+++ b/src/config/config.h
@@ -21,6 +21,7 @@
   GPtrArray *key_digests; /* lower-case hex SHA-256 of each key, GString */
   GPtrArray *budgets;     /* names (GString), the default one first */
   unsigned weight;        /* share in queues, default 1 */
+  GHashTable *budget_set; /* the same names, for sr_config_team_owns_budget */
 };
 
 struct sr_config_service
@@ -74,6 +75,8 @@
 const GPtrArray *
 sr_config_service_backends (const struct sr_config *config, const char *service);
 const GPtrArray *
+sr_config_services (const struct sr_config *config);
+const GPtrArray *
 sr_config_backends (const struct sr_config *config);
 const GPtrArray *
 sr_config_budgets (const struct sr_config *config); /* names, GString */
