--- /dev/null
+++ b/testing/harness/caller.c
@@ -0,0 +1,203 @@
+#include "testing/harness/caller.h"
+
+#include "testing/common/text.h"
+
+#include <string.h>
+
+enum
+{
+  HEADERS_MAX = 16,
+  HTTP_OK = 200
+};
+
+static const char *const verdict_names[]
+    = { "answered", "refused", "unknown", "aborted", "unreachable", "wrong" };
+
+/* Texts and end of an answer, gathered from its lines. */
+struct gathered
+{
+  GString *text;
+  json_t *end;
+  unsigned pieces;
+};
+
+static char *
+make_body_ (const struct harness_ask *ask);
+static bool
+gather_ (const struct harness_ask *ask,
+         const struct harness_reply *reply,
+         struct gathered *gathered);
+static bool
+is_right_ (const struct harness_ask *ask, const struct gathered *gathered);
+static void
+judge_error_ (const struct harness_reply *reply, struct harness_answer *answer);
+
+/* Sends what ASK says and returns the reply as it is; the caller frees it. */
+struct harness_reply *
+harness_ask_raw (const struct harness_ask *ask)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/services/%s", ask->service);
+  g_autofree char *key = g_strdup_printf ("Bearer key-%u", ask->team);
+  g_autofree char *deadline = g_strdup_printf ("%" G_GINT64_FORMAT, ask->deadline_ms);
+  g_autofree char *body = ask->body != NULL ? g_strdup (ask->body) : make_body_ (ask);
+  const char *optional[][2] = { { "Idempotency-Key", ask->key },
+                                { "X-Budget", ask->budget },
+                                { "X-Priority", ask->priority },
+                                { "X-Deadline-Ms", ask->deadline_ms > 0 ? deadline : NULL } };
+  const char *headers[HEADERS_MAX] = { "Authorization", key };
+  struct harness_call call = { .address = ask->address,
+                               .port = ask->port,
+                               .source = ask->source,
+                               .path = path,
+                               .headers = headers,
+                               .body = body };
+  unsigned used = 2;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (optional); i++)
+    if (optional[i][1] != NULL)
+      {
+        headers[used++] = optional[i][0];
+        headers[used++] = optional[i][1];
+      }
+  return harness_call (&call);
+}
+
+/* Sends what ASK says and checks what comes back to the byte. */
+struct harness_answer
+harness_ask (const struct harness_ask *ask)
+{
+  struct harness_reply *reply = harness_ask_raw (ask);
+  struct harness_answer answer = harness_judge (ask, reply);
+
+  harness_reply_free (reply);
+  return answer;
+}
+
+/* Tells what a reply amounts to. For a model service the text is compared with what the engine
+ * stand-in makes of the prompt; for a plain service the echoed body with the one that was sent. */
+struct harness_answer
+harness_judge (const struct harness_ask *ask, const struct harness_reply *reply)
+{
+  struct harness_answer answer = { .verdict = HARNESS_WRONG,
+                                   .status = reply->status,
+                                   .first_byte_us = reply->first_byte_us,
+                                   .total_us = reply->total_us };
+  struct gathered gathered = { .text = g_string_new (NULL) };
+
+  if (reply->status == 0)
+    answer.verdict = HARNESS_UNREACHABLE;
+  else if (!reply->whole)
+    answer.verdict = HARNESS_ABORTED;
+  else if (reply->status != HTTP_OK)
+    judge_error_ (reply, &answer);
+  else if (gather_ (ask, reply, &gathered))
+    {
+      if (is_right_ (ask, &gathered))
+        answer.verdict = HARNESS_ANSWERED;
+      answer.prompt_tokens = harness_json_number (gathered.end, "prompt_tokens");
+      answer.output_tokens = harness_json_number (gathered.end, "output_tokens");
+      answer.billed_tokens = harness_json_number (gathered.end, "billed_tokens");
+      g_strlcpy (answer.request, harness_json_text (gathered.end, "request"),
+                 sizeof answer.request);
+    }
+  answer.pieces = gathered.pieces;
+  g_string_free (gathered.text, TRUE);
+  json_decref (gathered.end);
+  return answer;
+}
+
+/* The name of a verdict. */
+const char *
+harness_verdict_to_string (enum harness_verdict verdict)
+{
+  return verdict_names[verdict];
+}
+
+static char *
+make_body_ (const struct harness_ask *ask)
+{
+  json_t *body = json_pack ("{s:s,s:I,s:b}", "prompt", ask->prompt, "max_tokens",
+                            (json_int_t)ask->max_tokens, "stream", (int)ask->stream);
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  json_decref (body);
+  return text;
+}
+
+/* Takes an answer apart; false when it is malformed or has no end. */
+static bool
+gather_ (const struct harness_ask *ask,
+         const struct harness_reply *reply,
+         struct gathered *gathered)
+{
+  char **lines;
+  bool valid = true;
+
+  if (!ask->stream)
+    {
+      gathered->end = harness_reply_json (reply);
+      g_string_assign (gathered->text, harness_json_text (gathered->end, "text"));
+      return json_is_object (gathered->end);
+    }
+  lines = g_strsplit (reply->body->str, "\n", -1);
+  for (unsigned i = 0; valid && lines[i] != NULL && *lines[i] != '\0'; i++)
+    {
+      json_t *line = json_loads (lines[i], 0, NULL);
+      const char *text = json_string_value (json_object_get (line, "t"));
+
+      valid = json_is_object (line) && gathered->end == NULL;
+      if (text != NULL)
+        {
+          g_string_append (gathered->text, text);
+          gathered->pieces++;
+          json_decref (line);
+        }
+      else
+        {
+          json_decref (gathered->end);
+          gathered->end = line;
+        }
+    }
+  g_strfreev (lines);
+  return valid && gathered->end != NULL;
+}
+
+static bool
+is_right_ (const struct harness_ask *ask, const struct gathered *gathered)
+{
+  bool right = strcmp (harness_json_text (gathered->end, "outcome"), "answered") == 0;
+
+  if (ask->prompt != NULL)
+    {
+      GString *expected = standin_answer_text (ask->prompt, strlen (ask->prompt), ask->max_tokens);
+
+      right = right && g_string_equal (expected, gathered->text);
+      g_string_free (expected, TRUE);
+    }
+  else
+    {
+      const json_t *result = json_object_get (gathered->end, "result");
+      json_t *sent = json_loads (ask->body, 0, NULL);
+
+      right = right && json_equal (sent, json_object_get (result, "echo"));
+      json_decref (sent);
+    }
+  if (ask->key != NULL)
+    right = right && strcmp (harness_json_text (gathered->end, "request"), ask->key) == 0;
+  return right;
+}
+
+static void
+judge_error_ (const struct harness_reply *reply, struct harness_answer *answer)
+{
+  json_t *body = harness_reply_json (reply);
+  const char *outcome = harness_json_text (body, "outcome");
+
+  g_strlcpy (answer->code, harness_json_text (body, "error.code"), sizeof answer->code);
+  g_strlcpy (answer->request, harness_json_text (body, "request"), sizeof answer->request);
+  if (strcmp (outcome, "not run") == 0)
+    answer->verdict = HARNESS_REFUSED;
+  else if (strcmp (outcome, "unknown") == 0)
+    answer->verdict = HARNESS_UNKNOWN;
+  json_decref (body);
+}
--- /dev/null
+++ b/testing/harness/caller.h
@@ -0,0 +1,54 @@
+/* What callers send to an instance, and the checks of what they get back. */
+#pragma once
+
+#include "testing/harness/harness.h"
+
+struct harness_ask
+{
+  const char *address; /* of an instance or a balancer */
+  unsigned port;
+  const char *source; /* address of the caller, or NULL */
+  const char *service;
+  unsigned team;        /* key-TEAM */
+  const char *key;      /* Idempotency-Key, or NULL */
+  const char *budget;   /* X-Budget, or NULL */
+  const char *priority; /* X-Priority, or NULL */
+  int64_t deadline_ms;  /* 0: none */
+  const char *body;     /* as it is sent; NULL: made of prompt, max_tokens and stream */
+  const char *prompt;
+  int64_t max_tokens;
+  bool stream;
+};
+
+enum harness_verdict
+{
+  HARNESS_ANSWERED,    /* whole and right to the byte */
+  HARNESS_REFUSED,     /* a reply with outcome "not run" */
+  HARNESS_UNKNOWN,     /* a reply with outcome "unknown" */
+  HARNESS_ABORTED,     /* the answer has no end */
+  HARNESS_UNREACHABLE, /* no reply at all */
+  HARNESS_WRONG        /* anything else: an answer that looks whole and is not right */
+};
+
+struct harness_answer
+{
+  enum harness_verdict verdict;
+  int status;
+  char code[32]; /* error code */
+  int64_t prompt_tokens;
+  int64_t output_tokens;
+  int64_t billed_tokens;
+  char request[132]; /* its id, as the body says */
+  int64_t first_byte_us;
+  int64_t total_us;
+  unsigned pieces; /* token lines of a stream */
+};
+
+struct harness_reply *
+harness_ask_raw (const struct harness_ask *ask);
+struct harness_answer
+harness_ask (const struct harness_ask *ask);
+struct harness_answer
+harness_judge (const struct harness_ask *ask, const struct harness_reply *reply);
+const char *
+harness_verdict_to_string (enum harness_verdict verdict);
