Entry, dispatch, runs and calls to backend servers

A refusal of a caller's own key says unknown unless the caller vouches for its first attempt, because an earlier attempt may have run at another instance.

--- a/src/bill/bill.h
+++ b/src/bill/bill.h
@@ -2,7 +2,10 @@
  */
 #pragma once
 
+#include "platform/platform.h"
+
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,6 +23,18 @@
 
 struct sr_bills;
 
+struct sr_bills_options
+{
+  struct sr_platform *platform;
+  const char *instance;
+  uint64_t incarnation;
+};
+
+struct sr_bills *
+sr_bills_new (const struct sr_bills_options *options);
+void
+sr_bills_delete (struct sr_bills *bills);
+
 /* Returns once a peer or the platform holds the bill, or false when neither did until deadline_us.
  */
 bool
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -309,8 +309,9 @@
          enum sr_error error,
          int64_t retry_after_ms)
 {
-  struct sr_run_result result
-      = { .outcome = SR_OUTCOME_NOT_RUN, .error = error, .retry_after_ms = retry_after_ms };
+  struct sr_run_result result = { .outcome = sr_run_refusal_outcome (sr_run_order (run)),
+                                  .error = error,
+                                  .retry_after_ms = retry_after_ms };
 
   sr_dispatch_finish_ (dispatch, run, &result);
 }
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -196,9 +196,10 @@
       && sr_admit_may_retry (p->dispatch->options.admit, p->order->service->str))
     return true;
   if (!p->may_have_run)
-    result.outcome = SR_OUTCOME_NOT_RUN;
-  if (!p->may_have_run)
-    result.error = SR_ERROR_NO_BACKEND;
+    {
+      result.outcome = sr_run_refusal_outcome (p->order);
+      result.error = SR_ERROR_NO_BACKEND;
+    }
   finish_ (p, &result);
   return false;
 }
@@ -355,11 +356,12 @@
 static void
 finish_with_claim_ (struct performance *p, struct sr_claim *claim)
 {
-  struct sr_run_result result = { .outcome = SR_OUTCOME_NOT_RUN, .retry_after_ms = RETRY_LATER_MS };
+  struct sr_run_result result = { .outcome = claim->outcome, .retry_after_ms = RETRY_LATER_MS };
 
   switch (claim->verdict)
     {
     case SR_CLAIM_WON:
+    case SR_CLAIM_ABSENT:
       result.error = SR_ERROR_UNKNOWN_REQUEST;
       result.retry_after_ms = 0;
       break;
@@ -372,14 +374,10 @@
       result.retry_after_ms = 0;
       break;
     case SR_CLAIM_PLATFORM_OUT:
-      result.error = SR_ERROR_PLATFORM_OUT;
-      break;
     case SR_CLAIM_DOUBT:
-      result.outcome = SR_OUTCOME_UNKNOWN;
       result.error = SR_ERROR_PLATFORM_OUT;
       break;
     case SR_CLAIM_TAKEN:
-      result.outcome = claim->in_progress ? SR_OUTCOME_UNKNOWN : claim->outcome;
       result.error = claim->in_progress ? SR_ERROR_IN_PROGRESS : SR_ERROR_BACKEND_FAILED;
       if (result.outcome == SR_OUTCOME_NOT_RUN)
         result.error = SR_ERROR_NO_BACKEND;
@@ -589,7 +587,7 @@
 refuse_ (struct performance *p, enum sr_error error, int64_t retry_after_ms)
 {
   struct sr_run_result result
-      = { .outcome = p->may_have_run ? SR_OUTCOME_UNKNOWN : SR_OUTCOME_NOT_RUN,
+      = { .outcome = p->may_have_run ? SR_OUTCOME_UNKNOWN : sr_run_refusal_outcome (p->order),
           .error = error,
           .retry_after_ms = retry_after_ms };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -241,6 +241,7 @@
                               .deadline_ms = header_ (caller, "X-Deadline-Ms"),
                               .priority = header_ (caller, "X-Priority"),
                               .budget = header_ (caller, "X-Budget"),
+                              .attempt = header_ (caller, "X-Attempt"),
                               .body = caller->body };
   struct sr_intake_options options
       = { .config = config,
--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -133,6 +133,7 @@
                                     NULL))
     return SR_ERROR_BAD_HEADER;
   order->deadline_us = options->now_us + deadline_ms * US_PER_MS;
+  order->is_first_attempt = intake->attempt != NULL && strcmp (intake->attempt, "1") == 0;
   order->priority = SR_PRIORITY_NORMAL;
   if (intake->priority != NULL && !read_priority_ (intake->priority, &order->priority))
     return SR_ERROR_BAD_HEADER;
--- a/src/entry/intake.h
+++ b/src/entry/intake.h
@@ -13,6 +13,7 @@
   const char *deadline_ms;
   const char *priority;
   const char *budget;
+  const char *attempt;
   const GString *body;
 };
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -319,6 +319,16 @@
   return abandoned;
 }
 
+/* Returns what may be told of a request that this instance has not run: not run, or unknown when an
+ * earlier attempt, here or at another instance, may have run it. */
+enum sr_outcome
+sr_run_refusal_outcome (const struct sr_run_order *order)
+{
+  if (order->request_was_given && !order->is_first_attempt)
+    return SR_OUTCOME_UNKNOWN;
+  return SR_OUTCOME_NOT_RUN;
+}
+
 /* Returns the name of STATE. */
 const char *
 sr_run_state_to_string (enum sr_run_state state)
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -53,6 +53,7 @@
   GString *team;
   GString *request;
   bool request_was_given; /* the caller chose the id, so a retry may come */
+  bool is_first_attempt;  /* the caller vouches that it never sent this id before */
   GString *service;
   GString *budget;
   GString *text; /* model: the prompt; plain: the JSON body */
@@ -125,6 +126,8 @@
 bool
 sr_run_is_abandoned (struct sr_run *run, int64_t now_us);
 
+enum sr_outcome
+sr_run_refusal_outcome (const struct sr_run_order *order);
 const char *
 sr_run_state_to_string (enum sr_run_state state);
 const char *
