--- /dev/null
+++ b/src/budget/witness.c
@@ -0,0 +1,114 @@
+#include "budget/witness.h"
+
+struct sr_witness
+{
+  unsigned holders_max;
+  GHashTable *promises; /* key_ to struct promise */
+};
+
+struct promise
+{
+  int64_t ceiling;
+  bool sealed;
+};
+
+static char *
+key_ (const char *budget, const struct sr_holder_id *holder);
+
+/* Creates a witness that remembers at most HOLDERS_MAX holders' records. */
+struct sr_witness *
+sr_witness_new (unsigned holders_max)
+{
+  struct sr_witness *witness = g_new0 (struct sr_witness, 1);
+
+  witness->holders_max = holders_max;
+  witness->promises = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return witness;
+}
+
+/* Frees WITNESS. NULL is allowed. */
+void
+sr_witness_delete (struct sr_witness *witness)
+{
+  if (witness == NULL)
+    return;
+  g_hash_table_unref (witness->promises);
+  g_free (witness);
+}
+
+/* Raises the ceiling of HOLDER's record of BUDGET to CEILING tokens, unless it is sealed. Returns
+ * the ceiling that holds, which never falls, and whether it is SEALED for good. A full witness
+ * answers a new holder as if it were sealed. */
+int64_t
+sr_witness_raise (struct sr_witness *witness,
+                  const char *budget,
+                  const struct sr_holder_id *holder,
+                  int64_t ceiling,
+                  bool *sealed)
+{
+  char *key = key_ (budget, holder);
+  struct promise *promise = g_hash_table_lookup (witness->promises, key);
+
+  *sealed = promise != NULL ? promise->sealed : sr_witness_length (witness) >= witness->holders_max;
+  if (*sealed)
+    {
+      g_free (key);
+      return promise == NULL ? 0 : promise->ceiling;
+    }
+  if (promise == NULL)
+    {
+      promise = g_new0 (struct promise, 1);
+      g_hash_table_insert (witness->promises, key, promise);
+    }
+  else
+    g_free (key);
+  promise->ceiling = MAX (promise->ceiling, ceiling);
+  return promise->ceiling;
+}
+
+/* Seals HOLDER's record of BUDGET: no later raise is acknowledged. Returns the ceiling, 0 for a
+ * holder that never asked. Idempotent. The seal is remembered even when the witness is full. */
+int64_t
+sr_witness_seal (struct sr_witness *witness, const char *budget, const struct sr_holder_id *holder)
+{
+  char *key = key_ (budget, holder);
+  struct promise *promise = g_hash_table_lookup (witness->promises, key);
+
+  if (promise == NULL)
+    {
+      promise = g_new0 (struct promise, 1);
+      g_hash_table_insert (witness->promises, g_strdup (key), promise);
+    }
+  promise->sealed = true;
+  g_free (key);
+  return promise->ceiling;
+}
+
+/* Forgets HOLDER's record of BUDGET, which the holder itself has closed. A sealed one is kept: its
+ * holder may not know yet. */
+void
+sr_witness_forget (struct sr_witness *witness,
+                   const char *budget,
+                   const struct sr_holder_id *holder)
+{
+  char *key = key_ (budget, holder);
+  const struct promise *promise = g_hash_table_lookup (witness->promises, key);
+
+  if (promise != NULL && !promise->sealed)
+    g_hash_table_remove (witness->promises, key);
+  g_free (key);
+}
+
+/* Returns the number of records remembered. */
+unsigned
+sr_witness_length (const struct sr_witness *witness)
+{
+  return g_hash_table_size (witness->promises);
+}
+
+static char *
+key_ (const char *budget, const struct sr_holder_id *holder)
+{
+  return g_strdup_printf ("%s/%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT, budget,
+                          holder->instance, holder->incarnation, holder->generation);
+}
