--- /dev/null
+++ b/src/request/run.c
@@ -0,0 +1,368 @@
+#include "request/run.h"
+
+enum
+{
+  ABANDON_GRACE_WITHOUT_KEY_US = 0,
+  ABANDON_GRACE_WITH_KEY_US = 5000000,
+  HTTP_OK = 200
+};
+
+struct waiting_listener
+{
+  sr_run_listener call;
+  void *data;
+  bool whole; /* waits for the end only */
+};
+
+struct sr_run
+{
+  int reference_count;
+  struct sr_run_order *order;
+  struct sr_config *config;
+  const struct sr_config_service *service;
+  pthread_mutex_t mutex;
+  enum sr_run_state state;
+  GString *text;
+  int64_t tokens;
+  struct sr_run_result result;
+  int64_t finished_us;
+  GArray *waiting; /* struct waiting_listener */
+  unsigned n_listeners;
+  int64_t abandoned_us; /* when the last listener left; 0 while there is one */
+};
+
+struct error_description
+{
+  const char *code;
+  const char *message;
+  int http_status;
+};
+
+static const char *const state_strings[] = { "queued", "running", "done" };
+
+static const struct error_description errors[] = {
+  { "none", "", 200 },
+  { "bad_json", "the body is not a JSON object", 400 },
+  { "bad_field", "a field of the body is missing, of the wrong type or out of range", 400 },
+  { "bad_header", "a header is malformed or missing", 400 },
+  { "truncated", "the body ended before its length", 400 },
+  { "bad_key", "no team has this key", 401 },
+  { "no_budget", "the budget does not hold the upper bound of this request", 402 },
+  { "budget_not_yours", "the budget belongs to another team", 403 },
+  { "unknown_service", "there is no such service", 404 },
+  { "unknown_request", "nothing is known of this request", 404 },
+  { "key_reused", "the key was used before with another body", 409 },
+  { "key_expired", "the day of the key is over, not yet come, or missing", 410 },
+  { "too_large", "the body is too large", 413 },
+  { "queue_full", "too many requests are waiting", 429 },
+  { "deadline", "it can't be served before its deadline", 429 },
+  { "backend_failed", "the backend server failed", 502 },
+  { "platform_out", "the platform is out of reach", 503 },
+  { "no_backend", "no backend server takes new work", 503 },
+  { "stopping", "this instance is stopping", 503 },
+  { "starting", "this instance has no configuration yet", 503 },
+  { "timeout", "the answer did not come in time", 504 },
+  { "in_progress", "the request is still being carried out", 409 },
+  { "abandoned", "all its callers had gone", 504 },
+  { "bill_not_placed", "no second place could take the bill", 504 },
+};
+
+/* The mutex stays locked, so that a listener that was dropped is never called. */
+static void
+wake_ (struct sr_run *run);
+
+/* Creates a run of ORDER, which it takes over, under CONFIG, of which it takes a reference. The
+ * order's service must be in CONFIG, unless it is a look-up. The caller owns the one reference. */
+struct sr_run *
+sr_run_new (struct sr_run_order *order, struct sr_config *config)
+{
+  struct sr_run *run = g_new0 (struct sr_run, 1);
+
+  run->reference_count = 1;
+  run->order = order;
+  run->config = sr_config_ref (config);
+  run->service = order->service != NULL ? sr_config_service (config, order->service->str) : NULL;
+  g_assert (order->is_look_up || run->service != NULL);
+  pthread_mutex_init (&run->mutex, NULL);
+  run->text = g_string_new (NULL);
+  run->waiting = g_array_new (FALSE, FALSE, sizeof (struct waiting_listener));
+  return run;
+}
+
+/* Takes a reference to RUN and returns it. */
+struct sr_run *
+sr_run_ref (struct sr_run *run)
+{
+  g_atomic_int_inc (&run->reference_count);
+  return run;
+}
+
+/* Gives a reference back; the last one frees RUN. NULL is allowed. */
+void
+sr_run_unref (struct sr_run *run)
+{
+  if (run == NULL || !g_atomic_int_dec_and_test (&run->reference_count))
+    return;
+  sr_run_order_free (run->order);
+  sr_config_unref (run->config);
+  pthread_mutex_destroy (&run->mutex);
+  g_string_free (run->text, TRUE);
+  g_array_unref (run->waiting);
+  g_free (run);
+}
+
+/* Frees ORDER. NULL is allowed. */
+void
+sr_run_order_free (struct sr_run_order *order)
+{
+  GString *strings[5];
+
+  if (order == NULL)
+    return;
+  strings[0] = order->team;
+  strings[1] = order->request;
+  strings[2] = order->service;
+  strings[3] = order->budget;
+  strings[4] = order->text;
+  for (size_t i = 0; i < G_N_ELEMENTS (strings); i++)
+    {
+      if (strings[i] != NULL)
+        g_string_free (strings[i], TRUE);
+    }
+  g_free (order);
+}
+
+/* Returns what was asked, owned by RUN and immutable. */
+const struct sr_run_order *
+sr_run_order (const struct sr_run *run)
+{
+  return run->order;
+}
+
+/* Returns the service asked for, owned by RUN's configuration; NULL for a look-up. */
+const struct sr_config_service *
+sr_run_service (const struct sr_run *run)
+{
+  return run->service;
+}
+
+/* Returns how far RUN is. */
+enum sr_run_state
+sr_run_state (struct sr_run *run)
+{
+  enum sr_run_state state;
+
+  pthread_mutex_lock (&run->mutex);
+  state = run->state;
+  pthread_mutex_unlock (&run->mutex);
+  return state;
+}
+
+/* Marks RUN as taken out of the queue. */
+void
+sr_run_set_running (struct sr_run *run)
+{
+  pthread_mutex_lock (&run->mutex);
+  g_assert (run->state == SR_RUN_QUEUED);
+  run->state = SR_RUN_RUNNING;
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Appends LENGTH bytes of TEXT, whole UTF-8 characters that stand for TOKENS tokens, to the answer,
+ * and wakes the listeners. */
+void
+sr_run_append (struct sr_run *run, const char *text, size_t length, unsigned tokens)
+{
+  pthread_mutex_lock (&run->mutex);
+  g_assert (run->state != SR_RUN_DONE);
+  g_string_append_len (run->text, text, (gssize)length);
+  run->tokens += tokens;
+  wake_ (run);
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Replaces the answer by TEXT, the JSON of a plain service's result. Nobody is woken. */
+void
+sr_run_set_result_text (struct sr_run *run, const char *text, size_t length)
+{
+  pthread_mutex_lock (&run->mutex);
+  g_assert (run->state != SR_RUN_DONE);
+  g_string_truncate (run->text, 0);
+  g_string_append_len (run->text, text, (gssize)length);
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Ends RUN with RESULT and wakes the listeners. Call it once. */
+void
+sr_run_finish (struct sr_run *run, const struct sr_run_result *result)
+{
+  pthread_mutex_lock (&run->mutex);
+  g_assert (run->state != SR_RUN_DONE);
+  run->state = SR_RUN_DONE;
+  run->result = *result;
+  run->finished_us = g_get_monotonic_time ();
+  wake_ (run);
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Returns the end of RUN, which must be done. It does not change any more. */
+const struct sr_run_result *
+sr_run_result (struct sr_run *run)
+{
+  g_assert (sr_run_state (run) == SR_RUN_DONE);
+  return &run->result;
+}
+
+/* Returns the number of tokens of the answer so far. */
+int64_t
+sr_run_tokens (struct sr_run *run)
+{
+  int64_t tokens;
+
+  pthread_mutex_lock (&run->mutex);
+  tokens = run->tokens;
+  pthread_mutex_unlock (&run->mutex);
+  return tokens;
+}
+
+/* Returns when RUN ended (monotonic microseconds), or 0. */
+int64_t
+sr_run_finished_us (struct sr_run *run)
+{
+  int64_t finished_us;
+
+  pthread_mutex_lock (&run->mutex);
+  finished_us = run->finished_us;
+  pthread_mutex_unlock (&run->mutex);
+  return finished_us;
+}
+
+/* Returns the bytes of the answer so far. */
+size_t
+sr_run_text_length (struct sr_run *run)
+{
+  size_t length;
+
+  pthread_mutex_lock (&run->mutex);
+  length = run->text->len;
+  pthread_mutex_unlock (&run->mutex);
+  return length;
+}
+
+/* Appends to OUT what the answer holds from byte OFFSET on. */
+void
+sr_run_copy_text (struct sr_run *run, size_t offset, GString *out)
+{
+  pthread_mutex_lock (&run->mutex);
+  if (offset < run->text->len)
+    g_string_append_len (out, run->text->str + offset, (gssize)(run->text->len - offset));
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Returns true when there is something to send: the end, or, unless the caller wants the WHOLE
+ * answer at once, text beyond OFFSET. Otherwise remembers LISTENER, to be called once with DATA
+ * when there is, and returns false. */
+bool
+sr_run_wait_for_more (
+    struct sr_run *run, size_t offset, bool whole, sr_run_listener listener, void *data)
+{
+  struct waiting_listener entry = { .call = listener, .data = data, .whole = whole };
+  bool ready;
+
+  pthread_mutex_lock (&run->mutex);
+  ready = run->state == SR_RUN_DONE || (!whole && run->text->len > offset);
+  if (!ready)
+    g_array_append_val (run->waiting, entry);
+  pthread_mutex_unlock (&run->mutex);
+  return ready;
+}
+
+/* Counts a caller who wants RUN's answer. */
+void
+sr_run_add_listener (struct sr_run *run)
+{
+  pthread_mutex_lock (&run->mutex);
+  run->n_listeners++;
+  run->abandoned_us = 0;
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Takes back one sr_run_add_listener; a listener waiting with DATA is not called any more. */
+void
+sr_run_drop_listener (struct sr_run *run, void *data)
+{
+  pthread_mutex_lock (&run->mutex);
+  g_assert (run->n_listeners > 0);
+  run->n_listeners--;
+  if (run->n_listeners == 0)
+    run->abandoned_us = g_get_monotonic_time ();
+  for (guint i = run->waiting->len; i > 0; i--)
+    {
+      if (g_array_index (run->waiting, struct waiting_listener, i - 1).data == data)
+        g_array_remove_index_fast (run->waiting, i - 1);
+    }
+  pthread_mutex_unlock (&run->mutex);
+}
+
+/* Tells whether nobody wants RUN's answer any more. A caller that chose the request's id gets some
+ * seconds to come back. */
+bool
+sr_run_is_abandoned (struct sr_run *run, int64_t now_us)
+{
+  int64_t grace_us
+      = run->order->request_was_given ? ABANDON_GRACE_WITH_KEY_US : ABANDON_GRACE_WITHOUT_KEY_US;
+  bool abandoned;
+
+  pthread_mutex_lock (&run->mutex);
+  abandoned = run->abandoned_us != 0 && now_us - run->abandoned_us >= grace_us;
+  pthread_mutex_unlock (&run->mutex);
+  return abandoned;
+}
+
+/* Returns the name of STATE. */
+const char *
+sr_run_state_to_string (enum sr_run_state state)
+{
+  g_assert ((size_t)state < G_N_ELEMENTS (state_strings));
+  return state_strings[state];
+}
+
+/* Returns the word for ERROR in replies. */
+const char *
+sr_error_code (enum sr_error error)
+{
+  g_assert ((size_t)error < G_N_ELEMENTS (errors));
+  return errors[error].code;
+}
+
+/* Returns a sentence about ERROR for people. */
+const char *
+sr_error_message (enum sr_error error)
+{
+  g_assert ((size_t)error < G_N_ELEMENTS (errors));
+  return errors[error].message;
+}
+
+/* Returns the HTTP status of a reply with ERROR. */
+int
+sr_error_http_status (enum sr_error error)
+{
+  g_assert ((size_t)error < G_N_ELEMENTS (errors));
+  return errors[error].http_status;
+}
+
+/* Calls those who wait for what there is now. The mutex stays locked, so that a listener that was
+ * dropped is never called. */
+static void
+wake_ (struct sr_run *run)
+{
+  for (guint i = run->waiting->len; i > 0; i--)
+    {
+      struct waiting_listener entry = g_array_index (run->waiting, struct waiting_listener, i - 1);
+
+      if (entry.whole && run->state != SR_RUN_DONE)
+        continue;
+      g_array_remove_index_fast (run->waiting, i - 1);
+      entry.call (entry.data);
+    }
+}
