--- a/testing/harness/caller.c
+++ b/testing/harness/caller.c
@@ -50,7 +50,9 @@
                                .source = ask->source,
                                .path = path,
                                .headers = headers,
-                               .body = body };
+                               .body = body,
+                               .piece = ask->piece,
+                               .data = ask->data };
   unsigned used = 2;
 
   for (unsigned i = 0; i < G_N_ELEMENTS (optional); i++)
--- a/testing/harness/caller.h
+++ b/testing/harness/caller.h
@@ -18,6 +18,9 @@
   const char *prompt;
   int64_t max_tokens;
   bool stream;
+  /* As in struct harness_call; may be NULL. */
+  bool (*piece) (void *data, const char *bytes, size_t length);
+  void *data;
 };
 
 enum harness_verdict
--- /dev/null
+++ b/testing/harness/traffic.c
@@ -0,0 +1,301 @@
+#include "testing/harness/traffic.h"
+
+#include "base/thread.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  US_PER_S = 1000000,
+  STACK_BYTES = 256 * 1024,
+  PERCENT = 100,
+  MIX = 0x9e3779b9,
+  ADDRESS_BYTES = 32
+};
+
+struct traffic
+{
+  const struct traffic_options *options;
+  struct traffic_result *result;
+  _Atomic int64_t next;
+  int64_t start_us;
+  pthread_mutex_t mutex; /* of the result */
+};
+
+/* One request of the mix: a function of the seed and its number. */
+struct shape
+{
+  unsigned target;
+  unsigned team;
+  const char *priority;
+  bool stream;
+  GString *prompt;
+  unsigned tokens;
+};
+
+/* Times of the lines of one streamed answer. */
+struct pace
+{
+  struct traffic *traffic;
+  int64_t begun_us;
+  int64_t last_us;
+  bool interactive;
+};
+
+static void *
+call_ (void *data);
+static bool
+wait_for_turn_ (struct traffic *traffic, int64_t number, int64_t *due_us);
+static struct shape
+shape_ (const struct traffic_options *options, int64_t number);
+static void
+ask_ (struct traffic *traffic, const struct shape *shape, int64_t due_us);
+static bool
+note_piece_ (void *data, const char *bytes, size_t length);
+static void
+count_ (struct traffic *traffic, const struct harness_answer *answer);
+
+/* Sends the whole mix and waits for its end. The caller frees the result. */
+struct traffic_result *
+traffic_run (const struct traffic_options *options)
+{
+  struct traffic traffic = { .options = options, .mutex = PTHREAD_MUTEX_INITIALIZER };
+  pthread_t *threads = g_new0 (pthread_t, options->callers);
+  unsigned started = 0;
+
+  traffic.result = g_new0 (struct traffic_result, 1);
+  traffic.result->codes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  traffic.result->first_token_us = samples_new ();
+  traffic.result->interactive_first_token_us = samples_new ();
+  traffic.result->between_tokens_us = samples_new ();
+  traffic.result->total_us = samples_new ();
+  traffic.start_us = g_get_monotonic_time ();
+  while (started < options->callers
+         && sr_thread_start (&threads[started], STACK_BYTES, call_, &traffic))
+    started++;
+  for (unsigned i = 0; i < started; i++)
+    pthread_join (threads[i], NULL);
+  traffic.result->took_us = g_get_monotonic_time () - traffic.start_us;
+  g_free (threads);
+  return traffic.result;
+}
+
+/* Frees RESULT; NULL is allowed. */
+void
+traffic_result_delete (struct traffic_result *result)
+{
+  if (result == NULL)
+    return;
+  g_hash_table_destroy (result->codes);
+  samples_delete (result->first_token_us);
+  samples_delete (result->interactive_first_token_us);
+  samples_delete (result->between_tokens_us);
+  samples_delete (result->total_us);
+  g_free (result);
+}
+
+/* The figures as one object; times in milliseconds. The caller owns it. */
+json_t *
+traffic_result_json (struct traffic_result *result)
+{
+  struct
+  {
+    const char *name;
+    struct samples *samples;
+    double percent;
+  } times[] = {
+    { "first_token_p50_ms", result->first_token_us, 50 },
+    { "first_token_p95_ms", result->first_token_us, 95 },
+    { "first_token_p99_ms", result->first_token_us, 99 },
+    { "interactive_first_token_p95_ms", result->interactive_first_token_us, 95 },
+    { "between_tokens_p95_ms", result->between_tokens_us, 95 },
+    { "total_p50_ms", result->total_us, 50 },
+    { "total_p95_ms", result->total_us, 95 },
+    { "total_p99_ms", result->total_us, 99 },
+  };
+  double took_s = (double)result->took_us / US_PER_S;
+  json_t *json = json_object ();
+  json_t *codes = json_object ();
+  GHashTableIter iter;
+  gpointer code, count;
+
+  for (unsigned i = 0; i < TRAFFIC_VERDICTS; i++)
+    json_object_set_new (json, harness_verdict_to_string (i), json_integer (result->verdicts[i]));
+  g_hash_table_iter_init (&iter, result->codes);
+  while (g_hash_table_iter_next (&iter, &code, &count))
+    json_object_set_new (codes, code, json_integer (GPOINTER_TO_INT (count)));
+  json_object_set_new (json, "codes", codes);
+  for (unsigned i = 0; i < G_N_ELEMENTS (times); i++)
+    json_object_set_new (
+        json, times[i].name,
+        json_real ((double)samples_percentile (times[i].samples, times[i].percent) / US_PER_MS));
+  json_object_set_new (json, "output_tokens", json_integer (result->output_tokens));
+  json_object_set_new (json, "billed_tokens", json_integer (result->billed_tokens));
+  json_object_set_new (json, "seconds", json_real (took_s));
+  json_object_set_new (json, "answered_per_s",
+                       json_real ((double)result->verdicts[HARNESS_ANSWERED] / took_s));
+  json_object_set_new (json, "goodput_tokens_per_s",
+                       json_real ((double)result->output_tokens / took_s));
+  return json;
+}
+
+/* Prints the figures, one a line. */
+void
+traffic_result_print (struct traffic_result *result, FILE *stream)
+{
+  json_t *json = traffic_result_json (result);
+  const char *name, *code;
+  json_t *value, *count;
+
+  json_object_foreach (json, name, value)
+  {
+    if (json_is_integer (value))
+      fprintf (stream, "  %-32s %12" JSON_INTEGER_FORMAT "\n", name, json_integer_value (value));
+    else if (json_is_real (value))
+      fprintf (stream, "  %-32s %12.1f\n", name, json_real_value (value));
+    else
+      json_object_foreach (value, code, count)
+          fprintf (stream, "  refused as %-21s %12" JSON_INTEGER_FORMAT "\n", code,
+                   json_integer_value (count));
+  }
+  json_decref (json);
+}
+
+static void *
+call_ (void *data)
+{
+  struct traffic *traffic = data;
+  int64_t number, due_us;
+
+  while ((number = traffic->next++) < traffic->options->requests
+         && wait_for_turn_ (traffic, number, &due_us))
+    {
+      struct shape shape = shape_ (traffic->options, number);
+
+      ask_ (traffic, &shape, due_us);
+      g_string_free (shape.prompt, TRUE);
+    }
+  return NULL;
+}
+
+/* In an open loop, sleeps until the request is due. A caller that comes too late starts at once,
+ * and the time it lost counts. Returns false when the time is over. */
+static bool
+wait_for_turn_ (struct traffic *traffic, int64_t number, int64_t *due_us)
+{
+  const struct traffic_options *options = traffic->options;
+  int64_t now_us = g_get_monotonic_time ();
+
+  *due_us = now_us;
+  if (options->rate_per_s > 0)
+    *due_us = traffic->start_us + (int64_t)((double)number / options->rate_per_s * US_PER_S);
+  if (options->limit_s > 0 && *due_us - traffic->start_us > options->limit_s * US_PER_S)
+    return false;
+  if (*due_us > now_us)
+    g_usleep ((gulong)(*due_us - now_us));
+  return true;
+}
+
+static struct shape
+shape_ (const struct traffic_options *options, int64_t number)
+{
+  GRand *random = g_rand_new_with_seed (options->seed + (guint32)number * MIX);
+  unsigned targets = g_strv_length ((char **)options->targets);
+  struct shape shape = { .target = (unsigned)number % targets };
+  int dice = g_rand_int_range (random, 0, PERCENT);
+
+  shape.team = 1;
+  if (options->teams > 1 && dice >= (int)options->large_team_percent)
+    shape.team = (unsigned)g_rand_int_range (random, 2, (gint32)options->teams + 1);
+  dice = g_rand_int_range (random, 0, PERCENT);
+  shape.priority = dice < (int)options->interactive_percent ? "interactive"
+                   : dice % 2 == 0                          ? "normal"
+                                                            : "batch";
+  shape.stream = g_rand_int_range (random, 0, PERCENT) < (gint32)options->stream_percent;
+  shape.tokens = (unsigned)g_rand_int_range (random, (gint32)options->tokens_min,
+                                             (gint32)options->tokens_max + 1);
+  shape.prompt = g_string_new (NULL);
+  if (options->prefixes > 0)
+    {
+      int prefix = g_rand_int_range (random, 0, (gint32)options->prefixes);
+
+      while (shape.prompt->len < options->prefix_bytes)
+        g_string_append_printf (shape.prompt, "diary of household %d, ", prefix);
+    }
+  g_string_append_printf (shape.prompt, "request %u-%" G_GINT64_FORMAT " [n=%u]", options->seed,
+                          number, shape.tokens);
+  g_rand_free (random);
+  return shape;
+}
+
+static void
+ask_ (struct traffic *traffic, const struct shape *shape, int64_t due_us)
+{
+  char **parts = g_strsplit (traffic->options->targets[shape->target], ":", 2);
+  struct pace pace = { traffic, due_us, 0, strcmp (shape->priority, "interactive") == 0 };
+  struct harness_ask ask = { .address = parts[0],
+                             .port = (unsigned)strtoul (parts[1], NULL, 10),
+                             .service = traffic->options->service,
+                             .team = shape->team,
+                             .priority = shape->priority,
+                             .deadline_ms = traffic->options->deadline_ms,
+                             .prompt = shape->prompt->str,
+                             .max_tokens = shape->tokens,
+                             .stream = shape->stream,
+                             .piece = shape->stream ? note_piece_ : NULL,
+                             .data = &pace };
+  struct harness_answer answer = harness_ask (&ask);
+
+  if (answer.verdict == HARNESS_ANSWERED)
+    samples_add (traffic->result->total_us, g_get_monotonic_time () - due_us);
+  count_ (traffic, &answer);
+  g_strfreev (parts);
+}
+
+/* Notes when the lines of an answer come. Error replies have no line that begins with {"t". */
+static bool
+note_piece_ (void *data, const char *bytes, size_t length)
+{
+  static const char token_line[] = "{\"t\"";
+  struct pace *pace = data;
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (pace->last_us > 0)
+    samples_add (pace->traffic->result->between_tokens_us, now_us - pace->last_us);
+  else
+    {
+      if (length < strlen (token_line) || strncmp (bytes, token_line, strlen (token_line)) != 0)
+        return true;
+      samples_add (pace->traffic->result->first_token_us, now_us - pace->begun_us);
+      if (pace->interactive)
+        samples_add (pace->traffic->result->interactive_first_token_us, now_us - pace->begun_us);
+    }
+  pace->last_us = now_us;
+  return true;
+}
+
+static void
+count_ (struct traffic *traffic, const struct harness_answer *answer)
+{
+  struct traffic_result *result = traffic->result;
+
+  pthread_mutex_lock (&traffic->mutex);
+  result->verdicts[answer->verdict]++;
+  if (answer->verdict == HARNESS_ANSWERED)
+    {
+      result->output_tokens += answer->output_tokens;
+      result->billed_tokens += answer->billed_tokens;
+    }
+  if (answer->code[0] != '\0')
+    {
+      gpointer count = g_hash_table_lookup (result->codes, answer->code);
+
+      g_hash_table_insert (result->codes, g_strdup (answer->code),
+                           GINT_TO_POINTER (GPOINTER_TO_INT (count) + 1));
+    }
+  pthread_mutex_unlock (&traffic->mutex);
+}
--- /dev/null
+++ b/testing/harness/traffic.h
@@ -0,0 +1,54 @@
+/* Load from many callers: a seeded mix of requests whose answers are checked to the byte. */
+#pragma once
+
+#include "testing/harness/caller.h"
+#include "testing/harness/samples.h"
+
+#include <stdio.h>
+
+struct traffic_options
+{
+  const char *const *targets; /* "IP:PORT", ends with NULL */
+  unsigned callers;           /* at once */
+  double rate_per_s;          /* 0: closed loop; else requests begin at this rate */
+  int64_t requests;           /* in all */
+  int64_t limit_s;            /* no request begins after this time; 0: no limit */
+  uint32_t seed;
+  const char *service; /* model service */
+  unsigned teams;
+  unsigned large_team_percent;  /* share of team 1; the others share the rest evenly */
+  unsigned stream_percent;      /* the rest asks for whole answers */
+  unsigned interactive_percent; /* of the requests; the rest is half normal, half batch */
+  unsigned prefixes;            /* distinct prompt beginnings */
+  unsigned prefix_bytes;
+  unsigned tokens_min; /* of an answer */
+  unsigned tokens_max;
+  int64_t deadline_ms; /* 0: none is sent */
+};
+
+enum
+{
+  TRAFFIC_VERDICTS = HARNESS_WRONG + 1
+};
+
+struct traffic_result
+{
+  int64_t verdicts[TRAFFIC_VERDICTS];
+  GHashTable *codes; /* error code -> count (GINT_TO_POINTER) */
+  int64_t output_tokens;
+  int64_t billed_tokens;
+  int64_t took_us;
+  struct samples *first_token_us;
+  struct samples *interactive_first_token_us;
+  struct samples *between_tokens_us;
+  struct samples *total_us;
+};
+
+struct traffic_result *
+traffic_run (const struct traffic_options *options);
+void
+traffic_result_delete (struct traffic_result *result);
+json_t *
+traffic_result_json (struct traffic_result *result);
+void
+traffic_result_print (struct traffic_result *result, FILE *stream);
