--- a/src/order/order.c
+++ b/src/order/order.c
@@ -33,8 +33,9 @@
 struct sr_orders
 {
   struct sr_platform *platform;
-  pthread_mutex_t mutex; /* guards pending */
-  GQueue pending;        /* of struct pending_outcome */
+  pthread_mutex_t mutex;  /* guards pending */
+  GQueue pending;         /* of struct pending_outcome */
+  GString *removal_after; /* the last name that sr_orders_remove_expired looked at */
 };
 
 static struct sr_counter claims_won
@@ -77,7 +78,7 @@
                 int64_t version);
 static enum sr_platform_status
 read_outcome_ (struct sr_orders *orders, const char *name, const struct sr_order_record *written);
-static bool
+static void
 keep_pending_ (struct sr_orders *orders,
                const char *name,
                struct sr_order_record *record,
@@ -101,6 +102,7 @@
   orders->platform = sr_platform_ref (platform);
   pthread_mutex_init (&orders->mutex, NULL);
   g_queue_init (&orders->pending);
+  orders->removal_after = g_string_new (NULL);
   sr_counter_register (&claims_won);
   sr_counter_register (&claims_taken);
   sr_counter_register (&claims_refused);
@@ -116,6 +118,7 @@
   if (orders == NULL)
     return;
   g_queue_clear_full (&orders->pending, pending_free_);
+  g_string_free (orders->removal_after, TRUE);
   pthread_mutex_destroy (&orders->mutex);
   sr_platform_unref (orders->platform);
   g_free (orders);
@@ -178,9 +181,10 @@
       g_string_append_len (record.answer, answer, (gssize)length);
     }
   status = store_outcome_ (orders, name->str, &record, claim->version);
-  if (status == SR_PLATFORM_OK || status == SR_PLATFORM_ABSENT
-      || !keep_pending_ (orders, name->str, &record, claim->version))
+  if (status == SR_PLATFORM_OK || status == SR_PLATFORM_ABSENT)
     sr_order_record_clear (&record);
+  else
+    keep_pending_ (orders, name->str, &record, claim->version);
   g_string_free (name, TRUE);
   return status == SR_PLATFORM_OK;
 }
@@ -246,37 +250,32 @@
   return 0;
 }
 
-/* Removes claims whose day can no longer be accepted by any instance at NOW_MS (real time), among
- * the first LIMIT objects of each team's prefix order; call it again until it returns 0. Returns
- * how many were removed. Any instance may call it. */
+/* Looks at the next PAGE claims in the order of their names, from where the last call ended and
+ * round again, and removes those whose day no instance can accept any more at NOW_MS (real time).
+ * Costs one list, and a read and a write for each one removed. Returns how many were removed. Any
+ * instance may call it, from one thread. */
 unsigned
-sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned limit)
+sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned page)
 {
   GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
   unsigned removed = 0;
-  bool more = true;
-  char *after = g_strdup ("");
+  bool more = false;
 
-  while (more && removed < limit)
+  if (sr_platform_list (orders->platform, ORDER_KIND, "", orders->removal_after->str, page, names,
+                        &more)
+      != SR_PLATFORM_OK)
+    goto out;
+  for (guint i = 0; i < names->len; i++)
     {
-      g_ptr_array_set_size (names, 0);
-      if (sr_platform_list (orders->platform, ORDER_KIND, "", after, limit, names, &more)
-              != SR_PLATFORM_OK
-          || names->len == 0)
-        break;
-      for (guint i = 0; i < names->len && removed < limit; i++)
-        {
-          const char *name = names->pdata[i];
-          const char *colon = strchr (name, ':');
+      const char *name = names->pdata[i];
+      const char *colon = strchr (name, ':');
 
-          if (colon != NULL && sr_key_day_is_removable (colon + 1, now_ms)
-              && remove_claim_ (orders, name))
-            removed++;
-        }
-      g_free (after);
-      after = g_strdup (names->pdata[names->len - 1]);
+      if (colon != NULL && sr_key_day_is_removable (colon + 1, now_ms)
+          && remove_claim_ (orders, name))
+        removed++;
     }
-  g_free (after);
+  g_string_assign (orders->removal_after, more ? names->pdata[names->len - 1] : "");
+out:
   g_ptr_array_unref (names);
   return removed;
 }
@@ -467,8 +466,8 @@
   return status;
 }
 
-/* Takes over RECORD when it returns true. */
-static bool
+/* Takes over RECORD. */
+static void
 keep_pending_ (struct sr_orders *orders,
                const char *name,
                struct sr_order_record *record,
@@ -488,7 +487,6 @@
   pthread_mutex_unlock (&orders->mutex);
   if (dropped != NULL)
     pending_free_ (dropped);
-  return true;
 }
 
 static void
--- a/src/order/order.h
+++ b/src/order/order.h
@@ -69,7 +69,7 @@
 unsigned
 sr_orders_retry_pending (struct sr_orders *orders);
 unsigned
-sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned limit);
+sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned page);
 const char *
 sr_claim_verdict_to_string (enum sr_claim_verdict verdict);
 void
