--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -6,6 +6,7 @@
 #include "bill/bill.h"
 #include "budget/budget.h"
 #include "order/order.h"
+#include "request/run-peers.h"
 #include "request/run.h"
 #include "request/table.h"
 #include "route/route.h"
@@ -24,6 +25,7 @@
   struct sr_budgets *budgets;
   struct sr_bills *bills;
   struct sr_orders *orders;
+  struct sr_run_peers *peers; /* NULL: requests are not looked for at other instances */
   uint64_t incarnation;
   uint32_t seed;
 };
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -46,6 +46,8 @@
 
 static void
 perform_look_up_ (struct performance *p);
+static bool
+follow_elsewhere_ (struct performance *p);
 static void
 perform_model_ (struct performance *p);
 static void
@@ -113,12 +115,14 @@
   p.failed = g_ptr_array_new_with_free_func (g_free);
   if (p.order->is_look_up)
     perform_look_up_ (&p);
+  else if (!p.service->repeatable)
+    perform_order_ (&p);
+  else if (follow_elsewhere_ (&p))
+    ;
   else if (p.service->kind == SR_SERVICE_MODEL)
     perform_model_ (&p);
-  else if (p.service->repeatable)
-    perform_plain_ (&p);
   else
-    perform_order_ (&p);
+    perform_plain_ (&p);
   g_ptr_array_unref (p.failed);
 }
 
@@ -133,6 +137,29 @@
   sr_claim_clear (&claim);
 }
 
+/* Joins the run of the same request at another instance, if there is one. Returns true when the run
+ * has ended with it. */
+static bool
+follow_elsewhere_ (struct performance *p)
+{
+  struct sr_run_result result;
+
+  if (!p->order->request_was_given || p->dispatch->options.peers == NULL)
+    return false;
+  switch (sr_run_peers_follow (p->dispatch->options.peers, p->run, &result, &p->may_have_run))
+    {
+    case SR_RUN_FOLLOWED_TO_END:
+      finish_ (p, &result);
+      return true;
+    case SR_RUN_FOLLOWED_OTHER_BODY:
+      refuse_ (p, SR_ERROR_KEY_REUSED, 0);
+      return true;
+    case SR_RUN_FOLLOWED_OURS:
+    default:
+      return false;
+    }
+}
+
 static void
 perform_model_ (struct performance *p)
 {
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -252,10 +252,21 @@
 /* Appends to OUT what the answer holds from byte OFFSET on. */
 void
 sr_run_copy_text (struct sr_run *run, size_t offset, GString *out)
+{
+  int64_t tokens;
+
+  sr_run_copy_from (run, offset, out, &tokens);
+}
+
+/* Like sr_run_copy_text; *TOKENS is set to the tokens of the whole answer so far, of the same
+ * moment. */
+void
+sr_run_copy_from (struct sr_run *run, size_t offset, GString *out, int64_t *tokens)
 {
   pthread_mutex_lock (&run->mutex);
   if (offset < run->text->len)
     g_string_append_len (out, run->text->str + offset, (gssize)(run->text->len - offset));
+  *tokens = run->tokens;
   pthread_mutex_unlock (&run->mutex);
 }
 
