--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -82,7 +82,7 @@
 static void
 answer_model_ (struct performance *p, const struct sr_backend_report *report);
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report);
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded);
 static bool
 place_bill_ (struct performance *p, const struct sr_run_result *result);
 static void
@@ -294,7 +294,7 @@
                          ran ? p->service->call_tokens : 0);
       if (report.status == SR_BACKEND_ANSWERED)
         {
-          answer_plain_ (p, &report);
+          answer_plain_ (p, &report, false);
           return;
         }
       if (!after_failed_attempt_ (p, attempt, report.status))
@@ -363,9 +363,10 @@
 
   if (report->status == SR_BACKEND_ANSWERED)
     {
-      sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED, report->result->str,
-                        report->result->len);
-      answer_plain_ (p, report);
+      bool is_recorded = sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED,
+                                           report->result->str, report->result->len);
+
+      answer_plain_ (p, report, is_recorded);
       return;
     }
   if (!p->may_have_run)
@@ -578,15 +579,17 @@
   finish_ (p, &result);
 }
 
+/* Answers with a plain service's result. IS_RECORDED: the platform holds the outcome, so the caller
+ * gets the answer even when the bill has no second place. */
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report)
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded)
 {
   struct sr_run_result result
       = { .outcome = SR_OUTCOME_ANSWERED, .billed_tokens = p->service->call_tokens };
 
   sr_run_set_result_text (p->run, report->result->str, report->result->len);
   g_string_free (report->result, TRUE);
-  if (!place_bill_ (p, &result))
+  if (!place_bill_ (p, &result) && !is_recorded)
     {
       result = (struct sr_run_result){ .outcome = SR_OUTCOME_UNKNOWN,
                                        .error = SR_ERROR_BILL_NOT_PLACED,
