Drain: the planned stop as a state machine and its thread

Cause: a planned stop must cut off no request and lose no bill or allotment.

Change: running, leaving (still served, so that the balancer has time to see it), draining, handing over, stopped. drain-core.c decides; drain.c waits for SIGTERM, SIGINT or sr_drain_request in the main thread and calls the vtable. A second signal or the limit ends it with a line for what was left; a hand over that hangs is left behind. drain.h says how to call it.

Shown failing with the wait for requests off: test-drain, a_stop_goes_through_its_states_in_order, random_stops_keep_their_promises and a_signal_drains_the_instance_and_hands_over.

--- /dev/null
+++ b/src/drain/drain.c
@@ -0,0 +1,217 @@
+#include "drain/drain.h"
+
+#include "base/log.h"
+#include "base/thread.h"
+
+#include <glib.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <time.h>
+
+enum
+{
+  POLL_MS = 50,
+  HAND_OVER_MS = 5000,
+  NS_PER_MS = 1000000,
+  US_PER_MS = 1000,
+  US_PER_S = 1000000
+};
+
+struct sr_drain
+{
+  const struct sr_drain_vtable *vtable;
+  void *data;
+  struct sr_drain_core core; /* of the thread that runs sr_drain_run */
+  _Atomic int state;         /* a copy of the core's, for other threads */
+  atomic_uint requests;      /* sr_drain_request calls not yet taken */
+  atomic_uint references;    /* the caller's, and that of a hand over in progress */
+  int64_t hand_over_end_us;
+  atomic_bool handed_over;
+  bool bills; /* valid once handed over */
+  bool budgets;
+};
+
+static void
+fill_stop_signals_ (sigset_t *signals);
+static bool
+wait_for_stop_ (struct sr_drain *drain);
+static enum sr_drain_action
+next_action_ (struct sr_drain *drain);
+static void
+perform_ (struct sr_drain *drain, enum sr_drain_action action);
+static void
+start_hand_over_ (struct sr_drain *drain);
+static void *
+hand_over_run_ (void *data);
+static bool
+log_end_ (const struct sr_drain *drain);
+
+/* Blocks SIGTERM and SIGINT in the calling thread and those it starts later, so that sr_drain_run
+ * gets them. Call it before the first other thread is started. */
+void
+sr_drain_block_signals (void)
+{
+  sigset_t signals;
+
+  fill_stop_signals_ (&signals);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+}
+
+/* Creates the stop of one instance, which is not begun. The vtable and data must outlive it. The
+ * caller owns it. */
+struct sr_drain *
+sr_drain_new (const struct sr_drain_options *options)
+{
+  struct sr_drain *drain = g_new0 (struct sr_drain, 1);
+  struct sr_drain_core_options core_options = { .leave_us = (int64_t)options->leave_ms * US_PER_MS,
+                                                .limit_us = (int64_t)options->limit_s * US_PER_S,
+                                                .hand_over_us = (int64_t)HAND_OVER_MS * US_PER_MS };
+
+  atomic_store (&drain->references, 1);
+  drain->vtable = options->vtable;
+  drain->data = options->data;
+  sr_drain_core_init (&drain->core, &core_options);
+  return drain;
+}
+
+/* Frees DRAIN, once a hand over that was left in progress has ended. NULL is allowed. */
+void
+sr_drain_delete (struct sr_drain *drain)
+{
+  if (drain != NULL && atomic_fetch_sub (&drain->references, 1) == 1)
+    g_free (drain);
+}
+
+/* Has the effect of one stop signal. Any thread may call it, but no signal handler. */
+void
+sr_drain_request (struct sr_drain *drain)
+{
+  atomic_fetch_add (&drain->requests, 1);
+}
+
+/* Waits for a stop signal or sr_drain_request and performs the stop. Returns true when no request
+ * was cut off and everything was handed over; what was left is logged otherwise. */
+bool
+sr_drain_run (struct sr_drain *drain)
+{
+  enum sr_drain_action action;
+
+  do
+    {
+      action = next_action_ (drain);
+      atomic_store (&drain->state, drain->core.state);
+      perform_ (drain, action);
+    }
+  while (action != SR_DRAIN_ACTION_FINISH);
+  return log_end_ (drain);
+}
+
+/* Returns the present state; any thread may call it. */
+enum sr_drain_state
+sr_drain_state (struct sr_drain *drain)
+{
+  return (enum sr_drain_state)atomic_load (&drain->state);
+}
+
+static void
+fill_stop_signals_ (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+}
+
+/* Waits a moment for a stop signal; true when there was one, or a request. */
+static bool
+wait_for_stop_ (struct sr_drain *drain)
+{
+  struct timespec wait = { .tv_nsec = (long)POLL_MS * NS_PER_MS };
+  sigset_t signals;
+
+  if (atomic_load (&drain->requests) > 0)
+    {
+      atomic_fetch_sub (&drain->requests, 1);
+      return true;
+    }
+  fill_stop_signals_ (&signals);
+  return sigtimedwait (&signals, NULL, &wait) > 0;
+}
+
+static enum sr_drain_action
+next_action_ (struct sr_drain *drain)
+{
+  struct sr_drain_event event = { .kind = SR_DRAIN_EVENT_TICK };
+  int64_t now_us;
+
+  if (wait_for_stop_ (drain))
+    event.kind = SR_DRAIN_EVENT_SIGNAL;
+  else if (drain->core.state == SR_DRAIN_HANDING_OVER && atomic_load (&drain->handed_over))
+    event = (struct sr_drain_event){ .kind = SR_DRAIN_EVENT_HANDED_OVER,
+                                     .bills = drain->bills,
+                                     .budgets = drain->budgets };
+  else if (drain->core.state != SR_DRAIN_RUNNING)
+    event.in_progress = drain->vtable->in_progress (drain->data);
+  now_us = g_get_monotonic_time ();
+  return sr_drain_core_step (&drain->core, &event, now_us);
+}
+
+static void
+perform_ (struct sr_drain *drain, enum sr_drain_action action)
+{
+  switch (action)
+    {
+    case SR_DRAIN_ACTION_LEAVE:
+      drain->vtable->leave (drain->data);
+      break;
+    case SR_DRAIN_ACTION_CLOSE:
+      drain->vtable->close (drain->data);
+      break;
+    case SR_DRAIN_ACTION_HAND_OVER:
+      start_hand_over_ (drain);
+      break;
+    case SR_DRAIN_ACTION_NONE:
+    case SR_DRAIN_ACTION_FINISH:
+      break;
+    }
+  if (action != SR_DRAIN_ACTION_NONE)
+    sr_log (G_LOG_LEVEL_INFO, "stop", "%s, %u requests in progress",
+            sr_drain_state_to_string (drain->core.state), drain->core.in_progress);
+}
+
+static void
+start_hand_over_ (struct sr_drain *drain)
+{
+  pthread_t thread;
+
+  drain->hand_over_end_us = sr_drain_core_hand_over_end_us (&drain->core);
+  atomic_fetch_add (&drain->references, 1);
+  if (sr_thread_start (&thread, 0, hand_over_run_, drain))
+    pthread_detach (thread);
+  else
+    hand_over_run_ (drain);
+}
+
+static void *
+hand_over_run_ (void *data)
+{
+  struct sr_drain *drain = data;
+
+  drain->bills = drain->vtable->hand_over_bills (drain->hand_over_end_us, drain->data);
+  drain->budgets = drain->vtable->hand_over_budgets (drain->hand_over_end_us, drain->data);
+  atomic_store (&drain->handed_over, true);
+  sr_drain_delete (drain);
+  return NULL;
+}
+
+static bool
+log_end_ (const struct sr_drain *drain)
+{
+  const struct sr_drain_core *core = &drain->core;
+
+  if (core->requests_left == 0 && !core->bills_left && !core->budgets_left)
+    return true;
+  sr_log (G_LOG_LEVEL_WARNING, "stop_left", "%u requests, %s bills, %s allotments",
+          core->requests_left, core->bills_left ? "some" : "no",
+          core->budgets_left ? "some" : "no");
+  return false;
+}
