--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -43,6 +43,8 @@
 start_hand_over_ (struct sr_drain *drain);
 static void *
 hand_over_run_ (void *data);
+static void
+hand_over_ (struct sr_drain *drain);
 static bool
 log_end_ (const struct sr_drain *drain);
 
@@ -186,9 +188,12 @@
   drain->hand_over_end_us = sr_drain_core_hand_over_end_us (&drain->core);
   atomic_fetch_add (&drain->references, 1);
   if (sr_thread_start (&thread, 0, hand_over_run_, drain))
-    pthread_detach (thread);
-  else
-    hand_over_run_ (drain);
+    {
+      pthread_detach (thread);
+      return;
+    }
+  atomic_fetch_sub (&drain->references, 1);
+  hand_over_ (drain);
 }
 
 static void *
@@ -196,11 +201,17 @@
 {
   struct sr_drain *drain = data;
 
+  hand_over_ (drain);
+  sr_drain_delete (drain);
+  return NULL;
+}
+
+static void
+hand_over_ (struct sr_drain *drain)
+{
   drain->bills = drain->vtable->hand_over_bills (drain->hand_over_end_us, drain->data);
   drain->budgets = drain->vtable->hand_over_budgets (drain->hand_over_end_us, drain->data);
   atomic_store (&drain->handed_over, true);
-  sr_drain_delete (drain);
-  return NULL;
 }
 
 static bool
