--- a/src/admit/admit.c
+++ b/src/admit/admit.c
@@ -3,6 +3,7 @@
 #include "admit/queue.h"
 #include "base/counters.h"
 
+#include <math.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -19,8 +20,8 @@
 static const double RETRY_SHARE = 0.1;
 /* Weight of the latest call in the means. */
 static const double MEAN_GAIN = 0.1;
-/* Part of the expected run without which starting a request is hopeless. */
-static const double RUN_SHARE_NEEDED = 0.5;
+/* A request of more work than the mean is expected to run longer, up to this factor. */
+static const double RUN_FACTOR_MAX = 2.0;
 
 static const char *const priority_strings[] = { "interactive", "normal", "batch" };
 
@@ -31,6 +32,7 @@
   struct sr_queue *queue;
   unsigned running;
   double mean_took_us;
+  double deviation_us; /* mean deviation of the time taken */
   double mean_cost;
   double retry_budget;
 };
@@ -237,6 +239,7 @@
 sr_admit_served (struct sr_admit *admit, const char *service_name, int64_t took_us)
 {
   struct service_queue *service;
+  double error_us;
 
   pthread_mutex_lock (&admit->mutex);
   service = service_of_ (admit, service_name);
@@ -246,7 +249,9 @@
     {
       if (service->mean_took_us <= 0)
         service->mean_took_us = (double)took_us;
-      service->mean_took_us += MEAN_GAIN * ((double)took_us - service->mean_took_us);
+      error_us = (double)took_us - service->mean_took_us;
+      service->mean_took_us += MEAN_GAIN * error_us;
+      service->deviation_us += MEAN_GAIN * (fabs (error_us) - service->deviation_us);
       service->retry_budget = MIN (service->retry_budget + RETRY_SHARE, RETRY_BUDGET_MAX);
     }
   pthread_mutex_unlock (&admit->mutex);
@@ -390,15 +395,16 @@
   return service->running * service->mean_cost / service->mean_took_us;
 }
 
-/* Returns the least time TICKET is expected to need once started. */
+/* Returns the time TICKET is expected to need once started: the mean and its deviation (as for the
+ * retransmission timer of TCP, Jacobson 1988), by the work of the ticket. */
 static int64_t
 run_needed_us_ (const struct service_queue *service, const struct sr_ticket *ticket)
 {
   double size = 1.0;
 
   if (service->mean_cost > 0)
-    size = MIN ((double)ticket->cost_tokens / service->mean_cost, 1.0);
-  return (int64_t)(RUN_SHARE_NEEDED * service->mean_took_us * size);
+    size = MIN ((double)ticket->cost_tokens / service->mean_cost, RUN_FACTOR_MAX);
+  return (int64_t)((service->mean_took_us + service->deviation_us) * size);
 }
 
 static int64_t
