Configuration on the platform and the audit trail of its changes

A configuration is cut by the hash of its sections' names into parts of about 16 KiB, created first under names that never come back; then one conditional update of config/head puts it in force. The head carries the last eight changes, each of which is written to the audit trail before a later head drops it, so that a change is in the trail exactly once whoever dies when. A lost answer is settled by reading back.

--- /dev/null
+++ b/src/audit/audit.h
@@ -0,0 +1,57 @@
+/* The audit trail: one object on the platform for each change, created once. */
+#pragma once
+
+#include "platform/platform.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+enum sr_audit_type
+{
+  SR_AUDIT_CONFIG,     /* a configuration was accepted */
+  SR_AUDIT_TOP_UP,     /* tokens were added to a budget */
+  SR_AUDIT_CORRECTION, /* a budget was corrected by hand */
+  SR_AUDIT_TAKE_BACK,  /* an allotment of a dead instance went back */
+  SR_AUDIT_LEAVING,    /* an instance began to leave */
+  SR_AUDIT_STOP        /* an instance ended its planned stop */
+};
+
+/* One entry. It is found by its type, its day and its id, so whoever writes the same entry again
+ * writes nothing new; when_ms therefore has to come from the record of the change itself. */
+struct sr_audit_entry
+{
+  enum sr_audit_type type;
+  GString *id;      /* unique among entries of its type: letters, digits, '.', '_', ':', '-' */
+  GString *who;     /* operator or instance */
+  GString *subject; /* what was changed */
+  GString *before;
+  GString *after;
+  int64_t revision; /* of the configuration; 0 for none */
+  int64_t when_ms;  /* real time */
+};
+
+struct sr_audit_entry *
+sr_audit_entry_new (enum sr_audit_type type, const char *id, const char *who, int64_t when_ms);
+void
+sr_audit_entry_delete (struct sr_audit_entry *entry);
+struct sr_audit_entry *
+sr_audit_entry_copy (const struct sr_audit_entry *entry);
+json_t *
+sr_audit_entry_encode (const struct sr_audit_entry *entry);
+struct sr_audit_entry *
+sr_audit_entry_decode (const json_t *json);
+GString *
+sr_audit_entry_name (const struct sr_audit_entry *entry);
+enum sr_platform_status
+sr_audit_write (struct sr_platform *platform,
+                const struct sr_audit_entry *entry,
+                int64_t deadline_us);
+enum sr_platform_status
+sr_audit_read (struct sr_platform *platform, GPtrArray *entries, int64_t deadline_us);
+bool
+sr_audit_contains (const GPtrArray *entries, const struct sr_audit_entry *entry);
+void
+sr_audit_prune (struct sr_platform *platform, int64_t now_ms);
+const char *
+sr_audit_type_to_string (enum sr_audit_type type);
--- /dev/null
+++ b/src/config/bundle.c
@@ -0,0 +1,201 @@
+#include "config/bundle.h"
+
+#include "config/parts.h"
+#include "config/snapshot.h"
+#include "platform/platform-retry.h"
+
+static const char *const status_strings_[]
+    = { "ok", "nothing was ever accepted", "no answer", "moved on", "corrupt" };
+
+static enum sr_platform_status
+platform_get_head_ (struct config_source *source, GString *body);
+static enum sr_platform_status
+platform_get_part_ (struct config_source *source, const char *name, GString *body);
+static enum config_bundle_status
+fetch_part_ (struct config_source *source, const char *name, GBytes **text);
+static GHashTable *
+index_texts_ (const struct config_bundle *bundle);
+static void
+bytes_free_ (void *data);
+
+/* Makes SOURCE read from PLATFORM, which it does not own, until DEADLINE_US (monotonic). */
+void
+config_source_platform_init (struct config_source_platform *source,
+                             struct sr_platform *platform,
+                             int64_t deadline_us)
+{
+  source->base.get_head = platform_get_head_;
+  source->base.get_part = platform_get_part_;
+  source->platform = platform;
+  source->deadline_us = deadline_us;
+}
+
+/* Reads the head and all parts from SOURCE, taking from FORMER (NULL for none) the parts that it
+ * has already. On OK the caller owns *BUNDLE. */
+enum config_bundle_status
+config_bundle_read (struct config_source *source,
+                    const struct config_bundle *former,
+                    struct config_bundle **bundle)
+{
+  g_autoptr (GString) body = g_string_new (NULL);
+  enum sr_platform_status status = source->get_head (source, body);
+
+  if (status == SR_PLATFORM_ABSENT)
+    return CONFIG_BUNDLE_NONE;
+  if (status != SR_PLATFORM_OK)
+    return CONFIG_BUNDLE_OUT;
+  return config_bundle_complete (source, body, former, bundle);
+}
+
+/* As config_bundle_read, for a head whose body is at hand. */
+enum config_bundle_status
+config_bundle_complete (struct config_source *source,
+                        const GString *head_body,
+                        const struct config_bundle *former,
+                        struct config_bundle **bundle)
+{
+  struct config_head *head = config_head_decode (head_body->str, head_body->len);
+  enum config_bundle_status status = CONFIG_BUNDLE_OK;
+  g_autoptr (GHashTable) known = NULL;
+  struct config_bundle *new_bundle;
+
+  if (head == NULL)
+    return CONFIG_BUNDLE_CORRUPT;
+  known = index_texts_ (former);
+  new_bundle = config_bundle_new_empty ();
+  config_head_delete (new_bundle->head);
+  new_bundle->head = head;
+  g_string_append_len (new_bundle->head_body, head_body->str, (gssize)head_body->len);
+  for (size_t i = 0; i < head->parts->len && status == CONFIG_BUNDLE_OK; i++)
+    {
+      const GString *name = g_ptr_array_index (head->parts, i);
+      GBytes *text = g_hash_table_lookup (known, name->str);
+
+      if (text != NULL)
+        g_bytes_ref (text);
+      else
+        status = fetch_part_ (source, name->str, &text);
+      if (status == CONFIG_BUNDLE_OK)
+        g_ptr_array_add (new_bundle->texts, text);
+    }
+  if (status == CONFIG_BUNDLE_OK)
+    *bundle = new_bundle;
+  else
+    config_bundle_delete (new_bundle);
+  return status;
+}
+
+/* Creates the bundle before the first revision. The caller owns it. */
+struct config_bundle *
+config_bundle_new_empty (void)
+{
+  struct config_bundle *bundle = g_new0 (struct config_bundle, 1);
+
+  bundle->head = config_head_new ();
+  bundle->head_body = g_string_new (NULL);
+  bundle->texts = g_ptr_array_new_with_free_func (bytes_free_);
+  return bundle;
+}
+
+/* Frees BUNDLE. NULL is allowed. */
+void
+config_bundle_delete (struct config_bundle *bundle)
+{
+  if (bundle == NULL)
+    return;
+  config_head_delete (bundle->head);
+  g_string_free (bundle->head_body, TRUE);
+  g_ptr_array_unref (bundle->texts);
+  g_free (bundle);
+}
+
+/* Reads and checks the configuration in BUNDLE. Returns a snapshot with one reference, the
+ * caller's, or NULL after adding faults to FINDINGS. */
+struct sr_config *
+config_bundle_parse (const struct config_bundle *bundle, struct sr_findings *findings)
+{
+  struct sr_config *config = config_new (bundle->head->revision);
+  size_t before = sr_findings_count (findings);
+
+  for (size_t i = 0; i < bundle->texts->len; i++)
+    {
+      const GString *name = g_ptr_array_index (bundle->head->parts, i);
+      gsize length;
+      const char *text = g_bytes_get_data (g_ptr_array_index (bundle->texts, i), &length);
+
+      config_add_sections (config, name->str, text, length, findings);
+    }
+  if (config_finish (config, findings) && sr_findings_count (findings) == before)
+    return config;
+  sr_config_unref (config);
+  return NULL;
+}
+
+/* Returns a phrase for STATUS. */
+const char *
+config_bundle_status_to_string (enum config_bundle_status status)
+{
+  g_assert ((size_t)status < G_N_ELEMENTS (status_strings_));
+  return status_strings_[status];
+}
+
+static enum sr_platform_status
+platform_get_head_ (struct config_source *source, GString *body)
+{
+  struct config_source_platform *self = (struct config_source_platform *)source;
+  int64_t version;
+
+  return sr_platform_get_patiently (self->platform, "config", "head", body, &version,
+                                    self->deadline_us);
+}
+
+static enum sr_platform_status
+platform_get_part_ (struct config_source *source, const char *name, GString *body)
+{
+  struct config_source_platform *self = (struct config_source_platform *)source;
+  int64_t version;
+
+  return sr_platform_get_patiently (self->platform, "config-part", name, body, &version,
+                                    self->deadline_us);
+}
+
+static enum config_bundle_status
+fetch_part_ (struct config_source *source, const char *name, GBytes **text)
+{
+  GString *body = g_string_new (NULL);
+  enum sr_platform_status status = source->get_part (source, name, body);
+  enum config_bundle_status result = CONFIG_BUNDLE_OK;
+
+  if (status == SR_PLATFORM_ABSENT)
+    result = CONFIG_BUNDLE_MOVED;
+  else if (status != SR_PLATFORM_OK)
+    result = CONFIG_BUNDLE_OUT;
+  else if (!config_part_matches_name (name, body->str, body->len))
+    result = CONFIG_BUNDLE_CORRUPT;
+  if (result == CONFIG_BUNDLE_OK)
+    *text = g_string_free_to_bytes (body);
+  else
+    g_string_free (body, TRUE);
+  return result;
+}
+
+/* Returns a table from the names of BUNDLE's parts to their texts, both still owned by it. */
+static GHashTable *
+index_texts_ (const struct config_bundle *bundle)
+{
+  GHashTable *table = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (size_t i = 0; bundle != NULL && i < bundle->texts->len; i++)
+    {
+      GString *name = g_ptr_array_index (bundle->head->parts, i);
+
+      g_hash_table_insert (table, name->str, g_ptr_array_index (bundle->texts, i));
+    }
+  return table;
+}
+
+static void
+bytes_free_ (void *data)
+{
+  g_bytes_unref (data);
+}
