--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -46,6 +46,8 @@
 
 static void
 perform_look_up_ (struct performance *p);
+static bool
+follow_elsewhere_ (struct performance *p);
 static void
 perform_model_ (struct performance *p);
 static void
@@ -80,7 +82,7 @@
 static void
 answer_model_ (struct performance *p, const struct sr_backend_report *report);
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report);
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded);
 static bool
 place_bill_ (struct performance *p, const struct sr_run_result *result);
 static void
@@ -113,12 +115,14 @@
   p.failed = g_ptr_array_new_with_free_func (g_free);
   if (p.order->is_look_up)
     perform_look_up_ (&p);
+  else if (!p.service->repeatable)
+    perform_order_ (&p);
+  else if (follow_elsewhere_ (&p))
+    ;
   else if (p.service->kind == SR_SERVICE_MODEL)
     perform_model_ (&p);
-  else if (p.service->repeatable)
-    perform_plain_ (&p);
   else
-    perform_order_ (&p);
+    perform_plain_ (&p);
   g_ptr_array_unref (p.failed);
 }
 
@@ -133,6 +137,29 @@
   sr_claim_clear (&claim);
 }
 
+/* Joins the run of the same request at another instance, if there is one. Returns true when the run
+ * has ended with it. */
+static bool
+follow_elsewhere_ (struct performance *p)
+{
+  struct sr_run_result result;
+
+  if (!p->order->request_was_given || p->dispatch->options.peers == NULL)
+    return false;
+  switch (sr_run_peers_follow (p->dispatch->options.peers, p->run, &result, &p->may_have_run))
+    {
+    case SR_RUN_FOLLOWED_TO_END:
+      finish_ (p, &result);
+      return true;
+    case SR_RUN_FOLLOWED_OTHER_BODY:
+      refuse_ (p, SR_ERROR_KEY_REUSED, 0);
+      return true;
+    case SR_RUN_FOLLOWED_OURS:
+    default:
+      return false;
+    }
+}
+
 static void
 perform_model_ (struct performance *p)
 {
@@ -267,7 +294,7 @@
                          ran ? p->service->call_tokens : 0);
       if (report.status == SR_BACKEND_ANSWERED)
         {
-          answer_plain_ (p, &report);
+          answer_plain_ (p, &report, false);
           return;
         }
       if (!after_failed_attempt_ (p, attempt, report.status))
@@ -336,9 +363,10 @@
 
   if (report->status == SR_BACKEND_ANSWERED)
     {
-      sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED, report->result->str,
-                        report->result->len);
-      answer_plain_ (p, report);
+      bool is_recorded = sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED,
+                                           report->result->str, report->result->len);
+
+      answer_plain_ (p, report, is_recorded);
       return;
     }
   if (!p->may_have_run)
@@ -551,15 +579,17 @@
   finish_ (p, &result);
 }
 
+/* Answers with a plain service's result. IS_RECORDED: the platform holds the outcome, so the caller
+ * gets the answer even when the bill has no second place. */
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report)
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded)
 {
   struct sr_run_result result
       = { .outcome = SR_OUTCOME_ANSWERED, .billed_tokens = p->service->call_tokens };
 
   sr_run_set_result_text (p->run, report->result->str, report->result->len);
   g_string_free (report->result, TRUE);
-  if (!place_bill_ (p, &result))
+  if (!place_bill_ (p, &result) && !is_recorded)
     {
       result = (struct sr_run_result){ .outcome = SR_OUTCOME_UNKNOWN,
                                        .error = SR_ERROR_BILL_NOT_PLACED,
