--- a/testing/harness/caller.c
+++ b/testing/harness/caller.c
@@ -41,6 +41,7 @@
   g_autofree char *deadline = g_strdup_printf ("%" G_GINT64_FORMAT, ask->deadline_ms);
   g_autofree char *body = ask->body != NULL ? g_strdup (ask->body) : make_body_ (ask);
   const char *optional[][2] = { { "Idempotency-Key", ask->key },
+                                { "X-Attempt", ask->first_attempt ? "1" : NULL },
                                 { "X-Budget", ask->budget },
                                 { "X-Priority", ask->priority },
                                 { "X-Deadline-Ms", ask->deadline_ms > 0 ? deadline : NULL } };
--- a/testing/harness/caller.h
+++ b/testing/harness/caller.h
@@ -11,6 +11,7 @@
   const char *service;
   unsigned team;        /* key-TEAM */
   const char *key;      /* Idempotency-Key, or NULL */
+  bool first_attempt;   /* X-Attempt: 1 */
   const char *budget;   /* X-Budget, or NULL */
   const char *priority; /* X-Priority, or NULL */
   int64_t deadline_ms;  /* 0: none */
