--- a/testing/bench/latency.c
+++ b/testing/bench/latency.c
@@ -97,8 +97,9 @@
 static void
 measure_latency_ (struct harness *harness)
 {
-  struct series direct = { harness, true, 1, SINGLE_CALLS };
-  struct series through = { harness, false, 1, SINGLE_CALLS };
+  struct series direct = { .harness = harness, .direct = true, .tokens = 1, .calls = SINGLE_CALLS };
+  struct series through
+      = { .harness = harness, .direct = false, .tokens = 1, .calls = SINGLE_CALLS };
 
   run_series_ (&direct, 1);
   run_series_ (&through, 1);
@@ -117,7 +118,8 @@
 static void
 measure_throughput_ (struct harness *harness)
 {
-  struct series through = { harness, false, 1, SHORT_CALLS };
+  struct series through
+      = { .harness = harness, .direct = false, .tokens = 1, .calls = SHORT_CALLS };
   int64_t cpu_us = harness_process_cpu_us (harness->instances[1]);
   int64_t start_us = g_get_monotonic_time ();
   double took_s;
@@ -136,8 +138,10 @@
 static void
 measure_streams_ (struct harness *harness)
 {
-  struct series direct = { harness, true, STREAM_TOKENS, STREAMS };
-  struct series through = { harness, false, STREAM_TOKENS, STREAMS };
+  struct series direct
+      = { .harness = harness, .direct = true, .tokens = STREAM_TOKENS, .calls = STREAMS };
+  struct series through
+      = { .harness = harness, .direct = false, .tokens = STREAM_TOKENS, .calls = STREAMS };
   g_autofree char *path = g_strdup_printf ("/control/pace?ms=%d", STREAM_PACE_MS);
   int64_t before_kib, open_kib, cpu_us;
   pthread_t thread;
