--- a/testing/common/forward.c
+++ b/testing/common/forward.c
@@ -2,11 +2,9 @@
 
 #include "base/thread.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -18,8 +16,7 @@
   CHUNK_BYTES = 16 * 1024,
   QUEUE_MAX_BYTES = 256 * 1024,
   BACKLOG = 1024,
-  US_PER_MS = 1000,
-  IP_BYTES = 16
+  US_PER_MS = 1000
 };
 
 /* Bytes on their way; LENGTH 0 stands for the end of the stream. */
@@ -59,7 +56,7 @@
   struct listener *listener;
   enum phase phase;
   unsigned attempt;
-  char from[IP_BYTES];
+  char from[ADDRESS_IP_BYTES];
   bool frozen;
   struct forward_policy policy;
 };
@@ -68,7 +65,7 @@
 {
   struct forward_watch watch;
   struct forward_link link;
-  char ip[IP_BYTES];
+  char ip[ADDRESS_IP_BYTES];
 };
 
 struct forwarder
@@ -145,7 +142,7 @@
   int one = 1;
 
   listener->link = *link;
-  forward_print_ip (&link->listen, listener->ip);
+  address_print_ip (&link->listen, listener->ip);
   listener->watch.ready = accept_ready_;
   listener->watch.fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   setsockopt (listener->watch.fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -238,31 +235,6 @@
   watch->interest = interest;
 }
 
-/* Parses "IP:PORT". */
-bool
-forward_parse_address (const char *text, struct sockaddr_in *address)
-{
-  char **parts = g_strsplit (text, ":", 2);
-  bool valid = g_strv_length (parts) == 2;
-
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  if (valid)
-    {
-      valid = inet_pton (AF_INET, parts[0], &address->sin_addr) == 1;
-      address->sin_port = htons ((uint16_t)strtoul (parts[1], NULL, 10));
-    }
-  g_strfreev (parts);
-  return valid;
-}
-
-/* Prints the IP number of an address. */
-void
-forward_print_ip (const struct sockaddr_in *address, char ip[16])
-{
-  inet_ntop (AF_INET, &address->sin_addr, ip, IP_BYTES);
-}
-
 static void *
 run_ (void *data)
 {
@@ -361,7 +333,7 @@
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   connection->listener = listener;
-  forward_print_ip (peer, connection->from);
+  address_print_ip (peer, connection->from);
   connection->client
       = (struct half){ .watch = { half_ready_, fd, 0 }, .other = &connection->target };
   connection->target
--- a/testing/common/forward.h
+++ b/testing/common/forward.h
@@ -1,6 +1,8 @@
 /* Forwards TCP connections between addresses, and lets its user silence, delay or reset them. */
 #pragma once
 
+#include "testing/common/address.h"
+
 #include <glib.h>
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -78,7 +80,3 @@
 forwarder_counts (struct forwarder *forwarder);
 void
 forwarder_watch (struct forwarder *forwarder, struct forward_watch *watch, uint32_t interest);
-bool
-forward_parse_address (const char *text, struct sockaddr_in *address);
-void
-forward_print_ip (const struct sockaddr_in *address, char ip[16]);
--- /dev/null
+++ b/testing/process/test-standins.c
@@ -0,0 +1,248 @@
+/* The stand-ins and the fault proxy by themselves: other process tests rely on them. */
+#include "testing/common/text.h"
+#include "testing/harness/harness.h"
+
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 30000,
+  ENGINE = 1,
+  SERVICE = 2,
+  DATAGRAM_WAIT_MS = 300
+};
+
+static const char prompt[] = "Two drums of caustic for the dairy [n=20]";
+static const char engine_ip[] = "127.0.2.101";
+static const char platform_ip[] = "127.0.2.200";
+static const char caller_ip[] = "127.0.1.1";
+
+static struct harness *harness;
+
+static int
+start_standins (void **state)
+{
+  static const struct harness_options options = { .name = "standins",
+                                                  .port_base = PORT_BASE,
+                                                  .instances = 2,
+                                                  .engines = 1,
+                                                  .services = 1,
+                                                  .pace_ms = 10,
+                                                  .fence = true };
+
+  harness = harness_start_standins (&options);
+  return harness != NULL ? 0 : -1;
+}
+
+static int
+stop_standins (void **state)
+{
+  harness_stop (harness);
+  return 0;
+}
+
+static int
+clear_faults (void **state)
+{
+  harness_clear_rules (harness);
+  harness_control_backend (harness, ENGINE, "/control/fault?mode=none");
+  harness_control_backend (harness, SERVICE, "/control/fault?mode=none");
+  harness_control_platform (harness, "/control/fault?mode=none");
+  return 0;
+}
+
+static struct harness_reply *
+generate (const char *source, const char *id, int64_t offset)
+{
+  g_autofree char *body
+      = g_strdup_printf ("{\"request\":\"t/%s/1\",\"budget\":\"b\",\"model\":\"coder\","
+                         "\"prompt\":\"%s\",\"max_tokens\":50,\"offset\":%d}",
+                         id, prompt, (int)offset);
+  struct harness_call call = { .address = engine_ip,
+                               .port = PORT_BASE + HARNESS_PORT_BACKEND,
+                               .source = source,
+                               .path = "/v1/generate",
+                               .body = body,
+                               .idle_timeout_s = 1 };
+
+  return harness_call (&call);
+}
+
+static int64_t
+tokens_of (const char *id)
+{
+  g_autofree char *path = g_strdup_printf ("requests.t/%s.tokens", id);
+  json_t *ledger = harness_ledger (harness, ENGINE);
+  int64_t tokens = harness_json_number (ledger, path);
+
+  json_decref (ledger);
+  return tokens;
+}
+
+static void
+engine_answers_and_counts (void **state)
+{
+  struct harness_reply *whole = generate (NULL, "whole", 0);
+  struct harness_reply *rest = generate (NULL, "rest", 15);
+  int64_t prompt_tokens = standin_prompt_tokens (strlen (prompt));
+
+  assert_true (whole->whole && rest->whole);
+  assert_non_null (strstr (whole->body->str, "{\"i\":0,"));
+  assert_null (strstr (rest->body->str, "{\"i\":14,"));
+  assert_non_null (strstr (rest->body->str, "{\"i\":15,"));
+  assert_int_equal (tokens_of ("whole"), prompt_tokens + 20);
+  assert_int_equal (tokens_of ("rest"), prompt_tokens + 5);
+  harness_reply_free (whole);
+  harness_reply_free (rest);
+}
+
+static void
+cut_and_hung_streams_have_no_end (void **state)
+{
+  struct harness_reply *cut, *hung;
+
+  harness_control_backend (harness, ENGINE, "/control/fault?mode=cut&after_tokens=3&count=1");
+  cut = generate (NULL, "cut", 0);
+  harness_control_backend (harness, ENGINE, "/control/fault?mode=hang&after_tokens=3&count=1");
+  hung = generate (NULL, "hung", 0);
+  assert_int_equal (cut->status, 200);
+  assert_false (cut->whole);
+  assert_false (hung->whole);
+  assert_null (strstr (cut->body->str, "\"end\""));
+  assert_int_equal (tokens_of ("cut"), standin_prompt_tokens (strlen (prompt)) + 3);
+  harness_reply_free (cut);
+  harness_reply_free (hung);
+}
+
+static void
+rules_hit_one_pair_only (void **state)
+{
+  struct harness_reply *cut, *silent, *other;
+
+  harness_rule (harness, caller_ip, engine_ip, "cut", 0);
+  cut = generate (caller_ip, "cut-pair", 0);
+  harness_rule (harness, caller_ip, engine_ip, "silence", 0);
+  silent = generate (caller_ip, "silent-pair", 0);
+  other = generate ("127.0.1.2", "other-pair", 0);
+  assert_int_equal (cut->status, 0);
+  assert_int_equal (silent->status, 0);
+  assert_true (other->whole);
+  assert_int_equal (tokens_of ("cut-pair") + tokens_of ("silent-pair"), 0);
+  harness_reply_free (cut);
+  harness_reply_free (silent);
+  harness_reply_free (other);
+}
+
+static struct harness_reply *
+put (const char *kind, const char *name, const char *version)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/objects/%s/%s", kind, name);
+  const char *headers[] = { "If-Match", version, NULL };
+  struct harness_call call = { .address = platform_ip,
+                               .port = PORT_BASE + HARNESS_PORT_PLATFORM,
+                               .method = "PUT",
+                               .path = path,
+                               .headers = headers,
+                               .body = "{}",
+                               .idle_timeout_s = 1 };
+
+  return harness_call (&call);
+}
+
+static int
+put_status (const char *kind, const char *name, const char *version)
+{
+  struct harness_reply *reply = put (kind, name, version);
+  int status = reply->status;
+
+  harness_reply_free (reply);
+  return status;
+}
+
+static void
+platform_writes_on_condition_and_fails_on_order (void **state)
+{
+  assert_int_equal (put_status ("k", "a", "0"), 200);
+  assert_int_equal (put_status ("k", "a", "0"), 412);
+  harness_control_platform (harness, "/control/lose?kind=k&count=1");
+  assert_int_equal (put_status ("k", "b", "0"), 0);
+  assert_int_equal (put_status ("k", "b", "0"), 412);
+  harness_control_platform (harness, "/control/fault?mode=outage");
+  assert_int_equal (put_status ("k", "c", "0"), 503);
+  harness_control_platform (harness, "/control/fault?mode=silent");
+  assert_int_equal (put_status ("k", "c", "0"), 0);
+  harness_control_platform (harness, "/control/fault?mode=none");
+  assert_int_equal (put_status ("k", "c", "0"), 200);
+}
+
+static int
+socket_at (const char *ip)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (PORT_BASE + HARNESS_PORT_PEER) };
+  struct timeval wait = { .tv_usec = DATAGRAM_WAIT_MS * 1000 };
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  inet_pton (AF_INET, ip, &address.sin_addr);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  return fd;
+}
+
+/* Sends a question from one peer and an answer back; returns which of them came. */
+static int
+ask_and_answer (int left, int right)
+{
+  struct sockaddr_in to
+      = { .sin_family = AF_INET, .sin_port = htons (PORT_BASE + HARNESS_PORT_PEER) };
+  struct sockaddr_in from;
+  socklen_t size = sizeof from;
+  char byte = 'q';
+
+  inet_pton (AF_INET, "127.0.2.2", &to.sin_addr);
+  sendto (left, &byte, 1, 0, (struct sockaddr *)&to, sizeof to);
+  if (recvfrom (right, &byte, 1, 0, (struct sockaddr *)&from, &size) != 1)
+    return 0;
+  sendto (right, &byte, 1, 0, (struct sockaddr *)&from, size);
+  return recv (left, &byte, 1, 0) == 1 ? 2 : 1;
+}
+
+static void
+datagrams_are_dropped_one_way (void **state)
+{
+  int left = socket_at (caller_ip);
+  int right = socket_at ("127.0.1.2");
+
+  assert_int_equal (ask_and_answer (left, right), 2);
+  harness_rule (harness, caller_ip, "127.0.2.2", "cut", 0);
+  assert_int_equal (ask_and_answer (left, right), 0);
+  harness_clear_rules (harness);
+  harness_rule (harness, "127.0.2.2", caller_ip, "cut", 0);
+  assert_int_equal (ask_and_answer (left, right), 1);
+  close (left);
+  close (right);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (engine_answers_and_counts, clear_faults),
+    cmocka_unit_test_teardown (cut_and_hung_streams_have_no_end, clear_faults),
+    cmocka_unit_test_teardown (rules_hit_one_pair_only, clear_faults),
+    cmocka_unit_test_teardown (platform_writes_on_condition_and_fails_on_order, clear_faults),
+    cmocka_unit_test_teardown (datagrams_are_dropped_one_way, clear_faults),
+  };
+
+  return cmocka_run_group_tests (tests, start_standins, stop_standins);
+}
--- a/testing/standin/balancer/main.c
+++ b/testing/standin/balancer/main.c
@@ -48,7 +48,7 @@
   standin_block_signals ();
   balancer.forwarder = forwarder_new (&hooks);
   listen = g_strdup_printf ("%s:%d", address->sval[0], port->ival[0]);
-  if (!forward_parse_address (listen, &link.listen) || !forwarder_listen (balancer.forwarder, &link)
+  if (!address_parse (listen, &link.listen) || !forwarder_listen (balancer.forwarder, &link)
       || !forwarder_start (balancer.forwarder))
     {
       fprintf (stderr, "cannot listen on %s\n", listen);
@@ -109,7 +109,7 @@
     {
       struct sockaddr_in address;
 
-      valid = forward_parse_address (items[i], &address);
+      valid = address_parse (items[i], &address);
       g_array_append_val (targets, address);
     }
   g_strfreev (items);
--- a/testing/standin/proxy/datagrams.c
+++ b/testing/standin/proxy/datagrams.c
@@ -8,8 +8,7 @@
 {
   DATAGRAM_MAX_BYTES = 65536,
   IDLE_MAX_US = 60 * 1000 * 1000,
-  US_PER_MS = 1000,
-  IP_BYTES = 16
+  US_PER_MS = 1000
 };
 
 /* A listening address. */
@@ -18,7 +17,7 @@
   struct forward_watch watch;
   struct datagrams *datagrams;
   struct forward_link link;
-  char ip[IP_BYTES];
+  char ip[ADDRESS_IP_BYTES];
   GHashTable *flows; /* key of the client's address -> struct flow */
 };
 
@@ -28,7 +27,7 @@
   struct forward_watch watch;
   struct port *port;
   struct sockaddr_in client;
-  char ip[IP_BYTES];
+  char ip[ADDRESS_IP_BYTES];
   int64_t used_us;
 };
 
@@ -88,7 +87,7 @@
 
   port->datagrams = datagrams;
   port->link = *link;
-  forward_print_ip (&link->listen, port->ip);
+  address_print_ip (&link->listen, port->ip);
   port->flows = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   port->watch.ready = port_ready_;
   port->watch.fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -179,7 +178,7 @@
       flow = g_new0 (struct flow, 1);
       flow->port = port;
       flow->client = *client;
-      forward_print_ip (client, flow->ip);
+      address_print_ip (client, flow->ip);
       flow->watch.ready = flow_ready_;
       flow->watch.fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
       source.sin_port = 0;
--- a/testing/standin/proxy/main.c
+++ b/testing/standin/proxy/main.c
@@ -86,8 +86,7 @@
   if (target == NULL)
     return false;
   *target++ = '\0';
-  return forward_parse_address (addresses, &link.listen)
-         && forward_parse_address (target, &link.target)
+  return address_parse (addresses, &link.listen) && address_parse (target, &link.target)
          && forwarder_listen (proxy->forwarder, &link)
          && (!datagrams || datagrams_listen (proxy->datagrams, &link));
 }
