--- /dev/null
+++ b/testing/process/test-streams.c
@@ -0,0 +1,262 @@
+/* Streams under faults: cut, hung, crashed and silent engines. An answer is whole and right to the
+ * byte, or it looks cut. */
+#include "testing/common/text.h"
+#include "testing/harness/traffic.h"
+
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 30200,
+  ENGINES = 2,
+  TOKENS = 40,
+  OPEN_STREAMS = 12,
+  MARKED_REQUESTS = 3000,
+  MARKED_CALLERS = 24
+};
+
+static const char instance_ip[] = "127.0.1.1";
+static const char *const targets[] = { "127.0.1.1:30200", "127.0.1.2:30200", NULL };
+
+static struct harness *harness;
+
+static int
+start_fleet (void **state)
+{
+  static const char *const settings[] = { "backend", "idle_timeout_s", "1", NULL };
+  static const struct harness_options options = { .name = "streams",
+                                                  .port_base = PORT_BASE,
+                                                  .instances = 2,
+                                                  .engines = ENGINES,
+                                                  .slots = 32,
+                                                  .pace_ms = 10,
+                                                  .prepaid_tokens = 100000000,
+                                                  .settings = settings };
+
+  harness = harness_start (&options);
+  return harness != NULL ? 0 : -1;
+}
+
+static int
+stop_fleet (void **state)
+{
+  harness_stop (harness);
+  return 0;
+}
+
+static void
+set_fault (const char *path)
+{
+  for (unsigned engine = 1; engine <= ENGINES; engine++)
+    harness_control_backend (harness, engine, path);
+}
+
+/* Undoes every fault and restarts what was killed. */
+static int
+mend (void **state)
+{
+  harness_clear_rules (harness);
+  for (unsigned engine = 1; engine <= ENGINES; engine++)
+    {
+      struct harness_process *process = harness->backends[engine];
+
+      harness_process_signal (process, SIGCONT);
+      if (!harness_process_is_running (process)
+          && (!harness_process_start (process)
+              || !harness_process_wait_ready (process, HARNESS_WAIT_MS)))
+        return -1;
+    }
+  set_fault ("/control/fault?mode=none");
+  return 0;
+}
+
+static struct harness_answer
+ask (const char *prompt, bool stream)
+{
+  struct harness_ask request = { .address = instance_ip,
+                                 .port = PORT_BASE,
+                                 .service = "diary",
+                                 .team = 1,
+                                 .prompt = prompt,
+                                 .max_tokens = TOKENS,
+                                 .stream = stream };
+
+  return harness_ask (&request);
+}
+
+static void
+a_cut_stream_is_resumed_to_the_byte (void **state)
+{
+  struct harness_answer answer;
+
+  set_fault ("/control/fault?mode=cut&after_tokens=7&count=1");
+  answer = ask ("cut once [n=40]", true);
+  assert_int_equal (answer.verdict, HARNESS_ANSWERED);
+  assert_int_equal (answer.output_tokens, TOKENS);
+}
+
+static void
+a_hung_stream_is_resumed_to_the_byte (void **state)
+{
+  struct harness_answer answer;
+
+  set_fault ("/control/fault?mode=hang&after_tokens=7&count=1");
+  answer = ask ("hung once [n=40]", true);
+  assert_int_equal (answer.verdict, HARNESS_ANSWERED);
+  assert_int_equal (answer.output_tokens, TOKENS);
+}
+
+static void
+an_answer_that_cannot_be_finished_looks_cut (void **state)
+{
+  struct harness_answer streamed, whole;
+
+  set_fault ("/control/fault?mode=cut&after_tokens=3");
+  streamed = ask ("cut for good [n=40]", true);
+  whole = ask ("cut for good, whole [n=40]", false);
+  assert_int_equal (streamed.verdict, HARNESS_ABORTED);
+  assert_int_equal (whole.verdict, HARNESS_UNKNOWN);
+  assert_string_equal (whole.code, "backend_failed");
+}
+
+/* A stream in progress on a thread of its own. */
+struct open_stream
+{
+  pthread_t thread;
+  char *prompt;
+  struct harness_answer answer;
+};
+
+static void *
+run_stream (void *data)
+{
+  struct open_stream *stream = data;
+
+  stream->answer = ask (stream->prompt, true);
+  return NULL;
+}
+
+static bool
+all_run (void *data)
+{
+  int64_t running = 0;
+
+  for (unsigned engine = 1; engine <= ENGINES; engine++)
+    {
+      json_t *ledger = harness_ledger (harness, engine);
+
+      running += harness_json_number (ledger, "running");
+      json_decref (ledger);
+    }
+  return running >= OPEN_STREAMS;
+}
+
+/* Opens streams, lets DISTURB act once all of them run, and expects every answer to be whole. */
+static void
+expect_whole_answers_despite (const char *name, void (*disturb) (void))
+{
+  struct open_stream streams[OPEN_STREAMS];
+
+  for (unsigned i = 0; i < OPEN_STREAMS; i++)
+    {
+      streams[i].prompt = g_strdup_printf ("%s %u [n=%d]", name, i, TOKENS);
+      assert_int_equal (pthread_create (&streams[i].thread, NULL, run_stream, &streams[i]), 0);
+    }
+  assert_true (harness_wait_until (all_run, NULL, HARNESS_WAIT_MS));
+  disturb ();
+  for (unsigned i = 0; i < OPEN_STREAMS; i++)
+    pthread_join (streams[i].thread, NULL);
+  for (unsigned i = 0; i < OPEN_STREAMS; i++)
+    {
+      assert_string_equal (harness_verdict_to_string (streams[i].answer.verdict), "answered");
+      g_free (streams[i].prompt);
+    }
+}
+
+static void
+crash_engine (void)
+{
+  harness_process_kill (harness->backends[1]);
+}
+
+static void
+pause_engine (void)
+{
+  harness_process_signal (harness->backends[1], SIGSTOP);
+}
+
+static void
+silence_open_connections (void)
+{
+  assert_true (harness_rule (harness, instance_ip, "127.0.2.101", "silence_open", 0));
+}
+
+static void
+streams_survive_an_engine_that_crashes (void **state)
+{
+  expect_whole_answers_despite ("crash", crash_engine);
+}
+
+static void
+streams_survive_an_engine_that_stands_still (void **state)
+{
+  expect_whole_answers_despite ("pause", pause_engine);
+}
+
+static void
+streams_survive_connections_that_go_silent (void **state)
+{
+  expect_whole_answers_despite ("silence", silence_open_connections);
+}
+
+static void
+marked_answers_reach_their_own_callers (void **state)
+{
+  struct traffic_options options = { .targets = targets,
+                                     .callers = MARKED_CALLERS,
+                                     .requests = MARKED_REQUESTS,
+                                     .seed = 7,
+                                     .service = "diary",
+                                     .teams = 3,
+                                     .large_team_percent = 50,
+                                     .stream_percent = 50,
+                                     .interactive_percent = 30,
+                                     .prefixes = 10,
+                                     .prefix_bytes = 256,
+                                     .tokens_min = 1,
+                                     .tokens_max = 20 };
+  struct traffic_result *result;
+
+  set_fault ("/control/pace?ms=1");
+  harness_rule (harness, instance_ip, "127.0.2.101", "delay", 15);
+  harness_rule (harness, "127.0.1.2", "127.0.2.102", "delay", 5);
+  result = traffic_run (&options);
+  traffic_result_print (result, stderr);
+  assert_int_equal (result->verdicts[HARNESS_WRONG], 0);
+  assert_int_equal (result->verdicts[HARNESS_ANSWERED], MARKED_REQUESTS);
+  traffic_result_delete (result);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (a_cut_stream_is_resumed_to_the_byte, mend),
+    cmocka_unit_test_teardown (a_hung_stream_is_resumed_to_the_byte, mend),
+    cmocka_unit_test_teardown (streams_survive_an_engine_that_crashes, mend),
+    cmocka_unit_test_teardown (streams_survive_an_engine_that_stands_still, mend),
+    cmocka_unit_test_teardown (streams_survive_connections_that_go_silent, mend),
+    cmocka_unit_test_teardown (marked_answers_reach_their_own_callers, mend),
+    cmocka_unit_test_teardown (an_answer_that_cannot_be_finished_looks_cut, mend),
+  };
+
+  return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
+}
