--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,11 +1,14 @@
 /* The program sapphirerun: picks the subcommand. */
 #include "cli/cli.h"
+#include "cli/command-topup.h"
 
 #include <stdio.h>
 #include <string.h>
 
 static const struct cli_command commands_[] = {
   { "check", "check files of settings or of configuration", cli_command_check },
+  { "serve", "run one instance", cli_command_serve },
+  { "topup", "top up or correct a budget", sr_command_topup },
   { "version", "print the version", cli_command_version },
 };
 
--- /dev/null
+++ b/src/entry/serve.c
@@ -0,0 +1,401 @@
+#include "entry/serve.h"
+
+#include "admit/admit.h"
+#include "base/counters.h"
+#include "base/log.h"
+#include "bill/bill.h"
+#include "budget/budget.h"
+#include "config/store.h"
+#include "dispatch/dispatch.h"
+#include "entry/entry.h"
+#include "member/member.h"
+#include "order/order.h"
+#include "peer/peer.h"
+#include "platform/platform-http.h"
+#include "request/run-peers.h"
+#include "request/table.h"
+#include "route/route.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <time.h>
+
+enum
+{
+  EXIT_OK = 0,
+  EXIT_FAILED = 1,
+  US_PER_S = 1000000,
+  NS_PER_MS = 1000000,
+  SIGNAL_POLL_MS = 50,
+  CONFIG_POLL_MS = 500,
+  LEAVING_MS = 500,
+  ROUTE_SEED_SALT = 1,
+  ADMIT_SEED_SALT = 2,
+  DISPATCH_SEED_SALT = 3,
+  BUDGET_SEED_SALT = 4,
+  MEMBER_SEED_SALT = 5
+};
+
+/* All that an instance is made of, in the order it is built. */
+struct instance
+{
+  const struct sr_settings *settings;
+  uint64_t incarnation;
+  uint32_t seed;
+  struct sr_platform *platform;
+  struct sr_peer_client *peer_client;
+  struct sr_peer_server *peer_server;
+  struct sr_members *members;
+  struct sr_config_current *current;
+  struct sr_budgets *budgets;
+  struct sr_bills *bills;
+  struct sr_orders *orders;
+  struct sr_router *router;
+  struct sr_admit *admit;
+  struct sr_run_table *table;
+  struct sr_run_peers *run_peers;
+  struct sr_dispatch *dispatch;
+  struct sr_entry *entry;
+};
+
+static bool
+build_ (struct instance *instance);
+static bool
+build_network_ (struct instance *instance);
+static bool
+build_members_ (struct instance *instance);
+static bool
+build_configuration_ (struct instance *instance);
+static bool
+build_money_ (struct instance *instance);
+static bool
+build_work_ (struct instance *instance);
+static bool
+start_ (struct instance *instance);
+static void
+tear_down_ (struct instance *instance);
+static void
+run_until_stopped_ (struct instance *instance);
+static void
+stop_gracefully_ (struct instance *instance);
+static bool
+has_signal_ (int wait_ms);
+static void
+block_signals_ (void);
+static void
+print_status_ (GString *out, void *data);
+static void
+print_members_ (struct instance *instance, GString *out);
+
+/* Runs an instance by SETTINGS until SIGTERM or SIGINT, then stops it gracefully. Returns the exit
+ * status of the process: 0 after a complete stop, 1 when it could not start or something was left.
+ */
+int
+sr_serve (const struct sr_settings *settings)
+{
+  struct instance instance = { .settings = settings,
+                               .incarnation = (uint64_t)g_get_real_time (),
+                               .seed = (uint32_t)g_random_int () };
+  int status = EXIT_FAILED;
+
+  block_signals_ ();
+  if (!build_ (&instance) || !start_ (&instance))
+    goto out;
+  sr_log (G_LOG_LEVEL_MESSAGE, "start", "listening on %s:%u, peers on %u",
+          settings->listen_address->str, settings->entry_port, settings->peer_port);
+  run_until_stopped_ (&instance);
+  stop_gracefully_ (&instance);
+  status = EXIT_OK;
+
+out:
+  tear_down_ (&instance);
+  return status;
+}
+
+static bool
+build_ (struct instance *instance)
+{
+  return build_network_ (instance) && build_members_ (instance) && build_configuration_ (instance)
+         && build_money_ (instance) && build_work_ (instance);
+}
+
+static bool
+build_network_ (struct instance *instance)
+{
+  const struct sr_settings *settings = instance->settings;
+  struct sr_platform_http_options platform = { .address = settings->platform_address->str,
+                                               .port = settings->platform_port,
+                                               .source_address = settings->listen_address->str,
+                                               .timeout_s = (int)settings->platform_timeout_s };
+  struct sr_peer_client_options client = { .source_address = settings->listen_address->str };
+  struct sr_peer_server_options server
+      = { .address = settings->listen_address->str, .port = settings->peer_port };
+
+  instance->platform = sr_platform_http_new (&platform);
+  instance->peer_client = sr_peer_client_new (&client);
+  instance->peer_server = sr_peer_server_new (&server);
+  if (instance->peer_server == NULL)
+    sr_log (G_LOG_LEVEL_CRITICAL, "start", "the peers' address %s:%u can't be had",
+            settings->listen_address->str, settings->peer_port);
+  return instance->peer_server != NULL;
+}
+
+static bool
+build_members_ (struct instance *instance)
+{
+  const struct sr_settings *settings = instance->settings;
+  struct sr_members_options options = { .name = settings->name->str,
+                                        .data_centre = settings->data_centre->str,
+                                        .advertise_address = settings->advertise_address->str,
+                                        .peer_port = settings->peer_port,
+                                        .entry_port = settings->entry_port,
+                                        .incarnation = instance->incarnation,
+                                        .seeds = settings->seeds,
+                                        .gossip_interval_ms = settings->gossip_interval_ms,
+                                        .gossip_fanout = settings->gossip_fanout,
+                                        .suspect_after_ms = settings->suspect_after_ms,
+                                        .dead_after_ms = settings->dead_after_ms,
+                                        .seed = instance->seed + MEMBER_SEED_SALT,
+                                        .client = instance->peer_client,
+                                        .platform = instance->platform };
+
+  instance->members = sr_members_new (&options);
+  sr_members_add_to_server (instance->members, instance->peer_server);
+  return true;
+}
+
+static bool
+build_configuration_ (struct instance *instance)
+{
+  instance->current = sr_config_current_new ();
+  return true;
+}
+
+static bool
+build_money_ (struct instance *instance)
+{
+  const struct sr_settings *settings = instance->settings;
+  struct sr_budgets_options budgets = { .platform = instance->platform,
+                                        .peers = instance->peer_client,
+                                        .members = instance->members,
+                                        .instance = settings->name->str,
+                                        .data_centre = settings->data_centre->str,
+                                        .incarnation = instance->incarnation,
+                                        .allotment_cover_s = settings->allotment_cover_s,
+                                        .idle_return_s = settings->idle_return_s,
+                                        .settle_interval_ms = settings->settle_interval_ms,
+                                        .seed = instance->seed + BUDGET_SEED_SALT };
+  struct sr_bills_options bills = { .platform = instance->platform,
+                                    .instance = settings->name->str,
+                                    .incarnation = instance->incarnation };
+
+  instance->budgets = sr_budgets_new (&budgets);
+  sr_budgets_add_to_server (instance->budgets, instance->peer_server);
+  instance->bills = sr_bills_new (&bills);
+  instance->orders = sr_orders_new (instance->platform);
+  return true;
+}
+
+static bool
+build_work_ (struct instance *instance)
+{
+  const struct sr_settings *settings = instance->settings;
+  struct sr_router_options router = { .data_centre = settings->data_centre->str,
+                                      .instance = settings->name->str,
+                                      .seed = instance->seed + ROUTE_SEED_SALT };
+  struct sr_admit_options admit
+      = { .queue_max = settings->queue_max, .seed = instance->seed + ADMIT_SEED_SALT };
+  struct sr_run_table_options table
+      = { .answers_kept_max = settings->answers_kept_max,
+          .answer_kept_us = (int64_t)settings->answer_kept_s * US_PER_S };
+  struct sr_run_peers_options peers
+      = { .members = instance->members,
+          .client = instance->peer_client,
+          .instance = settings->name->str,
+          .incarnation = instance->incarnation,
+          .entries_max = settings->answers_kept_max,
+          .entry_kept_us = (int64_t)settings->answer_kept_s * US_PER_S };
+  struct sr_dispatch_options dispatch;
+  struct sr_entry_options entry;
+
+  instance->router = sr_router_new (&router);
+  instance->admit = sr_admit_new (&admit);
+  instance->table = sr_run_table_new (&table);
+  peers.table = instance->table;
+  instance->run_peers = sr_run_peers_new (&peers);
+  sr_run_peers_add_to_server (instance->run_peers, instance->peer_server);
+  dispatch = (struct sr_dispatch_options){ .settings = settings,
+                                           .current = instance->current,
+                                           .table = instance->table,
+                                           .admit = instance->admit,
+                                           .router = instance->router,
+                                           .budgets = instance->budgets,
+                                           .bills = instance->bills,
+                                           .orders = instance->orders,
+                                           .peers = instance->run_peers,
+                                           .incarnation = instance->incarnation,
+                                           .seed = instance->seed + DISPATCH_SEED_SALT };
+  instance->dispatch = sr_dispatch_new (&dispatch);
+  entry = (struct sr_entry_options){ .settings = settings,
+                                     .current = instance->current,
+                                     .table = instance->table,
+                                     .dispatch = instance->dispatch,
+                                     .incarnation = instance->incarnation,
+                                     .print_status = print_status_,
+                                     .data = instance };
+  instance->entry = sr_entry_new (&entry);
+  return true;
+}
+
+static bool
+start_ (struct instance *instance)
+{
+  if (!sr_peer_server_start (instance->peer_server) || !sr_members_start (instance->members)
+      || !sr_budgets_start (instance->budgets) || !sr_dispatch_start (instance->dispatch))
+    {
+      sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
+      return false;
+    }
+  if (!sr_entry_start (instance->entry))
+    {
+      sr_log (G_LOG_LEVEL_CRITICAL, "start", "the entry's address can't be had");
+      return false;
+    }
+  return true;
+}
+
+/* Frees what was built, the last first, so that nothing outlives what it uses. */
+static void
+tear_down_ (struct instance *instance)
+{
+  if (instance->dispatch != NULL)
+    sr_dispatch_stop (instance->dispatch);
+  sr_entry_delete (instance->entry);
+  sr_dispatch_delete (instance->dispatch);
+  sr_admit_delete (instance->admit);
+  sr_router_delete (instance->router);
+  sr_orders_delete (instance->orders);
+  if (instance->peer_server != NULL)
+    sr_peer_server_stop (instance->peer_server);
+  sr_run_peers_delete (instance->run_peers);
+  sr_run_table_delete (instance->table);
+  sr_bills_delete (instance->bills);
+  sr_budgets_delete (instance->budgets);
+  sr_config_current_delete (instance->current);
+  sr_members_delete (instance->members);
+  sr_peer_server_delete (instance->peer_server);
+  sr_peer_client_delete (instance->peer_client);
+  sr_platform_unref (instance->platform);
+}
+
+static void
+run_until_stopped_ (struct instance *instance)
+{
+  while (!has_signal_ (CONFIG_POLL_MS))
+    {
+      GString *text = g_string_new (NULL);
+      struct sr_findings *findings = sr_findings_new ();
+      struct sr_config *config = NULL;
+      int64_t revision = 0;
+
+      if (sr_config_fetch (instance->platform, text, &revision, g_get_monotonic_time () + US_PER_S)
+          == SR_PLATFORM_OK)
+        config = sr_config_parse ("platform", text->str, text->len, revision, findings);
+      if (config != NULL && sr_config_current_apply (instance->current, config))
+        sr_entry_set_ready (instance->entry, true);
+      sr_config_unref (config);
+      sr_findings_delete (findings);
+      g_string_free (text, TRUE);
+    }
+}
+
+/* Not ready first, then no new connections, then the requests in progress, then what is held. */
+static void
+stop_gracefully_ (struct instance *instance)
+{
+  int64_t limit_us = g_get_monotonic_time () + (int64_t)instance->settings->stop_limit_s * US_PER_S;
+
+  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "leaving, %u requests in progress",
+          sr_run_table_in_progress (instance->table));
+  sr_entry_set_ready (instance->entry, false);
+  sr_members_set_leaving (instance->members);
+  has_signal_ (LEAVING_MS);
+  sr_entry_close_listener (instance->entry);
+  while (sr_run_table_in_progress (instance->table) + sr_entry_open_requests (instance->entry) > 0
+         && g_get_monotonic_time () < limit_us)
+    g_usleep (SIGNAL_POLL_MS * 1000);
+  sr_budgets_hand_over (instance->budgets, limit_us);
+  sr_bills_hand_over (instance->bills, limit_us);
+  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "stopped, %u requests left",
+          sr_run_table_in_progress (instance->table));
+}
+
+static void
+block_signals_ (void)
+{
+  sigset_t signals;
+
+  signal (SIGPIPE, SIG_IGN);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+}
+
+/* Waits up to WAIT_MS for SIGTERM or SIGINT, which block_signals_ has blocked. */
+static bool
+has_signal_ (int wait_ms)
+{
+  struct timespec wait = { .tv_nsec = (long)wait_ms * NS_PER_MS };
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  return sigtimedwait (&signals, NULL, &wait) > 0;
+}
+
+static void
+print_status_ (GString *out, void *data)
+{
+  struct instance *instance = data;
+  struct sr_config *config = sr_config_current_get (instance->current);
+
+  g_string_append_printf (
+      out, "{\"instance\":\"%s\",\"data_centre\":\"%s\",\"incarnation\":%" G_GUINT64_FORMAT,
+      instance->settings->name->str, instance->settings->data_centre->str, instance->incarnation);
+  g_string_append_printf (out, ",\"revision\":%" G_GINT64_FORMAT ",\"in_progress\":%u,\"members\":",
+                          config != NULL ? sr_config_revision (config) : 0,
+                          sr_run_table_in_progress (instance->table));
+  print_members_ (instance, out);
+  g_string_append (out, ",\"budgets\":");
+  sr_budgets_print_status (instance->budgets, out);
+  g_string_append (out, ",\"backends\":");
+  sr_router_print_status (instance->router, out, g_get_monotonic_time ());
+  g_string_append (out, "}\n");
+  sr_config_unref (config);
+}
+
+static void
+print_members_ (struct instance *instance, GString *out)
+{
+  struct sr_member_view *view = sr_members_view (instance->members);
+
+  g_string_append_c (out, '[');
+  for (size_t i = 0; i < view->length; i++)
+    {
+      const struct sr_member *member = &view->members[i];
+
+      g_string_append_printf (
+          out,
+          "%s{\"name\":\"%s\",\"data_centre\":\"%s\",\"address\":\"%s\",\"entry_port\":%u,"
+          "\"peer_port\":%u,\"incarnation\":%" G_GUINT64_FORMAT
+          ",\"state\":\"%s\",\"revision\":%" G_GINT64_FORMAT "}",
+          i > 0 ? "," : "", member->name, member->data_centre, member->peer.ip, member->entry_port,
+          member->peer.port, member->incarnation, sr_member_state_to_string (member->state),
+          member->revision);
+    }
+  g_string_append_c (out, ']');
+  sr_member_view_unref (view);
+}
