--- /dev/null
+++ b/testing/bench/ask.c
@@ -0,0 +1,102 @@
+/* Sends one request to an instance, or gets one document, and prints what came back. */
+#include "testing/common/address.h"
+#include "testing/harness/caller.h"
+
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  HEADERS_MAX = 16,
+  TEXT_SHOWN_BYTES = 24,
+  HTTP_OK = 200
+};
+
+static void
+add_header_ (const char **headers, const char *name, const char *value);
+static void
+print_row_ (const char *service, const struct harness_reply *reply);
+
+int
+main (int argc, char **argv)
+{
+  struct arg_str *target = arg_str1 (NULL, "target", "IP:PORT", "where to");
+  struct arg_str *get = arg_str0 (NULL, "get", "PATH", "only get this document");
+  struct arg_str *service = arg_str0 (NULL, "service", "NAME", "service that is called");
+  struct arg_str *key = arg_str0 (NULL, "key", "KEY", "the team's key");
+  struct arg_str *id = arg_str0 (NULL, "id", "ID", "Idempotency-Key");
+  struct arg_str *priority = arg_str0 (NULL, "priority", "P", "X-Priority");
+  struct arg_str *body = arg_str0 (NULL, NULL, "BODY", "the body");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { target, get, service, key, id, priority, body, end };
+  const char *headers[HEADERS_MAX] = { NULL };
+  g_autofree char *bearer = NULL;
+  g_autofree char *path = NULL;
+  char ip[ADDRESS_IP_BYTES];
+  struct sockaddr_in address;
+  struct harness_call call;
+  struct harness_reply *reply;
+  int status;
+
+  if (arg_parse (argc, argv, table) != 0 || !address_parse (target->sval[0], &address)
+      || (get->count == 0 && (service->count == 0 || key->count == 0 || body->count == 0)))
+    {
+      fprintf (stderr, "usage: %s", argv[0]);
+      arg_print_syntax (stderr, table, "\n");
+      return 2;
+    }
+  address_print_ip (&address, ip);
+  path = get->count > 0 ? g_strdup (get->sval[0])
+                        : g_strdup_printf ("/v1/services/%s", service->sval[0]);
+  bearer = key->count > 0 ? g_strdup_printf ("Bearer %s", key->sval[0]) : NULL;
+  add_header_ (headers, "Authorization", bearer);
+  add_header_ (headers, "Idempotency-Key", id->count > 0 ? id->sval[0] : NULL);
+  add_header_ (headers, "X-Priority", priority->count > 0 ? priority->sval[0] : NULL);
+  call = (struct harness_call){ .address = ip,
+                                .port = ntohs (address.sin_port),
+                                .path = path,
+                                .headers = headers,
+                                .body = body->count > 0 ? body->sval[0] : NULL };
+  reply = harness_call (&call);
+  status = reply->status;
+  if (get->count > 0)
+    printf ("%s\n", reply->body->str);
+  else
+    print_row_ (service->sval[0], reply);
+  harness_reply_free (reply);
+  return status == HTTP_OK ? 0 : 1;
+}
+
+static void
+add_header_ (const char **headers, const char *name, const char *value)
+{
+  unsigned used = 0;
+
+  if (value == NULL)
+    return;
+  while (headers[used] != NULL)
+    used++;
+  headers[used] = name;
+  headers[used + 1] = value;
+}
+
+/* One line: service, request, status, what became of it, tokens billed, and the answer's beginning.
+ */
+static void
+print_row_ (const char *service, const struct harness_reply *reply)
+{
+  json_t *body = harness_reply_json (reply);
+  const json_t *result = json_object_get (body, "result");
+  char *text = json_dumps (result != NULL ? result : json_object_get (body, "text"),
+                           JSON_COMPACT | JSON_ENCODE_ANY);
+  const char *code = harness_json_text (body, "error.code");
+
+  printf ("%-10s %-22s %3d  %-9s %-12s %6d  %.*s\n", service, harness_json_text (body, "request"),
+          reply->status, harness_json_text (body, "outcome"), code,
+          (int)harness_json_number (body, "billed_tokens"), TEXT_SHOWN_BYTES,
+          text != NULL ? text : "");
+  free (text);
+  json_decref (body);
+}
