--- a/testing/harness/harness.c
+++ b/testing/harness/harness.c
@@ -86,7 +86,8 @@
   harness->options = *options;
   fill_defaults_ (&harness->options);
   harness->build = g_strdup (build != NULL ? build : "build");
-  harness->directory = g_strdup_printf ("%s/test-logs/%s-fleet", harness->build, harness->options.name);
+  harness->directory
+      = g_strdup_printf ("%s/test-logs/%s-fleet", harness->build, harness->options.name);
   harness->others = g_ptr_array_new_with_free_func ((GDestroyNotify)harness_process_delete);
   g_mkdir_with_parents (harness->directory, 0755);
   if (start_platform_ (harness) && start_backends_ (harness) && start_proxy_ (harness))
