Command line: submit and audit, and the row of topup

Two backend servers of different services may have one address now, as one process may serve both (the harness does so); the test of the check names one service for both in place of two, so that the finding is still asked for.

--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -1,7 +1,16 @@
 #include "cli/cli.h"
 
+#include "platform/platform-http.h"
+#include "settings/ini-reader.h"
+
 #include <stdio.h>
 
+enum
+{
+  PLATFORM_TIMEOUT_S = 5,
+  DEADLINE_US = 20000000
+};
+
 /* Reads the arguments of a subcommand into TABLE, whose last entry is END. Returns CLI_GO_ON when
  * the command is to run; otherwise its exit code, after the help has been printed on stdout or the
  * errors on stderr. */
@@ -49,3 +58,27 @@
   *length = size;
   return true;
 }
+
+/* Returns the platform at ADDRESS (IP:PORT), whose reference is the caller's, or NULL after saying
+ * on stderr for COMMAND that it is no address. */
+struct sr_platform *
+cli_open_platform (const char *command, const char *address)
+{
+  struct sr_platform_http_options options = { .timeout_s = PLATFORM_TIMEOUT_S };
+  char ip[16];
+
+  if (!sr_ini_parse_address_port (address, ip, &options.port))
+    {
+      fprintf (stderr, "%s: %s is not IP:PORT\n", command, address);
+      return NULL;
+    }
+  options.address = ip;
+  return sr_platform_http_new (&options);
+}
+
+/* Returns the moment (monotonic) up to which a command tries. */
+int64_t
+cli_deadline_us (void)
+{
+  return g_get_monotonic_time () + DEADLINE_US;
+}
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -4,6 +4,9 @@
 #include <argtable2.h>
 #include <glib.h>
 #include <stdbool.h>
+#include <stdint.h>
+
+struct sr_platform;
 
 enum cli_exit
 {
@@ -34,10 +37,18 @@
            const char *description);
 bool
 cli_read_file (const char *path, char **text, size_t *length);
+struct sr_platform *
+cli_open_platform (const char *command, const char *address);
+int64_t
+cli_deadline_us (void);
 
+int
+cli_command_audit (int argc, char **argv);
 int
 cli_command_check (int argc, char **argv);
 int
 cli_command_serve (int argc, char **argv);
 int
+cli_command_submit (int argc, char **argv);
+int
 cli_command_version (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -1,11 +1,15 @@
 /* The program sapphirerun: picks the subcommand. */
 #include "cli/cli.h"
+#include "cli/command-topup.h"
 
 #include <stdio.h>
 #include <string.h>
 
 static const struct cli_command commands_[] = {
+  { "audit", "print the trail of accepted changes", cli_command_audit },
   { "check", "check files of settings or of configuration", cli_command_check },
+  { "submit", "put a configuration in force", cli_command_submit },
+  { "topup", "pay tokens into a budget", sr_command_topup },
   { "version", "print the version", cli_command_version },
 };
 
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -136,7 +136,8 @@
       struct sr_config_backend *backend = &node->backend;
       struct config_service *service
           = g_hash_table_lookup (config->services, backend->service->str);
-      char *place = g_strdup_printf ("%s:%u", backend->address->str, backend->port);
+      char *place = g_strdup_printf ("%s at %s:%u", backend->service->str, backend->address->str,
+                                     backend->port);
 
       g_ptr_array_add (config->all_backends, backend);
       if (service != NULL)
@@ -146,7 +147,7 @@
                       "there is no service ", backend->service->str);
       if (backend->port != 0 && g_hash_table_contains (places, place))
         add_finding_ (findings, &node->origin, "backend", backend->name, "address",
-                      "another backend server has the address ", place);
+                      "another backend server is already ", place);
       g_hash_table_add (places, place);
     }
 }
--- a/src/config/test-config.c
+++ b/src/config/test-config.c
@@ -100,7 +100,7 @@
                             "port = 1\n"                     /* 19 */
                             "data_centre = a\n"              /* 20 */
                             "[backend e2]\n"                 /* 21 */
-                            "service = p\n"                  /* 22 */
+                            "service = q\n"                  /* 22 */
                             "address = 127.0.0.1\n"          /* 23 */
                             "port = 1\n"                     /* 24 */
                             "data_centre = a\n"              /* 25 */
@@ -109,19 +109,11 @@
   {
     unsigned line;
     const char *key;
-  } expected[] = { { 1, "budgets" },
-                   { 1, "budgets" },
-                   { 4, "key_digest" },
-                   { 8, "team" },
-                   { 10, "model" },
-                   { 10, "max_output_tokens" },
-                   { 10, "repeatable" },
-                   { 13, "model" },
-                   { 16, "service" },
-                   { 21, "address" },
-                   { 26, "" },
-                   { 27, "" },
-                   { 28, "" } };
+  } expected[] = { { 1, "budgets" },     { 1, "budgets" },  { 4, "key_digest" },
+                   { 8, "team" },        { 10, "model" },   { 10, "max_output_tokens" },
+                   { 10, "repeatable" }, { 13, "model" },   { 16, "service" },
+                   { 21, "address" },    { 21, "service" }, { 26, "" },
+                   { 27, "" },           { 28, "" } };
   struct sr_findings *findings = sr_findings_new ();
 
   assert_null (sr_config_parse ("c.ini", bad, strlen (bad), 1, findings));
