--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -6,9 +6,11 @@
 #include <string.h>
 
 static const struct cli_command commands_[] = {
+  { "audit", "print the trail of accepted changes", cli_command_audit },
   { "check", "check files of settings or of configuration", cli_command_check },
   { "serve", "run one instance", cli_command_serve },
-  { "topup", "top up or correct a budget", sr_command_topup },
+  { "submit", "put a configuration in force", cli_command_submit },
+  { "topup", "pay tokens into a budget", sr_command_topup },
   { "version", "print the version", cli_command_version },
 };
 
