An attempt may go back to a backend server once all have failed it

Cause: with two engines that each cut once, the third attempt found both excluded and was refused as no_backend.

--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -458,6 +458,12 @@
     {
       query.now_us = g_get_monotonic_time ();
       verdict = sr_router_pick (p->dispatch->options.router, &query, &p->route);
+      if (verdict == SR_ROUTE_NONE && p->failed->len > 0)
+        {
+          /* All have failed this request once: any of them may be tried again. */
+          g_ptr_array_set_size (p->failed, 0);
+          continue;
+        }
       if (verdict != SR_ROUTE_BUSY || query.now_us >= p->order->deadline_us)
         break;
       g_usleep (PLACE_POLL_US);
--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -164,8 +164,10 @@
   json_t *root = json_loadb (intake->body->str, intake->body->len, JSON_REJECT_DUPLICATES, NULL);
   enum sr_error error = SR_ERROR_NONE;
 
-  if (!json_is_object (root))
+  if (root == NULL)
     error = SR_ERROR_BAD_JSON;
+  else if (!json_is_object (root))
+    error = SR_ERROR_BAD_FIELD;
   else if (service->kind == SR_SERVICE_MODEL)
     error = read_model_body_ (root, service, order, stream);
   else
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -42,8 +42,9 @@
 
 static const struct error_description errors[] = {
   { "none", "", 200 },
-  { "bad_json", "the body is not a JSON object", 400 },
-  { "bad_field", "a field of the body is missing, of the wrong type or out of range", 400 },
+  { "bad_json", "the body is not JSON", 400 },
+  { "bad_field",
+    "the body is no object, or a field of it is missing, of the wrong type or out of range", 400 },
   { "bad_header", "a header is malformed or missing", 400 },
   { "truncated", "the body ended before its length", 400 },
   { "bad_key", "no team has this key", 401 },
