serve: the planned stop through src/drain; budgets are stopped before they are freed

Cause: build-asan/testing/process/test-fleet found that the upkeep thread of the budgets walked a freed table at the end of a stop (SIGSEGV, exit by signal). A second signal had no effect.

The test's balancer sends to ready instances only, as a platform's does; before, 10 of 200 requests reached an instance that had no configuration yet and were refused as starting.

--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -7,6 +7,7 @@
 #include "budget/budget.h"
 #include "config/store.h"
 #include "dispatch/dispatch.h"
+#include "drain/drain.h"
 #include "entry/entry.h"
 #include "member/member.h"
 #include "order/order.h"
@@ -27,9 +28,8 @@
   EXIT_FAILED = 1,
   US_PER_S = 1000000,
   NS_PER_MS = 1000000,
-  SIGNAL_POLL_MS = 50,
   CONFIG_POLL_MS = 500,
-  LEAVING_MS = 500,
+  LEAVE_MS = 500,
   ROUTE_SEED_SALT = 1,
   ADMIT_SEED_SALT = 2,
   DISPATCH_SEED_SALT = 3,
@@ -77,17 +77,33 @@
 tear_down_ (struct instance *instance);
 static void
 run_until_stopped_ (struct instance *instance);
-static void
+static bool
 stop_gracefully_ (struct instance *instance);
+static void
+leave_ (void *data);
+static void
+close_ (void *data);
+static unsigned
+in_progress_ (void *data);
+static bool
+hand_over_bills_ (int64_t end_us, void *data);
+static bool
+hand_over_budgets_ (int64_t end_us, void *data);
 static bool
 has_signal_ (int wait_ms);
 static void
-block_signals_ (void);
-static void
 print_status_ (GString *out, void *data);
 static void
 print_members_ (struct instance *instance, GString *out);
 
+static const struct sr_drain_vtable drain_vtable = {
+  .leave = leave_,
+  .close = close_,
+  .in_progress = in_progress_,
+  .hand_over_bills = hand_over_bills_,
+  .hand_over_budgets = hand_over_budgets_,
+};
+
 /* Runs an instance by SETTINGS until SIGTERM or SIGINT, then stops it gracefully. Returns the exit
  * status of the process: 0 after a complete stop, 1 when it could not start or something was left.
  */
@@ -99,13 +115,16 @@
                                .seed = (uint32_t)g_random_int () };
   int status = EXIT_FAILED;
 
-  block_signals_ ();
+  signal (SIGPIPE, SIG_IGN);
+  sr_drain_block_signals ();
   if (!build_ (&instance) || !start_ (&instance))
     goto out;
   sr_log (G_LOG_LEVEL_MESSAGE, "start", "listening on %s:%u, peers on %u",
           settings->listen_address->str, settings->entry_port, settings->peer_port);
   run_until_stopped_ (&instance);
-  stop_gracefully_ (&instance);
+  /* What is left may still be in use: the process ends around it. */
+  if (!stop_gracefully_ (&instance))
+    return EXIT_FAILED;
   status = EXIT_OK;
 
 out:
@@ -281,6 +300,8 @@
   sr_run_peers_delete (instance->run_peers);
   sr_run_table_delete (instance->table);
   sr_bills_delete (instance->bills);
+  if (instance->budgets != NULL)
+    sr_budgets_stop (instance->budgets);
   sr_budgets_delete (instance->budgets);
   sr_config_current_delete (instance->current);
   sr_members_delete (instance->members);
@@ -310,40 +331,65 @@
     }
 }
 
-/* Not ready first, then no new connections, then the requests in progress, then what is held. */
-static void
+/* Returns whether nothing was left when the stop ended. */
+static bool
 stop_gracefully_ (struct instance *instance)
 {
-  int64_t limit_us = g_get_monotonic_time () + (int64_t)instance->settings->stop_limit_s * US_PER_S;
+  struct sr_drain_options options = { .vtable = &drain_vtable,
+                                      .data = instance,
+                                      .leave_ms = LEAVE_MS,
+                                      .limit_s = instance->settings->stop_limit_s };
+  struct sr_drain *drain = sr_drain_new (&options);
+  bool clean;
+
+  sr_drain_request (drain);
+  clean = sr_drain_run (drain);
+  sr_drain_delete (drain);
+  return clean;
+}
+
+static void
+leave_ (void *data)
+{
+  struct instance *instance = data;
 
-  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "leaving, %u requests in progress",
-          sr_run_table_in_progress (instance->table));
   sr_entry_set_ready (instance->entry, false);
   sr_members_set_leaving (instance->members);
-  has_signal_ (LEAVING_MS);
-  sr_entry_close_listener (instance->entry);
-  while (sr_run_table_in_progress (instance->table) + sr_entry_open_requests (instance->entry) > 0
-         && g_get_monotonic_time () < limit_us)
-    g_usleep (SIGNAL_POLL_MS * 1000);
-  sr_budgets_hand_over (instance->budgets, limit_us);
-  sr_bills_hand_over (instance->bills, limit_us);
-  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "stopped, %u requests left",
-          sr_run_table_in_progress (instance->table));
 }
 
 static void
-block_signals_ (void)
+close_ (void *data)
 {
-  sigset_t signals;
+  struct instance *instance = data;
 
-  signal (SIGPIPE, SIG_IGN);
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  sr_entry_close_listener (instance->entry);
+}
+
+static unsigned
+in_progress_ (void *data)
+{
+  struct instance *instance = data;
+
+  return sr_run_table_in_progress (instance->table) + sr_entry_open_requests (instance->entry);
+}
+
+static bool
+hand_over_bills_ (int64_t end_us, void *data)
+{
+  struct instance *instance = data;
+
+  return sr_bills_hand_over (instance->bills, end_us);
+}
+
+static bool
+hand_over_budgets_ (int64_t end_us, void *data)
+{
+  struct instance *instance = data;
+
+  return sr_budgets_hand_over (instance->budgets, end_us);
 }
 
-/* Waits up to WAIT_MS for SIGTERM or SIGINT, which block_signals_ has blocked. */
+/* Waits up to WAIT_MS for SIGTERM or SIGINT, which are blocked. */
 static bool
 has_signal_ (int wait_ms)
 {
--- a/testing/process/test-fleet.c
+++ b/testing/process/test-fleet.c
@@ -169,6 +169,24 @@
   assert_true (harness_process_wait_ready (balancer, HARNESS_WAIT_MS));
 }
 
+/* The platform's balancer sends to the instances that say they are ready: all but OUT (0: none). */
+static void
+set_targets (unsigned out)
+{
+  GString *path = g_string_new ("/control/targets?list=");
+
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, i, false);
+
+      if (i != out)
+        g_string_append_printf (path, "%s:%d,", address, PORT_BASE);
+    }
+  g_string_truncate (path, path->len - 1);
+  assert_true (harness_post ("127.0.1.250", PORT_BASE + HARNESS_PORT_BALANCER_CONTROL, path->str));
+  g_string_free (path, TRUE);
+}
+
 /* Counts the bills on the platform, which must all differ, and sums their tokens. */
 static int64_t
 count_bills (int64_t *tokens)
@@ -250,8 +268,10 @@
     {
       assert_true (harness_process_terminate (harness->instances[i], HARNESS_WAIT_MS, &exit_code));
       assert_int_equal (exit_code, 0);
+      set_targets (i);
       assert_true (harness_start_instance (harness, i));
       assert_true (harness_wait_instance_ready (harness, i, HARNESS_WAIT_MS));
+      set_targets (0);
     }
   atomic_store (&load.end, true);
   pthread_join (thread, NULL);
