--- a/src/admit/admit.c
+++ b/src/admit/admit.c
@@ -367,15 +367,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct service_queue *each = value;
-      struct sr_flow *before = largest.flow;
 
-      sr_queue_find_largest (each->queue, &largest);
-      if (largest.flow != before)
+      if (sr_queue_find_largest (each->queue, &largest))
         from = each;
     }
   if (from == NULL)
     return false;
-  entry = sr_queue_take_last (from->queue, largest.flow);
+  entry = sr_queue_take_last (from->queue, &largest);
   evicted = g_new0 (struct evicted_ticket, 1);
   evicted->owner = entry->owner;
   evicted->service = from;
--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -10,49 +10,65 @@
 /* Shares of the service's work when all priorities wait: batch goes on slowly under a constant load
  * of interactive requests. */
 static const double priority_weights[PRIORITIES] = { 16.0, 4.0, 1.0 };
+/* How far a team may be ahead of the team that received least, in requests of mean work, before its
+ * priorities stop to count. */
+static const double LEAD_MAX_REQUESTS = 4.0;
+static const double MEAN_GAIN = 0.1;
 
-/* The waiting requests of one team in one priority. */
-struct sr_flow
+/* The waiting requests of one team. */
+struct sr_queue_team
 {
-  GString *team;
-  enum sr_priority priority;
+  GString *name;
   double weight;
-  double virtual_time; /* work received so far, in tokens per weight */
+  double received; /* virtual time: work received, in tokens per weight */
+  unsigned waiting;
   int64_t cost_tokens;
-  GSequence *entries; /* of struct sr_queue_entry, earliest deadline first */
+  GSequence *entries[PRIORITIES]; /* of struct sr_queue_entry, earliest deadline first */
 };
 
-/* One priority: its teams and its own place among the priorities. */
+/* One priority, and its own place among the priorities. */
 struct priority_level
 {
-  GHashTable *flows; /* team name to struct sr_flow */
-  GPtrArray *active; /* flows with entries */
-  double virtual_time;
   double received; /* work received, in tokens per weight of the priority */
   int64_t cost_tokens;
+  unsigned waiting;
 };
 
 struct sr_queue
 {
+  GHashTable *teams; /* name to struct sr_queue_team */
+  GPtrArray *active; /* teams with entries */
   struct priority_level levels[PRIORITIES];
-  double virtual_time;
+  double level_received; /* by the priority served last, before it */
+  double team_received;  /* by the waiting team that received least */
+  double mean_cost;
   GSequence *by_start; /* of struct sr_queue_entry, earliest latest_start_us first */
 };
 
-static struct sr_flow *
-flow_of_ (struct priority_level *level, const struct sr_ticket *ticket);
-static struct sr_flow *
-flow_with_least_work_ (const struct priority_level *level);
-static struct priority_level *
-level_with_least_work_ (struct sr_queue *queue);
+static struct sr_queue_team *
+team_of_ (struct sr_queue *queue, const struct sr_ticket *ticket);
+static double
+least_received_ (const struct sr_queue *queue);
+static bool
+is_within_share_ (const struct sr_queue *queue, const struct sr_queue_team *team, double least);
+static struct sr_queue_team *
+choose_team_ (const struct sr_queue *queue, int priority, double least);
+static struct sr_queue_entry *
+choose_entry_ (const struct sr_queue *queue, double least);
+static double
+own_cost_before_ (const struct sr_queue_team *team, const struct sr_ticket *ticket);
+static double
+cost_by_priority_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost);
+static double
+cost_by_share_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost);
 static void
 unlink_entry_ (struct sr_queue *queue, struct sr_queue_entry *entry);
 static void
-forget_idle_flows_ (struct priority_level *level);
+forget_idle_teams_ (struct sr_queue *queue);
 static gboolean
-flow_is_settled_ (gpointer key, gpointer value, gpointer data);
+team_is_settled_ (gpointer key, gpointer value, gpointer data);
 static void
-flow_free_ (void *data);
+team_free_ (void *data);
 static void
 entry_free_ (gpointer data, gpointer user_data);
 static gint
@@ -66,11 +82,8 @@
 {
   struct sr_queue *queue = g_new0 (struct sr_queue, 1);
 
-  for (int i = 0; i < PRIORITIES; i++)
-    {
-      queue->levels[i].flows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, flow_free_);
-      queue->levels[i].active = g_ptr_array_new ();
-    }
+  queue->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
+  queue->active = g_ptr_array_new ();
   queue->by_start = g_sequence_new (NULL);
   return queue;
 }
@@ -79,11 +92,8 @@
 void
 sr_queue_delete (struct sr_queue *queue)
 {
-  for (int i = 0; i < PRIORITIES; i++)
-    {
-      g_ptr_array_unref (queue->levels[i].active);
-      g_hash_table_unref (queue->levels[i].flows);
-    }
+  g_ptr_array_unref (queue->active);
+  g_hash_table_unref (queue->teams);
   g_sequence_foreach (queue->by_start, entry_free_, NULL);
   g_sequence_free (queue->by_start);
   g_free (queue);
@@ -103,7 +113,7 @@
 sr_queue_add (struct sr_queue *queue, const struct sr_ticket *ticket, int64_t latest_start_us)
 {
   struct priority_level *level = &queue->levels[ticket->priority];
-  struct sr_flow *flow = flow_of_ (level, ticket);
+  struct sr_queue_team *team = team_of_ (queue, ticket);
   struct sr_queue_entry *entry = g_new0 (struct sr_queue_entry, 1);
 
   entry->owner = ticket->owner;
@@ -111,41 +121,47 @@
   entry->cost_tokens = MAX (ticket->cost_tokens, 1);
   entry->deadline_us = ticket->deadline_us;
   entry->latest_start_us = latest_start_us;
-  entry->flow = flow;
-  if (level->active->len == 0)
-    level->received = MAX (level->received, queue->virtual_time);
-  if (g_sequence_is_empty (flow->entries))
+  entry->team = team;
+  if (level->waiting == 0)
+    level->received = MAX (level->received, queue->level_received);
+  if (team->waiting == 0)
     {
-      flow->virtual_time = MAX (flow->virtual_time, level->virtual_time);
-      g_ptr_array_add (level->active, flow);
+      team->received = MAX (team->received, queue->team_received);
+      g_ptr_array_add (queue->active, team);
     }
-  entry->by_deadline = g_sequence_insert_sorted (flow->entries, entry, compare_deadlines_, NULL);
+  entry->by_deadline
+      = g_sequence_insert_sorted (team->entries[entry->priority], entry, compare_deadlines_, NULL);
   entry->by_start = g_sequence_insert_sorted (queue->by_start, entry, compare_starts_, NULL);
-  flow->cost_tokens += entry->cost_tokens;
+  team->waiting++;
+  level->waiting++;
+  team->cost_tokens += entry->cost_tokens;
   level->cost_tokens += entry->cost_tokens;
   return entry;
 }
 
-/* Takes the entry to be served next: of the priority, then of the team that received least work for
- * its weight, the earliest deadline (start-time fair queueing, Goyal, Vin and Cheng 1996). Returns
- * NULL when nothing waits; the caller frees the entry with g_free. */
+/* Takes the entry to be served next, by start-time fair queueing (Goyal, Vin and Cheng 1996) on two
+ * levels: among the teams within their share, of the priority that received least work for its
+ * weight, of the team that did, the earliest deadline. Returns NULL when nothing waits; the caller
+ * frees the entry with g_free. */
 struct sr_queue_entry *
 sr_queue_take_next (struct sr_queue *queue)
 {
-  struct priority_level *level = level_with_least_work_ (queue);
   struct sr_queue_entry *entry;
-  struct sr_flow *flow;
+  struct priority_level *level;
+  double least;
 
-  if (level == NULL)
+  if (queue->active->len == 0)
     return NULL;
-  flow = flow_with_least_work_ (level);
-  entry = g_sequence_get (g_sequence_get_begin_iter (flow->entries));
-  queue->virtual_time = level->received;
+  least = least_received_ (queue);
+  queue->team_received = MAX (queue->team_received, least);
+  entry = choose_entry_ (queue, least);
+  level = &queue->levels[entry->priority];
+  queue->level_received = level->received;
   level->received += (double)entry->cost_tokens / priority_weights[entry->priority];
-  level->virtual_time = flow->virtual_time;
-  flow->virtual_time += (double)entry->cost_tokens / flow->weight;
+  entry->team->received += (double)entry->cost_tokens / entry->team->weight;
+  queue->mean_cost += MEAN_GAIN * ((double)entry->cost_tokens - queue->mean_cost);
   unlink_entry_ (queue, entry);
-  forget_idle_flows_ (level);
+  forget_idle_teams_ (queue);
   return entry;
 }
 
@@ -164,43 +180,50 @@
   return entry;
 }
 
-/* Takes the entry of FLOW (which has one) with the latest deadline. The caller frees it. */
+/* Takes the entry with the latest deadline of what sr_queue_find_largest found here. The caller
+ * frees it. */
 struct sr_queue_entry *
-sr_queue_take_last (struct sr_queue *queue, struct sr_flow *flow)
+sr_queue_take_last (struct sr_queue *queue, const struct sr_queue_largest *largest)
 {
-  GSequenceIter *last = g_sequence_iter_prev (g_sequence_get_end_iter (flow->entries));
-  struct sr_queue_entry *entry = g_sequence_get (last);
+  GSequence *entries = largest->team->entries[largest->priority];
+  struct sr_queue_entry *entry
+      = g_sequence_get (g_sequence_iter_prev (g_sequence_get_end_iter (entries)));
 
   unlink_entry_ (queue, entry);
   return entry;
 }
 
-/* Finds the team that waits with most tickets for its weight, in the lowest priority where it has
- * any. LARGEST is only changed when one waits with more than it says. */
-void
+/* Finds the team that waits with most tickets for its weight in one priority, the lowest priority
+ * first. Returns false, and leaves LARGEST alone, when none waits with more than it says. */
+bool
 sr_queue_find_largest (struct sr_queue *queue, struct sr_queue_largest *largest)
 {
+  bool found = false;
+
   for (int i = PRIORITIES - 1; i >= 0; i--)
-    for (guint j = 0; j < queue->levels[i].active->len; j++)
+    for (guint j = 0; j < queue->active->len; j++)
       {
-        struct sr_flow *flow = queue->levels[i].active->pdata[j];
-        double share = g_sequence_get_length (flow->entries) / flow->weight;
-
-        if (share > largest->share)
-          {
-            largest->share = share;
-            largest->flow = flow;
-          }
+        struct sr_queue_team *team = queue->active->pdata[j];
+        double share = g_sequence_get_length (team->entries[i]) / team->weight;
+
+        if (share <= largest->share)
+          continue;
+        largest->share = share;
+        largest->team = team;
+        largest->priority = (enum sr_priority)i;
+        found = true;
       }
+  return found;
 }
 
 /* Returns how many tickets per weight the team of TICKET has waiting in its priority. */
 double
 sr_queue_share_of (struct sr_queue *queue, const struct sr_ticket *ticket)
 {
-  struct sr_flow *flow = g_hash_table_lookup (queue->levels[ticket->priority].flows, ticket->team);
+  struct sr_queue_team *team = g_hash_table_lookup (queue->teams, ticket->team);
 
-  return flow == NULL ? 0.0 : g_sequence_get_length (flow->entries) / flow->weight;
+  return team == NULL ? 0.0
+                      : g_sequence_get_length (team->entries[ticket->priority]) / team->weight;
 }
 
 /* Returns the expected work of all that waits, in tokens. */
@@ -215,134 +238,196 @@
 }
 
 /* Returns the work, in tokens, that would be served before TICKET if it were added now: the earlier
- * deadlines of its team, what the other teams of its priority receive meanwhile, and what the other
- * priorities do. */
+ * deadlines of its team and priority, and what the others receive meanwhile, by their priority or
+ * by their share, whichever is more. */
 int64_t
 sr_queue_cost_before (struct sr_queue *queue, const struct sr_ticket *ticket)
 {
-  struct priority_level *level = &queue->levels[ticket->priority];
-  struct sr_flow *own = g_hash_table_lookup (level->flows, ticket->team);
-  double weight = MAX (ticket->team_weight, 1U);
-  double own_cost = 0;
-  double before;
-  double in_level;
+  const struct sr_queue_team *team = g_hash_table_lookup (queue->teams, ticket->team);
+  double own_cost = team != NULL ? own_cost_before_ (team, ticket) : 0;
+  double by_priority = cost_by_priority_ (queue, ticket, own_cost);
+  double by_share = cost_by_share_ (queue, ticket, own_cost);
 
-  if (own != NULL)
-    for (GSequenceIter *iter = g_sequence_get_begin_iter (own->entries);
-         !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
-      {
-        const struct sr_queue_entry *entry = g_sequence_get (iter);
+  return (int64_t)MAX (by_priority, by_share);
+}
 
-        if (entry->deadline_us > ticket->deadline_us)
-          break;
-        own_cost += (double)entry->cost_tokens;
-      }
-  in_level = own_cost;
-  for (guint i = 0; i < level->active->len; i++)
-    {
-      const struct sr_flow *flow = level->active->pdata[i];
-      double received = own_cost * flow->weight / weight;
+static struct sr_queue_team *
+team_of_ (struct sr_queue *queue, const struct sr_ticket *ticket)
+{
+  struct sr_queue_team *team = g_hash_table_lookup (queue->teams, ticket->team);
 
-      if (flow != own)
-        in_level += MIN ((double)flow->cost_tokens, received);
+  if (team == NULL)
+    {
+      team = g_new0 (struct sr_queue_team, 1);
+      team->name = g_string_new (ticket->team);
+      for (int i = 0; i < PRIORITIES; i++)
+        team->entries[i] = g_sequence_new (NULL);
+      g_hash_table_insert (queue->teams, team->name->str, team);
     }
-  before = in_level;
-  for (int i = 0; i < PRIORITIES; i++)
+  team->weight = MAX (ticket->team_weight, 1U);
+  return team;
+}
+
+static double
+least_received_ (const struct sr_queue *queue)
+{
+  double least = ((const struct sr_queue_team *)queue->active->pdata[0])->received;
+
+  for (guint i = 1; i < queue->active->len; i++)
+    least = MIN (least, ((const struct sr_queue_team *)queue->active->pdata[i])->received);
+  return least;
+}
+
+static bool
+is_within_share_ (const struct sr_queue *queue, const struct sr_queue_team *team, double least)
+{
+  return team->received <= least + LEAD_MAX_REQUESTS * queue->mean_cost / team->weight;
+}
+
+/* Returns the team within its share that received least and has entries of PRIORITY, or NULL. */
+static struct sr_queue_team *
+choose_team_ (const struct sr_queue *queue, int priority, double least)
+{
+  struct sr_queue_team *chosen = NULL;
+
+  for (guint i = 0; i < queue->active->len; i++)
     {
-      double received = in_level * priority_weights[i] / priority_weights[ticket->priority];
+      struct sr_queue_team *team = queue->active->pdata[i];
 
-      if (i != (int)ticket->priority)
-        before += MIN ((double)queue->levels[i].cost_tokens, received);
+      if (g_sequence_is_empty (team->entries[priority]) || !is_within_share_ (queue, team, least))
+        continue;
+      if (chosen == NULL || team->received < chosen->received)
+        chosen = team;
     }
-  return (int64_t)before;
+  return chosen;
 }
 
-static struct sr_flow *
-flow_of_ (struct priority_level *level, const struct sr_ticket *ticket)
+/* The team that received least is within its share, so there is always an entry to choose. */
+static struct sr_queue_entry *
+choose_entry_ (const struct sr_queue *queue, double least)
 {
-  struct sr_flow *flow = g_hash_table_lookup (level->flows, ticket->team);
+  struct sr_queue_team *chosen = NULL;
+  int priority = 0;
 
-  if (flow == NULL)
+  for (int i = 0; i < PRIORITIES; i++)
     {
-      flow = g_new0 (struct sr_flow, 1);
-      flow->team = g_string_new (ticket->team);
-      flow->priority = ticket->priority;
-      flow->entries = g_sequence_new (NULL);
-      g_hash_table_insert (level->flows, flow->team->str, flow);
+      struct sr_queue_team *team = choose_team_ (queue, i, least);
+
+      if (team == NULL)
+        continue;
+      if (chosen != NULL && queue->levels[i].received >= queue->levels[priority].received)
+        continue;
+      chosen = team;
+      priority = i;
     }
-  flow->weight = MAX (ticket->team_weight, 1U);
-  return flow;
+  g_assert (chosen != NULL);
+  return g_sequence_get (g_sequence_get_begin_iter (chosen->entries[priority]));
 }
 
-static struct sr_flow *
-flow_with_least_work_ (const struct priority_level *level)
+static double
+own_cost_before_ (const struct sr_queue_team *team, const struct sr_ticket *ticket)
 {
-  struct sr_flow *least = level->active->pdata[0];
+  GSequenceIter *iter = g_sequence_get_begin_iter (team->entries[ticket->priority]);
+  double cost = 0;
 
-  for (guint i = 1; i < level->active->len; i++)
+  while (!g_sequence_iter_is_end (iter))
     {
-      struct sr_flow *flow = level->active->pdata[i];
+      const struct sr_queue_entry *entry = g_sequence_get (iter);
 
-      if (flow->virtual_time < least->virtual_time)
-        least = flow;
+      if (entry->deadline_us > ticket->deadline_us)
+        break;
+      cost += (double)entry->cost_tokens;
+      iter = g_sequence_iter_next (iter);
     }
-  return least;
+  return cost;
 }
 
-static struct priority_level *
-level_with_least_work_ (struct sr_queue *queue)
+static double
+cost_by_priority_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost)
 {
-  struct priority_level *least = NULL;
+  double weight = MAX (ticket->team_weight, 1U);
+  double in_level = own_cost;
+  double before;
 
+  for (guint i = 0; i < queue->active->len; i++)
+    {
+      const struct sr_queue_team *team = queue->active->pdata[i];
+      double received = own_cost * team->weight / weight;
+
+      if (strcmp (team->name->str, ticket->team) != 0)
+        in_level += MIN ((double)team->cost_tokens, received);
+    }
+  in_level = MIN (in_level, (double)queue->levels[ticket->priority].cost_tokens);
+  before = in_level;
   for (int i = 0; i < PRIORITIES; i++)
     {
-      struct priority_level *level = &queue->levels[i];
+      double received = in_level * priority_weights[i] / priority_weights[ticket->priority];
 
-      if (level->active->len > 0 && (least == NULL || level->received < least->received))
-        least = level;
+      if (i != (int)ticket->priority)
+        before += MIN ((double)queue->levels[i].cost_tokens, received);
     }
-  return least;
+  return before;
+}
+
+static double
+cost_by_share_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost)
+{
+  double weight = MAX (ticket->team_weight, 1U);
+  double before = own_cost;
+
+  for (guint i = 0; i < queue->active->len; i++)
+    {
+      const struct sr_queue_team *team = queue->active->pdata[i];
+      double received = own_cost * team->weight / weight;
+
+      if (strcmp (team->name->str, ticket->team) != 0)
+        before += MIN ((double)team->cost_tokens, received);
+    }
+  return before;
 }
 
 static void
 unlink_entry_ (struct sr_queue *queue, struct sr_queue_entry *entry)
 {
   struct priority_level *level = &queue->levels[entry->priority];
-  struct sr_flow *flow = entry->flow;
+  struct sr_queue_team *team = entry->team;
 
   g_sequence_remove (entry->by_deadline);
   g_sequence_remove (entry->by_start);
-  flow->cost_tokens -= entry->cost_tokens;
+  team->cost_tokens -= entry->cost_tokens;
   level->cost_tokens -= entry->cost_tokens;
-  if (g_sequence_is_empty (flow->entries))
-    g_ptr_array_remove_fast (level->active, flow);
+  level->waiting--;
+  team->waiting--;
+  if (team->waiting == 0)
+    g_ptr_array_remove_fast (queue->active, team);
 }
 
 /* Drops the teams that have nothing waiting and would start at the present virtual time anyway. */
 static void
-forget_idle_flows_ (struct priority_level *level)
+forget_idle_teams_ (struct sr_queue *queue)
 {
-  if (g_hash_table_size (level->flows) > 2 * (level->active->len + 1))
-    g_hash_table_foreach_remove (level->flows, flow_is_settled_, level);
+  if (g_hash_table_size (queue->teams) > 2 * (queue->active->len + 1))
+    g_hash_table_foreach_remove (queue->teams, team_is_settled_, queue);
 }
 
 static gboolean
-flow_is_settled_ (gpointer key, gpointer value, gpointer data)
+team_is_settled_ (gpointer key, gpointer value, gpointer data)
 {
-  const struct priority_level *level = data;
-  const struct sr_flow *flow = value;
+  const struct sr_queue *queue = data;
+  const struct sr_queue_team *team = value;
 
-  return g_sequence_is_empty (flow->entries) && flow->virtual_time <= level->virtual_time;
+  return team->waiting == 0 && team->received <= queue->team_received;
 }
 
 static void
-flow_free_ (void *data)
+team_free_ (void *data)
 {
-  struct sr_flow *flow = data;
+  struct sr_queue_team *team = data;
 
-  g_string_free (flow->team, TRUE);
-  g_sequence_free (flow->entries);
-  g_free (flow);
+  for (int i = 0; i < PRIORITIES; i++)
+    g_sequence_free (team->entries[i]);
+  g_string_free (team->name, TRUE);
+  g_free (team);
 }
 
 static void
--- a/src/admit/queue.h
+++ b/src/admit/queue.h
@@ -1,5 +1,5 @@
-/* The queue of one service: weighted fair between priorities and teams, by deadline inside a team.
- * A state machine without thread, lock or clock. */
+/* The queue of one service: priorities among the teams that are within their fair share, the
+ * earliest deadline first inside a team. A state machine without thread, lock or clock. */
 #pragma once
 
 #include "admit/admit.h"
@@ -14,15 +14,16 @@
   int64_t cost_tokens;
   int64_t deadline_us;
   int64_t latest_start_us; /* later, it could not be answered by its deadline */
-  struct sr_flow *flow;
-  GSequenceIter *by_deadline; /* in its flow */
+  struct sr_queue_team *team;
+  GSequenceIter *by_deadline; /* among those of its team and priority */
   GSequenceIter *by_start;    /* in its queue */
 };
 
-/* The team that waits with most, for its weight. */
+/* The team that waits with most in one priority, for its weight. */
 struct sr_queue_largest
 {
-  struct sr_flow *flow;
+  struct sr_queue_team *team;
+  enum sr_priority priority;
   double share; /* tickets per weight */
 };
 
@@ -39,8 +40,8 @@
 struct sr_queue_entry *
 sr_queue_take_late (struct sr_queue *queue, int64_t now_us);
 struct sr_queue_entry *
-sr_queue_take_last (struct sr_queue *queue, struct sr_flow *flow);
-void
+sr_queue_take_last (struct sr_queue *queue, const struct sr_queue_largest *largest);
+bool
 sr_queue_find_largest (struct sr_queue *queue, struct sr_queue_largest *largest);
 double
 sr_queue_share_of (struct sr_queue *queue, const struct sr_ticket *ticket);
--- a/src/admit/test-admit.c
+++ b/src/admit/test-admit.c
@@ -128,6 +128,22 @@
   sr_admit_delete (admit);
 }
 
+static void
+a_high_priority_gives_no_more_than_the_share (void **state)
+{
+  struct sr_admit *admit = new_admit ();
+  int letters[256];
+
+  for (int i = 0; i < 40; i++)
+    {
+      push (admit, "large", SR_PRIORITY_INTERACTIVE, 100 * S, "flood");
+      push (admit, "small", SR_PRIORITY_BATCH, 100 * S, "summary");
+    }
+  pop_many (admit, 40, letters);
+  assert_in_range (letters['s'], 16, 20);
+  sr_admit_delete (admit);
+}
+
 static void
 a_flooding_team_keeps_no_other_team_out (void **state)
 {
@@ -386,6 +402,7 @@
     cmocka_unit_test (the_earliest_deadline_of_a_team_goes_first),
     cmocka_unit_test (interactive_goes_first_and_batch_goes_on),
     cmocka_unit_test (teams_share_by_their_weight),
+    cmocka_unit_test (a_high_priority_gives_no_more_than_the_share),
     cmocka_unit_test (a_flooding_team_keeps_no_other_team_out),
     cmocka_unit_test (what_cannot_be_in_time_is_refused_at_once),
     cmocka_unit_test (an_idle_service_refuses_nothing),
--- a/src/route/service-state.c
+++ b/src/route/service-state.c
@@ -120,6 +120,7 @@
         }
       sr_backend_state_configure (state, backend, options->data_centre);
     }
+  service->is_whole = backends->len <= SR_SUBSET_MAX;
   drop_idle_retired_ (service);
   g_ptr_array_unref (subset);
 }
@@ -144,7 +145,7 @@
   struct sr_backend_state *chosen = choose_probe_ (service, query);
 
   if (chosen == NULL && query->affinity != 0)
-    chosen = choose_by_affinity_ (service, preferred, query);
+    chosen = choose_by_affinity_ (service, service->is_whole ? &all : preferred, query);
   if (chosen == NULL && all.length > 0)
     chosen = choose_by_load_ (service, preferred, query->now_us, random);
   if (chosen != NULL)
--- a/src/route/service-state.h
+++ b/src/route/service-state.h
@@ -9,6 +9,7 @@
   GString *name;
   GPtrArray *backends; /* of struct sr_backend_state */
   struct sr_load_prior prior;
+  bool is_whole; /* all its backend servers are in backends, not a subset */
 };
 
 enum
