Upkeep of orders, and the queues hear once of each popped request

Nobody stored the outcomes that an outage kept back, nor removed expired claims: a thread of its own does both, and a planned stop stores what is pending. serve.c starts, hands over and deletes it.

sr_admit_served was called for each attempt and not at all for requests that ended without a place (no budget, abandoned, joined elsewhere), so that the queues' count of running requests was wrong both ways. dispatch now calls it once for each popped request (perform.c, dispatch.c: 6 lines).

A retry of an order whose answer was too long to be stored hears unknown instead of an empty answer.

--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -260,6 +260,7 @@
     return false;
   if (sr_run_is_abandoned (run, now_us))
     {
+      sr_admit_served (dispatch->options.admit, service, 0);
       refuse_ (dispatch, run, SR_ERROR_ABANDONED, 0);
       return true;
     }
@@ -268,6 +269,7 @@
   if (!sr_workers_give (dispatch->workers, run))
     {
       change_handed_ (dispatch, service, -1);
+      sr_admit_served (dispatch->options.admit, service, 0);
       refuse_ (dispatch, run, SR_ERROR_QUEUE_FULL, BUSY_RETRY_MS);
       return false;
     }
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -496,8 +496,6 @@
       sr_histogram_observe (&queue_to_first_us, report->first_byte_us - p->started_us);
     }
   sr_router_done (p->dispatch->options.router, &p->route, &route_report);
-  sr_admit_served (p->dispatch->options.admit, p->order->service->str,
-                   route_report.now_us - p->route.picked_us);
 }
 
 static enum sr_route_result
@@ -634,7 +632,11 @@
 static void
 finish_ (struct performance *p, const struct sr_run_result *result)
 {
+  int64_t took_us = p->has_place ? g_get_monotonic_time () - p->started_us : 0;
+
   if (!p->has_place && !p->order->is_look_up)
     sr_dispatch_got_place_ (p->dispatch, p->run);
+  if (!p->order->is_look_up)
+    sr_admit_served (p->dispatch->options.admit, p->order->service->str, took_us);
   sr_dispatch_finish_ (p->dispatch, p->run, result);
 }
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -9,7 +9,7 @@
 #include "dispatch/dispatch.h"
 #include "entry/entry.h"
 #include "member/member.h"
-#include "order/order.h"
+#include "order/upkeep.h"
 #include "peer/peer.h"
 #include "platform/platform-http.h"
 #include "request/run-peers.h"
@@ -30,6 +30,9 @@
   SIGNAL_POLL_MS = 50,
   CONFIG_POLL_MS = 500,
   LEAVING_MS = 500,
+  ORDER_RETRY_MS = 1000,
+  ORDER_REMOVAL_S = 60,
+  ORDER_REMOVAL_PAGE = 100,
   ROUTE_SEED_SALT = 1,
   ADMIT_SEED_SALT = 2,
   DISPATCH_SEED_SALT = 3,
@@ -51,6 +54,7 @@
   struct sr_budgets *budgets;
   struct sr_bills *bills;
   struct sr_orders *orders;
+  struct sr_order_upkeep *order_upkeep;
   struct sr_router *router;
   struct sr_admit *admit;
   struct sr_run_table *table;
@@ -189,11 +193,17 @@
   struct sr_bills_options bills = { .platform = instance->platform,
                                     .instance = settings->name->str,
                                     .incarnation = instance->incarnation };
+  struct sr_order_upkeep_options upkeep;
 
   instance->budgets = sr_budgets_new (&budgets);
   sr_budgets_add_to_server (instance->budgets, instance->peer_server);
   instance->bills = sr_bills_new (&bills);
   instance->orders = sr_orders_new (instance->platform);
+  upkeep = (struct sr_order_upkeep_options){ .orders = instance->orders,
+                                             .retry_interval_ms = ORDER_RETRY_MS,
+                                             .removal_interval_s = ORDER_REMOVAL_S,
+                                             .removal_page = ORDER_REMOVAL_PAGE };
+  instance->order_upkeep = sr_order_upkeep_new (&upkeep);
   return true;
 }
 
@@ -252,7 +262,8 @@
 start_ (struct instance *instance)
 {
   if (!sr_peer_server_start (instance->peer_server) || !sr_members_start (instance->members)
-      || !sr_budgets_start (instance->budgets) || !sr_dispatch_start (instance->dispatch))
+      || !sr_budgets_start (instance->budgets) || !sr_dispatch_start (instance->dispatch)
+      || !sr_order_upkeep_start (instance->order_upkeep))
     {
       sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
       return false;
@@ -275,6 +286,7 @@
   sr_dispatch_delete (instance->dispatch);
   sr_admit_delete (instance->admit);
   sr_router_delete (instance->router);
+  sr_order_upkeep_delete (instance->order_upkeep);
   sr_orders_delete (instance->orders);
   if (instance->peer_server != NULL)
     sr_peer_server_stop (instance->peer_server);
@@ -327,6 +339,7 @@
     g_usleep (SIGNAL_POLL_MS * 1000);
   sr_budgets_hand_over (instance->budgets, limit_us);
   sr_bills_hand_over (instance->bills, limit_us);
+  sr_order_upkeep_hand_over (instance->order_upkeep, limit_us);
   sr_log (G_LOG_LEVEL_MESSAGE, "stop", "stopped, %u requests left",
           sr_run_table_in_progress (instance->table));
 }
--- a/src/order/order.c
+++ b/src/order/order.c
@@ -152,7 +152,8 @@
 }
 
 /* Stores OUTCOME, and for an answered order the LENGTH bytes of ANSWER, in the claim that REQUEST
- * won, so that retries are told. An answer above SR_ORDER_ANSWER_MAX_BYTES is left out. NOT_RUN may
+ * won, so that retries are told. An answer above SR_ORDER_ANSWER_MAX_BYTES is left out, and retries
+ * hear UNKNOWN. NOT_RUN may
  * only be stored when no byte was sent; the key is not dispatched again all the same.
  *
  * Returns true once the platform holds the outcome. Otherwise the outcome is kept in memory for
@@ -381,6 +382,8 @@
   claim->outcome = outcomes[record->state];
   claim->in_progress = record->state == SR_ORDER_CLAIMED;
   g_strlcpy (claim->holder, record->holder, sizeof claim->holder);
+  if (record->state == SR_ORDER_ANSWERED && !record->has_answer)
+    claim->outcome = SR_OUTCOME_UNKNOWN;
   if (record->has_answer)
     claim->answer = g_string_new_len (record->answer->str, (gssize)record->answer->len);
 }
--- a/src/order/order.h
+++ b/src/order/order.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  SR_ORDER_ANSWER_MAX_BYTES = 1000000 /* a longer answer is not stored, only its outcome */
+  SR_ORDER_ANSWER_MAX_BYTES = 1000000 /* a longer answer is not stored */
 };
 
 enum sr_claim_verdict
