--- a/src/order/order.c
+++ b/src/order/order.c
@@ -10,6 +10,7 @@
 enum
 {
   WRITE_TRIES_MAX = 4,
+  WRITE_TRIES_LAST_S = 4, /* no further try begins later */
   PENDING_MAX = 1024,
   US_PER_S = 1000000,
   /* A claim that took longer may have been created after an expired one of this key was removed:
@@ -56,6 +57,8 @@
               const struct sr_claim_request *request,
               const char *name,
               struct sr_claim *claim);
+static bool
+may_try_ (int tries, int64_t start_us);
 static enum sr_platform_status
 read_claim_ (struct sr_orders *orders,
              const char *name,
@@ -310,12 +313,13 @@
   enum sr_claim_verdict verdict = SR_CLAIM_DOUBT;
   struct sr_order_record record;
   GString *body = g_string_new (NULL);
+  int64_t start_us = g_get_monotonic_time ();
   bool doubtful = false;
   bool decided = false;
 
   record_from_request_ (&record, request);
   sr_order_record_encode (&record, body);
-  for (int i = 0; i < WRITE_TRIES_MAX && !decided; i++)
+  for (int i = 0; !decided && may_try_ (i, start_us); i++)
     {
       enum sr_platform_status status = sr_platform_put (orders->platform, ORDER_KIND, name,
                                                         body->str, body->len, 0, &claim->version);
@@ -343,6 +347,14 @@
   return verdict;
 }
 
+/* A silent platform must not hold a caller for long. */
+static bool
+may_try_ (int tries, int64_t start_us)
+{
+  return tries < WRITE_TRIES_MAX
+         && g_get_monotonic_time () - start_us < (int64_t)WRITE_TRIES_LAST_S * US_PER_S;
+}
+
 static enum sr_platform_status
 read_claim_ (struct sr_orders *orders,
              const char *name,
@@ -433,9 +445,10 @@
 {
   GString *body = g_string_new (NULL);
   enum sr_platform_status status = SR_PLATFORM_UNKNOWN;
+  int64_t start_us = g_get_monotonic_time ();
 
   sr_order_record_encode (record, body);
-  for (int i = 0; i < WRITE_TRIES_MAX; i++)
+  for (int i = 0; may_try_ (i, start_us); i++)
     {
       int64_t new_version = 0;
 
