An expired key of a first attempt is told as not run

Cause: test-path bad_requests_consume_nothing: 410 key_expired came with outcome unknown although the caller said X-Attempt: 1; dispatch did not pass that on to the claim (src/dispatch/perform.c, one line).

--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -313,7 +313,8 @@
           .fingerprint = { p->order->fingerprint[0], p->order->fingerprint[1] },
           .instance = p->dispatch->options.settings->name->str,
           .nonce = atomic_fetch_add (&p->dispatch->next_nonce, 1),
-          .now_ms = g_get_real_time () / 1000 };
+          .now_ms = g_get_real_time () / 1000,
+          .first_attempt = p->order->is_first_attempt };
   struct sr_backend_report report = { .status = SR_BACKEND_NOT_SENT, .running = -1 };
   struct sr_claim claim = { 0 };
   struct sr_backend_call call;
--- a/testing/process/test-path.c
+++ b/testing/process/test-path.c
@@ -136,9 +136,10 @@
       ask.priority = bad->priority;
       ask.body = bad->body;
       answer = harness_ask (&ask);
-      if (answer.status != bad->status || strcmp (answer.code, bad->code) != 0)
-        print_error ("request %u: %d %s instead of %d %s\n", i, answer.status, answer.code,
-                     bad->status, bad->code);
+      if (answer.status != bad->status || strcmp (answer.code, bad->code) != 0
+          || answer.verdict != HARNESS_REFUSED)
+        print_error ("request %u: %d %s %s instead of %d %s\n", i, answer.status, answer.code,
+                     harness_verdict_to_string (answer.verdict), bad->status, bad->code);
       assert_int_equal (answer.status, bad->status);
       assert_string_equal (answer.code, bad->code);
       assert_int_equal (answer.verdict, HARNESS_REFUSED);
