--- /dev/null
+++ b/src/budget/acquire.c
@@ -0,0 +1,286 @@
+#include "budget/budget-private.h"
+
+#include <string.h>
+
+enum
+{
+  ATTEMPT_MAX_US = 1500000,
+  POLL_MIN_US = 4000, /* between questions to a peer that is fetching tokens */
+  POLL_MAX_US = 64000,
+  HOMES_MAX = 2, /* instances tried before drawing on the platform oneself */
+  LAST_RESORT_ROUNDS = 2,
+  LAST_RESORT_PAUSE_US = 30000,
+  MEMBERS_MAX = 8,         /* asked when the holders are not known */
+  CANNOT_LEND_US = 300000, /* after a refusal to lend, nothing is fetched for borrowers */
+  AHEAD_PAUSE_US = 500000  /* after demand could not be covered ahead */
+};
+
+/* One attempt to get tokens for a budget. */
+struct attempt
+{
+  struct sr_budgets *budgets;
+  struct sr_budget_entry *entry;
+  int64_t lend_need;   /* borrowers wait for these */
+  int64_t lent_before; /* lent by this instance before the attempt */
+  int64_t end_us;
+  bool recall;
+  bool is_home;
+  bool exhausted;
+  bool cannot_lend;
+  bool platform_read;
+};
+
+static void
+ask_home_ (struct attempt *attempt);
+static void
+ask_one_home_ (struct attempt *attempt, const char *home, bool *unreachable);
+static void
+draw_ (struct attempt *attempt);
+static void
+ask_others_ (struct attempt *attempt);
+static GPtrArray *
+others_ (struct attempt *attempt);
+static int64_t
+needed_locked_ (const struct attempt *attempt);
+static int64_t
+missing_locked_ (const struct attempt *attempt, bool ahead);
+static int64_t
+needed_ (const struct attempt *attempt);
+static int64_t
+missing_ (const struct attempt *attempt, bool ahead);
+static void
+finish_ (struct attempt *attempt);
+
+/* Gets the tokens that reservations and borrowers of ENTRY wait for, and some ahead of demand: from
+ * the home instance of its data centre, else from the platform, and before anything is refused from
+ * whoever holds some. Called by a worker, with the entry marked busy and without the mutex. */
+void
+sr_budget_acquire (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+{
+  struct attempt attempt = { .budgets = budgets,
+                             .entry = entry,
+                             .is_home = true,
+                             .end_us = g_get_monotonic_time () + ATTEMPT_MAX_US };
+
+  pthread_mutex_lock (&budgets->mutex);
+  entry->started++;
+  attempt.lend_need = entry->lend_need;
+  attempt.lent_before = entry->lent;
+  attempt.recall = entry->recall;
+  entry->lend_need = 0;
+  entry->recall = false;
+  pthread_mutex_unlock (&budgets->mutex);
+  if (attempt.recall)
+    sr_budget_recall (budgets, entry);
+  sr_budget_raise (budgets, entry, needed_ (&attempt));
+  if (missing_ (&attempt, true) > 0)
+    ask_home_ (&attempt);
+  if (missing_ (&attempt, attempt.is_home) > 0)
+    draw_ (&attempt);
+  if (missing_ (&attempt, false) > 0)
+    sr_budget_recall (budgets, entry);
+  attempt.cannot_lend = missing_ (&attempt, false) > 0;
+  attempt.lend_need = 0; /* what is borrowed is not lent on: the borrowers ask others themselves */
+  if (missing_ (&attempt, false) > 0)
+    ask_others_ (&attempt);
+  finish_ (&attempt);
+}
+
+/* The home is the first alive instance of the data centre in the order of the budget's name: a
+ * hint, so that few instances draw on the platform. */
+static void
+ask_home_ (struct attempt *attempt)
+{
+  struct sr_budgets *budgets = attempt->budgets;
+  struct sr_member_view *view = sr_budget_view (budgets);
+  unsigned asked = 0;
+  GPtrArray *order;
+
+  if (view == NULL)
+    return;
+  order = sr_member_view_order (view, attempt->entry->name, budgets->data_centre);
+  for (unsigned i = 0; i < order->len && asked < HOMES_MAX; i++)
+    {
+      bool unreachable = false;
+
+      if (strcmp (order->pdata[i], budgets->instance) == 0)
+        break;
+      asked++;
+      ask_one_home_ (attempt, order->pdata[i], &unreachable);
+      if (!unreachable)
+        {
+          attempt->is_home = false;
+          break;
+        }
+    }
+  g_ptr_array_unref (order);
+  sr_member_view_unref (view);
+}
+
+static void
+ask_one_home_ (struct attempt *attempt, const char *home, bool *unreachable)
+{
+  int64_t pause_us = POLL_MIN_US;
+
+  while (g_get_monotonic_time () < attempt->end_us)
+    {
+      int64_t missing = missing_ (attempt, false);
+      enum sr_ask_result result
+          = sr_budget_borrow (attempt->budgets, attempt->entry, home, missing, false);
+
+      *unreachable = result == SR_ASK_UNREACHABLE;
+      if (missing_ (attempt, false) == 0)
+        return;
+      if (result != SR_ASK_PENDING && result != SR_ASK_GAINED)
+        return;
+      g_usleep ((gulong)pause_us);
+      pause_us = MIN (pause_us * 2, POLL_MAX_US);
+    }
+}
+
+/* A record whose witness fails is given up, and the second draw opens another. */
+static void
+draw_ (struct attempt *attempt)
+{
+  struct sr_budgets *budgets = attempt->budgets;
+  enum sr_draw_result result = SR_DRAW_OUT;
+  bool out;
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      pthread_mutex_lock (&budgets->mutex);
+      out = sr_budget_platform_is_out (budgets, g_get_monotonic_time ());
+      pthread_mutex_unlock (&budgets->mutex);
+      if (out)
+        break;
+      result = sr_budget_draw (budgets, attempt->entry, needed_ (attempt));
+      if (result == SR_DRAW_OUT || sr_budget_raise (budgets, attempt->entry, needed_ (attempt)))
+        break;
+    }
+  attempt->platform_read = result != SR_DRAW_OUT;
+  attempt->exhausted = attempt->exhausted || result == SR_DRAW_SHORT;
+}
+
+static void
+ask_others_ (struct attempt *attempt)
+{
+  GPtrArray *others = others_ (attempt);
+  bool pending = true;
+
+  for (unsigned round = 0; round < LAST_RESORT_ROUNDS && pending; round++)
+    {
+      if (round > 0)
+        g_usleep (LAST_RESORT_PAUSE_US);
+      pending = false;
+      for (unsigned i = 0; i < others->len; i++)
+        {
+          int64_t missing = missing_ (attempt, false);
+
+          if (missing == 0 || g_get_monotonic_time () >= attempt->end_us)
+            break;
+          if (sr_budget_borrow (attempt->budgets, attempt->entry, others->pdata[i], missing, true)
+              == SR_ASK_PENDING)
+            pending = true;
+        }
+      if (missing_ (attempt, false) == 0)
+        break;
+    }
+  g_ptr_array_unref (others);
+}
+
+/* Returns the names of those who may hold tokens; the caller frees it. */
+static GPtrArray *
+others_ (struct attempt *attempt)
+{
+  struct sr_budgets *budgets = attempt->budgets;
+  GPtrArray *others = g_ptr_array_new_with_free_func (g_free);
+  struct sr_member_view *view;
+  GPtrArray *order;
+
+  pthread_mutex_lock (&budgets->mutex);
+  for (unsigned i = 0; i < attempt->entry->holders->len; i++)
+    g_ptr_array_add (others, g_strdup (attempt->entry->holders->pdata[i]));
+  pthread_mutex_unlock (&budgets->mutex);
+  view = attempt->platform_read ? NULL : sr_budget_view (budgets);
+  if (view == NULL)
+    return others;
+  order = sr_member_view_order (view, attempt->entry->name, NULL);
+  for (unsigned i = 0; i < order->len && others->len < MEMBERS_MAX; i++)
+    if (strcmp (order->pdata[i], budgets->instance) != 0
+        && !g_ptr_array_find_with_equal_func (others, order->pdata[i], g_str_equal, NULL))
+      g_ptr_array_add (others, g_strdup (order->pdata[i]));
+  g_ptr_array_unref (order);
+  sr_member_view_unref (view);
+  return others;
+}
+
+/* Returns the tokens that reservations and borrowers still wait for. Called with the mutex held. */
+static int64_t
+needed_locked_ (const struct attempt *attempt)
+{
+  const struct sr_budget_entry *entry = attempt->entry;
+  int64_t lent = entry->lent - attempt->lent_before;
+
+  return entry->waiting + MAX (attempt->lend_need - lent, 0);
+}
+
+/* Returns the tokens that are missing for those who wait, and with AHEAD also those for the demand
+ * to come. Called with the mutex held. */
+static int64_t
+missing_locked_ (const struct attempt *attempt, bool ahead)
+{
+  struct sr_ledger *ledger = attempt->entry->ledger;
+  int64_t missing = needed_locked_ (attempt) - sr_ledger_available (ledger);
+
+  if (missing > 0)
+    return missing;
+  return ahead ? sr_ledger_missing_ahead (ledger, g_get_monotonic_time ()) : 0;
+}
+
+static int64_t
+needed_ (const struct attempt *attempt)
+{
+  int64_t needed;
+
+  pthread_mutex_lock (&attempt->budgets->mutex);
+  needed = needed_locked_ (attempt);
+  pthread_mutex_unlock (&attempt->budgets->mutex);
+  return needed;
+}
+
+static int64_t
+missing_ (const struct attempt *attempt, bool ahead)
+{
+  int64_t missing;
+
+  pthread_mutex_lock (&attempt->budgets->mutex);
+  missing = missing_locked_ (attempt, ahead);
+  pthread_mutex_unlock (&attempt->budgets->mutex);
+  return missing;
+}
+
+static void
+finish_ (struct attempt *attempt)
+{
+  struct sr_budgets *budgets = attempt->budgets;
+  struct sr_budget_entry *entry = attempt->entry;
+  int64_t now_us = g_get_monotonic_time ();
+
+  pthread_mutex_lock (&budgets->mutex);
+  entry->busy = false;
+  entry->finished = entry->started;
+  entry->verdict = attempt->exhausted ? SR_BUDGET_EXHAUSTED : SR_BUDGET_UNREACHABLE;
+  if (missing_locked_ (attempt, false) == 0)
+    {
+      entry->verdict = SR_BUDGET_RESERVED;
+      entry->refused_until_us = 0;
+    }
+  if (attempt->cannot_lend)
+    entry->cannot_lend_until_us = now_us + CANNOT_LEND_US;
+  if (missing_locked_ (attempt, true) > 0)
+    entry->ahead_after_us = now_us + AHEAD_PAUSE_US;
+  if (entry->lend_need > 0 || entry->recall)
+    sr_budget_entry_enqueue (budgets, entry);
+  pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+}
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -4,6 +4,7 @@
 #include "base/ring.h"
 #include "budget/budget.h"
 #include "budget/ledger.h"
+#include "budget/witness.h"
 
 #include <pthread.h>
 
@@ -17,13 +18,20 @@
 {
   char *name;
   struct sr_ledger *ledger;
-  bool queued;      /* in the ring of the workers */
-  bool busy;        /* a worker is at it */
-  int64_t waiting;  /* tokens that reservations wait for */
-  uint64_t started; /* attempts to get tokens */
+  GPtrArray *holders; /* other instances on the record as last read (char *) */
+  bool queued;        /* in the ring of the workers */
+  bool busy;          /* a worker is at it */
+  int64_t waiting;    /* tokens that reservations wait for */
+  int64_t lend_need;  /* tokens that borrowers asked for and did not get */
+  int64_t lent;       /* to borrowers, since the start */
+  bool recall;        /* a borrower's peer needs what is out on loan */
+  int64_t recall_after_us;
+  int64_t ahead_after_us; /* no tokens are fetched ahead of demand until then */
+  uint64_t started;       /* attempts to get tokens */
   uint64_t finished;
   enum sr_budget_verdict verdict; /* of the last attempt */
   int64_t refused_until_us;       /* an exhausted budget is not asked for again until then */
+  int64_t cannot_lend_until_us;   /* borrowers are told so, without another attempt */
   int64_t synced_used;            /* of the own record, as last written to the platform */
   int64_t synced_us;
 };
@@ -35,14 +43,21 @@
   char *data_centre;
   pthread_mutex_t mutex;
   pthread_cond_t changed;
-  GHashTable *entries;  /* name to struct sr_budget_entry */
-  struct sr_ring *work; /* entries that want tokens */
+  GHashTable *entries;                        /* name to struct sr_budget_entry */
+  struct sr_witness *witness;                 /* what this instance acknowledged to others */
+  struct sr_ring *work;                       /* entries that want tokens */
+  char bad_witness[SR_BUDGET_NAME_MAX_BYTES]; /* did not answer lately */
+  int64_t bad_witness_until_us;
+  int64_t started_us;
   int64_t platform_out_until_us;
+  bool leaving; /* everything is being given back: nothing is lent or fetched ahead */
   bool stopping;
-  bool started;
+  bool upkeep_started;
+  bool raiser_started;
   unsigned n_workers;
   pthread_t workers[SR_BUDGET_WORKERS];
   pthread_t upkeep;
+  pthread_t raiser;
 };
 
 enum sr_draw_result
@@ -52,6 +67,15 @@
   SR_DRAW_OUT    /* the platform could not be asked */
 };
 
+enum sr_ask_result
+{
+  SR_ASK_GAINED,
+  SR_ASK_NOTHING,
+  SR_ASK_PENDING,   /* the peer is fetching tokens */
+  SR_ASK_EXHAUSTED, /* the peer has none left and cannot get any */
+  SR_ASK_UNREACHABLE
+};
+
 /* entry.c */
 struct sr_budget_entry *
 sr_budget_entry_get (struct sr_budgets *budgets, const char *name);
@@ -59,6 +83,10 @@
 sr_budget_entry_free (void *data);
 void
 sr_budget_entry_enqueue (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void
+sr_budget_entry_note_holders (struct sr_budgets *budgets,
+                              struct sr_budget_entry *entry,
+                              const struct sr_record *record);
 
 /* draw.c */
 bool
@@ -68,6 +96,47 @@
 bool
 sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close);
 
+/* recover.c */
+bool
+sr_budget_recover (struct sr_budgets *budgets, const char *name, struct sr_record *record);
+
+/* peers.c */
+struct sr_member_view *
+sr_budget_view (struct sr_budgets *budgets);
+bool
+sr_budget_pick_witness (struct sr_budgets *budgets, struct sr_member *witness);
+enum sr_ask_result
+sr_budget_borrow (struct sr_budgets *budgets,
+                  struct sr_budget_entry *entry,
+                  const char *lender,
+                  int64_t need,
+                  bool last_resort);
+bool
+sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t keep);
+void
+sr_budget_recall (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+bool
+sr_budget_seal (struct sr_budgets *budgets,
+                const char *name,
+                const struct sr_record_holder *holder,
+                int64_t *ceiling);
+
+/* raise.c */
+bool
+sr_budget_raise (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need);
+void
+sr_budget_forget (struct sr_budgets *budgets,
+                  const char *name,
+                  const struct sr_holder_id *id,
+                  const char *witness,
+                  uint64_t witness_incarnation);
+void *
+sr_budget_raiser_run (void *data);
+
+/* acquire.c */
+void
+sr_budget_acquire (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+
 /* worker.c */
 void *
 sr_budget_worker_run (void *data);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -9,7 +9,9 @@
 {
   US_PER_MS = 1000,
   WORK_RING_CAPACITY = 4096,
+  WITNESS_HOLDERS_MAX = 100000,
   WAIT_MAX_US = 2000000,      /* longest wait of a reservation for tokens */
+  REFUSED_US = 300000,        /* after a refusal nobody is asked again for this long */
   RETRY_OUT_MS = 1000,        /* told to callers while the platform is out */
   RETRY_EXHAUSTED_MS = 30000, /* told to callers of an exhausted budget: only a top-up helps */
   HAND_OVER_POLL_US = 20000
@@ -37,9 +39,11 @@
 static void
 draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us);
 static bool
-hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+hand_over_entry_ (struct sr_budgets *budgets,
+                  struct sr_budget_entry *entry,
+                  int64_t loans_until_us);
 static GPtrArray *
-entries_with_record_ (struct sr_budgets *budgets);
+entries_with_tokens_ (struct sr_budgets *budgets);
 
 /* Creates the budgets of one instance. The caller owns them and frees them with
  * sr_budgets_delete. */
@@ -55,6 +59,8 @@
   sr_cond_init (&budgets->changed);
   budgets->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sr_budget_entry_free);
   budgets->work = sr_ring_new (WORK_RING_CAPACITY);
+  budgets->witness = sr_witness_new (WITNESS_HOLDERS_MAX);
+  budgets->started_us = g_get_monotonic_time ();
   sr_counter_register (&reserved_total);
   sr_counter_register (&exhausted_total);
   sr_counter_register (&unreachable_total);
@@ -69,6 +75,7 @@
     return;
   g_hash_table_unref (budgets->entries);
   sr_ring_delete (budgets->work);
+  sr_witness_delete (budgets->witness);
   pthread_cond_destroy (&budgets->changed);
   pthread_mutex_destroy (&budgets->mutex);
   g_free (budgets->instance);
@@ -89,7 +96,10 @@
     }
   if (!sr_thread_start (&budgets->upkeep, 0, sr_budget_upkeep_run, budgets))
     goto fail;
-  budgets->started = true;
+  budgets->upkeep_started = true;
+  if (!sr_thread_start (&budgets->raiser, 0, sr_budget_raiser_run, budgets))
+    goto fail;
+  budgets->raiser_started = true;
   return true;
 
 fail:
@@ -109,15 +119,12 @@
   for (unsigned i = 0; i < budgets->n_workers; i++)
     pthread_join (budgets->workers[i], NULL);
   budgets->n_workers = 0;
-  if (budgets->started)
+  if (budgets->upkeep_started)
     pthread_join (budgets->upkeep, NULL);
-  budgets->started = false;
-}
-
-/* Adds the messages of this slice to SERVER, before it is started. */
-void
-sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server)
-{
+  budgets->upkeep_started = false;
+  if (budgets->raiser_started)
+    pthread_join (budgets->raiser, NULL);
+  budgets->raiser_started = false;
 }
 
 /* Reserves TOKENS (> 0) of BUDGET. Out of what this instance holds at once; else it waits for more
@@ -215,17 +222,22 @@
 bool
 sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us)
 {
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t loans_until_us = now_us + (deadline_us - now_us) / 2;
   GPtrArray *entries;
   bool done = false;
 
+  pthread_mutex_lock (&budgets->mutex);
+  budgets->leaving = true;
+  pthread_mutex_unlock (&budgets->mutex);
   while (!done)
     {
       done = true;
-      entries = entries_with_record_ (budgets);
+      entries = entries_with_tokens_ (budgets);
       for (unsigned i = 0; i < entries->len; i++)
         {
           if (g_get_monotonic_time () >= deadline_us
-              || !hand_over_entry_ (budgets, entries->pdata[i]))
+              || !hand_over_entry_ (budgets, entries->pdata[i], loans_until_us))
             done = false;
         }
       g_ptr_array_unref (entries);
@@ -256,8 +268,11 @@
       if (!sr_cond_wait_until (&budgets->changed, &budgets->mutex, end_us))
         break;
       parts = sr_ledger_reserve (entry->ledger, tokens, g_get_monotonic_time ());
-      if (entry->finished >= attempt && entry->verdict != SR_BUDGET_RESERVED)
-        break;
+      if (parts == NULL && entry->finished >= attempt && entry->verdict != SR_BUDGET_RESERVED)
+        {
+          entry->refused_until_us = g_get_monotonic_time () + REFUSED_US;
+          break;
+        }
     }
   entry->waiting -= tokens;
   return parts;
@@ -266,18 +281,16 @@
 static void
 draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us)
 {
-  struct sr_ledger *ledger = entry->ledger;
-  int64_t target = sr_ledger_demand (ledger, now_us, ledger->options.cover_us);
-
-  if (now_us < entry->refused_until_us || sr_budget_platform_is_out (budgets, now_us))
+  if (entry->busy || budgets->leaving || now_us < entry->ahead_after_us)
     return;
-  if (sr_ledger_available (ledger) < target / 2 && !entry->busy)
+  if (sr_ledger_missing_ahead (entry->ledger, now_us) > 0)
     sr_budget_entry_enqueue (budgets, entry);
 }
 
 static bool
-hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t loans_until_us)
 {
+  bool has_loans;
   bool done = false;
 
   pthread_mutex_lock (&budgets->mutex);
@@ -285,7 +298,13 @@
     {
       entry->busy = true;
       pthread_mutex_unlock (&budgets->mutex);
-      sr_budget_give_back (budgets, entry, true);
+      sr_budget_recall (budgets, entry);
+      sr_budget_return_loans (budgets, entry, 0);
+      pthread_mutex_lock (&budgets->mutex);
+      has_loans = entry->ledger->own != NULL && entry->ledger->own->given > 0;
+      pthread_mutex_unlock (&budgets->mutex);
+      if (!has_loans || g_get_monotonic_time () >= loans_until_us)
+        sr_budget_give_back (budgets, entry, true);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
       done = entry->ledger->own == NULL;
@@ -295,7 +314,7 @@
 }
 
 static GPtrArray *
-entries_with_record_ (struct sr_budgets *budgets)
+entries_with_tokens_ (struct sr_budgets *budgets)
 {
   GPtrArray *entries = g_ptr_array_new ();
   GHashTableIter iterator;
@@ -307,7 +326,7 @@
     {
       struct sr_budget_entry *entry = value;
 
-      if (entry->ledger->own != NULL)
+      if (entry->ledger->sources->len > 0)
         g_ptr_array_add (entries, entry);
     }
   pthread_mutex_unlock (&budgets->mutex);
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -5,6 +5,7 @@
 enum
 {
   TRIES_MAX = 12,
+  KEEP_COVERS = 2, /* times the demand that is drawn: above it, tokens are given back */
   BACKOFF_MIN_US = 500,
   BACKOFF_SPREAD_US = 4000, /* for each try that lost against another writer */
   OUT_BACKOFF_US = 500000   /* an unreachable platform is asked again after this */
@@ -73,7 +74,25 @@
 bool
 sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close)
 {
-  return update_ (budgets, entry, close ? edit_close_ : edit_keep_, 0) != SR_DRAW_OUT;
+  struct sr_record_holder closed = { 0 };
+  bool reached;
+
+  pthread_mutex_lock (&budgets->mutex);
+  if (close && entry->ledger->own != NULL)
+    {
+      closed.id = entry->ledger->own->id;
+      closed.witness_incarnation = entry->ledger->own->witness_incarnation;
+      g_strlcpy (closed.witness, entry->ledger->own->witness, sizeof closed.witness);
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  reached = update_ (budgets, entry, close ? edit_close_ : edit_keep_, 0) != SR_DRAW_OUT;
+  pthread_mutex_lock (&budgets->mutex);
+  if (entry->ledger->own != NULL)
+    closed.witness[0] = '\0';
+  pthread_mutex_unlock (&budgets->mutex);
+  if (reached)
+    sr_budget_forget (budgets, entry->name, &closed.id, closed.witness, closed.witness_incarnation);
+  return reached;
 }
 
 /* A write whose answer was lost, or that another one has overtaken, is resolved by the next read.
@@ -93,8 +112,11 @@
       status = read_ (budgets, entry->name, &update);
       if (status != SR_PLATFORM_OK)
         break;
+      update.write = sr_budget_recover (budgets, entry->name, update.record);
       pthread_mutex_lock (&budgets->mutex);
       sr_ledger_read (entry->ledger, update.record, update.version);
+      sr_budget_entry_note_holders (budgets, entry, update.record);
+      update.write |= sr_ledger_close_left_over (entry->ledger, update.record);
       edit (budgets, entry, need, &update);
       pthread_mutex_unlock (&budgets->mutex);
       if (!update.write)
@@ -178,10 +200,10 @@
             struct update *update)
 {
   struct sr_ledger *ledger = entry->ledger;
-  int64_t available = sr_ledger_available (ledger);
+  int64_t available = sr_ledger_held (ledger);
   int64_t want = sr_ledger_demand (ledger, g_get_monotonic_time (), ledger->options.cover_us);
+  struct sr_member witness;
 
-  update->write = sr_ledger_close_left_over (ledger, update->record);
   need -= available;
   want -= available;
   if (MAX (need, want) <= 0)
@@ -190,7 +212,11 @@
     update->result = SR_DRAW_SHORT;
   if (sr_record_remaining (update->record) <= 0)
     return;
-  sr_ledger_draw (ledger, update->record, update->version, need, want, NULL, 0);
+  if (ledger->own == NULL && sr_budget_pick_witness (budgets, &witness))
+    sr_ledger_draw (ledger, update->record, update->version, need, want, witness.name,
+                    witness.incarnation);
+  else
+    sr_ledger_draw (ledger, update->record, update->version, need, want, NULL, 0);
   update->write = true;
 }
 
@@ -204,9 +230,8 @@
   int64_t now_us = g_get_monotonic_time ();
   int64_t keep = 0;
 
-  update->write = sr_ledger_close_left_over (ledger, update->record);
   if (sr_record_remaining (update->record) >= 0 && !sr_ledger_is_idle (ledger, now_us))
-    keep = sr_ledger_demand (ledger, now_us, ledger->options.cover_us);
+    keep = sr_ledger_demand (ledger, now_us, KEEP_COVERS * ledger->options.cover_us);
   if (sr_ledger_give_back (ledger, update->record, update->version, keep, false))
     update->write = true;
 }
@@ -217,7 +242,6 @@
              int64_t need,
              struct update *update)
 {
-  update->write = sr_ledger_close_left_over (entry->ledger, update->record);
   if (sr_ledger_give_back (entry->ledger, update->record, update->version, 0, true))
     update->write = true;
 }
--- a/src/budget/entry.c
+++ b/src/budget/entry.c
@@ -1,8 +1,11 @@
 #include "budget/budget-private.h"
 
+#include <string.h>
+
 enum
 {
   US_PER_S = 1000000,
+  LOAN_COVER_S = 5,
   CEILING_COVER_S = 5
 };
 
@@ -17,6 +20,7 @@
     .data_centre = budgets->data_centre,
     .incarnation = budgets->options.incarnation,
     .cover_us = (int64_t)budgets->options.allotment_cover_s * US_PER_S,
+    .loan_cover_us = (int64_t)LOAN_COVER_S * US_PER_S,
     .ceiling_cover_us = (int64_t)CEILING_COVER_S * US_PER_S,
     .idle_us = (int64_t)budgets->options.idle_return_s * US_PER_S,
   };
@@ -26,6 +30,7 @@
   entry = g_new0 (struct sr_budget_entry, 1);
   entry->name = g_strdup (name);
   entry->ledger = sr_ledger_new (&options);
+  entry->holders = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_insert (budgets->entries, entry->name, entry);
   return entry;
 }
@@ -37,6 +42,7 @@
   struct sr_budget_entry *entry = data;
 
   sr_ledger_delete (entry->ledger);
+  g_ptr_array_unref (entry->holders);
   g_free (entry->name);
   g_free (entry);
 }
@@ -48,3 +54,21 @@
   if (!entry->queued)
     entry->queued = sr_ring_try_push (budgets->work, entry);
 }
+
+/* Remembers the other instances that hold tokens according to RECORD. Called with the mutex held.
+ */
+void
+sr_budget_entry_note_holders (struct sr_budgets *budgets,
+                              struct sr_budget_entry *entry,
+                              const struct sr_record *record)
+{
+  g_ptr_array_set_size (entry->holders, 0);
+  for (unsigned i = 0; i < record->holders->len; i++)
+    {
+      const struct sr_record_holder *holder
+          = &g_array_index (record->holders, struct sr_record_holder, i);
+
+      if (strcmp (holder->id.instance, budgets->instance) != 0)
+        g_ptr_array_add (entry->holders, g_strdup (holder->id.instance));
+    }
+}
--- /dev/null
+++ b/src/budget/handlers.c
@@ -0,0 +1,192 @@
+#include "budget/budget-private.h"
+
+#include "budget/messages.h"
+
+#include <string.h>
+
+enum
+{
+  RECALL_PAUSE_US = 100000 /* between recalls that peers ask for */
+};
+
+static bool
+handle_borrow_ (void *in, void *out, void *data);
+static bool
+handle_recall_ (void *in, void *out, void *data);
+static bool
+handle_raise_ (void *in, void *out, void *data);
+static bool
+handle_seal_ (void *in, void *out, void *data);
+static void
+note_shortage_ (struct sr_budgets *budgets,
+                struct sr_budget_entry *entry,
+                const sr_budget_borrow_msg *request,
+                sr_budget_borrowed_msg *reply);
+
+static const struct sr_peer_procedure procedures[] = {
+  { SR_BUDGET_PROCEDURE_BORROW, (xdrproc_t)xdr_sr_budget_borrow_msg, sizeof (sr_budget_borrow_msg),
+    (xdrproc_t)xdr_sr_budget_borrowed_msg, sizeof (sr_budget_borrowed_msg), handle_borrow_ },
+  { SR_BUDGET_PROCEDURE_RECALL, (xdrproc_t)xdr_sr_budget_recall_msg, sizeof (sr_budget_recall_msg),
+    (xdrproc_t)xdr_sr_budget_recalled_msg, sizeof (sr_budget_recalled_msg), handle_recall_ },
+  { SR_BUDGET_PROCEDURE_RAISE, (xdrproc_t)xdr_sr_budget_raise_msg, sizeof (sr_budget_raise_msg),
+    (xdrproc_t)xdr_sr_budget_raised_msg, sizeof (sr_budget_raised_msg), handle_raise_ },
+  { SR_BUDGET_PROCEDURE_SEAL, (xdrproc_t)xdr_sr_budget_seal_msg, sizeof (sr_budget_seal_msg),
+    (xdrproc_t)xdr_sr_budget_sealed_msg, sizeof (sr_budget_sealed_msg), handle_seal_ },
+};
+
+/* Adds the messages of this slice to SERVER, before it is started. */
+void
+sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server)
+{
+  sr_peer_server_add (server, SR_PEER_PROGRAM_BUDGET, procedures, G_N_ELEMENTS (procedures),
+                      budgets);
+}
+
+/* Returns ID as it goes into a message; the string stays that of ID. */
+sr_budget_holder_msg
+sr_holder_to_message (const struct sr_holder_id *id)
+{
+  return (sr_budget_holder_msg){ .instance = (char *)id->instance,
+                                 .incarnation = id->incarnation,
+                                 .generation = id->generation };
+}
+
+/* Fills ID from MESSAGE. */
+void
+sr_holder_from_message (const sr_budget_holder_msg *message, struct sr_holder_id *id)
+{
+  *id = (struct sr_holder_id){ .incarnation = message->incarnation,
+                               .generation = message->generation };
+  g_strlcpy (id->instance, message->instance, sizeof id->instance);
+}
+
+/* Lends at once what is there, and has a worker fetch what is missing. */
+static bool
+handle_borrow_ (void *in, void *out, void *data)
+{
+  const sr_budget_borrow_msg *request = in;
+  sr_budget_borrowed_msg *reply = out;
+  struct sr_budgets *budgets = data;
+  struct sr_budget_entry *entry;
+  struct sr_loan_answer answer;
+  struct sr_holder_id lender;
+
+  sr_holder_from_message (&request->lender, &lender);
+  pthread_mutex_lock (&budgets->mutex);
+  entry = sr_budget_entry_get (budgets, request->budget);
+  entry->lent += sr_ledger_lend (entry->ledger, &lender, request->borrower,
+                                 request->borrower_incarnation, request->returned, request->need,
+                                 request->want, g_get_monotonic_time (), &answer);
+  reply->has_record = answer.has_record;
+  reply->lent = answer.lent;
+  reply->lender = sr_holder_to_message (&answer.lender);
+  reply->lender.instance = strdup (answer.lender.instance);
+  if (answer.lent < request->need && !budgets->stopping && !budgets->leaving)
+    note_shortage_ (budgets, entry, request, reply);
+  pthread_mutex_unlock (&budgets->mutex);
+  return true;
+}
+
+/* Returns what no reservation here waits for. */
+static bool
+handle_recall_ (void *in, void *out, void *data)
+{
+  const sr_budget_recall_msg *request = in;
+  sr_budget_recalled_msg *reply = out;
+  struct sr_budgets *budgets = data;
+  struct sr_budget_entry *entry;
+  struct sr_holder_id lender;
+
+  sr_holder_from_message (&request->lender, &lender);
+  pthread_mutex_lock (&budgets->mutex);
+  entry = g_hash_table_lookup (budgets->entries, request->budget);
+  if (entry != NULL)
+    reply->returned = sr_ledger_return_loan (entry->ledger, &lender, entry->waiting);
+  reply->incarnation = budgets->options.incarnation;
+  pthread_mutex_unlock (&budgets->mutex);
+  return true;
+}
+
+static bool
+handle_raise_ (void *in, void *out, void *data)
+{
+  const sr_budget_raise_msg *request = in;
+  sr_budget_raised_msg *reply = out;
+  struct sr_budgets *budgets = data;
+  struct sr_holder_id id = { .incarnation = request->incarnation };
+  unsigned length = request->items.items_len;
+
+  if (request->witness_incarnation != budgets->options.incarnation)
+    return true;
+  g_strlcpy (id.instance, request->instance, sizeof id.instance);
+  reply->items.items_val = calloc (MAX (length, 1), sizeof (sr_budget_raised_item));
+  reply->items.items_len = length;
+  pthread_mutex_lock (&budgets->mutex);
+  for (unsigned i = 0; i < length; i++)
+    {
+      const sr_budget_raise_item *item = &request->items.items_val[i];
+      sr_budget_raised_item *raised = &reply->items.items_val[i];
+      bool sealed = true;
+
+      id.generation = item->generation;
+      if (item->closed)
+        sr_witness_forget (budgets->witness, item->budget, &id);
+      else
+        raised->ceiling
+            = sr_witness_raise (budgets->witness, item->budget, &id, item->ceiling, &sealed);
+      raised->sealed = sealed;
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return true;
+}
+
+static bool
+handle_seal_ (void *in, void *out, void *data)
+{
+  const sr_budget_seal_msg *request = in;
+  sr_budget_sealed_msg *reply = out;
+  struct sr_budgets *budgets = data;
+  struct sr_holder_id id;
+
+  if (request->witness_incarnation != budgets->options.incarnation)
+    return true;
+  sr_holder_from_message (&request->holder, &id);
+  pthread_mutex_lock (&budgets->mutex);
+  reply->ceiling = sr_witness_seal (budgets->witness, request->budget, &id);
+  pthread_mutex_unlock (&budgets->mutex);
+  reply->known = true;
+  return true;
+}
+
+/* A last resort does not make this instance draw: it gets what the witness has yet to acknowledge,
+ * and what borrowers here can return. */
+static void
+note_shortage_ (struct sr_budgets *budgets,
+                struct sr_budget_entry *entry,
+                const sr_budget_borrow_msg *request,
+                sr_budget_borrowed_msg *reply)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  const struct sr_source *own = entry->ledger->own;
+  int64_t missing = request->need - reply->lent;
+  int64_t raisable = sr_ledger_held (entry->ledger) - sr_ledger_available (entry->ledger);
+
+  if (request->last_resort && raisable > 0)
+    entry->lend_need += MIN (missing, raisable);
+  else if (request->last_resort && own != NULL && own->given > 0
+           && now_us >= entry->recall_after_us)
+    {
+      entry->recall = true;
+      entry->recall_after_us = now_us + RECALL_PAUSE_US;
+    }
+  else if (!request->last_resort && now_us >= entry->cannot_lend_until_us)
+    entry->lend_need += missing;
+  else
+    {
+      reply->exhausted = true;
+      return;
+    }
+  reply->pending = true;
+  if (!entry->busy)
+    sr_budget_entry_enqueue (budgets, entry);
+}
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -78,6 +78,22 @@
   return sum;
 }
 
+/* Returns the tokens that could be reserved if the witness acknowledged the whole grant. */
+int64_t
+sr_ledger_held (const struct sr_ledger *ledger)
+{
+  const struct sr_source *own = ledger->own;
+  int64_t sum = sr_ledger_available (ledger);
+
+  if (own == NULL)
+    return sum;
+  sum -= sr_source_available (own);
+  return sum
+         + MAX ((own->in_doubt ? MIN (own->granted, own->doubt_granted) : own->granted)
+                    - sr_ledger_committed (ledger),
+                0);
+}
+
 /* Returns the tokens of the own open record that are used, reserved or out on loan. */
 int64_t
 sr_ledger_committed (const struct sr_ledger *ledger)
@@ -147,6 +163,18 @@
   return (int64_t)(ledger->rate * (double)cover_us / US_PER_S);
 }
 
+/* Returns the tokens that are missing for the demand to come, as soon as less than half of them is
+ * held: a holder covers more of it than a borrower. */
+int64_t
+sr_ledger_missing_ahead (struct sr_ledger *ledger, int64_t now_us)
+{
+  int64_t cover_us = ledger->own != NULL ? ledger->options.cover_us : ledger->options.loan_cover_us;
+  int64_t target = sr_ledger_demand (ledger, now_us, cover_us);
+  int64_t held = sr_ledger_held (ledger);
+
+  return held < target / 2 ? target - held : 0;
+}
+
 /* Tells whether nothing was reserved or lent for the idle time of the options. */
 bool
 sr_ledger_is_idle (const struct sr_ledger *ledger, int64_t now_us)
@@ -286,11 +314,21 @@
     own_close_ (ledger, own);
 }
 
+/* Stops using the witness of the own record, which could not be reached or has lost its memory:
+ * what was acknowledged may still be used, and the next draw opens a new record. */
+void
+sr_ledger_abandon (struct sr_ledger *ledger)
+{
+  if (ledger->own != NULL)
+    own_close_ (ledger, ledger->own);
+}
+
 /* Lends to BORROWER: takes over what it has RETURNED of record LENDER in all, then raises what was
  * lent in all to at least NEED, and up to WANT as long as that leaves half of what is available.
- * Both count from the beginning of record LENDER; where that is not the open one, they count from
- * 0 and nothing was returned. Fills ANSWER. */
-void
+ * All three count from the beginning of record LENDER, whose instance is empty for a borrower that
+ * knows of none. When it is another record than the open one, nothing is lent: ANSWER, which is
+ * filled in any case, tells the borrower where it stands. Returns the tokens lent now. */
+int64_t
 sr_ledger_lend (struct sr_ledger *ledger,
                 const struct sr_holder_id *lender,
                 const char *borrower,
@@ -302,13 +340,14 @@
                 struct sr_loan_answer *answer)
 {
   struct sr_source *own = ledger->own;
+  bool is_first = lender->instance[0] == '\0';
   struct sr_loan *loan;
   int64_t available;
   int64_t tokens;
 
   *answer = (struct sr_loan_answer){ 0 };
   if (own == NULL)
-    return;
+    return 0;
   loan = loan_of_ (own, borrower, incarnation);
   if (sr_holder_id_equal (lender, &own->id) && returned > loan->returned)
     {
@@ -320,7 +359,7 @@
   if (sr_holder_id_equal (lender, &own->id))
     tokens = MAX (need - loan->lent, MIN (want - loan->lent, available / 2));
   else
-    tokens = loan->lent > 0 ? 0 : MAX (need, MIN (want, available / 2));
+    tokens = is_first && loan->lent == 0 ? MAX (need, MIN (want, available / 2)) : 0;
   tokens = CLAMP (tokens, 0, available);
   loan->lent += tokens;
   own->given += tokens;
@@ -332,6 +371,7 @@
   answer->has_record = true;
   answer->lender = own->id;
   answer->lent = loan->lent;
+  return tokens;
 }
 
 /* Returns the open loan from instance LENDER, or NULL. */
@@ -348,6 +388,20 @@
   return NULL;
 }
 
+/* Tells whether something is available of a loan that can be returned. */
+bool
+sr_ledger_loans_left (const struct sr_ledger *ledger)
+{
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      const struct sr_source *source = ledger->sources->pdata[i];
+
+      if (!source->own && source->open && sr_source_available (source) > 0)
+        return true;
+    }
+  return false;
+}
+
 /* Takes over a lender's ANSWER. A loan of an earlier record of that lender is closed: what is left
  * of it may be used, but not returned. Returns the tokens gained. */
 int64_t
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -9,6 +9,7 @@
   const char *data_centre;
   uint64_t incarnation;
   int64_t cover_us;         /* demand that an allotment covers */
+  int64_t loan_cover_us;    /* demand that a loan covers */
   int64_t ceiling_cover_us; /* demand that a raise of the ceiling covers */
   int64_t idle_us;          /* without a reservation for this long, tokens are given back */
 };
@@ -74,6 +75,8 @@
 int64_t
 sr_ledger_available (const struct sr_ledger *ledger);
 int64_t
+sr_ledger_held (const struct sr_ledger *ledger);
+int64_t
 sr_ledger_committed (const struct sr_ledger *ledger);
 GArray *
 sr_ledger_reserve (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
@@ -81,6 +84,8 @@
 sr_ledger_settle (struct sr_ledger *ledger, GArray *parts, int64_t used);
 int64_t
 sr_ledger_demand (struct sr_ledger *ledger, int64_t now_us, int64_t cover_us);
+int64_t
+sr_ledger_missing_ahead (struct sr_ledger *ledger, int64_t now_us);
 bool
 sr_ledger_is_idle (const struct sr_ledger *ledger, int64_t now_us);
 
@@ -112,6 +117,9 @@
                   int64_t ceiling,
                   bool sealed);
 
+void
+sr_ledger_abandon (struct sr_ledger *ledger);
+
 /* Loans, lender's side. */
 struct sr_loan_answer
 {
@@ -120,7 +128,7 @@
   int64_t lent;
 };
 
-void
+int64_t
 sr_ledger_lend (struct sr_ledger *ledger,
                 const struct sr_holder_id *lender,
                 const char *borrower,
@@ -134,6 +142,8 @@
 /* Loans, borrower's side. */
 struct sr_source *
 sr_ledger_loan_from (const struct sr_ledger *ledger, const char *lender);
+bool
+sr_ledger_loans_left (const struct sr_ledger *ledger);
 int64_t
 sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
 int64_t
--- /dev/null
+++ b/src/budget/peers.c
@@ -0,0 +1,251 @@
+#include "budget/budget-private.h"
+
+#include "budget/budget_xdr.h"
+#include "budget/messages.h"
+
+#include <string.h>
+
+enum
+{
+  CALL_TIMEOUT_MS = 200
+};
+
+static bool
+address_of_ (struct sr_budgets *budgets, const char *name, struct sr_peer_address *address);
+static void
+recall_from_ (struct sr_budgets *budgets,
+              struct sr_budget_entry *entry,
+              const char *borrower,
+              const struct sr_holder_id *id);
+
+/* Returns the view of the other instances, to be given back with sr_member_view_unref, or NULL when
+ * this instance is alone. */
+struct sr_member_view *
+sr_budget_view (struct sr_budgets *budgets)
+{
+  if (budgets->options.peers == NULL)
+    return NULL;
+  if (budgets->options.view != NULL)
+    return budgets->options.view (budgets->options.view_data);
+  return budgets->options.members == NULL ? NULL : sr_members_view (budgets->options.members);
+}
+
+/* Sets WITNESS to the instance that should vouch for the records of this one: the same for all
+ * budgets, so that raises share a message, and of the same data centre where there is one. Called
+ * with the mutex held. Returns false when there is none. */
+bool
+sr_budget_pick_witness (struct sr_budgets *budgets, struct sr_member *witness)
+{
+  const char *const data_centres[] = { budgets->data_centre, NULL };
+  bool bad_counts = g_get_monotonic_time () < budgets->bad_witness_until_us;
+  struct sr_member_view *view;
+  bool found = false;
+
+  if (budgets->options.without_witness || (view = sr_budget_view (budgets)) == NULL)
+    return false;
+  for (unsigned i = 0; i < G_N_ELEMENTS (data_centres) && !found; i++)
+    {
+      GPtrArray *order = sr_member_view_order (view, budgets->instance, data_centres[i]);
+
+      for (unsigned j = 0; j < order->len && !found; j++)
+        {
+          const char *name = order->pdata[j];
+
+          if (strcmp (name, budgets->instance) == 0
+              || (bad_counts && strcmp (name, budgets->bad_witness) == 0))
+            continue;
+          *witness = *sr_member_view_find (view, name);
+          found = witness->incarnation != 0;
+        }
+      g_ptr_array_unref (order);
+    }
+  sr_member_view_unref (view);
+  return found;
+}
+
+/* Borrows from instance LENDER so that NEED more tokens can be reserved, and some ahead of demand.
+ * Blocks for one call. */
+enum sr_ask_result
+sr_budget_borrow (struct sr_budgets *budgets,
+                  struct sr_budget_entry *entry,
+                  const char *lender,
+                  int64_t need,
+                  bool last_resort)
+{
+  sr_budget_borrow_msg request = { 0 };
+  sr_budget_borrowed_msg reply = { 0 };
+  struct sr_holder_id id = { 0 };
+  struct sr_loan_answer answer = { 0 };
+  struct sr_peer_address address;
+  const struct sr_source *source;
+  enum sr_peer_status status;
+  int64_t ahead;
+  bool gained;
+
+  if (!address_of_ (budgets, lender, &address))
+    return SR_ASK_UNREACHABLE;
+  pthread_mutex_lock (&budgets->mutex);
+  source = sr_ledger_loan_from (entry->ledger, lender);
+  ahead = last_resort ? 0 : sr_ledger_missing_ahead (entry->ledger, g_get_monotonic_time ());
+  if (source != NULL)
+    {
+      id = source->id;
+      request.returned = source->given;
+      request.need = source->granted;
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  request.budget = entry->name;
+  request.borrower = budgets->instance;
+  request.borrower_incarnation = budgets->options.incarnation;
+  request.lender = sr_holder_to_message (&id);
+  request.want = request.need + MAX (need, ahead);
+  request.need += need;
+  request.last_resort = last_resort;
+  status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
+                         SR_BUDGET_PROCEDURE_BORROW, (xdrproc_t)xdr_sr_budget_borrow_msg, &request,
+                         (xdrproc_t)xdr_sr_budget_borrowed_msg, &reply, CALL_TIMEOUT_MS);
+  if (status != SR_PEER_OK)
+    return SR_ASK_UNREACHABLE;
+  answer.has_record = reply.has_record;
+  answer.lent = reply.lent;
+  sr_holder_from_message (&reply.lender, &answer.lender);
+  pthread_mutex_lock (&budgets->mutex);
+  gained = sr_ledger_borrowed (entry->ledger, &answer) > 0;
+  if (gained)
+    pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+  xdr_free ((xdrproc_t)xdr_sr_budget_borrowed_msg, (void *)&reply);
+  if (gained && !reply.pending)
+    return SR_ASK_GAINED;
+  if (answer.has_record && !sr_holder_id_equal (&answer.lender, &id))
+    return SR_ASK_PENDING; /* the lender's record is a new one: ask again under its name */
+  if (reply.pending)
+    return SR_ASK_PENDING;
+  return reply.exhausted ? SR_ASK_EXHAUSTED : SR_ASK_NOTHING;
+}
+
+/* Returns to each lender what is available of its loan, except KEEP tokens. Returns false when one
+ * could not be told. */
+bool
+sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t keep)
+{
+  GPtrArray *lenders = g_ptr_array_new_with_free_func (g_free);
+  bool told = true;
+
+  pthread_mutex_lock (&budgets->mutex);
+  for (unsigned i = 0; i < entry->ledger->sources->len; i++)
+    {
+      const struct sr_source *source = entry->ledger->sources->pdata[i];
+
+      if (source->own || !source->open || sr_source_available (source) <= keep)
+        continue;
+      sr_ledger_return_loan (entry->ledger, &source->id, keep);
+      g_ptr_array_add (lenders, g_strdup (source->id.instance));
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  for (unsigned i = 0; i < lenders->len; i++)
+    told = sr_budget_borrow (budgets, entry, lenders->pdata[i], 0, true) != SR_ASK_UNREACHABLE
+           && told;
+  g_ptr_array_unref (lenders);
+  return told;
+}
+
+/* Asks the borrowers of the own record to return what they do not need. Blocks for one call each.
+ */
+void
+sr_budget_recall (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+{
+  GPtrArray *borrowers = g_ptr_array_new_with_free_func (g_free);
+  const struct sr_source *own;
+  struct sr_holder_id id = { 0 };
+
+  pthread_mutex_lock (&budgets->mutex);
+  own = entry->ledger->own;
+  for (unsigned i = 0; own != NULL && i < own->loans->len; i++)
+    {
+      const struct sr_loan *loan = &g_array_index (own->loans, struct sr_loan, i);
+
+      id = own->id;
+      if (loan->lent > loan->returned)
+        g_ptr_array_add (borrowers, g_strdup (loan->borrower));
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  for (unsigned i = 0; i < borrowers->len; i++)
+    recall_from_ (budgets, entry, borrowers->pdata[i], &id);
+  g_ptr_array_unref (borrowers);
+}
+
+/* Has the witness of HOLDER's record of budget NAME seal it, and sets CEILING to what it had
+ * acknowledged. Returns false when the witness cannot be asked, or has lost its memory. */
+bool
+sr_budget_seal (struct sr_budgets *budgets,
+                const char *name,
+                const struct sr_record_holder *holder,
+                int64_t *ceiling)
+{
+  sr_budget_seal_msg request = { 0 };
+  sr_budget_sealed_msg reply = { 0 };
+  struct sr_peer_address address;
+  enum sr_peer_status status;
+
+  if (strcmp (holder->witness, budgets->instance) == 0)
+    {
+      if (holder->witness_incarnation != budgets->options.incarnation)
+        return false;
+      pthread_mutex_lock (&budgets->mutex);
+      *ceiling = sr_witness_seal (budgets->witness, name, &holder->id);
+      pthread_mutex_unlock (&budgets->mutex);
+      return true;
+    }
+  if (!address_of_ (budgets, holder->witness, &address))
+    return false;
+  request.budget = (char *)name;
+  request.holder = sr_holder_to_message (&holder->id);
+  request.witness_incarnation = holder->witness_incarnation;
+  status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
+                         SR_BUDGET_PROCEDURE_SEAL, (xdrproc_t)xdr_sr_budget_seal_msg, &request,
+                         (xdrproc_t)xdr_sr_budget_sealed_msg, &reply, CALL_TIMEOUT_MS);
+  *ceiling = reply.ceiling;
+  return status == SR_PEER_OK && reply.known;
+}
+
+/* An instance that is believed dead is not called: the belief may be wrong, but then it is asked
+ * again as soon as it is heard. */
+static bool
+address_of_ (struct sr_budgets *budgets, const char *name, struct sr_peer_address *address)
+{
+  struct sr_member_view *view = sr_budget_view (budgets);
+  const struct sr_member *member = view == NULL ? NULL : sr_member_view_find (view, name);
+  bool known = member != NULL && !member->is_self && member->state != SR_MEMBER_DEAD;
+
+  if (known)
+    *address = member->peer;
+  sr_member_view_unref (view);
+  return known;
+}
+
+static void
+recall_from_ (struct sr_budgets *budgets,
+              struct sr_budget_entry *entry,
+              const char *borrower,
+              const struct sr_holder_id *id)
+{
+  sr_budget_recall_msg request = { .budget = entry->name, .lender = sr_holder_to_message (id) };
+  sr_budget_recalled_msg reply = { 0 };
+  struct sr_peer_address address;
+  struct sr_loan_answer answer;
+  enum sr_peer_status status;
+
+  if (!address_of_ (budgets, borrower, &address))
+    return;
+  status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
+                         SR_BUDGET_PROCEDURE_RECALL, (xdrproc_t)xdr_sr_budget_recall_msg, &request,
+                         (xdrproc_t)xdr_sr_budget_recalled_msg, &reply, CALL_TIMEOUT_MS);
+  if (status != SR_PEER_OK || reply.returned == 0)
+    return;
+  pthread_mutex_lock (&budgets->mutex);
+  sr_ledger_lend (entry->ledger, id, borrower, reply.incarnation, reply.returned, 0, 0,
+                  g_get_monotonic_time (), &answer);
+  pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+}
--- /dev/null
+++ b/src/budget/raise.c
@@ -0,0 +1,198 @@
+#include "budget/budget-private.h"
+
+#include "base/thread.h"
+#include "budget/messages.h"
+
+#include <string.h>
+
+enum
+{
+  RAISE_INTERVAL_US = 50000,
+  RAISE_TIMEOUT_MS = 200,
+  BAD_WITNESS_US = 5000000, /* a witness that did not answer is not chosen for this long */
+  FAILURES_MAX = 3
+};
+
+/* The raises that go to one witness in one message. */
+struct batch
+{
+  char witness[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t witness_incarnation;
+  unsigned length;
+  struct sr_budget_entry *entries[SR_BUDGET_RAISES_MAX];
+  sr_budget_raise_item items[SR_BUDGET_RAISES_MAX];
+};
+
+static bool
+batch_add_ (struct batch *batch, struct sr_budget_entry *entry, int64_t need);
+static enum sr_peer_status
+batch_send_ (struct sr_budgets *budgets, struct batch *batch);
+static bool
+collect_ (struct sr_budgets *budgets, struct batch *batch);
+
+/* Raises the ceiling of ENTRY's own record so that NEED tokens can be reserved. Returns false when
+ * its witness does not answer, does not remember it, or has sealed it: the record is then given up,
+ * and a draw opens a new one. */
+bool
+sr_budget_raise (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need)
+{
+  struct batch batch = { .length = 0 };
+  enum sr_peer_status status = SR_PEER_OK;
+  bool kept = true;
+
+  for (unsigned i = 0; i < FAILURES_MAX; i++)
+    {
+      batch.length = 0;
+      pthread_mutex_lock (&budgets->mutex);
+      batch_add_ (&batch, entry, need);
+      pthread_mutex_unlock (&budgets->mutex);
+      if (batch.length == 0)
+        return true;
+      status = batch_send_ (budgets, &batch);
+      if (status == SR_PEER_OK)
+        break;
+    }
+  pthread_mutex_lock (&budgets->mutex);
+  if (status != SR_PEER_OK && !sr_budget_platform_is_out (budgets, g_get_monotonic_time ()))
+    {
+      g_strlcpy (budgets->bad_witness, batch.witness, sizeof budgets->bad_witness);
+      budgets->bad_witness_until_us = g_get_monotonic_time () + BAD_WITNESS_US;
+      sr_ledger_abandon (entry->ledger);
+    }
+  kept = entry->ledger->own != NULL;
+  pthread_mutex_unlock (&budgets->mutex);
+  return kept;
+}
+
+/* Tells WITNESS that the record ID of budget NAME was closed. Nothing is lost when it does not
+ * hear it. */
+void
+sr_budget_forget (struct sr_budgets *budgets,
+                  const char *name,
+                  const struct sr_holder_id *id,
+                  const char *witness,
+                  uint64_t witness_incarnation)
+{
+  struct batch batch = { .witness_incarnation = witness_incarnation, .length = 1 };
+
+  if (witness[0] == '\0')
+    return;
+  g_strlcpy (batch.witness, witness, sizeof batch.witness);
+  batch.items[0] = (sr_budget_raise_item){ .budget = (char *)name,
+                                           .generation = id->generation,
+                                           .closed = true };
+  batch_send_ (budgets, &batch);
+}
+
+/* The thread that raises ceilings ahead of demand, for many budgets with one message. */
+void *
+sr_budget_raiser_run (void *data)
+{
+  struct sr_budgets *budgets = data;
+  struct batch batch;
+
+  pthread_mutex_lock (&budgets->mutex);
+  while (!budgets->stopping)
+    {
+      bool more = collect_ (budgets, &batch);
+
+      if (batch.length > 0)
+        {
+          pthread_mutex_unlock (&budgets->mutex);
+          more = batch_send_ (budgets, &batch) == SR_PEER_OK && more;
+          pthread_mutex_lock (&budgets->mutex);
+        }
+      if (!more && !budgets->stopping)
+        {
+          int64_t end_us = g_get_monotonic_time () + RAISE_INTERVAL_US;
+
+          while (!budgets->stopping
+                 && sr_cond_wait_until (&budgets->changed, &budgets->mutex, end_us))
+            continue;
+        }
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return NULL;
+}
+
+/* Called with the mutex held. Returns false when ENTRY goes to another witness than the batch, or
+ * the batch is full. */
+static bool
+batch_add_ (struct batch *batch, struct sr_budget_entry *entry, int64_t need)
+{
+  const struct sr_source *own = entry->ledger->own;
+  int64_t ceiling = sr_ledger_ceiling_wanted (entry->ledger, need, g_get_monotonic_time ());
+
+  if (ceiling == 0)
+    return true;
+  if (batch->length == 0)
+    {
+      g_strlcpy (batch->witness, own->witness, sizeof batch->witness);
+      batch->witness_incarnation = own->witness_incarnation;
+    }
+  if (batch->length == SR_BUDGET_RAISES_MAX || strcmp (batch->witness, own->witness) != 0
+      || batch->witness_incarnation != own->witness_incarnation)
+    return false;
+  batch->entries[batch->length] = entry;
+  batch->items[batch->length++] = (sr_budget_raise_item){ .budget = entry->name,
+                                                          .generation = own->id.generation,
+                                                          .ceiling = ceiling };
+  return true;
+}
+
+static enum sr_peer_status
+batch_send_ (struct sr_budgets *budgets, struct batch *batch)
+{
+  sr_budget_raise_msg request = { .instance = budgets->instance,
+                                  .incarnation = budgets->options.incarnation,
+                                  .witness_incarnation = batch->witness_incarnation,
+                                  .items = { batch->length, batch->items } };
+  sr_budget_raised_msg reply = { 0 };
+  struct sr_holder_id id = { .incarnation = budgets->options.incarnation };
+  struct sr_member_view *view = sr_budget_view (budgets);
+  const struct sr_member *witness
+      = view == NULL ? NULL : sr_member_view_find (view, batch->witness);
+  enum sr_peer_status status = SR_PEER_UNREACHABLE;
+
+  g_strlcpy (id.instance, budgets->instance, sizeof id.instance);
+  if (witness != NULL)
+    status = sr_peer_call (budgets->options.peers, &witness->peer, SR_PEER_PROGRAM_BUDGET,
+                           SR_BUDGET_PROCEDURE_RAISE, (xdrproc_t)xdr_sr_budget_raise_msg, &request,
+                           (xdrproc_t)xdr_sr_budget_raised_msg, &reply, RAISE_TIMEOUT_MS);
+  sr_member_view_unref (view);
+  if (status != SR_PEER_OK)
+    return status;
+  pthread_mutex_lock (&budgets->mutex);
+  for (unsigned i = 0; i < batch->length; i++)
+    {
+      const sr_budget_raised_item *item = &reply.items.items_val[i];
+      bool forgotten = reply.items.items_len != batch->length;
+
+      if (batch->entries[i] == NULL)
+        continue;
+      id.generation = batch->items[i].generation;
+      sr_ledger_raised (batch->entries[i]->ledger, &id, forgotten ? 0 : item->ceiling,
+                        forgotten || item->sealed);
+    }
+  pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+  xdr_free ((xdrproc_t)xdr_sr_budget_raised_msg, (void *)&reply);
+  return status;
+}
+
+/* Fills BATCH with raises ahead of demand. Returns whether some had to be left out. Called with the
+ * mutex held. */
+static bool
+collect_ (struct sr_budgets *budgets, struct batch *batch)
+{
+  GHashTableIter iterator;
+  bool more = false;
+  void *value;
+
+  batch->length = 0;
+  g_hash_table_iter_init (&iterator, budgets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    if (!batch_add_ (batch, value, 0))
+      more = true;
+  return more;
+}
--- /dev/null
+++ b/src/budget/test-budget-peers.c
@@ -0,0 +1,291 @@
+/* Several instances in one process, joined by their messages: loans, the witness, and taking back
+ * what a crashed instance held. */
+#include "budget/budget.h"
+#include "budget/top-up.h"
+#include "platform/platform-memory.h"
+
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  FIRST_PORT = 20311,
+  INSTANCES = 4,
+  WAIT_US = 8000000,
+  PREPAID = 10000,
+  SIZE = 50
+};
+
+struct instance
+{
+  char name[8];
+  struct sr_peer_client *client;
+  struct sr_peer_server *server;
+  struct sr_budgets *budgets;
+};
+
+static pthread_mutex_t view_mutex = PTHREAD_MUTEX_INITIALIZER;
+static struct sr_member members[INSTANCES];
+static struct instance instances[INSTANCES];
+static struct sr_platform *platform;
+static const char *const data_centres[INSTANCES] = { "makole", "makole", "makole", "kikuyu" };
+
+static struct sr_member_view *
+view_ (void *data)
+{
+  struct sr_member_view *view;
+
+  pthread_mutex_lock (&view_mutex);
+  view = sr_member_view_new (members, INSTANCES);
+  pthread_mutex_unlock (&view_mutex);
+  for (size_t i = 0; i < view->length; i++)
+    view->members[i].is_self = g_str_equal (view->members[i].name, data);
+  return view;
+}
+
+static void
+set_state_ (unsigned index, enum sr_member_state state)
+{
+  pthread_mutex_lock (&view_mutex);
+  members[index].state = state;
+  pthread_mutex_unlock (&view_mutex);
+}
+
+static void
+start_ (unsigned index)
+{
+  struct instance *instance = &instances[index];
+  struct sr_peer_server_options server = { .address = "127.0.0.1", .port = FIRST_PORT + index };
+  struct sr_peer_client_options client = { .source_address = NULL };
+  struct sr_budgets_options options = { .platform = platform,
+                                        .view = view_,
+                                        .view_data = instance->name,
+                                        .instance = instance->name,
+                                        .data_centre = data_centres[index],
+                                        .allotment_cover_s = 30,
+                                        .idle_return_s = 60,
+                                        .settle_interval_ms = 100,
+                                        .seed = index };
+
+  g_snprintf (instance->name, sizeof instance->name, "i%u", index);
+  pthread_mutex_lock (&view_mutex);
+  options.incarnation = ++members[index].incarnation;
+  members[index].state = SR_MEMBER_ALIVE;
+  pthread_mutex_unlock (&view_mutex);
+  instance->client = sr_peer_client_new (&client);
+  instance->server = sr_peer_server_new (&server);
+  options.peers = instance->client;
+  instance->budgets = sr_budgets_new (&options);
+  sr_budgets_add_to_server (instance->budgets, instance->server);
+  assert_true (sr_peer_server_start (instance->server));
+  assert_true (sr_budgets_start (instance->budgets));
+}
+
+static void
+stop_ (unsigned index)
+{
+  struct instance *instance = &instances[index];
+
+  sr_budgets_stop (instance->budgets);
+  sr_peer_server_stop (instance->server);
+  sr_peer_server_delete (instance->server);
+  sr_budgets_delete (instance->budgets);
+  sr_peer_client_delete (instance->client);
+}
+
+static int
+set_up_ (void **state)
+{
+  struct sr_top_up_request request
+      = { .budget = "b", .id = "t", .who = "w", .tokens = PREPAID, .time_ms = 1 };
+  struct sr_top_up_result result;
+
+  platform = sr_platform_memory_new ();
+  sr_top_up_apply (platform, &request, &result);
+  for (unsigned i = 0; i < INSTANCES; i++)
+    {
+      g_snprintf (members[i].name, sizeof members[i].name, "i%u", i);
+      g_strlcpy (members[i].data_centre, data_centres[i], sizeof members[i].data_centre);
+      g_strlcpy (members[i].peer.ip, "127.0.0.1", sizeof members[i].peer.ip);
+      members[i].peer.port = FIRST_PORT + i;
+      members[i].incarnation = 0;
+    }
+  for (unsigned i = 0; i < INSTANCES; i++)
+    start_ (i);
+  return 0;
+}
+
+static int
+tear_down_ (void **state)
+{
+  for (unsigned i = 0; i < INSTANCES; i++)
+    stop_ (i);
+  sr_platform_unref (platform);
+  return 0;
+}
+
+static bool
+spend_ (unsigned index, int64_t tokens)
+{
+  struct sr_reservation *reservation;
+  int64_t retry_after_ms;
+
+  if (sr_budgets_reserve (instances[index].budgets, "b", tokens, g_get_monotonic_time () + WAIT_US,
+                          &reservation, &retry_after_ms)
+      != SR_BUDGET_RESERVED)
+    return false;
+  sr_budgets_settle (instances[index].budgets, reservation, tokens);
+  return true;
+}
+
+static struct sr_record *
+record_ (void)
+{
+  GString *body = g_string_new (NULL);
+  struct sr_record *record;
+  int64_t version;
+
+  assert_int_equal (sr_platform_get (platform, "budget", "b", body, &version), SR_PLATFORM_OK);
+  record = sr_record_parse (body->str, body->len);
+  g_string_free (body, TRUE);
+  assert_non_null (record);
+  return record;
+}
+
+static unsigned
+holders_in_ (const struct sr_record *record, const char *data_centre)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < record->holders->len; i++)
+    count += g_str_equal (g_array_index (record->holders, struct sr_record_holder, i).data_centre,
+                          data_centre);
+  return count;
+}
+
+/* All instances run the budget down: the last token is spent, none is refused before, and the
+ * platform knows one holder in each data centre. */
+static void
+test_runs_down_to_the_last_token (void **state)
+{
+  struct sr_record *record;
+  int64_t spent = 0;
+
+  for (unsigned i = 0; i < PREPAID / SIZE / 2; i++)
+    spent += spend_ (i % INSTANCES, SIZE) ? SIZE : 0;
+  assert_int_equal (spent, PREPAID / 2);
+  record = record_ ();
+  assert_int_equal (holders_in_ (record, "makole"), 1);
+  assert_int_equal (holders_in_ (record, "kikuyu"), 1);
+  sr_record_delete (record);
+  for (unsigned i = 0; i < PREPAID / SIZE / 2; i++)
+    spent += spend_ (i % INSTANCES, SIZE) ? SIZE : 0;
+  assert_int_equal (spent, PREPAID);
+  for (unsigned i = 0; i < INSTANCES; i++)
+    assert_false (spend_ (i, SIZE));
+}
+
+/* The holder crashes: its witness seals it, and what it had not been allowed to use can be spent by
+ * the others. */
+static void
+test_crashed_holder_is_taken_back (void **state)
+{
+  struct sr_record *record;
+  const struct sr_record_holder *holder;
+  unsigned crashed;
+  int64_t spent = 0;
+  int64_t granted;
+
+  for (unsigned i = 0; i < 20; i++)
+    spent += spend_ (i % 3, SIZE) ? SIZE : 0;
+  assert_int_equal (spent, 20 * SIZE);
+  record = record_ ();
+  holder = &g_array_index (record->holders, struct sr_record_holder, 0);
+  granted = holder->granted;
+  assert_true (holder->witness[0] != '\0');
+  crashed = (unsigned)(holder->id.instance[1] - '0');
+  sr_record_delete (record);
+  set_state_ (crashed, SR_MEMBER_DEAD);
+  stop_ (crashed);
+  while (spend_ ((crashed + 1) % 3, SIZE) || spend_ (3, SIZE))
+    spent += SIZE;
+  assert_in_range (spent, PREPAID - granted, PREPAID);
+  record = record_ ();
+  assert_int_equal (record->written_off, 0);
+  assert_true (record->settled > 0);
+  sr_record_delete (record);
+  start_ (crashed);
+}
+
+/* A holder is taken for dead while it lives: it spends no more than its witness had acknowledged,
+ * and goes on under a new record. */
+static void
+test_sealed_holder_lives_on (void **state)
+{
+  struct sr_record *record;
+  unsigned paused;
+  int64_t spent = 0;
+
+  for (unsigned i = 0; i < 20; i++)
+    spent += spend_ (i % 3, SIZE) ? SIZE : 0;
+  record = record_ ();
+  paused = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                      - '0');
+  sr_record_delete (record);
+  set_state_ (paused, SR_MEMBER_DEAD);
+  for (unsigned i = 0; i < 100 && spend_ ((paused + 1) % 3, SIZE); i++)
+    spent += SIZE;
+  while (spend_ (paused, SIZE) || spend_ ((paused + 1) % 3, SIZE) || spend_ (3, SIZE))
+    spent += SIZE;
+  assert_in_range (spent, PREPAID / 2, PREPAID);
+  set_state_ (paused, SR_MEMBER_ALIVE);
+}
+
+/* With the platform out, instances that hold nothing borrow from those that do. */
+static void
+test_outage_is_bridged_by_loans (void **state)
+{
+  unsigned served = 0;
+
+  for (unsigned i = 0; i < 20; i++)
+    assert_true (spend_ (0, SIZE));
+  sr_platform_memory_set_out (platform, true);
+  for (unsigned i = 0; i < 4; i++)
+    served += spend_ (1 + i % 3, SIZE);
+  assert_int_equal (served, 4);
+  sr_platform_memory_set_out (platform, false);
+}
+
+/* Everything is given back by a planned stop of all instances. */
+static void
+test_hand_over_returns_everything (void **state)
+{
+  struct sr_record *record;
+
+  for (unsigned i = 0; i < 16; i++)
+    assert_true (spend_ (i % INSTANCES, SIZE));
+  for (unsigned i = 0; i < INSTANCES; i++)
+    assert_true (sr_budgets_hand_over (instances[i].budgets, g_get_monotonic_time () + WAIT_US));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 0);
+  assert_int_equal (record->settled, 16 * SIZE);
+  sr_record_delete (record);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_runs_down_to_the_last_token, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_crashed_holder_is_taken_back, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_sealed_holder_lives_on, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -5,14 +5,13 @@
 enum
 {
   UPKEEP_INTERVAL_US = 100000,
-  US_PER_MS = 1000,
-  REFUSED_US = 300000 /* an exhausted budget is not asked for again before */
+  US_PER_MS = 1000
 };
 
-static void
-attempt_ (struct sr_budgets *budgets, struct sr_budget_entry *entry);
 static struct sr_budget_entry *
 pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
+static struct sr_budget_entry *
+pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us);
 
 /* A worker: gets tokens for the budgets in the ring until it is closed. */
 void *
@@ -31,7 +30,7 @@
         entry->busy = true;
       pthread_mutex_unlock (&budgets->mutex);
       if (entry != NULL)
-        attempt_ (budgets, entry);
+        sr_budget_acquire (budgets, entry);
     }
   return NULL;
 }
@@ -48,8 +47,15 @@
   while (!budgets->stopping)
     {
       int64_t now_us = g_get_monotonic_time ();
-      struct sr_budget_entry *entry = NULL;
+      struct sr_budget_entry *entry = pick_idle_loans_ (budgets, now_us);
 
+      if (entry != NULL)
+        {
+          pthread_mutex_unlock (&budgets->mutex);
+          sr_budget_return_loans (budgets, entry, 0);
+          pthread_mutex_lock (&budgets->mutex);
+          continue;
+        }
       if (now_us >= next_us && !sr_budget_platform_is_out (budgets, now_us))
         entry = pick_upkeep_ (budgets, now_us);
       if (entry == NULL)
@@ -64,7 +70,7 @@
       entry->busy = false;
       entry->synced_us = now_us;
       entry->synced_used = entry->ledger->own == NULL ? 0 : entry->ledger->own->used;
-      if (entry->waiting > 0)
+      if (entry->waiting > 0 || entry->lend_need > 0 || entry->recall)
         sr_budget_entry_enqueue (budgets, entry);
       next_us = now_us + settle_us;
     }
@@ -72,33 +78,6 @@
   return NULL;
 }
 
-static void
-attempt_ (struct sr_budgets *budgets, struct sr_budget_entry *entry)
-{
-  enum sr_draw_result result = SR_DRAW_OUT;
-  int64_t now_us = g_get_monotonic_time ();
-  int64_t need;
-  bool out;
-
-  pthread_mutex_lock (&budgets->mutex);
-  entry->started++;
-  need = entry->waiting;
-  out = sr_budget_platform_is_out (budgets, now_us);
-  pthread_mutex_unlock (&budgets->mutex);
-  if (!out)
-    result = sr_budget_draw (budgets, entry, need);
-  pthread_mutex_lock (&budgets->mutex);
-  entry->busy = false;
-  entry->finished = entry->started;
-  entry->verdict = result == SR_DRAW_DONE    ? SR_BUDGET_RESERVED
-                   : result == SR_DRAW_SHORT ? SR_BUDGET_EXHAUSTED
-                                             : SR_BUDGET_UNREACHABLE;
-  if (result == SR_DRAW_SHORT)
-    entry->refused_until_us = g_get_monotonic_time () + REFUSED_US;
-  pthread_cond_broadcast (&budgets->changed);
-  pthread_mutex_unlock (&budgets->mutex);
-}
-
 /* Returns the budget whose report to the platform is the oldest, or NULL when none has news. */
 static struct sr_budget_entry *
 pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us)
@@ -122,3 +101,21 @@
     }
   return oldest;
 }
+
+/* Returns a budget that is not in use here while something of a loan is left, or NULL. */
+static struct sr_budget_entry *
+pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us)
+{
+  GHashTableIter iterator;
+  void *value;
+
+  g_hash_table_iter_init (&iterator, budgets->entries);
+  while (g_hash_table_iter_next (&iterator, NULL, &value))
+    {
+      struct sr_budget_entry *entry = value;
+
+      if (sr_ledger_is_idle (entry->ledger, now_us) && sr_ledger_loans_left (entry->ledger))
+        return entry;
+    }
+  return NULL;
+}
