--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -46,6 +46,8 @@
 
 static void
 perform_look_up_ (struct performance *p);
+static bool
+follow_elsewhere_ (struct performance *p);
 static void
 perform_model_ (struct performance *p);
 static void
@@ -80,7 +82,7 @@
 static void
 answer_model_ (struct performance *p, const struct sr_backend_report *report);
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report);
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded);
 static bool
 place_bill_ (struct performance *p, const struct sr_run_result *result);
 static void
@@ -113,12 +115,14 @@
   p.failed = g_ptr_array_new_with_free_func (g_free);
   if (p.order->is_look_up)
     perform_look_up_ (&p);
+  else if (!p.service->repeatable)
+    perform_order_ (&p);
+  else if (follow_elsewhere_ (&p))
+    ;
   else if (p.service->kind == SR_SERVICE_MODEL)
     perform_model_ (&p);
-  else if (p.service->repeatable)
-    perform_plain_ (&p);
   else
-    perform_order_ (&p);
+    perform_plain_ (&p);
   g_ptr_array_unref (p.failed);
 }
 
@@ -133,6 +137,29 @@
   sr_claim_clear (&claim);
 }
 
+/* Joins the run of the same request at another instance, if there is one. Returns true when the run
+ * has ended with it. */
+static bool
+follow_elsewhere_ (struct performance *p)
+{
+  struct sr_run_result result;
+
+  if (!p->order->request_was_given || p->dispatch->options.peers == NULL)
+    return false;
+  switch (sr_run_peers_follow (p->dispatch->options.peers, p->run, &result, &p->may_have_run))
+    {
+    case SR_RUN_FOLLOWED_TO_END:
+      finish_ (p, &result);
+      return true;
+    case SR_RUN_FOLLOWED_OTHER_BODY:
+      refuse_ (p, SR_ERROR_KEY_REUSED, 0);
+      return true;
+    case SR_RUN_FOLLOWED_OURS:
+    default:
+      return false;
+    }
+}
+
 static void
 perform_model_ (struct performance *p)
 {
@@ -196,9 +223,10 @@
       && sr_admit_may_retry (p->dispatch->options.admit, p->order->service->str))
     return true;
   if (!p->may_have_run)
-    result.outcome = SR_OUTCOME_NOT_RUN;
-  if (!p->may_have_run)
-    result.error = SR_ERROR_NO_BACKEND;
+    {
+      result.outcome = sr_run_refusal_outcome (p->order);
+      result.error = SR_ERROR_NO_BACKEND;
+    }
   finish_ (p, &result);
   return false;
 }
@@ -266,7 +294,7 @@
                          ran ? p->service->call_tokens : 0);
       if (report.status == SR_BACKEND_ANSWERED)
         {
-          answer_plain_ (p, &report);
+          answer_plain_ (p, &report, false);
           return;
         }
       if (!after_failed_attempt_ (p, attempt, report.status))
@@ -285,7 +313,8 @@
           .fingerprint = { p->order->fingerprint[0], p->order->fingerprint[1] },
           .instance = p->dispatch->options.settings->name->str,
           .nonce = atomic_fetch_add (&p->dispatch->next_nonce, 1),
-          .now_ms = g_get_real_time () / 1000 };
+          .now_ms = g_get_real_time () / 1000,
+          .first_attempt = p->order->is_first_attempt };
   struct sr_backend_report report = { .status = SR_BACKEND_NOT_SENT, .running = -1 };
   struct sr_claim claim = { 0 };
   struct sr_backend_call call;
@@ -335,9 +364,10 @@
 
   if (report->status == SR_BACKEND_ANSWERED)
     {
-      sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED, report->result->str,
-                        report->result->len);
-      answer_plain_ (p, report);
+      bool is_recorded = sr_orders_finish (orders, request, claim, SR_OUTCOME_ANSWERED,
+                                           report->result->str, report->result->len);
+
+      answer_plain_ (p, report, is_recorded);
       return;
     }
   if (!p->may_have_run)
@@ -355,11 +385,12 @@
 static void
 finish_with_claim_ (struct performance *p, struct sr_claim *claim)
 {
-  struct sr_run_result result = { .outcome = SR_OUTCOME_NOT_RUN, .retry_after_ms = RETRY_LATER_MS };
+  struct sr_run_result result = { .outcome = claim->outcome, .retry_after_ms = RETRY_LATER_MS };
 
   switch (claim->verdict)
     {
     case SR_CLAIM_WON:
+    case SR_CLAIM_ABSENT:
       result.error = SR_ERROR_UNKNOWN_REQUEST;
       result.retry_after_ms = 0;
       break;
@@ -372,14 +403,10 @@
       result.retry_after_ms = 0;
       break;
     case SR_CLAIM_PLATFORM_OUT:
-      result.error = SR_ERROR_PLATFORM_OUT;
-      break;
     case SR_CLAIM_DOUBT:
-      result.outcome = SR_OUTCOME_UNKNOWN;
       result.error = SR_ERROR_PLATFORM_OUT;
       break;
     case SR_CLAIM_TAKEN:
-      result.outcome = claim->in_progress ? SR_OUTCOME_UNKNOWN : claim->outcome;
       result.error = claim->in_progress ? SR_ERROR_IN_PROGRESS : SR_ERROR_BACKEND_FAILED;
       if (result.outcome == SR_OUTCOME_NOT_RUN)
         result.error = SR_ERROR_NO_BACKEND;
@@ -432,6 +459,12 @@
     {
       query.now_us = g_get_monotonic_time ();
       verdict = sr_router_pick (p->dispatch->options.router, &query, &p->route);
+      if (verdict == SR_ROUTE_NONE && p->failed->len > 0)
+        {
+          /* All have failed this request once: any of them may be tried again. */
+          g_ptr_array_set_size (p->failed, 0);
+          continue;
+        }
       if (verdict != SR_ROUTE_BUSY || query.now_us >= p->order->deadline_us)
         break;
       g_usleep (PLACE_POLL_US);
@@ -553,15 +586,17 @@
   finish_ (p, &result);
 }
 
+/* Answers with a plain service's result. IS_RECORDED: the platform holds the outcome, so the caller
+ * gets the answer even when the bill has no second place. */
 static void
-answer_plain_ (struct performance *p, struct sr_backend_report *report)
+answer_plain_ (struct performance *p, struct sr_backend_report *report, bool is_recorded)
 {
   struct sr_run_result result
       = { .outcome = SR_OUTCOME_ANSWERED, .billed_tokens = p->service->call_tokens };
 
   sr_run_set_result_text (p->run, report->result->str, report->result->len);
   g_string_free (report->result, TRUE);
-  if (!place_bill_ (p, &result))
+  if (!place_bill_ (p, &result) && !is_recorded)
     {
       result = (struct sr_run_result){ .outcome = SR_OUTCOME_UNKNOWN,
                                        .error = SR_ERROR_BILL_NOT_PLACED,
@@ -589,7 +624,7 @@
 refuse_ (struct performance *p, enum sr_error error, int64_t retry_after_ms)
 {
   struct sr_run_result result
-      = { .outcome = p->may_have_run ? SR_OUTCOME_UNKNOWN : SR_OUTCOME_NOT_RUN,
+      = { .outcome = p->may_have_run ? SR_OUTCOME_UNKNOWN : sr_run_refusal_outcome (p->order),
           .error = error,
           .retry_after_ms = retry_after_ms };
 
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -42,8 +42,9 @@
 
 static const struct error_description errors[] = {
   { "none", "", 200 },
-  { "bad_json", "the body is not a JSON object", 400 },
-  { "bad_field", "a field of the body is missing, of the wrong type or out of range", 400 },
+  { "bad_json", "the body is not JSON", 400 },
+  { "bad_field",
+    "the body is no object, or a field of it is missing, of the wrong type or out of range", 400 },
   { "bad_header", "a header is malformed or missing", 400 },
   { "truncated", "the body ended before its length", 400 },
   { "bad_key", "no team has this key", 401 },
@@ -252,10 +253,21 @@
 /* Appends to OUT what the answer holds from byte OFFSET on. */
 void
 sr_run_copy_text (struct sr_run *run, size_t offset, GString *out)
+{
+  int64_t tokens;
+
+  sr_run_copy_from (run, offset, out, &tokens);
+}
+
+/* Like sr_run_copy_text; *TOKENS is set to the tokens of the whole answer so far, of the same
+ * moment. */
+void
+sr_run_copy_from (struct sr_run *run, size_t offset, GString *out, int64_t *tokens)
 {
   pthread_mutex_lock (&run->mutex);
   if (offset < run->text->len)
     g_string_append_len (out, run->text->str + offset, (gssize)(run->text->len - offset));
+  *tokens = run->tokens;
   pthread_mutex_unlock (&run->mutex);
 }
 
@@ -319,6 +331,16 @@
   return abandoned;
 }
 
+/* Returns what may be told of a request that this instance has not run: not run, or unknown when an
+ * earlier attempt, here or at another instance, may have run it. */
+enum sr_outcome
+sr_run_refusal_outcome (const struct sr_run_order *order)
+{
+  if (order->request_was_given && !order->is_first_attempt)
+    return SR_OUTCOME_UNKNOWN;
+  return SR_OUTCOME_NOT_RUN;
+}
+
 /* Returns the name of STATE. */
 const char *
 sr_run_state_to_string (enum sr_run_state state)
