--- a/src/member/member.c
+++ b/src/member/member.c
@@ -72,6 +72,8 @@
 static void
 call_ (struct sr_members *members, const struct sr_gossip_target *target);
 static void
+count_locked_ (struct sr_members *members);
+static void
 publish_ (struct sr_members *members);
 static void
 log_changes_ (const struct sr_member_view *before, const struct sr_member_view *after);
@@ -318,6 +320,7 @@
 
   pthread_mutex_lock (&members->mutex);
   sr_gossip_tick (members->gossip, g_get_monotonic_time (), targets);
+  count_locked_ (members);
   forget_view_locked_ (members);
   pthread_mutex_unlock (&members->mutex);
   for (guint i = 0; i < targets->len; i++)
@@ -342,6 +345,7 @@
     sr_gossip_handle_answer (members->gossip, g_get_monotonic_time (), target, &answer);
   else
     sr_gossip_handle_failure (members->gossip, g_get_monotonic_time (), target);
+  count_locked_ (members);
   forget_view_locked_ (members);
   pthread_mutex_unlock (&members->mutex);
   xdr_free ((xdrproc_t)xdr_member_message, &request);
@@ -349,29 +353,32 @@
     xdr_free ((xdrproc_t)xdr_member_message, &answer);
 }
 
-/* Sets the counters and logs the members whose state has changed. */
+/* Sets the counters, in the same step as what they count, so that they never lag behind a view. */
+static void
+count_locked_ (struct sr_members *members)
+{
+  const struct sr_gossip_counts *counts = sr_gossip_counts (members->gossip);
+
+  sr_counter_set (&suspects_total, (int64_t)counts->suspects);
+  sr_counter_set (&deaths_total, (int64_t)counts->deaths);
+  sr_counter_set (&returns_total, (int64_t)counts->returns);
+  sr_counter_set (&refuted_total, (int64_t)counts->refuted);
+  sr_counter_set (&pauses_total, (int64_t)counts->pauses);
+  sr_counter_set (&invalid_total, (int64_t)(counts->invalid + counts->full));
+  sr_counter_set (&stale_total, (int64_t)counts->stale);
+}
+
+/* Sets the gauges and logs the members whose state has changed. */
 static void
 publish_ (struct sr_members *members)
 {
-  struct sr_gossip_counts counts;
-  struct sr_member_view *view;
+  struct sr_member_view *view = sr_members_view (members);
   int64_t alive = 0;
 
-  pthread_mutex_lock (&members->mutex);
-  counts = *sr_gossip_counts (members->gossip);
-  view = view_locked_ (members);
-  pthread_mutex_unlock (&members->mutex);
   for (size_t i = 0; i < view->length; i++)
     alive += view->members[i].state == SR_MEMBER_ALIVE;
   sr_counter_set (&alive_gauge, alive);
   sr_counter_set (&known_gauge, (int64_t)view->length);
-  sr_counter_set (&suspects_total, (int64_t)counts.suspects);
-  sr_counter_set (&deaths_total, (int64_t)counts.deaths);
-  sr_counter_set (&returns_total, (int64_t)counts.returns);
-  sr_counter_set (&refuted_total, (int64_t)counts.refuted);
-  sr_counter_set (&pauses_total, (int64_t)counts.pauses);
-  sr_counter_set (&invalid_total, (int64_t)(counts.invalid + counts.full));
-  sr_counter_set (&stale_total, (int64_t)counts.stale);
   if (members->logged != NULL)
     log_changes_ (members->logged, view);
   sr_member_view_unref (members->logged);
@@ -430,6 +437,7 @@
 
   pthread_mutex_lock (&members->mutex);
   sr_gossip_handle_request (members->gossip, g_get_monotonic_time (), in, out);
+  count_locked_ (members);
   forget_view_locked_ (members);
   pthread_mutex_unlock (&members->mutex);
   return true;
