Streams go on after a crash whatever the retry budget; one run of a test program at a time

Going on with a stream that gained tokens is no load worth limiting, so it no longer takes from the retry budget; neither does a call of which nothing was sent. Test programs have fixed ports; they now wait for each other instead of failing in set-up. libtirpc decodes padding into one static buffer; the thread sanitizer is told so.

--- a/Makefile
+++ b/Makefile
@@ -98,7 +98,7 @@
 
 check-tsan:
 	@$(MAKE) --no-print-directory -s -j8 BUILD=build-tsan OPT='-O1 -g' SAN='-fsanitize=thread' unit-programs
-	@BUILD=build-tsan SUITE=tsan scripts/run-tests unit
+	@TSAN_OPTIONS=suppressions=scripts/tsan-suppressions.txt BUILD=build-tsan SUITE=tsan scripts/run-tests unit
 
 .PHONY: unit-programs
 unit-programs: $(UNIT)
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  ATTEMPTS_MAX = 3,
+  ATTEMPTS_IN_VAIN_MAX = 3, /* in a row, without a token gained */
   PLACE_POLL_US = 5000,
   AFFINITY_PREFIX_BYTES = 256,
   RETRY_SOON_MS = 500,
@@ -38,6 +38,7 @@
   int64_t started_us;
   bool has_place; /* counted as handed out no longer */
   bool may_have_run;
+  unsigned attempts_in_vain;
   GPtrArray *failed; /* names of backend servers that failed this request */
   struct sr_route route;
   struct sr_reservation *reservation;
@@ -55,9 +56,9 @@
 static void
 perform_order_ (struct performance *p);
 static bool
-try_model_once_ (struct performance *p, unsigned attempt);
+try_model_once_ (struct performance *p);
 static bool
-after_failed_attempt_ (struct performance *p, unsigned attempt, enum sr_backend_status status);
+after_failed_attempt_ (struct performance *p, enum sr_backend_status status, bool has_gained);
 static void
 settle_model_ (struct performance *p,
                const struct sr_backend_call *call,
@@ -163,15 +164,13 @@
 static void
 perform_model_ (struct performance *p)
 {
-  unsigned attempt = 0;
-
-  while (try_model_once_ (p, attempt))
-    attempt++;
+  while (try_model_once_ (p))
+    ;
 }
 
 /* Makes one attempt. Returns true when another one is to be made; else the run has ended. */
 static bool
-try_model_once_ (struct performance *p, unsigned attempt)
+try_model_once_ (struct performance *p)
 {
   int64_t bound = model_bound_ (p);
   struct sr_backend_report report;
@@ -200,12 +199,14 @@
       answer_model_ (p, &report);
       return false;
     }
-  return after_failed_attempt_ (p, attempt, report.status);
+  return after_failed_attempt_ (p, report.status, sr_run_tokens (p->run) > call.offset);
 }
 
-/* Decides after a failed attempt: true for another one, else the run is ended. */
+/* Decides after a failed attempt: true for another one, else the run is ended. Attempts that gained
+ * tokens or never reached a backend server are no load worth limiting; the others take from the
+ * retry budget. */
 static bool
-after_failed_attempt_ (struct performance *p, unsigned attempt, enum sr_backend_status status)
+after_failed_attempt_ (struct performance *p, enum sr_backend_status status, bool has_gained)
 {
   struct sr_run_result result = { .outcome = SR_OUTCOME_UNKNOWN,
                                   .error = SR_ERROR_BACKEND_FAILED,
@@ -219,8 +220,10 @@
       return false;
     }
   g_ptr_array_add (p->failed, g_strdup (p->route.backend));
-  if (attempt + 1 < ATTEMPTS_MAX
-      && sr_admit_may_retry (p->dispatch->options.admit, p->order->service->str))
+  p->attempts_in_vain = has_gained ? 0 : p->attempts_in_vain + 1;
+  if (p->attempts_in_vain < ATTEMPTS_IN_VAIN_MAX
+      && (has_gained || status == SR_BACKEND_NOT_SENT
+          || sr_admit_may_retry (p->dispatch->options.admit, p->order->service->str)))
     return true;
   if (!p->may_have_run)
     {
@@ -268,7 +271,7 @@
 static void
 perform_plain_ (struct performance *p)
 {
-  for (unsigned attempt = 0;; attempt++)
+  for (;;)
     {
       struct sr_backend_report report;
       struct sr_backend_call call;
@@ -297,7 +300,7 @@
           answer_plain_ (p, &report, false);
           return;
         }
-      if (!after_failed_attempt_ (p, attempt, report.status))
+      if (!after_failed_attempt_ (p, report.status, false))
         return;
     }
 }
--- a/testing/harness/harness.c
+++ b/testing/harness/harness.c
@@ -1,6 +1,7 @@
 #include "testing/harness/harness.h"
 
 #include "testing/harness/settings.h"
+#include "testing/harness/turn.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,6 +9,7 @@
 
 enum
 {
+  TURN_LIMIT_MS = 200000,
   PLATFORM_NUMBER = 200,
   BACKENDS_FROM = 100,
   POLL_MS = 20,
@@ -84,6 +86,7 @@
   const char *build = getenv ("BUILD");
 
   harness->options = *options;
+  harness->turn = harness_take_turn (options->port_base + HARNESS_PORT_TURN, TURN_LIMIT_MS);
   fill_defaults_ (&harness->options);
   harness->build = g_strdup (build != NULL ? build : "build");
   harness->directory
@@ -110,6 +113,7 @@
   harness_process_delete (harness->proxy);
   harness_process_delete (harness->platform);
   g_ptr_array_free (harness->others, TRUE);
+  harness_end_turn (harness->turn);
   g_free (harness->directory);
   g_free (harness->build);
   g_free (harness);
--- a/testing/harness/harness.h
+++ b/testing/harness/harness.h
@@ -46,6 +46,7 @@
   struct harness_options options;
   char *build;
   char *directory;
+  int turn; /* see turn.h */
   struct harness_process *platform;
   struct harness_process *proxy;
   struct harness_process *instances[HARNESS_INSTANCES_MAX + 1]; /* from 1 */
@@ -61,7 +62,8 @@
   HARNESS_PORT_BACKEND,
   HARNESS_PORT_PROXY,
   HARNESS_PORT_BALANCER,
-  HARNESS_PORT_BALANCER_CONTROL
+  HARNESS_PORT_BALANCER_CONTROL,
+  HARNESS_PORT_TURN = 9
 };
 
 bool
--- /dev/null
+++ b/testing/harness/turn.c
@@ -0,0 +1,43 @@
+#include "testing/harness/turn.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  POLL_US = 100000
+};
+
+/* Waits until no other run holds the UDP PORT of the loopback address, at most LIMIT_MS, and holds
+ * it. Returns the turn, to be ended with harness_end_turn, or -1. */
+int
+harness_take_turn (unsigned port, int64_t limit_ms)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  int64_t end_us = g_get_monotonic_time () + limit_ms * US_PER_MS;
+  int turn = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  while (turn >= 0 && bind (turn, (struct sockaddr *)&address, sizeof address) != 0)
+    {
+      if (g_get_monotonic_time () >= end_us)
+        {
+          close (turn);
+          return -1;
+        }
+      g_usleep (POLL_US);
+    }
+  return turn;
+}
+
+/* Lets the next run go. A negative TURN is allowed. */
+void
+harness_end_turn (int turn)
+{
+  if (turn >= 0)
+    close (turn);
+}
