--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -10,7 +10,7 @@
   { "check", "check files of settings or of configuration", cli_command_check },
   { "serve", "run one instance", cli_command_serve },
   { "submit", "put a configuration in force", cli_command_submit },
-  { "topup", "top up or correct a budget", sr_command_topup },
+  { "topup", "pay tokens into a budget", sr_command_topup },
   { "version", "print the version", cli_command_version },
 };
 
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -313,7 +313,8 @@
           .fingerprint = { p->order->fingerprint[0], p->order->fingerprint[1] },
           .instance = p->dispatch->options.settings->name->str,
           .nonce = atomic_fetch_add (&p->dispatch->next_nonce, 1),
-          .now_ms = g_get_real_time () / 1000 };
+          .now_ms = g_get_real_time () / 1000,
+          .first_attempt = p->order->is_first_attempt };
   struct sr_backend_report report = { .status = SR_BACKEND_NOT_SENT, .running = -1 };
   struct sr_claim claim = { 0 };
   struct sr_backend_call call;
@@ -458,6 +459,12 @@
     {
       query.now_us = g_get_monotonic_time ();
       verdict = sr_router_pick (p->dispatch->options.router, &query, &p->route);
+      if (verdict == SR_ROUTE_NONE && p->failed->len > 0)
+        {
+          /* All have failed this request once: any of them may be tried again. */
+          g_ptr_array_set_size (p->failed, 0);
+          continue;
+        }
       if (verdict != SR_ROUTE_BUSY || query.now_us >= p->order->deadline_us)
         break;
       g_usleep (PLACE_POLL_US);
@@ -489,8 +496,6 @@
       sr_histogram_observe (&queue_to_first_us, report->first_byte_us - p->started_us);
     }
   sr_router_done (p->dispatch->options.router, &p->route, &route_report);
-  sr_admit_served (p->dispatch->options.admit, p->order->service->str,
-                   route_report.now_us - p->route.picked_us);
 }
 
 static enum sr_route_result
@@ -627,7 +632,11 @@
 static void
 finish_ (struct performance *p, const struct sr_run_result *result)
 {
+  int64_t took_us = p->has_place ? g_get_monotonic_time () - p->started_us : 0;
+
   if (!p->has_place && !p->order->is_look_up)
     sr_dispatch_got_place_ (p->dispatch, p->run);
+  if (!p->order->is_look_up)
+    sr_admit_served (p->dispatch->options.admit, p->order->service->str, took_us);
   sr_dispatch_finish_ (p->dispatch, p->run, result);
 }
