serve: the configuration comes from the watch in place of polling

In src/entry/serve.c, which is the lead's: the watch is built, answers peers, tells the members the revision in force and makes the instance ready with the first one. The loop that polled the platform is gone.

--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "bill/bill.h"
 #include "budget/budget.h"
-#include "config/store.h"
+#include "config/watch.h"
 #include "dispatch/dispatch.h"
 #include "entry/entry.h"
 #include "member/member.h"
@@ -18,6 +18,7 @@
 
 #include <jansson.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <time.h>
 
@@ -28,7 +29,6 @@
   US_PER_S = 1000000,
   NS_PER_MS = 1000000,
   SIGNAL_POLL_MS = 50,
-  CONFIG_POLL_MS = 500,
   LEAVING_MS = 500,
   ORDER_RETRY_MS = 1000,
   ORDER_REMOVAL_S = 60,
@@ -37,7 +37,8 @@
   ADMIT_SEED_SALT = 2,
   DISPATCH_SEED_SALT = 3,
   BUDGET_SEED_SALT = 4,
-  MEMBER_SEED_SALT = 5
+  MEMBER_SEED_SALT = 5,
+  CONFIG_SEED_SALT = 6
 };
 
 /* All that an instance is made of, in the order it is built. */
@@ -51,6 +52,7 @@
   struct sr_peer_server *peer_server;
   struct sr_members *members;
   struct sr_config_current *current;
+  struct sr_config_watch *watch;
   struct sr_budgets *budgets;
   struct sr_bills *bills;
   struct sr_orders *orders;
@@ -61,6 +63,7 @@
   struct sr_run_peers *run_peers;
   struct sr_dispatch *dispatch;
   struct sr_entry *entry;
+  _Atomic bool stopping;
 };
 
 static bool
@@ -83,6 +86,10 @@
 run_until_stopped_ (struct instance *instance);
 static void
 stop_gracefully_ (struct instance *instance);
+static size_t
+list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data);
+static void
+config_applied_ (struct sr_config *config, void *data);
 static bool
 has_signal_ (int wait_ms);
 static void
@@ -172,7 +179,18 @@
 static bool
 build_configuration_ (struct instance *instance)
 {
+  struct sr_config_watch_options options = { .platform = instance->platform,
+                                             .client = instance->peer_client,
+                                             .watch_ms = (int)instance->settings->platform_watch_ms,
+                                             .seed = instance->seed + CONFIG_SEED_SALT,
+                                             .list_peers = list_config_peers_,
+                                             .applied = config_applied_,
+                                             .data = instance };
+
   instance->current = sr_config_current_new ();
+  options.current = instance->current;
+  instance->watch = sr_config_watch_new (&options);
+  sr_config_watch_add_to_server (instance->watch, instance->peer_server);
   return true;
 }
 
@@ -273,6 +291,11 @@
       sr_log (G_LOG_LEVEL_CRITICAL, "start", "the entry's address can't be had");
       return false;
     }
+  if (!sr_config_watch_start (instance->watch))
+    {
+      sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
+      return false;
+    }
   return true;
 }
 
@@ -280,6 +303,8 @@
 static void
 tear_down_ (struct instance *instance)
 {
+  if (instance->watch != NULL)
+    sr_config_watch_stop (instance->watch);
   if (instance->dispatch != NULL)
     sr_dispatch_stop (instance->dispatch);
   sr_entry_delete (instance->entry);
@@ -294,6 +319,7 @@
   sr_run_table_delete (instance->table);
   sr_bills_delete (instance->bills);
   sr_budgets_delete (instance->budgets);
+  sr_config_watch_delete (instance->watch);
   sr_config_current_delete (instance->current);
   sr_members_delete (instance->members);
   sr_peer_server_delete (instance->peer_server);
@@ -304,22 +330,42 @@
 static void
 run_until_stopped_ (struct instance *instance)
 {
-  while (!has_signal_ (CONFIG_POLL_MS))
+  while (!has_signal_ (SIGNAL_POLL_MS))
+    ;
+}
+
+/* Lists the other instances that may have a configuration. */
+static size_t
+list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data)
+{
+  struct instance *instance = data;
+  struct sr_member_view *view = sr_members_view (instance->members);
+  size_t count = 0;
+
+  for (size_t i = 0; i < view->length && count < max; i++)
     {
-      GString *text = g_string_new (NULL);
-      struct sr_findings *findings = sr_findings_new ();
-      struct sr_config *config = NULL;
-      int64_t revision = 0;
-
-      if (sr_config_fetch (instance->platform, text, &revision, g_get_monotonic_time () + US_PER_S)
-          == SR_PLATFORM_OK)
-        config = sr_config_parse ("platform", text->str, text->len, revision, findings);
-      if (config != NULL && sr_config_current_apply (instance->current, config))
-        sr_entry_set_ready (instance->entry, true);
-      sr_config_unref (config);
-      sr_findings_delete (findings);
-      g_string_free (text, TRUE);
+      const struct sr_member *member = &view->members[i];
+
+      if (member->is_self || member->state == SR_MEMBER_DEAD || member->revision == 0)
+        continue;
+      peers[count].address = member->peer;
+      peers[count].revision = member->revision;
+      count++;
     }
+  sr_member_view_unref (view);
+  return count;
+}
+
+/* Tells the others of the new revision and takes requests from the first one on. */
+static void
+config_applied_ (struct sr_config *config, void *data)
+{
+  struct instance *instance = data;
+
+  sr_members_set_revision (instance->members, sr_config_revision (config));
+  sr_entry_set_ready (instance->entry, true);
+  if (atomic_load (&instance->stopping))
+    sr_entry_set_ready (instance->entry, false);
 }
 
 /* Not ready first, then no new connections, then the requests in progress, then what is held. */
@@ -330,6 +376,7 @@
 
   sr_log (G_LOG_LEVEL_MESSAGE, "stop", "leaving, %u requests in progress",
           sr_run_table_in_progress (instance->table));
+  atomic_store (&instance->stopping, true);
   sr_entry_set_ready (instance->entry, false);
   sr_members_set_leaving (instance->members);
   has_signal_ (LEAVING_MS);
