--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -7,6 +7,7 @@
 #include "budget/budget.h"
 #include "config/watch.h"
 #include "dispatch/dispatch.h"
+#include "drain/drain.h"
 #include "entry/entry.h"
 #include "member/member.h"
 #include "order/upkeep.h"
@@ -28,8 +29,7 @@
   EXIT_FAILED = 1,
   US_PER_S = 1000000,
   NS_PER_MS = 1000000,
-  SIGNAL_POLL_MS = 50,
-  LEAVING_MS = 500,
+  LEAVE_MS = 500,
   ORDER_RETRY_MS = 1000,
   ORDER_REMOVAL_S = 60,
   ORDER_REMOVAL_PAGE = 100,
@@ -82,23 +82,35 @@
 start_ (struct instance *instance);
 static void
 tear_down_ (struct instance *instance);
-static void
+static bool
 run_until_stopped_ (struct instance *instance);
-static void
-stop_gracefully_ (struct instance *instance);
 static size_t
 list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data);
 static void
 config_applied_ (struct sr_config *config, void *data);
-static bool
-has_signal_ (int wait_ms);
 static void
-block_signals_ (void);
+leave_ (void *data);
+static void
+close_ (void *data);
+static unsigned
+in_progress_ (void *data);
+static bool
+hand_over_bills_ (int64_t end_us, void *data);
+static bool
+hand_over_budgets_ (int64_t end_us, void *data);
 static void
 print_status_ (GString *out, void *data);
 static void
 print_members_ (struct instance *instance, GString *out);
 
+static const struct sr_drain_vtable drain_vtable = {
+  .leave = leave_,
+  .close = close_,
+  .in_progress = in_progress_,
+  .hand_over_bills = hand_over_bills_,
+  .hand_over_budgets = hand_over_budgets_,
+};
+
 /* Runs an instance by SETTINGS until SIGTERM or SIGINT, then stops it gracefully. Returns the exit
  * status of the process: 0 after a complete stop, 1 when it could not start or something was left.
  */
@@ -110,13 +122,15 @@
                                .seed = (uint32_t)g_random_int () };
   int status = EXIT_FAILED;
 
-  block_signals_ ();
+  signal (SIGPIPE, SIG_IGN);
+  sr_drain_block_signals ();
   if (!build_ (&instance) || !start_ (&instance))
     goto out;
   sr_log (G_LOG_LEVEL_MESSAGE, "start", "listening on %s:%u, peers on %u",
           settings->listen_address->str, settings->entry_port, settings->peer_port);
-  run_until_stopped_ (&instance);
-  stop_gracefully_ (&instance);
+  /* What is left may still be in use: the process ends around it. */
+  if (!run_until_stopped_ (&instance))
+    return EXIT_FAILED;
   status = EXIT_OK;
 
 out:
@@ -318,6 +332,8 @@
   sr_run_peers_delete (instance->run_peers);
   sr_run_table_delete (instance->table);
   sr_bills_delete (instance->bills);
+  if (instance->budgets != NULL)
+    sr_budgets_stop (instance->budgets);
   sr_budgets_delete (instance->budgets);
   sr_config_watch_delete (instance->watch);
   sr_config_current_delete (instance->current);
@@ -327,13 +343,6 @@
   sr_platform_unref (instance->platform);
 }
 
-static void
-run_until_stopped_ (struct instance *instance)
-{
-  while (!has_signal_ (SIGNAL_POLL_MS))
-    ;
-}
-
 /* Lists the other instances that may have a configuration. */
 static size_t
 list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data)
@@ -368,52 +377,63 @@
     sr_entry_set_ready (instance->entry, false);
 }
 
-/* Not ready first, then no new connections, then the requests in progress, then what is held. */
+/* Waits for a signal and stops in order. Returns whether nothing was left when the stop ended. */
+static bool
+run_until_stopped_ (struct instance *instance)
+{
+  struct sr_drain_options options = { .vtable = &drain_vtable,
+                                      .data = instance,
+                                      .leave_ms = LEAVE_MS,
+                                      .limit_s = instance->settings->stop_limit_s };
+  struct sr_drain *drain = sr_drain_new (&options);
+  bool clean;
+
+  clean = sr_drain_run (drain);
+  sr_drain_delete (drain);
+  return clean;
+}
+
 static void
-stop_gracefully_ (struct instance *instance)
+leave_ (void *data)
 {
-  int64_t limit_us = g_get_monotonic_time () + (int64_t)instance->settings->stop_limit_s * US_PER_S;
+  struct instance *instance = data;
 
-  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "leaving, %u requests in progress",
-          sr_run_table_in_progress (instance->table));
   atomic_store (&instance->stopping, true);
   sr_entry_set_ready (instance->entry, false);
   sr_members_set_leaving (instance->members);
-  has_signal_ (LEAVING_MS);
-  sr_entry_close_listener (instance->entry);
-  while (sr_run_table_in_progress (instance->table) + sr_entry_open_requests (instance->entry) > 0
-         && g_get_monotonic_time () < limit_us)
-    g_usleep (SIGNAL_POLL_MS * 1000);
-  sr_budgets_hand_over (instance->budgets, limit_us);
-  sr_bills_hand_over (instance->bills, limit_us);
-  sr_order_upkeep_hand_over (instance->order_upkeep, limit_us);
-  sr_log (G_LOG_LEVEL_MESSAGE, "stop", "stopped, %u requests left",
-          sr_run_table_in_progress (instance->table));
 }
 
 static void
-block_signals_ (void)
+close_ (void *data)
 {
-  sigset_t signals;
+  struct instance *instance = data;
 
-  signal (SIGPIPE, SIG_IGN);
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  sr_entry_close_listener (instance->entry);
+}
+
+static unsigned
+in_progress_ (void *data)
+{
+  struct instance *instance = data;
+
+  return sr_run_table_in_progress (instance->table) + sr_entry_open_requests (instance->entry);
 }
 
-/* Waits up to WAIT_MS for SIGTERM or SIGINT, which block_signals_ has blocked. */
 static bool
-has_signal_ (int wait_ms)
+hand_over_bills_ (int64_t end_us, void *data)
 {
-  struct timespec wait = { .tv_nsec = (long)wait_ms * NS_PER_MS };
-  sigset_t signals;
+  struct instance *instance = data;
+  bool bills = sr_bills_hand_over (instance->bills, end_us);
+
+  return sr_order_upkeep_hand_over (instance->order_upkeep, end_us) && bills;
+}
+
+static bool
+hand_over_budgets_ (int64_t end_us, void *data)
+{
+  struct instance *instance = data;
 
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  return sigtimedwait (&signals, NULL, &wait) > 0;
+  return sr_budgets_hand_over (instance->budgets, end_us);
 }
 
 static void
