Bills with a second place; names of fixed length in messages

Cause: a bill written to the platform one by one waits for it and is lost in an outage; the thread sanitizer saw libtirpc decode padding into a buffer shared by all threads. Change: a bill is copied to a peer before the answer ends, batches go to the platform numbered and created once, peers write the bills of the dead, readers drop repeats by team and request. Names in messages are of fixed length, lines are filled up to whole XDR units. entry/serve.c passes peers and members to the bills and starts them.

--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -1,60 +1,438 @@
 #include "bill/bill.h"
 
+#include "base/counters.h"
+#include "base/log.h"
+#include "base/thread.h"
+#include "bill/bill_xdr.h"
+#include "bill/book.h"
+
 #include <jansson.h>
-#include <stdio.h>
+#include <pthread.h>
 #include <string.h>
 
+enum
+{
+  WRITE_INTERVAL_DEFAULT_MS = 5000,
+  KEEP_TIMEOUT_MS = 200,
+  KEEPERS_MAX = 2, /* peers tried for a copy before the platform is */
+  US_PER_MS = 1000,
+  HAND_OVER_POLL_US = 50000,
+  PROCEDURE_KEEP = 1,
+  XDR_UNIT_BYTES = 4
+};
+
 struct sr_bills
 {
   struct sr_bills_options options;
-  _Atomic uint64_t next_batch;
+  char *instance;
+  char *data_centre;
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
+  struct sr_book *book;
+  pthread_t writer;
+  bool writing; /* a batch is on its way to the platform */
+  bool started;
+  bool stopping;
 };
 
-/* Creates the bills of one instance. The platform must outlive them. The caller owns them. */
+static struct sr_counter recorded_total = { .name = "bills_total", .help = "Bills recorded." };
+static struct sr_counter waiting_bills
+    = { .name = "bills_waiting", .help = "Bills that are not on the platform yet." };
+static struct sr_counter adopted_total
+    = { .name = "bills_adopted_total", .help = "Bills written for instances believed dead." };
+
+static void *
+writer_run_ (void *data);
+static bool
+write_batch_ (struct sr_bills *bills);
+static void
+copy_again_ (struct sr_bills *bills);
+static void
+adopt_ (struct sr_bills *bills);
+static void
+tell_written_ (struct sr_bills *bills);
+static bool
+copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line);
+static bool
+keep_at_ (struct sr_bills *bills,
+          const struct sr_member *member,
+          uint64_t number,
+          const char *line);
+static GPtrArray *
+keepers_ (struct sr_bills *bills, const struct sr_member_view *view);
+static struct sr_member_view *
+view_ (struct sr_bills *bills);
+static bool
+handle_keep_ (void *in, void *out, void *data);
+
+static const struct sr_peer_procedure procedures[] = {
+  { PROCEDURE_KEEP, (xdrproc_t)xdr_sr_bill_keep_msg, sizeof (sr_bill_keep_msg),
+    (xdrproc_t)xdr_sr_bill_kept_msg, sizeof (sr_bill_kept_msg), handle_keep_ },
+};
+
+/* Creates the bills of one instance, to be freed with sr_bills_delete. */
 struct sr_bills *
 sr_bills_new (const struct sr_bills_options *options)
 {
   struct sr_bills *bills = g_new0 (struct sr_bills, 1);
 
   bills->options = *options;
+  if (options->write_interval_ms == 0)
+    bills->options.write_interval_ms = WRITE_INTERVAL_DEFAULT_MS;
+  bills->instance = g_strdup (options->instance);
+  bills->data_centre = g_strdup (options->data_centre);
+  pthread_mutex_init (&bills->mutex, NULL);
+  sr_cond_init (&bills->changed);
+  bills->book = sr_book_new ();
+  sr_counter_register (&recorded_total);
+  sr_counter_register (&waiting_bills);
+  sr_counter_register (&adopted_total);
   return bills;
 }
 
-/* Frees BILLS. NULL is allowed. */
+/* Starts the thread that writes batches to the platform. Returns false when there is none. */
+bool
+sr_bills_start (struct sr_bills *bills)
+{
+  bills->started = sr_thread_start (&bills->writer, 0, writer_run_, bills);
+  return bills->started;
+}
+
+/* Ends that thread. Bills not yet written stay with the peers that keep copies. */
+void
+sr_bills_stop (struct sr_bills *bills)
+{
+  pthread_mutex_lock (&bills->mutex);
+  bills->stopping = true;
+  pthread_cond_broadcast (&bills->changed);
+  pthread_mutex_unlock (&bills->mutex);
+  if (bills->started)
+    pthread_join (bills->writer, NULL);
+  bills->started = false;
+}
+
+/* Stops and frees BILLS. NULL is allowed. */
 void
 sr_bills_delete (struct sr_bills *bills)
 {
+  if (bills == NULL)
+    return;
+  sr_bills_stop (bills);
+  sr_book_delete (bills->book);
+  pthread_cond_destroy (&bills->changed);
+  pthread_mutex_destroy (&bills->mutex);
+  g_free (bills->instance);
+  g_free (bills->data_centre);
   g_free (bills);
 }
 
-/* Writes BILL to the platform as a batch of one. Returns false when the platform did not take it.
- */
+/* Adds the messages of this slice to SERVER, before it is started. */
+void
+sr_bills_add_to_server (struct sr_bills *bills, struct sr_peer_server *server)
+{
+  sr_peer_server_add (server, SR_PEER_PROGRAM_BILL, procedures, G_N_ELEMENTS (procedures), bills);
+}
+
+/* Records BILL. Returns true once a second place has it: a peer's memory, else the platform; false
+ * when neither had it by the monotonic DEADLINE_US, or this instance has no room. The bill is
+ * written even then, as soon as that can be done: its request was run. */
 bool
 sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us)
 {
-  json_t *root = json_pack ("[{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}]", "team", bill->team, "budget",
+  json_t *root = json_pack ("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "team", bill->team, "budget",
                             bill->budget, "request", bill->request, "service", bill->service,
                             "prompt_tokens", (json_int_t)bill->prompt_tokens, "output_tokens",
                             (json_int_t)bill->output_tokens, "billed_tokens",
                             (json_int_t)bill->billed_tokens, "time_ms", (json_int_t)bill->time_ms);
-  char *text = json_dumps (root, JSON_COMPACT);
-  enum sr_platform_status status;
-  char name[128];
-  int64_t version;
+  char *line = json_dumps (root, JSON_COMPACT);
+  uint64_t number;
+  bool kept;
 
-  snprintf (name, sizeof name, "%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "u",
-            bills->options.instance, bills->options.incarnation,
-            (guint64)atomic_fetch_add (&bills->next_batch, 1));
-  status
-      = sr_platform_put (bills->options.platform, "bills", name, text, strlen (text), 0, &version);
-  free (text);
+  pthread_mutex_lock (&bills->mutex);
+  number = sr_book_add (bills->book, line);
+  sr_counter_set (&waiting_bills, sr_book_length (bills->book));
+  pthread_mutex_unlock (&bills->mutex);
+  sr_counter_add (&recorded_total, 1);
+  kept = number > 0 && copy_to_a_peer_ (bills, number, line);
+  while (number > 0 && !kept && g_get_monotonic_time () < deadline_us)
+    {
+      if (!write_batch_ (bills))
+        g_usleep (HAND_OVER_POLL_US);
+      pthread_mutex_lock (&bills->mutex);
+      kept = sr_book_written_up_to (bills->book) >= number;
+      pthread_mutex_unlock (&bills->mutex);
+    }
+  free (line);
   json_decref (root);
-  return status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT;
+  return kept;
 }
 
-/* Nothing is held here, so there is nothing to hand over. */
+/* Writes what is left to the platform, at most until the monotonic DEADLINE_US. Returns true when
+ * every bill is there or in a peer's memory. */
 bool
 sr_bills_hand_over (struct sr_bills *bills, int64_t deadline_us)
 {
+  bool written = false;
+  bool copied;
+
+  while (!written && g_get_monotonic_time () < deadline_us)
+    {
+      write_batch_ (bills);
+      pthread_mutex_lock (&bills->mutex);
+      written = sr_book_length (bills->book) == 0;
+      copied = sr_book_without_copy (bills->book) == 0;
+      pthread_mutex_unlock (&bills->mutex);
+      if (written)
+        tell_written_ (bills);
+      else
+        g_usleep (HAND_OVER_POLL_US);
+    }
+  pthread_mutex_lock (&bills->mutex);
+  copied = sr_book_without_copy (bills->book) == 0;
+  pthread_mutex_unlock (&bills->mutex);
+  return written || copied;
+}
+
+static void *
+writer_run_ (void *data)
+{
+  struct sr_bills *bills = data;
+  int64_t interval_us = (int64_t)bills->options.write_interval_ms * US_PER_MS;
+
+  pthread_mutex_lock (&bills->mutex);
+  while (!bills->stopping)
+    {
+      int64_t end_us = g_get_monotonic_time () + interval_us;
+
+      while (!bills->stopping && sr_cond_wait_until (&bills->changed, &bills->mutex, end_us))
+        continue;
+      if (bills->stopping)
+        break;
+      pthread_mutex_unlock (&bills->mutex);
+      adopt_ (bills);
+      if (write_batch_ (bills))
+        tell_written_ (bills);
+      copy_again_ (bills);
+      pthread_mutex_lock (&bills->mutex);
+    }
+  pthread_mutex_unlock (&bills->mutex);
+  return NULL;
+}
+
+/* Writes one batch as an object of its own, created once. When the object is there already, an
+ * earlier answer was lost: the batch has not changed since. Returns whether the platform has it. */
+static bool
+write_batch_ (struct sr_bills *bills)
+{
+  GString *body = g_string_new (NULL);
+  enum sr_platform_status status = SR_PLATFORM_OUT;
+  uint64_t batch_number;
+  char *name = NULL;
+  int64_t version;
+  bool written = false;
+  unsigned length = 0;
+
+  pthread_mutex_lock (&bills->mutex);
+  if (!bills->writing)
+    length = sr_book_batch (bills->book, body, &batch_number);
+  if (length > 0)
+    bills->writing = true;
+  pthread_mutex_unlock (&bills->mutex);
+  if (length > 0)
+    {
+      name = g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT, bills->instance,
+                              bills->options.incarnation, batch_number);
+      status = sr_platform_put (bills->options.platform, "bills", name, body->str, body->len, 0,
+                                &version);
+      written = status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT;
+      pthread_mutex_lock (&bills->mutex);
+      bills->writing = false;
+      if (written)
+        sr_book_batch_written (bills->book);
+      sr_counter_set (&waiting_bills, sr_book_length (bills->book));
+      pthread_mutex_unlock (&bills->mutex);
+    }
+  g_free (name);
+  g_string_free (body, TRUE);
+  return written;
+}
+
+/* Copies to another peer what the first keeper lost, as long as the platform does not have it. */
+static void
+copy_again_ (struct sr_bills *bills)
+{
+  struct sr_member_view *view = view_ (bills);
+  struct sr_bill_keeper keeper = { 0 };
+  const struct sr_member *member;
+  GPtrArray *keepers;
+  uint64_t after = 0;
+  bool kept = true;
+
+  if (view == NULL)
+    return;
+  keepers = keepers_ (bills, view);
+  member = keepers->len == 0 ? NULL : sr_member_view_find (view, keepers->pdata[0]);
+  while (member != NULL && kept)
+    {
+      const struct sr_bill_line *line;
+      char *text;
+
+      g_strlcpy (keeper.instance, member->name, sizeof keeper.instance);
+      keeper.incarnation = member->incarnation;
+      pthread_mutex_lock (&bills->mutex);
+      line = sr_book_next_without (bills->book, &keeper, after);
+      text = line == NULL ? NULL : g_strdup (line->text);
+      after = line == NULL ? 0 : line->number;
+      pthread_mutex_unlock (&bills->mutex);
+      if (text == NULL)
+        break;
+      kept = keep_at_ (bills, member, after, text);
+      g_free (text);
+    }
+  g_ptr_array_unref (keepers);
+  sr_member_view_unref (view);
+}
+
+/* Takes over the bills of instances that are believed dead. */
+static void
+adopt_ (struct sr_bills *bills)
+{
+  struct sr_member_view *view = view_ (bills);
+  GPtrArray *owners;
+
+  if (view == NULL)
+    return;
+  pthread_mutex_lock (&bills->mutex);
+  owners = sr_book_owners (bills->book);
+  for (unsigned i = 0; i < owners->len; i++)
+    {
+      const struct sr_bill_keeper *owner = owners->pdata[i];
+      const struct sr_member *member = sr_member_view_find (view, owner->instance);
+
+      if (member != NULL && member->state != SR_MEMBER_DEAD
+          && member->incarnation <= owner->incarnation)
+        continue;
+      sr_log (G_LOG_LEVEL_MESSAGE, "bills", "writing the bills of %s", owner->instance);
+      sr_counter_add (&adopted_total, sr_book_adopt (bills->book, owner));
+    }
+  pthread_mutex_unlock (&bills->mutex);
+  g_ptr_array_unref (owners);
+  sr_member_view_unref (view);
+}
+
+/* Lets the peers that keep copies forget what the platform has. */
+static void
+tell_written_ (struct sr_bills *bills)
+{
+  struct sr_member_view *view = view_ (bills);
+  GPtrArray *keepers;
+
+  if (view == NULL)
+    return;
+  keepers = keepers_ (bills, view);
+  for (unsigned i = 0; i < keepers->len && i < KEEPERS_MAX; i++)
+    keep_at_ (bills, sr_member_view_find (view, keepers->pdata[i]), 0, "");
+  g_ptr_array_unref (keepers);
+  sr_member_view_unref (view);
+}
+
+static bool
+copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line)
+{
+  struct sr_member_view *view = view_ (bills);
+  GPtrArray *keepers;
+  bool kept = false;
+
+  if (view == NULL)
+    return false;
+  keepers = keepers_ (bills, view);
+  for (unsigned i = 0; i < keepers->len && i < KEEPERS_MAX && !kept; i++)
+    kept = keep_at_ (bills, sr_member_view_find (view, keepers->pdata[i]), number, line);
+  g_ptr_array_unref (keepers);
+  sr_member_view_unref (view);
+  return kept;
+}
+
+static bool
+keep_at_ (struct sr_bills *bills, const struct sr_member *member, uint64_t number, const char *line)
+{
+  size_t length = strlen (line);
+  char padded[SR_BILL_LINE_BYTES];
+  sr_bill_keep_msg request = { .incarnation = bills->options.incarnation, .number = number };
+  sr_bill_kept_msg reply = { 0 };
+  struct sr_bill_keeper keeper = { 0 };
+
+  if (length > sizeof padded - XDR_UNIT_BYTES)
+    return false;
+  memset (padded, ' ', sizeof padded);
+  memcpy (padded, line, length);
+  request.line.line_val = padded;
+  request.line.line_len = (u_int)((length + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES);
+  g_strlcpy (request.owner, bills->instance, sizeof request.owner);
+  pthread_mutex_lock (&bills->mutex);
+  request.written_up_to = sr_book_written_up_to (bills->book);
+  pthread_mutex_unlock (&bills->mutex);
+  if (sr_peer_call (bills->options.peers, &member->peer, SR_PEER_PROGRAM_BILL, PROCEDURE_KEEP,
+                    (xdrproc_t)xdr_sr_bill_keep_msg, &request, (xdrproc_t)xdr_sr_bill_kept_msg,
+                    &reply, KEEP_TIMEOUT_MS)
+          != SR_PEER_OK
+      || !reply.kept)
+    return false;
+  g_strlcpy (keeper.instance, member->name, sizeof keeper.instance);
+  keeper.incarnation = reply.incarnation;
+  pthread_mutex_lock (&bills->mutex);
+  if (number > 0)
+    sr_book_set_keeper (bills->book, number, &keeper);
+  pthread_mutex_unlock (&bills->mutex);
+  return true;
+}
+
+/* Returns the names of the alive peers in the order in which they are asked to keep copies: those
+ * of the own data centre first. */
+static GPtrArray *
+keepers_ (struct sr_bills *bills, const struct sr_member_view *view)
+{
+  GPtrArray *near = sr_member_view_order (view, bills->instance, bills->data_centre);
+  GPtrArray *all = sr_member_view_order (view, bills->instance, NULL);
+
+  for (unsigned i = 0; i < all->len; i++)
+    if (!g_ptr_array_find_with_equal_func (near, all->pdata[i], g_str_equal, NULL))
+      g_ptr_array_add (near, all->pdata[i]);
+  for (unsigned i = near->len; i > 0; i--)
+    if (strcmp (near->pdata[i - 1], bills->instance) == 0)
+      g_ptr_array_remove_index (near, i - 1);
+  g_ptr_array_unref (all);
+  return near;
+}
+
+static struct sr_member_view *
+view_ (struct sr_bills *bills)
+{
+  if (bills->options.peers == NULL)
+    return NULL;
+  if (bills->options.view != NULL)
+    return bills->options.view (bills->options.view_data);
+  return bills->options.members == NULL ? NULL : sr_members_view (bills->options.members);
+}
+
+static bool
+handle_keep_ (void *in, void *out, void *data)
+{
+  const sr_bill_keep_msg *request = in;
+  sr_bill_kept_msg *reply = out;
+  struct sr_bills *bills = data;
+  char *line = NULL;
+  char owner[SR_BILL_NAME_MAX_BYTES];
+
+  memcpy (owner, request->owner, sizeof owner);
+  owner[sizeof owner - 1] = '\0';
+  if (request->line.line_len > 0)
+    line = g_strndup (request->line.line_val, request->line.line_len);
+  pthread_mutex_lock (&bills->mutex);
+  reply->kept = !bills->stopping
+                && sr_book_keep (bills->book, request->owner, request->incarnation, request->number,
+                                 line, request->written_up_to);
+  pthread_mutex_unlock (&bills->mutex);
+  reply->incarnation = bills->options.incarnation;
   return true;
 }
--- a/src/bill/bill.h
+++ b/src/bill/bill.h
@@ -2,10 +2,11 @@
  */
 #pragma once
 
+#include "member/member.h"
+#include "peer/peer.h"
 #include "platform/platform.h"
 
 #include <glib.h>
-#include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -23,21 +24,48 @@
 
 struct sr_bills;
 
+/* The strings are copied; platform, peers and members must outlive the bills. */
 struct sr_bills_options
 {
   struct sr_platform *platform;
+  struct sr_peer_client *peers; /* NULL: the platform is the second place */
+  struct sr_members *members;   /* NULL: alone, unless view is set */
+  /* The view of the other instances, the caller owns a reference; NULL: sr_members_view of members
+   */
+  struct sr_member_view *(*view) (void *data);
+  void *view_data;
   const char *instance;
+  const char *data_centre;
   uint64_t incarnation;
+  unsigned write_interval_ms; /* between batches to the platform; 0: the default */
 };
 
 struct sr_bills *
 sr_bills_new (const struct sr_bills_options *options);
+bool
+sr_bills_start (struct sr_bills *bills);
+void
+sr_bills_stop (struct sr_bills *bills);
 void
 sr_bills_delete (struct sr_bills *bills);
-
-/* Returns once a peer or the platform holds the bill, or false when neither did until deadline_us.
- */
+void
+sr_bills_add_to_server (struct sr_bills *bills, struct sr_peer_server *server);
 bool
 sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us);
 bool
 sr_bills_hand_over (struct sr_bills *bills, int64_t deadline_us);
+
+/* Which bills to read; NULL: all. */
+struct sr_bill_filter
+{
+  const char *team;
+  const char *budget;
+};
+
+typedef bool (*sr_bill_callback) (const struct sr_bill *bill, void *data);
+
+enum sr_platform_status
+sr_bills_read (struct sr_platform *platform,
+               const struct sr_bill_filter *filter,
+               sr_bill_callback callback,
+               void *data);
--- /dev/null
+++ b/src/bill/bill_xdr.x
@@ -0,0 +1,19 @@
+/* Copies of bills between instances. Every message may be lost, repeated and reordered. The name is
+ * filled up with NULs and the line with blanks to a multiple of four bytes: libtirpc decodes padding
+ * into a buffer that all threads share. */
+const SR_BILL_NAME_BYTES = 64;
+const SR_BILL_LINE_BYTES = 2048;
+
+/* An empty line only says what has been written. */
+struct sr_bill_keep_msg {
+  opaque owner[SR_BILL_NAME_BYTES];
+  unsigned hyper incarnation;
+  unsigned hyper number;
+  unsigned hyper written_up_to;
+  opaque line<SR_BILL_LINE_BYTES>;
+};
+
+struct sr_bill_kept_msg {
+  bool kept;
+  unsigned hyper incarnation; /* of the keeper */
+};
--- /dev/null
+++ b/src/bill/test-bill.c
@@ -0,0 +1,225 @@
+/* Bills on a platform in memory, with copies at peers over their messages. */
+#include "bill/bill.h"
+#include "platform/platform-memory.h"
+
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  FIRST_PORT = 20331,
+  INSTANCES = 2,
+  WAIT_US = 8000000,
+  SHORT_WAIT_US = 300000,
+  POLL_US = 20000,
+  NEVER_MS = 3600000,
+  OFTEN_MS = 20
+};
+
+struct instance
+{
+  char name[8];
+  struct sr_peer_client *client;
+  struct sr_peer_server *server;
+  struct sr_bills *bills;
+};
+
+static pthread_mutex_t view_mutex = PTHREAD_MUTEX_INITIALIZER;
+static struct sr_member members[INSTANCES];
+static struct instance instances[INSTANCES];
+static struct sr_platform *platform;
+
+static struct sr_member_view *
+view_ (void *data)
+{
+  struct sr_member_view *view;
+
+  pthread_mutex_lock (&view_mutex);
+  view = sr_member_view_new (members, INSTANCES);
+  pthread_mutex_unlock (&view_mutex);
+  return view;
+}
+
+static void
+set_state_ (unsigned index, enum sr_member_state state)
+{
+  pthread_mutex_lock (&view_mutex);
+  members[index].state = state;
+  pthread_mutex_unlock (&view_mutex);
+}
+
+static void
+start_ (unsigned index, unsigned write_interval_ms)
+{
+  struct instance *instance = &instances[index];
+  struct sr_peer_server_options server = { .address = "127.0.0.1", .port = FIRST_PORT + index };
+  struct sr_peer_client_options client = { .source_address = NULL };
+  struct sr_bills_options options = { .platform = platform,
+                                      .view = view_,
+                                      .instance = instance->name,
+                                      .data_centre = "makole",
+                                      .incarnation = 1,
+                                      .write_interval_ms = write_interval_ms };
+
+  g_snprintf (instance->name, sizeof instance->name, "i%u", index);
+  g_strlcpy (members[index].name, instance->name, sizeof members[index].name);
+  g_strlcpy (members[index].data_centre, "makole", sizeof members[index].data_centre);
+  g_strlcpy (members[index].peer.ip, "127.0.0.1", sizeof members[index].peer.ip);
+  members[index].peer.port = FIRST_PORT + index;
+  members[index].incarnation = 1;
+  members[index].state = SR_MEMBER_ALIVE;
+  instance->client = sr_peer_client_new (&client);
+  instance->server = sr_peer_server_new (&server);
+  options.peers = instance->client;
+  instance->bills = sr_bills_new (&options);
+  sr_bills_add_to_server (instance->bills, instance->server);
+  assert_true (sr_peer_server_start (instance->server));
+  assert_true (sr_bills_start (instance->bills));
+}
+
+static void
+stop_ (unsigned index)
+{
+  struct instance *instance = &instances[index];
+
+  if (instance->bills == NULL)
+    return;
+  sr_bills_stop (instance->bills);
+  sr_peer_server_stop (instance->server);
+  sr_peer_server_delete (instance->server);
+  sr_bills_delete (instance->bills);
+  sr_peer_client_delete (instance->client);
+  instance->bills = NULL;
+}
+
+static int
+set_up_ (void **state)
+{
+  platform = sr_platform_memory_new ();
+  return 0;
+}
+
+static int
+tear_down_ (void **state)
+{
+  for (unsigned i = 0; i < INSTANCES; i++)
+    stop_ (i);
+  sr_platform_unref (platform);
+  return 0;
+}
+
+static bool
+record_ (unsigned index, const char *request, int64_t tokens, int64_t wait_us)
+{
+  struct sr_bill bill = { .team = "t",
+                          .budget = "b",
+                          .request = request,
+                          .service = "s",
+                          .billed_tokens = tokens,
+                          .time_ms = 1 };
+
+  return sr_bills_record (instances[index].bills, &bill, g_get_monotonic_time () + wait_us);
+}
+
+static bool
+count_ (const struct sr_bill *bill, void *data)
+{
+  int64_t *sums = data;
+
+  sums[0]++;
+  sums[1] += bill->billed_tokens;
+  return true;
+}
+
+static int64_t
+billed_ (int64_t *tokens)
+{
+  int64_t sums[2] = { 0, 0 };
+
+  assert_int_equal (sr_bills_read (platform, NULL, count_, sums), SR_PLATFORM_OK);
+  *tokens = sums[1];
+  return sums[0];
+}
+
+static void
+wait_for_bills_ (int64_t count)
+{
+  int64_t end_us = g_get_monotonic_time () + WAIT_US;
+  int64_t tokens;
+
+  while (billed_ (&tokens) < count && g_get_monotonic_time () < end_us)
+    g_usleep (POLL_US);
+  assert_int_equal (billed_ (&tokens), count);
+}
+
+/* The owner crashes in an outage of the platform, before it wrote anything: the peer that keeps the
+ * copies writes them once the platform is back. */
+static void
+test_bills_survive_outage_and_crash (void **state)
+{
+  int64_t tokens;
+
+  start_ (0, NEVER_MS);
+  start_ (1, OFTEN_MS);
+  sr_platform_memory_set_out (platform, true);
+  assert_true (record_ (0, "r1", 10, WAIT_US));
+  assert_true (record_ (0, "r2", 20, WAIT_US));
+  stop_ (0);
+  set_state_ (0, SR_MEMBER_DEAD);
+  sr_platform_memory_set_out (platform, false);
+  wait_for_bills_ (2);
+  assert_int_equal (billed_ (&tokens), 2);
+  assert_int_equal (tokens, 30);
+}
+
+/* The peer is wrong about the owner's death: both write the same bill, which reads as one. */
+static void
+test_bill_written_twice_reads_once (void **state)
+{
+  int64_t tokens;
+
+  start_ (0, NEVER_MS);
+  start_ (1, OFTEN_MS);
+  assert_true (record_ (0, "r1", 10, WAIT_US));
+  set_state_ (0, SR_MEMBER_DEAD);
+  wait_for_bills_ (1);
+  assert_true (sr_bills_hand_over (instances[0].bills, g_get_monotonic_time () + WAIT_US));
+  assert_true (record_ (1, "r1", 99, WAIT_US));
+  assert_true (sr_bills_hand_over (instances[1].bills, g_get_monotonic_time () + WAIT_US));
+  assert_int_equal (billed_ (&tokens), 1);
+  assert_int_equal (tokens, 10);
+}
+
+/* Without a peer the platform is the second place; a lost answer does not write the batch twice. */
+static void
+test_platform_is_the_second_place (void **state)
+{
+  int64_t tokens;
+
+  start_ (0, NEVER_MS);
+  set_state_ (1, SR_MEMBER_DEAD);
+  sr_platform_memory_lose_answers (platform, 1);
+  assert_true (record_ (0, "r1", 10, WAIT_US));
+  assert_int_equal (billed_ (&tokens), 1);
+  sr_platform_memory_set_out (platform, true);
+  assert_false (record_ (0, "r2", 10, SHORT_WAIT_US));
+  sr_platform_memory_set_out (platform, false);
+  assert_true (sr_bills_hand_over (instances[0].bills, g_get_monotonic_time () + WAIT_US));
+  assert_int_equal (billed_ (&tokens), 2);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (test_bills_survive_outage_and_crash, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_bill_written_twice_reads_once, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_platform_is_the_second_place, set_up_, tear_down_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -79,7 +79,8 @@
     draw_ (&attempt);
   if (missing_ (&attempt, false) > 0)
     sr_budget_recall (budgets, entry);
-  attempt.cannot_lend = missing_ (&attempt, false) > 0;
+  attempt.cannot_lend
+      = missing_ (&attempt, false) > 0 && (attempt.exhausted || !attempt.platform_read);
   attempt.lend_need = 0; /* what is borrowed is not lent on: the borrowers ask others themselves */
   if (missing_ (&attempt, false) > 0)
     ask_others_ (&attempt);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -67,12 +67,13 @@
   return budgets;
 }
 
-/* Frees BUDGETS, which must be stopped and without open reservations. NULL is allowed. */
+/* Stops and frees BUDGETS, which must be without open reservations. NULL is allowed. */
 void
 sr_budgets_delete (struct sr_budgets *budgets)
 {
   if (budgets == NULL)
     return;
+  sr_budgets_stop (budgets);
   g_hash_table_unref (budgets->entries);
   sr_ring_delete (budgets->work);
   sr_witness_delete (budgets->witness);
--- a/src/budget/budget_xdr.h
+++ b/src/budget/budget_xdr.h
@@ -13,19 +13,19 @@
 extern "C" {
 #endif
 
-#define SR_BUDGET_NAME_BYTES 63
+#define SR_BUDGET_NAME_BYTES 64
 #define SR_BUDGET_RAISES_MAX 64
 
 struct sr_budget_holder_msg {
-	char *instance;
+	char instance[SR_BUDGET_NAME_BYTES];
 	u_quad_t incarnation;
 	u_quad_t generation;
 };
 typedef struct sr_budget_holder_msg sr_budget_holder_msg;
 
 struct sr_budget_borrow_msg {
-	char *budget;
-	char *borrower;
+	char budget[SR_BUDGET_NAME_BYTES];
+	char borrower[SR_BUDGET_NAME_BYTES];
 	u_quad_t borrower_incarnation;
 	sr_budget_holder_msg lender;
 	quad_t returned;
@@ -45,7 +45,7 @@
 typedef struct sr_budget_borrowed_msg sr_budget_borrowed_msg;
 
 struct sr_budget_recall_msg {
-	char *budget;
+	char budget[SR_BUDGET_NAME_BYTES];
 	sr_budget_holder_msg lender;
 };
 typedef struct sr_budget_recall_msg sr_budget_recall_msg;
@@ -57,7 +57,7 @@
 typedef struct sr_budget_recalled_msg sr_budget_recalled_msg;
 
 struct sr_budget_raise_item {
-	char *budget;
+	char budget[SR_BUDGET_NAME_BYTES];
 	u_quad_t generation;
 	quad_t ceiling;
 	bool_t closed;
@@ -65,7 +65,7 @@
 typedef struct sr_budget_raise_item sr_budget_raise_item;
 
 struct sr_budget_raise_msg {
-	char *instance;
+	char instance[SR_BUDGET_NAME_BYTES];
 	u_quad_t incarnation;
 	u_quad_t witness_incarnation;
 	struct {
@@ -90,7 +90,7 @@
 typedef struct sr_budget_raised_msg sr_budget_raised_msg;
 
 struct sr_budget_seal_msg {
-	char *budget;
+	char budget[SR_BUDGET_NAME_BYTES];
 	sr_budget_holder_msg holder;
 	u_quad_t witness_incarnation;
 };
--- a/src/budget/budget_xdr.x
+++ b/src/budget/budget_xdr.x
@@ -1,17 +1,19 @@
-/* Messages of the budgets between instances. Every one may be lost, repeated and reordered. */
-const SR_BUDGET_NAME_BYTES = 63;
+/* Messages of the budgets between instances. Every one may be lost, repeated and reordered. Names
+ * are of fixed length, filled up with NULs: libtirpc decodes padding into a buffer that all threads
+ * share. */
+const SR_BUDGET_NAME_BYTES = 64;
 const SR_BUDGET_RAISES_MAX = 64;
 
 struct sr_budget_holder_msg {
-  string instance<SR_BUDGET_NAME_BYTES>;
+  opaque instance[SR_BUDGET_NAME_BYTES];
   unsigned hyper incarnation;
   unsigned hyper generation;
 };
 
 /* need and want count from the beginning of the lender's record, as returned does. */
 struct sr_budget_borrow_msg {
-  string budget<SR_BUDGET_NAME_BYTES>;
-  string borrower<SR_BUDGET_NAME_BYTES>;
+  opaque budget[SR_BUDGET_NAME_BYTES];
+  opaque borrower[SR_BUDGET_NAME_BYTES];
   unsigned hyper borrower_incarnation;
   sr_budget_holder_msg lender;
   hyper returned;
@@ -29,7 +31,7 @@
 };
 
 struct sr_budget_recall_msg {
-  string budget<SR_BUDGET_NAME_BYTES>;
+  opaque budget[SR_BUDGET_NAME_BYTES];
   sr_budget_holder_msg lender;
 };
 
@@ -39,14 +41,14 @@
 };
 
 struct sr_budget_raise_item {
-  string budget<SR_BUDGET_NAME_BYTES>;
+  opaque budget[SR_BUDGET_NAME_BYTES];
   unsigned hyper generation;
   hyper ceiling;
   bool closed; /* the record was closed by its holder: forget it */
 };
 
 struct sr_budget_raise_msg {
-  string instance<SR_BUDGET_NAME_BYTES>;
+  opaque instance[SR_BUDGET_NAME_BYTES];
   unsigned hyper incarnation;
   unsigned hyper witness_incarnation;
   sr_budget_raise_item items<SR_BUDGET_RAISES_MAX>;
@@ -63,7 +65,7 @@
 };
 
 struct sr_budget_seal_msg {
-  string budget<SR_BUDGET_NAME_BYTES>;
+  opaque budget[SR_BUDGET_NAME_BYTES];
   sr_budget_holder_msg holder;
   unsigned hyper witness_incarnation;
 };
--- a/src/budget/handlers.c
+++ b/src/budget/handlers.c
@@ -9,6 +9,8 @@
   RECALL_PAUSE_US = 100000 /* between recalls that peers ask for */
 };
 
+static void
+copy_name_ (char *target, const char *source);
 static bool
 handle_borrow_ (void *in, void *out, void *data);
 static bool
@@ -42,13 +44,14 @@
                       budgets);
 }
 
-/* Returns ID as it goes into a message; the string stays that of ID. */
+/* Returns ID as it goes into a message. */
 sr_budget_holder_msg
 sr_holder_to_message (const struct sr_holder_id *id)
 {
-  return (sr_budget_holder_msg){ .instance = (char *)id->instance,
-                                 .incarnation = id->incarnation,
-                                 .generation = id->generation };
+  sr_budget_holder_msg message = { .incarnation = id->incarnation, .generation = id->generation };
+
+  g_strlcpy (message.instance, id->instance, sizeof message.instance);
+  return message;
 }
 
 /* Fills ID from MESSAGE. */
@@ -57,7 +60,15 @@
 {
   *id = (struct sr_holder_id){ .incarnation = message->incarnation,
                                .generation = message->generation };
-  g_strlcpy (id->instance, message->instance, sizeof id->instance);
+  copy_name_ (id->instance, message->instance);
+}
+
+/* A name in a message need not end with a NUL. */
+static void
+copy_name_ (char *target, const char *source)
+{
+  memcpy (target, source, SR_BUDGET_NAME_MAX_BYTES);
+  target[SR_BUDGET_NAME_MAX_BYTES - 1] = '\0';
 }
 
 /* Lends at once what is there, and has a worker fetch what is missing. */
@@ -70,17 +81,20 @@
   struct sr_budget_entry *entry;
   struct sr_loan_answer answer;
   struct sr_holder_id lender;
+  char budget[SR_BUDGET_NAME_MAX_BYTES];
+  char borrower[SR_BUDGET_NAME_MAX_BYTES];
 
+  copy_name_ (budget, request->budget);
+  copy_name_ (borrower, request->borrower);
   sr_holder_from_message (&request->lender, &lender);
   pthread_mutex_lock (&budgets->mutex);
-  entry = sr_budget_entry_get (budgets, request->budget);
+  entry = sr_budget_entry_get (budgets, budget);
   entry->lent += sr_ledger_lend (entry->ledger, &lender, request->borrower,
                                  request->borrower_incarnation, request->returned, request->need,
                                  request->want, g_get_monotonic_time (), &answer);
   reply->has_record = answer.has_record;
   reply->lent = answer.lent;
   reply->lender = sr_holder_to_message (&answer.lender);
-  reply->lender.instance = strdup (answer.lender.instance);
   if (answer.lent < request->need && !budgets->stopping && !budgets->leaving)
     note_shortage_ (budgets, entry, request, reply);
   pthread_mutex_unlock (&budgets->mutex);
@@ -96,10 +110,12 @@
   struct sr_budgets *budgets = data;
   struct sr_budget_entry *entry;
   struct sr_holder_id lender;
+  char budget[SR_BUDGET_NAME_MAX_BYTES];
 
+  copy_name_ (budget, request->budget);
   sr_holder_from_message (&request->lender, &lender);
   pthread_mutex_lock (&budgets->mutex);
-  entry = g_hash_table_lookup (budgets->entries, request->budget);
+  entry = g_hash_table_lookup (budgets->entries, budget);
   if (entry != NULL)
     reply->returned = sr_ledger_return_loan (entry->ledger, &lender, entry->waiting);
   reply->incarnation = budgets->options.incarnation;
@@ -115,10 +131,11 @@
   struct sr_budgets *budgets = data;
   struct sr_holder_id id = { .incarnation = request->incarnation };
   unsigned length = request->items.items_len;
+  char budget[SR_BUDGET_NAME_MAX_BYTES];
 
   if (request->witness_incarnation != budgets->options.incarnation)
     return true;
-  g_strlcpy (id.instance, request->instance, sizeof id.instance);
+  copy_name_ (id.instance, request->instance);
   reply->items.items_val = calloc (MAX (length, 1), sizeof (sr_budget_raised_item));
   reply->items.items_len = length;
   pthread_mutex_lock (&budgets->mutex);
@@ -128,12 +145,12 @@
       sr_budget_raised_item *raised = &reply->items.items_val[i];
       bool sealed = true;
 
+      copy_name_ (budget, item->budget);
       id.generation = item->generation;
       if (item->closed)
-        sr_witness_forget (budgets->witness, item->budget, &id);
+        sr_witness_forget (budgets->witness, budget, &id);
       else
-        raised->ceiling
-            = sr_witness_raise (budgets->witness, item->budget, &id, item->ceiling, &sealed);
+        raised->ceiling = sr_witness_raise (budgets->witness, budget, &id, item->ceiling, &sealed);
       raised->sealed = sealed;
     }
   pthread_mutex_unlock (&budgets->mutex);
@@ -147,12 +164,14 @@
   sr_budget_sealed_msg *reply = out;
   struct sr_budgets *budgets = data;
   struct sr_holder_id id;
+  char budget[SR_BUDGET_NAME_MAX_BYTES];
 
   if (request->witness_incarnation != budgets->options.incarnation)
     return true;
+  copy_name_ (budget, request->budget);
   sr_holder_from_message (&request->holder, &id);
   pthread_mutex_lock (&budgets->mutex);
-  reply->ceiling = sr_witness_seal (budgets->witness, request->budget, &id);
+  reply->ceiling = sr_witness_seal (budgets->witness, budget, &id);
   pthread_mutex_unlock (&budgets->mutex);
   reply->known = true;
   return true;
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -94,8 +94,8 @@
       request.need = source->granted;
     }
   pthread_mutex_unlock (&budgets->mutex);
-  request.budget = entry->name;
-  request.borrower = budgets->instance;
+  g_strlcpy (request.budget, entry->name, sizeof request.budget);
+  g_strlcpy (request.borrower, budgets->instance, sizeof request.borrower);
   request.borrower_incarnation = budgets->options.incarnation;
   request.lender = sr_holder_to_message (&id);
   request.want = request.need + MAX (need, ahead);
@@ -114,7 +114,6 @@
   if (gained)
     pthread_cond_broadcast (&budgets->changed);
   pthread_mutex_unlock (&budgets->mutex);
-  xdr_free ((xdrproc_t)xdr_sr_budget_borrowed_msg, (void *)&reply);
   if (gained && !reply.pending)
     return SR_ASK_GAINED;
   if (answer.has_record && !sr_holder_id_equal (&answer.lender, &id))
@@ -199,7 +198,7 @@
     }
   if (!address_of_ (budgets, holder->witness, &address))
     return false;
-  request.budget = (char *)name;
+  g_strlcpy (request.budget, name, sizeof request.budget);
   request.holder = sr_holder_to_message (&holder->id);
   request.witness_incarnation = holder->witness_incarnation;
   status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
@@ -230,7 +229,7 @@
               const char *borrower,
               const struct sr_holder_id *id)
 {
-  sr_budget_recall_msg request = { .budget = entry->name, .lender = sr_holder_to_message (id) };
+  sr_budget_recall_msg request = { .lender = sr_holder_to_message (id) };
   sr_budget_recalled_msg reply = { 0 };
   struct sr_peer_address address;
   struct sr_loan_answer answer;
@@ -238,6 +237,7 @@
 
   if (!address_of_ (budgets, borrower, &address))
     return;
+  g_strlcpy (request.budget, entry->name, sizeof request.budget);
   status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
                          SR_BUDGET_PROCEDURE_RECALL, (xdrproc_t)xdr_sr_budget_recall_msg, &request,
                          (xdrproc_t)xdr_sr_budget_recalled_msg, &reply, CALL_TIMEOUT_MS);
--- a/src/budget/raise.c
+++ b/src/budget/raise.c
@@ -78,9 +78,8 @@
   if (witness[0] == '\0')
     return;
   g_strlcpy (batch.witness, witness, sizeof batch.witness);
-  batch.items[0] = (sr_budget_raise_item){ .budget = (char *)name,
-                                           .generation = id->generation,
-                                           .closed = true };
+  batch.items[0] = (sr_budget_raise_item){ .generation = id->generation, .closed = true };
+  g_strlcpy (batch.items[0].budget, name, sizeof batch.items[0].budget);
   batch_send_ (budgets, &batch);
 }
 
@@ -122,6 +121,7 @@
 {
   const struct sr_source *own = entry->ledger->own;
   int64_t ceiling = sr_ledger_ceiling_wanted (entry->ledger, need, g_get_monotonic_time ());
+  sr_budget_raise_item *item;
 
   if (ceiling == 0)
     return true;
@@ -134,17 +134,16 @@
       || batch->witness_incarnation != own->witness_incarnation)
     return false;
   batch->entries[batch->length] = entry;
-  batch->items[batch->length++] = (sr_budget_raise_item){ .budget = entry->name,
-                                                          .generation = own->id.generation,
-                                                          .ceiling = ceiling };
+  item = &batch->items[batch->length++];
+  *item = (sr_budget_raise_item){ .generation = own->id.generation, .ceiling = ceiling };
+  g_strlcpy (item->budget, entry->name, sizeof item->budget);
   return true;
 }
 
 static enum sr_peer_status
 batch_send_ (struct sr_budgets *budgets, struct batch *batch)
 {
-  sr_budget_raise_msg request = { .instance = budgets->instance,
-                                  .incarnation = budgets->options.incarnation,
+  sr_budget_raise_msg request = { .incarnation = budgets->options.incarnation,
                                   .witness_incarnation = batch->witness_incarnation,
                                   .items = { batch->length, batch->items } };
   sr_budget_raised_msg reply = { 0 };
@@ -155,6 +154,7 @@
   enum sr_peer_status status = SR_PEER_UNREACHABLE;
 
   g_strlcpy (id.instance, budgets->instance, sizeof id.instance);
+  g_strlcpy (request.instance, budgets->instance, sizeof request.instance);
   if (witness != NULL)
     status = sr_peer_call (budgets->options.peers, &witness->peer, SR_PEER_PROGRAM_BUDGET,
                            SR_BUDGET_PROCEDURE_RAISE, (xdrproc_t)xdr_sr_budget_raise_msg, &request,
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -187,12 +187,16 @@
                                         .settle_interval_ms = settings->settle_interval_ms,
                                         .seed = instance->seed + BUDGET_SEED_SALT };
   struct sr_bills_options bills = { .platform = instance->platform,
+                                    .peers = instance->peer_client,
+                                    .members = instance->members,
                                     .instance = settings->name->str,
+                                    .data_centre = settings->data_centre->str,
                                     .incarnation = instance->incarnation };
 
   instance->budgets = sr_budgets_new (&budgets);
   sr_budgets_add_to_server (instance->budgets, instance->peer_server);
   instance->bills = sr_bills_new (&bills);
+  sr_bills_add_to_server (instance->bills, instance->peer_server);
   instance->orders = sr_orders_new (instance->platform);
   return true;
 }
@@ -252,7 +256,8 @@
 start_ (struct instance *instance)
 {
   if (!sr_peer_server_start (instance->peer_server) || !sr_members_start (instance->members)
-      || !sr_budgets_start (instance->budgets) || !sr_dispatch_start (instance->dispatch))
+      || !sr_budgets_start (instance->budgets) || !sr_bills_start (instance->bills)
+      || !sr_dispatch_start (instance->dispatch))
     {
       sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
       return false;
