--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -180,7 +180,6 @@
       write_batch_ (bills);
       pthread_mutex_lock (&bills->mutex);
       written = sr_book_length (bills->book) == 0;
-      copied = sr_book_without_copy (bills->book) == 0;
       pthread_mutex_unlock (&bills->mutex);
       if (written)
         tell_written_ (bills);
@@ -198,6 +197,7 @@
 {
   struct sr_bills *bills = data;
   int64_t interval_us = (int64_t)bills->options.write_interval_ms * US_PER_MS;
+  bool written;
 
   pthread_mutex_lock (&bills->mutex);
   while (!bills->stopping)
@@ -210,7 +210,10 @@
         break;
       pthread_mutex_unlock (&bills->mutex);
       adopt_ (bills);
-      if (write_batch_ (bills))
+      written = false;
+      while (write_batch_ (bills))
+        written = true;
+      if (written)
         tell_written_ (bills);
       copy_again_ (bills);
       pthread_mutex_lock (&bills->mutex);
@@ -357,17 +360,17 @@
 keep_at_ (struct sr_bills *bills, const struct sr_member *member, uint64_t number, const char *line)
 {
   size_t length = strlen (line);
-  char padded[SR_BILL_LINE_BYTES];
+  g_autofree char *padded = NULL;
   sr_bill_keep_msg request = { .incarnation = bills->options.incarnation, .number = number };
   sr_bill_kept_msg reply = { 0 };
   struct sr_bill_keeper keeper = { 0 };
 
-  if (length > sizeof padded - XDR_UNIT_BYTES)
+  if (length > SR_BILL_LINE_BYTES - XDR_UNIT_BYTES)
     return false;
-  memset (padded, ' ', sizeof padded);
-  memcpy (padded, line, length);
+  length = (length + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES;
+  padded = g_strdup_printf ("%-*s", (int)length, line);
   request.line.line_val = padded;
-  request.line.line_len = (u_int)((length + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES);
+  request.line.line_len = (u_int)length;
   g_strlcpy (request.owner, bills->instance, sizeof request.owner);
   pthread_mutex_lock (&bills->mutex);
   request.written_up_to = sr_book_written_up_to (bills->book);
--- a/src/order/order.c
+++ b/src/order/order.c
@@ -10,6 +10,7 @@
 enum
 {
   WRITE_TRIES_MAX = 4,
+  WRITE_TRIES_LAST_S = 4, /* no further try begins later */
   PENDING_MAX = 1024,
   US_PER_S = 1000000,
   /* A claim that took longer may have been created after an expired one of this key was removed:
@@ -56,6 +57,8 @@
               const struct sr_claim_request *request,
               const char *name,
               struct sr_claim *claim);
+static bool
+may_try_ (int tries, int64_t start_us);
 static enum sr_platform_status
 read_claim_ (struct sr_orders *orders,
              const char *name,
@@ -152,7 +155,8 @@
 }
 
 /* Stores OUTCOME, and for an answered order the LENGTH bytes of ANSWER, in the claim that REQUEST
- * won, so that retries are told. An answer above SR_ORDER_ANSWER_MAX_BYTES is left out. NOT_RUN may
+ * won, so that retries are told. An answer above SR_ORDER_ANSWER_MAX_BYTES is left out, and retries
+ * hear UNKNOWN. NOT_RUN may
  * only be stored when no byte was sent; the key is not dispatched again all the same.
  *
  * Returns true once the platform holds the outcome. Otherwise the outcome is kept in memory for
@@ -309,12 +313,13 @@
   enum sr_claim_verdict verdict = SR_CLAIM_DOUBT;
   struct sr_order_record record;
   GString *body = g_string_new (NULL);
+  int64_t start_us = g_get_monotonic_time ();
   bool doubtful = false;
   bool decided = false;
 
   record_from_request_ (&record, request);
   sr_order_record_encode (&record, body);
-  for (int i = 0; i < WRITE_TRIES_MAX && !decided; i++)
+  for (int i = 0; !decided && may_try_ (i, start_us); i++)
     {
       enum sr_platform_status status = sr_platform_put (orders->platform, ORDER_KIND, name,
                                                         body->str, body->len, 0, &claim->version);
@@ -342,6 +347,14 @@
   return verdict;
 }
 
+/* A silent platform must not hold a caller for long. */
+static bool
+may_try_ (int tries, int64_t start_us)
+{
+  return tries < WRITE_TRIES_MAX
+         && g_get_monotonic_time () - start_us < (int64_t)WRITE_TRIES_LAST_S * US_PER_S;
+}
+
 static enum sr_platform_status
 read_claim_ (struct sr_orders *orders,
              const char *name,
@@ -381,6 +394,8 @@
   claim->outcome = outcomes[record->state];
   claim->in_progress = record->state == SR_ORDER_CLAIMED;
   g_strlcpy (claim->holder, record->holder, sizeof claim->holder);
+  if (record->state == SR_ORDER_ANSWERED && !record->has_answer)
+    claim->outcome = SR_OUTCOME_UNKNOWN;
   if (record->has_answer)
     claim->answer = g_string_new_len (record->answer->str, (gssize)record->answer->len);
 }
@@ -430,9 +445,10 @@
 {
   GString *body = g_string_new (NULL);
   enum sr_platform_status status = SR_PLATFORM_UNKNOWN;
+  int64_t start_us = g_get_monotonic_time ();
 
   sr_order_record_encode (record, body);
-  for (int i = 0; i < WRITE_TRIES_MAX; i++)
+  for (int i = 0; may_try_ (i, start_us); i++)
     {
       int64_t new_version = 0;
 
