--- /dev/null
+++ b/testing/process/test-not-run.c
@@ -0,0 +1,216 @@
+/* "Not run" is true: under seeded faults and overload, nothing of a request whose caller was told
+ * so is in the ledger of any backend server. */
+#include "base/thread.h"
+#include "testing/harness/caller.h"
+
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 30600,
+  INSTANCES = 2,
+  ENGINES = 2,
+  SERVICES = 1,
+  REQUESTS = 1200,
+  CALLERS = 40,
+  REFUSED_MIN = 20,
+  MS = 1000,
+  SEED = 20260102
+};
+
+static struct harness *harness;
+
+/* The requests of a run, and what their callers were told. */
+struct run
+{
+  atomic_int next;
+  atomic_int left;
+  bool not_run[REQUESTS];
+  bool answered[REQUESTS];
+  atomic_int verdicts[HARNESS_WRONG + 1];
+};
+
+static int
+start_fleet (void **state)
+{
+  static const struct harness_options options = { .name = "not-run",
+                                                  .port_base = PORT_BASE,
+                                                  .instances = INSTANCES,
+                                                  .engines = ENGINES,
+                                                  .services = SERVICES,
+                                                  .slots = 4,
+                                                  .pace_ms = 5,
+                                                  .prepaid_tokens = 100000000 };
+
+  harness = harness_start (&options);
+  return harness != NULL ? 0 : -1;
+}
+
+static int
+stop_fleet (void **state)
+{
+  harness_stop (harness);
+  return 0;
+}
+
+static bool
+is_model_request (int number)
+{
+  return number % 3 != 0;
+}
+
+/* One of three goes to the plain service whose calls may be repeated; each has a key of its own. */
+static void
+send_request (struct run *run, int number, GRand *random)
+{
+  unsigned instance = (unsigned)g_rand_int_range (random, 1, INSTANCES + 1);
+  g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, instance, false);
+  g_autofree char *key = g_strdup_printf ("run-%d", number);
+  g_autofree char *prompt = g_strdup_printf ("request %d [n=20]", number);
+  struct harness_ask ask = { .address = address,
+                             .port = harness_port (harness, HARNESS_PORT_ENTRY),
+                             .service = is_model_request (number) ? "diary" : "lookup",
+                             .team = 1 + (unsigned)number % 3,
+                             .key = key,
+                             .first_attempt = true,
+                             .deadline_ms = g_rand_int_range (random, 50, 1500),
+                             .max_tokens = 20,
+                             .stream = number % 2 == 0 };
+  struct harness_answer answer;
+
+  if (is_model_request (number))
+    ask.prompt = prompt;
+  else
+    ask.body = "{\"pump\":7}";
+  answer = harness_ask (&ask);
+  run->not_run[number] = answer.verdict == HARNESS_REFUSED;
+  run->answered[number] = answer.verdict == HARNESS_ANSWERED;
+  run->verdicts[answer.verdict]++;
+  if (answer.verdict != HARNESS_ANSWERED)
+    g_usleep (100 * MS);
+}
+
+static void *
+call (void *data)
+{
+  struct run *run = data;
+  int number;
+
+  while ((number = run->next++) < REQUESTS)
+    {
+      GRand *random = g_rand_new_with_seed (SEED + (guint32)number);
+
+      send_request (run, number, random);
+      g_rand_free (random);
+    }
+  run->left--;
+  return NULL;
+}
+
+static void
+do_harm (GRand *random)
+{
+  static const char *const engine_faults[]
+      = { "/control/fault?mode=cut&after_tokens=3&count=2",
+          "/control/fault?mode=cut&after_tokens=0&count=2",
+          "/control/fault?mode=hang&after_tokens=2&count=1", "/control/fault?mode=refuse&count=4",
+          "/control/fault?mode=loading&count=4" };
+  static const char *const service_faults[]
+      = { "/control/fault?mode=close_after_run&count=2",
+          "/control/fault?mode=close_before_run&count=2", "/control/fault?mode=hang&count=1",
+          "/control/fault?mode=refuse&count=4" };
+  unsigned engine = (unsigned)g_rand_int_range (random, 1, ENGINES + 1);
+  g_autofree char *address = harness_address (HARNESS_PORT_BACKEND, engine, true);
+
+  switch (g_rand_int_range (random, 0, 5))
+    {
+    case 0:
+      harness_rule (harness, "*", address, "cut", 0);
+      g_usleep (200 * MS);
+      harness_clear_rules (harness);
+      break;
+    case 1:
+      harness_control_platform (harness, "/control/fault?mode=outage");
+      g_usleep (200 * MS);
+      harness_control_platform (harness, "/control/fault?mode=none");
+      break;
+    case 2:
+      harness_control_backend (harness, ENGINES + 1,
+                               service_faults[g_rand_int_range (random, 0, 4)]);
+      break;
+    default:
+      harness_control_backend (harness, engine, engine_faults[g_rand_int_range (random, 0, 5)]);
+      break;
+    }
+  g_usleep (150 * MS);
+}
+
+/* Marks the requests that a ledger names: "TEAM/run-N" or "TEAM/run-N/ATTEMPT". */
+static void
+mark_ledger (unsigned backend, bool ran[REQUESTS])
+{
+  json_t *ledger = harness_ledger (harness, backend);
+  const char *name;
+  json_t *value;
+
+  json_object_foreach (json_object_get (ledger, "requests"), name, value)
+  {
+    const char *key = strstr (name, "/run-");
+    gint64 number = key != NULL ? g_ascii_strtoll (key + strlen ("/run-"), NULL, 10) : -1;
+
+    if (number >= 0 && number < REQUESTS)
+      ran[number] = true;
+  }
+  json_decref (ledger);
+}
+
+static void
+not_run_is_true (void **state)
+{
+  static struct run run = { .left = CALLERS };
+  bool ran[REQUESTS] = { false };
+  GRand *random = g_rand_new_with_seed (SEED);
+  pthread_t callers[CALLERS];
+
+  for (int i = 0; i < CALLERS; i++)
+    assert_true (sr_thread_start (&callers[i], 0, call, &run));
+  while (run.left > 0)
+    do_harm (random);
+  for (int i = 0; i < CALLERS; i++)
+    pthread_join (callers[i], NULL);
+  g_rand_free (random);
+  for (unsigned i = 1; i <= ENGINES + SERVICES; i++)
+    mark_ledger (i, ran);
+  print_message ("%d answered, %d not run, %d unknown, %d aborted\n",
+                 run.verdicts[HARNESS_ANSWERED], run.verdicts[HARNESS_REFUSED],
+                 run.verdicts[HARNESS_UNKNOWN], run.verdicts[HARNESS_ABORTED]);
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      if (run.not_run[i] && ran[i])
+        fail_msg ("request %d was told not run, and ran", i);
+      if (run.answered[i] && !ran[i])
+        fail_msg ("request %d was told answered, and did not run", i);
+    }
+  assert_int_equal (run.verdicts[HARNESS_WRONG], 0);
+  assert_true (run.verdicts[HARNESS_REFUSED] >= REFUSED_MIN);
+  assert_true (run.verdicts[HARNESS_ANSWERED] >= REQUESTS / 4);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (not_run_is_true),
+  };
+
+  return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
+}
