--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "bill/bill.h"
 #include "budget/budget.h"
-#include "config/store.h"
+#include "config/watch.h"
 #include "dispatch/dispatch.h"
 #include "drain/drain.h"
 #include "entry/entry.h"
@@ -19,6 +19,7 @@
 
 #include <jansson.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <time.h>
 
@@ -28,7 +29,6 @@
   EXIT_FAILED = 1,
   US_PER_S = 1000000,
   NS_PER_MS = 1000000,
-  CONFIG_POLL_MS = 500,
   LEAVE_MS = 500,
   ORDER_RETRY_MS = 1000,
   ORDER_REMOVAL_S = 60,
@@ -37,7 +37,8 @@
   ADMIT_SEED_SALT = 2,
   DISPATCH_SEED_SALT = 3,
   BUDGET_SEED_SALT = 4,
-  MEMBER_SEED_SALT = 5
+  MEMBER_SEED_SALT = 5,
+  CONFIG_SEED_SALT = 6
 };
 
 /* All that an instance is made of, in the order it is built. */
@@ -51,6 +52,7 @@
   struct sr_peer_server *peer_server;
   struct sr_members *members;
   struct sr_config_current *current;
+  struct sr_config_watch *watch;
   struct sr_budgets *budgets;
   struct sr_bills *bills;
   struct sr_orders *orders;
@@ -61,6 +63,7 @@
   struct sr_run_peers *run_peers;
   struct sr_dispatch *dispatch;
   struct sr_entry *entry;
+  _Atomic bool stopping;
 };
 
 static bool
@@ -79,10 +82,12 @@
 start_ (struct instance *instance);
 static void
 tear_down_ (struct instance *instance);
-static void
-run_until_stopped_ (struct instance *instance);
 static bool
-stop_gracefully_ (struct instance *instance);
+run_until_stopped_ (struct instance *instance);
+static size_t
+list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data);
+static void
+config_applied_ (struct sr_config *config, void *data);
 static void
 leave_ (void *data);
 static void
@@ -93,8 +98,6 @@
 hand_over_bills_ (int64_t end_us, void *data);
 static bool
 hand_over_budgets_ (int64_t end_us, void *data);
-static bool
-has_signal_ (int wait_ms);
 static void
 print_status_ (GString *out, void *data);
 static void
@@ -125,9 +128,8 @@
     goto out;
   sr_log (G_LOG_LEVEL_MESSAGE, "start", "listening on %s:%u, peers on %u",
           settings->listen_address->str, settings->entry_port, settings->peer_port);
-  run_until_stopped_ (&instance);
   /* What is left may still be in use: the process ends around it. */
-  if (!stop_gracefully_ (&instance))
+  if (!run_until_stopped_ (&instance))
     return EXIT_FAILED;
   status = EXIT_OK;
 
@@ -191,7 +193,18 @@
 static bool
 build_configuration_ (struct instance *instance)
 {
+  struct sr_config_watch_options options = { .platform = instance->platform,
+                                             .client = instance->peer_client,
+                                             .watch_ms = (int)instance->settings->platform_watch_ms,
+                                             .seed = instance->seed + CONFIG_SEED_SALT,
+                                             .list_peers = list_config_peers_,
+                                             .applied = config_applied_,
+                                             .data = instance };
+
   instance->current = sr_config_current_new ();
+  options.current = instance->current;
+  instance->watch = sr_config_watch_new (&options);
+  sr_config_watch_add_to_server (instance->watch, instance->peer_server);
   return true;
 }
 
@@ -210,13 +223,17 @@
                                         .settle_interval_ms = settings->settle_interval_ms,
                                         .seed = instance->seed + BUDGET_SEED_SALT };
   struct sr_bills_options bills = { .platform = instance->platform,
+                                    .peers = instance->peer_client,
+                                    .members = instance->members,
                                     .instance = settings->name->str,
+                                    .data_centre = settings->data_centre->str,
                                     .incarnation = instance->incarnation };
   struct sr_order_upkeep_options upkeep;
 
   instance->budgets = sr_budgets_new (&budgets);
   sr_budgets_add_to_server (instance->budgets, instance->peer_server);
   instance->bills = sr_bills_new (&bills);
+  sr_bills_add_to_server (instance->bills, instance->peer_server);
   instance->orders = sr_orders_new (instance->platform);
   upkeep = (struct sr_order_upkeep_options){ .orders = instance->orders,
                                              .retry_interval_ms = ORDER_RETRY_MS,
@@ -281,8 +298,8 @@
 start_ (struct instance *instance)
 {
   if (!sr_peer_server_start (instance->peer_server) || !sr_members_start (instance->members)
-      || !sr_budgets_start (instance->budgets) || !sr_dispatch_start (instance->dispatch)
-      || !sr_order_upkeep_start (instance->order_upkeep))
+      || !sr_budgets_start (instance->budgets) || !sr_bills_start (instance->bills)
+      || !sr_dispatch_start (instance->dispatch) || !sr_order_upkeep_start (instance->order_upkeep))
     {
       sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
       return false;
@@ -292,6 +309,11 @@
       sr_log (G_LOG_LEVEL_CRITICAL, "start", "the entry's address can't be had");
       return false;
     }
+  if (!sr_config_watch_start (instance->watch))
+    {
+      sr_log (G_LOG_LEVEL_CRITICAL, "start", "a thread could not be started");
+      return false;
+    }
   return true;
 }
 
@@ -299,6 +321,8 @@
 static void
 tear_down_ (struct instance *instance)
 {
+  if (instance->watch != NULL)
+    sr_config_watch_stop (instance->watch);
   if (instance->dispatch != NULL)
     sr_dispatch_stop (instance->dispatch);
   sr_entry_delete (instance->entry);
@@ -315,6 +339,7 @@
   if (instance->budgets != NULL)
     sr_budgets_stop (instance->budgets);
   sr_budgets_delete (instance->budgets);
+  sr_config_watch_delete (instance->watch);
   sr_config_current_delete (instance->current);
   sr_members_delete (instance->members);
   sr_peer_server_delete (instance->peer_server);
@@ -322,30 +347,43 @@
   sr_platform_unref (instance->platform);
 }
 
-static void
-run_until_stopped_ (struct instance *instance)
+/* Lists the other instances that may have a configuration. */
+static size_t
+list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data)
 {
-  while (!has_signal_ (CONFIG_POLL_MS))
+  struct instance *instance = data;
+  struct sr_member_view *view = sr_members_view (instance->members);
+  size_t count = 0;
+
+  for (size_t i = 0; i < view->length && count < max; i++)
     {
-      GString *text = g_string_new (NULL);
-      struct sr_findings *findings = sr_findings_new ();
-      struct sr_config *config = NULL;
-      int64_t revision = 0;
-
-      if (sr_config_fetch (instance->platform, text, &revision, g_get_monotonic_time () + US_PER_S)
-          == SR_PLATFORM_OK)
-        config = sr_config_parse ("platform", text->str, text->len, revision, findings);
-      if (config != NULL && sr_config_current_apply (instance->current, config))
-        sr_entry_set_ready (instance->entry, true);
-      sr_config_unref (config);
-      sr_findings_delete (findings);
-      g_string_free (text, TRUE);
+      const struct sr_member *member = &view->members[i];
+
+      if (member->is_self || member->state == SR_MEMBER_DEAD || member->revision == 0)
+        continue;
+      peers[count].address = member->peer;
+      peers[count].revision = member->revision;
+      count++;
     }
+  sr_member_view_unref (view);
+  return count;
 }
 
-/* Returns whether nothing was left when the stop ended. */
+/* Tells the others of the new revision and takes requests from the first one on. */
+static void
+config_applied_ (struct sr_config *config, void *data)
+{
+  struct instance *instance = data;
+
+  sr_members_set_revision (instance->members, sr_config_revision (config));
+  sr_entry_set_ready (instance->entry, true);
+  if (atomic_load (&instance->stopping))
+    sr_entry_set_ready (instance->entry, false);
+}
+
+/* Waits for a signal and stops in order. Returns whether nothing was left when the stop ended. */
 static bool
-stop_gracefully_ (struct instance *instance)
+run_until_stopped_ (struct instance *instance)
 {
   struct sr_drain_options options = { .vtable = &drain_vtable,
                                       .data = instance,
@@ -354,7 +392,6 @@
   struct sr_drain *drain = sr_drain_new (&options);
   bool clean;
 
-  sr_drain_request (drain);
   clean = sr_drain_run (drain);
   sr_drain_delete (drain);
   return clean;
@@ -365,6 +402,7 @@
 {
   struct instance *instance = data;
 
+  atomic_store (&instance->stopping, true);
   sr_entry_set_ready (instance->entry, false);
   sr_members_set_leaving (instance->members);
 }
@@ -402,19 +440,6 @@
   return sr_budgets_hand_over (instance->budgets, end_us);
 }
 
-/* Waits up to WAIT_MS for SIGTERM or SIGINT, which are blocked. */
-static bool
-has_signal_ (int wait_ms)
-{
-  struct timespec wait = { .tv_nsec = (long)wait_ms * NS_PER_MS };
-  sigset_t signals;
-
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  return sigtimedwait (&signals, NULL, &wait) > 0;
-}
-
 static void
 print_status_ (GString *out, void *data)
 {
