Command line: show

Prints the configuration in force as a file that can be submitted again, budgets, instances, backend servers and bills, from an instance's status or from the platform.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -49,6 +49,8 @@
 int
 cli_command_serve (int argc, char **argv);
 int
+cli_command_show (int argc, char **argv);
+int
 cli_command_submit (int argc, char **argv);
 int
 cli_command_version (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -9,6 +9,7 @@
   { "audit", "print the trail of accepted changes", cli_command_audit },
   { "check", "check files of settings or of configuration", cli_command_check },
   { "serve", "run one instance", cli_command_serve },
+  { "show", "print what an instance or the platform knows", cli_command_show },
   { "submit", "put a configuration in force", cli_command_submit },
   { "topup", "pay tokens into a budget", sr_command_topup },
   { "version", "print the version", cli_command_version },
