--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,9 @@
 LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c),$(wildcard src/*/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libsapphirerun.a
+# What operators' own programs link with.
+CONFIG_LIB := $(BUILD)/libsapphirerun-config.a
+CONFIG_OBJ := $(addprefix $(BUILD)/src/,config/builder.o config/config.o config/sections.o config/references.o settings/ini-reader.o base/findings.o)
 UNIT_SRC := $(wildcard src/*/test-*.c)
 UNIT := $(UNIT_SRC:%.c=$(BUILD)/%)
 STANDINS := $(notdir $(patsubst %/,%,$(wildcard testing/standin/*/)))
@@ -73,7 +76,11 @@
 $(BENCH): $(BUILD)/testing/bench/%: $(BUILD)/testing/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
-$(EXAMPLE): $(BUILD)/examples/%: $(BUILD)/examples/%.o $(LIB)
+$(CONFIG_LIB): $(CONFIG_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(EXAMPLE): $(BUILD)/examples/%: $(BUILD)/examples/%.o $(CONFIG_LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
