--- a/src/member/member.c
+++ b/src/member/member.c
@@ -29,7 +29,6 @@
   struct sr_peer_client *client;
   struct sr_platform *platform;
   int64_t interval_us;
-  int64_t first_tick_us;
   int64_t platform_interval_us;
   int call_timeout_ms;
   pthread_t gossip_thread;
@@ -99,7 +98,6 @@
 sr_members_new (const struct sr_members_options *options)
 {
   struct sr_members *members = g_new0 (struct sr_members, 1);
-  GRand *random = g_rand_new_with_seed (options->seed);
   g_autoptr (GArray) seeds = g_array_new (FALSE, FALSE, sizeof (struct sr_peer_address));
   struct sr_gossip_options gossip_options
       = { .name = options->name,
@@ -111,7 +109,7 @@
           .fanout = options->gossip_fanout,
           .suspect_after_us = (int64_t)options->suspect_after_ms * US_PER_MS,
           .dead_after_us = (int64_t)options->dead_after_ms * US_PER_MS,
-          .seed = g_rand_int (random) };
+          .seed = options->seed };
   unsigned platform_interval_ms
       = options->platform_interval_ms > 0 ? options->platform_interval_ms : PLATFORM_INTERVAL_MS;
 
@@ -128,13 +126,11 @@
   if (options->platform != NULL)
     members->platform = sr_platform_ref (options->platform);
   members->interval_us = gossip_options.interval_us;
-  members->first_tick_us = (int64_t)(g_rand_double (random) * (double)members->interval_us);
   members->platform_interval_us = (int64_t)platform_interval_ms * US_PER_MS;
   members->call_timeout_ms = (int)MAX (CALL_TIMEOUT_MIN_MS, options->gossip_interval_ms
                                                                 / (2 * options->gossip_fanout + 1));
   for (size_t i = 0; i < G_N_ELEMENTS (all_counters); i++)
     sr_counter_register (all_counters[i]);
-  g_rand_free (random);
   return members;
 }
 
@@ -278,7 +274,7 @@
 gossip_run_ (void *data)
 {
   struct sr_members *members = data;
-  int64_t next_us = g_get_monotonic_time () + members->first_tick_us;
+  int64_t next_us = g_get_monotonic_time ();
   bool tick_now = false;
 
   while (wait_until_ (members, next_us, &tick_now))
