Drain: allotments left on the platform's record spoil no stop

They are recovered by other instances; while the platform is out they cannot be given back, and the stop with 100 open streams ended with 1 because of them.

--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -91,8 +91,9 @@
   atomic_fetch_add (&drain->requests, 1);
 }
 
-/* Waits for a stop signal or sr_drain_request and performs the stop. Returns true when no request
- * was cut off and everything was handed over; what was left is logged otherwise. */
+/* Waits for a stop signal or sr_drain_request and performs the stop. What was left is logged.
+ * Returns true when no request was cut off and all bills went to others; allotments that were left
+ * stay on the platform's record, from where other instances recover them. */
 bool
 sr_drain_run (struct sr_drain *drain)
 {
@@ -224,5 +225,5 @@
   sr_log (G_LOG_LEVEL_WARNING, "stop_left", "%u requests, %s bills, %s allotments",
           core->requests_left, core->bills_left ? "some" : "no",
           core->budgets_left ? "some" : "no");
-  return false;
+  return core->requests_left == 0 && !core->bills_left;
 }
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -8,8 +8,9 @@
  *   .. stop and free the other parts, if clean ..
  *   sr_drain_delete (drain);
  *   exit code: clean ? 0 : 1
- * When sr_drain_run returns false, a second signal or the limit ended the stop: requests or a hand
- * over may still be in progress, and the process should end without waiting for them. */
+ * When sr_drain_run returns false, requests or bills were left; when a second signal or the limit
+ * ended the stop, they may still be in progress, and the process should end without waiting for
+ * them. */
 #pragma once
 
 #include "drain/drain-core.h"
--- a/src/drain/test-drain.c
+++ b/src/drain/test-drain.c
@@ -186,13 +186,14 @@
   return true;
 }
 
+/* Allotments that stay on the platform's record spoil no stop. */
 static bool
 fake_hand_over_budgets (int64_t end_us, void *data)
 {
   struct fake *fake = data;
 
   atomic_store (&fake->order, atomic_load (&fake->order) * 10 + 2);
-  return true;
+  return false;
 }
 
 static const struct sr_drain_vtable fake_vtable = {
