--- a/testing/bench/capacity.c
+++ b/testing/bench/capacity.c
@@ -24,6 +24,8 @@
   TEAMS = 1500,
   PICKS = 20000,
   IDLE_S = 10,
+  DEATH_LIMIT_S = 300,
+  DATA_CENTRES = 9,
   BUDGET_TOKENS = 1000000,
   LOAD_RATE = 72, /* 18 a second for each of four instances */
   LOAD_INSTANCES = 4,
@@ -53,6 +55,7 @@
 {
   size_t length;
   struct sr_gossip **nodes;
+  size_t dead_from; /* the nodes from here on neither run nor answer */
   int64_t now_us;
   int64_t bytes;
   int64_t messages;
@@ -91,6 +94,11 @@
   unsigned low = 0;
 
   sscanf (target->address.ip, "10.0.%u.%u", &high, &low);
+  if (high * 256 + low >= fleet->dead_from)
+    {
+      sr_gossip_handle_failure (fleet->nodes[from], fleet->now_us, target);
+      return;
+    }
   sr_gossip_fill_request (fleet->nodes[from], target, &request);
   sr_gossip_handle_request (fleet->nodes[high * 256 + low], fleet->now_us, &request, &answer);
   sr_gossip_handle_answer (fleet->nodes[from], fleet->now_us, target, &answer);
@@ -108,7 +116,7 @@
   for (unsigned second = 0; second < seconds; second++)
     {
       fleet->now_us += US_PER_S;
-      for (size_t i = 0; i < fleet->length; i++)
+      for (size_t i = 0; i < fleet->dead_from; i++)
         {
           g_autoptr (GArray) targets = g_array_new (FALSE, TRUE, sizeof (struct sr_gossip_target));
 
@@ -119,10 +127,47 @@
     }
 }
 
+/* How many pairs of a running and a dead node there are in which the one sees the other as dead. */
+static size_t
+count_seen_dead_ (const struct gossip_fleet *fleet)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < fleet->dead_from; i++)
+    {
+      struct sr_member_view *view = sr_gossip_view (fleet->nodes[i], fleet->now_us);
+
+      for (size_t j = 0; j < view->length; j++)
+        count += view->members[j].state == SR_MEMBER_DEAD;
+      sr_member_view_unref (view);
+    }
+  return count;
+}
+
+/* Seconds from the end of the last COUNT nodes until the first and all others see them as dead. */
+static void
+measure_death_ (struct gossip_fleet *fleet, size_t count)
+{
+  unsigned first_s = 0;
+  unsigned seconds = 0;
+  size_t seen = 0;
+
+  fleet->dead_from = fleet->length - count;
+  for (; seen < fleet->dead_from * count && seconds < DEATH_LIMIT_S; seconds++)
+    {
+      gossip_run_ (fleet, 1);
+      seen = count_seen_dead_ (fleet);
+      if (seen > 0 && first_s == 0)
+        first_s = seconds + 1;
+    }
+  printf ("death members=%zu dead=%zu first_s=%u all_s=%u pairs=%zu of %zu\n", fleet->length, count,
+          first_s, seconds, seen, fleet->dead_from * count);
+}
+
 static void
-measure_gossip_ (size_t length)
+measure_gossip_ (size_t length, bool data_centre_dies)
 {
-  struct gossip_fleet fleet = { .length = length, .now_us = US_PER_S };
+  struct gossip_fleet fleet = { .length = length, .dead_from = length, .now_us = US_PER_S };
   int64_t heap = heap_bytes_ ();
   int64_t cpu;
   double node_seconds = (double)length * GOSSIP_MEASURE_S;
@@ -140,6 +185,7 @@
   printf ("gossip members=%zu messages_per_s=%.1f bytes_per_s=%.0f cpu_us_per_s=%.0f heap=%.0f\n",
           length, 2 * (double)fleet.messages / node_seconds, 2 * (double)fleet.bytes / node_seconds,
           (double)cpu / node_seconds, (double)heap / (double)length);
+  measure_death_ (&fleet, data_centre_dies ? length / DATA_CENTRES : 1);
   for (size_t i = 0; i < length; i++)
     sr_gossip_delete (fleet.nodes[i]);
   g_free (fleet.nodes);
@@ -485,7 +531,9 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   for (size_t i = 0; (argc < 2 || g_strv_contains (parts, "gossip")) && i < G_N_ELEMENTS (members);
        i++)
-    measure_gossip_ (members[i]);
+    measure_gossip_ (members[i], false);
+  if (argc < 2 || g_strv_contains (parts, "gossip"))
+    measure_gossip_ (members[G_N_ELEMENTS (members) - 1], true);
   for (size_t i = 0; (argc < 2 || g_strv_contains (parts, "router")) && i < G_N_ELEMENTS (engines);
        i++)
     measure_router_ (engines[i]);
