An instance that can place no bill says so before a request runs

Cause: cut off from every peer and the platform, an instance still ran requests and then held each one until its deadline, for its bill had no second place. Now the wait is 3 s at most, and once no second place took a bill for a second, new requests are refused at once, before anything runs. Waiting bills are tried again meanwhile, so it ends by itself. Writers of a batch are waited for on a condition in place of a 50 ms sleep.

--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -17,6 +17,8 @@
   KEEPERS_MAX = 2, /* peers tried for a copy before the platform is */
   US_PER_MS = 1000,
   HAND_OVER_POLL_US = 50000,
+  SECOND_PLACE_WAIT_US = 3000000,  /* longest wait for a second place */
+  SECOND_PLACE_STUCK_US = 1000000, /* after it, new requests are not worth starting */
   PROCEDURE_KEEP = 1,
   XDR_UNIT_BYTES = 4
 };
@@ -30,7 +32,8 @@
   pthread_cond_t changed;
   struct sr_book *book;
   pthread_t writer;
-  bool writing; /* a batch is on its way to the platform */
+  bool writing;           /* a batch is on its way to the platform */
+  int64_t stuck_since_us; /* no second place has taken a bill since; 0: the last one was taken */
   bool started;
   bool stopping;
 };
@@ -44,6 +47,10 @@
 static void *
 writer_run_ (void *data);
 static bool
+wait_for_platform_ (struct sr_bills *bills, uint64_t number, int64_t deadline_us);
+static void
+note_taken_ (struct sr_bills *bills);
+static bool
 write_batch_ (struct sr_bills *bills);
 static void
 copy_again_ (struct sr_bills *bills);
@@ -134,8 +141,8 @@
 }
 
 /* Records BILL. Returns true once a second place has it: a peer's memory, else the platform; false
- * when neither had it by the monotonic DEADLINE_US, or this instance has no room. The bill is
- * written even then, as soon as that can be done: its request was run. */
+ * when neither had it by the monotonic DEADLINE_US or within 3 s, or this instance has no room. The
+ * bill is written even then, as soon as that can be done: its request was run. */
 bool
 sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us)
 {
@@ -154,19 +161,28 @@
   pthread_mutex_unlock (&bills->mutex);
   sr_counter_add (&recorded_total, 1);
   kept = number > 0 && copy_to_a_peer_ (bills, number, line);
-  while (number > 0 && !kept && g_get_monotonic_time () < deadline_us)
-    {
-      if (!write_batch_ (bills))
-        g_usleep (HAND_OVER_POLL_US);
-      pthread_mutex_lock (&bills->mutex);
-      kept = sr_book_written_up_to (bills->book) >= number;
-      pthread_mutex_unlock (&bills->mutex);
-    }
+  if (kept)
+    note_taken_ (bills);
+  else if (number > 0)
+    kept = wait_for_platform_ (bills, number, deadline_us);
   free (line);
   json_decref (root);
   return kept;
 }
 
+/* Tells whether no second place has taken a bill for some time, so that the answer of a new request
+ * could not leave. Bills that wait are tried again all the while. */
+bool
+sr_bills_is_stuck (struct sr_bills *bills, int64_t now_us)
+{
+  bool stuck;
+
+  pthread_mutex_lock (&bills->mutex);
+  stuck = bills->stuck_since_us != 0 && now_us - bills->stuck_since_us > SECOND_PLACE_STUCK_US;
+  pthread_mutex_unlock (&bills->mutex);
+  return stuck;
+}
+
 /* Writes what is left to the platform, at most until the monotonic DEADLINE_US. Returns true when
  * every bill is there or in a peer's memory. */
 bool
@@ -192,6 +208,46 @@
   return written || copied;
 }
 
+/* Waits until the own line NUMBER is on the platform: writes it, or waits for the thread that does.
+ */
+static bool
+wait_for_platform_ (struct sr_bills *bills, uint64_t number, int64_t deadline_us)
+{
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t end_us = MIN (deadline_us, now_us + SECOND_PLACE_WAIT_US);
+  bool kept = false;
+
+  pthread_mutex_lock (&bills->mutex);
+  if (bills->stuck_since_us == 0)
+    bills->stuck_since_us = now_us;
+  while (!kept && now_us < end_us)
+    {
+      bool written = false;
+
+      if (!bills->writing)
+        {
+          pthread_mutex_unlock (&bills->mutex);
+          written = write_batch_ (bills);
+          pthread_mutex_lock (&bills->mutex);
+        }
+      kept = sr_book_written_up_to (bills->book) >= number;
+      if (!kept && !written)
+        sr_cond_wait_until (&bills->changed, &bills->mutex, now_us + HAND_OVER_POLL_US);
+      kept = sr_book_written_up_to (bills->book) >= number;
+      now_us = g_get_monotonic_time ();
+    }
+  pthread_mutex_unlock (&bills->mutex);
+  return kept;
+}
+
+static void
+note_taken_ (struct sr_bills *bills)
+{
+  pthread_mutex_lock (&bills->mutex);
+  bills->stuck_since_us = 0;
+  pthread_mutex_unlock (&bills->mutex);
+}
+
 static void *
 writer_run_ (void *data)
 {
@@ -251,7 +307,11 @@
       pthread_mutex_lock (&bills->mutex);
       bills->writing = false;
       if (written)
-        sr_book_batch_written (bills->book);
+        {
+          sr_book_batch_written (bills->book);
+          bills->stuck_since_us = 0;
+        }
+      pthread_cond_broadcast (&bills->changed);
       sr_counter_set (&waiting_bills, sr_book_length (bills->book));
       pthread_mutex_unlock (&bills->mutex);
     }
@@ -290,6 +350,8 @@
       if (text == NULL)
         break;
       kept = keep_at_ (bills, member, after, text);
+      if (kept)
+        note_taken_ (bills);
       g_free (text);
     }
   g_ptr_array_unref (keepers);
--- a/src/bill/bill.h
+++ b/src/bill/bill.h
@@ -53,6 +53,8 @@
 bool
 sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us);
 bool
+sr_bills_is_stuck (struct sr_bills *bills, int64_t now_us);
+bool
 sr_bills_hand_over (struct sr_bills *bills, int64_t deadline_us);
 
 /* Which bills to read; NULL: all. */
--- a/src/bill/test-bill.c
+++ b/src/bill/test-bill.c
@@ -212,6 +212,29 @@
   assert_int_equal (billed_ (&tokens), 2);
 }
 
+/* Alone and with the platform out, a bill is not placed, and it can be told that the next would not
+ * be either; both end when the platform is back. */
+static void
+alone_without_a_platform_no_bill_is_placed (void **state)
+{
+  struct sr_platform *alone = sr_platform_memory_new ();
+  struct sr_bills_options options
+      = { .platform = alone, .instance = "i9", .data_centre = "makole", .incarnation = 1 };
+  struct sr_bills *bills = sr_bills_new (&options);
+  struct sr_bill bill = { .team = "t", .budget = "b", .request = "r", .service = "s" };
+  int64_t now_us = g_get_monotonic_time ();
+
+  sr_platform_memory_set_out (alone, true);
+  assert_false (sr_bills_is_stuck (bills, now_us + WAIT_US));
+  assert_false (sr_bills_record (bills, &bill, now_us + SHORT_WAIT_US));
+  assert_true (sr_bills_is_stuck (bills, now_us + WAIT_US));
+  sr_platform_memory_set_out (alone, false);
+  assert_true (sr_bills_record (bills, &bill, g_get_monotonic_time () + WAIT_US));
+  assert_false (sr_bills_is_stuck (bills, now_us + WAIT_US));
+  sr_bills_delete (bills);
+  sr_platform_unref (alone);
+}
+
 int
 main (void)
 {
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -116,6 +116,8 @@
   p.failed = g_ptr_array_new_with_free_func (g_free);
   if (p.order->is_look_up)
     perform_look_up_ (&p);
+  else if (sr_bills_is_stuck (dispatch->options.bills, p.started_us))
+    refuse_ (&p, SR_ERROR_BILL_NOT_PLACED, RETRY_LATER_MS);
   else if (!p.service->repeatable)
     perform_order_ (&p);
   else if (follow_elsewhere_ (&p))
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -65,7 +65,7 @@
   { "timeout", "the answer did not come in time", 504 },
   { "in_progress", "the request is still being carried out", 409 },
   { "abandoned", "all its callers had gone", 504 },
-  { "bill_not_placed", "no second place could take the bill", 504 },
+  { "bill_not_placed", "no second place can take the bill", 503 },
 };
 
 /* The mutex stays locked, so that a listener that was dropped is never called. */
