--- a/src/bill/test-bill.c
+++ b/src/bill/test-bill.c
@@ -242,6 +242,7 @@
     cmocka_unit_test_setup_teardown (test_bills_survive_outage_and_crash, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_bill_written_twice_reads_once, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_platform_is_the_second_place, set_up_, tear_down_),
+    cmocka_unit_test (alone_without_a_platform_no_bill_is_placed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
