--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -98,7 +98,12 @@
 
 /* recover.c */
 bool
-sr_budget_recover (struct sr_budgets *budgets, const char *name, struct sr_record *record);
+sr_budget_recover (struct sr_budgets *budgets,
+                   const char *name,
+                   struct sr_record *record,
+                   GArray *closed);
+void
+sr_budget_audit_taken_back (struct sr_budgets *budgets, const char *name, const GArray *closed);
 
 /* peers.c */
 struct sr_member_view *
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -105,6 +105,7 @@
 {
   enum sr_platform_status status = SR_PLATFORM_OUT;
   struct update update = { 0 };
+  GArray *closed = g_array_new (FALSE, FALSE, sizeof (struct sr_record_holder));
 
   for (unsigned try = 0; try < TRIES_MAX; try++)
     {
@@ -112,7 +113,8 @@
       status = read_ (budgets, entry->name, &update);
       if (status != SR_PLATFORM_OK)
         break;
-      update.write = sr_budget_recover (budgets, entry->name, update.record);
+      g_array_set_size (closed, 0);
+      update.write = sr_budget_recover (budgets, entry->name, update.record, closed);
       pthread_mutex_lock (&budgets->mutex);
       sr_ledger_read (entry->ledger, update.record, update.version);
       sr_budget_entry_note_holders (budgets, entry, update.record);
@@ -127,6 +129,7 @@
           pthread_mutex_lock (&budgets->mutex);
           sr_ledger_written (entry->ledger, update.record);
           pthread_mutex_unlock (&budgets->mutex);
+          sr_budget_audit_taken_back (budgets, entry->name, closed);
           break;
         }
       if (status != SR_PLATFORM_CONFLICT && status != SR_PLATFORM_UNKNOWN)
@@ -136,6 +139,7 @@
       usleep (BACKOFF_MIN_US + (unsigned)g_random_int_range (0, BACKOFF_SPREAD_US) * (try + 1));
     }
   sr_record_delete (update.record);
+  g_array_unref (closed);
   pthread_mutex_lock (&budgets->mutex);
   note_reachable_ (budgets, status);
   pthread_mutex_unlock (&budgets->mutex);
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -10,7 +10,7 @@
 enum
 {
   SR_BUDGET_NAME_MAX_BYTES = 64,
-  SR_TOP_UP_ID_MAX_BYTES = 128
+  SR_TOP_UP_ID_MAX_BYTES = 64
 };
 
 /* Names one holder's record for all time: an instance starts a new incarnation with each start of
--- a/src/budget/recover.c
+++ b/src/budget/recover.c
@@ -1,9 +1,14 @@
 #include "budget/budget-private.h"
 
+#include "audit/audit.h"
+#include "base/log.h"
+
 #include <string.h>
 
 enum
 {
+  US_PER_MS = 1000,
+  AUDIT_LIMIT_US = 1000000,
   SEALS_MAX = 4,         /* of one update: each waits for a peer */
   SETTLING_US = 10000000 /* after the start, an instance that is not heard of may be alive */
 };
@@ -23,14 +28,17 @@
 
 /* Closes in RECORD of budget NAME the holders that are believed dead: as having spent the ceiling,
  * once their witness has sealed it; as having spent everything, when both the holder and its
- * witness are superseded by later incarnations. Returns whether RECORD was changed. Called without
- * the mutex; blocks for a few calls to witnesses. */
+ * witness are superseded by later incarnations. Adds them to CLOSED (struct sr_record_holder),
+ * their spent set. Returns whether RECORD was changed. Called without the mutex; blocks for a few
+ * calls to witnesses. */
 bool
-sr_budget_recover (struct sr_budgets *budgets, const char *name, struct sr_record *record)
+sr_budget_recover (struct sr_budgets *budgets,
+                   const char *name,
+                   struct sr_record *record,
+                   GArray *closed)
 {
   struct sr_member_view *view = sr_budget_view (budgets);
   unsigned seals = 0;
-  bool changed = false;
 
   for (unsigned i = record->holders->len; view != NULL && i > 0; i--)
     {
@@ -45,17 +53,47 @@
       if (holder.witness[0] != '\0' && witness == FATE_IN_USE && seals++ < SEALS_MAX
           && sr_budget_seal (budgets, name, &holder, &ceiling))
         {
-          sr_record_close (record, &holder.id, MIN (ceiling, holder.granted));
-          changed = true;
+          holder.spent = MIN (ceiling, holder.granted);
+          sr_record_close (record, &holder.id, holder.spent);
+          g_array_append_val (closed, holder);
         }
       else if (fate == FATE_SUPERSEDED && (holder.witness[0] == '\0' || witness == FATE_SUPERSEDED))
         {
           sr_record_write_off (record, &holder.id);
-          changed = true;
+          holder.spent = holder.granted;
+          g_array_append_val (closed, holder);
         }
     }
   sr_member_view_unref (view);
-  return changed;
+  return closed->len > 0;
+}
+
+/* Puts into the audit trail that the holders CLOSED of budget NAME were taken back. An entry that
+ * the platform does not take is logged. */
+void
+sr_budget_audit_taken_back (struct sr_budgets *budgets, const char *name, const GArray *closed)
+{
+  for (unsigned i = 0; i < closed->len; i++)
+    {
+      const struct sr_record_holder *holder = &g_array_index (closed, struct sr_record_holder, i);
+      g_autofree char *id
+          = g_strdup_printf ("%s.%s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, name,
+                             holder->id.instance, holder->id.incarnation, holder->id.generation);
+      struct sr_audit_entry *entry = sr_audit_entry_new (SR_AUDIT_TAKE_BACK, id, budgets->instance,
+                                                         g_get_real_time () / US_PER_MS);
+
+      g_string_printf (entry->subject, "budget %s", name);
+      g_string_printf (entry->before, "%" G_GINT64_FORMAT " tokens held by %s", holder->granted,
+                       holder->id.instance);
+      g_string_printf (entry->after, "%" G_GINT64_FORMAT " tokens settled", holder->spent);
+      sr_log (G_LOG_LEVEL_MESSAGE, "take-back", "budget %s: %s: %s, %s", name, holder->id.instance,
+              entry->before->str, entry->after->str);
+      if (sr_audit_write (budgets->options.platform, entry,
+                          g_get_monotonic_time () + AUDIT_LIMIT_US)
+          != SR_PLATFORM_OK)
+        sr_log (G_LOG_LEVEL_WARNING, "audit", "no entry for the take-back %s", id);
+      sr_audit_entry_delete (entry);
+    }
 }
 
 static enum fate
--- a/src/budget/top-up.c
+++ b/src/budget/top-up.c
@@ -1,5 +1,7 @@
 #include "budget/top-up.h"
 
+#include <string.h>
+
 enum
 {
   TRIES_MAX = 50,
@@ -96,6 +98,13 @@
                                 version, &result->version);
       g_string_free (body, TRUE);
     }
+  for (unsigned i = 0; i < record->top_ups->len; i++)
+    {
+      const struct sr_record_top_up *top_up = record->top_ups->pdata[i];
+
+      if (strcmp (top_up->id->str, request->id) == 0)
+        result->time_ms = top_up->time_ms;
+    }
   result->prepaid = record->prepaid;
   result->beyond = MAX (-sr_record_remaining (record), 0);
   sr_record_delete (record);
--- a/src/budget/top-up.h
+++ b/src/budget/top-up.h
@@ -12,6 +12,7 @@
   int64_t prepaid;
   int64_t beyond; /* tokens held by instances beyond the prepaid ones: they are recalled */
   int64_t version;
+  int64_t time_ms; /* when it was applied */
 };
 
 struct sr_top_up_request
