Drain: handing over ends before the limit, and bills leave half of its time

In test-fleet's stop without a platform the bills used the time up to the limit, so that the stop ended with 'some bills, some allotments' although a peer held the bills.

--- a/src/drain/drain-core.c
+++ b/src/drain/drain-core.c
@@ -2,6 +2,11 @@
 
 #include <glib.h>
 
+enum
+{
+  HAND_OVER_MARGIN_SHARE = 2 /* one in so many parts of the time kept for handing over */
+};
+
 static const char *const state_names[] = {
   "running", "leaving", "draining", "handing over", "stopped",
 };
@@ -52,11 +57,14 @@
   return SR_DRAIN_ACTION_NONE;
 }
 
-/* Returns the monotonic time at which handing over has to end. */
+/* Returns the monotonic time at which handing over should end: before the limit, since its last
+ * call may take longer. */
 int64_t
 sr_drain_core_hand_over_end_us (const struct sr_drain_core *core)
 {
-  return core->signalled_us + core->options.limit_us;
+  int64_t margin_us = core->options.hand_over_us / HAND_OVER_MARGIN_SHARE;
+
+  return core->signalled_us + core->options.limit_us - margin_us;
 }
 
 static enum sr_drain_action
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -11,7 +11,7 @@
 enum
 {
   POLL_MS = 50,
-  HAND_OVER_MS = 5000,
+  HAND_OVER_MS = 8000,
   NS_PER_MS = 1000000,
   US_PER_MS = 1000,
   US_PER_S = 1000000
@@ -210,7 +210,11 @@
 static void
 hand_over_ (struct sr_drain *drain)
 {
-  drain->bills = drain->vtable->hand_over_bills (drain->hand_over_end_us, drain->data);
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t bills_end_us = now_us + (drain->hand_over_end_us - now_us) / 2;
+
+  /* While the platform is out the bills can use up their time, and leave the other half. */
+  drain->bills = drain->vtable->hand_over_bills (bills_end_us, drain->data);
   drain->budgets = drain->vtable->hand_over_budgets (drain->hand_over_end_us, drain->data);
   atomic_store (&drain->handed_over, true);
 }
--- a/src/drain/test-drain.c
+++ b/src/drain/test-drain.c
@@ -69,6 +69,7 @@
   signal_at (&core, 0);
   assert_int_equal (tick_at (&core, 7, 2 * SECOND), SR_DRAIN_ACTION_CLOSE);
   assert_int_equal (tick_at (&core, 7, 55 * SECOND), SR_DRAIN_ACTION_HAND_OVER);
+  assert_true (sr_drain_core_hand_over_end_us (&core) < 60 * SECOND);
   assert_int_equal (tick_at (&core, 2, 59 * SECOND), SR_DRAIN_ACTION_NONE);
   assert_int_equal (tick_at (&core, 2, 60 * SECOND), SR_DRAIN_ACTION_FINISH);
   assert_int_equal (core.requests_left, 7);
