--- a/testing/bench/latency.c
+++ b/testing/bench/latency.c
@@ -238,8 +238,8 @@
 
   if (reply->status == 200 && reply->whole)
     samples_add (series->total_us, reply->total_us);
-  else
-    series->failed++;
+  else if (series->failed++ == 0)
+    printf ("first failure: %d %s\n", reply->status, reply->body->str);
   harness_reply_free (reply);
 }
 
