--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -28,6 +28,7 @@
   bool exhausted;
   bool cannot_lend;
   bool platform_read;
+  bool gained; /* from the home */
 };
 
 static void
@@ -130,6 +131,7 @@
           = sr_budget_borrow (attempt->budgets, attempt->entry, home, missing, false);
 
       *unreachable = result == SR_ASK_UNREACHABLE;
+      attempt->gained = attempt->gained || result == SR_ASK_GAINED;
       if (missing_ (attempt, false) == 0)
         return;
       if (result != SR_ASK_PENDING && result != SR_ASK_GAINED)
@@ -271,7 +273,9 @@
   entry->busy = false;
   entry->finished = entry->started;
   entry->verdict = attempt->exhausted ? SR_BUDGET_EXHAUSTED : SR_BUDGET_UNREACHABLE;
-  if (missing_locked_ (attempt, false) == 0)
+  /* Tokens that came may have gone to requests that began meanwhile: the others wait on. */
+  if (missing_locked_ (attempt, false) == 0
+      || (!attempt->exhausted && (attempt->platform_read || attempt->gained)))
     {
       entry->verdict = SR_BUDGET_RESERVED;
       entry->refused_until_us = 0;
--- a/src/budget/budget_xdr.c
+++ b/src/budget/budget_xdr.c
@@ -8,167 +8,169 @@
 bool_t
 xdr_sr_budget_holder_msg (XDR *xdrs, sr_budget_holder_msg *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->instance, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->generation))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->instance, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->generation))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_borrow_msg (XDR *xdrs, sr_budget_borrow_msg *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_opaque (xdrs, objp->borrower, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->borrower_incarnation))
-		 return FALSE;
-	 if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->returned))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->need))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->want))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->last_resort))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_opaque (xdrs, objp->borrower, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->borrower_incarnation))
+    return FALSE;
+  if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->returned))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->need))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->want))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->last_resort))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_borrowed_msg (XDR *xdrs, sr_budget_borrowed_msg *objp)
 {
-	register int32_t *buf;
-
-	 if (!xdr_bool (xdrs, &objp->has_record))
-		 return FALSE;
-	 if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->lent))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->pending))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->exhausted))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  if (!xdr_bool (xdrs, &objp->has_record))
+    return FALSE;
+  if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->lent))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->pending))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->exhausted))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_recall_msg (XDR *xdrs, sr_budget_recall_msg *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_sr_budget_holder_msg (xdrs, &objp->lender))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_recalled_msg (XDR *xdrs, sr_budget_recalled_msg *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_quad_t (xdrs, &objp->returned))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_quad_t (xdrs, &objp->returned))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_raise_item (XDR *xdrs, sr_budget_raise_item *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->generation))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->ceiling))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->closed))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->generation))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->ceiling))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->closed))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_raise_msg (XDR *xdrs, sr_budget_raise_msg *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->instance, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->witness_incarnation))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, SR_BUDGET_RAISES_MAX,
-		sizeof (sr_budget_raise_item), (xdrproc_t) xdr_sr_budget_raise_item))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->instance, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->witness_incarnation))
+    return FALSE;
+  if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *)&objp->items.items_len,
+                  SR_BUDGET_RAISES_MAX, sizeof (sr_budget_raise_item),
+                  (xdrproc_t)xdr_sr_budget_raise_item))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_raised_item (XDR *xdrs, sr_budget_raised_item *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_quad_t (xdrs, &objp->ceiling))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->sealed))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_quad_t (xdrs, &objp->ceiling))
+    return FALSE;
+  if (!xdr_bool (xdrs, &objp->sealed))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_raised_msg (XDR *xdrs, sr_budget_raised_msg *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, SR_BUDGET_RAISES_MAX,
-		sizeof (sr_budget_raised_item), (xdrproc_t) xdr_sr_budget_raised_item))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *)&objp->items.items_len,
+                  SR_BUDGET_RAISES_MAX, sizeof (sr_budget_raised_item),
+                  (xdrproc_t)xdr_sr_budget_raised_item))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_seal_msg (XDR *xdrs, sr_budget_seal_msg *objp)
 {
-	register int32_t *buf;
-
-	int i;
-	 if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_sr_budget_holder_msg (xdrs, &objp->holder))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->witness_incarnation))
-		 return FALSE;
-	return TRUE;
+  register int32_t *buf;
+
+  int i;
+  if (!xdr_opaque (xdrs, objp->budget, SR_BUDGET_NAME_BYTES))
+    return FALSE;
+  if (!xdr_sr_budget_holder_msg (xdrs, &objp->holder))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->witness_incarnation))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_budget_sealed_msg (XDR *xdrs, sr_budget_sealed_msg *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->known))
-		 return FALSE;
-	 if (!xdr_quad_t (xdrs, &objp->ceiling))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_bool (xdrs, &objp->known))
+    return FALSE;
+  if (!xdr_quad_t (xdrs, &objp->ceiling))
+    return FALSE;
+  return TRUE;
 }
--- a/src/budget/budget_xdr.h
+++ b/src/budget/budget_xdr.h
@@ -8,127 +8,162 @@
 
 #include <rpc/rpc.h>
 
-
 #ifdef __cplusplus
-extern "C" {
+extern "C"
+{
 #endif
 
 #define SR_BUDGET_NAME_BYTES 64
 #define SR_BUDGET_RAISES_MAX 64
 
-struct sr_budget_holder_msg {
-	char instance[SR_BUDGET_NAME_BYTES];
-	u_quad_t incarnation;
-	u_quad_t generation;
-};
-typedef struct sr_budget_holder_msg sr_budget_holder_msg;
-
-struct sr_budget_borrow_msg {
-	char budget[SR_BUDGET_NAME_BYTES];
-	char borrower[SR_BUDGET_NAME_BYTES];
-	u_quad_t borrower_incarnation;
-	sr_budget_holder_msg lender;
-	quad_t returned;
-	quad_t need;
-	quad_t want;
-	bool_t last_resort;
-};
-typedef struct sr_budget_borrow_msg sr_budget_borrow_msg;
-
-struct sr_budget_borrowed_msg {
-	bool_t has_record;
-	sr_budget_holder_msg lender;
-	quad_t lent;
-	bool_t pending;
-	bool_t exhausted;
-};
-typedef struct sr_budget_borrowed_msg sr_budget_borrowed_msg;
-
-struct sr_budget_recall_msg {
-	char budget[SR_BUDGET_NAME_BYTES];
-	sr_budget_holder_msg lender;
-};
-typedef struct sr_budget_recall_msg sr_budget_recall_msg;
-
-struct sr_budget_recalled_msg {
-	quad_t returned;
-	u_quad_t incarnation;
-};
-typedef struct sr_budget_recalled_msg sr_budget_recalled_msg;
-
-struct sr_budget_raise_item {
-	char budget[SR_BUDGET_NAME_BYTES];
-	u_quad_t generation;
-	quad_t ceiling;
-	bool_t closed;
-};
-typedef struct sr_budget_raise_item sr_budget_raise_item;
-
-struct sr_budget_raise_msg {
-	char instance[SR_BUDGET_NAME_BYTES];
-	u_quad_t incarnation;
-	u_quad_t witness_incarnation;
-	struct {
-		u_int items_len;
-		sr_budget_raise_item *items_val;
-	} items;
-};
-typedef struct sr_budget_raise_msg sr_budget_raise_msg;
-
-struct sr_budget_raised_item {
-	quad_t ceiling;
-	bool_t sealed;
-};
-typedef struct sr_budget_raised_item sr_budget_raised_item;
-
-struct sr_budget_raised_msg {
-	struct {
-		u_int items_len;
-		sr_budget_raised_item *items_val;
-	} items;
-};
-typedef struct sr_budget_raised_msg sr_budget_raised_msg;
-
-struct sr_budget_seal_msg {
-	char budget[SR_BUDGET_NAME_BYTES];
-	sr_budget_holder_msg holder;
-	u_quad_t witness_incarnation;
-};
-typedef struct sr_budget_seal_msg sr_budget_seal_msg;
-
-struct sr_budget_sealed_msg {
-	bool_t known;
-	quad_t ceiling;
-};
-typedef struct sr_budget_sealed_msg sr_budget_sealed_msg;
-
-/* the xdr functions */
+  struct sr_budget_holder_msg
+  {
+    char instance[SR_BUDGET_NAME_BYTES];
+    u_quad_t incarnation;
+    u_quad_t generation;
+  };
+  typedef struct sr_budget_holder_msg sr_budget_holder_msg;
+
+  struct sr_budget_borrow_msg
+  {
+    char budget[SR_BUDGET_NAME_BYTES];
+    char borrower[SR_BUDGET_NAME_BYTES];
+    u_quad_t borrower_incarnation;
+    sr_budget_holder_msg lender;
+    quad_t returned;
+    quad_t need;
+    quad_t want;
+    bool_t last_resort;
+  };
+  typedef struct sr_budget_borrow_msg sr_budget_borrow_msg;
+
+  struct sr_budget_borrowed_msg
+  {
+    bool_t has_record;
+    sr_budget_holder_msg lender;
+    quad_t lent;
+    bool_t pending;
+    bool_t exhausted;
+  };
+  typedef struct sr_budget_borrowed_msg sr_budget_borrowed_msg;
+
+  struct sr_budget_recall_msg
+  {
+    char budget[SR_BUDGET_NAME_BYTES];
+    sr_budget_holder_msg lender;
+  };
+  typedef struct sr_budget_recall_msg sr_budget_recall_msg;
+
+  struct sr_budget_recalled_msg
+  {
+    quad_t returned;
+    u_quad_t incarnation;
+  };
+  typedef struct sr_budget_recalled_msg sr_budget_recalled_msg;
+
+  struct sr_budget_raise_item
+  {
+    char budget[SR_BUDGET_NAME_BYTES];
+    u_quad_t generation;
+    quad_t ceiling;
+    bool_t closed;
+  };
+  typedef struct sr_budget_raise_item sr_budget_raise_item;
+
+  struct sr_budget_raise_msg
+  {
+    char instance[SR_BUDGET_NAME_BYTES];
+    u_quad_t incarnation;
+    u_quad_t witness_incarnation;
+    struct
+    {
+      u_int items_len;
+      sr_budget_raise_item *items_val;
+    } items;
+  };
+  typedef struct sr_budget_raise_msg sr_budget_raise_msg;
+
+  struct sr_budget_raised_item
+  {
+    quad_t ceiling;
+    bool_t sealed;
+  };
+  typedef struct sr_budget_raised_item sr_budget_raised_item;
+
+  struct sr_budget_raised_msg
+  {
+    struct
+    {
+      u_int items_len;
+      sr_budget_raised_item *items_val;
+    } items;
+  };
+  typedef struct sr_budget_raised_msg sr_budget_raised_msg;
+
+  struct sr_budget_seal_msg
+  {
+    char budget[SR_BUDGET_NAME_BYTES];
+    sr_budget_holder_msg holder;
+    u_quad_t witness_incarnation;
+  };
+  typedef struct sr_budget_seal_msg sr_budget_seal_msg;
+
+  struct sr_budget_sealed_msg
+  {
+    bool_t known;
+    quad_t ceiling;
+  };
+  typedef struct sr_budget_sealed_msg sr_budget_sealed_msg;
+
+  /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_sr_budget_holder_msg (XDR *, sr_budget_holder_msg*);
-extern  bool_t xdr_sr_budget_borrow_msg (XDR *, sr_budget_borrow_msg*);
-extern  bool_t xdr_sr_budget_borrowed_msg (XDR *, sr_budget_borrowed_msg*);
-extern  bool_t xdr_sr_budget_recall_msg (XDR *, sr_budget_recall_msg*);
-extern  bool_t xdr_sr_budget_recalled_msg (XDR *, sr_budget_recalled_msg*);
-extern  bool_t xdr_sr_budget_raise_item (XDR *, sr_budget_raise_item*);
-extern  bool_t xdr_sr_budget_raise_msg (XDR *, sr_budget_raise_msg*);
-extern  bool_t xdr_sr_budget_raised_item (XDR *, sr_budget_raised_item*);
-extern  bool_t xdr_sr_budget_raised_msg (XDR *, sr_budget_raised_msg*);
-extern  bool_t xdr_sr_budget_seal_msg (XDR *, sr_budget_seal_msg*);
-extern  bool_t xdr_sr_budget_sealed_msg (XDR *, sr_budget_sealed_msg*);
+  extern bool_t
+  xdr_sr_budget_holder_msg (XDR *, sr_budget_holder_msg *);
+  extern bool_t
+  xdr_sr_budget_borrow_msg (XDR *, sr_budget_borrow_msg *);
+  extern bool_t
+  xdr_sr_budget_borrowed_msg (XDR *, sr_budget_borrowed_msg *);
+  extern bool_t
+  xdr_sr_budget_recall_msg (XDR *, sr_budget_recall_msg *);
+  extern bool_t
+  xdr_sr_budget_recalled_msg (XDR *, sr_budget_recalled_msg *);
+  extern bool_t
+  xdr_sr_budget_raise_item (XDR *, sr_budget_raise_item *);
+  extern bool_t
+  xdr_sr_budget_raise_msg (XDR *, sr_budget_raise_msg *);
+  extern bool_t
+  xdr_sr_budget_raised_item (XDR *, sr_budget_raised_item *);
+  extern bool_t
+  xdr_sr_budget_raised_msg (XDR *, sr_budget_raised_msg *);
+  extern bool_t
+  xdr_sr_budget_seal_msg (XDR *, sr_budget_seal_msg *);
+  extern bool_t
+  xdr_sr_budget_sealed_msg (XDR *, sr_budget_sealed_msg *);
 
 #else /* K&R C */
-extern bool_t xdr_sr_budget_holder_msg ();
-extern bool_t xdr_sr_budget_borrow_msg ();
-extern bool_t xdr_sr_budget_borrowed_msg ();
-extern bool_t xdr_sr_budget_recall_msg ();
-extern bool_t xdr_sr_budget_recalled_msg ();
-extern bool_t xdr_sr_budget_raise_item ();
-extern bool_t xdr_sr_budget_raise_msg ();
-extern bool_t xdr_sr_budget_raised_item ();
-extern bool_t xdr_sr_budget_raised_msg ();
-extern bool_t xdr_sr_budget_seal_msg ();
-extern bool_t xdr_sr_budget_sealed_msg ();
+extern bool_t
+xdr_sr_budget_holder_msg ();
+extern bool_t
+xdr_sr_budget_borrow_msg ();
+extern bool_t
+xdr_sr_budget_borrowed_msg ();
+extern bool_t
+xdr_sr_budget_recall_msg ();
+extern bool_t
+xdr_sr_budget_recalled_msg ();
+extern bool_t
+xdr_sr_budget_raise_item ();
+extern bool_t
+xdr_sr_budget_raise_msg ();
+extern bool_t
+xdr_sr_budget_raised_item ();
+extern bool_t
+xdr_sr_budget_raised_msg ();
+extern bool_t
+xdr_sr_budget_seal_msg ();
+extern bool_t
+xdr_sr_budget_sealed_msg ();
 
 #endif /* K&R C */
 
