A stream that gains tokens with each attempt is finished, so its proof of a cut kills the engines

The case let both engines cut after 3 tokens and expected the stream to be aborted. Since attempts that gain tokens are not limited, such a stream is now answered whole (seen: answered in place of aborted). The case is replaced by one as strict: the engines are killed once the stream has begun, and the whole answer is cut before its first token.

--- a/testing/process/test-streams.c
+++ b/testing/process/test-streams.c
@@ -115,17 +115,40 @@
   assert_int_equal (answer.output_tokens, TOKENS);
 }
 
+static bool
+kill_engines (void *data, const char *bytes, size_t length)
+{
+  bool *has_begun = data;
+
+  *has_begun = true;
+  for (unsigned engine = 1; engine <= ENGINES; engine++)
+    harness_process_kill (harness->backends[engine]);
+  return true;
+}
+
 static void
 an_answer_that_cannot_be_finished_looks_cut (void **state)
 {
+  bool has_begun = false;
+  struct harness_ask request = { .address = instance_ip,
+                                 .port = PORT_BASE,
+                                 .service = "diary",
+                                 .team = 1,
+                                 .prompt = "cut for good [n=40]",
+                                 .max_tokens = TOKENS,
+                                 .stream = true,
+                                 .piece = kill_engines,
+                                 .data = &has_begun };
   struct harness_answer streamed, whole;
 
-  set_fault ("/control/fault?mode=cut&after_tokens=3");
-  streamed = ask ("cut for good [n=40]", true);
+  set_fault ("/control/fault?mode=cut&after_tokens=0");
   whole = ask ("cut for good, whole [n=40]", false);
-  assert_int_equal (streamed.verdict, HARNESS_ABORTED);
   assert_int_equal (whole.verdict, HARNESS_UNKNOWN);
   assert_string_equal (whole.code, "backend_failed");
+  set_fault ("/control/fault?mode=none");
+  streamed = harness_ask (&request);
+  assert_int_equal (streamed.verdict, HARNESS_ABORTED);
+  assert_true (has_begun);
 }
 
 /* A stream in progress on a thread of its own. */
