--- a/src/budget/recover.c
+++ b/src/budget/recover.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -20,6 +21,8 @@
   FATE_SUPERSEDED /* a later incarnation runs */
 };
 
+static char *
+take_back_id_ (const char *name, const struct sr_holder_id *id);
 static enum fate
 fate_of_ (struct sr_budgets *budgets,
           const struct sr_member_view *view,
@@ -76,9 +79,7 @@
   for (unsigned i = 0; i < closed->len; i++)
     {
       const struct sr_record_holder *holder = &g_array_index (closed, struct sr_record_holder, i);
-      g_autofree char *id
-          = g_strdup_printf ("%s.%s.%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, name,
-                             holder->id.instance, holder->id.incarnation, holder->id.generation);
+      g_autofree char *id = take_back_id_ (name, &holder->id);
       struct sr_audit_entry *entry = sr_audit_entry_new (SR_AUDIT_TAKE_BACK, id, budgets->instance,
                                                          g_get_real_time () / US_PER_MS);
 
@@ -112,3 +113,14 @@
     return FATE_SUPERSEDED;
   return member->state == SR_MEMBER_DEAD ? FATE_SUSPECT : FATE_IN_USE;
 }
+
+/* An entry's id is shorter than the names of a holder may be. */
+static char *
+take_back_id_ (const char *name, const struct sr_holder_id *id)
+{
+  g_autofree char *key = g_strdup_printf ("%s/%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+                                          id->instance, id->incarnation, id->generation);
+
+  return g_strdup_printf ("%s.%016" G_GINT64_MODIFIER "x", name,
+                          (guint64)XXH3_64bits (key, strlen (key)));
+}
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -48,6 +48,7 @@
     {
       int64_t now_us = g_get_monotonic_time ();
       struct sr_budget_entry *entry = pick_idle_loans_ (budgets, now_us);
+      bool close;
 
       if (entry != NULL)
         {
@@ -64,8 +65,9 @@
           continue;
         }
       entry->busy = true;
+      close = sr_ledger_is_idle (entry->ledger, now_us);
       pthread_mutex_unlock (&budgets->mutex);
-      sr_budget_give_back (budgets, entry, sr_ledger_is_idle (entry->ledger, now_us));
+      sr_budget_give_back (budgets, entry, close);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
       entry->synced_us = now_us;
