A planned stop during an outage of the platform tells the witness what was used

Cause: the record could not be closed, so the rest of its ceiling was lost to the take-back. Change: the holder finishes its record at the witness; the schedules do so at any moment too. Conclusion: all of 10000 tokens are spent after such a stop (test_stop_in_an_outage_strands_nothing).

--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -135,6 +135,8 @@
                   const struct sr_holder_id *id,
                   const char *witness,
                   uint64_t witness_incarnation);
+bool
+sr_budget_finish (struct sr_budgets *budgets, struct sr_budget_entry *entry);
 void *
 sr_budget_raiser_run (void *data);
 
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -219,7 +219,8 @@
 
 /* Gives back everything that is held here, at most until the monotonic DEADLINE_US. Called when no
  * request is in progress any more. Returns false when something could not be given back; it then
- * stays on the platform's record until another instance recovers it. */
+ * stays on the platform's record until another instance takes it back; when only the platform
+ * cannot be told, the witness is, so that all of it can be. */
 bool
 sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us)
 {
@@ -291,7 +292,9 @@
 static bool
 hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t loans_until_us)
 {
+  int64_t now_us = g_get_monotonic_time ();
   bool has_loans;
+  bool told = true;
   bool done = false;
 
   pthread_mutex_lock (&budgets->mutex);
@@ -304,8 +307,10 @@
       pthread_mutex_lock (&budgets->mutex);
       has_loans = entry->ledger->own != NULL && entry->ledger->own->given > 0;
       pthread_mutex_unlock (&budgets->mutex);
-      if (!has_loans || g_get_monotonic_time () >= loans_until_us)
-        sr_budget_give_back (budgets, entry, true);
+      if (!has_loans || now_us >= loans_until_us)
+        told = sr_budget_give_back (budgets, entry, true);
+      if (!told && now_us >= loans_until_us)
+        sr_budget_finish (budgets, entry);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
       done = entry->ledger->own == NULL;
--- a/src/budget/budget_xdr.c
+++ b/src/budget/budget_xdr.c
@@ -102,6 +102,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->closed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->final))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/budget/budget_xdr.h
+++ b/src/budget/budget_xdr.h
@@ -61,6 +61,7 @@
 	u_quad_t generation;
 	quad_t ceiling;
 	bool_t closed;
+	bool_t final;
 };
 typedef struct sr_budget_raise_item sr_budget_raise_item;
 
--- a/src/budget/budget_xdr.x
+++ b/src/budget/budget_xdr.x
@@ -45,6 +45,7 @@
   unsigned hyper generation;
   hyper ceiling;
   bool closed; /* the record was closed by its holder: forget it */
+  bool final;  /* the holder will use no more than this: seal it */
 };
 
 struct sr_budget_raise_msg {
--- a/src/budget/handlers.c
+++ b/src/budget/handlers.c
@@ -149,6 +149,8 @@
       id.generation = item->generation;
       if (item->closed)
         sr_witness_forget (budgets->witness, budget, &id);
+      else if (item->final)
+        sr_witness_finish (budgets->witness, budget, &id, item->ceiling);
       else
         raised->ceiling = sr_witness_raise (budgets->witness, budget, &id, item->ceiling, &sealed);
       raised->sealed = sealed;
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -323,6 +323,19 @@
     own_close_ (ledger, ledger->own);
 }
 
+/* Gives up the own record for good: no more of it is used than now (tokens out on loan count as
+ * used). Returns that number, to be told to the witness, so that the rest can be taken back at
+ * once. There must be an own record. */
+int64_t
+sr_ledger_finish (struct sr_ledger *ledger)
+{
+  int64_t committed = sr_ledger_committed (ledger);
+
+  ledger->own->ceiling = MIN (ledger->own->ceiling, committed);
+  own_close_ (ledger, ledger->own);
+  return committed;
+}
+
 /* Lends to BORROWER: takes over what it has RETURNED of record LENDER in all, then raises what was
  * lent in all to at least NEED, and up to WANT as long as that leaves half of what is available.
  * All three count from the beginning of record LENDER, whose instance is empty for a borrower that
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -119,6 +119,8 @@
 
 void
 sr_ledger_abandon (struct sr_ledger *ledger);
+int64_t
+sr_ledger_finish (struct sr_ledger *ledger);
 
 /* Loans, lender's side. */
 struct sr_loan_answer
--- a/src/budget/raise.c
+++ b/src/budget/raise.c
@@ -83,6 +83,32 @@
   batch_send_ (budgets, &batch);
 }
 
+/* Gives up the own record of ENTRY, because the platform cannot be told of its end, and tells the
+ * witness how much was used, so that others can take the rest back exactly. Returns false when
+ * there is no witness, or it does not answer: the record is then taken back like a crashed one's.
+ */
+bool
+sr_budget_finish (struct sr_budgets *budgets, struct sr_budget_entry *entry)
+{
+  struct batch batch = { .length = 1 };
+  const struct sr_source *own;
+  bool has_witness;
+
+  pthread_mutex_lock (&budgets->mutex);
+  own = entry->ledger->own;
+  has_witness = own != NULL && own->witness[0] != '\0' && own->reserved == 0;
+  if (has_witness)
+    {
+      batch.witness_incarnation = own->witness_incarnation;
+      g_strlcpy (batch.witness, own->witness, sizeof batch.witness);
+      batch.items[0] = (sr_budget_raise_item){ .generation = own->id.generation, .final = true };
+      g_strlcpy (batch.items[0].budget, entry->name, sizeof batch.items[0].budget);
+      batch.items[0].ceiling = sr_ledger_finish (entry->ledger);
+    }
+  pthread_mutex_unlock (&budgets->mutex);
+  return has_witness && batch_send_ (budgets, &batch) == SR_PEER_OK;
+}
+
 /* The thread that raises ceilings ahead of demand, for many budgets with one message. */
 void *
 sr_budget_raiser_run (void *data)
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -16,6 +16,8 @@
   FIRST_PORT = 20311,
   INSTANCES = 4,
   WAIT_US = 8000000,
+  SHORT_WAIT_US = 1000000,
+  OUT_BACKOFF_US = 600000, /* an unreachable platform is asked again after less */
   PREPAID = 10000,
   SIZE = 50
 };
@@ -276,6 +278,34 @@
   sr_record_delete (record);
 }
 
+/* A planned stop while the platform is out: the witness knows how much was used, so that the others
+ * can spend all the rest. */
+static void
+test_stop_in_an_outage_strands_nothing (void **state)
+{
+  struct sr_record *record;
+  unsigned stopped;
+  int64_t spent = 0;
+
+  for (unsigned i = 0; i < 20; i++)
+    spent += spend_ (i % 3, SIZE) ? SIZE : 0;
+  record = record_ ();
+  stopped = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                       - '0');
+  sr_record_delete (record);
+  sr_platform_memory_set_out (platform, true);
+  assert_true (
+      sr_budgets_hand_over (instances[stopped].budgets, g_get_monotonic_time () + SHORT_WAIT_US));
+  set_state_ (stopped, SR_MEMBER_DEAD);
+  stop_ (stopped);
+  sr_platform_memory_set_out (platform, false);
+  g_usleep (OUT_BACKOFF_US);
+  while (spend_ ((stopped + 1) % 3, SIZE) || spend_ ((stopped + 2) % 3, SIZE) || spend_ (3, SIZE))
+    spent += SIZE;
+  assert_int_equal (spent, PREPAID);
+  start_ (stopped);
+}
+
 int
 main (void)
 {
@@ -285,6 +315,7 @@
     cmocka_unit_test_setup_teardown (test_sealed_holder_lives_on, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_stop_in_an_outage_strands_nothing, set_up_, tear_down_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/budget/test-schedules.c
+++ b/src/budget/test-schedules.c
@@ -28,6 +28,7 @@
 {
   MESSAGE_RAISE,
   MESSAGE_RAISED,
+  MESSAGE_FINISH,
   MESSAGE_SEAL,
   MESSAGE_SEALED,
   MESSAGE_BORROW,
@@ -269,6 +270,9 @@
       answer->ceiling
           = sr_witness_raise (to->witness, "b", &message->id, message->ceiling, &answer->sealed);
       break;
+    case MESSAGE_FINISH:
+      sr_witness_finish (to->witness, "b", &message->id, message->ceiling);
+      break;
     case MESSAGE_RAISED:
       sr_ledger_raised (to->ledger, &message->id, message->ceiling, message->sealed);
       break;
@@ -323,6 +327,20 @@
   message->ceiling = ceiling;
 }
 
+static void
+finish_ (struct world *world, unsigned from)
+{
+  struct sr_ledger *ledger = world->nodes[from].ledger;
+  struct message *message;
+
+  if (ledger->own == NULL || ledger->own->witness[0] == '\0')
+    return;
+  message = message_new_ (world, MESSAGE_FINISH, from, index_of_ (ledger->own->witness));
+  message->to_incarnation = ledger->own->witness_incarnation;
+  message->id = ledger->own->id;
+  message->ceiling = sr_ledger_finish (ledger);
+}
+
 static void
 borrow_ (struct world *world, unsigned from)
 {
@@ -430,6 +448,8 @@
     crash_ (world, index);
   else if (choice < 780)
     recover_ (world, index);
+  else if (choice < 785)
+    finish_ (world, index);
   else if (choice < 830)
     node->operation = 0; /* gives up waiting for an answer */
   else if (node->operation == 0)
--- a/src/budget/witness.c
+++ b/src/budget/witness.c
@@ -84,6 +84,23 @@
   return promise->ceiling;
 }
 
+/* Seals HOLDER's record of BUDGET at no more than CEILING, because the holder itself will use no
+ * more of it. Idempotent. */
+void
+sr_witness_finish (struct sr_witness *witness,
+                   const char *budget,
+                   const struct sr_holder_id *holder,
+                   int64_t ceiling)
+{
+  char *key = key_ (budget, holder);
+  struct promise *promise;
+
+  sr_witness_seal (witness, budget, holder);
+  promise = g_hash_table_lookup (witness->promises, key);
+  promise->ceiling = MIN (promise->ceiling, ceiling);
+  g_free (key);
+}
+
 /* Forgets HOLDER's record of BUDGET, which the holder itself has closed. A sealed one is kept: its
  * holder may not know yet. */
 void
