--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -495,9 +495,10 @@
     line = g_strndup (request->line.line_val, request->line.line_len);
   pthread_mutex_lock (&bills->mutex);
   reply->kept = !bills->stopping
-                && sr_book_keep (bills->book, request->owner, request->incarnation, request->number,
-                                 line, request->written_up_to);
+                && sr_book_keep (bills->book, owner, request->incarnation, request->number, line,
+                                 request->written_up_to);
   pthread_mutex_unlock (&bills->mutex);
+  g_free (line);
   reply->incarnation = bills->options.incarnation;
   return true;
 }
