An order refused by one backend server goes on to another under its claim

An order that met one server which refused it (429) or could not be connected to was recorded as not run, and its key was used up, though two other servers were free: a false refusal. perform.c now calls up to three servers under the one claim, as long as the last certainly executed nothing. A healthy server was also reported as failed when the deadline passed during the claim; it is no longer.

--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -68,6 +68,12 @@
 reserve_ (struct performance *p, int64_t tokens);
 static bool
 take_place_ (struct performance *p);
+static enum sr_route_verdict
+wait_for_place_ (struct performance *p);
+static void
+call_for_order_ (struct performance *p,
+                 const struct sr_claim *claim,
+                 struct sr_backend_report *report);
 static void
 give_up_place_ (struct performance *p,
                 enum sr_route_result result,
@@ -322,7 +328,6 @@
           .first_attempt = p->order->is_first_attempt };
   struct sr_backend_report report = { .status = SR_BACKEND_NOT_SENT, .running = -1 };
   struct sr_claim claim = { 0 };
-  struct sr_backend_call call;
 
   if (!reserve_ (p, p->service->call_tokens))
     return;
@@ -332,18 +337,10 @@
       return;
     }
   sr_orders_claim (p->dispatch->options.orders, &request, &claim);
-  if (claim.verdict == SR_CLAIM_WON && g_get_monotonic_time () < p->order->deadline_us)
-    {
-      prepare_call_ (p, &call);
-      call.fence = p->route.checks_fence ? claim.version : 0;
-      snprintf (p->call_id, sizeof p->call_id, "%s/%s", p->order->team->str,
-                p->order->request->str);
-      sr_counter_add (&attempts_total, 1);
-      sr_backend_plain.call (&call, &report);
-    }
-  give_up_place_ (
-      p, claim.verdict == SR_CLAIM_WON ? route_result_ (report.status) : SR_ROUTE_RESULT_CANCELLED,
-      &report);
+  if (claim.verdict == SR_CLAIM_WON)
+    call_for_order_ (p, &claim, &report);
+  else
+    give_up_place_ (p, SR_ROUTE_RESULT_CANCELLED, &report);
   p->may_have_run = report.status == SR_BACKEND_ANSWERED || report.status == SR_BACKEND_FAILED
                     || report.status == SR_BACKEND_SILENT;
   sr_budgets_settle (p->dispatch->options.budgets, p->reservation,
@@ -355,6 +352,40 @@
   sr_claim_clear (&claim);
 }
 
+/* Calls backend servers, one after the other, for the order that CLAIM was won for, until one of
+ * them may have executed it. A place is held, and given back. REPORT tells of the last call;
+ * NOT_SENT when the deadline was over. */
+static void
+call_for_order_ (struct performance *p,
+                 const struct sr_claim *claim,
+                 struct sr_backend_report *report)
+{
+  struct sr_backend_call call;
+
+  snprintf (p->call_id, sizeof p->call_id, "%s/%s", p->order->team->str, p->order->request->str);
+  for (unsigned attempt = 1;; attempt++)
+    {
+      if (g_get_monotonic_time () >= p->order->deadline_us)
+        {
+          give_up_place_ (p, SR_ROUTE_RESULT_CANCELLED, report);
+          return;
+        }
+      prepare_call_ (p, &call);
+      call.fence = p->route.checks_fence ? claim->version : 0;
+      sr_counter_add (&attempts_total, 1);
+      sr_backend_plain.call (&call, report);
+      give_up_place_ (p, route_result_ (report->status), report);
+      if (report->status != SR_BACKEND_NOT_SENT && report->status != SR_BACKEND_REFUSED)
+        return;
+      g_ptr_array_add (p->failed, g_strdup (p->route.backend));
+      if (attempt == ATTEMPTS_IN_VAIN_MAX
+          || (report->status == SR_BACKEND_REFUSED
+              && !sr_admit_may_retry (p->dispatch->options.admit, p->order->service->str))
+          || wait_for_place_ (p) != SR_ROUTE_PICKED)
+        return;
+    }
+}
+
 /* Records the outcome of a dispatched order on the platform, and ends the run. */
 static void
 end_order_ (struct performance *p,
@@ -453,6 +484,23 @@
  * ended. */
 static bool
 take_place_ (struct performance *p)
+{
+  enum sr_route_verdict verdict = wait_for_place_ (p);
+
+  if (verdict == SR_ROUTE_PICKED)
+    {
+      if (!p->has_place)
+        sr_dispatch_got_place_ (p->dispatch, p->run);
+      p->has_place = true;
+      return true;
+    }
+  refuse_ (p, verdict == SR_ROUTE_NONE ? SR_ERROR_NO_BACKEND : SR_ERROR_DEADLINE, RETRY_LATER_MS);
+  return false;
+}
+
+/* Picks a backend server, waiting while all are full until the deadline. */
+static enum sr_route_verdict
+wait_for_place_ (struct performance *p)
 {
   struct sr_route_query query = { .service = p->order->service->str, .excluded = p->failed };
   enum sr_route_verdict verdict;
@@ -471,18 +519,9 @@
           continue;
         }
       if (verdict != SR_ROUTE_BUSY || query.now_us >= p->order->deadline_us)
-        break;
+        return verdict;
       g_usleep (PLACE_POLL_US);
     }
-  if (verdict == SR_ROUTE_PICKED)
-    {
-      if (!p->has_place)
-        sr_dispatch_got_place_ (p->dispatch, p->run);
-      p->has_place = true;
-      return true;
-    }
-  refuse_ (p, verdict == SR_ROUTE_NONE ? SR_ERROR_NO_BACKEND : SR_ERROR_DEADLINE, RETRY_LATER_MS);
-  return false;
 }
 
 static void
--- a/testing/process/test-order.c
+++ b/testing/process/test-order.c
@@ -389,6 +389,21 @@
   delete_order (order);
 }
 
+static void
+an_order_goes_on_where_nothing_was_executed (void **state)
+{
+  harness_control_backend (harness, 1, "/control/fault?mode=refuse");
+  harness_control_backend (harness, 2, "/control/fault?mode=refuse");
+  for (unsigned i = 0; i < 2 * INSTANCES; i++)
+    {
+      struct order *order = new_order ("refused");
+
+      assert_int_equal (send_order (order, 1 + i % INSTANCES, true), HARNESS_ANSWERED);
+      check_order (order, "refused elsewhere");
+      delete_order (order);
+    }
+}
+
 /* The callers of a mixed run. */
 struct mix
 {
@@ -502,6 +517,7 @@
     cmocka_unit_test_teardown (an_outcome_whose_answer_is_lost_is_told, mend),
     cmocka_unit_test_teardown (a_closed_connection_is_not_sent_again, mend),
     cmocka_unit_test_teardown (an_outage_is_told_at_once, mend),
+    cmocka_unit_test_teardown (an_order_goes_on_where_nothing_was_executed, mend),
     cmocka_unit_test_teardown (a_killed_instance_runs_no_order_twice, mend),
     cmocka_unit_test_teardown (a_paused_instance_runs_no_order_twice, mend),
     cmocka_unit_test_teardown (mixed_faults_run_no_order_twice, mend),
