--- a/src/config/config.c
+++ b/src/config/config.c
@@ -120,7 +120,9 @@
 bool
 sr_config_team_owns_budget (const struct sr_config_team *team, const char *budget)
 {
-  return g_hash_table_contains (team->budget_set, budget);
+  const struct config_budget *found = g_hash_table_lookup (team->config->budgets, budget);
+
+  return found != NULL && strcmp (found->team, team->name->str) == 0;
 }
 
 /* Returns the service NAME, or NULL. */
@@ -197,7 +199,6 @@
   g_string_free (node->team.name, TRUE);
   g_ptr_array_unref (node->team.key_digests);
   g_ptr_array_unref (node->team.budgets);
-  g_hash_table_unref (node->team.budget_set);
   g_free (node);
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -15,13 +15,15 @@
   SR_SERVICE_PLAIN
 };
 
+struct sr_config; /* opaque snapshot */
+
 struct sr_config_team
 {
   GString *name;
-  GPtrArray *key_digests; /* lower-case hex SHA-256 of each key, GString */
-  GPtrArray *budgets;     /* names (GString), the default one first */
-  unsigned weight;        /* share in queues, default 1 */
-  GHashTable *budget_set; /* the same names, for sr_config_team_owns_budget */
+  GPtrArray *key_digests;         /* lower-case hex SHA-256 of each key, GString */
+  GPtrArray *budgets;             /* names (GString), the default one first */
+  unsigned weight;                /* share in queues, default 1 */
+  const struct sr_config *config; /* that it is part of, for sr_config_team_owns_budget */
 };
 
 struct sr_config_service
@@ -49,8 +51,6 @@
   bool leaving;
 };
 
-struct sr_config; /* opaque snapshot */
-
 /* Snapshot: all pointers returned live as long as the reference. */
 struct sr_config *
 sr_config_parse (const char *file_name,
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -19,6 +19,8 @@
 sorted_values_ (GHashTable *table);
 static int
 compare_keys_ (const void *a, const void *b);
+static int
+compare_names_ (const void *a, const void *b);
 static void
 add_finding_ (struct sr_findings *findings,
               const struct config_origin *origin,
@@ -50,12 +52,14 @@
 {
   g_autoptr (GHashTable) owned
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
-  g_autoptr (GPtrArray) budgets = sorted_values_ (config->budgets);
   g_autoptr (GPtrArray) teams = sorted_values_ (config->teams);
+  GHashTableIter iter;
+  void *value;
 
-  for (size_t i = 0; i < budgets->len; i++)
+  g_hash_table_iter_init (&iter, config->budgets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct config_budget *budget = g_ptr_array_index (budgets, i);
+      const struct config_budget *budget = value;
       GPtrArray *list = g_hash_table_lookup (owned, budget->team);
 
       g_ptr_array_add (config->all_budgets, budget->name);
@@ -85,9 +89,11 @@
                GPtrArray *owned,
                struct sr_findings *findings)
 {
+  g_autoptr (GHashTable) taken = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *written = team->team.budgets;
 
   team->team.budgets = g_ptr_array_new ();
+  team->team.config = config;
   for (size_t i = 0; i < written->len; i++)
     {
       const GString *name = g_ptr_array_index (written, i);
@@ -98,7 +104,7 @@
         problem = "there is no budget ";
       else if (strcmp (budget->team, team->team.name->str) != 0)
         problem = "another team has the budget ";
-      else if (!g_hash_table_add (team->team.budget_set, budget->name->str))
+      else if (!g_hash_table_add (taken, budget->name->str))
         problem = "names twice the budget ";
       else
         g_ptr_array_add (team->team.budgets, budget->name);
@@ -107,11 +113,13 @@
                       name->str);
     }
   g_ptr_array_unref (written);
+  if (owned != NULL)
+    g_ptr_array_sort (owned, compare_names_);
   for (size_t i = 0; owned != NULL && i < owned->len; i++)
     {
       GString *name = g_ptr_array_index (owned, i);
 
-      if (g_hash_table_add (team->team.budget_set, name->str))
+      if (!g_hash_table_contains (taken, name->str))
         g_ptr_array_add (team->team.budgets, name);
     }
 }
@@ -206,6 +214,12 @@
   return strcmp (*(const char *const *)a, *(const char *const *)b);
 }
 
+static int
+compare_names_ (const void *a, const void *b)
+{
+  return strcmp ((*(GString *const *)a)->str, (*(GString *const *)b)->str);
+}
+
 static void
 add_finding_ (struct sr_findings *findings,
               const struct config_origin *origin,
--- a/src/config/sections.c
+++ b/src/config/sections.c
@@ -192,7 +192,6 @@
 
   node->origin = adding->origin;
   node->team.name = g_string_new (adding->name);
-  node->team.budget_set = g_hash_table_new (g_str_hash, g_str_equal);
   fill_ (adding, team_keys_, G_N_ELEMENTS (team_keys_), &node->team);
   if (g_hash_table_contains (adding->config->teams, adding->name))
     add_finding_ (adding, NULL, "the team stands twice");
--- /dev/null
+++ b/testing/bench/config.c
@@ -0,0 +1,108 @@
+/* Measures what the configuration costs an instance, by its size. */
+#include "config/bundle.h"
+#include "config/config.h"
+#include "config/parts.h"
+
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BUDGETS_PER_TEAM = 93,
+  BUDGETS_PER_BACKEND = 50,
+  LOOK_UPS = 2000,
+  BYTES_PER_KIB = 1024,
+  NS_PER_US = 1000
+};
+
+static GString *
+make_configuration (unsigned n_budgets)
+{
+  GString *text = g_string_new ("[service s]\nkind = model\nmodel = m\nmax_output_tokens = 9\n");
+
+  for (unsigned i = 0; i <= n_budgets / BUDGETS_PER_TEAM; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%u", i);
+      g_autofree char *digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+
+      g_string_append_printf (text, "[team team-%u]\nkey_digest = %s\n", i, digest);
+    }
+  for (unsigned i = 0; i < n_budgets; i++)
+    g_string_append_printf (text, "[budget budget-%u]\nteam = team-%u\n", i, i / BUDGETS_PER_TEAM);
+  for (unsigned i = 0; i <= n_budgets / BUDGETS_PER_BACKEND; i++)
+    g_string_append_printf (text,
+                            "[backend engine-%u]\nservice = s\naddress = 127.0.0.1\nport = %u\n"
+                            "data_centre = dc-%u\n",
+                            i, i + 1, i % 9);
+  return text;
+}
+
+/* Returns what the heap holds now. */
+static int64_t
+heap_kib (void)
+{
+  return (int64_t)(mallinfo2 ().uordblks / BYTES_PER_KIB);
+}
+
+/* Fills BUNDLE as an instance holds it, from the parts of TEXT. */
+static void
+fill_bundle (struct config_bundle *bundle, const GString *text)
+{
+  g_autoptr (GPtrArray) parts = config_parts_split (text->str, text->len, 0);
+  char *body;
+
+  for (size_t i = 0; i < parts->len; i++)
+    {
+      const GString *part = g_ptr_array_index (parts, i);
+
+      g_ptr_array_add (bundle->head->parts, config_part_name (part, "0123456789abcdef"));
+      g_ptr_array_add (bundle->texts, g_bytes_new (part->str, part->len));
+    }
+  body = config_head_encode (bundle->head);
+  g_string_assign (bundle->head_body, body);
+  free (body);
+}
+
+static void
+measure (unsigned n_budgets)
+{
+  GString *text = make_configuration (n_budgets);
+  size_t text_bytes = text->len;
+  struct config_bundle *bundle = config_bundle_new_empty ();
+  struct sr_findings *findings = sr_findings_new ();
+  struct sr_config *config;
+  int64_t start_us;
+  int64_t parse_us;
+  int64_t look_up_us;
+  int64_t before_kib;
+
+  fill_bundle (bundle, text);
+  g_string_free (text, TRUE);
+  before_kib = heap_kib ();
+  start_us = g_get_monotonic_time ();
+  config = config_bundle_parse (bundle, findings);
+  parse_us = g_get_monotonic_time () - start_us;
+  sr_findings_print (findings, stderr);
+  g_assert (config != NULL);
+  start_us = g_get_monotonic_time ();
+  for (unsigned i = 0; i < LOOK_UPS; i++)
+    g_assert (sr_config_team_by_key (config, "key-0", strlen ("key-0")) != NULL);
+  look_up_us = g_get_monotonic_time () - start_us;
+  printf ("budgets %u: text %zu KiB, parts %u, head %zu bytes, parse %" G_GINT64_FORMAT
+          " us, snapshot %" G_GINT64_FORMAT " KiB, look-up by key %" G_GINT64_FORMAT " ns\n",
+          n_budgets, text_bytes / BYTES_PER_KIB, bundle->head->parts->len, bundle->head_body->len,
+          parse_us, heap_kib () - before_kib, look_up_us * NS_PER_US / LOOK_UPS);
+  sr_config_unref (config);
+  sr_findings_delete (findings);
+  config_bundle_delete (bundle);
+}
+
+/* Measures one size a run, so that a size does not inherit another's memory. */
+int
+main (int argc, char **argv)
+{
+  measure (argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : 10000);
+  return 0;
+}
--- a/testing/process/test-config.c
+++ b/testing/process/test-config.c
@@ -146,7 +146,7 @@
 static char **
 read_trail (void)
 {
-  struct harness_process *process = new_command ("audit", "audit", "--json", NULL);
+  struct harness_process *process = new_command ("audit", "audit", "--json", (char *)NULL);
   int exit_code;
   g_autofree char *log = NULL;
 
@@ -214,8 +214,8 @@
   contender->who = g_strdup_printf ("operator-%u-%u", race, number);
   contender->path = g_strdup_printf ("%s/%s.ini", harness->directory, name);
   assert_true (g_file_set_contents (contender->path, text->str, (gssize)text->len, NULL));
-  contender->process
-      = new_command (name, "submit", contender->path, base_text, "--who", contender->who, NULL);
+  contender->process = new_command (name, "submit", contender->path, base_text, "--who",
+                                    contender->who, (char *)NULL);
   assert_true (harness_process_start (contender->process));
   g_string_free (text, TRUE);
 }
@@ -349,7 +349,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      struct harness_process *process = new_command ("faulty", "submit", path, NULL);
+      struct harness_process *process = new_command ("faulty", "submit", path, (char *)NULL);
       g_autofree char *log = NULL;
       int exit_code;
 
