Audit entries of top-ups, corrections and planned stops

An id that is too long for an object's name ends in its hash: it was an assertion that a take-back of long names would have met.

--- a/src/audit/audit.c
+++ b/src/audit/audit.c
@@ -4,10 +4,12 @@
 
 #include <string.h>
 #include <time.h>
+#include <xxhash.h>
 
 enum
 {
-  ID_MAX_BYTES = 128,
+  ID_MAX_BYTES = 170,
+  ID_KEPT_BYTES = 130, /* of one that is too long, before its hash */
   TEXT_MAX_BYTES = 65536,
   KEPT_DAYS = 35,
   PRUNED_AT_ONCE = 16,
@@ -22,6 +24,8 @@
 static const char *const type_names_[]
     = { "config", "top-up", "correction", "take-back", "leaving", "stop" };
 
+static void
+shorten_id_ (GString *id);
 static bool
 id_is_good_ (const char *id);
 static bool
@@ -37,15 +41,17 @@
 compare_entries_ (const void *a, const void *b);
 
 /* Creates an entry with empty subject, before and after, to be filled by the caller, who owns it.
- * ID must be good for an object's name; WHEN_MS is real time. */
+ * ID is of the characters of an object's name; the end of one that is too long is replaced by its
+ * hash. WHEN_MS is real time. */
 struct sr_audit_entry *
 sr_audit_entry_new (enum sr_audit_type type, const char *id, const char *who, int64_t when_ms)
 {
   struct sr_audit_entry *entry = g_new0 (struct sr_audit_entry, 1);
 
-  g_assert (id_is_good_ (id));
   entry->type = type;
   entry->id = g_string_new (id);
+  shorten_id_ (entry->id);
+  g_assert (id_is_good_ (entry->id->str));
   entry->who = g_string_new (who);
   entry->subject = g_string_new (NULL);
   entry->before = g_string_new (NULL);
@@ -231,6 +237,19 @@
   return type_names_[type];
 }
 
+static void
+shorten_id_ (GString *id)
+{
+  XXH128_hash_t hash;
+
+  if (id->len <= ID_MAX_BYTES)
+    return;
+  hash = XXH3_128bits (id->str, id->len);
+  g_string_truncate (id, ID_KEPT_BYTES);
+  g_string_append_printf (id, "-%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+                          (guint64)hash.high64, (guint64)hash.low64);
+}
+
 static bool
 id_is_good_ (const char *id)
 {
--- a/src/cli/command-audit.c
+++ b/src/cli/command-audit.c
@@ -1,4 +1,4 @@
-#include "audit/audit.h"
+#include "audit/audit-top-up.h"
 #include "cli/cli.h"
 #include "config/store.h"
 
@@ -6,7 +6,9 @@
 #include <stdlib.h>
 
 static int
-run_ (struct sr_platform *platform, bool json);
+run_ (struct sr_platform *platform, const char *budget, bool json);
+static enum sr_platform_status
+complete_ (struct sr_platform *platform, const char *budget);
 static void
 print_text_ (const struct sr_audit_entry *entry);
 static void
@@ -22,9 +24,11 @@
 {
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_str *address = arg_str1 (NULL, "platform", "IP:PORT", "the platform");
+  struct arg_str *budget
+      = arg_str0 (NULL, "budget", "NAME", "first complete the trail by this budget's top-ups");
   struct arg_lit *json = arg_lit0 (NULL, "json", "one JSON object a line");
   struct arg_end *end = arg_end (10);
-  void *table[] = { help, address, json, end };
+  void *table[] = { help, address, budget, json, end };
   struct sr_platform *platform = NULL;
   int code = cli_parse (argc, argv, table, help, end, "Prints the audit trail, oldest first.");
 
@@ -33,7 +37,7 @@
   code = CLI_EXIT_USAGE;
   platform = cli_open_platform (argv[0], address->sval[0]);
   if (platform != NULL)
-    code = run_ (platform, json->count > 0);
+    code = run_ (platform, budget->count > 0 ? budget->sval[0] : NULL, json->count > 0);
 
 out:
   sr_platform_unref (platform);
@@ -42,11 +46,13 @@
 }
 
 static int
-run_ (struct sr_platform *platform, bool json)
+run_ (struct sr_platform *platform, const char *budget, bool json)
 {
   g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (entry_free_);
-  enum sr_platform_status status = sr_config_read_trail (platform, entries, cli_deadline_us ());
+  enum sr_platform_status status = complete_ (platform, budget);
 
+  if (status == SR_PLATFORM_OK)
+    status = sr_config_read_trail (platform, entries, cli_deadline_us ());
   for (size_t i = 0; i < entries->len; i++)
     {
       const struct sr_audit_entry *entry = g_ptr_array_index (entries, i);
@@ -63,6 +69,19 @@
   return CLI_EXIT_REFUSED;
 }
 
+/* Writes into the trail the top-ups of BUDGET (NULL for none) that are missing in it because the
+ * operator's program ended too early. */
+static enum sr_platform_status
+complete_ (struct sr_platform *platform, const char *budget)
+{
+  enum sr_platform_status status;
+
+  if (budget == NULL)
+    return SR_PLATFORM_OK;
+  status = sr_audit_write_top_ups (platform, budget, NULL, cli_deadline_us ());
+  return status == SR_PLATFORM_ABSENT ? SR_PLATFORM_OK : status;
+}
+
 static void
 print_text_ (const struct sr_audit_entry *entry)
 {
--- a/src/cli/command-topup.c
+++ b/src/cli/command-topup.c
@@ -1,7 +1,8 @@
 #include "cli/command-topup.h"
 
-#include "audit/audit.h"
+#include "audit/audit-top-up.h"
 #include "budget/top-up.h"
+#include "cli/cli.h"
 #include "platform/platform-http.h"
 
 #include <argtable2.h>
@@ -15,8 +16,7 @@
   EXIT_USAGE = 2,
   PLATFORM_TIMEOUT_S = 5,
   PORT_MAX = 65535,
-  US_PER_MS = 1000,
-  AUDIT_LIMIT_US = 10000000
+  US_PER_MS = 1000
 };
 
 static bool
@@ -27,10 +27,6 @@
 run_ (const struct sr_top_up_request *request, const char *ip, unsigned port);
 static int
 report_ (const struct sr_top_up_request *request, const struct sr_top_up_result *result);
-static int
-audit_ (struct sr_platform *platform,
-        const struct sr_top_up_request *request,
-        const struct sr_top_up_result *result);
 
 /* Runs "topup BUDGET --tokens N --id ID [--who NAME] --platform IP:PORT" (ARGV[0] is "topup").
  * Returns the exit status: 0 applied, now or before; 1 not applied, or not known; 2 usage. */
@@ -115,8 +111,18 @@
 
   sr_top_up_apply (platform, request, &result);
   status = report_ (request, &result);
-  if (status == EXIT_DONE)
-    status = audit_ (platform, request, &result);
+  if (status == EXIT_DONE
+      && sr_audit_write_top_ups (platform, request->budget, request->id, cli_deadline_us ())
+             != SR_PLATFORM_OK)
+    fprintf (stderr, "topup: not in the audit trail yet; repeat with the same id\n");
+  if (status == EXIT_DONE
+      && sr_audit_write_top_ups (platform, request->budget, request->id, cli_deadline_us ())
+             != SR_PLATFORM_OK)
+    {
+      fprintf (stderr, "topup: %s: applied, but not in the audit trail; repeat with the same id\n",
+               request->id);
+      status = EXIT_NOT_DONE;
+    }
   sr_platform_unref (platform);
   return status;
 }
@@ -155,26 +161,3 @@
         request->budget, result->beyond);
   return EXIT_DONE;
 }
-
-/* Written after the top-up and found by its id and time, so that whoever repeats the command after
- * a failure in between completes the trail. */
-static int
-audit_ (struct sr_platform *platform,
-        const struct sr_top_up_request *request,
-        const struct sr_top_up_result *result)
-{
-  enum sr_audit_type type = request->tokens > 0 ? SR_AUDIT_TOP_UP : SR_AUDIT_CORRECTION;
-  g_autofree char *id = g_strdup_printf ("%s.%s", request->budget, request->id);
-  struct sr_audit_entry *entry = sr_audit_entry_new (type, id, request->who, result->time_ms);
-  enum sr_platform_status status;
-
-  g_string_printf (entry->subject, "budget %s", request->budget);
-  g_string_printf (entry->after, "%+" G_GINT64_FORMAT " tokens", request->tokens);
-  status = sr_audit_write (platform, entry, g_get_monotonic_time () + AUDIT_LIMIT_US);
-  sr_audit_entry_delete (entry);
-  if (status == SR_PLATFORM_OK)
-    return EXIT_DONE;
-  fprintf (stderr, "topup: %s: applied, but not in the audit trail; repeat with the same id\n",
-           request->id);
-  return EXIT_NOT_DONE;
-}
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -41,6 +41,7 @@
   struct sr_dispatch *dispatch;
   struct sr_entry *entry;
   _Atomic bool stopping;
+  int64_t leaving_ms; /* real time at which the stop began */
 };
 
 struct sr_instance *
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -1,5 +1,6 @@
 #include "entry/serve.h"
 
+#include "audit/audit-instance.h"
 #include "base/log.h"
 #include "drain/drain.h"
 #include "entry/instance.h"
@@ -10,7 +11,9 @@
 {
   EXIT_OK = 0,
   EXIT_FAILED = 1,
-  LEAVE_MS = 500
+  LEAVE_MS = 500,
+  US_PER_MS = 1000,
+  AUDIT_LIMIT_US = 500000
 };
 
 static bool
@@ -21,6 +24,11 @@
 close_ (void *data);
 static unsigned
 in_progress_ (void *data);
+static void
+write_audit_ (struct sr_instance *instance,
+              enum sr_audit_type type,
+              const char *detail,
+              int64_t when_ms);
 static bool
 hand_over_bills_ (int64_t end_us, void *data);
 static bool
@@ -81,6 +89,7 @@
 {
   struct sr_instance *instance = data;
 
+  instance->leaving_ms = g_get_real_time () / US_PER_MS;
   atomic_store (&instance->stopping, true);
   sr_entry_set_ready (instance->entry, false);
   sr_members_set_leaving (instance->members);
@@ -106,8 +115,10 @@
 hand_over_bills_ (int64_t end_us, void *data)
 {
   struct sr_instance *instance = data;
-  bool bills = sr_bills_hand_over (instance->bills, end_us);
+  bool bills;
 
+  write_audit_ (instance, SR_AUDIT_LEAVING, "", instance->leaving_ms);
+  bills = sr_bills_hand_over (instance->bills, end_us);
   return sr_order_upkeep_hand_over (instance->order_upkeep, end_us) && bills;
 }
 
@@ -115,6 +126,23 @@
 hand_over_budgets_ (int64_t end_us, void *data)
 {
   struct sr_instance *instance = data;
+  bool budgets = sr_budgets_hand_over (instance->budgets, end_us);
+
+  write_audit_ (instance, SR_AUDIT_STOP, budgets ? "all handed over" : "tokens were left",
+                g_get_real_time () / US_PER_MS);
+  return budgets;
+}
 
-  return sr_budgets_hand_over (instance->budgets, end_us);
+/* Writes an entry about this instance; without the platform there is none, and the stop goes on. */
+static void
+write_audit_ (struct sr_instance *instance,
+              enum sr_audit_type type,
+              const char *detail,
+              int64_t when_ms)
+{
+  if (sr_audit_write_instance (instance->platform, type, instance->settings->name->str,
+                               instance->incarnation, detail, when_ms,
+                               g_get_monotonic_time () + AUDIT_LIMIT_US)
+      != SR_PLATFORM_OK)
+    sr_log (G_LOG_LEVEL_WARNING, "audit", "no entry of %s", sr_audit_type_to_string (type));
 }
--- a/testing/process/test-config.c
+++ b/testing/process/test-config.c
@@ -362,6 +362,35 @@
   assert_in_force (1, INSTANCES, revision);
 }
 
+static unsigned
+count_lines_with (char **trail, const char *first, const char *second)
+{
+  unsigned count = 0;
+
+  for (size_t i = 0; trail[i] != NULL; i++)
+    count += strstr (trail[i], first) != NULL && strstr (trail[i], second) != NULL;
+  return count;
+}
+
+static void
+top_ups_and_planned_stops_are_in_the_trail (void **state)
+{
+  char **trail;
+  int exit_code;
+
+  assert_true (harness_top_up (harness, "budget-1", 500, "invoice-7"));
+  assert_true (harness_top_up (harness, "budget-1", 500, "invoice-7"));
+  assert_true (harness_top_up (harness, "budget-1", -100, "correction-7"));
+  assert_true (harness_process_terminate (harness->instances[2], HARNESS_WAIT_MS, &exit_code));
+  assert_int_equal (exit_code, 0);
+  trail = read_trail ();
+  assert_int_equal (count_lines_with (trail, "\"type\":\"top-up\"", "invoice-7"), 1);
+  assert_int_equal (count_lines_with (trail, "\"type\":\"correction\"", "correction-7"), 1);
+  assert_int_equal (count_lines_with (trail, "\"type\":\"leaving\"", "entry-2"), 1);
+  assert_int_equal (count_lines_with (trail, "\"type\":\"stop\"", "entry-2"), 1);
+  g_strfreev (trail);
+}
+
 int
 main (void)
 {
@@ -370,6 +399,7 @@
     cmocka_unit_test (racing_operators_are_told_and_the_trail_is_exact),
     cmocka_unit_test (faulty_and_oversized_submissions_are_refused),
     cmocka_unit_test (hostile_objects_change_nothing),
+    cmocka_unit_test (top_ups_and_planned_stops_are_in_the_trail),
   };
 
   return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
