--- a/testing/process/test-fleet.c
+++ b/testing/process/test-fleet.c
@@ -400,6 +400,9 @@
                                  .max_tokens = 4 };
       struct harness_answer answer = harness_ask (&ask);
 
+      if (answer.verdict != HARNESS_ANSWERED)
+        print_message ("request %u: %s %s\n", i, harness_verdict_to_string (answer.verdict),
+                       answer.code);
       if (1 + i % INSTANCES != 3)
         assert_int_equal (answer.verdict, HARNESS_ANSWERED);
     }
