--- a/testing/bench/capacity.c
+++ b/testing/bench/capacity.c
@@ -423,6 +423,29 @@
   return sum;
 }
 
+/* Sum of a counter over all instances. */
+static double
+instances_counter_ (const struct harness *harness, const char *name)
+{
+  g_autofree char *line = g_strdup_printf ("\n%s ", name);
+  double sum = 0;
+
+  for (unsigned i = 1; i <= harness->options.instances; i++)
+    {
+      g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, i, false);
+      struct harness_call call = { .address = address,
+                                   .port = harness_port (harness, HARNESS_PORT_ENTRY),
+                                   .path = "/metrics" };
+      struct harness_reply *reply = harness_call (&call);
+      const char *found = strstr (reply->body->str, line);
+
+      if (found != NULL)
+        sum += (double)g_ascii_strtoll (found + strlen (line), NULL, 10);
+      harness_reply_free (reply);
+    }
+  return sum;
+}
+
 static struct harness *
 start_processes_ (unsigned instances)
 {
@@ -499,15 +522,20 @@
   struct harness *harness = start_processes_ (LOAD_INSTANCES);
   struct platform_calls before;
   struct traffic_result *result;
+  double peer_calls;
   int64_t cpu;
 
   if (harness == NULL)
     exit (EXIT_FAILURE);
   before = platform_calls_ (harness);
+  peer_calls = instances_counter_ (harness, "peer_calls_total");
   cpu = instances_cpu_us_ (harness);
   result = traffic_run (&options);
   cpu = instances_cpu_us_ (harness) - cpu;
   print_processes_ (harness, "load", cpu, &before, (double)result->took_us / US_PER_S);
+  peer_calls = instances_counter_ (harness, "peer_calls_total") - peer_calls;
+  printf ("load peer_calls_per_s=%.1f (each, of which gossip 3 to 7)\n",
+          peer_calls * US_PER_S / (double)result->took_us / LOAD_INSTANCES);
   printf ("load answered=%" G_GINT64_FORMAT " of %" G_GINT64_FORMAT
           " cpu_us_per_request=%.0f cpu_us_per_token=%.1f\n",
           result->verdicts[HARNESS_ANSWERED], options.requests,
