--- a/testing/bench/ask.c
+++ b/testing/bench/ask.c
@@ -27,10 +27,11 @@
   struct arg_str *service = arg_str0 (NULL, "service", "NAME", "service that is called");
   struct arg_str *key = arg_str0 (NULL, "key", "KEY", "the team's key");
   struct arg_str *id = arg_str0 (NULL, "id", "ID", "Idempotency-Key");
+  struct arg_lit *first = arg_lit0 (NULL, "first", "X-Attempt: 1");
   struct arg_str *priority = arg_str0 (NULL, "priority", "P", "X-Priority");
   struct arg_str *body = arg_str0 (NULL, NULL, "BODY", "the body");
   struct arg_end *end = arg_end (8);
-  void *table[] = { target, get, service, key, id, priority, body, end };
+  void *table[] = { target, get, service, key, id, first, priority, body, end };
   const char *headers[HEADERS_MAX] = { NULL };
   g_autofree char *bearer = NULL;
   g_autofree char *path = NULL;
@@ -53,6 +54,7 @@
   bearer = key->count > 0 ? g_strdup_printf ("Bearer %s", key->sval[0]) : NULL;
   add_header_ (headers, "Authorization", bearer);
   add_header_ (headers, "Idempotency-Key", id->count > 0 ? id->sval[0] : NULL);
+  add_header_ (headers, "X-Attempt", first->count > 0 ? "1" : NULL);
   add_header_ (headers, "X-Priority", priority->count > 0 ? priority->sval[0] : NULL);
   call = (struct harness_call){ .address = ip,
                                 .port = ntohs (address.sin_port),
