--- a/src/config/bundle.c
+++ b/src/config/bundle.c
@@ -13,10 +13,20 @@
 platform_get_part_ (struct config_source *source, const char *name, GString *body);
 static enum config_bundle_status
 fetch_part_ (struct config_source *source, const char *name, GBytes **text);
+static enum config_bundle_status
+add_part_ (struct config_source *source,
+           struct config_bundle *bundle,
+           size_t index,
+           const struct config_bundle *former,
+           GHashTable *known);
+static struct config_sections *
+read_part_ (struct config_bundle *bundle, size_t index, struct sr_findings *findings);
 static GHashTable *
-index_texts_ (const struct config_bundle *bundle);
+index_parts_ (const struct config_bundle *bundle);
 static void
 bytes_free_ (void *data);
+static void
+sections_free_ (void *data);
 
 /* Makes SOURCE read from PLATFORM, which it does not own, until DEADLINE_US (monotonic). */
 void
@@ -61,23 +71,13 @@
 
   if (head == NULL)
     return CONFIG_BUNDLE_CORRUPT;
-  known = index_texts_ (former);
+  known = index_parts_ (former);
   new_bundle = config_bundle_new_empty ();
   config_head_delete (new_bundle->head);
   new_bundle->head = head;
   g_string_append_len (new_bundle->head_body, head_body->str, (gssize)head_body->len);
   for (size_t i = 0; i < head->parts->len && status == CONFIG_BUNDLE_OK; i++)
-    {
-      const GString *name = g_ptr_array_index (head->parts, i);
-      GBytes *text = g_hash_table_lookup (known, name->str);
-
-      if (text != NULL)
-        g_bytes_ref (text);
-      else
-        status = fetch_part_ (source, name->str, &text);
-      if (status == CONFIG_BUNDLE_OK)
-        g_ptr_array_add (new_bundle->texts, text);
-    }
+    status = add_part_ (source, new_bundle, i, former, known);
   if (status == CONFIG_BUNDLE_OK)
     *bundle = new_bundle;
   else
@@ -94,6 +94,7 @@
   bundle->head = config_head_new ();
   bundle->head_body = g_string_new (NULL);
   bundle->texts = g_ptr_array_new_with_free_func (bytes_free_);
+  bundle->sections = g_ptr_array_new_with_free_func (sections_free_);
   return bundle;
 }
 
@@ -106,25 +107,21 @@
   config_head_delete (bundle->head);
   g_string_free (bundle->head_body, TRUE);
   g_ptr_array_unref (bundle->texts);
+  g_ptr_array_unref (bundle->sections);
   g_free (bundle);
 }
 
-/* Reads and checks the configuration in BUNDLE. Returns a snapshot with one reference, the
+/* Checks the configuration in BUNDLE, reading only those parts that no former bundle had read.
+ * Returns a snapshot with one reference, the
  * caller's, or NULL after adding faults to FINDINGS. */
 struct sr_config *
-config_bundle_parse (const struct config_bundle *bundle, struct sr_findings *findings)
+config_bundle_parse (struct config_bundle *bundle, struct sr_findings *findings)
 {
   struct sr_config *config = config_new (bundle->head->revision);
   size_t before = sr_findings_count (findings);
 
   for (size_t i = 0; i < bundle->texts->len; i++)
-    {
-      const GString *name = g_ptr_array_index (bundle->head->parts, i);
-      gsize length;
-      const char *text = g_bytes_get_data (g_ptr_array_index (bundle->texts, i), &length);
-
-      config_add_sections (config, name->str, text, length, findings);
-    }
+    config_add_sections (config, read_part_ (bundle, i, findings), findings);
   if (config_finish (config, findings) && sr_findings_count (findings) == before)
     return config;
   sr_config_unref (config);
@@ -179,9 +176,58 @@
   return result;
 }
 
-/* Returns a table from the names of BUNDLE's parts to their texts, both still owned by it. */
+/* Adds part INDEX to BUNDLE: from FORMER when KNOWN has its name, else from SOURCE. */
+static enum config_bundle_status
+add_part_ (struct config_source *source,
+           struct config_bundle *bundle,
+           size_t index,
+           const struct config_bundle *former,
+           GHashTable *known)
+{
+  const GString *name = g_ptr_array_index (bundle->head->parts, index);
+  size_t place = GPOINTER_TO_SIZE (g_hash_table_lookup (known, name->str));
+  struct config_sections *sections = NULL;
+  GBytes *text = NULL;
+
+  if (place > 0)
+    {
+      text = g_bytes_ref (g_ptr_array_index (former->texts, place - 1));
+      sections = g_ptr_array_index (former->sections, place - 1);
+      if (sections != NULL)
+        config_sections_ref (sections);
+    }
+  else
+    {
+      enum config_bundle_status status = fetch_part_ (source, name->str, &text);
+
+      if (status != CONFIG_BUNDLE_OK)
+        return status;
+    }
+  g_ptr_array_add (bundle->texts, text);
+  g_ptr_array_add (bundle->sections, sections);
+  return CONFIG_BUNDLE_OK;
+}
+
+/* Returns the sections of part INDEX, owned by BUNDLE, after reading them if nobody has. */
+static struct config_sections *
+read_part_ (struct config_bundle *bundle, size_t index, struct sr_findings *findings)
+{
+  struct config_sections *sections = g_ptr_array_index (bundle->sections, index);
+  const GString *name = g_ptr_array_index (bundle->head->parts, index);
+  gsize length;
+  const char *text;
+
+  if (sections != NULL)
+    return sections;
+  text = g_bytes_get_data (g_ptr_array_index (bundle->texts, index), &length);
+  sections = config_sections_parse (name->str, text, length, findings);
+  g_ptr_array_index (bundle->sections, index) = sections;
+  return sections;
+}
+
+/* Returns a table from the names of BUNDLE's parts, still owned by it, to their places from 1. */
 static GHashTable *
-index_texts_ (const struct config_bundle *bundle)
+index_parts_ (const struct config_bundle *bundle)
 {
   GHashTable *table = g_hash_table_new (g_str_hash, g_str_equal);
 
@@ -189,7 +235,7 @@
     {
       GString *name = g_ptr_array_index (bundle->head->parts, i);
 
-      g_hash_table_insert (table, name->str, g_ptr_array_index (bundle->texts, i));
+      g_hash_table_insert (table, name->str, GSIZE_TO_POINTER (i + 1));
     }
   return table;
 }
@@ -199,3 +245,9 @@
 {
   g_bytes_unref (data);
 }
+
+static void
+sections_free_ (void *data)
+{
+  config_sections_unref (data);
+}
--- a/src/config/bundle.h
+++ b/src/config/bundle.h
@@ -3,6 +3,7 @@
 
 #include "config/config.h"
 #include "config/head.h"
+#include "config/snapshot.h"
 
 /* Where heads and parts are read. Every implementation begins with this. */
 struct config_source
@@ -24,7 +25,8 @@
 {
   struct config_head *head;
   GString *head_body;
-  GPtrArray *texts; /* GBytes, one for each part of the head */
+  GPtrArray *texts;    /* GBytes, one for each part of the head */
+  GPtrArray *sections; /* struct config_sections of each text, or NULL: not read yet */
 };
 
 enum config_bundle_status
@@ -54,6 +56,6 @@
 void
 config_bundle_delete (struct config_bundle *bundle);
 struct sr_config *
-config_bundle_parse (const struct config_bundle *bundle, struct sr_findings *findings);
+config_bundle_parse (struct config_bundle *bundle, struct sr_findings *findings);
 const char *
 config_bundle_status_to_string (enum config_bundle_status status);
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -5,13 +5,23 @@
 #include <string.h>
 
 static void
-team_free_ (void *data);
+add_team_ (struct sr_config *config, const struct config_team *team, struct sr_findings *findings);
+static void
+add_service_ (struct sr_config *config,
+              const struct config_service *service,
+              struct sr_findings *findings);
 static void
-budget_free_ (void *data);
+note_double_ (GHashTable *table,
+              const GString *name,
+              const char *kind,
+              const struct config_origin *origin,
+              struct sr_findings *findings);
+static void
+team_free_ (void *data);
 static void
-service_free_ (void *data);
+pool_free_ (void *data);
 static void
-backend_free_ (void *data);
+sections_free_ (void *data);
 static void
 config_free_ (struct sr_config *config);
 static unsigned char
@@ -29,8 +39,10 @@
 {
   struct sr_config *config = config_new (revision);
   size_t before = sr_findings_count (findings);
+  struct config_sections *sections = config_sections_parse (file_name, text, length, findings);
 
-  config_add_sections (config, file_name, text, length, findings);
+  config_add_sections (config, sections, findings);
+  config_sections_unref (sections);
   if (config_finish (config, findings) && sr_findings_count (findings) == before)
     return config;
   sr_config_unref (config);
@@ -45,19 +57,47 @@
   struct sr_config *config = g_new0 (struct sr_config, 1);
 
   config->revision = revision;
+  config->sections = g_ptr_array_new_with_free_func (sections_free_);
   config->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
-  config->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, budget_free_);
-  config->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free_);
-  config->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, backend_free_);
+  config->budgets = g_hash_table_new (g_str_hash, g_str_equal);
+  config->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free_);
+  config->backends = g_hash_table_new (g_str_hash, g_str_equal);
   config->all_services = g_ptr_array_new ();
   config->all_backends = g_ptr_array_new ();
   config->all_budgets = g_ptr_array_new ();
   config->digests = g_array_new (FALSE, TRUE, sizeof (struct config_digest));
-  config->strings = g_string_chunk_new (4096);
   atomic_store (&config->reference_count, 1);
   return config;
 }
 
+/* Adds SECTIONS to CONFIG, which is still being built, and takes a reference to them. A name that
+ * stands in two parts becomes one of FINDINGS; references are left to config_finish. */
+void
+config_add_sections (struct sr_config *config,
+                     struct config_sections *sections,
+                     struct sr_findings *findings)
+{
+  g_ptr_array_add (config->sections, config_sections_ref (sections));
+  for (size_t i = 0; i < sections->teams->len; i++)
+    add_team_ (config, g_ptr_array_index (sections->teams, i), findings);
+  for (size_t i = 0; i < sections->services->len; i++)
+    add_service_ (config, g_ptr_array_index (sections->services, i), findings);
+  for (size_t i = 0; i < sections->budgets->len; i++)
+    {
+      struct config_budget *budget = g_ptr_array_index (sections->budgets, i);
+
+      note_double_ (config->budgets, budget->name, "budget", &budget->origin, findings);
+      g_hash_table_replace (config->budgets, budget->name->str, budget);
+    }
+  for (size_t i = 0; i < sections->backends->len; i++)
+    {
+      struct config_backend *backend = g_ptr_array_index (sections->backends, i);
+
+      note_double_ (config->backends, backend->backend.name, "backend", &backend->origin, findings);
+      g_hash_table_replace (config->backends, backend->backend.name->str, backend);
+    }
+}
+
 /* Takes a reference to CONFIG and returns it. Any thread. */
 struct sr_config *
 sr_config_ref (struct sr_config *config)
@@ -129,9 +169,9 @@
 const struct sr_config_service *
 sr_config_service (const struct sr_config *config, const char *name)
 {
-  const struct config_service *service = g_hash_table_lookup (config->services, name);
+  const struct config_pool *pool = g_hash_table_lookup (config->services, name);
 
-  return service != NULL ? &service->service : NULL;
+  return pool != NULL ? &pool->service->service : NULL;
 }
 
 /* Returns the backend servers (struct sr_config_backend) of SERVICE, leaving ones included, or NULL
@@ -139,7 +179,7 @@
 const GPtrArray *
 sr_config_service_backends (const struct sr_config *config, const char *service)
 {
-  const struct config_service *found = g_hash_table_lookup (config->services, service);
+  const struct config_pool *found = g_hash_table_lookup (config->services, service);
 
   return found != NULL ? found->backends : NULL;
 }
@@ -187,51 +227,72 @@
   g_hash_table_unref (config->services);
   g_hash_table_unref (config->budgets);
   g_hash_table_unref (config->teams);
-  g_string_chunk_free (config->strings);
+  g_ptr_array_unref (config->sections);
   g_free (config);
 }
 
+/* Adds a copy of TEAM that shares its strings; its budgets are those it lists until config_finish.
+ */
 static void
-team_free_ (void *data)
+add_team_ (struct sr_config *config, const struct config_team *team, struct sr_findings *findings)
+{
+  struct config_team *copy = g_new0 (struct config_team, 1);
+
+  *copy = *team;
+  g_ptr_array_ref (copy->team.budgets);
+  copy->team.config = config;
+  note_double_ (config->teams, team->team.name, "team", &team->origin, findings);
+  g_hash_table_replace (config->teams, copy->team.name->str, copy);
+}
+
+static void
+add_service_ (struct sr_config *config,
+              const struct config_service *service,
+              struct sr_findings *findings)
 {
-  struct config_team *node = data;
+  struct config_pool *pool = g_new0 (struct config_pool, 1);
 
-  g_string_free (node->team.name, TRUE);
-  g_ptr_array_unref (node->team.key_digests);
-  g_ptr_array_unref (node->team.budgets);
-  g_free (node);
+  pool->service = service;
+  pool->backends = g_ptr_array_new ();
+  note_double_ (config->services, service->service.name, "service", &service->origin, findings);
+  g_hash_table_replace (config->services, service->service.name->str, pool);
 }
 
 static void
-budget_free_ (void *data)
+note_double_ (GHashTable *table,
+              const GString *name,
+              const char *kind,
+              const struct config_origin *origin,
+              struct sr_findings *findings)
 {
-  struct config_budget *node = data;
+  g_autofree char *section = NULL;
 
-  g_string_free (node->name, TRUE);
-  g_free (node);
+  if (!g_hash_table_contains (table, name->str))
+    return;
+  section = g_strdup_printf ("%s %s", kind, name->str);
+  sr_findings_add (findings, origin->file, origin->line, section, NULL, "the name stands twice");
 }
 
 static void
-service_free_ (void *data)
+team_free_ (void *data)
 {
-  struct config_service *node = data;
+  struct config_team *copy = data;
 
-  g_string_free (node->service.name, TRUE);
-  g_string_free (node->service.model, TRUE);
-  g_string_free (node->service.version, TRUE);
-  g_string_free (node->service.adapter, TRUE);
-  g_ptr_array_unref (node->backends);
-  g_free (node);
+  g_ptr_array_unref (copy->team.budgets);
+  g_free (copy);
 }
 
 static void
-backend_free_ (void *data)
+pool_free_ (void *data)
 {
-  struct config_backend *node = data;
+  struct config_pool *pool = data;
+
+  g_ptr_array_unref (pool->backends);
+  g_free (pool);
+}
 
-  g_string_free (node->backend.name, TRUE);
-  g_string_free (node->backend.service, TRUE);
-  g_string_free (node->backend.address, TRUE);
-  g_string_free (node->backend.data_centre, TRUE);
-  g_free (node);
+static void
+sections_free_ (void *data)
+{
+  config_sections_unref (data);
 }
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -93,7 +93,6 @@
   GPtrArray *written = team->team.budgets;
 
   team->team.budgets = g_ptr_array_new ();
-  team->team.config = config;
   for (size_t i = 0; i < written->len; i++)
     {
       const GString *name = g_ptr_array_index (written, i);
@@ -134,22 +133,21 @@
 
   for (size_t i = 0; i < services->len; i++)
     {
-      struct config_service *service = g_ptr_array_index (services, i);
+      const struct config_pool *pool = g_ptr_array_index (services, i);
 
-      g_ptr_array_add (config->all_services, &service->service);
+      g_ptr_array_add (config->all_services, (void *)&pool->service->service);
     }
   for (size_t i = 0; i < backends->len; i++)
     {
       struct config_backend *node = g_ptr_array_index (backends, i);
       struct sr_config_backend *backend = &node->backend;
-      struct config_service *service
-          = g_hash_table_lookup (config->services, backend->service->str);
+      struct config_pool *pool = g_hash_table_lookup (config->services, backend->service->str);
       char *place = g_strdup_printf ("%s at %s:%u", backend->service->str, backend->address->str,
                                      backend->port);
 
       g_ptr_array_add (config->all_backends, backend);
-      if (service != NULL)
-        g_ptr_array_add (service->backends, backend);
+      if (pool != NULL)
+        g_ptr_array_add (pool->backends, backend);
       else if (backend->service->len > 0)
         add_finding_ (findings, &node->origin, "backend", backend->name, "service",
                       "there is no service ", backend->service->str);
--- a/src/config/sections.c
+++ b/src/config/sections.c
@@ -7,13 +7,14 @@
 enum
 {
   PORT_MAX = 65535,
-  DIGEST_HEX = 2 * CONFIG_DIGEST_BYTES
+  DIGEST_HEX = 2 * CONFIG_DIGEST_BYTES,
+  STRINGS_BLOCK_BYTES = 512
 };
 
 /* What the adding of one section needs. */
 struct adding_
 {
-  struct sr_config *config;
+  struct config_sections *sections;
   const struct sr_ini_document *document;
   const struct sr_ini_section *section;
   const char *name; /* the section's name after its kind */
@@ -28,6 +29,8 @@
   void (*add) (struct adding_ *adding);
 };
 
+static struct config_sections *
+sections_new_ (void);
 static void
 add_section_ (struct adding_ *adding);
 static void
@@ -39,6 +42,14 @@
 static void
 add_backend_ (struct adding_ *adding);
 static void
+team_free_ (void *data);
+static void
+budget_free_ (void *data);
+static void
+service_free_ (void *data);
+static void
+backend_free_ (void *data);
+static void
 check_service_ (const struct adding_ *adding, struct sr_config_service *service);
 static const char *
 check_digest_ (const char *item);
@@ -142,20 +153,20 @@
   { .name = "leaving", .type = SR_INI_BOOL, .offset = BACKEND (leaving) },
 };
 
-/* Adds the sections of LENGTH bytes of TEXT to CONFIG, which is still being built. Every fault of a
- * section becomes one of FINDINGS; references between sections are left to config_finish. May be
- * called several times, with one part of a configuration each. */
-void
-config_add_sections (struct sr_config *config,
-                     const char *file_name,
-                     const char *text,
-                     size_t length,
-                     struct sr_findings *findings)
+/* Reads the sections in LENGTH bytes of TEXT, one part of a configuration or the whole. Every fault
+ * of a section becomes one of FINDINGS; FILE_NAME is only for these. Returns what was read with one
+ * reference, the caller's. */
+struct config_sections *
+config_sections_parse (const char *file_name,
+                       const char *text,
+                       size_t length,
+                       struct sr_findings *findings)
 {
   struct sr_ini_document *document = sr_ini_read (file_name, text, length, findings);
-  struct adding_ adding = { .config = config, .document = document, .findings = findings };
+  struct config_sections *sections = sections_new_ ();
+  struct adding_ adding = { .sections = sections, .document = document, .findings = findings };
 
-  adding.origin.file = g_string_chunk_insert_const (config->strings, file_name);
+  adding.origin.file = g_string_chunk_insert_const (sections->strings, file_name);
   for (size_t i = 0; i < document->sections->len; i++)
     {
       adding.section = g_ptr_array_index (document->sections, i);
@@ -163,6 +174,43 @@
       add_section_ (&adding);
     }
   sr_ini_document_delete (document);
+  return sections;
+}
+
+/* Takes a reference to SECTIONS and returns them. Any thread. */
+struct config_sections *
+config_sections_ref (struct config_sections *sections)
+{
+  atomic_fetch_add (&sections->reference_count, 1);
+  return sections;
+}
+
+/* Gives a reference back; the last one frees SECTIONS. NULL is allowed. Any thread. */
+void
+config_sections_unref (struct config_sections *sections)
+{
+  if (sections == NULL || atomic_fetch_sub (&sections->reference_count, 1) != 1)
+    return;
+  g_ptr_array_unref (sections->teams);
+  g_ptr_array_unref (sections->budgets);
+  g_ptr_array_unref (sections->services);
+  g_ptr_array_unref (sections->backends);
+  g_string_chunk_free (sections->strings);
+  g_free (sections);
+}
+
+static struct config_sections *
+sections_new_ (void)
+{
+  struct config_sections *sections = g_new0 (struct config_sections, 1);
+
+  sections->teams = g_ptr_array_new_with_free_func (team_free_);
+  sections->budgets = g_ptr_array_new_with_free_func (budget_free_);
+  sections->services = g_ptr_array_new_with_free_func (service_free_);
+  sections->backends = g_ptr_array_new_with_free_func (backend_free_);
+  sections->strings = g_string_chunk_new (STRINGS_BLOCK_BYTES);
+  atomic_store (&sections->reference_count, 1);
+  return sections;
 }
 
 /* Adds one section by the kind that its name begins with. */
@@ -193,9 +241,7 @@
   node->origin = adding->origin;
   node->team.name = g_string_new (adding->name);
   fill_ (adding, team_keys_, G_N_ELEMENTS (team_keys_), &node->team);
-  if (g_hash_table_contains (adding->config->teams, adding->name))
-    add_finding_ (adding, NULL, "the team stands twice");
-  g_hash_table_replace (adding->config->teams, node->team.name->str, node);
+  g_ptr_array_add (adding->sections->teams, node);
 }
 
 static void
@@ -207,11 +253,9 @@
   fill_ (adding, budget_keys_, G_N_ELEMENTS (budget_keys_), &fields);
   node->origin = adding->origin;
   node->name = g_string_new (adding->name);
-  node->team = g_string_chunk_insert_const (adding->config->strings, fields.team->str);
+  node->team = g_string_chunk_insert_const (adding->sections->strings, fields.team->str);
   g_string_free (fields.team, TRUE);
-  if (g_hash_table_contains (adding->config->budgets, adding->name))
-    add_finding_ (adding, NULL, "the budget stands twice");
-  g_hash_table_replace (adding->config->budgets, node->name->str, node);
+  g_ptr_array_add (adding->sections->budgets, node);
 }
 
 static void
@@ -220,13 +264,10 @@
   struct config_service *node = g_new0 (struct config_service, 1);
 
   node->origin = adding->origin;
-  node->backends = g_ptr_array_new ();
   node->service.name = g_string_new (adding->name);
   fill_ (adding, service_keys_, G_N_ELEMENTS (service_keys_), &node->service);
   check_service_ (adding, &node->service);
-  if (g_hash_table_contains (adding->config->services, adding->name))
-    add_finding_ (adding, NULL, "the service stands twice");
-  g_hash_table_replace (adding->config->services, node->service.name->str, node);
+  g_ptr_array_add (adding->sections->services, node);
 }
 
 static void
@@ -237,9 +278,7 @@
   node->origin = adding->origin;
   node->backend.name = g_string_new (adding->name);
   fill_ (adding, backend_keys_, G_N_ELEMENTS (backend_keys_), &node->backend);
-  if (g_hash_table_contains (adding->config->backends, adding->name))
-    add_finding_ (adding, NULL, "the backend server stands twice");
-  g_hash_table_replace (adding->config->backends, node->backend.name->str, node);
+  g_ptr_array_add (adding->sections->backends, node);
 }
 
 /* Checks which keys go with the service's kind. A model call only computes, so it may always be
@@ -303,3 +342,47 @@
   sr_findings_add (adding->findings, adding->origin.file, adding->origin.line,
                    adding->section->name->str, key, "%s", message);
 }
+
+static void
+team_free_ (void *data)
+{
+  struct config_team *node = data;
+
+  g_string_free (node->team.name, TRUE);
+  g_ptr_array_unref (node->team.key_digests);
+  g_ptr_array_unref (node->team.budgets);
+  g_free (node);
+}
+
+static void
+budget_free_ (void *data)
+{
+  struct config_budget *node = data;
+
+  g_string_free (node->name, TRUE);
+  g_free (node);
+}
+
+static void
+service_free_ (void *data)
+{
+  struct config_service *node = data;
+
+  g_string_free (node->service.name, TRUE);
+  g_string_free (node->service.model, TRUE);
+  g_string_free (node->service.version, TRUE);
+  g_string_free (node->service.adapter, TRUE);
+  g_free (node);
+}
+
+static void
+backend_free_ (void *data)
+{
+  struct config_backend *node = data;
+
+  g_string_free (node->backend.name, TRUE);
+  g_string_free (node->backend.service, TRUE);
+  g_string_free (node->backend.address, TRUE);
+  g_string_free (node->backend.data_centre, TRUE);
+  g_free (node);
+}
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -17,6 +17,7 @@
   unsigned line;
 };
 
+/* A team; in a part its budgets are those it lists, in a snapshot all. */
 struct config_team
 {
   struct sr_config_team team;
@@ -34,7 +35,6 @@
 {
   struct sr_config_service service;
   struct config_origin origin;
-  GPtrArray *backends; /* struct sr_config_backend, not owned */
 };
 
 struct config_backend
@@ -43,6 +43,25 @@
   struct config_origin origin;
 };
 
+/* What was read from one part: immutable, counted by references, shared by all snapshots that have
+ * this part. The arrays own what is in them. */
+struct config_sections
+{
+  _Atomic int reference_count;
+  GPtrArray *teams;      /* struct config_team */
+  GPtrArray *budgets;    /* struct config_budget */
+  GPtrArray *services;   /* struct config_service */
+  GPtrArray *backends;   /* struct config_backend */
+  GStringChunk *strings; /* interned */
+};
+
+/* A service and its backend servers in one snapshot. */
+struct config_pool
+{
+  const struct config_service *service;
+  GPtrArray *backends; /* struct sr_config_backend, not owned */
+};
+
 /* One key of a team. */
 struct config_digest
 {
@@ -54,24 +73,32 @@
 {
   _Atomic int reference_count;
   int64_t revision;
-  GHashTable *teams;    /* name to struct config_team, which it owns */
-  GHashTable *budgets;  /* name to struct config_budget, which it owns */
-  GHashTable *services; /* name to struct config_service, which it owns */
-  GHashTable *backends; /* name to struct config_backend, which it owns */
-  GPtrArray *all_services;
+  GPtrArray *sections;  /* struct config_sections, a reference each */
+  GHashTable *teams;    /* name to struct config_team, a copy that it owns */
+  GHashTable *budgets;  /* name to struct config_budget */
+  GHashTable *services; /* name to struct config_pool, which it owns */
+  GHashTable *backends; /* name to struct config_backend */
   GPtrArray *all_backends;
   GPtrArray *all_budgets;
-  GArray *digests;       /* struct config_digest */
-  GStringChunk *strings; /* interned */
+  GPtrArray *all_services;
+  GArray *digests; /* struct config_digest */
 };
 
+struct config_sections *
+config_sections_parse (const char *file_name,
+                       const char *text,
+                       size_t length,
+                       struct sr_findings *findings);
+struct config_sections *
+config_sections_ref (struct config_sections *sections);
+void
+config_sections_unref (struct config_sections *sections);
+
 struct sr_config *
 config_new (int64_t revision);
 void
 config_add_sections (struct sr_config *config,
-                     const char *file_name,
-                     const char *text,
-                     size_t length,
+                     struct config_sections *sections,
                      struct sr_findings *findings);
 bool
 config_finish (struct sr_config *config, struct sr_findings *findings);
--- a/testing/bench/config.c
+++ b/testing/bench/config.c
@@ -59,12 +59,50 @@
 
       g_ptr_array_add (bundle->head->parts, config_part_name (part, "0123456789abcdef"));
       g_ptr_array_add (bundle->texts, g_bytes_new (part->str, part->len));
+      g_ptr_array_add (bundle->sections, NULL);
     }
   body = config_head_encode (bundle->head);
   g_string_assign (bundle->head_body, body);
   free (body);
 }
 
+/* Returns a bundle that differs from FORMER in its first part, as after a change of one section. */
+static struct config_bundle *
+change_one_part (const struct config_bundle *former)
+{
+  struct config_bundle *bundle = config_bundle_new_empty ();
+
+  for (size_t i = 0; i < former->texts->len; i++)
+    {
+      const GString *name = g_ptr_array_index (former->head->parts, i);
+      struct config_sections *sections = g_ptr_array_index (former->sections, i);
+
+      g_ptr_array_add (bundle->head->parts, g_string_new (name->str));
+      g_ptr_array_add (bundle->texts, g_bytes_ref (g_ptr_array_index (former->texts, i)));
+      g_ptr_array_add (bundle->sections, i == 0 ? NULL : config_sections_ref (sections));
+    }
+  return bundle;
+}
+
+/* Prints what the next configuration costs while FORMER is still in force. */
+static void
+measure_change (struct config_bundle *former)
+{
+  struct config_bundle *bundle = change_one_part (former);
+  struct sr_findings *findings = sr_findings_new ();
+  int64_t before_kib = heap_kib ();
+  int64_t start_us = g_get_monotonic_time ();
+  struct sr_config *config = config_bundle_parse (bundle, findings);
+  int64_t took_us = g_get_monotonic_time () - start_us;
+
+  g_assert (config != NULL);
+  printf ("  change of one part: %" G_GINT64_FORMAT " us, %" G_GINT64_FORMAT " KiB more\n", took_us,
+          heap_kib () - before_kib);
+  sr_config_unref (config);
+  sr_findings_delete (findings);
+  config_bundle_delete (bundle);
+}
+
 static void
 measure (unsigned n_budgets)
 {
@@ -94,6 +132,7 @@
           " us, snapshot %" G_GINT64_FORMAT " KiB, look-up by key %" G_GINT64_FORMAT " ns\n",
           n_budgets, text_bytes / BYTES_PER_KIB, bundle->head->parts->len, bundle->head_body->len,
           parse_us, heap_kib () - before_kib, look_up_us * NS_PER_US / LOOK_UPS);
+  measure_change (bundle);
   sr_config_unref (config);
   sr_findings_delete (findings);
   config_bundle_delete (bundle);
