--- a/testing/process/test-overload.c
+++ b/testing/process/test-overload.c
@@ -89,6 +89,7 @@
                                   .service = "diary",
                                   .teams = 1,
                                   .large_team_percent = PERCENT,
+                                  .interactive_percent = PERCENT / 2,
                                   .tokens_min = FLOOD_TOKENS,
                                   .tokens_max = FLOOD_TOKENS,
                                   .deadline_ms = FLOOD_DEADLINE_MS };
