--- a/src/cli/command-show.c
+++ b/src/cli/command-show.c
@@ -1,5 +1,7 @@
+#include "bill/bill.h"
+#include "budget/record.h"
 #include "cli/cli.h"
-#include "cli/print-json.h"
+#include "cli/print-table.h"
 #include "config/store.h"
 #include "http/exchange.h"
 #include "platform/platform-retry.h"
@@ -29,15 +31,34 @@
 static const char *const topic_names_[]
     = { "config", "budgets", "instances", "backends", "bills", NULL };
 
-/* For each topic: the member of an instance's status that tells of it, and the kind of the
- * platform's objects; NULL where there is none. */
-static const char *const status_members_[] = { "revision", "budgets", "members", "backends", NULL };
-static const char *const object_kinds_[] = { NULL, "budget", NULL, NULL, "bills" };
+/* For each topic: the member of an instance's status that tells of it, NULL where there is none. */
+static const char *const status_members_[] = { NULL, "budgets", "members", "backends", NULL };
+
+static const char *const revision_columns_[]
+    = { "instance", "data_centre", "revision", "in_progress", NULL };
+static const char *const held_columns_[]
+    = { "budget", "granted", "used", "reserved", "available", NULL };
+static const char *const prepaid_columns_[]
+    = { "budget", "prepaid", "settled", "written_off", "held", "left", NULL };
+static const char *const instance_columns_[]
+    = { "name", "data_centre", "address", "entry_port", "state", "revision", NULL };
+static const char *const backend_columns_[] = { "service",   "name",    "data_centre",
+                                                "in_flight", "limit",   "load",
+                                                "failures",  "ejected", NULL };
+static const char *const bill_columns_[]
+    = { "team",          "request",       "budget",        "service",
+        "prompt_tokens", "output_tokens", "billed_tokens", NULL };
 
 static bool
 find_topic_ (const struct arg_str *name, enum topic_ *topic);
 static int
 show_instance_ (const char *address, enum topic_ topic, bool json);
+static void
+print_status_ (const json_t *status, enum topic_ topic, bool json);
+static json_t *
+rows_by_name_ (const json_t *members, const char *column);
+static json_t *
+rows_by_service_ (const json_t *backends);
 static json_t *
 read_status_ (const char *ip, unsigned port);
 static int
@@ -47,9 +68,13 @@
 static int
 show_instances_ (struct sr_platform *platform, bool json);
 static int
-show_objects_ (struct sr_platform *platform, const char *kind, bool json);
+show_budgets_ (struct sr_platform *platform, bool json);
 static enum sr_platform_status
-show_object_ (struct sr_platform *platform, const char *kind, const char *name, bool json);
+add_budget_ (struct sr_platform *platform, const char *name, json_t *rows);
+static int
+show_bills_ (struct sr_platform *platform, bool json);
+static bool
+add_bill_ (const struct sr_bill *bill, void *rows);
 static int
 report_ (enum sr_platform_status status);
 
@@ -113,21 +138,93 @@
   char ip[16];
   unsigned port;
   json_t *status;
-  const json_t *member;
 
-  if (!sr_ini_parse_address_port (address, ip, &port) || status_members_[topic] == NULL)
+  if (!sr_ini_parse_address_port (address, ip, &port) || topic == TOPIC_BILLS)
     {
       fprintf (stderr, "show: not IP:PORT, or an instance does not tell this\n");
       return CLI_EXIT_USAGE;
     }
   status = read_status_ (ip, port);
-  member = json_object_get (status, status_members_[topic]);
-  if (member == NULL)
-    fprintf (stderr, "show: %s does not answer as an instance does\n", address);
-  else
-    cli_print_json (member, json, stdout);
+  if (status == NULL)
+    {
+      fprintf (stderr, "show: %s does not answer as an instance does\n", address);
+      return CLI_EXIT_REFUSED;
+    }
+  print_status_ (status, topic, json);
   json_decref (status);
-  return member != NULL ? CLI_EXIT_OK : CLI_EXIT_REFUSED;
+  return CLI_EXIT_OK;
+}
+
+static void
+print_status_ (const json_t *status, enum topic_ topic, bool json)
+{
+  const json_t *member
+      = status_members_[topic] != NULL ? json_object_get (status, status_members_[topic]) : NULL;
+  json_t *rows;
+
+  switch (topic)
+    {
+    case TOPIC_BUDGETS:
+      rows = rows_by_name_ (member, "budget");
+      cli_print_rows (rows, held_columns_, json, stdout);
+      break;
+    case TOPIC_BACKENDS:
+      rows = rows_by_service_ (member);
+      cli_print_rows (rows, backend_columns_, json, stdout);
+      break;
+    case TOPIC_INSTANCES:
+      rows = json_incref ((json_t *)member);
+      cli_print_rows (rows, instance_columns_, json, stdout);
+      break;
+    default:
+      rows = json_pack ("[O]", status);
+      cli_print_rows (rows, revision_columns_, json, stdout);
+      break;
+    }
+  json_decref (rows);
+}
+
+/* Returns the members of an object of objects as rows, with their name as COLUMN. */
+static json_t *
+rows_by_name_ (const json_t *members, const char *column)
+{
+  json_t *rows = json_array ();
+  const char *name;
+  json_t *value;
+
+  json_object_foreach ((json_t *)members, name, value)
+  {
+    json_t *row = json_object ();
+
+    json_object_set_new (row, column, json_string (name));
+    json_object_update_missing (row, value);
+    json_array_append_new (rows, row);
+  }
+  return rows;
+}
+
+/* Returns the backend servers of an object of arrays by service as rows. */
+static json_t *
+rows_by_service_ (const json_t *backends)
+{
+  json_t *rows = json_array ();
+  const char *service;
+  json_t *list;
+  json_t *each;
+  size_t i;
+
+  json_object_foreach ((json_t *)backends, service, list)
+  {
+    json_array_foreach (list, i, each)
+    {
+      json_t *row = json_object ();
+
+      json_object_set_new (row, "service", json_string (service));
+      json_object_update_missing (row, each);
+      json_array_append_new (rows, row);
+    }
+  }
+  return rows;
 }
 
 /* Returns the status of the instance whose entry is at IP and PORT, owned by the caller, or NULL.
@@ -160,8 +257,10 @@
     return show_config_ (platform, json);
   if (topic == TOPIC_INSTANCES)
     return show_instances_ (platform, json);
-  if (object_kinds_[topic] != NULL)
-    return show_objects_ (platform, object_kinds_[topic], json);
+  if (topic == TOPIC_BUDGETS)
+    return show_budgets_ (platform, json);
+  if (topic == TOPIC_BILLS)
+    return show_bills_ (platform, json);
   fprintf (stderr, "show: the platform does not tell this\n");
   return CLI_EXIT_USAGE;
 }
@@ -182,7 +281,8 @@
       json_t *object
           = json_pack ("{s:I, s:s}", "revision", (json_int_t)revision, "configuration", text->str);
 
-      cli_print_json (object, true, stdout);
+      json_dumpf (object, stdout, JSON_COMPACT);
+      putchar ('\n');
       json_decref (object);
     }
   else
@@ -199,63 +299,89 @@
   const json_t *instances = json_object_get (object, "instances");
 
   if (status == SR_PLATFORM_OK && instances != NULL)
-    cli_print_json (instances, json, stdout);
+    cli_print_rows (instances, instance_columns_, json, stdout);
   json_decref (object);
   return report_ (status);
 }
 
 static int
-show_objects_ (struct sr_platform *platform, const char *kind, bool json)
+show_budgets_ (struct sr_platform *platform, bool json)
 {
   g_autofree char *after = NULL;
   enum sr_platform_status status = SR_PLATFORM_OK;
+  json_t *rows = json_array ();
   bool more = true;
 
   while (more && status == SR_PLATFORM_OK)
     {
       g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
 
-      status = sr_platform_list (platform, kind, "", after, PAGE, names, &more);
+      status = sr_platform_list (platform, SR_BUDGET_KIND, "", after, PAGE, names, &more);
       for (size_t i = 0; i < names->len && status == SR_PLATFORM_OK; i++)
-        status = show_object_ (platform, kind, g_ptr_array_index (names, i), json);
+        status = add_budget_ (platform, g_ptr_array_index (names, i), rows);
       if (names->len == 0)
         break;
       g_free (after);
       after = g_strdup (g_ptr_array_index (names, names->len - 1));
     }
+  cli_print_rows (rows, prepaid_columns_, json, stdout);
+  json_decref (rows);
   return report_ (status);
 }
 
-/* Prints one object with its name before it. */
+/* Adds budget NAME to ROWS, with what its holders have and what can still be granted. */
 static enum sr_platform_status
-show_object_ (struct sr_platform *platform, const char *kind, const char *name, bool json)
+add_budget_ (struct sr_platform *platform, const char *name, json_t *rows)
 {
   g_autoptr (GString) body = g_string_new (NULL);
+  struct sr_record *record = NULL;
+  enum sr_platform_status status;
   int64_t version;
-  enum sr_platform_status status
-      = sr_platform_get_patiently (platform, kind, name, body, &version, cli_deadline_us ());
-  json_t *value;
-  json_t *object;
+  json_t *row;
 
+  status = sr_platform_get_patiently (platform, SR_BUDGET_KIND, name, body, &version,
+                                      cli_deadline_us ());
   if (status == SR_PLATFORM_ABSENT)
     return SR_PLATFORM_OK;
-  if (status != SR_PLATFORM_OK)
+  if (status == SR_PLATFORM_OK)
+    record = sr_record_parse (body->str, body->len);
+  if (record == NULL)
     return status;
-  value = json_loadb (body->str, body->len, JSON_DECODE_ANY, NULL);
-  if (value == NULL)
-    value = json_string ("unreadable");
-  object = json_object ();
-  json_object_set_new (object, "name", json_string (name));
-  if (json_is_object (value))
-    json_object_update_missing (object, value);
-  else
-    json_object_set (object, "value", value);
-  cli_print_json (object, json, stdout);
-  json_decref (object);
-  json_decref (value);
+  row = json_loadb (body->str, body->len, 0, NULL);
+  json_object_set_new (row, "budget", json_string (name));
+  json_object_set_new (row, "held", json_integer (sr_record_outstanding (record)));
+  json_object_set_new (row, "left", json_integer (sr_record_remaining (record)));
+  json_array_append_new (rows, row);
+  sr_record_delete (record);
   return SR_PLATFORM_OK;
 }
 
+/* Prints each bill once, however often its line was written. */
+static int
+show_bills_ (struct sr_platform *platform, bool json)
+{
+  json_t *rows = json_array ();
+  enum sr_platform_status status = sr_bills_read (platform, NULL, add_bill_, rows);
+
+  if (status == SR_PLATFORM_OK)
+    cli_print_rows (rows, bill_columns_, json, stdout);
+  json_decref (rows);
+  return report_ (status);
+}
+
+static bool
+add_bill_ (const struct sr_bill *bill, void *rows)
+{
+  json_t *row = json_pack ("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:I}", "team", bill->team, "request",
+                           bill->request, "budget", bill->budget, "service", bill->service,
+                           "prompt_tokens", (json_int_t)bill->prompt_tokens, "output_tokens",
+                           (json_int_t)bill->output_tokens, "billed_tokens",
+                           (json_int_t)bill->billed_tokens, "time_ms", (json_int_t)bill->time_ms);
+
+  json_array_append_new (rows, row);
+  return true;
+}
+
 static int
 report_ (enum sr_platform_status status)
 {
--- a/src/cli/command-topup.c
+++ b/src/cli/command-topup.c
@@ -3,7 +3,7 @@
 #include "audit/audit-top-up.h"
 #include "budget/top-up.h"
 #include "cli/cli.h"
-#include "platform/platform-http.h"
+#include "platform/platform.h"
 
 #include <argtable2.h>
 #include <stdio.h>
@@ -11,20 +11,13 @@
 
 enum
 {
-  EXIT_DONE = 0,
-  EXIT_NOT_DONE = 1,
-  EXIT_USAGE = 2,
-  PLATFORM_TIMEOUT_S = 5,
-  PORT_MAX = 65535,
   US_PER_MS = 1000
 };
 
 static bool
 is_name_ (const char *text, size_t max_bytes);
-static bool
-parse_address_ (const char *text, char *ip, size_t size, unsigned *port);
 static int
-run_ (const struct sr_top_up_request *request, const char *ip, unsigned port);
+run_ (const struct sr_top_up_request *request, const char *address);
 static int
 report_ (const struct sr_top_up_request *request, const struct sr_top_up_result *result);
 
@@ -33,30 +26,26 @@
 int
 sr_command_topup (int argc, char **argv)
 {
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_str *budget = arg_str1 (NULL, NULL, "BUDGET", "the budget to pay into");
   struct arg_str *tokens = arg_str1 (NULL, "tokens", "N", "tokens; negative for a correction");
   struct arg_str *id = arg_str1 (NULL, "id", "ID", "applied once, however often it is sent");
   struct arg_str *who = arg_str0 (NULL, "who", "NAME", "the operator");
   struct arg_str *platform = arg_str1 (NULL, "platform", "IP:PORT", "the platform");
   struct arg_end *end = arg_end (5);
-  void *table[] = { budget, tokens, id, who, platform, end };
+  void *table[] = { help, budget, tokens, id, who, platform, end };
   struct sr_top_up_request request = { .time_ms = g_get_real_time () / US_PER_MS };
-  char ip[16];
-  unsigned port = 0;
   gint64 count = 0;
-  int status = EXIT_USAGE;
+  int status;
 
-  if (arg_parse (argc, argv, table) > 0)
-    {
-      arg_print_errors (stderr, end, "topup");
-      fprintf (stderr, "usage: sapphirerun topup");
-      arg_print_syntax (stderr, table, "\n");
-      goto out;
-    }
+  status = cli_parse (argc, argv, table, help, end, "Pays tokens into a budget, or corrects it.");
+  if (status != CLI_GO_ON)
+    goto out;
+  status = CLI_EXIT_USAGE;
   if (!is_name_ (budget->sval[0], SR_BUDGET_NAME_MAX_BYTES - 1)
       || !is_name_ (id->sval[0], SR_TOP_UP_ID_MAX_BYTES)
       || !g_ascii_string_to_signed (tokens->sval[0], 10, G_MININT64 + 1, G_MAXINT64, &count, NULL)
-      || count == 0 || !parse_address_ (platform->sval[0], ip, sizeof ip, &port))
+      || count == 0)
     {
       fprintf (stderr, "topup: names are of [A-Za-z0-9._:-], N is a whole number other than 0\n");
       goto out;
@@ -65,7 +54,7 @@
   request.id = id->sval[0];
   request.who = who->count > 0 ? who->sval[0] : "";
   request.tokens = count;
-  status = run_ (&request, ip, port);
+  status = run_ (&request, platform->sval[0]);
 
 out:
   arg_freetable (table, G_N_ELEMENTS (table));
@@ -85,43 +74,24 @@
   return true;
 }
 
-static bool
-parse_address_ (const char *text, char *ip, size_t size, unsigned *port)
-{
-  const char *colon = strchr (text, ':');
-  guint64 number;
-
-  if (colon == NULL || (size_t)(colon - text) >= size)
-    return false;
-  if (!g_ascii_string_to_unsigned (colon + 1, 10, 1, PORT_MAX, &number, NULL))
-    return false;
-  g_strlcpy (ip, text, (size_t)(colon - text) + 1);
-  *port = (unsigned)number;
-  return true;
-}
-
 static int
-run_ (const struct sr_top_up_request *request, const char *ip, unsigned port)
+run_ (const struct sr_top_up_request *request, const char *address)
 {
-  struct sr_platform_http_options options
-      = { .address = ip, .port = port, .timeout_s = PLATFORM_TIMEOUT_S };
-  struct sr_platform *platform = sr_platform_http_new (&options);
+  struct sr_platform *platform = cli_open_platform ("topup", address);
   struct sr_top_up_result result;
   int status;
 
+  if (platform == NULL)
+    return CLI_EXIT_USAGE;
   sr_top_up_apply (platform, request, &result);
   status = report_ (request, &result);
-  if (status == EXIT_DONE
-      && sr_audit_write_top_ups (platform, request->budget, request->id, cli_deadline_us ())
-             != SR_PLATFORM_OK)
-    fprintf (stderr, "topup: not in the audit trail yet; repeat with the same id\n");
-  if (status == EXIT_DONE
+  if (status == CLI_EXIT_OK
       && sr_audit_write_top_ups (platform, request->budget, request->id, cli_deadline_us ())
              != SR_PLATFORM_OK)
     {
       fprintf (stderr, "topup: %s: applied, but not in the audit trail; repeat with the same id\n",
                request->id);
-      status = EXIT_NOT_DONE;
+      status = CLI_EXIT_REFUSED;
     }
   sr_platform_unref (platform);
   return status;
@@ -135,17 +105,17 @@
       fprintf (stderr,
                "topup: %s: not known to be applied (platform: %s); repeat with the same id\n",
                request->id, sr_platform_status_to_string (result->status));
-      return EXIT_NOT_DONE;
+      return CLI_EXIT_REFUSED;
     }
   switch (result->verdict)
     {
     case SR_TOP_UP_CONFLICT:
       fprintf (stderr, "topup: %s was applied before with another number of tokens\n", request->id);
-      return EXIT_NOT_DONE;
+      return CLI_EXIT_REFUSED;
     case SR_TOP_UP_OVERFLOW:
       fprintf (stderr, "topup: %s holds %" G_GINT64_FORMAT " tokens: the sum is out of range\n",
                request->budget, result->prepaid);
-      return EXIT_NOT_DONE;
+      return CLI_EXIT_REFUSED;
     case SR_TOP_UP_APPLIED:
     case SR_TOP_UP_REPEATED:
       break;
@@ -159,5 +129,5 @@
         "%s: %" G_GINT64_FORMAT
         " tokens beyond that are spent or held by instances; what is unused of them is recalled\n",
         request->budget, result->beyond);
-  return EXIT_DONE;
+  return CLI_EXIT_OK;
 }
--- /dev/null
+++ b/src/cli/print-table.h
@@ -0,0 +1,9 @@
+/* Rows of JSON objects, printed for people or for programs. */
+#pragma once
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+void
+cli_print_rows (const json_t *rows, const char *const *columns, bool as_json, FILE *stream);
