--- a/src/order/test-order.c
+++ b/src/order/test-order.c
@@ -1,7 +1,7 @@
 /* Claims of orders, one step at a time. */
 #include "base/thread.h"
 #include "order/key-day.h"
-#include "order/order.h"
+#include "order/upkeep.h"
 #include "platform/platform-memory.h"
 
 #include <setjmp.h>
@@ -196,6 +196,36 @@
   sr_platform_unref (platform);
 }
 
+static void
+the_upkeep_stores_what_is_pending (void **state)
+{
+  struct sr_platform *platform = sr_platform_memory_new ();
+  struct sr_orders *orders = sr_orders_new (platform);
+  struct sr_order_upkeep_options options
+      = { .orders = orders, .retry_interval_ms = 5, .removal_interval_s = 1, .removal_page = 10 };
+  struct sr_order_upkeep *upkeep = sr_order_upkeep_new (&options);
+  struct sr_claim_request request = make_request (1);
+  int64_t end_us = g_get_monotonic_time () + 60 * G_USEC_PER_SEC;
+  struct sr_claim claim;
+
+  sr_orders_claim (orders, &request, &claim);
+  sr_platform_memory_set_out (platform, true);
+  assert_false (sr_orders_finish (orders, &request, &claim, SR_OUTCOME_UNKNOWN, NULL, 0));
+  assert_true (sr_order_upkeep_start (upkeep));
+  sr_platform_memory_set_out (platform, false);
+  do
+    {
+      g_usleep (1000);
+      sr_orders_look_up (orders, "ege", KEY, &claim);
+    }
+  while (claim.in_progress && g_get_monotonic_time () < end_us);
+  assert_false (claim.in_progress);
+  assert_true (sr_order_upkeep_hand_over (upkeep, end_us));
+  sr_order_upkeep_delete (upkeep);
+  sr_orders_delete (orders);
+  sr_platform_unref (platform);
+}
+
 /* One of several threads that claim the same key. */
 struct claimer
 {
@@ -251,6 +281,7 @@
     cmocka_unit_test (an_outage_is_told_by_the_first_call),
     cmocka_unit_test (lost_answers_are_read_back),
     cmocka_unit_test (an_outcome_is_stored_after_an_outage),
+    cmocka_unit_test (the_upkeep_stores_what_is_pending),
     cmocka_unit_test (one_of_racing_claimers_wins),
   };
 
