--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -11,7 +11,7 @@
 enum
 {
   POLL_MS = 50,
-  HAND_OVER_MS = 5000,
+  HAND_OVER_MS = 8000,
   NS_PER_MS = 1000000,
   US_PER_MS = 1000,
   US_PER_S = 1000000
@@ -91,8 +91,9 @@
   atomic_fetch_add (&drain->requests, 1);
 }
 
-/* Waits for a stop signal or sr_drain_request and performs the stop. Returns true when no request
- * was cut off and everything was handed over; what was left is logged otherwise. */
+/* Waits for a stop signal or sr_drain_request and performs the stop. What was left is logged.
+ * Returns true when no request was cut off and all bills went to others; allotments that were left
+ * stay on the platform's record, from where other instances recover them. */
 bool
 sr_drain_run (struct sr_drain *drain)
 {
@@ -209,7 +210,11 @@
 static void
 hand_over_ (struct sr_drain *drain)
 {
-  drain->bills = drain->vtable->hand_over_bills (drain->hand_over_end_us, drain->data);
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t bills_end_us = now_us + (drain->hand_over_end_us - now_us) / 2;
+
+  /* While the platform is out the bills can use up their time, and leave the other half. */
+  drain->bills = drain->vtable->hand_over_bills (bills_end_us, drain->data);
   drain->budgets = drain->vtable->hand_over_budgets (drain->hand_over_end_us, drain->data);
   atomic_store (&drain->handed_over, true);
 }
@@ -224,5 +229,5 @@
   sr_log (G_LOG_LEVEL_WARNING, "stop_left", "%u requests, %s bills, %s allotments",
           core->requests_left, core->bills_left ? "some" : "no",
           core->budgets_left ? "some" : "no");
-  return false;
+  return core->requests_left == 0 && !core->bills_left;
 }
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -13,6 +13,7 @@
   PROCEDURE_EXCHANGE = 1,
   CALL_TIMEOUT_MIN_MS = 50,
   PLATFORM_INTERVAL_MS = 30000,
+  LIST_MEMBERS_MIN = 16, /* with more members the list is longer, and read less often in turn */
   PORT_MAX = 65535,
   US_PER_MS = 1000
 };
@@ -29,7 +30,6 @@
   struct sr_peer_client *client;
   struct sr_platform *platform;
   int64_t interval_us;
-  int64_t first_tick_us;
   int64_t platform_interval_us;
   int call_timeout_ms;
   pthread_t gossip_thread;
@@ -79,6 +79,8 @@
 log_changes_ (const struct sr_member_view *before, const struct sr_member_view *after);
 static void *
 list_run_ (void *data);
+static int64_t
+list_interval_us_ (struct sr_members *members);
 static void
 list_read_ (struct sr_members *members);
 static struct sr_member_view *
@@ -99,7 +101,6 @@
 sr_members_new (const struct sr_members_options *options)
 {
   struct sr_members *members = g_new0 (struct sr_members, 1);
-  GRand *random = g_rand_new_with_seed (options->seed);
   g_autoptr (GArray) seeds = g_array_new (FALSE, FALSE, sizeof (struct sr_peer_address));
   struct sr_gossip_options gossip_options
       = { .name = options->name,
@@ -111,7 +112,7 @@
           .fanout = options->gossip_fanout,
           .suspect_after_us = (int64_t)options->suspect_after_ms * US_PER_MS,
           .dead_after_us = (int64_t)options->dead_after_ms * US_PER_MS,
-          .seed = g_rand_int (random) };
+          .seed = options->seed };
   unsigned platform_interval_ms
       = options->platform_interval_ms > 0 ? options->platform_interval_ms : PLATFORM_INTERVAL_MS;
 
@@ -128,13 +129,11 @@
   if (options->platform != NULL)
     members->platform = sr_platform_ref (options->platform);
   members->interval_us = gossip_options.interval_us;
-  members->first_tick_us = (int64_t)(g_rand_double (random) * (double)members->interval_us);
   members->platform_interval_us = (int64_t)platform_interval_ms * US_PER_MS;
   members->call_timeout_ms = (int)MAX (CALL_TIMEOUT_MIN_MS, options->gossip_interval_ms
                                                                 / (2 * options->gossip_fanout + 1));
   for (size_t i = 0; i < G_N_ELEMENTS (all_counters); i++)
     sr_counter_register (all_counters[i]);
-  g_rand_free (random);
   return members;
 }
 
@@ -278,7 +277,7 @@
 gossip_run_ (void *data)
 {
   struct sr_members *members = data;
-  int64_t next_us = g_get_monotonic_time () + members->first_tick_us;
+  int64_t next_us = g_get_monotonic_time ();
   bool tick_now = false;
 
   while (wait_until_ (members, next_us, &tick_now))
@@ -406,10 +405,21 @@
 
   do
     list_read_ (members);
-  while (wait_until_ (members, g_get_monotonic_time () + members->platform_interval_us, NULL));
+  while (wait_until_ (members, g_get_monotonic_time () + list_interval_us_ (members), NULL));
   return NULL;
 }
 
+/* Keeps the bytes a second of the list the same in a fleet of any size. */
+static int64_t
+list_interval_us_ (struct sr_members *members)
+{
+  struct sr_member_view *view = sr_members_view (members);
+  int64_t length = (int64_t)view->length;
+
+  sr_member_view_unref (view);
+  return members->platform_interval_us * MAX (length, LIST_MEMBERS_MIN) / LIST_MEMBERS_MIN;
+}
+
 static void
 list_read_ (struct sr_members *members)
 {
