--- a/testing/bench/capacity.c
+++ b/testing/bench/capacity.c
@@ -13,7 +13,7 @@
 
 enum
 {
-  PORT_BASE = 31100,
+  PORT_BASE = 31200,
   US_PER_S = 1000000,
   NS_PER_US = 1000,
   GOSSIP_SETTLE_S = 90,
@@ -507,7 +507,7 @@
 measure_load_ (void)
 {
   static const char *const targets[]
-      = { "127.0.1.1:31100", "127.0.1.2:31100", "127.0.1.3:31100", "127.0.1.4:31100", NULL };
+      = { "127.0.1.1:31200", "127.0.1.2:31200", "127.0.1.3:31200", "127.0.1.4:31200", NULL };
   struct traffic_options options = { .targets = targets,
                                      .callers = 256,
                                      .rate_per_s = LOAD_RATE,
--- a/testing/process/test-retry.c
+++ b/testing/process/test-retry.c
@@ -16,7 +16,7 @@
 
 enum
 {
-  PORT_BASE = 31800,
+  PORT_BASE = 30400,
   INSTANCES = 3,
   ENGINES = 2,
   STREAMS = 24,
