A planned stop waits for loans only as long as something can still come back

Cause: hand-over waited for given == 0, but what borrowers have used never comes back, so each stop under load took half of its limit (12.7 s seen). A recalled borrower now says how much of its loan has arrived and how much is still open, and the lender waits for that, 5 s at most.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -14,7 +14,8 @@
   REFUSED_US = 300000,        /* after a refusal nobody is asked again for this long */
   RETRY_OUT_MS = 1000,        /* told to callers while the platform is out */
   RETRY_EXHAUSTED_MS = 30000, /* told to callers of an exhausted budget: only a top-up helps */
-  HAND_OVER_POLL_US = 20000
+  HAND_OVER_POLL_US = 20000,
+  LOANS_WAIT_MAX_US = 5000000 /* for borrowers to return what they have not used */
 };
 
 struct sr_reservation
@@ -225,7 +226,7 @@
 sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us)
 {
   int64_t now_us = g_get_monotonic_time ();
-  int64_t loans_until_us = now_us + (deadline_us - now_us) / 2;
+  int64_t loans_until_us = now_us + MIN ((deadline_us - now_us) / 2, LOANS_WAIT_MAX_US);
   GPtrArray *entries;
   bool done = false;
 
@@ -305,7 +306,7 @@
       sr_budget_recall (budgets, entry);
       sr_budget_return_loans (budgets, entry, 0);
       pthread_mutex_lock (&budgets->mutex);
-      has_loans = entry->ledger->own != NULL && entry->ledger->own->given > 0;
+      has_loans = sr_ledger_has_open_loans (entry->ledger);
       pthread_mutex_unlock (&budgets->mutex);
       if (!has_loans || now_us >= loans_until_us)
         told = sr_budget_give_back (budgets, entry, true);
--- a/src/budget/budget_xdr.c
+++ b/src/budget/budget_xdr.c
@@ -83,6 +83,10 @@
 
 	 if (!xdr_quad_t (xdrs, &objp->returned))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->lent))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->open))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	return TRUE;
--- a/src/budget/budget_xdr.h
+++ b/src/budget/budget_xdr.h
@@ -52,6 +52,8 @@
 
 struct sr_budget_recalled_msg {
 	quad_t returned;
+	quad_t lent;
+	quad_t open;
 	u_quad_t incarnation;
 };
 typedef struct sr_budget_recalled_msg sr_budget_recalled_msg;
--- a/src/budget/budget_xdr.x
+++ b/src/budget/budget_xdr.x
@@ -37,6 +37,8 @@
 
 struct sr_budget_recalled_msg {
   hyper returned;
+  hyper lent; /* of the loan, as far as it has arrived */
+  hyper open; /* of that, neither used nor returned: it may still come back */
   unsigned hyper incarnation;
 };
 
--- a/src/budget/handlers.c
+++ b/src/budget/handlers.c
@@ -117,7 +117,10 @@
   pthread_mutex_lock (&budgets->mutex);
   entry = g_hash_table_lookup (budgets->entries, budget);
   if (entry != NULL)
-    reply->returned = sr_ledger_return_loan (entry->ledger, &lender, entry->waiting);
+    {
+      reply->returned = sr_ledger_return_loan (entry->ledger, &lender, entry->waiting);
+      sr_ledger_loan_state (entry->ledger, &lender, &reply->lent, &reply->open);
+    }
   reply->incarnation = budgets->options.incarnation;
   pthread_mutex_unlock (&budgets->mutex);
   return true;
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -375,6 +375,7 @@
     tokens = is_first && loan->lent == 0 ? MAX (need, MIN (want, available / 2)) : 0;
   tokens = CLAMP (tokens, 0, available);
   loan->lent += tokens;
+  loan->open += tokens;
   own->given += tokens;
   if (tokens > 0)
     {
@@ -401,6 +402,65 @@
   return NULL;
 }
 
+/* Sets what has arrived of the loan from record LENDER, and what of that is neither used nor
+ * returned. Both are 0 when there is no such loan. */
+void
+sr_ledger_loan_state (const struct sr_ledger *ledger,
+                      const struct sr_holder_id *lender,
+                      int64_t *lent,
+                      int64_t *open)
+{
+  const struct sr_source *source = sr_ledger_loan_from (ledger, lender->instance);
+
+  *lent = 0;
+  *open = 0;
+  if (source == NULL || !sr_holder_id_equal (&source->id, lender))
+    return;
+  *lent = source->granted;
+  *open = source->reserved + sr_source_available (source);
+}
+
+/* Takes over what BORROWER says of its loan from record LENDER: LENT tokens have arrived, and of
+ * these OPEN may still come back. What is on its way counts as open too. Nothing can come back from
+ * an earlier incarnation of the borrower. */
+void
+sr_ledger_note_open (struct sr_ledger *ledger,
+                     const struct sr_holder_id *lender,
+                     const char *borrower,
+                     uint64_t incarnation,
+                     int64_t lent,
+                     int64_t open)
+{
+  struct sr_source *own = ledger->own;
+
+  if (own == NULL || !sr_holder_id_equal (lender, &own->id))
+    return;
+  for (unsigned i = 0; i < own->loans->len; i++)
+    {
+      struct sr_loan *loan = &g_array_index (own->loans, struct sr_loan, i);
+
+      if (strcmp (loan->borrower, borrower) != 0)
+        continue;
+      loan->open = loan->incarnation == incarnation ? open + MAX (loan->lent - lent, 0) : 0;
+    }
+}
+
+/* Tells whether some borrower may still return tokens of the own record. */
+bool
+sr_ledger_has_open_loans (const struct sr_ledger *ledger)
+{
+  const struct sr_source *own = ledger->own;
+
+  for (unsigned i = 0; own != NULL && i < own->loans->len; i++)
+    {
+      const struct sr_loan *loan = &g_array_index (own->loans, struct sr_loan, i);
+
+      if (loan->open > 0 && loan->lent > loan->returned)
+        return true;
+    }
+  return false;
+}
+
 /* Tells whether something is available of a loan that can be returned. */
 bool
 sr_ledger_loans_left (const struct sr_ledger *ledger)
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -22,6 +22,7 @@
   uint64_t incarnation;
   int64_t lent;
   int64_t returned;
+  int64_t open; /* what the borrower may still return, as far as it has said */
 };
 
 /* Tokens this instance may use: granted by the platform (own), or lent by another holder. */
@@ -144,6 +145,20 @@
 /* Loans, borrower's side. */
 struct sr_source *
 sr_ledger_loan_from (const struct sr_ledger *ledger, const char *lender);
+void
+sr_ledger_loan_state (const struct sr_ledger *ledger,
+                      const struct sr_holder_id *lender,
+                      int64_t *lent,
+                      int64_t *open);
+void
+sr_ledger_note_open (struct sr_ledger *ledger,
+                     const struct sr_holder_id *lender,
+                     const char *borrower,
+                     uint64_t incarnation,
+                     int64_t lent,
+                     int64_t open);
+bool
+sr_ledger_has_open_loans (const struct sr_ledger *ledger);
 bool
 sr_ledger_loans_left (const struct sr_ledger *ledger);
 int64_t
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -241,9 +241,10 @@
   status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
                          SR_BUDGET_PROCEDURE_RECALL, (xdrproc_t)xdr_sr_budget_recall_msg, &request,
                          (xdrproc_t)xdr_sr_budget_recalled_msg, &reply, CALL_TIMEOUT_MS);
-  if (status != SR_PEER_OK || reply.returned == 0)
+  if (status != SR_PEER_OK)
     return;
   pthread_mutex_lock (&budgets->mutex);
+  sr_ledger_note_open (entry->ledger, id, borrower, reply.incarnation, reply.lent, reply.open);
   sr_ledger_lend (entry->ledger, id, borrower, reply.incarnation, reply.returned, 0, 0,
                   g_get_monotonic_time (), &answer);
   pthread_cond_broadcast (&budgets->changed);
