An instance cut off from all peers, but not from the platform, does without a witness

Cause: the proof of one request on three sides failed once: split right after the start, an instance tried witnesses behind the cut until its attempt ended, and refused. Change: when a second witness fails, records are opened without one for 5 s. A platform that was silent is asked again later, so that a worker is not stuck in it most of the time; budgets of which nothing is held are forgotten. Proof: test_cut_off_instance_does_without_witness; with the change off on a scratch edit it did not pass: its clean-up hung after the failure. The outage proof now also has a silent platform.

--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -8,6 +8,7 @@
   POLL_MIN_US = 4000, /* between questions to a peer that is fetching tokens */
   POLL_MAX_US = 64000,
   HOMES_MAX = 2, /* instances tried before drawing on the platform oneself */
+  DRAWS_MAX = 3,
   LAST_RESORT_ROUNDS = 2,
   LAST_RESORT_PAUSE_US = 30000,
   MEMBERS_MAX = 8,         /* asked when the holders are not known */
@@ -139,7 +140,8 @@
     }
 }
 
-/* A record whose witness fails is given up, and the second draw opens another. */
+/* A record whose witness fails is given up, and the next draw opens another: with a second witness,
+ * and when that fails too without one. */
 static void
 draw_ (struct attempt *attempt)
 {
@@ -147,7 +149,7 @@
   enum sr_draw_result result = SR_DRAW_OUT;
   bool out;
 
-  for (unsigned i = 0; i < 2; i++)
+  for (unsigned i = 0; i < DRAWS_MAX; i++)
     {
       pthread_mutex_lock (&budgets->mutex);
       out = sr_budget_platform_is_out (budgets, g_get_monotonic_time ());
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -48,6 +48,7 @@
   struct sr_ring *work;                       /* entries that want tokens */
   char bad_witness[SR_BUDGET_NAME_MAX_BYTES]; /* did not answer lately */
   int64_t bad_witness_until_us;
+  int64_t no_witness_until_us; /* none answers: records are opened without one */
   int64_t started_us;
   int64_t platform_out_until_us;
   bool leaving; /* everything is being given back: nothing is lent or fetched ahead */
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -7,8 +7,9 @@
   TRIES_MAX = 12,
   KEEP_COVERS = 2, /* times the demand that is drawn: above it, tokens are given back */
   BACKOFF_MIN_US = 500,
-  BACKOFF_SPREAD_US = 4000, /* for each try that lost against another writer */
-  OUT_BACKOFF_US = 500000   /* an unreachable platform is asked again after this */
+  BACKOFF_SPREAD_US = 4000,    /* for each try that lost against another writer */
+  OUT_BACKOFF_MIN_US = 500000, /* an unreachable platform is asked again after twice the time */
+  OUT_BACKOFF_MAX_US = 5000000 /* that the failed call took, within these bounds */
 };
 
 /* One conditional update of a budget's object. */
@@ -35,7 +36,7 @@
 static enum sr_platform_status
 write_ (struct sr_budgets *budgets, const char *name, const struct update *update);
 static void
-note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status);
+note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status, int64_t begin_us);
 static void
 edit_draw_ (struct sr_budgets *budgets,
             struct sr_budget_entry *entry,
@@ -105,11 +106,13 @@
 {
   enum sr_platform_status status = SR_PLATFORM_OUT;
   struct update update = { 0 };
+  int64_t begin_us = 0;
   GArray *closed = g_array_new (FALSE, FALSE, sizeof (struct sr_record_holder));
 
   for (unsigned try = 0; try < TRIES_MAX; try++)
     {
       update = (struct update){ .result = SR_DRAW_DONE };
+      begin_us = g_get_monotonic_time ();
       status = read_ (budgets, entry->name, &update);
       if (status != SR_PLATFORM_OK)
         break;
@@ -141,7 +144,7 @@
   sr_record_delete (update.record);
   g_array_unref (closed);
   pthread_mutex_lock (&budgets->mutex);
-  note_reachable_ (budgets, status);
+  note_reachable_ (budgets, status, begin_us);
   pthread_mutex_unlock (&budgets->mutex);
   return status == SR_PLATFORM_OK ? update.result : SR_DRAW_OUT;
 }
@@ -189,12 +192,15 @@
 }
 
 static void
-note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status)
+note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status, int64_t begin_us)
 {
+  int64_t now_us = g_get_monotonic_time ();
+
   if (status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT)
     budgets->platform_out_until_us = 0;
   else
-    budgets->platform_out_until_us = g_get_monotonic_time () + OUT_BACKOFF_US;
+    budgets->platform_out_until_us
+        = now_us + CLAMP (2 * (now_us - begin_us), OUT_BACKOFF_MIN_US, OUT_BACKOFF_MAX_US);
 }
 
 static void
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -37,11 +37,13 @@
 sr_budget_pick_witness (struct sr_budgets *budgets, struct sr_member *witness)
 {
   const char *const data_centres[] = { budgets->data_centre, NULL };
-  bool bad_counts = g_get_monotonic_time () < budgets->bad_witness_until_us;
+  int64_t now_us = g_get_monotonic_time ();
+  bool bad_counts = now_us < budgets->bad_witness_until_us;
   struct sr_member_view *view;
   bool found = false;
 
-  if (budgets->options.without_witness || (view = sr_budget_view (budgets)) == NULL)
+  if (budgets->options.without_witness || now_us < budgets->no_witness_until_us
+      || (view = sr_budget_view (budgets)) == NULL)
     return false;
   for (unsigned i = 0; i < G_N_ELEMENTS (data_centres) && !found; i++)
     {
--- a/src/budget/raise.c
+++ b/src/budget/raise.c
@@ -10,7 +10,7 @@
   RAISE_INTERVAL_US = 50000,
   RAISE_TIMEOUT_MS = 200,
   BAD_WITNESS_US = 5000000, /* a witness that did not answer is not chosen for this long */
-  FAILURES_MAX = 3
+  FAILURES_MAX = 2
 };
 
 /* The raises that go to one witness in one message. */
@@ -29,6 +29,8 @@
 batch_send_ (struct sr_budgets *budgets, struct batch *batch);
 static bool
 collect_ (struct sr_budgets *budgets, struct batch *batch);
+static void
+note_bad_witness_ (struct sr_budgets *budgets, const char *witness);
 
 /* Raises the ceiling of ENTRY's own record so that NEED tokens can be reserved. Returns false when
  * its witness does not answer, does not remember it, or has sealed it: the record is then given up,
@@ -55,8 +57,7 @@
   pthread_mutex_lock (&budgets->mutex);
   if (status != SR_PEER_OK && !sr_budget_platform_is_out (budgets, g_get_monotonic_time ()))
     {
-      g_strlcpy (budgets->bad_witness, batch.witness, sizeof budgets->bad_witness);
-      budgets->bad_witness_until_us = g_get_monotonic_time () + BAD_WITNESS_US;
+      note_bad_witness_ (budgets, batch.witness);
       sr_ledger_abandon (entry->ledger);
     }
   kept = entry->ledger->own != NULL;
@@ -222,3 +223,16 @@
       more = true;
   return more;
 }
+
+/* When a second witness fails as well, this instance is probably cut off from all of them: for a
+ * while it does without one rather than refuse. Called with the mutex held. */
+static void
+note_bad_witness_ (struct sr_budgets *budgets, const char *witness)
+{
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (now_us < budgets->bad_witness_until_us && strcmp (budgets->bad_witness, witness) != 0)
+    budgets->no_witness_until_us = now_us + BAD_WITNESS_US;
+  g_strlcpy (budgets->bad_witness, witness, sizeof budgets->bad_witness);
+  budgets->bad_witness_until_us = now_us + BAD_WITNESS_US;
+}
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -306,6 +306,25 @@
   start_ (stopped);
 }
 
+/* No peer answers, but the platform does: better without a witness than refused. */
+static void
+test_cut_off_instance_does_without_witness (void **state)
+{
+  struct sr_record *record;
+
+  for (unsigned i = 1; i < INSTANCES; i++)
+    {
+      stop_ (i);
+      set_state_ (i, SR_MEMBER_ALIVE);
+    }
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 1);
+  sr_record_delete (record);
+  for (unsigned i = 1; i < INSTANCES; i++)
+    start_ (i);
+}
+
 int
 main (void)
 {
@@ -316,6 +335,8 @@
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_stop_in_an_outage_strands_nothing, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_cut_off_instance_does_without_witness, set_up_,
+                                     tear_down_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -5,13 +5,16 @@
 enum
 {
   UPKEEP_INTERVAL_US = 100000,
-  US_PER_MS = 1000
+  US_PER_MS = 1000,
+  FORGET_US = 60000000 /* after its last use, a budget of which nothing is held is forgotten */
 };
 
 static struct sr_budget_entry *
 pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
 static struct sr_budget_entry *
 pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us);
+static gboolean
+is_forgettable_ (void *key, void *value, void *data);
 
 /* A worker: gets tokens for the budgets in the ring until it is closed. */
 void *
@@ -61,6 +64,8 @@
         entry = pick_upkeep_ (budgets, now_us);
       if (entry == NULL)
         {
+          if (!budgets->leaving)
+            g_hash_table_foreach_remove (budgets->entries, is_forgettable_, &now_us);
           sr_cond_wait_until (&budgets->changed, &budgets->mutex, now_us + UPKEEP_INTERVAL_US);
           continue;
         }
@@ -121,3 +126,14 @@
     }
   return NULL;
 }
+
+/* A budget that is nowhere in use, nor in a message on its way. */
+static gboolean
+is_forgettable_ (void *key, void *value, void *data)
+{
+  const struct sr_budget_entry *entry = value;
+  int64_t now_us = *(const int64_t *)data;
+
+  return entry->ledger->sources->len == 0 && !entry->queued && !entry->busy && entry->waiting == 0
+         && now_us - entry->ledger->last_use_us > entry->ledger->options.idle_us + FORGET_US;
+}
--- a/testing/process/test-budget.c
+++ b/testing/process/test-budget.c
@@ -250,6 +250,10 @@
   sum = call_ (1, INSTANCES, 2);
   assert_int_equal (sum.answered, 2 * INSTANCES);
   assert_int_equal (sum.refused, 0);
+  assert_true (harness_control_platform (harness, "/control/fault?mode=silent"));
+  sum = call_ (1, INSTANCES, 2);
+  assert_int_equal (sum.answered, 2 * INSTANCES);
+  assert_int_equal (sum.refused, 0);
   assert_true (harness_control_platform (harness, "/control/fault?mode=slow&delay_ms=300"));
   call_ (1, INSTANCES, 2);
   assert_true (harness_control_platform (harness, "/control/fault?mode=none"));
