A ceiling covers two seconds of demand instead of five

Cause: after two kills, 4715 of 6000 tokens could be consumed in one run: the ceiling that the witness had acknowledged was nearly the whole allotment.

--- a/src/budget/entry.c
+++ b/src/budget/entry.c
@@ -6,7 +6,7 @@
 {
   US_PER_S = 1000000,
   LOAN_COVER_S = 2,
-  CEILING_COVER_S = 5
+  CEILING_COVER_S = 2
 };
 
 /* Returns the entry of budget NAME, made when it is new. Called with the mutex held; entries live
