Records that are not drawn on any more keep what is left until it is used or given back

Cause: a holder whose witness leaves opens a new record and closed the old one as having spent all that its ceiling allowed; what was left of that at a stop was lost. The old record now shrinks to what may still be used, and is closed with what was used.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -314,7 +314,7 @@
         sr_budget_finish (budgets, entry);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
-      done = entry->ledger->own == NULL;
+      done = entry->ledger->own == NULL && !sr_ledger_has_left_over (entry->ledger);
     }
   pthread_mutex_unlock (&budgets->mutex);
   return done;
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -121,7 +121,7 @@
       pthread_mutex_lock (&budgets->mutex);
       sr_ledger_read (entry->ledger, update.record, update.version);
       sr_budget_entry_note_holders (budgets, entry, update.record);
-      update.write |= sr_ledger_close_left_over (entry->ledger, update.record);
+      update.write |= sr_ledger_close_left_over (entry->ledger, update.record, edit == edit_close_);
       edit (budgets, entry, need, &update);
       pthread_mutex_unlock (&budgets->mutex);
       if (!update.write)
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -198,21 +198,48 @@
   forget_empty_ (ledger);
 }
 
-/* Closes in RECORD the own records that were sealed, but that nobody has closed yet, as having
- * spent all that may still be used of them. Returns whether there was one. */
+/* Tells whether something is left of an own record that is not drawn on any more. */
 bool
-sr_ledger_close_left_over (const struct sr_ledger *ledger, struct sr_record *record)
+sr_ledger_has_left_over (const struct sr_ledger *ledger)
+{
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      const struct sr_source *source = ledger->sources->pdata[i];
+
+      if (source->own && !source->open && !source->gone && sr_source_available (source) > 0)
+        return true;
+    }
+  return false;
+}
+
+/* Edits in RECORD the own records that are not drawn on any more and that nobody has closed yet.
+ * Such a record shrinks to what may still be used of it, and is closed as having spent what was
+ * used once that is used up, or, when it is the FINAL update, with what is left given back: that
+ * may then not be used any more. Returns whether there was something to change. */
+bool
+sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final)
 {
   bool changed = false;
 
   for (unsigned i = 0; i < ledger->sources->len; i++)
     {
-      const struct sr_source *source = ledger->sources->pdata[i];
+      struct sr_source *source = ledger->sources->pdata[i];
+      struct sr_record_holder *holder = sr_record_find (record, &source->id);
+      int64_t committed = source->used + source->reserved + source->given;
 
-      if (!source->own || source->open || sr_record_find (record, &source->id) == NULL)
+      if (!source->own || source->open || holder == NULL)
         continue;
-      sr_record_close (record, &source->id, sr_source_limit (source));
-      changed = true;
+      if (source->reserved == 0 && (final || sr_source_available (source) == 0))
+        {
+          source->granted = MIN (source->granted, committed);
+          sr_record_close (record, &source->id, committed);
+          changed = true;
+        }
+      else if (holder->granted > sr_source_limit (source))
+        {
+          holder->granted = sr_source_limit (source);
+          changed = true;
+        }
     }
   return changed;
 }
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -94,7 +94,9 @@
 void
 sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version);
 bool
-sr_ledger_close_left_over (const struct sr_ledger *ledger, struct sr_record *record);
+sr_ledger_has_left_over (const struct sr_ledger *ledger);
+bool
+sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final);
 void
 sr_ledger_draw (struct sr_ledger *ledger,
                 struct sr_record *record,
--- a/src/budget/test-schedules.c
+++ b/src/budget/test-schedules.c
@@ -183,7 +183,7 @@
   bool changed;
 
   sr_ledger_read (ledger, record, world->version);
-  changed = sr_ledger_close_left_over (ledger, record);
+  changed = sr_ledger_close_left_over (ledger, record, pick_ (world, 8) == 0);
   switch (pick_ (world, 4))
     {
     case 0:
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -99,9 +99,10 @@
       struct sr_budget_entry *entry = value;
       const struct sr_source *own = entry->ledger->own;
 
-      if (own == NULL || entry->busy)
+      if (entry->busy || (own == NULL && !sr_ledger_has_left_over (entry->ledger)))
         continue;
-      if (own->used == entry->synced_used && !sr_ledger_is_idle (entry->ledger, now_us))
+      if ((own == NULL || own->used == entry->synced_used)
+          && !sr_ledger_is_idle (entry->ledger, now_us))
         continue;
       if (oldest == NULL || entry->synced_us < oldest->synced_us)
         oldest = entry;
