A retry of an order hears what became of the first attempt, whatever its budget holds

Cause: the budget was reserved before the claim was looked at, so that the retry of an order that had taken the last tokens was refused as no_budget at another instance.

--- a/src/dispatch/perform-order.c
+++ b/src/dispatch/perform-order.c
@@ -2,6 +2,8 @@
 
 #include <stdio.h>
 
+static bool
+was_claimed_before_ (struct performance *p, const struct sr_claim_request *request);
 static void
 call_for_order_ (struct performance *p,
                  const struct sr_claim *claim,
@@ -42,7 +44,7 @@
   struct sr_backend_report report = { .status = SR_BACKEND_NOT_SENT, .running = -1 };
   struct sr_claim claim = { 0 };
 
-  if (!sr_perform_reserve_ (p, p->service->call_tokens))
+  if (was_claimed_before_ (p, &request) || !sr_perform_reserve_ (p, p->service->call_tokens))
     return;
   if (!sr_perform_take_place_ (p))
     {
@@ -65,6 +67,24 @@
   sr_claim_clear (&claim);
 }
 
+/* Ends a retry with what became of its first attempt, whatever its budget holds by now. Returns
+ * false when nothing is known of one. */
+static bool
+was_claimed_before_ (struct performance *p, const struct sr_claim_request *request)
+{
+  struct sr_claim claim = { 0 };
+  bool known;
+
+  if (p->order->is_first_attempt)
+    return false;
+  sr_orders_peek (p->dispatch->options.orders, request, &claim);
+  known = claim.verdict == SR_CLAIM_TAKEN || claim.verdict == SR_CLAIM_OTHER_BODY;
+  if (known)
+    finish_with_claim_ (p, &claim);
+  sr_claim_clear (&claim);
+  return known;
+}
+
 /* Calls backend servers, one after the other, for the order that CLAIM was won for, until one of
  * them may have executed it. A place is held, and given back. REPORT tells of the last call;
  * NOT_SENT when the deadline was over. */
--- a/src/order/order.c
+++ b/src/order/order.c
@@ -220,6 +220,31 @@
   g_string_free (name, TRUE);
 }
 
+/* Reads whether REQUEST's key is claimed already, without claiming it: TAKEN, OTHER_BODY, ABSENT or
+ * PLATFORM_OUT. Clear CLAIM with sr_claim_clear. */
+void
+sr_orders_peek (struct sr_orders *orders,
+                const struct sr_claim_request *request,
+                struct sr_claim *claim)
+{
+  GString *name = object_name_ (request->team, request->request);
+  struct sr_order_record record;
+  enum sr_platform_status status;
+
+  memset (claim, 0, sizeof *claim);
+  claim->outcome = SR_OUTCOME_UNKNOWN;
+  sr_order_record_init (&record);
+  status = read_claim_ (orders, name->str, &record, &claim->version);
+  if (status == SR_PLATFORM_OK)
+    claim->verdict = judge_record_ (request, &record, claim);
+  else
+    claim->verdict = status == SR_PLATFORM_ABSENT ? SR_CLAIM_ABSENT : SR_CLAIM_PLATFORM_OUT;
+  if (claim->verdict == SR_CLAIM_OTHER_BODY)
+    set_outcome_ (request, claim);
+  sr_order_record_clear (&record);
+  g_string_free (name, TRUE);
+}
+
 /* Tries once more to store the outcomes that the platform did not confirm, oldest first, and stops
  * at the first that fails again. Returns how many are left. Blocks; call it from one thread. */
 unsigned
--- a/src/order/order.h
+++ b/src/order/order.h
@@ -62,6 +62,10 @@
                   const char *answer,
                   size_t length);
 void
+sr_orders_peek (struct sr_orders *orders,
+                const struct sr_claim_request *request,
+                struct sr_claim *claim);
+void
 sr_orders_look_up (struct sr_orders *orders,
                    const char *team,
                    const char *request,
--- a/testing/process/test-path.c
+++ b/testing/process/test-path.c
@@ -11,6 +11,7 @@
 
 enum
 {
+  ORDER_TOKENS = 10,
   PORT_BASE = 30100,
   ENGINE = 1,
   SERVICE = 2,
@@ -18,6 +19,7 @@
 };
 
 static const char instance_ip[] = "127.0.1.1";
+static const char other_ip[] = "127.0.1.2";
 
 struct bad_request
 {
@@ -52,7 +54,7 @@
 start_fleet (void **state)
 {
   static const struct harness_options options
-      = { .name = "path", .port_base = PORT_BASE, .instances = 1, .engines = 1, .services = 1 };
+      = { .name = "path", .port_base = PORT_BASE, .instances = 2, .engines = 1, .services = 1 };
 
   harness = harness_start (&options);
   return harness != NULL ? 0 : -1;
@@ -172,6 +174,43 @@
   assert_int_equal (ledger_number (SERVICE, path), 1);
 }
 
+static bool
+has_second_revision (void *data)
+{
+  bool has = true;
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      json_t *status = harness_get_json (i == 0 ? instance_ip : other_ip, PORT_BASE, "/status");
+
+      has = has && harness_json_number (status, "revision") >= 2;
+      json_decref (status);
+    }
+  return has;
+}
+
+static void
+a_retry_of_an_order_hears_its_answer_whatever_the_budget_holds (void **state)
+{
+  g_autofree char *key = key_of_today ("grant-of-the-last-tokens");
+  struct harness_ask ask = ask_of ("relief", 2);
+  GString *text = harness_configuration (harness);
+
+  g_string_append (text, "[budget last-tokens]\nteam = team-2\n");
+  assert_true (harness_submit (harness, text->str));
+  assert_true (harness_top_up (harness, "last-tokens", ORDER_TOKENS, "once"));
+  assert_true (harness_wait_until (has_second_revision, NULL, HARNESS_WAIT_MS));
+  ask.key = key;
+  ask.budget = "last-tokens";
+  ask.body = "{\"household\":12,\"amount\":31}";
+  assert_int_equal (harness_ask (&ask).verdict, HARNESS_ANSWERED);
+  ask.address = other_ip;
+  assert_int_equal (harness_ask (&ask).verdict, HARNESS_ANSWERED);
+  ask.body = "{\"household\":12,\"amount\":32}";
+  assert_string_equal (harness_ask (&ask).code, "key_reused");
+  g_string_free (text, TRUE);
+}
+
 static void
 a_retry_of_a_model_request_is_not_billed_again (void **state)
 {
@@ -218,6 +257,7 @@
     cmocka_unit_test (answers_are_right_to_the_byte_and_billed),
     cmocka_unit_test (bad_requests_consume_nothing),
     cmocka_unit_test (an_order_runs_once_and_its_retry_hears_the_same),
+    cmocka_unit_test (a_retry_of_an_order_hears_its_answer_whatever_the_budget_holds),
     cmocka_unit_test (a_retry_of_a_model_request_is_not_billed_again),
     cmocka_unit_test (a_request_beyond_its_budget_is_refused),
   };
