--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Builds the one shipped binary, the stand-ins and the tests.
 # Sources are found by place: src/<slice>/*.c is the library, src/<slice>/test-*.c one unit test
-# program each, src/cli/main.c the binary, testing/standin/<name>/*.c one stand-in program each,
+# program each, src/cli/main.c the binary, emulator/<name>/*.c one stand-in program each,
 # testing/harness/*.c the harness, testing/process/test-*.c one process test program each,
-# testing/bench/<name>.c one measurement program each.
+# bench/<name>.c one measurement program each.
 BUILD ?= build
 CC = gcc
 PKGS = glib-2.0 liburcu libtirpc libmicrohttpd neon jansson
@@ -23,18 +23,18 @@
 CONFIG_OBJ := $(addprefix $(BUILD)/src/,config/builder.o config/config.o config/sections.o config/references.o settings/ini-reader.o base/findings.o)
 UNIT_SRC := $(wildcard src/*/test-*.c)
 UNIT := $(UNIT_SRC:%.c=$(BUILD)/%)
-STANDINS := $(notdir $(patsubst %/,%,$(wildcard testing/standin/*/)))
+STANDINS := $(filter-out common,$(notdir $(patsubst %/,%,$(wildcard emulator/*/))))
 STANDIN_BIN := $(STANDINS:%=$(BUILD)/standin-%)
 HARNESS_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard testing/harness/*.c))
-COMMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard testing/common/*.c))
+COMMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard emulator/common/*.c))
 PROCESS_SRC := $(wildcard testing/process/test-*.c)
 PROCESS := $(PROCESS_SRC:%.c=$(BUILD)/%)
-BENCH_SRC := $(wildcard testing/bench/*.c)
+BENCH_SRC := $(wildcard bench/*.c)
 BENCH := $(BENCH_SRC:%.c=$(BUILD)/%)
 EXAMPLE_SRC := $(wildcard examples/*.c)
 EXAMPLE := $(EXAMPLE_SRC:%.c=$(BUILD)/%)
 BIN := $(BUILD)/sapphirerun
-ALL_C := $(wildcard src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h testing/*/*/*.c testing/*/*/*.h examples/*.c)
+ALL_C := $(wildcard src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h emulator/*/*.c emulator/*/*.h bench/*.c bench/*.h examples/*.c)
 HAND_C := $(filter-out %_xdr.c %_xdr.h,$(ALL_C))
 
 .PHONY: all setup demo check check-unit check-process check-asan check-tsan bench format format-check tidy cppcheck clean
@@ -65,7 +65,7 @@
 	$(CC) $^ -o $@ $(LIBS) -lcmocka
 
 define STANDIN_RULE
-$(BUILD)/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard testing/standin/$(1)/*.c)) $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard testing/common/*.c)) $(LIB)
+$(BUILD)/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/$(1)/*.c)) $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/common/*.c)) $(LIB)
 	$$(CC) $$^ -o $$@ $$(LIBS)
 endef
 $(foreach s,$(STANDINS),$(eval $(call STANDIN_RULE,$(s))))
@@ -73,7 +73,7 @@
 $(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS) -lcmocka
 
-$(BENCH): $(BUILD)/testing/bench/%: $(BUILD)/testing/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
+$(BENCH): $(BUILD)/bench/%: $(BUILD)/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
 $(CONFIG_LIB): $(CONFIG_OBJ)
--- a/testing/bench/ask.c
+++ b/bench/ask.c
@@ -1,5 +1,5 @@
 /* Sends one request to an instance, or gets one document, and prints what came back. */
-#include "testing/common/address.h"
+#include "emulator/common/address.h"
 #include "testing/harness/caller.h"
 
 #include <argtable2.h>
@@ -14,10 +14,8 @@
   HTTP_OK = 200
 };
 
-static void
-add_header_ (const char **headers, const char *name, const char *value);
-static void
-print_row_ (const char *service, const struct harness_reply *reply);
+static void add_header_ (const char **headers, const char *name, const char *value);
+static void print_row_ (const char *service, const struct harness_reply *reply);
 
 int
 main (int argc, char **argv)
--- a/testing/bench/latency.c
+++ b/bench/latency.c
@@ -45,26 +45,16 @@
   int64_t last_us;
 };
 
-static struct harness *
-start_ (void);
-static void
-run_series_ (struct series *series, unsigned callers);
-static void
-end_series_ (struct series *series);
-static void *
-call_repeatedly_ (void *data);
-static void
-call_ (struct series *series, int64_t number);
-static bool
-note_piece_ (void *data, const char *bytes, size_t length);
-static void
-measure_latency_ (struct harness *harness);
-static void
-measure_throughput_ (struct harness *harness);
-static void
-measure_streams_ (struct harness *harness);
-static void *
-run_streams_ (void *data);
+static struct harness *start_ (void);
+static void run_series_ (struct series *series, unsigned callers);
+static void end_series_ (struct series *series);
+static void *call_repeatedly_ (void *data);
+static void call_ (struct series *series, int64_t number);
+static bool note_piece_ (void *data, const char *bytes, size_t length);
+static void measure_latency_ (struct harness *harness);
+static void measure_throughput_ (struct harness *harness);
+static void measure_streams_ (struct harness *harness);
+static void *run_streams_ (void *data);
 
 int
 main (void)
--- a/testing/bench/load.c
+++ b/bench/load.c
@@ -24,14 +24,10 @@
   struct arg_end *end;
 };
 
-static struct arg_int *
-number_ (const char *name, int fallback, const char *text);
-static bool
-parse_ (int argc, char **argv, struct arguments *arguments);
-static struct harness *
-start_fleet_ (const struct arguments *arguments, GPtrArray *targets);
-static void
-report_ (const struct arguments *arguments, struct traffic_result *result);
+static struct arg_int *number_ (const char *name, int fallback, const char *text);
+static bool parse_ (int argc, char **argv, struct arguments *arguments);
+static struct harness *start_fleet_ (const struct arguments *arguments, GPtrArray *targets);
+static void report_ (const struct arguments *arguments, struct traffic_result *result);
 
 int
 main (int argc, char **argv)
--- a/testing/bench/route.c
+++ b/bench/route.c
@@ -184,8 +184,7 @@
   return has_queues (world) || world->policy == POLICY_NO_QUEUES;
 }
 
-static void
-dispatch (struct world *world, int index);
+static void dispatch (struct world *world, int index);
 
 /* Starts JOB in a free slot of its engine. */
 static void
--- a/testing/standin/balancer/main.c
+++ b/emulator/balancer/main.c
@@ -1,6 +1,6 @@
 /* Stand-in of the platform's balancer: TCP, round robin over the targets that accept. */
-#include "testing/common/forward.h"
-#include "testing/common/server.h"
+#include "emulator/common/forward.h"
+#include "emulator/common/server.h"
 
 #include <argtable2.h>
 #include <stdio.h>
@@ -20,10 +20,8 @@
 
 static bool
 pick_ (void *data, const struct forward_link *link, unsigned attempt, struct sockaddr_in *target);
-static enum MHD_Result
-handle_ (struct standin_request *request, void *data);
-static bool
-add_targets_ (GArray *targets, const char *list);
+static enum MHD_Result handle_ (struct standin_request *request, void *data);
+static bool add_targets_ (GArray *targets, const char *list);
 
 int
 main (int argc, char **argv)
--- a/testing/common/address.c
+++ b/emulator/common/address.c
@@ -1,4 +1,4 @@
-#include "testing/common/address.h"
+#include "emulator/common/address.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
--- a/testing/common/forward.c
+++ b/emulator/common/forward.c
@@ -1,4 +1,4 @@
-#include "testing/common/forward.h"
+#include "emulator/common/forward.h"
 
 #include "base/thread.h"
 
@@ -79,45 +79,31 @@
   struct forward_counts counts;
 };
 
-static void *
-run_ (void *data);
-static GPtrArray *
-keys_ (GHashTable *set);
-static bool
-turn_ (struct forwarder *forwarder);
+static void *run_ (void *data);
+static GPtrArray *keys_ (GHashTable *set);
+static bool turn_ (struct forwarder *forwarder);
 static bool
 flush_connection_ (struct forwarder *forwarder, struct connection *connection, int64_t now_us);
 static void
 accept_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
-static void
-add_connection_ (struct forwarder *forwarder,
-                 struct listener *listener,
-                 int fd,
-                 const struct sockaddr_in *peer);
-static void
-apply_policy_ (struct forwarder *forwarder, struct connection *connection);
-static void
-connect_next_ (struct forwarder *forwarder, struct connection *connection);
-static int
-begin_connect_ (struct forwarder *forwarder,
-                const struct listener *listener,
-                const struct sockaddr_in *target);
-static void
-half_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
-static void
-connect_done_ (struct forwarder *forwarder, struct connection *connection);
-static void
-read_half_ (struct forwarder *forwarder, struct half *half);
-static void
-flush_half_ (struct forwarder *forwarder, struct half *half, int64_t now_us);
-static bool
-is_silent_ (const struct connection *connection);
-static void
-update_interest_ (struct forwarder *forwarder, struct connection *connection);
+static void add_connection_ (struct forwarder *forwarder,
+                             struct listener *listener,
+                             int fd,
+                             const struct sockaddr_in *peer);
+static void apply_policy_ (struct forwarder *forwarder, struct connection *connection);
+static void connect_next_ (struct forwarder *forwarder, struct connection *connection);
+static int begin_connect_ (struct forwarder *forwarder,
+                           const struct listener *listener,
+                           const struct sockaddr_in *target);
+static void half_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
+static void connect_done_ (struct forwarder *forwarder, struct connection *connection);
+static void read_half_ (struct forwarder *forwarder, struct half *half);
+static void flush_half_ (struct forwarder *forwarder, struct half *half, int64_t now_us);
+static bool is_silent_ (const struct connection *connection);
+static void update_interest_ (struct forwarder *forwarder, struct connection *connection);
 static void
 close_connection_ (struct forwarder *forwarder, struct connection *connection, bool reset);
-static void
-free_connection_ (gpointer data);
+static void free_connection_ (gpointer data);
 
 /* A forwarder that lives as long as the process. */
 struct forwarder *
--- a/testing/common/forward.h
+++ b/emulator/common/forward.h
@@ -1,7 +1,7 @@
 /* Forwards TCP connections between addresses, and lets its user silence, delay or reset them. */
 #pragma once
 
-#include "testing/common/address.h"
+#include "emulator/common/address.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -62,21 +62,12 @@
   int64_t bytes;
 };
 
-struct forwarder *
-forwarder_new (const struct forward_hooks *hooks);
-bool
-forwarder_listen (struct forwarder *forwarder, const struct forward_link *link);
-bool
-forwarder_start (struct forwarder *forwarder);
-void
-forwarder_lock (struct forwarder *forwarder);
-void
-forwarder_unlock (struct forwarder *forwarder);
-void
-forwarder_apply (struct forwarder *forwarder);
-void
-forwarder_freeze (struct forwarder *forwarder, const char *from, const char *to);
-struct forward_counts
-forwarder_counts (struct forwarder *forwarder);
-void
-forwarder_watch (struct forwarder *forwarder, struct forward_watch *watch, uint32_t interest);
+struct forwarder *forwarder_new (const struct forward_hooks *hooks);
+bool forwarder_listen (struct forwarder *forwarder, const struct forward_link *link);
+bool forwarder_start (struct forwarder *forwarder);
+void forwarder_lock (struct forwarder *forwarder);
+void forwarder_unlock (struct forwarder *forwarder);
+void forwarder_apply (struct forwarder *forwarder);
+void forwarder_freeze (struct forwarder *forwarder, const char *from, const char *to);
+struct forward_counts forwarder_counts (struct forwarder *forwarder);
+void forwarder_watch (struct forwarder *forwarder, struct forward_watch *watch, uint32_t interest);
--- a/testing/common/server.c
+++ b/emulator/common/server.c
@@ -1,4 +1,4 @@
-#include "testing/common/server.h"
+#include "emulator/common/server.h"
 
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -19,22 +19,19 @@
   CONNECTIONS_MAX = 8000
 };
 
-static void
-raise_file_limit_ (void);
-static enum MHD_Result
-access_ (void *data,
-         struct MHD_Connection *connection,
-         const char *url,
-         const char *method,
-         const char *version,
-         const char *upload_data,
-         size_t *upload_size,
-         void **state);
-static void
-completed_ (void *data,
-            struct MHD_Connection *connection,
-            void **state,
-            enum MHD_RequestTerminationCode code);
+static void raise_file_limit_ (void);
+static enum MHD_Result access_ (void *data,
+                                struct MHD_Connection *connection,
+                                const char *url,
+                                const char *method,
+                                const char *version,
+                                const char *upload_data,
+                                size_t *upload_size,
+                                void **state);
+static void completed_ (void *data,
+                        struct MHD_Connection *connection,
+                        void **state,
+                        enum MHD_RequestTerminationCode code);
 
 /* Serves until SIGTERM or SIGINT, then ends the process with code 0. Returns 1 when the address
  * cannot be bound. OPTIONS and what it points to live as long as the process. */
--- a/testing/common/server.h
+++ b/emulator/common/server.h
@@ -28,37 +28,25 @@
   void *data;
 };
 
-int
-standin_server_run (const struct standin_server_options *options);
-bool
-standin_server_start (const struct standin_server_options *options);
-void
-standin_block_signals (void);
-void
-standin_announce (const char *address, unsigned port);
-void
-standin_wait_for_stop (void);
-bool
-standin_arguments_parse (int argc, char **argv, void **table);
+int standin_server_run (const struct standin_server_options *options);
+bool standin_server_start (const struct standin_server_options *options);
+void standin_block_signals (void);
+void standin_announce (const char *address, unsigned port);
+void standin_wait_for_stop (void);
+bool standin_arguments_parse (int argc, char **argv, void **table);
 
 bool
 standin_request_is (const struct standin_request *request, const char *method, const char *path);
-const char *
-standin_query (const struct standin_request *request, const char *name);
+const char *standin_query (const struct standin_request *request, const char *name);
 int64_t
 standin_query_number (const struct standin_request *request, const char *name, int64_t fallback);
-const char *
-standin_header (const struct standin_request *request, const char *name);
-bool
-standin_peer_closed (const struct standin_request *request);
+const char *standin_header (const struct standin_request *request, const char *name);
+bool standin_peer_closed (const struct standin_request *request);
 
-struct MHD_Response *
-standin_response (const char *body, size_t length, const char *content_type);
+struct MHD_Response *standin_response (const char *body, size_t length, const char *content_type);
 enum MHD_Result
 standin_send (struct standin_request *request, unsigned status, struct MHD_Response *response);
-enum MHD_Result
-standin_reply_json (struct standin_request *request, unsigned status, json_t *body);
-enum MHD_Result
-standin_reply_ok (struct standin_request *request);
+enum MHD_Result standin_reply_json (struct standin_request *request, unsigned status, json_t *body);
+enum MHD_Result standin_reply_ok (struct standin_request *request);
 enum MHD_Result
 standin_reply_error (struct standin_request *request, unsigned status, const char *code);
--- a/testing/common/text.c
+++ b/emulator/common/text.c
@@ -1,4 +1,4 @@
-#include "testing/common/text.h"
+#include "emulator/common/text.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/testing/standin/engine/engine.c
+++ b/emulator/engine/engine.c
@@ -1,10 +1,10 @@
-#include "testing/standin/engine/engine.h"
+#include "emulator/engine/engine.h"
 
 #include "base/thread.h"
-#include "testing/common/text.h"
-#include "testing/standin/engine/ledger.h"
-#include "testing/standin/engine/load.h"
-#include "testing/standin/engine/prefix.h"
+#include "emulator/common/text.h"
+#include "emulator/engine/ledger.h"
+#include "emulator/engine/load.h"
+#include "emulator/engine/prefix.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -63,34 +63,21 @@
   int64_t fault_count; /* requests it still hits; 0: all until changed */
 };
 
-static bool
-serves_model_ (const struct engine *engine, const char *model);
-static bool
-is_full_ (const struct engine *engine);
-static bool
-fence_passes_ (struct engine *engine, const struct engine_call *call);
-static enum engine_fault
-take_fault_ (struct engine *engine, int64_t *after);
-static struct engine_run *
-run_new_ (struct engine *engine, const char *request);
-static void
-run_unref_ (gpointer data);
-static void
-fill_run_ (struct engine_run *run, const struct engine_call *call);
-static int
-compare_priority_ (gconstpointer a, gconstpointer b, gpointer data);
-static bool
-wait_for_slot_ (struct engine_run *run, const struct standin_request *request);
-static void
-fill_slots_ (struct engine *engine);
-static void
-note_load_ (struct engine *engine);
-static void
-end_run_ (struct engine_run *run, enum run_state state);
+static bool serves_model_ (const struct engine *engine, const char *model);
+static bool is_full_ (const struct engine *engine);
+static bool fence_passes_ (struct engine *engine, const struct engine_call *call);
+static enum engine_fault take_fault_ (struct engine *engine, int64_t *after);
+static struct engine_run *run_new_ (struct engine *engine, const char *request);
+static void run_unref_ (gpointer data);
+static void fill_run_ (struct engine_run *run, const struct engine_call *call);
+static int compare_priority_ (gconstpointer a, gconstpointer b, gpointer data);
+static bool wait_for_slot_ (struct engine_run *run, const struct standin_request *request);
+static void fill_slots_ (struct engine *engine);
+static void note_load_ (struct engine *engine);
+static void end_run_ (struct engine_run *run, enum run_state state);
 static bool
 pause_until_ (struct engine_run *run, int64_t end_us, const struct standin_request *request);
-static json_t *
-load_json_ (struct engine *engine);
+static json_t *load_json_ (struct engine *engine);
 
 /* An engine that lives as long as the process. */
 struct engine *
--- a/testing/standin/engine/engine.h
+++ b/emulator/engine/engine.h
@@ -2,7 +2,7 @@
  * consumed. */
 #pragma once
 
-#include "testing/common/server.h"
+#include "emulator/common/server.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -65,34 +65,21 @@
 struct engine;
 struct engine_run;
 
-struct engine *
-engine_new (const struct engine_options *options);
+struct engine *engine_new (const struct engine_options *options);
 enum engine_verdict
 engine_admit (struct engine *engine, const struct engine_call *call, struct engine_run **run);
-bool
-engine_run_start (struct engine_run *run, const struct standin_request *request);
-enum engine_step
-engine_run_step (struct engine_run *run, const struct standin_request *request);
-void
-engine_run_finish (struct engine_run *run);
-const GString *
-engine_run_prompt (const struct engine_run *run);
-int64_t
-engine_run_next_index (const struct engine_run *run);
-const char *
-engine_run_request (const struct engine_run *run);
-json_t *
-engine_run_end (struct engine_run *run);
+bool engine_run_start (struct engine_run *run, const struct standin_request *request);
+enum engine_step engine_run_step (struct engine_run *run, const struct standin_request *request);
+void engine_run_finish (struct engine_run *run);
+const GString *engine_run_prompt (const struct engine_run *run);
+int64_t engine_run_next_index (const struct engine_run *run);
+const char *engine_run_request (const struct engine_run *run);
+json_t *engine_run_end (struct engine_run *run);
 
-json_t *
-engine_cancel (struct engine *engine, const char *request);
-json_t *
-engine_load (struct engine *engine);
-json_t *
-engine_ledger (struct engine *engine);
+json_t *engine_cancel (struct engine *engine, const char *request);
+json_t *engine_load (struct engine *engine);
+json_t *engine_ledger (struct engine *engine);
 bool
 engine_set_fault (struct engine *engine, const char *mode, int64_t after_tokens, int64_t count);
-void
-engine_set_pace (struct engine *engine, int64_t pace_us);
-void
-engine_set_load_zero (struct engine *engine, bool zero);
+void engine_set_pace (struct engine *engine, int64_t pace_us);
+void engine_set_load_zero (struct engine *engine, bool zero);
--- a/testing/standin/engine/ledger.c
+++ b/emulator/engine/ledger.c
@@ -1,4 +1,4 @@
-#include "testing/standin/engine/ledger.h"
+#include "emulator/engine/ledger.h"
 
 #include <glib.h>
 #include <string.h>
@@ -16,8 +16,7 @@
   GHashTable *requests; /* TEAM/ID -> struct entry */
 };
 
-static struct entry *
-entry_ (GHashTable *table, const char *key);
+static struct entry *entry_ (GHashTable *table, const char *key);
 
 /* An empty ledger. The caller holds a lock around every call. */
 struct ledger *
--- a/testing/standin/engine/load.c
+++ b/emulator/engine/load.c
@@ -1,4 +1,4 @@
-#include "testing/standin/engine/load.h"
+#include "emulator/engine/load.h"
 
 #include <glib.h>
 
--- a/testing/standin/engine/main.c
+++ b/emulator/engine/main.c
@@ -1,7 +1,7 @@
 /* Stand-in of a model engine: paced token streams whose text is a function of the prompt. */
-#include "testing/common/server.h"
-#include "testing/common/text.h"
-#include "testing/standin/engine/engine.h"
+#include "emulator/common/server.h"
+#include "emulator/common/text.h"
+#include "emulator/engine/engine.h"
 
 #include <argtable2.h>
 #include <stdlib.h>
@@ -25,28 +25,17 @@
   bool ended;
 };
 
-static enum MHD_Result
-handle_ (struct standin_request *request, void *data);
-static enum MHD_Result
-generate_ (struct engine *engine, struct standin_request *request);
-static bool
-parse_call_ (json_t *body, struct engine_call *call);
-static enum MHD_Result
-refuse_ (struct standin_request *request, enum engine_verdict verdict);
-static enum MHD_Result
-stream_ (struct engine_run *run, struct standin_request *request);
-static ssize_t
-read_stream_ (void *data, uint64_t position, char *buffer, size_t size);
-static bool
-make_line_ (struct stream *stream);
-static void
-free_stream_ (void *data);
-static enum MHD_Result
-cancel_ (struct engine *engine, struct standin_request *request);
-static enum MHD_Result
-control_ (struct engine *engine, struct standin_request *request);
-static GPtrArray *
-split_models_ (const char *list);
+static enum MHD_Result handle_ (struct standin_request *request, void *data);
+static enum MHD_Result generate_ (struct engine *engine, struct standin_request *request);
+static bool parse_call_ (json_t *body, struct engine_call *call);
+static enum MHD_Result refuse_ (struct standin_request *request, enum engine_verdict verdict);
+static enum MHD_Result stream_ (struct engine_run *run, struct standin_request *request);
+static ssize_t read_stream_ (void *data, uint64_t position, char *buffer, size_t size);
+static bool make_line_ (struct stream *stream);
+static void free_stream_ (void *data);
+static enum MHD_Result cancel_ (struct engine *engine, struct standin_request *request);
+static enum MHD_Result control_ (struct engine *engine, struct standin_request *request);
+static GPtrArray *split_models_ (const char *list);
 
 int
 main (int argc, char **argv)
--- a/testing/standin/engine/prefix.c
+++ b/emulator/engine/prefix.c
@@ -1,4 +1,4 @@
-#include "testing/standin/engine/prefix.h"
+#include "emulator/engine/prefix.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -18,8 +18,7 @@
   int64_t misses;
 };
 
-static bool
-touch_ (struct prefix_cache *cache, uint64_t hash);
+static bool touch_ (struct prefix_cache *cache, uint64_t hash);
 
 /* A cache of CAPACITY prefixes. The caller holds a lock around every call. */
 struct prefix_cache *
--- /dev/null
+++ b/emulator/engine/prefix.h
@@ -0,0 +1,12 @@
+/* Prefix cache of the engine stand-in: the least recently used of hashed prompt prefixes. */
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct prefix_cache;
+
+struct prefix_cache *prefix_cache_new (unsigned capacity);
+int64_t prefix_cache_use (struct prefix_cache *cache, const char *prompt, size_t length);
+int64_t prefix_cache_hits (const struct prefix_cache *cache);
+int64_t prefix_cache_misses (const struct prefix_cache *cache);
--- a/testing/standin/platform/faults.c
+++ b/emulator/platform/faults.c
@@ -1,4 +1,4 @@
-#include "testing/standin/platform/faults.h"
+#include "emulator/platform/faults.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -38,20 +38,13 @@
   GArray *listings;   /* struct listing, in order of time */
 };
 
-static enum platform_mode
-read_mode_ (struct faults *faults, int64_t *delay_ms);
-static enum platform_verdict
-stay_silent_ (struct faults *faults, struct standin_request *request);
-static bool
-take_ (struct rate *rate, int64_t now_us);
-static enum MHD_Result
-set_mode_ (struct faults *faults, struct standin_request *request);
-static enum MHD_Result
-set_losses_ (struct faults *faults, struct standin_request *request);
-static enum MHD_Result
-set_rates_ (struct faults *faults, struct standin_request *request);
-static enum MHD_Result
-set_listing_ (struct faults *faults, struct standin_request *request);
+static enum platform_mode read_mode_ (struct faults *faults, int64_t *delay_ms);
+static enum platform_verdict stay_silent_ (struct faults *faults, struct standin_request *request);
+static bool take_ (struct rate *rate, int64_t now_us);
+static enum MHD_Result set_mode_ (struct faults *faults, struct standin_request *request);
+static enum MHD_Result set_losses_ (struct faults *faults, struct standin_request *request);
+static enum MHD_Result set_rates_ (struct faults *faults, struct standin_request *request);
+static enum MHD_Result set_listing_ (struct faults *faults, struct standin_request *request);
 
 /* No faults, no limits and an empty list of instances. */
 struct faults *
--- a/testing/standin/platform/faults.h
+++ b/emulator/platform/faults.h
@@ -1,7 +1,7 @@
 /* Faults of the platform stand-in: outage, silence, slowness, lost answers, rates, a late list. */
 #pragma once
 
-#include "testing/common/server.h"
+#include "emulator/common/server.h"
 
 enum platform_mode
 {
@@ -22,13 +22,10 @@
 
 struct faults;
 
-struct faults *
-faults_new (void);
+struct faults *faults_new (void);
 enum platform_verdict
 faults_admit (struct faults *faults, struct standin_request *request, bool write);
-bool
-faults_lose_answer (struct faults *faults, const char *kind);
-json_t *
-faults_instances (struct faults *faults);
+bool faults_lose_answer (struct faults *faults, const char *kind);
+json_t *faults_instances (struct faults *faults);
 bool
 faults_control (struct faults *faults, struct standin_request *request, enum MHD_Result *result);
--- a/testing/standin/platform/main.c
+++ b/emulator/platform/main.c
@@ -1,7 +1,7 @@
 /* Stand-in of the platform's object API, in memory. */
-#include "testing/common/server.h"
-#include "testing/standin/platform/faults.h"
-#include "testing/standin/platform/store.h"
+#include "emulator/common/server.h"
+#include "emulator/platform/faults.h"
+#include "emulator/platform/store.h"
 
 #include <argtable2.h>
 #include <stdatomic.h>
@@ -47,33 +47,26 @@
   char *name;
 };
 
-static enum MHD_Result
-handle_ (struct standin_request *request, void *data);
-static bool
-parse_ (const struct standin_request *request, struct target *target);
+static enum MHD_Result handle_ (struct standin_request *request, void *data);
+static bool parse_ (const struct standin_request *request, struct target *target);
 static bool
 parse_object_ (const struct standin_request *request, char **parts, struct target *target);
-static bool
-name_is_valid_ (const char *name);
+static bool name_is_valid_ (const char *name);
 static enum MHD_Result
 serve_ (struct platform *platform, struct standin_request *request, const struct target *target);
-static enum MHD_Result
-read_object_ (struct platform *platform,
-              struct standin_request *request,
-              const struct target *target);
-static enum MHD_Result
-write_object_ (struct platform *platform,
-               struct standin_request *request,
-               const struct target *target);
+static enum MHD_Result read_object_ (struct platform *platform,
+                                     struct standin_request *request,
+                                     const struct target *target);
+static enum MHD_Result write_object_ (struct platform *platform,
+                                      struct standin_request *request,
+                                      const struct target *target);
 static enum MHD_Result
 list_ (struct platform *platform, struct standin_request *request, const struct target *target);
-static enum MHD_Result
-reply_version_ (struct standin_request *request,
-                unsigned status,
-                const GString *body,
-                int64_t version);
-static enum MHD_Result
-counts_ (struct platform *platform, struct standin_request *request);
+static enum MHD_Result reply_version_ (struct standin_request *request,
+                                       unsigned status,
+                                       const GString *body,
+                                       int64_t version);
+static enum MHD_Result counts_ (struct platform *platform, struct standin_request *request);
 
 int
 main (int argc, char **argv)
--- a/testing/standin/platform/store.c
+++ b/emulator/platform/store.c
@@ -1,4 +1,4 @@
-#include "testing/standin/platform/store.h"
+#include "emulator/platform/store.h"
 
 #include "base/thread.h"
 
@@ -19,14 +19,10 @@
   int64_t counter;
 };
 
-static struct object *
-find_ (struct store *store, const char *kind, const char *name);
-static GTree *
-names_of_kind_ (struct store *store, const char *kind);
-static void
-free_object_ (gpointer data);
-static int
-compare_names_ (gconstpointer a, gconstpointer b, gpointer data);
+static struct object *find_ (struct store *store, const char *kind, const char *name);
+static GTree *names_of_kind_ (struct store *store, const char *kind);
+static void free_object_ (gpointer data);
+static int compare_names_ (gconstpointer a, gconstpointer b, gpointer data);
 
 /* An empty table; it lives as long as the process. */
 struct store *
--- a/testing/standin/proxy/datagrams.c
+++ b/emulator/proxy/datagrams.c
@@ -1,4 +1,4 @@
-#include "testing/standin/proxy/datagrams.h"
+#include "emulator/proxy/datagrams.h"
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -51,20 +51,15 @@
   char buffer[DATAGRAM_MAX_BYTES];
 };
 
-static void
-port_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
-static void
-flow_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
-static struct flow *
-find_flow_ (struct port *port, const struct sockaddr_in *client);
-static void
-send_ (struct datagrams *datagrams,
-       struct forward_policy policy,
-       int fd,
-       const struct sockaddr_in *to,
-       size_t length);
-static void
-drop_idle_flows_ (struct port *port, int64_t now_us);
+static void port_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
+static void flow_ready_ (struct forwarder *forwarder, struct forward_watch *watch, uint32_t events);
+static struct flow *find_flow_ (struct port *port, const struct sockaddr_in *client);
+static void send_ (struct datagrams *datagrams,
+                   struct forward_policy policy,
+                   int fd,
+                   const struct sockaddr_in *to,
+                   size_t length);
+static void drop_idle_flows_ (struct port *port, int64_t now_us);
 
 /* Nothing is forwarded until datagrams_listen. */
 struct datagrams *
--- a/testing/standin/proxy/main.c
+++ b/emulator/proxy/main.c
@@ -1,8 +1,8 @@
 /* Fault proxy: forwards TCP and UDP between the processes of a test and disturbs them on order. */
-#include "testing/common/forward.h"
-#include "testing/common/server.h"
-#include "testing/standin/proxy/datagrams.h"
-#include "testing/standin/proxy/rules.h"
+#include "emulator/common/forward.h"
+#include "emulator/common/server.h"
+#include "emulator/proxy/datagrams.h"
+#include "emulator/proxy/rules.h"
 
 #include <argtable2.h>
 #include <stdio.h>
@@ -22,22 +22,15 @@
   struct rules *rules;
 };
 
-static bool
-open_link_ (struct proxy *proxy, const char *text);
+static bool open_link_ (struct proxy *proxy, const char *text);
 static bool
 target_ (void *data, const struct forward_link *link, unsigned attempt, struct sockaddr_in *target);
-static struct forward_policy
-policy_ (void *data, const char *from, const char *to);
-static bool
-tick_ (void *data, int64_t now_us);
-static enum MHD_Result
-handle_ (struct standin_request *request, void *data);
-static enum MHD_Result
-add_rule_ (struct proxy *proxy, struct standin_request *request);
-static enum MHD_Result
-clear_ (struct proxy *proxy, struct standin_request *request);
-static enum MHD_Result
-counts_ (struct proxy *proxy, struct standin_request *request);
+static struct forward_policy policy_ (void *data, const char *from, const char *to);
+static bool tick_ (void *data, int64_t now_us);
+static enum MHD_Result handle_ (struct standin_request *request, void *data);
+static enum MHD_Result add_rule_ (struct proxy *proxy, struct standin_request *request);
+static enum MHD_Result clear_ (struct proxy *proxy, struct standin_request *request);
+static enum MHD_Result counts_ (struct proxy *proxy, struct standin_request *request);
 
 int
 main (int argc, char **argv)
--- a/testing/standin/proxy/rules.c
+++ b/emulator/proxy/rules.c
@@ -1,4 +1,4 @@
-#include "testing/standin/proxy/rules.h"
+#include "emulator/proxy/rules.h"
 
 #include <string.h>
 
@@ -16,8 +16,7 @@
 
 static const char *const mode_names[] = { "pass", "cut", "silence", "delay" };
 
-static bool
-matches_ (const char *pattern, const char *address);
+static bool matches_ (const char *pattern, const char *address);
 
 /* No rules: everything passes. The caller holds a lock around every call. */
 struct rules *
--- a/testing/standin/service/main.c
+++ b/emulator/service/main.c
@@ -1,6 +1,6 @@
 /* Stand-in of a plain service: executes calls, counts the executions of each key and fails on
  * order. */
-#include "testing/common/server.h"
+#include "emulator/common/server.h"
 
 #include <argtable2.h>
 #include <pthread.h>
@@ -42,22 +42,14 @@
   int64_t fault_delay_ms;
 };
 
-static enum MHD_Result
-handle_ (struct standin_request *request, void *data);
-static enum MHD_Result
-call_ (struct service *service, struct standin_request *request);
-static enum fault
-take_fault_ (struct service *service, int64_t *delay_ms);
-static bool
-fence_passes_ (struct service *service, const char *key, const char *fence);
-static int64_t
-execute_ (struct service *service, const char *key);
-static enum MHD_Result
-hang_ (struct standin_request *request);
-static enum MHD_Result
-set_fault_ (struct service *service, struct standin_request *request);
-static enum MHD_Result
-ledger_ (struct service *service, struct standin_request *request);
+static enum MHD_Result handle_ (struct standin_request *request, void *data);
+static enum MHD_Result call_ (struct service *service, struct standin_request *request);
+static enum fault take_fault_ (struct service *service, int64_t *delay_ms);
+static bool fence_passes_ (struct service *service, const char *key, const char *fence);
+static int64_t execute_ (struct service *service, const char *key);
+static enum MHD_Result hang_ (struct standin_request *request);
+static enum MHD_Result set_fault_ (struct service *service, struct standin_request *request);
+static enum MHD_Result ledger_ (struct service *service, struct standin_request *request);
 
 int
 main (int argc, char **argv)
--- a/include/sapphirerun/config.h
+++ b/include/sapphirerun/config.h
@@ -58,19 +58,11 @@
   bool leaving;      /* gets no new work */
 };
 
-struct sr_builder *
-sr_builder_new (void);
-void
-sr_builder_delete (struct sr_builder *builder);
-void
-sr_builder_add_team (struct sr_builder *builder, const struct sr_builder_team *team);
-void
-sr_builder_add_budget (struct sr_builder *builder, const struct sr_builder_budget *budget);
-void
-sr_builder_add_service (struct sr_builder *builder, const struct sr_builder_service *service);
-void
-sr_builder_add_backend (struct sr_builder *builder, const struct sr_builder_backend *backend);
-bool
-sr_builder_print (struct sr_builder *builder, FILE *configuration, FILE *findings);
-bool
-sr_builder_parse_place (const char *text, char name[64], char address[16], unsigned *port);
+struct sr_builder *sr_builder_new (void);
+void sr_builder_delete (struct sr_builder *builder);
+void sr_builder_add_team (struct sr_builder *builder, const struct sr_builder_team *team);
+void sr_builder_add_budget (struct sr_builder *builder, const struct sr_builder_budget *budget);
+void sr_builder_add_service (struct sr_builder *builder, const struct sr_builder_service *service);
+void sr_builder_add_backend (struct sr_builder *builder, const struct sr_builder_backend *backend);
+bool sr_builder_print (struct sr_builder *builder, FILE *configuration, FILE *findings);
+bool sr_builder_parse_place (const char *text, char name[64], char address[16], unsigned *port);
--- a/src/admit/admit.c
+++ b/src/admit/admit.c
@@ -66,25 +66,18 @@
 static struct sr_counter waiting_now
     = { .name = "sr_admit_waiting", .help = "Requests waiting in queues." };
 
-static struct service_queue *
-service_of_ (struct sr_admit *admit, const char *name);
-static void
-service_free_ (void *data);
-static enum sr_admit_verdict
-push_ (struct sr_admit *admit,
-       struct service_queue *service,
-       const struct sr_ticket *ticket,
-       int64_t now_us);
+static struct service_queue *service_of_ (struct sr_admit *admit, const char *name);
+static void service_free_ (void *data);
+static enum sr_admit_verdict push_ (struct sr_admit *admit,
+                                    struct service_queue *service,
+                                    const struct sr_ticket *ticket,
+                                    int64_t now_us);
 static bool
 make_room_ (struct sr_admit *admit, struct service_queue *service, const struct sr_ticket *ticket);
-static double
-work_rate_ (const struct service_queue *service);
-static int64_t
-run_needed_us_ (const struct service_queue *service, const struct sr_ticket *ticket);
-static int64_t
-retry_after_ms_ (struct sr_admit *admit, const struct service_queue *service);
-static void
-set_waiting_ (struct sr_admit *admit, unsigned waiting);
+static double work_rate_ (const struct service_queue *service);
+static int64_t run_needed_us_ (const struct service_queue *service, const struct sr_ticket *ticket);
+static int64_t retry_after_ms_ (struct sr_admit *admit, const struct service_queue *service);
+static void set_waiting_ (struct sr_admit *admit, unsigned waiting);
 
 /* Returns the name of PRIORITY as callers write it. */
 const char *
--- a/src/admit/queue.c
+++ b/src/admit/queue.c
@@ -45,36 +45,25 @@
   GSequence *by_start; /* of struct sr_queue_entry, earliest latest_start_us first */
 };
 
-static struct sr_queue_team *
-team_of_ (struct sr_queue *queue, const struct sr_ticket *ticket);
-static double
-least_received_ (const struct sr_queue *queue);
+static struct sr_queue_team *team_of_ (struct sr_queue *queue, const struct sr_ticket *ticket);
+static double least_received_ (const struct sr_queue *queue);
 static bool
 is_within_share_ (const struct sr_queue *queue, const struct sr_queue_team *team, double least);
 static struct sr_queue_team *
 choose_team_ (const struct sr_queue *queue, int priority, double least);
-static struct sr_queue_entry *
-choose_entry_ (const struct sr_queue *queue, double least);
-static double
-own_cost_before_ (const struct sr_queue_team *team, const struct sr_ticket *ticket);
+static struct sr_queue_entry *choose_entry_ (const struct sr_queue *queue, double least);
+static double own_cost_before_ (const struct sr_queue_team *team, const struct sr_ticket *ticket);
 static double
 cost_by_priority_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost);
 static double
 cost_by_share_ (const struct sr_queue *queue, const struct sr_ticket *ticket, double own_cost);
-static void
-unlink_entry_ (struct sr_queue *queue, struct sr_queue_entry *entry);
-static void
-forget_idle_teams_ (struct sr_queue *queue);
-static gboolean
-team_is_settled_ (gpointer key, gpointer value, gpointer data);
-static void
-team_free_ (void *data);
-static void
-entry_free_ (gpointer data, gpointer user_data);
-static gint
-compare_deadlines_ (gconstpointer left, gconstpointer right, gpointer data);
-static gint
-compare_starts_ (gconstpointer left, gconstpointer right, gpointer data);
+static void unlink_entry_ (struct sr_queue *queue, struct sr_queue_entry *entry);
+static void forget_idle_teams_ (struct sr_queue *queue);
+static gboolean team_is_settled_ (gpointer key, gpointer value, gpointer data);
+static void team_free_ (void *data);
+static void entry_free_ (gpointer data, gpointer user_data);
+static gint compare_deadlines_ (gconstpointer left, gconstpointer right, gpointer data);
+static gint compare_starts_ (gconstpointer left, gconstpointer right, gpointer data);
 
 /* Creates an empty queue; free it with sr_queue_delete. */
 struct sr_queue *
--- a/src/admit/queue.h
+++ b/src/admit/queue.h
@@ -27,25 +27,16 @@
   double share; /* tickets per weight */
 };
 
-struct sr_queue *
-sr_queue_new (void);
-void
-sr_queue_delete (struct sr_queue *queue);
-unsigned
-sr_queue_length (const struct sr_queue *queue);
+struct sr_queue *sr_queue_new (void);
+void sr_queue_delete (struct sr_queue *queue);
+unsigned sr_queue_length (const struct sr_queue *queue);
 struct sr_queue_entry *
 sr_queue_add (struct sr_queue *queue, const struct sr_ticket *ticket, int64_t latest_start_us);
-struct sr_queue_entry *
-sr_queue_take_next (struct sr_queue *queue);
-struct sr_queue_entry *
-sr_queue_take_late (struct sr_queue *queue, int64_t now_us);
-struct sr_queue_entry *
-sr_queue_take_last (struct sr_queue *queue, const struct sr_queue_largest *largest);
-bool
-sr_queue_find_largest (struct sr_queue *queue, struct sr_queue_largest *largest);
-double
-sr_queue_share_of (struct sr_queue *queue, const struct sr_ticket *ticket);
-int64_t
-sr_queue_cost (const struct sr_queue *queue);
-int64_t
-sr_queue_cost_before (struct sr_queue *queue, const struct sr_ticket *ticket);
+struct sr_queue_entry *sr_queue_take_next (struct sr_queue *queue);
+struct sr_queue_entry *sr_queue_take_late (struct sr_queue *queue, int64_t now_us);
+struct sr_queue_entry *sr_queue_take_last (struct sr_queue *queue,
+                                           const struct sr_queue_largest *largest);
+bool sr_queue_find_largest (struct sr_queue *queue, struct sr_queue_largest *largest);
+double sr_queue_share_of (struct sr_queue *queue, const struct sr_ticket *ticket);
+int64_t sr_queue_cost (const struct sr_queue *queue);
+int64_t sr_queue_cost_before (struct sr_queue *queue, const struct sr_ticket *ticket);
--- a/src/audit/audit-top-up.c
+++ b/src/audit/audit-top-up.c
@@ -6,8 +6,7 @@
 
 static struct sr_audit_entry *
 make_entry_ (const char *budget, const struct sr_record_top_up *top_up, int64_t before);
-static void
-entry_free_ (void *data);
+static void entry_free_ (void *data);
 
 /* Returns an entry (struct sr_audit_entry) for each top-up and correction that RECORD of BUDGET
  * holds, in their order. The caller owns the array, which owns the entries. The same top-up always
--- a/src/audit/audit.c
+++ b/src/audit/audit.c
@@ -24,21 +24,15 @@
 static const char *const type_names_[]
     = { "config", "top-up", "correction", "take-back", "leaving", "stop" };
 
-static void
-shorten_id_ (GString *id);
-static bool
-id_is_good_ (const char *id);
-static bool
-type_from_string_ (const char *text, enum sr_audit_type *type);
-static void
-print_day_ (int64_t when_ms, char day[DAY_TEXT_BYTES]);
-static enum sr_platform_status
-read_entry_ (struct sr_platform *platform,
-             const char *name,
-             GPtrArray *entries,
-             int64_t deadline_us);
-static int
-compare_entries_ (const void *a, const void *b);
+static void shorten_id_ (GString *id);
+static bool id_is_good_ (const char *id);
+static bool type_from_string_ (const char *text, enum sr_audit_type *type);
+static void print_day_ (int64_t when_ms, char day[DAY_TEXT_BYTES]);
+static enum sr_platform_status read_entry_ (struct sr_platform *platform,
+                                            const char *name,
+                                            GPtrArray *entries,
+                                            int64_t deadline_us);
+static int compare_entries_ (const void *a, const void *b);
 
 /* Creates an entry with empty subject, before and after, to be filled by the caller, who owns it.
  * ID is of the characters of an object's name; the end of one that is too long is replaced by its
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -33,25 +33,16 @@
 
 struct sr_audit_entry *
 sr_audit_entry_new (enum sr_audit_type type, const char *id, const char *who, int64_t when_ms);
-void
-sr_audit_entry_delete (struct sr_audit_entry *entry);
-struct sr_audit_entry *
-sr_audit_entry_copy (const struct sr_audit_entry *entry);
-json_t *
-sr_audit_entry_encode (const struct sr_audit_entry *entry);
-struct sr_audit_entry *
-sr_audit_entry_decode (const json_t *json);
-GString *
-sr_audit_entry_name (const struct sr_audit_entry *entry);
-enum sr_platform_status
-sr_audit_write (struct sr_platform *platform,
-                const struct sr_audit_entry *entry,
-                int64_t deadline_us);
+void sr_audit_entry_delete (struct sr_audit_entry *entry);
+struct sr_audit_entry *sr_audit_entry_copy (const struct sr_audit_entry *entry);
+json_t *sr_audit_entry_encode (const struct sr_audit_entry *entry);
+struct sr_audit_entry *sr_audit_entry_decode (const json_t *json);
+GString *sr_audit_entry_name (const struct sr_audit_entry *entry);
+enum sr_platform_status sr_audit_write (struct sr_platform *platform,
+                                        const struct sr_audit_entry *entry,
+                                        int64_t deadline_us);
 enum sr_platform_status
 sr_audit_read (struct sr_platform *platform, GPtrArray *entries, int64_t deadline_us);
-bool
-sr_audit_contains (const GPtrArray *entries, const struct sr_audit_entry *entry);
-void
-sr_audit_prune (struct sr_platform *platform, int64_t now_ms);
-const char *
-sr_audit_type_to_string (enum sr_audit_type type);
+bool sr_audit_contains (const GPtrArray *entries, const struct sr_audit_entry *entry);
+void sr_audit_prune (struct sr_platform *platform, int64_t now_ms);
+const char *sr_audit_type_to_string (enum sr_audit_type type);
--- a/src/backend/backend-model.c
+++ b/src/backend/backend-model.c
@@ -19,24 +19,17 @@
   bool ended;
 };
 
-static void
-call_ (const struct sr_backend_call *call, struct sr_backend_report *report);
-static bool
-cancel_ (const struct sr_backend_call *call, int64_t *consumed_tokens);
-static char *
-request_json_ (const struct sr_backend_call *call);
-static enum sr_backend_status
-read_answer_ (struct sr_exchange *exchange, struct answer_stream *stream);
+static void call_ (const struct sr_backend_call *call, struct sr_backend_report *report);
+static bool cancel_ (const struct sr_backend_call *call, int64_t *consumed_tokens);
+static char *request_json_ (const struct sr_backend_call *call);
+static enum sr_backend_status read_answer_ (struct sr_exchange *exchange,
+                                            struct answer_stream *stream);
 static enum sr_backend_status
 take_bytes_ (struct answer_stream *stream, const char *bytes, size_t length);
-static enum sr_backend_status
-take_line_ (struct answer_stream *stream);
-static enum sr_backend_status
-take_token_ (struct answer_stream *stream, const json_t *line);
-static enum sr_backend_status
-take_end_ (struct answer_stream *stream, const json_t *line);
-static bool
-read_cancelled_ (struct sr_exchange *exchange, int64_t *consumed_tokens);
+static enum sr_backend_status take_line_ (struct answer_stream *stream);
+static enum sr_backend_status take_token_ (struct answer_stream *stream, const json_t *line);
+static enum sr_backend_status take_end_ (struct answer_stream *stream, const json_t *line);
+static bool read_cancelled_ (struct sr_exchange *exchange, int64_t *consumed_tokens);
 
 const struct sr_backend_kind sr_backend_model = { .call = call_, .cancel = cancel_ };
 
--- a/src/backend/backend-plain.c
+++ b/src/backend/backend-plain.c
@@ -9,14 +9,11 @@
   FENCE_TEXT_BYTES = 32
 };
 
-static void
-call_ (const struct sr_backend_call *call, struct sr_backend_report *report);
-static bool
-cancel_ (const struct sr_backend_call *call, int64_t *consumed_tokens);
-static enum sr_backend_status
-read_answer_ (struct sr_exchange *exchange,
-              const struct sr_backend_call *call,
-              struct sr_backend_report *report);
+static void call_ (const struct sr_backend_call *call, struct sr_backend_report *report);
+static bool cancel_ (const struct sr_backend_call *call, int64_t *consumed_tokens);
+static enum sr_backend_status read_answer_ (struct sr_exchange *exchange,
+                                            const struct sr_backend_call *call,
+                                            struct sr_backend_report *report);
 
 const struct sr_backend_kind sr_backend_plain = { .call = call_, .cancel = cancel_ };
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -62,5 +62,4 @@
 extern const struct sr_backend_kind sr_backend_model;
 extern const struct sr_backend_kind sr_backend_plain;
 
-const char *
-sr_backend_status_to_string (enum sr_backend_status status);
+const char *sr_backend_status_to_string (enum sr_backend_status status);
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -7,8 +7,7 @@
 static struct sr_counter *counters;
 static struct sr_histogram *histograms;
 
-static void
-histogram_print_ (struct sr_histogram *histogram, GString *out);
+static void histogram_print_ (struct sr_histogram *histogram, GString *out);
 
 /* Adds COUNTER, which must live as long as the process, to what sr_counters_print shows.
  * Registering the same counter again has no effect. */
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -31,19 +31,11 @@
   struct sr_histogram *next;
 };
 
-void
-sr_counter_register (struct sr_counter *counter);
-void
-sr_counter_add (struct sr_counter *counter, int64_t amount);
-void
-sr_counter_set (struct sr_counter *counter, int64_t value);
-int64_t
-sr_counter_get (struct sr_counter *counter);
-void
-sr_histogram_register (struct sr_histogram *histogram);
-void
-sr_histogram_observe (struct sr_histogram *histogram, int64_t value_us);
-int64_t
-sr_histogram_bound_us (unsigned bucket);
-void
-sr_counters_print (GString *out);
+void sr_counter_register (struct sr_counter *counter);
+void sr_counter_add (struct sr_counter *counter, int64_t amount);
+void sr_counter_set (struct sr_counter *counter, int64_t value);
+int64_t sr_counter_get (struct sr_counter *counter);
+void sr_histogram_register (struct sr_histogram *histogram);
+void sr_histogram_observe (struct sr_histogram *histogram, int64_t value_us);
+int64_t sr_histogram_bound_us (unsigned bucket);
+void sr_counters_print (GString *out);
--- a/src/base/findings.c
+++ b/src/base/findings.c
@@ -7,8 +7,7 @@
   GPtrArray *items;
 };
 
-static void
-finding_free_ (void *data);
+static void finding_free_ (void *data);
 
 /* Creates an empty list of findings. The caller owns it and frees it with sr_findings_delete. */
 struct sr_findings *
--- a/src/base/findings.h
+++ b/src/base/findings.h
@@ -17,21 +17,15 @@
 
 struct sr_findings;
 
-struct sr_findings *
-sr_findings_new (void);
-void
-sr_findings_delete (struct sr_findings *findings);
-void
-sr_findings_add (struct sr_findings *findings,
-                 const char *file,
-                 unsigned line,
-                 const char *section,
-                 const char *key,
-                 const char *format,
-                 ...) G_GNUC_PRINTF (6, 7);
-size_t
-sr_findings_count (const struct sr_findings *findings);
-const struct sr_finding *
-sr_findings_get (const struct sr_findings *findings, size_t index);
-void
-sr_findings_print (const struct sr_findings *findings, FILE *stream);
+struct sr_findings *sr_findings_new (void);
+void sr_findings_delete (struct sr_findings *findings);
+void sr_findings_add (struct sr_findings *findings,
+                      const char *file,
+                      unsigned line,
+                      const char *section,
+                      const char *key,
+                      const char *format,
+                      ...) G_GNUC_PRINTF (6, 7);
+size_t sr_findings_count (const struct sr_findings *findings);
+const struct sr_finding *sr_findings_get (const struct sr_findings *findings, size_t index);
+void sr_findings_print (const struct sr_findings *findings, FILE *stream);
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -9,8 +9,7 @@
 
 static GLogWriterOutput
 write_json_ (GLogLevelFlags level, const GLogField *fields, gsize n_fields, void *user_data);
-static const char *
-level_name_ (GLogLevelFlags level);
+static const char *level_name_ (GLogLevelFlags level);
 
 /* Sets the writer of GLib's structured log for the whole process. INSTANCE is printed in every
  * line. Call it once, before other threads start. */
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -3,7 +3,5 @@
 
 #include <glib.h>
 
-void
-sr_log_init (const char *instance);
-void
-sr_log (GLogLevelFlags level, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+void sr_log_init (const char *instance);
+void sr_log (GLogLevelFlags level, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
--- a/src/base/outcome.h
+++ b/src/base/outcome.h
@@ -10,5 +10,4 @@
   SR_OUTCOME_UNKNOWN
 };
 
-const char *
-sr_outcome_to_string (enum sr_outcome outcome);
+const char *sr_outcome_to_string (enum sr_outcome outcome);
--- a/src/base/rendezvous.c
+++ b/src/base/rendezvous.c
@@ -9,8 +9,7 @@
   const char *name;
 };
 
-static int
-compare_weights_ (const void *left, const void *right);
+static int compare_weights_ (const void *left, const void *right);
 
 /* Returns the weight of CANDIDATE (a NUL-terminated name) for KEY; the highest weight is preferred.
  * Highest random weight hashing, Thaler and Ravishankar 1998. */
--- a/src/base/rendezvous.h
+++ b/src/base/rendezvous.h
@@ -4,7 +4,5 @@
 #include <glib.h>
 #include <stdint.h>
 
-uint64_t
-sr_rendezvous_weight (const char *key, size_t key_length, const char *candidate);
-GPtrArray *
-sr_rendezvous_order (const char *key, size_t key_length, const GPtrArray *candidates);
+uint64_t sr_rendezvous_weight (const char *key, size_t key_length, const char *candidate);
+GPtrArray *sr_rendezvous_order (const char *key, size_t key_length, const GPtrArray *candidates);
--- a/src/bill/bill-read.c
+++ b/src/bill/bill-read.c
@@ -25,14 +25,11 @@
   bool going_on;
 };
 
-static enum sr_platform_status
-read_batches_ (struct sr_platform *platform, GArray *batches);
+static enum sr_platform_status read_batches_ (struct sr_platform *platform, GArray *batches);
 static enum sr_platform_status
 read_batch_ (struct sr_platform *platform, const char *name, GArray *batches);
-static void
-read_line_ (struct reading *reading, const json_t *line);
-static int
-compare_versions_ (const void *left, const void *right);
+static void read_line_ (struct reading *reading, const json_t *line);
+static int compare_versions_ (const void *left, const void *right);
 
 /* Calls CALLBACK for each bill on the platform that FILTER (NULL: every one) lets through, until it
  * returns false. A request that was billed more than once, because it ran on both sides of a
--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -44,33 +44,21 @@
 static struct sr_counter adopted_total
     = { .name = "bills_adopted_total", .help = "Bills written for instances believed dead." };
 
-static void *
-writer_run_ (void *data);
-static bool
-wait_for_platform_ (struct sr_bills *bills, uint64_t number, int64_t deadline_us);
-static void
-note_taken_ (struct sr_bills *bills);
-static bool
-write_batch_ (struct sr_bills *bills);
-static void
-copy_again_ (struct sr_bills *bills);
-static void
-adopt_ (struct sr_bills *bills);
-static void
-tell_written_ (struct sr_bills *bills);
-static bool
-copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line);
-static bool
-keep_at_ (struct sr_bills *bills,
-          const struct sr_member *member,
-          uint64_t number,
-          const char *line);
-static GPtrArray *
-keepers_ (struct sr_bills *bills, const struct sr_member_view *view);
-static struct sr_member_view *
-view_ (struct sr_bills *bills);
-static bool
-handle_keep_ (void *in, void *out, void *data);
+static void *writer_run_ (void *data);
+static bool wait_for_platform_ (struct sr_bills *bills, uint64_t number, int64_t deadline_us);
+static void note_taken_ (struct sr_bills *bills);
+static bool write_batch_ (struct sr_bills *bills);
+static void copy_again_ (struct sr_bills *bills);
+static void adopt_ (struct sr_bills *bills);
+static void tell_written_ (struct sr_bills *bills);
+static bool copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line);
+static bool keep_at_ (struct sr_bills *bills,
+                      const struct sr_member *member,
+                      uint64_t number,
+                      const char *line);
+static GPtrArray *keepers_ (struct sr_bills *bills, const struct sr_member_view *view);
+static struct sr_member_view *view_ (struct sr_bills *bills);
+static bool handle_keep_ (void *in, void *out, void *data);
 
 static const struct sr_peer_procedure procedures[] = {
   { PROCEDURE_KEEP, (xdrproc_t)xdr_sr_bill_keep_msg, sizeof (sr_bill_keep_msg),
--- a/src/bill/bill.h
+++ b/src/bill/bill.h
@@ -40,22 +40,14 @@
   unsigned write_interval_ms; /* between batches to the platform; 0: the default */
 };
 
-struct sr_bills *
-sr_bills_new (const struct sr_bills_options *options);
-bool
-sr_bills_start (struct sr_bills *bills);
-void
-sr_bills_stop (struct sr_bills *bills);
-void
-sr_bills_delete (struct sr_bills *bills);
-void
-sr_bills_add_to_server (struct sr_bills *bills, struct sr_peer_server *server);
-bool
-sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us);
-bool
-sr_bills_is_stuck (struct sr_bills *bills, int64_t now_us);
-bool
-sr_bills_hand_over (struct sr_bills *bills, int64_t deadline_us);
+struct sr_bills *sr_bills_new (const struct sr_bills_options *options);
+bool sr_bills_start (struct sr_bills *bills);
+void sr_bills_stop (struct sr_bills *bills);
+void sr_bills_delete (struct sr_bills *bills);
+void sr_bills_add_to_server (struct sr_bills *bills, struct sr_peer_server *server);
+bool sr_bills_record (struct sr_bills *bills, const struct sr_bill *bill, int64_t deadline_us);
+bool sr_bills_is_stuck (struct sr_bills *bills, int64_t now_us);
+bool sr_bills_hand_over (struct sr_bills *bills, int64_t deadline_us);
 
 /* Which bills to read; NULL: all. */
 struct sr_bill_filter
@@ -66,8 +58,7 @@
 
 typedef bool (*sr_bill_callback) (const struct sr_bill *bill, void *data);
 
-enum sr_platform_status
-sr_bills_read (struct sr_platform *platform,
-               const struct sr_bill_filter *filter,
-               sr_bill_callback callback,
-               void *data);
+enum sr_platform_status sr_bills_read (struct sr_platform *platform,
+                                       const struct sr_bill_filter *filter,
+                                       sr_bill_callback callback,
+                                       void *data);
--- a/src/bill/book.c
+++ b/src/bill/book.c
@@ -19,14 +19,10 @@
   GQueue *lines;
 };
 
-static void
-line_free_ (void *data);
-static void
-kept_free_ (void *data);
-static struct kept *
-kept_of_ (struct sr_book *book, const char *owner, uint64_t incarnation);
-static void
-kept_forget_ (struct kept *kept, uint64_t up_to);
+static void line_free_ (void *data);
+static void kept_free_ (void *data);
+static struct kept *kept_of_ (struct sr_book *book, const char *owner, uint64_t incarnation);
+static void kept_forget_ (struct kept *kept, uint64_t up_to);
 
 /* Creates an empty book. */
 struct sr_book *
--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -32,26 +32,16 @@
   bool gained; /* from the home */
 };
 
-static void
-ask_home_ (struct attempt *attempt);
-static void
-ask_one_home_ (struct attempt *attempt, const char *home, bool *unreachable);
-static void
-draw_ (struct attempt *attempt);
-static void
-ask_others_ (struct attempt *attempt);
-static GPtrArray *
-others_ (struct attempt *attempt);
-static int64_t
-needed_locked_ (const struct attempt *attempt);
-static int64_t
-missing_locked_ (const struct attempt *attempt, bool ahead);
-static int64_t
-needed_ (const struct attempt *attempt);
-static int64_t
-missing_ (const struct attempt *attempt, bool ahead);
-static void
-finish_ (struct attempt *attempt);
+static void ask_home_ (struct attempt *attempt);
+static void ask_one_home_ (struct attempt *attempt, const char *home, bool *unreachable);
+static void draw_ (struct attempt *attempt);
+static void ask_others_ (struct attempt *attempt);
+static GPtrArray *others_ (struct attempt *attempt);
+static int64_t needed_locked_ (const struct attempt *attempt);
+static int64_t missing_locked_ (const struct attempt *attempt, bool ahead);
+static int64_t needed_ (const struct attempt *attempt);
+static int64_t missing_ (const struct attempt *attempt, bool ahead);
+static void finish_ (struct attempt *attempt);
 
 /* Gets the tokens that reservations and borrowers of ENTRY wait for, and some ahead of demand: from
  * the home instance of its data centre, else from the platform, and before anything is refused from
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -78,75 +78,56 @@
 };
 
 /* entry.c */
-struct sr_budget_entry *
-sr_budget_entry_get (struct sr_budgets *budgets, const char *name);
-void
-sr_budget_entry_free (void *data);
-void
-sr_budget_entry_enqueue (struct sr_budgets *budgets, struct sr_budget_entry *entry);
-void
-sr_budget_entry_note_holders (struct sr_budgets *budgets,
-                              struct sr_budget_entry *entry,
-                              const struct sr_record *record);
+struct sr_budget_entry *sr_budget_entry_get (struct sr_budgets *budgets, const char *name);
+void sr_budget_entry_free (void *data);
+void sr_budget_entry_enqueue (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void sr_budget_entry_note_holders (struct sr_budgets *budgets,
+                                   struct sr_budget_entry *entry,
+                                   const struct sr_record *record);
 
 /* draw.c */
-bool
-sr_budget_platform_is_out (struct sr_budgets *budgets, int64_t now_us);
+bool sr_budget_platform_is_out (struct sr_budgets *budgets, int64_t now_us);
 enum sr_draw_result
 sr_budget_draw (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need);
-bool
-sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close);
+bool sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close);
 
 /* recover.c */
-bool
-sr_budget_recover (struct sr_budgets *budgets,
-                   const char *name,
-                   struct sr_record *record,
-                   GArray *closed);
+bool sr_budget_recover (struct sr_budgets *budgets,
+                        const char *name,
+                        struct sr_record *record,
+                        GArray *closed);
 void
 sr_budget_audit_taken_back (struct sr_budgets *budgets, const char *name, const GArray *closed);
 
 /* peers.c */
-struct sr_member_view *
-sr_budget_view (struct sr_budgets *budgets);
-bool
-sr_budget_pick_witness (struct sr_budgets *budgets, struct sr_member *witness);
-enum sr_ask_result
-sr_budget_borrow (struct sr_budgets *budgets,
-                  struct sr_budget_entry *entry,
-                  const char *lender,
-                  int64_t need,
-                  bool last_resort);
+struct sr_member_view *sr_budget_view (struct sr_budgets *budgets);
+bool sr_budget_pick_witness (struct sr_budgets *budgets, struct sr_member *witness);
+enum sr_ask_result sr_budget_borrow (struct sr_budgets *budgets,
+                                     struct sr_budget_entry *entry,
+                                     const char *lender,
+                                     int64_t need,
+                                     bool last_resort);
 bool
 sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t keep);
-void
-sr_budget_recall (struct sr_budgets *budgets, struct sr_budget_entry *entry);
-bool
-sr_budget_seal (struct sr_budgets *budgets,
-                const char *name,
-                const struct sr_record_holder *holder,
-                int64_t *ceiling);
+void sr_budget_recall (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+bool sr_budget_seal (struct sr_budgets *budgets,
+                     const char *name,
+                     const struct sr_record_holder *holder,
+                     int64_t *ceiling);
 
 /* raise.c */
-bool
-sr_budget_raise (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need);
-void
-sr_budget_forget (struct sr_budgets *budgets,
-                  const char *name,
-                  const struct sr_holder_id *id,
-                  const char *witness,
-                  uint64_t witness_incarnation);
-bool
-sr_budget_finish (struct sr_budgets *budgets, struct sr_budget_entry *entry);
-void *
-sr_budget_raiser_run (void *data);
+bool sr_budget_raise (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need);
+void sr_budget_forget (struct sr_budgets *budgets,
+                       const char *name,
+                       const struct sr_holder_id *id,
+                       const char *witness,
+                       uint64_t witness_incarnation);
+bool sr_budget_finish (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void *sr_budget_raiser_run (void *data);
 
 /* acquire.c */
-void
-sr_budget_acquire (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void sr_budget_acquire (struct sr_budgets *budgets, struct sr_budget_entry *entry);
 
 /* worker.c */
-void *
-sr_budget_worker_run (void *data);
-void *
-sr_budget_upkeep_run (void *data);
+void *sr_budget_worker_run (void *data);
+void *sr_budget_upkeep_run (void *data);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -32,19 +32,15 @@
 static struct sr_counter unreachable_total
     = { .name = "budget_unreachable_total", .help = "Reservations refused: nobody to ask." };
 
-static GArray *
-wait_for_tokens_ (struct sr_budgets *budgets,
-                  struct sr_budget_entry *entry,
-                  int64_t tokens,
-                  int64_t end_us);
-static void
-draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us);
-static bool
-hand_over_entry_ (struct sr_budgets *budgets,
-                  struct sr_budget_entry *entry,
-                  int64_t loans_until_us);
-static GPtrArray *
-entries_with_tokens_ (struct sr_budgets *budgets);
+static GArray *wait_for_tokens_ (struct sr_budgets *budgets,
+                                 struct sr_budget_entry *entry,
+                                 int64_t tokens,
+                                 int64_t end_us);
+static void draw_ahead_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t now_us);
+static bool hand_over_entry_ (struct sr_budgets *budgets,
+                              struct sr_budget_entry *entry,
+                              int64_t loans_until_us);
+static GPtrArray *entries_with_tokens_ (struct sr_budgets *budgets);
 
 /* Creates the budgets of one instance. The caller owns them and frees them with
  * sr_budgets_delete. */
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -40,28 +40,19 @@
   uint32_t seed;
 };
 
-struct sr_budgets *
-sr_budgets_new (const struct sr_budgets_options *options);
-void
-sr_budgets_delete (struct sr_budgets *budgets);
-bool
-sr_budgets_start (struct sr_budgets *budgets);
-void
-sr_budgets_stop (struct sr_budgets *budgets);
-void
-sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server);
-enum sr_budget_verdict
-sr_budgets_reserve (struct sr_budgets *budgets,
-                    const char *budget,
-                    int64_t tokens,
-                    int64_t deadline_us,
-                    struct sr_reservation **reservation,
-                    int64_t *retry_after_ms);
-void
-sr_budgets_settle (struct sr_budgets *budgets,
-                   struct sr_reservation *reservation,
-                   int64_t used_tokens);
-void
-sr_budgets_print_status (struct sr_budgets *budgets, GString *json);
-bool
-sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us);
+struct sr_budgets *sr_budgets_new (const struct sr_budgets_options *options);
+void sr_budgets_delete (struct sr_budgets *budgets);
+bool sr_budgets_start (struct sr_budgets *budgets);
+void sr_budgets_stop (struct sr_budgets *budgets);
+void sr_budgets_add_to_server (struct sr_budgets *budgets, struct sr_peer_server *server);
+enum sr_budget_verdict sr_budgets_reserve (struct sr_budgets *budgets,
+                                           const char *budget,
+                                           int64_t tokens,
+                                           int64_t deadline_us,
+                                           struct sr_reservation **reservation,
+                                           int64_t *retry_after_ms);
+void sr_budgets_settle (struct sr_budgets *budgets,
+                        struct sr_reservation *reservation,
+                        int64_t used_tokens);
+void sr_budgets_print_status (struct sr_budgets *budgets, GString *json);
+bool sr_budgets_hand_over (struct sr_budgets *budgets, int64_t deadline_us);
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -26,32 +26,28 @@
                                int64_t need,
                                struct update *update);
 
-static enum sr_draw_result
-update_ (struct sr_budgets *budgets,
-         struct sr_budget_entry *entry,
-         edit_function edit,
-         int64_t need);
+static enum sr_draw_result update_ (struct sr_budgets *budgets,
+                                    struct sr_budget_entry *entry,
+                                    edit_function edit,
+                                    int64_t need);
 static enum sr_platform_status
 read_ (struct sr_budgets *budgets, const char *name, struct update *update);
 static enum sr_platform_status
 write_ (struct sr_budgets *budgets, const char *name, const struct update *update);
 static void
 note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status, int64_t begin_us);
-static void
-edit_draw_ (struct sr_budgets *budgets,
-            struct sr_budget_entry *entry,
-            int64_t need,
-            struct update *update);
-static void
-edit_keep_ (struct sr_budgets *budgets,
-            struct sr_budget_entry *entry,
-            int64_t need,
-            struct update *update);
-static void
-edit_close_ (struct sr_budgets *budgets,
-             struct sr_budget_entry *entry,
-             int64_t need,
-             struct update *update);
+static void edit_draw_ (struct sr_budgets *budgets,
+                        struct sr_budget_entry *entry,
+                        int64_t need,
+                        struct update *update);
+static void edit_keep_ (struct sr_budgets *budgets,
+                        struct sr_budget_entry *entry,
+                        int64_t need,
+                        struct update *update);
+static void edit_close_ (struct sr_budgets *budgets,
+                         struct sr_budget_entry *entry,
+                         int64_t need,
+                         struct update *update);
 
 /* Tells whether the platform failed so recently that it is not asked again yet. Called with the
  * mutex held. */
--- a/src/budget/handlers.c
+++ b/src/budget/handlers.c
@@ -9,21 +9,15 @@
   RECALL_PAUSE_US = 100000 /* between recalls that peers ask for */
 };
 
-static void
-copy_name_ (char *target, const char *source);
-static bool
-handle_borrow_ (void *in, void *out, void *data);
-static bool
-handle_recall_ (void *in, void *out, void *data);
-static bool
-handle_raise_ (void *in, void *out, void *data);
-static bool
-handle_seal_ (void *in, void *out, void *data);
-static void
-note_shortage_ (struct sr_budgets *budgets,
-                struct sr_budget_entry *entry,
-                const sr_budget_borrow_msg *request,
-                sr_budget_borrowed_msg *reply);
+static void copy_name_ (char *target, const char *source);
+static bool handle_borrow_ (void *in, void *out, void *data);
+static bool handle_recall_ (void *in, void *out, void *data);
+static bool handle_raise_ (void *in, void *out, void *data);
+static bool handle_seal_ (void *in, void *out, void *data);
+static void note_shortage_ (struct sr_budgets *budgets,
+                            struct sr_budget_entry *entry,
+                            const sr_budget_borrow_msg *request,
+                            sr_budget_borrowed_msg *reply);
 
 static const struct sr_peer_procedure procedures[] = {
   { SR_BUDGET_PROCEDURE_BORROW, (xdrproc_t)xdr_sr_budget_borrow_msg, sizeof (sr_budget_borrow_msg),
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -8,29 +8,21 @@
 
 static struct sr_source *
 source_new_ (struct sr_ledger *ledger, const struct sr_holder_id *id, bool own);
-static void
-source_free_ (void *data);
-static void
-source_doubt_ (struct sr_source *source, int64_t version, int64_t granted);
-static int64_t
-source_take_ (struct sr_source *source, int64_t tokens, GArray *parts);
+static void source_free_ (void *data);
+static void source_doubt_ (struct sr_source *source, int64_t version, int64_t granted);
+static int64_t source_take_ (struct sr_source *source, int64_t tokens, GArray *parts);
 static struct sr_source *
 own_open_ (struct sr_ledger *ledger, const char *witness, uint64_t witness_incarnation);
-static void
-own_close_ (struct sr_ledger *ledger, struct sr_source *source);
-static void
-read_source_ (struct sr_ledger *ledger,
-              struct sr_source *source,
-              const struct sr_record *record,
-              int64_t version);
-static void
-forget_empty_ (struct sr_ledger *ledger);
-static void
-count_demand_ (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
-static bool
-has_open_loans_ (const struct sr_source *source);
-static struct sr_source *
-source_by_id_ (const struct sr_ledger *ledger, const struct sr_holder_id *id);
+static void own_close_ (struct sr_ledger *ledger, struct sr_source *source);
+static void read_source_ (struct sr_ledger *ledger,
+                          struct sr_source *source,
+                          const struct sr_record *record,
+                          int64_t version);
+static void forget_empty_ (struct sr_ledger *ledger);
+static void count_demand_ (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
+static bool has_open_loans_ (const struct sr_source *source);
+static struct sr_source *source_by_id_ (const struct sr_ledger *ledger,
+                                        const struct sr_holder_id *id);
 static struct sr_loan *
 loan_of_ (struct sr_source *source, const char *borrower, uint64_t incarnation);
 
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -65,65 +65,43 @@
   int64_t last_use_us;
 };
 
-struct sr_ledger *
-sr_ledger_new (const struct sr_ledger_options *options);
-void
-sr_ledger_delete (struct sr_ledger *ledger);
-int64_t
-sr_source_limit (const struct sr_source *source);
-int64_t
-sr_source_available (const struct sr_source *source);
-int64_t
-sr_ledger_available (const struct sr_ledger *ledger);
-int64_t
-sr_ledger_held (const struct sr_ledger *ledger);
-int64_t
-sr_ledger_committed (const struct sr_ledger *ledger);
-GArray *
-sr_ledger_reserve (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
-void
-sr_ledger_settle (struct sr_ledger *ledger, GArray *parts, int64_t used);
-int64_t
-sr_ledger_demand (struct sr_ledger *ledger, int64_t now_us, int64_t cover_us);
-int64_t
-sr_ledger_missing_ahead (struct sr_ledger *ledger, int64_t now_us);
-bool
-sr_ledger_is_idle (const struct sr_ledger *ledger, int64_t now_us);
+struct sr_ledger *sr_ledger_new (const struct sr_ledger_options *options);
+void sr_ledger_delete (struct sr_ledger *ledger);
+int64_t sr_source_limit (const struct sr_source *source);
+int64_t sr_source_available (const struct sr_source *source);
+int64_t sr_ledger_available (const struct sr_ledger *ledger);
+int64_t sr_ledger_held (const struct sr_ledger *ledger);
+int64_t sr_ledger_committed (const struct sr_ledger *ledger);
+GArray *sr_ledger_reserve (struct sr_ledger *ledger, int64_t tokens, int64_t now_us);
+void sr_ledger_settle (struct sr_ledger *ledger, GArray *parts, int64_t used);
+int64_t sr_ledger_demand (struct sr_ledger *ledger, int64_t now_us, int64_t cover_us);
+int64_t sr_ledger_missing_ahead (struct sr_ledger *ledger, int64_t now_us);
+bool sr_ledger_is_idle (const struct sr_ledger *ledger, int64_t now_us);
 
 /* The own record on the platform. */
-void
-sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version);
-bool
-sr_ledger_has_left_over (const struct sr_ledger *ledger);
-bool
-sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final);
-void
-sr_ledger_draw (struct sr_ledger *ledger,
-                struct sr_record *record,
-                int64_t version,
-                int64_t need,
-                int64_t want,
-                const char *witness,
-                uint64_t witness_incarnation);
-bool
-sr_ledger_give_back (
+void sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version);
+bool sr_ledger_has_left_over (const struct sr_ledger *ledger);
+bool sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final);
+void sr_ledger_draw (struct sr_ledger *ledger,
+                     struct sr_record *record,
+                     int64_t version,
+                     int64_t need,
+                     int64_t want,
+                     const char *witness,
+                     uint64_t witness_incarnation);
+bool sr_ledger_give_back (
     struct sr_ledger *ledger, struct sr_record *record, int64_t version, int64_t keep, bool close);
-void
-sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record);
+void sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record);
 
 /* The witness of the own record. */
-int64_t
-sr_ledger_ceiling_wanted (struct sr_ledger *ledger, int64_t need, int64_t now_us);
-void
-sr_ledger_raised (struct sr_ledger *ledger,
-                  const struct sr_holder_id *id,
-                  int64_t ceiling,
-                  bool sealed);
+int64_t sr_ledger_ceiling_wanted (struct sr_ledger *ledger, int64_t need, int64_t now_us);
+void sr_ledger_raised (struct sr_ledger *ledger,
+                       const struct sr_holder_id *id,
+                       int64_t ceiling,
+                       bool sealed);
 
-void
-sr_ledger_abandon (struct sr_ledger *ledger);
-int64_t
-sr_ledger_finish (struct sr_ledger *ledger);
+void sr_ledger_abandon (struct sr_ledger *ledger);
+int64_t sr_ledger_finish (struct sr_ledger *ledger);
 
 /* Loans, lender's side. */
 struct sr_loan_answer
@@ -133,44 +111,36 @@
   int64_t lent;
 };
 
-int64_t
-sr_ledger_lend (struct sr_ledger *ledger,
-                const struct sr_holder_id *lender,
-                const char *borrower,
-                uint64_t incarnation,
-                int64_t returned,
-                int64_t need,
-                int64_t want,
-                int64_t now_us,
-                struct sr_loan_answer *answer);
+int64_t sr_ledger_lend (struct sr_ledger *ledger,
+                        const struct sr_holder_id *lender,
+                        const char *borrower,
+                        uint64_t incarnation,
+                        int64_t returned,
+                        int64_t need,
+                        int64_t want,
+                        int64_t now_us,
+                        struct sr_loan_answer *answer);
 
-void
-sr_ledger_take_return (struct sr_ledger *ledger,
-                       const struct sr_holder_id *lender,
-                       const char *borrower,
-                       uint64_t incarnation,
-                       int64_t returned);
+void sr_ledger_take_return (struct sr_ledger *ledger,
+                            const struct sr_holder_id *lender,
+                            const char *borrower,
+                            uint64_t incarnation,
+                            int64_t returned);
 
 /* Loans, borrower's side. */
-struct sr_source *
-sr_ledger_loan_from (const struct sr_ledger *ledger, const char *lender);
-void
-sr_ledger_loan_state (const struct sr_ledger *ledger,
-                      const struct sr_holder_id *lender,
-                      int64_t *lent,
-                      int64_t *open);
-void
-sr_ledger_note_open (struct sr_ledger *ledger,
-                     const struct sr_holder_id *lender,
-                     const char *borrower,
-                     uint64_t incarnation,
-                     int64_t lent,
-                     int64_t open);
-bool
-sr_ledger_has_open_loans (const struct sr_ledger *ledger);
-bool
-sr_ledger_loans_left (const struct sr_ledger *ledger);
-int64_t
-sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
+struct sr_source *sr_ledger_loan_from (const struct sr_ledger *ledger, const char *lender);
+void sr_ledger_loan_state (const struct sr_ledger *ledger,
+                           const struct sr_holder_id *lender,
+                           int64_t *lent,
+                           int64_t *open);
+void sr_ledger_note_open (struct sr_ledger *ledger,
+                          const struct sr_holder_id *lender,
+                          const char *borrower,
+                          uint64_t incarnation,
+                          int64_t lent,
+                          int64_t open);
+bool sr_ledger_has_open_loans (const struct sr_ledger *ledger);
+bool sr_ledger_loans_left (const struct sr_ledger *ledger);
+int64_t sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
 int64_t
 sr_ledger_return_loan (struct sr_ledger *ledger, const struct sr_holder_id *lender, int64_t keep);
--- a/src/budget/messages.h
+++ b/src/budget/messages.h
@@ -12,7 +12,5 @@
   SR_BUDGET_PROCEDURE_SEAL
 };
 
-sr_budget_holder_msg
-sr_holder_to_message (const struct sr_holder_id *id);
-void
-sr_holder_from_message (const sr_budget_holder_msg *message, struct sr_holder_id *id);
+sr_budget_holder_msg sr_holder_to_message (const struct sr_holder_id *id);
+void sr_holder_from_message (const sr_budget_holder_msg *message, struct sr_holder_id *id);
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -19,13 +19,11 @@
 
 static bool
 address_of_ (struct sr_budgets *budgets, const char *name, struct sr_peer_address *address);
-static void
-add_recalls_ (const struct sr_source *own, GArray *recalls);
-static void
-recall_from_ (struct sr_budgets *budgets,
-              struct sr_budget_entry *entry,
-              const char *borrower,
-              const struct sr_holder_id *id);
+static void add_recalls_ (const struct sr_source *own, GArray *recalls);
+static void recall_from_ (struct sr_budgets *budgets,
+                          struct sr_budget_entry *entry,
+                          const char *borrower,
+                          const struct sr_holder_id *id);
 
 /* Returns the view of the other instances, to be given back with sr_member_view_unref, or NULL when
  * this instance is alone. */
--- a/src/budget/raise.c
+++ b/src/budget/raise.c
@@ -23,14 +23,10 @@
   sr_budget_raise_item items[SR_BUDGET_RAISES_MAX];
 };
 
-static bool
-batch_add_ (struct batch *batch, struct sr_budget_entry *entry, int64_t need);
-static enum sr_peer_status
-batch_send_ (struct sr_budgets *budgets, struct batch *batch);
-static bool
-collect_ (struct sr_budgets *budgets, struct batch *batch);
-static void
-note_bad_witness_ (struct sr_budgets *budgets, const char *witness);
+static bool batch_add_ (struct batch *batch, struct sr_budget_entry *entry, int64_t need);
+static enum sr_peer_status batch_send_ (struct sr_budgets *budgets, struct batch *batch);
+static bool collect_ (struct sr_budgets *budgets, struct batch *batch);
+static void note_bad_witness_ (struct sr_budgets *budgets, const char *witness);
 
 /* Raises the ceiling of ENTRY's own record so that NEED tokens can be reserved. Returns false when
  * its witness does not answer, does not remember it, or has sealed it: the record is then given up,
--- a/src/budget/record.c
+++ b/src/budget/record.c
@@ -10,18 +10,12 @@
 
 static const int64_t PREPAID_MAX_TOKENS = INT64_C (1) << 60;
 
-static void
-top_up_free_ (void *data);
-static bool
-parse_top_ups_ (struct sr_record *record, const json_t *list);
-static bool
-parse_holders_ (struct sr_record *record, const json_t *list);
-static bool
-copy_name_ (char *target, const char *source);
-static json_t *
-holder_to_json_ (const struct sr_record_holder *holder);
-static json_t *
-top_up_to_json_ (const struct sr_record_top_up *top_up);
+static void top_up_free_ (void *data);
+static bool parse_top_ups_ (struct sr_record *record, const json_t *list);
+static bool parse_holders_ (struct sr_record *record, const json_t *list);
+static bool copy_name_ (char *target, const char *source);
+static json_t *holder_to_json_ (const struct sr_record_holder *holder);
+static json_t *top_up_to_json_ (const struct sr_record_top_up *top_up);
 
 /* Tells whether LEFT and RIGHT name the same holder's record. */
 bool
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -58,33 +58,22 @@
   SR_TOP_UP_OVERFLOW  /* the sum would leave the range of the counter or go below zero */
 };
 
-bool
-sr_holder_id_equal (const struct sr_holder_id *left, const struct sr_holder_id *right);
-struct sr_record *
-sr_record_new (void);
-void
-sr_record_delete (struct sr_record *record);
-struct sr_record *
-sr_record_parse (const char *text, size_t length);
-void
-sr_record_print (const struct sr_record *record, GString *out);
-int64_t
-sr_record_outstanding (const struct sr_record *record);
-int64_t
-sr_record_remaining (const struct sr_record *record);
-struct sr_record_holder *
-sr_record_find (const struct sr_record *record, const struct sr_holder_id *id);
+bool sr_holder_id_equal (const struct sr_holder_id *left, const struct sr_holder_id *right);
+struct sr_record *sr_record_new (void);
+void sr_record_delete (struct sr_record *record);
+struct sr_record *sr_record_parse (const char *text, size_t length);
+void sr_record_print (const struct sr_record *record, GString *out);
+int64_t sr_record_outstanding (const struct sr_record *record);
+int64_t sr_record_remaining (const struct sr_record *record);
+struct sr_record_holder *sr_record_find (const struct sr_record *record,
+                                         const struct sr_holder_id *id);
 struct sr_record_holder *
 sr_record_open (struct sr_record *record, const struct sr_holder_id *id, const char *data_centre);
-int64_t
-sr_record_grant (struct sr_record *record,
-                 struct sr_record_holder *holder,
-                 int64_t need,
-                 int64_t want);
-void
-sr_record_close (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
-void
-sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id);
-enum sr_top_up_verdict
-sr_record_top_up (
+int64_t sr_record_grant (struct sr_record *record,
+                         struct sr_record_holder *holder,
+                         int64_t need,
+                         int64_t want);
+void sr_record_close (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
+void sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id);
+enum sr_top_up_verdict sr_record_top_up (
     struct sr_record *record, const char *id, int64_t tokens, const char *who, int64_t time_ms);
--- a/src/budget/recover.c
+++ b/src/budget/recover.c
@@ -21,13 +21,11 @@
   FATE_SUPERSEDED /* a later incarnation runs */
 };
 
-static char *
-take_back_id_ (const char *name, const struct sr_holder_id *id);
-static enum fate
-fate_of_ (struct sr_budgets *budgets,
-          const struct sr_member_view *view,
-          const char *instance,
-          uint64_t incarnation);
+static char *take_back_id_ (const char *name, const struct sr_holder_id *id);
+static enum fate fate_of_ (struct sr_budgets *budgets,
+                           const struct sr_member_view *view,
+                           const char *instance,
+                           uint64_t incarnation);
 
 /* Closes in RECORD of budget NAME the holders that are believed dead: as having spent the ceiling,
  * once their witness has sealed it; as having spent everything, when both the holder and its
--- a/src/budget/top-up.c
+++ b/src/budget/top-up.c
@@ -9,15 +9,13 @@
   LIST_LIMIT = 500
 };
 
-static enum sr_platform_status
-try_ (struct sr_platform *platform,
-      const struct sr_top_up_request *request,
-      struct sr_top_up_result *result);
-static struct sr_record *
-read_ (struct sr_platform *platform,
-       const char *budget,
-       int64_t *version,
-       enum sr_platform_status *status);
+static enum sr_platform_status try_ (struct sr_platform *platform,
+                                     const struct sr_top_up_request *request,
+                                     struct sr_top_up_result *result);
+static struct sr_record *read_ (struct sr_platform *platform,
+                                const char *budget,
+                                int64_t *version,
+                                enum sr_platform_status *status);
 
 /* Applies REQUEST once, whoever else writes to the budget meanwhile. A lost answer is resolved by
  * reading the record back: the id of the top-up is in it or not. RESULT says what came of it; with
--- a/src/budget/top-up.h
+++ b/src/budget/top-up.h
@@ -24,15 +24,13 @@
   int64_t time_ms; /* real time */
 };
 
-void
-sr_top_up_apply (struct sr_platform *platform,
-                 const struct sr_top_up_request *request,
-                 struct sr_top_up_result *result);
+void sr_top_up_apply (struct sr_platform *platform,
+                      const struct sr_top_up_request *request,
+                      struct sr_top_up_result *result);
 
 typedef bool (*sr_budget_callback) (const char *name, const struct sr_record *record, void *data);
 
-enum sr_platform_status
-sr_budget_read_all (struct sr_platform *platform,
-                    const char *prefix,
-                    sr_budget_callback callback,
-                    void *data);
+enum sr_platform_status sr_budget_read_all (struct sr_platform *platform,
+                                            const char *prefix,
+                                            sr_budget_callback callback,
+                                            void *data);
--- a/src/budget/witness.c
+++ b/src/budget/witness.c
@@ -12,8 +12,7 @@
   bool sealed;
 };
 
-static char *
-key_ (const char *budget, const struct sr_holder_id *holder);
+static char *key_ (const char *budget, const struct sr_holder_id *holder);
 
 /* Creates a witness that remembers at most HOLDERS_MAX holders' records. */
 struct sr_witness *
--- a/src/budget/witness.h
+++ b/src/budget/witness.h
@@ -6,26 +6,20 @@
 
 struct sr_witness;
 
-struct sr_witness *
-sr_witness_new (unsigned holders_max);
-void
-sr_witness_delete (struct sr_witness *witness);
-int64_t
-sr_witness_raise (struct sr_witness *witness,
-                  const char *budget,
-                  const struct sr_holder_id *holder,
-                  int64_t ceiling,
-                  bool *sealed);
+struct sr_witness *sr_witness_new (unsigned holders_max);
+void sr_witness_delete (struct sr_witness *witness);
+int64_t sr_witness_raise (struct sr_witness *witness,
+                          const char *budget,
+                          const struct sr_holder_id *holder,
+                          int64_t ceiling,
+                          bool *sealed);
 int64_t
 sr_witness_seal (struct sr_witness *witness, const char *budget, const struct sr_holder_id *holder);
-void
-sr_witness_finish (struct sr_witness *witness,
-                   const char *budget,
-                   const struct sr_holder_id *holder,
-                   int64_t ceiling);
-void
-sr_witness_forget (struct sr_witness *witness,
-                   const char *budget,
-                   const struct sr_holder_id *holder);
-unsigned
-sr_witness_length (const struct sr_witness *witness);
+void sr_witness_finish (struct sr_witness *witness,
+                        const char *budget,
+                        const struct sr_holder_id *holder,
+                        int64_t ceiling);
+void sr_witness_forget (struct sr_witness *witness,
+                        const char *budget,
+                        const struct sr_holder_id *holder);
+unsigned sr_witness_length (const struct sr_witness *witness);
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -9,12 +9,9 @@
   FORGET_US = 60000000 /* after its last use, a budget of which nothing is held is forgotten */
 };
 
-static struct sr_budget_entry *
-pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
-static struct sr_budget_entry *
-pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us);
-static gboolean
-is_forgettable_ (void *key, void *value, void *data);
+static struct sr_budget_entry *pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
+static struct sr_budget_entry *pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us);
+static gboolean is_forgettable_ (void *key, void *value, void *data);
 
 /* A worker: gets tokens for the budgets in the ring until it is closed. */
 void *
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -28,29 +28,19 @@
   CLI_GO_ON = -1
 };
 
-int
-cli_parse (int argc,
-           char **argv,
-           void **table,
-           const struct arg_lit *help,
-           struct arg_end *end,
-           const char *description);
-bool
-cli_read_file (const char *path, char **text, size_t *length);
-struct sr_platform *
-cli_open_platform (const char *command, const char *address);
-int64_t
-cli_deadline_us (void);
+int cli_parse (int argc,
+               char **argv,
+               void **table,
+               const struct arg_lit *help,
+               struct arg_end *end,
+               const char *description);
+bool cli_read_file (const char *path, char **text, size_t *length);
+struct sr_platform *cli_open_platform (const char *command, const char *address);
+int64_t cli_deadline_us (void);
 
-int
-cli_command_audit (int argc, char **argv);
-int
-cli_command_check (int argc, char **argv);
-int
-cli_command_serve (int argc, char **argv);
-int
-cli_command_show (int argc, char **argv);
-int
-cli_command_submit (int argc, char **argv);
-int
-cli_command_version (int argc, char **argv);
+int cli_command_audit (int argc, char **argv);
+int cli_command_check (int argc, char **argv);
+int cli_command_serve (int argc, char **argv);
+int cli_command_show (int argc, char **argv);
+int cli_command_submit (int argc, char **argv);
+int cli_command_version (int argc, char **argv);
--- a/src/cli/command-audit.c
+++ b/src/cli/command-audit.c
@@ -5,18 +5,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-static int
-run_ (struct sr_platform *platform, const char *budget, bool json);
-static enum sr_platform_status
-complete_ (struct sr_platform *platform, const char *budget);
-static void
-print_text_ (const struct sr_audit_entry *entry);
-static void
-print_lines_ (const char *mark, const char *text);
-static void
-print_json_ (const struct sr_audit_entry *entry);
-static void
-entry_free_ (void *data);
+static int run_ (struct sr_platform *platform, const char *budget, bool json);
+static enum sr_platform_status complete_ (struct sr_platform *platform, const char *budget);
+static void print_text_ (const struct sr_audit_entry *entry);
+static void print_lines_ (const char *mark, const char *text);
+static void print_json_ (const struct sr_audit_entry *entry);
+static void entry_free_ (void *data);
 
 /* Runs "audit": prints the audit trail, oldest first. */
 int
--- a/src/cli/command-check.c
+++ b/src/cli/command-check.c
@@ -10,10 +10,8 @@
   FILES_MAX = 100
 };
 
-static void
-check_file_ (const char *path, struct sr_findings *findings);
-static bool
-is_settings_ (const char *text, size_t length);
+static void check_file_ (const char *path, struct sr_findings *findings);
+static bool is_settings_ (const char *text, size_t length);
 
 /* Runs "check": reads files of settings or of configuration and prints every finding on stdout. */
 int
--- a/src/cli/command-show.c
+++ b/src/cli/command-show.c
@@ -49,34 +49,21 @@
     = { "team",          "request",       "budget",        "service",
         "prompt_tokens", "output_tokens", "billed_tokens", NULL };
 
-static bool
-find_topic_ (const struct arg_str *name, enum topic_ *topic);
-static int
-show_instance_ (const char *address, enum topic_ topic, bool json);
-static void
-print_status_ (const json_t *status, enum topic_ topic, bool json);
-static json_t *
-rows_by_name_ (const json_t *members, const char *column);
-static json_t *
-rows_by_service_ (const json_t *backends);
-static json_t *
-read_status_ (const char *ip, unsigned port);
-static int
-show_platform_ (struct sr_platform *platform, enum topic_ topic, bool json);
-static int
-show_config_ (struct sr_platform *platform, bool json);
-static int
-show_instances_ (struct sr_platform *platform, bool json);
-static int
-show_budgets_ (struct sr_platform *platform, bool json);
+static bool find_topic_ (const struct arg_str *name, enum topic_ *topic);
+static int show_instance_ (const char *address, enum topic_ topic, bool json);
+static void print_status_ (const json_t *status, enum topic_ topic, bool json);
+static json_t *rows_by_name_ (const json_t *members, const char *column);
+static json_t *rows_by_service_ (const json_t *backends);
+static json_t *read_status_ (const char *ip, unsigned port);
+static int show_platform_ (struct sr_platform *platform, enum topic_ topic, bool json);
+static int show_config_ (struct sr_platform *platform, bool json);
+static int show_instances_ (struct sr_platform *platform, bool json);
+static int show_budgets_ (struct sr_platform *platform, bool json);
 static enum sr_platform_status
 add_budget_ (struct sr_platform *platform, const char *name, json_t *rows);
-static int
-show_bills_ (struct sr_platform *platform, bool json);
-static bool
-add_bill_ (const struct sr_bill *bill, void *rows);
-static int
-report_ (enum sr_platform_status status);
+static int show_bills_ (struct sr_platform *platform, bool json);
+static bool add_bill_ (const struct sr_bill *bill, void *rows);
+static int report_ (enum sr_platform_status status);
 
 /* Runs "show": prints what an instance knows, or what the platform holds. */
 int
--- a/src/cli/command-submit.c
+++ b/src/cli/command-submit.c
@@ -25,12 +25,9 @@
   struct arg_end *end;
 };
 
-static bool
-fill_ (const struct arguments_ *arguments, struct sr_submission *submission);
-static int
-run_ (struct sr_platform *platform, const struct sr_submission *submission);
-static int
-report_ (const struct sr_submission *submission, const struct sr_submit_result *result);
+static bool fill_ (const struct arguments_ *arguments, struct sr_submission *submission);
+static int run_ (struct sr_platform *platform, const struct sr_submission *submission);
+static int report_ (const struct sr_submission *submission, const struct sr_submit_result *result);
 
 /* Runs "submit": checks a configuration and puts it in force on the platform. */
 int
--- a/src/cli/command-topup.c
+++ b/src/cli/command-topup.c
@@ -14,12 +14,9 @@
   US_PER_MS = 1000
 };
 
-static bool
-is_name_ (const char *text, size_t max_bytes);
-static int
-run_ (const struct sr_top_up_request *request, const char *address);
-static int
-report_ (const struct sr_top_up_request *request, const struct sr_top_up_result *result);
+static bool is_name_ (const char *text, size_t max_bytes);
+static int run_ (const struct sr_top_up_request *request, const char *address);
+static int report_ (const struct sr_top_up_request *request, const struct sr_top_up_result *result);
 
 /* Runs "topup BUDGET --tokens N --id ID [--who NAME] --platform IP:PORT" (ARGV[0] is "topup").
  * Returns the exit status: 0 applied, now or before; 1 not applied, or not known; 2 usage. */
--- a/src/cli/print-table.c
+++ b/src/cli/print-table.c
@@ -10,14 +10,10 @@
   GAP = 2
 };
 
-static void
-print_lines_ (const json_t *rows, FILE *stream);
-static char *
-cell_text_ (const json_t *row, const char *column);
-static void
-measure_ (const json_t *rows, const char *const *columns, size_t *widths);
-static void
-print_cell_ (const char *text, size_t width, bool is_last, FILE *stream);
+static void print_lines_ (const json_t *rows, FILE *stream);
+static char *cell_text_ (const json_t *row, const char *column);
+static void measure_ (const json_t *rows, const char *const *columns, size_t *widths);
+static void print_cell_ (const char *text, size_t width, bool is_last, FILE *stream);
 
 /* Prints ROWS, an array of objects, on STREAM: as one line of JSON for each, whole; or as a table
  * with a heading, of the members named by COLUMNS (at most 16, ends with NULL). */
--- a/src/cli/print-table.h
+++ b/src/cli/print-table.h
@@ -5,5 +5,4 @@
 #include <stdbool.h>
 #include <stdio.h>
 
-void
-cli_print_rows (const json_t *rows, const char *const *columns, bool as_json, FILE *stream);
+void cli_print_rows (const json_t *rows, const char *const *columns, bool as_json, FILE *stream);
--- a/src/config/builder.c
+++ b/src/config/builder.c
@@ -15,18 +15,12 @@
   struct sr_findings *findings; /* of values that would break the file's syntax */
 };
 
-static void
-begin_section_ (struct sr_builder *builder, const char *kind, const char *name);
-static void
-add_text_ (struct sr_builder *builder, const char *key, const char *value);
-static void
-add_number_ (struct sr_builder *builder, const char *key, unsigned value);
-static void
-add_yes_ (struct sr_builder *builder, const char *key, bool value);
-static void
-add_keys_ (struct sr_builder *builder, const char *const *keys);
-static bool
-is_plain_ (struct sr_builder *builder, const char *key, const char *value);
+static void begin_section_ (struct sr_builder *builder, const char *kind, const char *name);
+static void add_text_ (struct sr_builder *builder, const char *key, const char *value);
+static void add_number_ (struct sr_builder *builder, const char *key, unsigned value);
+static void add_yes_ (struct sr_builder *builder, const char *key, bool value);
+static void add_keys_ (struct sr_builder *builder, const char *const *keys);
+static bool is_plain_ (struct sr_builder *builder, const char *key, const char *value);
 
 /* Creates an empty configuration. The caller owns it and frees it with sr_builder_delete. */
 struct sr_builder *
--- a/src/config/bundle.c
+++ b/src/config/bundle.c
@@ -7,26 +7,21 @@
 static const char *const status_strings_[]
     = { "ok", "nothing was ever accepted", "no answer", "moved on", "corrupt" };
 
-static enum sr_platform_status
-platform_get_head_ (struct config_source *source, GString *body);
+static enum sr_platform_status platform_get_head_ (struct config_source *source, GString *body);
 static enum sr_platform_status
 platform_get_part_ (struct config_source *source, const char *name, GString *body);
 static enum config_bundle_status
 fetch_part_ (struct config_source *source, const char *name, GBytes **text);
-static enum config_bundle_status
-add_part_ (struct config_source *source,
-           struct config_bundle *bundle,
-           size_t index,
-           const struct config_bundle *former,
-           GHashTable *known);
+static enum config_bundle_status add_part_ (struct config_source *source,
+                                            struct config_bundle *bundle,
+                                            size_t index,
+                                            const struct config_bundle *former,
+                                            GHashTable *known);
 static struct config_sections *
 read_part_ (struct config_bundle *bundle, size_t index, struct sr_findings *findings);
-static GHashTable *
-index_parts_ (const struct config_bundle *bundle);
-static void
-bytes_free_ (void *data);
-static void
-sections_free_ (void *data);
+static GHashTable *index_parts_ (const struct config_bundle *bundle);
+static void bytes_free_ (void *data);
+static void sections_free_ (void *data);
 
 /* Makes SOURCE read from PLATFORM, which it does not own, until DEADLINE_US (monotonic). */
 void
--- a/src/config/bundle.h
+++ b/src/config/bundle.h
@@ -38,24 +38,17 @@
   CONFIG_BUNDLE_CORRUPT /* what was read is no head or not its part */
 };
 
-void
-config_source_platform_init (struct config_source_platform *source,
-                             struct sr_platform *platform,
-                             int64_t deadline_us);
-enum config_bundle_status
-config_bundle_read (struct config_source *source,
-                    const struct config_bundle *former,
-                    struct config_bundle **bundle);
-enum config_bundle_status
-config_bundle_complete (struct config_source *source,
-                        const GString *head_body,
-                        const struct config_bundle *former,
-                        struct config_bundle **bundle);
-struct config_bundle *
-config_bundle_new_empty (void);
-void
-config_bundle_delete (struct config_bundle *bundle);
-struct sr_config *
-config_bundle_parse (struct config_bundle *bundle, struct sr_findings *findings);
-const char *
-config_bundle_status_to_string (enum config_bundle_status status);
+void config_source_platform_init (struct config_source_platform *source,
+                                  struct sr_platform *platform,
+                                  int64_t deadline_us);
+enum config_bundle_status config_bundle_read (struct config_source *source,
+                                              const struct config_bundle *former,
+                                              struct config_bundle **bundle);
+enum config_bundle_status config_bundle_complete (struct config_source *source,
+                                                  const GString *head_body,
+                                                  const struct config_bundle *former,
+                                                  struct config_bundle **bundle);
+struct config_bundle *config_bundle_new_empty (void);
+void config_bundle_delete (struct config_bundle *bundle);
+struct sr_config *config_bundle_parse (struct config_bundle *bundle, struct sr_findings *findings);
+const char *config_bundle_status_to_string (enum config_bundle_status status);
--- a/src/config/config.c
+++ b/src/config/config.c
@@ -6,26 +6,19 @@
 
 static void
 add_team_ (struct sr_config *config, const struct config_team *team, struct sr_findings *findings);
-static void
-add_service_ (struct sr_config *config,
-              const struct config_service *service,
-              struct sr_findings *findings);
-static void
-note_double_ (GHashTable *table,
-              const GString *name,
-              const char *kind,
-              const struct config_origin *origin,
-              struct sr_findings *findings);
-static void
-team_free_ (void *data);
-static void
-pool_free_ (void *data);
-static void
-sections_free_ (void *data);
-static void
-config_free_ (struct sr_config *config);
-static unsigned char
-digest_difference_ (const unsigned char *a, const unsigned char *b);
+static void add_service_ (struct sr_config *config,
+                          const struct config_service *service,
+                          struct sr_findings *findings);
+static void note_double_ (GHashTable *table,
+                          const GString *name,
+                          const char *kind,
+                          const struct config_origin *origin,
+                          struct sr_findings *findings);
+static void team_free_ (void *data);
+static void pool_free_ (void *data);
+static void sections_free_ (void *data);
+static void config_free_ (struct sr_config *config);
+static unsigned char digest_difference_ (const unsigned char *a, const unsigned char *b);
 
 /* Reads a whole configuration from LENGTH bytes of TEXT and checks it, references between sections
  * included. FILE_NAME is only for the findings. Returns a snapshot that carries REVISION, with one
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -52,45 +52,31 @@
 };
 
 /* Snapshot: all pointers returned live as long as the reference. */
-struct sr_config *
-sr_config_parse (const char *file_name,
-                 const char *text,
-                 size_t length,
-                 int64_t revision,
-                 struct sr_findings *findings);
-struct sr_config *
-sr_config_ref (struct sr_config *config);
-void
-sr_config_unref (struct sr_config *config);
-int64_t
-sr_config_revision (const struct sr_config *config);
+struct sr_config *sr_config_parse (const char *file_name,
+                                   const char *text,
+                                   size_t length,
+                                   int64_t revision,
+                                   struct sr_findings *findings);
+struct sr_config *sr_config_ref (struct sr_config *config);
+void sr_config_unref (struct sr_config *config);
+int64_t sr_config_revision (const struct sr_config *config);
 const struct sr_config_team *
 sr_config_team_by_key (const struct sr_config *config, const char *key, size_t key_length);
-const struct sr_config_team *
-sr_config_team (const struct sr_config *config, const char *name);
-bool
-sr_config_team_owns_budget (const struct sr_config_team *team, const char *budget);
-const struct sr_config_service *
-sr_config_service (const struct sr_config *config, const char *name);
-const GPtrArray *
-sr_config_service_backends (const struct sr_config *config, const char *service);
-const GPtrArray *
-sr_config_services (const struct sr_config *config);
-const GPtrArray *
-sr_config_backends (const struct sr_config *config);
-const GPtrArray *
-sr_config_budgets (const struct sr_config *config); /* names, GString */
+const struct sr_config_team *sr_config_team (const struct sr_config *config, const char *name);
+bool sr_config_team_owns_budget (const struct sr_config_team *team, const char *budget);
+const struct sr_config_service *sr_config_service (const struct sr_config *config,
+                                                   const char *name);
+const GPtrArray *sr_config_service_backends (const struct sr_config *config, const char *service);
+const GPtrArray *sr_config_services (const struct sr_config *config);
+const GPtrArray *sr_config_backends (const struct sr_config *config);
+const GPtrArray *sr_config_budgets (const struct sr_config *config); /* names, GString */
 
 /* The one in force. sr_config_current_get takes a reference under RCU; NULL before the first. Every
  * thread that calls it is registered with RCU by itself. */
 struct sr_config_current;
 
-struct sr_config_current *
-sr_config_current_new (void);
-void
-sr_config_current_delete (struct sr_config_current *current);
-struct sr_config *
-sr_config_current_get (struct sr_config_current *current);
-bool
-sr_config_current_apply (struct sr_config_current *current,
-                         struct sr_config *config); /* false: not a higher revision */
+struct sr_config_current *sr_config_current_new (void);
+void sr_config_current_delete (struct sr_config_current *current);
+struct sr_config *sr_config_current_get (struct sr_config_current *current);
+bool sr_config_current_apply (struct sr_config_current *current,
+                              struct sr_config *config); /* false: not a higher revision */
--- a/src/config/current.c
+++ b/src/config/current.c
@@ -16,12 +16,9 @@
 static pthread_key_t thread_key_;
 static __thread bool thread_is_registered_;
 
-static void
-register_thread_ (void);
-static void
-create_thread_key_ (void);
-static void
-unregister_thread_ (void *data);
+static void register_thread_ (void);
+static void create_thread_key_ (void);
+static void unregister_thread_ (void *data);
 
 /* Creates the place of the configuration in force, empty. The caller owns it and frees it with
  * sr_config_current_delete. */
--- a/src/config/follow.c
+++ b/src/config/follow.c
@@ -7,8 +7,7 @@
   PERCENT = 100
 };
 
-static void
-note_failure_ (struct config_follow *follow, unsigned jitter_percent, int64_t now_us);
+static void note_failure_ (struct config_follow *follow, unsigned jitter_percent, int64_t now_us);
 
 /* Notes how a watch of the platform's head ended. JITTER_PERCENT (0 to 99) is random; NOW_US is
  * monotonic. News are noted with config_follow_note_head as well, once they were dealt with. */
--- a/src/config/follow.h
+++ b/src/config/follow.h
@@ -24,20 +24,16 @@
   int64_t pause_until_us;
 };
 
-void
-config_follow_note_watch (struct config_follow *follow,
-                          enum sr_platform_status status,
-                          unsigned jitter_percent,
-                          int64_t now_us);
-void
-config_follow_note_head (struct config_follow *follow,
-                         enum config_bundle_status status,
-                         int64_t version,
-                         unsigned jitter_percent,
-                         int64_t now_us);
-void
-config_follow_note_applied (struct config_follow *follow, int64_t revision);
-void
-config_follow_note_peer (struct config_follow *follow);
+void config_follow_note_watch (struct config_follow *follow,
+                               enum sr_platform_status status,
+                               unsigned jitter_percent,
+                               int64_t now_us);
+void config_follow_note_head (struct config_follow *follow,
+                              enum config_bundle_status status,
+                              int64_t version,
+                              unsigned jitter_percent,
+                              int64_t now_us);
+void config_follow_note_applied (struct config_follow *follow, int64_t revision);
+void config_follow_note_peer (struct config_follow *follow);
 enum config_follow_action
 config_follow_next (const struct config_follow *follow, int64_t peers_revision, int64_t now_us);
--- a/src/config/head.c
+++ b/src/config/head.c
@@ -4,20 +4,13 @@
 
 #include <string.h>
 
-static json_t *
-encode_names_ (const GPtrArray *names);
-static json_t *
-encode_changes_ (const GPtrArray *changes);
-static bool
-decode_names_ (const json_t *json, GPtrArray *names, size_t limit);
-static bool
-decode_changes_ (const json_t *json, GPtrArray *changes);
-static bool
-is_consistent_ (const struct config_head *head);
-static void
-string_free_ (void *data);
-static void
-entry_free_ (void *data);
+static json_t *encode_names_ (const GPtrArray *names);
+static json_t *encode_changes_ (const GPtrArray *changes);
+static bool decode_names_ (const json_t *json, GPtrArray *names, size_t limit);
+static bool decode_changes_ (const json_t *json, GPtrArray *changes);
+static bool is_consistent_ (const struct config_head *head);
+static void string_free_ (void *data);
+static void entry_free_ (void *data);
 
 /* Creates the head before the first revision. The caller owns it. */
 struct config_head *
--- a/src/config/head.h
+++ b/src/config/head.h
@@ -21,13 +21,9 @@
   GPtrArray *retired; /* names (GString) of former parts that still exist, oldest first */
 };
 
-struct config_head *
-config_head_new (void);
-void
-config_head_delete (struct config_head *head);
-char *
-config_head_encode (const struct config_head *head);
-struct config_head *
-config_head_decode (const char *body, size_t length);
-const struct sr_audit_entry *
-config_head_find_change (const struct config_head *head, const char *id);
+struct config_head *config_head_new (void);
+void config_head_delete (struct config_head *head);
+char *config_head_encode (const struct config_head *head);
+struct config_head *config_head_decode (const char *body, size_t length);
+const struct sr_audit_entry *config_head_find_change (const struct config_head *head,
+                                                      const char *id);
--- a/src/config/parts.c
+++ b/src/config/parts.c
@@ -14,28 +14,19 @@
 
 static const char change_signs_[] = "+-~";
 
-static struct sr_ini_document *
-read_ (const char *text, size_t length);
-static size_t
-count_for_ (size_t total_bytes, size_t previous_count);
-static GString *
-section_name_ (const struct sr_ini_section *section);
-static void
-print_section_ (const struct sr_ini_section *section, GString *out);
-static void
-append_change_ (GPtrArray *changes,
-                enum config_change_kind kind,
-                const GString *name,
-                const struct sr_ini_section *before,
-                const struct sr_ini_section *after);
-static int
-compare_sections_ (const void *a, const void *b);
-static void
-append_bounded_ (GString *out, const GString *text, size_t limit);
-static void
-change_free_ (void *data);
-static void
-string_free_ (void *data);
+static struct sr_ini_document *read_ (const char *text, size_t length);
+static size_t count_for_ (size_t total_bytes, size_t previous_count);
+static GString *section_name_ (const struct sr_ini_section *section);
+static void print_section_ (const struct sr_ini_section *section, GString *out);
+static void append_change_ (GPtrArray *changes,
+                            enum config_change_kind kind,
+                            const GString *name,
+                            const struct sr_ini_section *before,
+                            const struct sr_ini_section *after);
+static int compare_sections_ (const void *a, const void *b);
+static void append_bounded_ (GString *out, const GString *text, size_t limit);
+static void change_free_ (void *data);
+static void string_free_ (void *data);
 
 /* Cuts LENGTH bytes of TEXT, a configuration that was found good, into a power of two of parts: a
  * section goes by the hash of its name, and stands in its part in the order of names. The number
--- a/src/config/parts.h
+++ b/src/config/parts.h
@@ -28,18 +28,12 @@
   GString *after;
 };
 
-GPtrArray *
-config_parts_split (const char *text, size_t length, size_t previous_count);
-GString *
-config_part_name (const GString *text, const char *submission_id);
-bool
-config_part_name_is_good (const char *name);
-bool
-config_part_matches_name (const char *name, const char *text, size_t length);
-GPtrArray *
-config_parts_compare (const GString *before, const GString *after);
-void
-config_changes_describe (const GPtrArray *changes,
-                         GString *subject,
-                         GString *before,
-                         GString *after);
+GPtrArray *config_parts_split (const char *text, size_t length, size_t previous_count);
+GString *config_part_name (const GString *text, const char *submission_id);
+bool config_part_name_is_good (const char *name);
+bool config_part_matches_name (const char *name, const char *text, size_t length);
+GPtrArray *config_parts_compare (const GString *before, const GString *after);
+void config_changes_describe (const GPtrArray *changes,
+                              GString *subject,
+                              GString *before,
+                              GString *after);
--- a/src/config/references.c
+++ b/src/config/references.c
@@ -2,33 +2,25 @@
 
 #include <string.h>
 
-static void
-resolve_budgets_ (struct sr_config *config, struct sr_findings *findings);
-static void
-resolve_team_ (struct sr_config *config,
-               struct config_team *team,
-               GPtrArray *owned,
-               struct sr_findings *findings);
-static void
-resolve_backends_ (struct sr_config *config, struct sr_findings *findings);
-static void
-collect_digests_ (struct sr_config *config, struct sr_findings *findings);
+static void resolve_budgets_ (struct sr_config *config, struct sr_findings *findings);
+static void resolve_team_ (struct sr_config *config,
+                           struct config_team *team,
+                           GPtrArray *owned,
+                           struct sr_findings *findings);
+static void resolve_backends_ (struct sr_config *config, struct sr_findings *findings);
+static void collect_digests_ (struct sr_config *config, struct sr_findings *findings);
 static void
 add_digest_ (struct sr_config *config, const struct sr_config_team *team, const char *hex);
-static GPtrArray *
-sorted_values_ (GHashTable *table);
-static int
-compare_keys_ (const void *a, const void *b);
-static int
-compare_names_ (const void *a, const void *b);
-static void
-add_finding_ (struct sr_findings *findings,
-              const struct config_origin *origin,
-              const char *kind,
-              const GString *name,
-              const char *key,
-              const char *message,
-              const char *about);
+static GPtrArray *sorted_values_ (GHashTable *table);
+static int compare_keys_ (const void *a, const void *b);
+static int compare_names_ (const void *a, const void *b);
+static void add_finding_ (struct sr_findings *findings,
+                          const struct config_origin *origin,
+                          const char *kind,
+                          const GString *name,
+                          const char *key,
+                          const char *message,
+                          const char *about);
 
 /* Ends the building of CONFIG: resolves and checks the references between its sections, and fills
  * the tables for look-ups. Returns false after adding faults to FINDINGS. */
--- a/src/config/sections.c
+++ b/src/config/sections.c
@@ -29,36 +29,22 @@
   void (*add) (struct adding_ *adding);
 };
 
-static struct config_sections *
-sections_new_ (void);
-static void
-add_section_ (struct adding_ *adding);
-static void
-add_team_ (struct adding_ *adding);
-static void
-add_budget_ (struct adding_ *adding);
-static void
-add_service_ (struct adding_ *adding);
-static void
-add_backend_ (struct adding_ *adding);
-static void
-team_free_ (void *data);
-static void
-budget_free_ (void *data);
-static void
-service_free_ (void *data);
-static void
-backend_free_ (void *data);
-static void
-check_service_ (const struct adding_ *adding, struct sr_config_service *service);
-static const char *
-check_digest_ (const char *item);
+static struct config_sections *sections_new_ (void);
+static void add_section_ (struct adding_ *adding);
+static void add_team_ (struct adding_ *adding);
+static void add_budget_ (struct adding_ *adding);
+static void add_service_ (struct adding_ *adding);
+static void add_backend_ (struct adding_ *adding);
+static void team_free_ (void *data);
+static void budget_free_ (void *data);
+static void service_free_ (void *data);
+static void backend_free_ (void *data);
+static void check_service_ (const struct adding_ *adding, struct sr_config_service *service);
+static const char *check_digest_ (const char *item);
 static void
 fill_ (const struct adding_ *adding, const struct sr_ini_key *keys, size_t n_keys, void *target);
-static bool
-has_key_ (const struct sr_ini_section *section, const char *key);
-static void
-add_finding_ (const struct adding_ *adding, const char *key, const char *message);
+static bool has_key_ (const struct sr_ini_section *section, const char *key);
+static void add_finding_ (const struct adding_ *adding, const char *key, const char *message);
 
 static const struct kind_ kinds_[] = {
   { "team", add_team_ },
--- a/src/config/snapshot.h
+++ b/src/config/snapshot.h
@@ -84,21 +84,15 @@
   GArray *digests; /* struct config_digest */
 };
 
-struct config_sections *
-config_sections_parse (const char *file_name,
-                       const char *text,
-                       size_t length,
-                       struct sr_findings *findings);
-struct config_sections *
-config_sections_ref (struct config_sections *sections);
-void
-config_sections_unref (struct config_sections *sections);
+struct config_sections *config_sections_parse (const char *file_name,
+                                               const char *text,
+                                               size_t length,
+                                               struct sr_findings *findings);
+struct config_sections *config_sections_ref (struct config_sections *sections);
+void config_sections_unref (struct config_sections *sections);
 
-struct sr_config *
-config_new (int64_t revision);
-void
-config_add_sections (struct sr_config *config,
-                     struct config_sections *sections,
-                     struct sr_findings *findings);
-bool
-config_finish (struct sr_config *config, struct sr_findings *findings);
+struct sr_config *config_new (int64_t revision);
+void config_add_sections (struct sr_config *config,
+                          struct config_sections *sections,
+                          struct sr_findings *findings);
+bool config_finish (struct sr_config *config, struct sr_findings *findings);
--- a/src/config/source-peer.c
+++ b/src/config/source-peer.c
@@ -8,8 +8,7 @@
   WHOLE_MAX_BYTES = 1 << 20
 };
 
-static enum sr_platform_status
-get_head_ (struct config_source *source, GString *body);
+static enum sr_platform_status get_head_ (struct config_source *source, GString *body);
 static enum sr_platform_status
 get_part_ (struct config_source *source, const char *name, GString *body);
 static enum sr_platform_status
--- a/src/config/source-peer.h
+++ b/src/config/source-peer.h
@@ -18,12 +18,10 @@
   int64_t deadline_us; /* monotonic */
 };
 
-void
-config_source_peer_init (struct config_source_peer *source,
-                         struct sr_peer_client *client,
-                         const struct sr_peer_address *address,
-                         int64_t deadline_us);
-void
-config_answer_chunk (const struct config_bundle *bundle,
-                     const config_chunk_query *query,
-                     config_chunk *chunk);
+void config_source_peer_init (struct config_source_peer *source,
+                              struct sr_peer_client *client,
+                              const struct sr_peer_address *address,
+                              int64_t deadline_us);
+void config_answer_chunk (const struct config_bundle *bundle,
+                          const config_chunk_query *query,
+                          config_chunk *chunk);
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -35,46 +35,27 @@
   GPtrArray *overflow;        /* names (GString) of retired parts that the next head forgets */
 };
 
-static bool
-check_ (struct submit_ *submit, struct sr_findings *findings);
-static bool
-read_base_ (struct submit_ *submit, struct sr_findings *findings);
-static bool
-accept_base_ (struct submit_ *submit);
-static bool
-build_next_ (struct submit_ *submit);
-static void
-reuse_part_ (struct submit_ *submit, size_t index, GString *before, GString *after);
-static void
-retire_parts_ (struct submit_ *submit);
-static void
-add_change_ (struct submit_ *submit, const GString *before, const GString *after);
-static bool
-store_parts_ (struct submit_ *submit);
-static bool
-store_trail_ (struct submit_ *submit);
-static void
-put_head_ (struct submit_ *submit);
-static bool
-settle_by_reading_ (struct submit_ *submit);
-static void
-settle_lost_race_ (struct submit_ *submit, const struct config_head *now);
-static bool
-trail_has_our_change_ (struct submit_ *submit);
+static bool check_ (struct submit_ *submit, struct sr_findings *findings);
+static bool read_base_ (struct submit_ *submit, struct sr_findings *findings);
+static bool accept_base_ (struct submit_ *submit);
+static bool build_next_ (struct submit_ *submit);
+static void reuse_part_ (struct submit_ *submit, size_t index, GString *before, GString *after);
+static void retire_parts_ (struct submit_ *submit);
+static void add_change_ (struct submit_ *submit, const GString *before, const GString *after);
+static bool store_parts_ (struct submit_ *submit);
+static bool store_trail_ (struct submit_ *submit);
+static void put_head_ (struct submit_ *submit);
+static bool settle_by_reading_ (struct submit_ *submit);
+static void settle_lost_race_ (struct submit_ *submit, const struct config_head *now);
+static bool trail_has_our_change_ (struct submit_ *submit);
 static void
 tell_changes_ (struct submit_ *submit, const struct config_head *now, int64_t base_revision);
-static void
-clean_up_ (struct submit_ *submit);
-static void
-remove_part_ (struct submit_ *submit, const char *name);
-static void
-copy_names_ (GPtrArray *to, const GPtrArray *from);
-static void
-copy_changes_ (GPtrArray *to, const GPtrArray *from);
-static bool
-finish_ (struct submit_ *submit, enum sr_submit_verdict verdict, int64_t revision);
-static void
-string_free_ (void *data);
+static void clean_up_ (struct submit_ *submit);
+static void remove_part_ (struct submit_ *submit, const char *name);
+static void copy_names_ (GPtrArray *to, const GPtrArray *from);
+static void copy_changes_ (GPtrArray *to, const GPtrArray *from);
+static bool finish_ (struct submit_ *submit, enum sr_submit_verdict verdict, int64_t revision);
+static void string_free_ (void *data);
 
 /* Checks SUBMISSION and puts it in force by one conditional update of the head object. Blocks until
  * the submission's deadline (monotonic) at the latest. RESULT tells what came of it; the caller
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -43,19 +43,15 @@
   GString *message;
 };
 
-void
-sr_config_submit (struct sr_platform *platform,
-                  const struct sr_submission *submission,
-                  struct sr_submit_result *result,
-                  struct sr_findings *findings);
-void
-sr_submit_result_clear (struct sr_submit_result *result);
-const char *
-sr_submit_verdict_to_string (enum sr_submit_verdict verdict);
-enum sr_platform_status
-sr_config_fetch (struct sr_platform *platform,
-                 GString *text,
-                 int64_t *revision,
-                 int64_t deadline_us);
+void sr_config_submit (struct sr_platform *platform,
+                       const struct sr_submission *submission,
+                       struct sr_submit_result *result,
+                       struct sr_findings *findings);
+void sr_submit_result_clear (struct sr_submit_result *result);
+const char *sr_submit_verdict_to_string (enum sr_submit_verdict verdict);
+enum sr_platform_status sr_config_fetch (struct sr_platform *platform,
+                                         GString *text,
+                                         int64_t *revision,
+                                         int64_t deadline_us);
 enum sr_platform_status
 sr_config_read_trail (struct sr_platform *platform, GPtrArray *entries, int64_t deadline_us);
--- a/src/config/watch.c
+++ b/src/config/watch.c
@@ -38,32 +38,22 @@
 static struct sr_counter refused_total_
     = { .name = "config_refused_total", .help = "Configurations that were read and not applied." };
 
-static void *
-run_ (void *data);
-static void
-watch_platform_ (struct sr_config_watch *watch);
-static enum config_bundle_status
-read_from_platform_ (struct sr_config_watch *watch, const GString *head_body);
-static void
-ask_peer_ (struct sr_config_watch *watch, const struct sr_config_peer *peer);
-static size_t
-find_best_peer_ (struct sr_config_watch *watch, struct sr_config_peer *best);
+static void *run_ (void *data);
+static void watch_platform_ (struct sr_config_watch *watch);
+static enum config_bundle_status read_from_platform_ (struct sr_config_watch *watch,
+                                                      const GString *head_body);
+static void ask_peer_ (struct sr_config_watch *watch, const struct sr_config_peer *peer);
+static size_t find_best_peer_ (struct sr_config_watch *watch, struct sr_config_peer *best);
 static void
 take_bundle_ (struct sr_config_watch *watch, struct config_bundle *bundle, const char *from);
-static bool
-put_in_force_ (struct sr_config_watch *watch,
-               struct sr_config *config,
-               struct config_bundle *bundle);
-static void
-log_findings_ (const struct sr_findings *findings, const char *from);
-static void
-pause_ (struct sr_config_watch *watch);
-static bool
-is_stopped_ (struct sr_config_watch *watch);
-static unsigned
-jitter_ (struct sr_config_watch *watch);
-static bool
-answer_chunk_ (void *in, void *out, void *data);
+static bool put_in_force_ (struct sr_config_watch *watch,
+                           struct sr_config *config,
+                           struct config_bundle *bundle);
+static void log_findings_ (const struct sr_findings *findings, const char *from);
+static void pause_ (struct sr_config_watch *watch);
+static bool is_stopped_ (struct sr_config_watch *watch);
+static unsigned jitter_ (struct sr_config_watch *watch);
+static bool answer_chunk_ (void *in, void *out, void *data);
 
 static const struct sr_peer_procedure procedures_[] = {
   { .number = CONFIG_PROCEDURE_CHUNK,
--- a/src/config/watch.h
+++ b/src/config/watch.h
@@ -35,13 +35,8 @@
 
 struct sr_config_watch;
 
-struct sr_config_watch *
-sr_config_watch_new (const struct sr_config_watch_options *options);
-bool
-sr_config_watch_start (struct sr_config_watch *watch);
-void
-sr_config_watch_stop (struct sr_config_watch *watch);
-void
-sr_config_watch_delete (struct sr_config_watch *watch);
-void
-sr_config_watch_add_to_server (struct sr_config_watch *watch, struct sr_peer_server *server);
+struct sr_config_watch *sr_config_watch_new (const struct sr_config_watch_options *options);
+bool sr_config_watch_start (struct sr_config_watch *watch);
+void sr_config_watch_stop (struct sr_config_watch *watch);
+void sr_config_watch_delete (struct sr_config_watch *watch);
+void sr_config_watch_add_to_server (struct sr_config_watch *watch, struct sr_peer_server *server);
--- a/src/dispatch/dispatch-private.h
+++ b/src/dispatch/dispatch-private.h
@@ -24,13 +24,9 @@
   _Atomic uint64_t next_nonce;
 };
 
-void
-sr_dispatch_perform_ (struct sr_dispatch *dispatch, struct sr_run *run);
-void
-sr_dispatch_got_place_ (struct sr_dispatch *dispatch, struct sr_run *run);
-void
-sr_dispatch_finish_ (struct sr_dispatch *dispatch,
-                     struct sr_run *run,
-                     const struct sr_run_result *result);
-void
-sr_dispatch_wake_ (struct sr_dispatch *dispatch);
+void sr_dispatch_perform_ (struct sr_dispatch *dispatch, struct sr_run *run);
+void sr_dispatch_got_place_ (struct sr_dispatch *dispatch, struct sr_run *run);
+void sr_dispatch_finish_ (struct sr_dispatch *dispatch,
+                          struct sr_run *run,
+                          const struct sr_run_result *result);
+void sr_dispatch_wake_ (struct sr_dispatch *dispatch);
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -19,27 +19,19 @@
 static struct sr_counter unknown_total
     = { .name = "requests_unknown_total", .help = "Requests that ended as unknown." };
 
-static void *
-dispatch_loop_ (void *data);
+static void *dispatch_loop_ (void *data);
 static void
 apply_configuration_ (struct sr_dispatch *dispatch, struct sr_config *config, int64_t now_us);
-static void
-expire_ (struct sr_dispatch *dispatch, int64_t now_us);
-static void
-hand_out_ (struct sr_dispatch *dispatch, struct sr_config *config, int64_t now_us);
-static bool
-hand_out_one_ (struct sr_dispatch *dispatch, const char *service, int64_t now_us);
-static unsigned
-handed_ (struct sr_dispatch *dispatch, const char *service);
-static void
-change_handed_ (struct sr_dispatch *dispatch, const char *service, int change);
-static void
-work_ (void *item, void *data);
-static void
-refuse_ (struct sr_dispatch *dispatch,
-         struct sr_run *run,
-         enum sr_error error,
-         int64_t retry_after_ms);
+static void expire_ (struct sr_dispatch *dispatch, int64_t now_us);
+static void hand_out_ (struct sr_dispatch *dispatch, struct sr_config *config, int64_t now_us);
+static bool hand_out_one_ (struct sr_dispatch *dispatch, const char *service, int64_t now_us);
+static unsigned handed_ (struct sr_dispatch *dispatch, const char *service);
+static void change_handed_ (struct sr_dispatch *dispatch, const char *service, int change);
+static void work_ (void *item, void *data);
+static void refuse_ (struct sr_dispatch *dispatch,
+                     struct sr_run *run,
+                     enum sr_error error,
+                     int64_t retry_after_ms);
 
 /* Creates a dispatch that is not started. The caller owns it. */
 struct sr_dispatch *
--- a/src/dispatch/dispatch.h
+++ b/src/dispatch/dispatch.h
@@ -30,15 +30,9 @@
   uint32_t seed;
 };
 
-struct sr_dispatch *
-sr_dispatch_new (const struct sr_dispatch_options *options);
-void
-sr_dispatch_delete (struct sr_dispatch *dispatch);
-bool
-sr_dispatch_start (struct sr_dispatch *dispatch);
-void
-sr_dispatch_stop (struct sr_dispatch *dispatch);
-void
-sr_dispatch_submit (struct sr_dispatch *dispatch, struct sr_run *run);
-void
-sr_dispatch_look_up (struct sr_dispatch *dispatch, struct sr_run *run);
+struct sr_dispatch *sr_dispatch_new (const struct sr_dispatch_options *options);
+void sr_dispatch_delete (struct sr_dispatch *dispatch);
+bool sr_dispatch_start (struct sr_dispatch *dispatch);
+void sr_dispatch_stop (struct sr_dispatch *dispatch);
+void sr_dispatch_submit (struct sr_dispatch *dispatch, struct sr_run *run);
+void sr_dispatch_look_up (struct sr_dispatch *dispatch, struct sr_run *run);
--- a/src/dispatch/perform-model.c
+++ b/src/dispatch/perform-model.c
@@ -10,17 +10,13 @@
     = { .name = "attempts_settled_at_upper_bound_total",
         .help = "Calls whose use of tokens is not known and was settled at its upper bound." };
 
-static bool
-try_model_once_ (struct performance *p);
-static void
-settle_model_ (struct performance *p,
-               const struct sr_backend_call *call,
-               const struct sr_backend_report *report,
-               int64_t bound);
-static int64_t
-model_bound_ (const struct performance *p);
-static void
-answer_model_ (struct performance *p, const struct sr_backend_report *report);
+static bool try_model_once_ (struct performance *p);
+static void settle_model_ (struct performance *p,
+                           const struct sr_backend_call *call,
+                           const struct sr_backend_report *report,
+                           int64_t bound);
+static int64_t model_bound_ (const struct performance *p);
+static void answer_model_ (struct performance *p, const struct sr_backend_report *report);
 
 /* Registers the counters of this file. */
 void
--- a/src/dispatch/perform-order.c
+++ b/src/dispatch/perform-order.c
@@ -2,19 +2,15 @@
 
 #include <stdio.h>
 
-static bool
-was_claimed_before_ (struct performance *p, const struct sr_claim_request *request);
-static void
-call_for_order_ (struct performance *p,
-                 const struct sr_claim *claim,
-                 struct sr_backend_report *report);
-static void
-end_order_ (struct performance *p,
-            const struct sr_claim_request *request,
-            struct sr_claim *claim,
-            struct sr_backend_report *report);
-static void
-finish_with_claim_ (struct performance *p, struct sr_claim *claim);
+static bool was_claimed_before_ (struct performance *p, const struct sr_claim_request *request);
+static void call_for_order_ (struct performance *p,
+                             const struct sr_claim *claim,
+                             struct sr_backend_report *report);
+static void end_order_ (struct performance *p,
+                        const struct sr_claim_request *request,
+                        struct sr_claim *claim,
+                        struct sr_backend_report *report);
+static void finish_with_claim_ (struct performance *p, struct sr_claim *claim);
 
 /* Finds out what became of an order, for a caller that only asks. */
 void
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -17,10 +17,8 @@
 static struct sr_histogram queue_to_first_us
     = { .name = "first_token_us", .help = "From the worker's start to the first token." };
 
-static bool
-follow_elsewhere_ (struct performance *p);
-static bool
-sink_ (void *data, const char *text, size_t length);
+static bool follow_elsewhere_ (struct performance *p);
+static bool sink_ (void *data, const char *text, size_t length);
 
 /* Carries RUN out from its place in the queue to its end. Runs in a worker thread and takes over
  * the queue's reference. */
--- a/src/dispatch/workers.c
+++ b/src/dispatch/workers.c
@@ -15,8 +15,7 @@
   unsigned n_busy; /* items given and not finished */
 };
 
-static void *
-work_ (void *data);
+static void *work_ (void *data);
 
 /* Creates a pool without threads. The caller owns it. */
 struct sr_workers *
--- a/src/dispatch/workers.h
+++ b/src/dispatch/workers.h
@@ -14,11 +14,7 @@
   void *data;
 };
 
-struct sr_workers *
-sr_workers_new (const struct sr_workers_options *options);
-void
-sr_workers_delete (struct sr_workers *workers);
-bool
-sr_workers_give (struct sr_workers *workers, void *item);
-unsigned
-sr_workers_free (struct sr_workers *workers);
+struct sr_workers *sr_workers_new (const struct sr_workers_options *options);
+void sr_workers_delete (struct sr_workers *workers);
+bool sr_workers_give (struct sr_workers *workers, void *item);
+unsigned sr_workers_free (struct sr_workers *workers);
--- a/src/drain/drain-core.c
+++ b/src/drain/drain-core.c
@@ -11,14 +11,10 @@
   "running", "leaving", "draining", "handing over", "stopped",
 };
 
-static enum sr_drain_action
-handle_signal_ (struct sr_drain_core *core, int64_t now_us);
-static enum sr_drain_action
-handle_tick_ (struct sr_drain_core *core, int64_t now_us);
-static enum sr_drain_action
-hand_over_ (struct sr_drain_core *core);
-static enum sr_drain_action
-stop_ (struct sr_drain_core *core, bool bills_left, bool budgets_left);
+static enum sr_drain_action handle_signal_ (struct sr_drain_core *core, int64_t now_us);
+static enum sr_drain_action handle_tick_ (struct sr_drain_core *core, int64_t now_us);
+static enum sr_drain_action hand_over_ (struct sr_drain_core *core);
+static enum sr_drain_action stop_ (struct sr_drain_core *core, bool bills_left, bool budgets_left);
 
 /* Returns the word for STATE, as shown in the log. */
 const char *
--- a/src/drain/drain-core.h
+++ b/src/drain/drain-core.h
@@ -57,11 +57,8 @@
   bool budgets_left;
 };
 
-void
-sr_drain_core_init (struct sr_drain_core *core, const struct sr_drain_core_options *options);
+void sr_drain_core_init (struct sr_drain_core *core, const struct sr_drain_core_options *options);
 enum sr_drain_action
 sr_drain_core_step (struct sr_drain_core *core, const struct sr_drain_event *event, int64_t now_us);
-int64_t
-sr_drain_core_hand_over_end_us (const struct sr_drain_core *core);
-const char *
-sr_drain_state_to_string (enum sr_drain_state state);
+int64_t sr_drain_core_hand_over_end_us (const struct sr_drain_core *core);
+const char *sr_drain_state_to_string (enum sr_drain_state state);
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -31,22 +31,14 @@
   bool budgets;
 };
 
-static void
-fill_stop_signals_ (sigset_t *signals);
-static bool
-wait_for_stop_ (struct sr_drain *drain);
-static enum sr_drain_action
-next_action_ (struct sr_drain *drain);
-static void
-perform_ (struct sr_drain *drain, enum sr_drain_action action);
-static void
-start_hand_over_ (struct sr_drain *drain);
-static void *
-hand_over_run_ (void *data);
-static void
-hand_over_ (struct sr_drain *drain);
-static bool
-log_end_ (const struct sr_drain *drain);
+static void fill_stop_signals_ (sigset_t *signals);
+static bool wait_for_stop_ (struct sr_drain *drain);
+static enum sr_drain_action next_action_ (struct sr_drain *drain);
+static void perform_ (struct sr_drain *drain, enum sr_drain_action action);
+static void start_hand_over_ (struct sr_drain *drain);
+static void *hand_over_run_ (void *data);
+static void hand_over_ (struct sr_drain *drain);
+static bool log_end_ (const struct sr_drain *drain);
 
 /* Blocks SIGTERM and SIGINT in the calling thread and those it starts later, so that sr_drain_run
  * gets them. Call it before the first other thread is started. */
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -37,15 +37,9 @@
 
 struct sr_drain;
 
-void
-sr_drain_block_signals (void);
-struct sr_drain *
-sr_drain_new (const struct sr_drain_options *options);
-void
-sr_drain_delete (struct sr_drain *drain);
-void
-sr_drain_request (struct sr_drain *drain);
-bool
-sr_drain_run (struct sr_drain *drain);
-enum sr_drain_state
-sr_drain_state (struct sr_drain *drain);
+void sr_drain_block_signals (void);
+struct sr_drain *sr_drain_new (const struct sr_drain_options *options);
+void sr_drain_delete (struct sr_drain *drain);
+void sr_drain_request (struct sr_drain *drain);
+bool sr_drain_run (struct sr_drain *drain);
+enum sr_drain_state sr_drain_state (struct sr_drain *drain);
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -14,26 +14,18 @@
   HEADER_NUMBER_BYTES = 24
 };
 
-static void
-resume_ (void *data);
-static void
-suspend_until_more_ (struct sr_caller *caller, bool whole);
-static enum MHD_Result
-reply_end_ (struct sr_caller *caller);
-static enum MHD_Result
-reply_stream_ (struct sr_caller *caller);
-static ssize_t
-read_stream_ (void *data, uint64_t position, char *buffer, size_t size);
-static void
-make_lines_ (struct sr_caller *caller);
-static ssize_t
-take_lines_ (struct sr_caller *caller, char *buffer, size_t size);
-static enum MHD_Result
-queue_ (struct sr_caller *caller,
-        int status,
-        const char *type,
-        struct MHD_Response *response,
-        int64_t retry_after_ms);
+static void resume_ (void *data);
+static void suspend_until_more_ (struct sr_caller *caller, bool whole);
+static enum MHD_Result reply_end_ (struct sr_caller *caller);
+static enum MHD_Result reply_stream_ (struct sr_caller *caller);
+static ssize_t read_stream_ (void *data, uint64_t position, char *buffer, size_t size);
+static void make_lines_ (struct sr_caller *caller);
+static ssize_t take_lines_ (struct sr_caller *caller, char *buffer, size_t size);
+static enum MHD_Result queue_ (struct sr_caller *caller,
+                               int status,
+                               const char *type,
+                               struct MHD_Response *response,
+                               int64_t retry_after_ms);
 
 /* Creates the state of a request on CONNECTION. The caller owns it. */
 struct sr_caller *
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -29,15 +29,14 @@
 static struct sr_counter gone_total
     = { .name = "entry_callers_gone_total", .help = "Callers that left before their reply." };
 
-static enum MHD_Result
-access_ (void *data,
-         struct MHD_Connection *connection,
-         const char *url,
-         const char *method,
-         const char *version,
-         const char *upload,
-         size_t *upload_length,
-         void **state);
+static enum MHD_Result access_ (void *data,
+                                struct MHD_Connection *connection,
+                                const char *url,
+                                const char *method,
+                                const char *version,
+                                const char *upload,
+                                size_t *upload_length,
+                                void **state);
 static enum MHD_Result
 take_upload_ (struct sr_entry *entry, struct sr_caller *caller, const char *upload, size_t *length);
 static enum MHD_Result
@@ -48,30 +47,23 @@
 handle_service_ (struct sr_entry *entry, struct sr_caller *caller, const char *service);
 static enum MHD_Result
 handle_request_ (struct sr_entry *entry, struct sr_caller *caller, const char *id);
-static enum MHD_Result
-look_up_order_ (struct sr_entry *entry,
-                struct sr_caller *caller,
-                struct sr_config *config,
-                const struct sr_config_team *team,
-                const char *id);
-static void
-begin_run_ (struct sr_entry *entry,
-            struct sr_caller *caller,
-            struct sr_config *config,
-            struct sr_run_order *order);
-static void
-completed_ (void *data,
-            struct MHD_Connection *connection,
-            void **state,
-            enum MHD_RequestTerminationCode code);
-static const char *
-header_ (struct sr_caller *caller, const char *name);
-static enum MHD_Result
-reply_metrics_ (struct sr_caller *caller);
-static enum MHD_Result
-reply_status_ (struct sr_entry *entry, struct sr_caller *caller);
-static void *
-sweep_ (void *data);
+static enum MHD_Result look_up_order_ (struct sr_entry *entry,
+                                       struct sr_caller *caller,
+                                       struct sr_config *config,
+                                       const struct sr_config_team *team,
+                                       const char *id);
+static void begin_run_ (struct sr_entry *entry,
+                        struct sr_caller *caller,
+                        struct sr_config *config,
+                        struct sr_run_order *order);
+static void completed_ (void *data,
+                        struct MHD_Connection *connection,
+                        void **state,
+                        enum MHD_RequestTerminationCode code);
+static const char *header_ (struct sr_caller *caller, const char *name);
+static enum MHD_Result reply_metrics_ (struct sr_caller *caller);
+static enum MHD_Result reply_status_ (struct sr_entry *entry, struct sr_caller *caller);
+static void *sweep_ (void *data);
 
 /* Creates an entry that does not listen yet. The caller owns it. */
 struct sr_entry *
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -23,15 +23,9 @@
   void *data;
 };
 
-struct sr_entry *
-sr_entry_new (const struct sr_entry_options *options);
-void
-sr_entry_delete (struct sr_entry *entry);
-bool
-sr_entry_start (struct sr_entry *entry);
-void
-sr_entry_set_ready (struct sr_entry *entry, bool ready);
-void
-sr_entry_close_listener (struct sr_entry *entry);
-unsigned
-sr_entry_open_requests (struct sr_entry *entry);
+struct sr_entry *sr_entry_new (const struct sr_entry_options *options);
+void sr_entry_delete (struct sr_entry *entry);
+bool sr_entry_start (struct sr_entry *entry);
+void sr_entry_set_ready (struct sr_entry *entry, bool ready);
+void sr_entry_close_listener (struct sr_entry *entry);
+unsigned sr_entry_open_requests (struct sr_entry *entry);
--- a/src/entry/instance.c
+++ b/src/entry/instance.c
@@ -18,22 +18,14 @@
   CONFIG_SEED_SALT = 6
 };
 
-static bool
-build_network_ (struct sr_instance *instance);
-static void
-build_members_ (struct sr_instance *instance);
-static void
-build_configuration_ (struct sr_instance *instance);
-static void
-build_money_ (struct sr_instance *instance);
-static void
-build_requests_ (struct sr_instance *instance);
-static void
-build_work_ (struct sr_instance *instance);
-static size_t
-list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data);
-static void
-config_applied_ (struct sr_config *config, void *data);
+static bool build_network_ (struct sr_instance *instance);
+static void build_members_ (struct sr_instance *instance);
+static void build_configuration_ (struct sr_instance *instance);
+static void build_money_ (struct sr_instance *instance);
+static void build_requests_ (struct sr_instance *instance);
+static void build_work_ (struct sr_instance *instance);
+static size_t list_config_peers_ (struct sr_config_peer *peers, size_t max, void *data);
+static void config_applied_ (struct sr_config *config, void *data);
 
 /* Builds an instance by SETTINGS, which must outlive it; no thread is started yet. Returns NULL,
  * with a log line, when the peers' address can't be had. The caller owns the instance. */
--- a/src/entry/instance.h
+++ b/src/entry/instance.h
@@ -44,9 +44,6 @@
   int64_t leaving_ms; /* real time at which the stop began */
 };
 
-struct sr_instance *
-sr_instance_new (const struct sr_settings *settings);
-bool
-sr_instance_start (struct sr_instance *instance);
-void
-sr_instance_delete (struct sr_instance *instance);
+struct sr_instance *sr_instance_new (const struct sr_settings *settings);
+bool sr_instance_start (struct sr_instance *instance);
+void sr_instance_delete (struct sr_instance *instance);
--- a/src/entry/intake.c
+++ b/src/entry/intake.c
@@ -15,28 +15,22 @@
 static const char bearer[] = "Bearer ";
 static const char *const priority_names[] = { "interactive", "normal", "batch" };
 
-static enum sr_error
-read_headers_ (const struct sr_intake *intake,
-               const struct sr_intake_options *options,
-               struct sr_run_order *order);
-static enum sr_error
-read_budget_ (const struct sr_intake *intake,
-              const struct sr_config_team *team,
-              struct sr_run_order *order);
-static enum sr_error
-read_body_ (const struct sr_intake *intake,
-            const struct sr_config_service *service,
-            struct sr_run_order *order,
-            bool *stream);
-static enum sr_error
-read_model_body_ (const json_t *root,
-                  const struct sr_config_service *service,
-                  struct sr_run_order *order,
-                  bool *stream);
-static bool
-read_priority_ (const char *text, enum sr_priority *priority);
-static void
-set_fingerprint_ (const struct sr_intake *intake, struct sr_run_order *order);
+static enum sr_error read_headers_ (const struct sr_intake *intake,
+                                    const struct sr_intake_options *options,
+                                    struct sr_run_order *order);
+static enum sr_error read_budget_ (const struct sr_intake *intake,
+                                   const struct sr_config_team *team,
+                                   struct sr_run_order *order);
+static enum sr_error read_body_ (const struct sr_intake *intake,
+                                 const struct sr_config_service *service,
+                                 struct sr_run_order *order,
+                                 bool *stream);
+static enum sr_error read_model_body_ (const json_t *root,
+                                       const struct sr_config_service *service,
+                                       struct sr_run_order *order,
+                                       bool *stream);
+static bool read_priority_ (const char *text, enum sr_priority *priority);
+static void set_fingerprint_ (const struct sr_intake *intake, struct sr_run_order *order);
 
 /* Checks INTAKE against the configuration. On SR_ERROR_NONE *ORDER is the caller's, *STREAM tells
  * whether the answer is to be streamed. Else *ORDER is NULL; nothing has been run or counted. */
--- a/src/entry/intake.h
+++ b/src/entry/intake.h
@@ -25,14 +25,11 @@
   int64_t now_us;
 };
 
-enum sr_error
-sr_intake_read (const struct sr_intake *intake,
-                const struct sr_intake_options *options,
-                struct sr_run_order **order,
-                bool *stream);
-enum sr_error
-sr_intake_team (struct sr_config *config,
-                const char *authorization,
-                const struct sr_config_team **team);
-bool
-sr_intake_id_is_valid (const char *id);
+enum sr_error sr_intake_read (const struct sr_intake *intake,
+                              const struct sr_intake_options *options,
+                              struct sr_run_order **order,
+                              bool *stream);
+enum sr_error sr_intake_team (struct sr_config *config,
+                              const char *authorization,
+                              const struct sr_config_team **team);
+bool sr_intake_id_is_valid (const char *id);
--- a/src/entry/reply.c
+++ b/src/entry/reply.c
@@ -2,10 +2,8 @@
 
 #include <jansson.h>
 
-static json_t *
-answer_head_ (struct sr_run *run);
-static char *
-dump_and_free_ (json_t *root);
+static json_t *answer_head_ (struct sr_run *run);
+static char *dump_and_free_ (json_t *root);
 
 /* Returns the body of a refusal or failure, to be freed with free. RETRY_AFTER_MS is left out when
  * it is 0; REQUEST may be NULL when no id is known yet. */
--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -16,23 +16,16 @@
   AUDIT_LIMIT_US = 500000
 };
 
-static bool
-run_until_stopped_ (struct sr_instance *instance);
-static void
-leave_ (void *data);
-static void
-close_ (void *data);
-static unsigned
-in_progress_ (void *data);
-static void
-write_audit_ (struct sr_instance *instance,
-              enum sr_audit_type type,
-              const char *detail,
-              int64_t when_ms);
-static bool
-hand_over_bills_ (int64_t end_us, void *data);
-static bool
-hand_over_budgets_ (int64_t end_us, void *data);
+static bool run_until_stopped_ (struct sr_instance *instance);
+static void leave_ (void *data);
+static void close_ (void *data);
+static unsigned in_progress_ (void *data);
+static void write_audit_ (struct sr_instance *instance,
+                          enum sr_audit_type type,
+                          const char *detail,
+                          int64_t when_ms);
+static bool hand_over_bills_ (int64_t end_us, void *data);
+static bool hand_over_budgets_ (int64_t end_us, void *data);
 
 static const struct sr_drain_vtable drain_vtable = {
   .leave = leave_,
--- a/src/entry/serve.h
+++ b/src/entry/serve.h
@@ -3,5 +3,4 @@
 
 #include "settings/settings.h"
 
-int
-sr_serve (const struct sr_settings *settings);
+int sr_serve (const struct sr_settings *settings);
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -2,8 +2,7 @@
 
 #include "entry/instance.h"
 
-static void
-print_members_ (struct sr_instance *instance, GString *out);
+static void print_members_ (struct sr_instance *instance, GString *out);
 
 /* Appends the JSON of GET /status of DATA (a struct sr_instance) to OUT. */
 void
--- a/src/entry/status.h
+++ b/src/entry/status.h
@@ -3,5 +3,4 @@
 
 #include <glib.h>
 
-void
-sr_status_print (GString *out, void *instance);
+void sr_status_print (GString *out, void *instance);
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -22,12 +22,9 @@
 static const char *const exchange_status_strings[] = { "ok", "not sent", "timeout", "broken" };
 static pthread_once_t neon_once = PTHREAD_ONCE_INIT;
 
-static void
-neon_init_ (void);
-static void
-notify_ (void *user, ne_session_status status, const ne_session_status_info *info);
-static enum sr_exchange_status
-status_from_neon_ (const struct sr_exchange *exchange, int code);
+static void neon_init_ (void);
+static void notify_ (void *user, ne_session_status status, const ne_session_status_info *info);
+static enum sr_exchange_status status_from_neon_ (const struct sr_exchange *exchange, int code);
 
 /* Prepares an exchange. OPTIONS' strings are copied, but its body must stay until the exchange has
  * begun. Returns NULL when an address of OPTIONS is not an IP number. The caller owns the exchange.
--- a/src/member/gossip-merge.c
+++ b/src/member/gossip-merge.c
@@ -14,28 +14,20 @@
 
 static const uint64_t incarnation_max = UINT64_MAX / 2;
 
-static bool
-fact_is_valid_ (const member_fact *fact);
+static bool fact_is_valid_ (const member_fact *fact);
 static void
 merge_fact_ (struct sr_gossip *gossip, int64_t now_us, const member_fact *fact, const char *sender);
-static void
-merge_own_ (struct sr_gossip *gossip, const member_fact *fact);
-static void
-merge_unknown_ (struct sr_gossip *gossip, int64_t now_us, const member_fact *fact);
-static void
-merge_newer_ (struct sr_gossip *gossip,
-              int64_t now_us,
-              struct sr_gossip_record *record,
-              const member_fact *fact,
-              const char *sender);
-static void
-copy_fact_ (struct sr_gossip_record *record, const member_fact *fact);
-static int
-compare_age_ (const struct sr_gossip_record *record, const member_fact *fact);
-static void
-contact_ (struct sr_gossip *gossip, int64_t now_us, const member_fact *sender);
-static bool
-is_accusation_ (const member_fact *fact);
+static void merge_own_ (struct sr_gossip *gossip, const member_fact *fact);
+static void merge_unknown_ (struct sr_gossip *gossip, int64_t now_us, const member_fact *fact);
+static void merge_newer_ (struct sr_gossip *gossip,
+                          int64_t now_us,
+                          struct sr_gossip_record *record,
+                          const member_fact *fact,
+                          const char *sender);
+static void copy_fact_ (struct sr_gossip_record *record, const member_fact *fact);
+static int compare_age_ (const struct sr_gossip_record *record, const member_fact *fact);
+static void contact_ (struct sr_gossip *gossip, int64_t now_us, const member_fact *sender);
+static bool is_accusation_ (const member_fact *fact);
 
 /* Takes over what MESSAGE says. Returns false, and counts it, when it is of another format or its
  * sender is not valid: nothing of it is taken then. Facts that are not valid are passed over. */
--- a/src/member/gossip-message.c
+++ b/src/member/gossip-message.c
@@ -8,14 +8,10 @@
   US_PER_MS = 1000
 };
 
-static void
-fact_fill_ (const struct sr_gossip_record *record, member_fact *fact);
-static void
-add_fact_ (member_message *message, const struct sr_gossip_record *record);
-static void
-add_changes_ (struct sr_gossip *gossip, member_message *message);
-static int
-compare_transmissions_ (const void *left, const void *right);
+static void fact_fill_ (const struct sr_gossip_record *record, member_fact *fact);
+static void add_fact_ (member_message *message, const struct sr_gossip_record *record);
+static void add_changes_ (struct sr_gossip *gossip, member_message *message);
+static int compare_transmissions_ (const void *left, const void *right);
 
 /* Fills MESSAGE, which is zeroed, for RECEIVER (a name, or empty when not known) in the incarnation
  * that it gave of itself (0: not known): the sender, what is held against the receiver, so that it
--- a/src/member/gossip-state.h
+++ b/src/member/gossip-state.h
@@ -29,25 +29,19 @@
 /* gossip-merge.c: what is learnt from a message. */
 bool
 sr_gossip_merge_message (struct sr_gossip *gossip, int64_t now_us, const member_message *message);
-void
-sr_gossip_merge_ages (struct sr_gossip *gossip, int64_t now_us, const member_message *message);
-void
-sr_gossip_spread (struct sr_gossip *gossip, struct sr_gossip_record *record);
+void sr_gossip_merge_ages (struct sr_gossip *gossip, int64_t now_us, const member_message *message);
+void sr_gossip_spread (struct sr_gossip *gossip, struct sr_gossip_record *record);
 
 /* gossip-message.c: what is put into a message. */
-void
-sr_gossip_message_begin (struct sr_gossip *gossip,
-                         const char *receiver,
-                         uint64_t receiver_incarnation,
-                         member_message *message);
-void
-sr_gossip_message_add_page (struct sr_gossip *gossip,
-                            const member_message *request,
-                            member_message *answer);
-void
-sr_gossip_message_add_checks (struct sr_gossip *gossip, member_message *request);
-void
-sr_gossip_message_add_ages (struct sr_gossip *gossip,
-                            int64_t now_us,
-                            const member_message *request,
-                            member_message *answer);
+void sr_gossip_message_begin (struct sr_gossip *gossip,
+                              const char *receiver,
+                              uint64_t receiver_incarnation,
+                              member_message *message);
+void sr_gossip_message_add_page (struct sr_gossip *gossip,
+                                 const member_message *request,
+                                 member_message *answer);
+void sr_gossip_message_add_checks (struct sr_gossip *gossip, member_message *request);
+void sr_gossip_message_add_ages (struct sr_gossip *gossip,
+                                 int64_t now_us,
+                                 const member_message *request,
+                                 member_message *answer);
--- a/src/member/gossip-table.h
+++ b/src/member/gossip-table.h
@@ -21,22 +21,14 @@
 
 struct sr_gossip_table;
 
-struct sr_gossip_table *
-sr_gossip_table_new (void);
-void
-sr_gossip_table_delete (struct sr_gossip_table *table);
-struct sr_gossip_record *
-sr_gossip_table_insert (struct sr_gossip_table *table, const char *name);
-void
-sr_gossip_table_remove_at (struct sr_gossip_table *table, size_t index);
-struct sr_gossip_record *
-sr_gossip_table_find (const struct sr_gossip_table *table, const char *name);
-struct sr_gossip_record *
-sr_gossip_table_find_address (const struct sr_gossip_table *table,
-                              const struct sr_peer_address *address);
-size_t
-sr_gossip_table_length (const struct sr_gossip_table *table);
-struct sr_gossip_record *
-sr_gossip_table_at (const struct sr_gossip_table *table, size_t index);
-size_t
-sr_gossip_table_index_after (const struct sr_gossip_table *table, const char *name);
+struct sr_gossip_table *sr_gossip_table_new (void);
+void sr_gossip_table_delete (struct sr_gossip_table *table);
+struct sr_gossip_record *sr_gossip_table_insert (struct sr_gossip_table *table, const char *name);
+void sr_gossip_table_remove_at (struct sr_gossip_table *table, size_t index);
+struct sr_gossip_record *sr_gossip_table_find (const struct sr_gossip_table *table,
+                                               const char *name);
+struct sr_gossip_record *sr_gossip_table_find_address (const struct sr_gossip_table *table,
+                                                       const struct sr_peer_address *address);
+size_t sr_gossip_table_length (const struct sr_gossip_table *table);
+struct sr_gossip_record *sr_gossip_table_at (const struct sr_gossip_table *table, size_t index);
+size_t sr_gossip_table_index_after (const struct sr_gossip_table *table, const char *name);
--- a/src/member/gossip.c
+++ b/src/member/gossip.c
@@ -12,34 +12,20 @@
 
 static const int64_t default_forget_after_us = (int64_t)3600 * 1000 * 1000;
 
-static void
-end_pass_ (struct sr_gossip *gossip);
-static void
-notice_pause_ (struct sr_gossip *gossip, int64_t now_us);
-static void
-judge_ (struct sr_gossip *gossip, int64_t now_us, struct sr_gossip_record *record);
-static void
-forget_ (struct sr_gossip *gossip, int64_t now_us);
-static void
-add_urgent_ (struct sr_gossip *gossip, GArray *targets);
-static void
-add_regular_ (struct sr_gossip *gossip, GArray *targets);
-static void
-add_outsider_ (struct sr_gossip *gossip, GArray *targets);
-static bool
-add_helper_ (struct sr_gossip *gossip, GArray *targets);
-static const struct sr_gossip_record *
-next_of_round_ (struct sr_gossip *gossip);
-static void
-start_round_ (struct sr_gossip *gossip);
-static bool
-add_record_ (GArray *targets, const struct sr_gossip_record *record);
-static bool
-is_sound_ (const struct sr_gossip *gossip, const struct sr_gossip_record *record);
-static bool
-is_urgent_ (const struct sr_gossip *gossip, const struct sr_gossip_record *record);
-static bool
-has_failing_ (const struct sr_gossip *gossip);
+static void end_pass_ (struct sr_gossip *gossip);
+static void notice_pause_ (struct sr_gossip *gossip, int64_t now_us);
+static void judge_ (struct sr_gossip *gossip, int64_t now_us, struct sr_gossip_record *record);
+static void forget_ (struct sr_gossip *gossip, int64_t now_us);
+static void add_urgent_ (struct sr_gossip *gossip, GArray *targets);
+static void add_regular_ (struct sr_gossip *gossip, GArray *targets);
+static void add_outsider_ (struct sr_gossip *gossip, GArray *targets);
+static bool add_helper_ (struct sr_gossip *gossip, GArray *targets);
+static const struct sr_gossip_record *next_of_round_ (struct sr_gossip *gossip);
+static void start_round_ (struct sr_gossip *gossip);
+static bool add_record_ (GArray *targets, const struct sr_gossip_record *record);
+static bool is_sound_ (const struct sr_gossip *gossip, const struct sr_gossip_record *record);
+static bool is_urgent_ (const struct sr_gossip *gossip, const struct sr_gossip_record *record);
+static bool has_failing_ (const struct sr_gossip *gossip);
 
 /* Creates the gossip of one instance, which knows only itself at NOW_US. The caller owns it. */
 struct sr_gossip *
--- a/src/member/gossip.h
+++ b/src/member/gossip.h
@@ -55,37 +55,26 @@
 
 struct sr_gossip;
 
-struct sr_gossip *
-sr_gossip_new (const struct sr_gossip_options *options, int64_t now_us);
-void
-sr_gossip_delete (struct sr_gossip *gossip);
-void
-sr_gossip_tick (struct sr_gossip *gossip, int64_t now_us, GArray *targets);
-void
-sr_gossip_fill_request (struct sr_gossip *gossip,
-                        const struct sr_gossip_target *target,
-                        member_message *message);
-void
-sr_gossip_handle_request (struct sr_gossip *gossip,
-                          int64_t now_us,
-                          const member_message *request,
-                          member_message *answer);
-void
-sr_gossip_handle_answer (struct sr_gossip *gossip,
-                         int64_t now_us,
-                         const struct sr_gossip_target *target,
-                         const member_message *answer);
-void
-sr_gossip_handle_failure (struct sr_gossip *gossip,
-                          int64_t now_us,
-                          const struct sr_gossip_target *target);
+struct sr_gossip *sr_gossip_new (const struct sr_gossip_options *options, int64_t now_us);
+void sr_gossip_delete (struct sr_gossip *gossip);
+void sr_gossip_tick (struct sr_gossip *gossip, int64_t now_us, GArray *targets);
+void sr_gossip_fill_request (struct sr_gossip *gossip,
+                             const struct sr_gossip_target *target,
+                             member_message *message);
+void sr_gossip_handle_request (struct sr_gossip *gossip,
+                               int64_t now_us,
+                               const member_message *request,
+                               member_message *answer);
+void sr_gossip_handle_answer (struct sr_gossip *gossip,
+                              int64_t now_us,
+                              const struct sr_gossip_target *target,
+                              const member_message *answer);
+void sr_gossip_handle_failure (struct sr_gossip *gossip,
+                               int64_t now_us,
+                               const struct sr_gossip_target *target);
 void
 sr_gossip_add_listed (struct sr_gossip *gossip, int64_t now_us, const struct sr_member *listed);
-void
-sr_gossip_set_revision (struct sr_gossip *gossip, int64_t revision);
-void
-sr_gossip_set_leaving (struct sr_gossip *gossip);
-struct sr_member_view *
-sr_gossip_view (const struct sr_gossip *gossip, int64_t now_us);
-const struct sr_gossip_counts *
-sr_gossip_counts (const struct sr_gossip *gossip);
+void sr_gossip_set_revision (struct sr_gossip *gossip, int64_t revision);
+void sr_gossip_set_leaving (struct sr_gossip *gossip);
+struct sr_member_view *sr_gossip_view (const struct sr_gossip *gossip, int64_t now_us);
+const struct sr_gossip_counts *sr_gossip_counts (const struct sr_gossip *gossip);
--- a/src/member/instance-list.c
+++ b/src/member/instance-list.c
@@ -9,12 +9,9 @@
   PORT_MAX = 65535
 };
 
-static bool
-entry_parse_ (json_t *entry, struct sr_member *member);
-static bool
-text_copy_ (json_t *entry, const char *key, char *text, size_t size);
-static bool
-port_copy_ (json_t *entry, const char *key, unsigned *port);
+static bool entry_parse_ (json_t *entry, struct sr_member *member);
+static bool text_copy_ (json_t *entry, const char *key, char *text, size_t size);
+static bool port_copy_ (json_t *entry, const char *key, unsigned *port);
 
 /* Appends the instances of a list document (TEXT, LENGTH bytes) to MEMBERS, an array of struct
  * sr_member, as alive or leaving. Entries that are not whole are passed over. Returns false when
--- a/src/member/instance-list.h
+++ b/src/member/instance-list.h
@@ -5,5 +5,4 @@
 
 #include <glib.h>
 
-bool
-sr_instance_list_parse (const char *text, size_t length, GArray *members);
+bool sr_instance_list_parse (const char *text, size_t length, GArray *members);
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -61,34 +61,20 @@
   &refuted_total, &pauses_total, &invalid_total,  &stale_total,
 };
 
-static void
-seeds_parse_ (const GPtrArray *texts, GArray *seeds);
-static void *
-gossip_run_ (void *data);
-static bool
-wait_until_ (struct sr_members *members, int64_t end_us, bool *tick_now);
-static void
-tick_ (struct sr_members *members);
-static void
-call_ (struct sr_members *members, const struct sr_gossip_target *target);
-static void
-count_locked_ (struct sr_members *members);
-static void
-publish_ (struct sr_members *members);
-static void
-log_changes_ (const struct sr_member_view *before, const struct sr_member_view *after);
-static void *
-list_run_ (void *data);
-static int64_t
-list_interval_us_ (struct sr_members *members);
-static void
-list_read_ (struct sr_members *members);
-static struct sr_member_view *
-view_locked_ (struct sr_members *members);
-static void
-forget_view_locked_ (struct sr_members *members);
-static bool
-handle_exchange_ (void *in, void *out, void *data);
+static void seeds_parse_ (const GPtrArray *texts, GArray *seeds);
+static void *gossip_run_ (void *data);
+static bool wait_until_ (struct sr_members *members, int64_t end_us, bool *tick_now);
+static void tick_ (struct sr_members *members);
+static void call_ (struct sr_members *members, const struct sr_gossip_target *target);
+static void count_locked_ (struct sr_members *members);
+static void publish_ (struct sr_members *members);
+static void log_changes_ (const struct sr_member_view *before, const struct sr_member_view *after);
+static void *list_run_ (void *data);
+static int64_t list_interval_us_ (struct sr_members *members);
+static void list_read_ (struct sr_members *members);
+static struct sr_member_view *view_locked_ (struct sr_members *members);
+static void forget_view_locked_ (struct sr_members *members);
+static bool handle_exchange_ (void *in, void *out, void *data);
 
 static const struct sr_peer_procedure procedures[] = {
   { PROCEDURE_EXCHANGE, (xdrproc_t)xdr_member_message, sizeof (member_message),
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -64,34 +64,20 @@
   unsigned platform_interval_ms; /* between reads of that list; 0 for the default */
 };
 
-struct sr_members *
-sr_members_new (const struct sr_members_options *options);
-bool
-sr_members_start (struct sr_members *members);
-void
-sr_members_stop (struct sr_members *members);
-void
-sr_members_delete (struct sr_members *members);
-void
-sr_members_add_to_server (struct sr_members *members, struct sr_peer_server *server);
-void
-sr_members_set_revision (struct sr_members *members, int64_t revision);
-void
-sr_members_set_leaving (struct sr_members *members);
+struct sr_members *sr_members_new (const struct sr_members_options *options);
+bool sr_members_start (struct sr_members *members);
+void sr_members_stop (struct sr_members *members);
+void sr_members_delete (struct sr_members *members);
+void sr_members_add_to_server (struct sr_members *members, struct sr_peer_server *server);
+void sr_members_set_revision (struct sr_members *members, int64_t revision);
+void sr_members_set_leaving (struct sr_members *members);
 
-struct sr_member_view *
-sr_members_view (struct sr_members *members);
-struct sr_member_view *
-sr_member_view_new (const struct sr_member *members, size_t length);
-struct sr_member_view *
-sr_member_view_ref (struct sr_member_view *view);
-void
-sr_member_view_unref (struct sr_member_view *view);
-const struct sr_member *
-sr_member_view_find (const struct sr_member_view *view, const char *name);
-const struct sr_member *
-sr_member_view_self (const struct sr_member_view *view);
+struct sr_member_view *sr_members_view (struct sr_members *members);
+struct sr_member_view *sr_member_view_new (const struct sr_member *members, size_t length);
+struct sr_member_view *sr_member_view_ref (struct sr_member_view *view);
+void sr_member_view_unref (struct sr_member_view *view);
+const struct sr_member *sr_member_view_find (const struct sr_member_view *view, const char *name);
+const struct sr_member *sr_member_view_self (const struct sr_member_view *view);
 GPtrArray *
 sr_member_view_order (const struct sr_member_view *view, const char *key, const char *data_centre);
-const char *
-sr_member_state_to_string (enum sr_member_state state);
+const char *sr_member_state_to_string (enum sr_member_state state);
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -11,8 +11,7 @@
   "dead",
 };
 
-static int
-compare_names_ (const void *left, const void *right);
+static int compare_names_ (const void *left, const void *right);
 
 /* Returns the word for STATE, as shown in /status. */
 const char *
--- a/src/order/key-day.c
+++ b/src/order/key-day.c
@@ -15,8 +15,7 @@
   REMOVAL_MARGIN_HOURS = 24
 };
 
-static bool
-day_start_ms_ (const char *key, int64_t *start_ms);
+static bool day_start_ms_ (const char *key, int64_t *start_ms);
 
 /* Tells whether KEY, which begins with `YYYYMMDD-`, is accepted at NOW_MS (real time,
  * milliseconds): as long as its day is the date of any time zone. */
--- a/src/order/key-day.h
+++ b/src/order/key-day.h
@@ -12,7 +12,5 @@
   SR_KEY_DAY_MALFORMED
 };
 
-enum sr_key_day_state
-sr_key_day_state (const char *key, int64_t now_ms);
-bool
-sr_key_day_is_removable (const char *key, int64_t now_ms);
+enum sr_key_day_state sr_key_day_state (const char *key, int64_t now_ms);
+bool sr_key_day_is_removable (const char *key, int64_t now_ms);
--- a/src/order/order-record.c
+++ b/src/order/order-record.c
@@ -5,12 +5,9 @@
 
 static const char *const state_strings[] = { "claimed", "answered", "not run", "unknown" };
 
-static bool
-state_from_string_ (const char *text, enum sr_order_state *state);
-static bool
-hex_from_string_ (const char *text, uint64_t *value);
-static void
-set_hex_ (json_t *head, const char *key, uint64_t value);
+static bool state_from_string_ (const char *text, enum sr_order_state *state);
+static bool hex_from_string_ (const char *text, uint64_t *value);
+static void set_hex_ (json_t *head, const char *key, uint64_t value);
 
 /* Makes RECORD an empty claim. Clear it with sr_order_record_clear. */
 void
--- a/src/order/order-record.h
+++ b/src/order/order-record.h
@@ -23,11 +23,7 @@
   GString *answer; /* empty when there is none */
 };
 
-void
-sr_order_record_init (struct sr_order_record *record);
-void
-sr_order_record_clear (struct sr_order_record *record);
-void
-sr_order_record_encode (const struct sr_order_record *record, GString *body);
-bool
-sr_order_record_decode (const GString *body, struct sr_order_record *record);
+void sr_order_record_init (struct sr_order_record *record);
+void sr_order_record_clear (struct sr_order_record *record);
+void sr_order_record_encode (const struct sr_order_record *record, GString *body);
+bool sr_order_record_decode (const GString *body, struct sr_order_record *record);
--- a/src/order/order.c
+++ b/src/order/order.c
@@ -52,48 +52,36 @@
 static struct sr_counter outcomes_pending
     = { .name = "sr_order_outcomes_pending", .help = "Outcomes the platform has not yet stored." };
 
-static enum sr_claim_verdict
-write_claim_ (struct sr_orders *orders,
-              const struct sr_claim_request *request,
-              const char *name,
-              struct sr_claim *claim);
-static bool
-may_try_ (int tries, int64_t start_us);
-static enum sr_platform_status
-read_claim_ (struct sr_orders *orders,
-             const char *name,
-             struct sr_order_record *record,
-             int64_t *version);
-static enum sr_claim_verdict
-judge_record_ (const struct sr_claim_request *request,
-               const struct sr_order_record *record,
-               struct sr_claim *claim);
-static void
-describe_record_ (const struct sr_order_record *record, struct sr_claim *claim);
-static void
-set_outcome_ (const struct sr_claim_request *request, struct sr_claim *claim);
-static void
-count_verdict_ (enum sr_claim_verdict verdict);
-static enum sr_platform_status
-store_outcome_ (struct sr_orders *orders,
-                const char *name,
-                const struct sr_order_record *record,
-                int64_t version);
+static enum sr_claim_verdict write_claim_ (struct sr_orders *orders,
+                                           const struct sr_claim_request *request,
+                                           const char *name,
+                                           struct sr_claim *claim);
+static bool may_try_ (int tries, int64_t start_us);
+static enum sr_platform_status read_claim_ (struct sr_orders *orders,
+                                            const char *name,
+                                            struct sr_order_record *record,
+                                            int64_t *version);
+static enum sr_claim_verdict judge_record_ (const struct sr_claim_request *request,
+                                            const struct sr_order_record *record,
+                                            struct sr_claim *claim);
+static void describe_record_ (const struct sr_order_record *record, struct sr_claim *claim);
+static void set_outcome_ (const struct sr_claim_request *request, struct sr_claim *claim);
+static void count_verdict_ (enum sr_claim_verdict verdict);
+static enum sr_platform_status store_outcome_ (struct sr_orders *orders,
+                                               const char *name,
+                                               const struct sr_order_record *record,
+                                               int64_t version);
 static enum sr_platform_status
 read_outcome_ (struct sr_orders *orders, const char *name, const struct sr_order_record *written);
-static void
-keep_pending_ (struct sr_orders *orders,
-               const char *name,
-               struct sr_order_record *record,
-               int64_t version);
-static void
-pending_free_ (void *data);
-static GString *
-object_name_ (const char *team, const char *request);
-static void
-record_from_request_ (struct sr_order_record *record, const struct sr_claim_request *request);
-static bool
-remove_claim_ (struct sr_orders *orders, const char *name);
+static void keep_pending_ (struct sr_orders *orders,
+                           const char *name,
+                           struct sr_order_record *record,
+                           int64_t version);
+static void pending_free_ (void *data);
+static GString *object_name_ (const char *team, const char *request);
+static void record_from_request_ (struct sr_order_record *record,
+                                  const struct sr_claim_request *request);
+static bool remove_claim_ (struct sr_orders *orders, const char *name);
 
 /* Creates the claims of orders kept on PLATFORM, of which a reference is taken. The caller owns the
  * result and frees it with sr_orders_delete. */
--- a/src/order/order.h
+++ b/src/order/order.h
@@ -46,35 +46,25 @@
 
 struct sr_orders;
 
-struct sr_orders *
-sr_orders_new (struct sr_platform *platform);
-void
-sr_orders_delete (struct sr_orders *orders);
-void
-sr_orders_claim (struct sr_orders *orders,
-                 const struct sr_claim_request *request,
-                 struct sr_claim *claim);
-bool
-sr_orders_finish (struct sr_orders *orders,
-                  const struct sr_claim_request *request,
-                  struct sr_claim *claim,
-                  enum sr_outcome outcome,
-                  const char *answer,
-                  size_t length);
-void
-sr_orders_peek (struct sr_orders *orders,
-                const struct sr_claim_request *request,
-                struct sr_claim *claim);
-void
-sr_orders_look_up (struct sr_orders *orders,
-                   const char *team,
-                   const char *request,
-                   struct sr_claim *claim);
-unsigned
-sr_orders_retry_pending (struct sr_orders *orders);
-unsigned
-sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned page);
-const char *
-sr_claim_verdict_to_string (enum sr_claim_verdict verdict);
-void
-sr_claim_clear (struct sr_claim *claim);
+struct sr_orders *sr_orders_new (struct sr_platform *platform);
+void sr_orders_delete (struct sr_orders *orders);
+void sr_orders_claim (struct sr_orders *orders,
+                      const struct sr_claim_request *request,
+                      struct sr_claim *claim);
+bool sr_orders_finish (struct sr_orders *orders,
+                       const struct sr_claim_request *request,
+                       struct sr_claim *claim,
+                       enum sr_outcome outcome,
+                       const char *answer,
+                       size_t length);
+void sr_orders_peek (struct sr_orders *orders,
+                     const struct sr_claim_request *request,
+                     struct sr_claim *claim);
+void sr_orders_look_up (struct sr_orders *orders,
+                        const char *team,
+                        const char *request,
+                        struct sr_claim *claim);
+unsigned sr_orders_retry_pending (struct sr_orders *orders);
+unsigned sr_orders_remove_expired (struct sr_orders *orders, int64_t now_ms, unsigned page);
+const char *sr_claim_verdict_to_string (enum sr_claim_verdict verdict);
+void sr_claim_clear (struct sr_claim *claim);
--- a/src/order/test-order-schedules.c
+++ b/src/order/test-order-schedules.c
@@ -46,8 +46,7 @@
   int lies; /* what was told and was wrong at that moment */
 };
 
-static void
-attempt (struct world *world);
+static void attempt (struct world *world);
 
 static bool
 chance (struct world *world, double share)
--- a/src/order/upkeep.c
+++ b/src/order/upkeep.c
@@ -18,12 +18,9 @@
   bool stopping; /* under mutex */
 };
 
-static void *
-upkeep_loop_ (void *data);
-static bool
-wait_ (struct sr_order_upkeep *upkeep, int64_t wait_us);
-static void
-stop_ (struct sr_order_upkeep *upkeep);
+static void *upkeep_loop_ (void *data);
+static bool wait_ (struct sr_order_upkeep *upkeep, int64_t wait_us);
+static void stop_ (struct sr_order_upkeep *upkeep);
 
 /* Creates an upkeep that is not started. The caller owns it. */
 struct sr_order_upkeep *
--- a/src/order/upkeep.h
+++ b/src/order/upkeep.h
@@ -13,11 +13,7 @@
   unsigned removal_page; /* claims looked at in one interval */
 };
 
-struct sr_order_upkeep *
-sr_order_upkeep_new (const struct sr_order_upkeep_options *options);
-void
-sr_order_upkeep_delete (struct sr_order_upkeep *upkeep);
-bool
-sr_order_upkeep_start (struct sr_order_upkeep *upkeep);
-bool
-sr_order_upkeep_hand_over (struct sr_order_upkeep *upkeep, int64_t deadline_us);
+struct sr_order_upkeep *sr_order_upkeep_new (const struct sr_order_upkeep_options *options);
+void sr_order_upkeep_delete (struct sr_order_upkeep *upkeep);
+bool sr_order_upkeep_start (struct sr_order_upkeep *upkeep);
+bool sr_order_upkeep_hand_over (struct sr_order_upkeep *upkeep, int64_t deadline_us);
--- a/src/peer/peer-client.c
+++ b/src/peer/peer-client.c
@@ -41,20 +41,15 @@
 static struct sr_counter unanswered_total
     = { .name = "peer_calls_unanswered_total", .help = "Calls to peers without an answer." };
 
-static struct peer_handle *
-handle_take_ (struct sr_peer_client *client, const char *key);
+static struct peer_handle *handle_take_ (struct sr_peer_client *client, const char *key);
 static void
 handle_give_back_ (struct sr_peer_client *client, const char *key, struct peer_handle *handle);
-static struct peer_handle *
-handle_new_ (struct sr_peer_client *client,
-             const struct sr_peer_address *address,
-             uint32_t program);
-static int
-bind_source_ (const struct sr_peer_client *client);
-static void
-handle_free_ (void *data);
-static void
-handles_free_ (void *data);
+static struct peer_handle *handle_new_ (struct sr_peer_client *client,
+                                        const struct sr_peer_address *address,
+                                        uint32_t program);
+static int bind_source_ (const struct sr_peer_client *client);
+static void handle_free_ (void *data);
+static void handles_free_ (void *data);
 
 /* Creates a client of peers. The caller owns it; it may be used from any thread. */
 struct sr_peer_client *
--- a/src/peer/peer-server.c
+++ b/src/peer/peer-server.c
@@ -49,18 +49,13 @@
 static pthread_mutex_t servers_mutex = PTHREAD_MUTEX_INITIALIZER;
 static struct sr_peer_server *servers[SERVERS_MAX];
 
-static int
-bind_socket_ (const struct sr_peer_server_options *options);
-static void *
-serve_ (void *data);
-static void
-dispatch_ (struct svc_req *request, SVCXPRT *transport);
-static struct sr_peer_server *
-server_by_transport_ (const SVCXPRT *transport);
+static int bind_socket_ (const struct sr_peer_server_options *options);
+static void *serve_ (void *data);
+static void dispatch_ (struct svc_req *request, SVCXPRT *transport);
+static struct sr_peer_server *server_by_transport_ (const SVCXPRT *transport);
 static const struct sr_peer_procedure *
 find_procedure_ (const struct sr_peer_server *server, const struct svc_req *request, void **data);
-static void
-answer_ (SVCXPRT *transport, const struct sr_peer_procedure *procedure, void *data);
+static void answer_ (SVCXPRT *transport, const struct sr_peer_procedure *procedure, void *data);
 
 /* Binds a UDP socket at OPTIONS' address. Returns NULL when the address can't be had. The caller
  * owns the server. */
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -53,20 +53,15 @@
   sr_peer_handler handler;
 };
 
-struct sr_peer_server *
-sr_peer_server_new (const struct sr_peer_server_options *options);
-void
-sr_peer_server_delete (struct sr_peer_server *server);
-void
-sr_peer_server_add (struct sr_peer_server *server,
-                    uint32_t program,
-                    const struct sr_peer_procedure *procedures,
-                    size_t n_procedures,
-                    void *data);
-bool
-sr_peer_server_start (struct sr_peer_server *server);
-void
-sr_peer_server_stop (struct sr_peer_server *server);
+struct sr_peer_server *sr_peer_server_new (const struct sr_peer_server_options *options);
+void sr_peer_server_delete (struct sr_peer_server *server);
+void sr_peer_server_add (struct sr_peer_server *server,
+                         uint32_t program,
+                         const struct sr_peer_procedure *procedures,
+                         size_t n_procedures,
+                         void *data);
+bool sr_peer_server_start (struct sr_peer_server *server);
+void sr_peer_server_stop (struct sr_peer_server *server);
 
 /* Client: any thread. Decoded results are freed by the caller with xdr_free. */
 struct sr_peer_client;
@@ -76,17 +71,14 @@
   const char *source_address; /* NULL for any */
 };
 
-struct sr_peer_client *
-sr_peer_client_new (const struct sr_peer_client_options *options);
-void
-sr_peer_client_delete (struct sr_peer_client *client);
-enum sr_peer_status
-sr_peer_call (struct sr_peer_client *client,
-              const struct sr_peer_address *address,
-              uint32_t program,
-              uint32_t procedure,
-              xdrproc_t xdr_in,
-              void *in,
-              xdrproc_t xdr_out,
-              void *out,
-              int timeout_ms);
+struct sr_peer_client *sr_peer_client_new (const struct sr_peer_client_options *options);
+void sr_peer_client_delete (struct sr_peer_client *client);
+enum sr_peer_status sr_peer_call (struct sr_peer_client *client,
+                                  const struct sr_peer_address *address,
+                                  uint32_t program,
+                                  uint32_t procedure,
+                                  xdrproc_t xdr_in,
+                                  void *in,
+                                  xdrproc_t xdr_out,
+                                  void *out,
+                                  int timeout_ms);
--- a/src/platform/platform-http.c
+++ b/src/platform/platform-http.c
@@ -67,57 +67,45 @@
 static struct sr_counter fast_refusals_total
     = { .name = "platform_fast_refusals_total", .help = "Calls not sent in a known outage." };
 
-static enum sr_platform_status
-get_ (struct sr_platform *platform,
-      const char *kind,
-      const char *name,
-      GString *body,
-      int64_t *version);
-static enum sr_platform_status
-put_ (struct sr_platform *platform,
-      const char *kind,
-      const char *name,
-      const char *body,
-      size_t length,
-      int64_t expected_version,
-      int64_t *version);
-static enum sr_platform_status
-list_ (struct sr_platform *platform,
-       const char *kind,
-       const char *prefix,
-       const char *after,
-       unsigned limit,
-       GPtrArray *names,
-       bool *more);
-static enum sr_platform_status
-watch_ (struct sr_platform *platform,
-        const char *kind,
-        const char *name,
-        int64_t after_version,
-        int wait_ms,
-        GString *body,
-        int64_t *version);
-static enum sr_platform_status
-instances_ (struct sr_platform *platform, GString *body);
-static enum sr_platform_status
-remove_ (struct sr_platform *platform,
-         const char *kind,
-         const char *name,
-         int64_t expected_version);
-static void
-finish_ (struct sr_platform *platform);
-static enum sr_platform_status
-call_ (struct http_platform *http, struct http_call *call);
-static enum sr_platform_status
-call_sent_ (struct http_platform *http, struct http_call *call);
-static enum sr_platform_status
-status_from_answer_ (struct sr_exchange *exchange, struct http_call *call);
-static bool
-gate_enter_ (struct http_platform *http);
-static void
-gate_leave_ (struct http_platform *http, bool failed);
-static bool
-list_read_ (const GString *answer, GPtrArray *names, bool *more);
+static enum sr_platform_status get_ (struct sr_platform *platform,
+                                     const char *kind,
+                                     const char *name,
+                                     GString *body,
+                                     int64_t *version);
+static enum sr_platform_status put_ (struct sr_platform *platform,
+                                     const char *kind,
+                                     const char *name,
+                                     const char *body,
+                                     size_t length,
+                                     int64_t expected_version,
+                                     int64_t *version);
+static enum sr_platform_status list_ (struct sr_platform *platform,
+                                      const char *kind,
+                                      const char *prefix,
+                                      const char *after,
+                                      unsigned limit,
+                                      GPtrArray *names,
+                                      bool *more);
+static enum sr_platform_status watch_ (struct sr_platform *platform,
+                                       const char *kind,
+                                       const char *name,
+                                       int64_t after_version,
+                                       int wait_ms,
+                                       GString *body,
+                                       int64_t *version);
+static enum sr_platform_status instances_ (struct sr_platform *platform, GString *body);
+static enum sr_platform_status remove_ (struct sr_platform *platform,
+                                        const char *kind,
+                                        const char *name,
+                                        int64_t expected_version);
+static void finish_ (struct sr_platform *platform);
+static enum sr_platform_status call_ (struct http_platform *http, struct http_call *call);
+static enum sr_platform_status call_sent_ (struct http_platform *http, struct http_call *call);
+static enum sr_platform_status status_from_answer_ (struct sr_exchange *exchange,
+                                                    struct http_call *call);
+static bool gate_enter_ (struct http_platform *http);
+static void gate_leave_ (struct http_platform *http, bool failed);
+static bool list_read_ (const GString *answer, GPtrArray *names, bool *more);
 
 static const struct sr_platform_vtable http_vtable = {
   .get = get_,
--- a/src/platform/platform-http.h
+++ b/src/platform/platform-http.h
@@ -11,5 +11,4 @@
   int timeout_s;              /* longest silence of a call */
 };
 
-struct sr_platform *
-sr_platform_http_new (const struct sr_platform_http_options *options);
+struct sr_platform *sr_platform_http_new (const struct sr_platform_http_options *options);
