--- a/src/platform/platform-memory.c
+++ b/src/platform/platform-memory.c
@@ -30,53 +30,42 @@
   bool more;
 };
 
-static enum sr_platform_status
-get_ (struct sr_platform *platform,
-      const char *kind,
-      const char *name,
-      GString *body,
-      int64_t *version);
-static enum sr_platform_status
-put_ (struct sr_platform *platform,
-      const char *kind,
-      const char *name,
-      const char *body,
-      size_t length,
-      int64_t expected_version,
-      int64_t *version);
-static enum sr_platform_status
-list_ (struct sr_platform *platform,
-       const char *kind,
-       const char *prefix,
-       const char *after,
-       unsigned limit,
-       GPtrArray *names,
-       bool *more);
-static enum sr_platform_status
-watch_ (struct sr_platform *platform,
-        const char *kind,
-        const char *name,
-        int64_t after_version,
-        int wait_ms,
-        GString *body,
-        int64_t *version);
-static enum sr_platform_status
-instances_ (struct sr_platform *platform, GString *body);
-static enum sr_platform_status
-remove_ (struct sr_platform *platform,
-         const char *kind,
-         const char *name,
-         int64_t expected_version);
-static void
-finish_ (struct sr_platform *platform);
-static gboolean
-list_visit_ (gpointer key, gpointer value, gpointer data);
-static gint
-compare_ (gconstpointer left, gconstpointer right, gpointer data);
-static void
-object_free_ (gpointer data);
-static bool
-lose_answer_ (struct memory_platform *memory);
+static enum sr_platform_status get_ (struct sr_platform *platform,
+                                     const char *kind,
+                                     const char *name,
+                                     GString *body,
+                                     int64_t *version);
+static enum sr_platform_status put_ (struct sr_platform *platform,
+                                     const char *kind,
+                                     const char *name,
+                                     const char *body,
+                                     size_t length,
+                                     int64_t expected_version,
+                                     int64_t *version);
+static enum sr_platform_status list_ (struct sr_platform *platform,
+                                      const char *kind,
+                                      const char *prefix,
+                                      const char *after,
+                                      unsigned limit,
+                                      GPtrArray *names,
+                                      bool *more);
+static enum sr_platform_status watch_ (struct sr_platform *platform,
+                                       const char *kind,
+                                       const char *name,
+                                       int64_t after_version,
+                                       int wait_ms,
+                                       GString *body,
+                                       int64_t *version);
+static enum sr_platform_status instances_ (struct sr_platform *platform, GString *body);
+static enum sr_platform_status remove_ (struct sr_platform *platform,
+                                        const char *kind,
+                                        const char *name,
+                                        int64_t expected_version);
+static void finish_ (struct sr_platform *platform);
+static gboolean list_visit_ (gpointer key, gpointer value, gpointer data);
+static gint compare_ (gconstpointer left, gconstpointer right, gpointer data);
+static void object_free_ (gpointer data);
+static bool lose_answer_ (struct memory_platform *memory);
 
 static const struct sr_platform_vtable memory_vtable = {
   .get = get_,
--- a/src/platform/platform-retry.c
+++ b/src/platform/platform-retry.c
@@ -5,8 +5,7 @@
   RETRY_WAIT_US = 50000
 };
 
-static bool
-wait_for_retry_ (enum sr_platform_status status, int64_t deadline_us);
+static bool wait_for_retry_ (enum sr_platform_status status, int64_t deadline_us);
 
 /* Creates the object NAME of KIND, whose body is a function of its name, so that whoever finds it
  * there may take it for its own. A lost answer is followed by the same call. Returns OK once the
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -63,46 +63,37 @@
   int reference_count;
 };
 
-struct sr_platform *
-sr_platform_ref (struct sr_platform *platform);
-void
-sr_platform_unref (struct sr_platform *platform);
-enum sr_platform_status
-sr_platform_get (struct sr_platform *platform,
-                 const char *kind,
-                 const char *name,
-                 GString *body,
-                 int64_t *version);
-enum sr_platform_status
-sr_platform_put (struct sr_platform *platform,
-                 const char *kind,
-                 const char *name,
-                 const char *body,
-                 size_t length,
-                 int64_t expected_version,
-                 int64_t *version);
-enum sr_platform_status
-sr_platform_list (struct sr_platform *platform,
-                  const char *kind,
-                  const char *prefix,
-                  const char *after,
-                  unsigned limit,
-                  GPtrArray *names,
-                  bool *more);
-enum sr_platform_status
-sr_platform_watch (struct sr_platform *platform,
-                   const char *kind,
-                   const char *name,
-                   int64_t after_version,
-                   int wait_ms,
-                   GString *body,
-                   int64_t *version);
-enum sr_platform_status
-sr_platform_instances (struct sr_platform *platform, GString *body);
-enum sr_platform_status
-sr_platform_remove (struct sr_platform *platform,
-                    const char *kind,
-                    const char *name,
-                    int64_t expected_version);
-const char *
-sr_platform_status_to_string (enum sr_platform_status status);
+struct sr_platform *sr_platform_ref (struct sr_platform *platform);
+void sr_platform_unref (struct sr_platform *platform);
+enum sr_platform_status sr_platform_get (struct sr_platform *platform,
+                                         const char *kind,
+                                         const char *name,
+                                         GString *body,
+                                         int64_t *version);
+enum sr_platform_status sr_platform_put (struct sr_platform *platform,
+                                         const char *kind,
+                                         const char *name,
+                                         const char *body,
+                                         size_t length,
+                                         int64_t expected_version,
+                                         int64_t *version);
+enum sr_platform_status sr_platform_list (struct sr_platform *platform,
+                                          const char *kind,
+                                          const char *prefix,
+                                          const char *after,
+                                          unsigned limit,
+                                          GPtrArray *names,
+                                          bool *more);
+enum sr_platform_status sr_platform_watch (struct sr_platform *platform,
+                                           const char *kind,
+                                           const char *name,
+                                           int64_t after_version,
+                                           int wait_ms,
+                                           GString *body,
+                                           int64_t *version);
+enum sr_platform_status sr_platform_instances (struct sr_platform *platform, GString *body);
+enum sr_platform_status sr_platform_remove (struct sr_platform *platform,
+                                            const char *kind,
+                                            const char *name,
+                                            int64_t expected_version);
+const char *sr_platform_status_to_string (enum sr_platform_status status);
--- a/src/request/registry.c
+++ b/src/request/registry.c
@@ -20,16 +20,12 @@
   GQueue by_age;
 };
 
-static struct registry_entry *
-add_ (struct sr_registry *registry, const struct sr_registry_claim *claim);
-static void
-expire_ (struct sr_registry *registry, int64_t now_us);
-static void
-drop_ (struct sr_registry *registry, struct registry_entry *entry);
-static void
-entry_free_ (gpointer data);
-static bool
-same_owner_ (const struct sr_registry_owner *a, const struct sr_registry_owner *b);
+static struct registry_entry *add_ (struct sr_registry *registry,
+                                    const struct sr_registry_claim *claim);
+static void expire_ (struct sr_registry *registry, int64_t now_us);
+static void drop_ (struct sr_registry *registry, struct registry_entry *entry);
+static void entry_free_ (gpointer data);
+static bool same_owner_ (const struct sr_registry_owner *a, const struct sr_registry_owner *b);
 
 /* Creates an empty registry, bounded by OPTIONS. The caller owns it; any thread may use it. */
 struct sr_registry *
--- a/src/request/registry.h
+++ b/src/request/registry.h
@@ -38,11 +38,8 @@
   int64_t now_us;
 };
 
-struct sr_registry *
-sr_registry_new (const struct sr_registry_options *options);
-void
-sr_registry_delete (struct sr_registry *registry);
-enum sr_registry_verdict
-sr_registry_claim (struct sr_registry *registry,
-                   const struct sr_registry_claim *claim,
-                   struct sr_registry_owner *owner);
+struct sr_registry *sr_registry_new (const struct sr_registry_options *options);
+void sr_registry_delete (struct sr_registry *registry);
+enum sr_registry_verdict sr_registry_claim (struct sr_registry *registry,
+                                            const struct sr_registry_claim *claim,
+                                            struct sr_registry_owner *owner);
--- a/src/request/run-peers.c
+++ b/src/request/run-peers.c
@@ -37,40 +37,28 @@
 static struct sr_counter taken_over_total
     = { .name = "requests_taken_over_total", .help = "Retries whose earlier run was gone." };
 
-static bool
-handle_claim_ (void *in, void *out, void *data);
-static bool
-handle_fetch_ (void *in, void *out, void *data);
-static void
-fill_part_ (struct sr_run *run, size_t offset, sr_request_part *part);
-static void
-fill_result_ (const struct sr_run_result *result, sr_request_part *part);
-static enum sr_registry_verdict
-claim_at_home_ (struct sr_run_peers *peers,
-                struct sr_run *run,
-                uint64_t instead_of,
-                struct sr_registry_owner *owner);
-static bool
-find_home_ (struct sr_run_peers *peers, const char *key, struct sr_member *home);
-static bool
-find_member_ (struct sr_run_peers *peers,
-              const char *name,
-              uint64_t incarnation,
-              struct sr_peer_address *address);
-static bool
-call_home_ (struct sr_run_peers *peers,
-            const struct sr_member *home,
-            const struct sr_registry_claim *claim,
-            enum sr_registry_verdict *verdict,
-            struct sr_registry_owner *owner);
-static bool
-follow_owner_ (struct following *following);
-static bool
-fetch_ (struct following *following, sr_request_part *part);
-static void
-take_part_ (struct following *following, const sr_request_part *part);
-static char *
-key_of_ (const struct sr_run_order *order);
+static bool handle_claim_ (void *in, void *out, void *data);
+static bool handle_fetch_ (void *in, void *out, void *data);
+static void fill_part_ (struct sr_run *run, size_t offset, sr_request_part *part);
+static void fill_result_ (const struct sr_run_result *result, sr_request_part *part);
+static enum sr_registry_verdict claim_at_home_ (struct sr_run_peers *peers,
+                                                struct sr_run *run,
+                                                uint64_t instead_of,
+                                                struct sr_registry_owner *owner);
+static bool find_home_ (struct sr_run_peers *peers, const char *key, struct sr_member *home);
+static bool find_member_ (struct sr_run_peers *peers,
+                          const char *name,
+                          uint64_t incarnation,
+                          struct sr_peer_address *address);
+static bool call_home_ (struct sr_run_peers *peers,
+                        const struct sr_member *home,
+                        const struct sr_registry_claim *claim,
+                        enum sr_registry_verdict *verdict,
+                        struct sr_registry_owner *owner);
+static bool follow_owner_ (struct following *following);
+static bool fetch_ (struct following *following, sr_request_part *part);
+static void take_part_ (struct following *following, const sr_request_part *part);
+static char *key_of_ (const struct sr_run_order *order);
 
 static const struct sr_peer_procedure procedures[] = {
   { SR_REQUEST_CLAIM, (xdrproc_t)xdr_sr_request_claim, sizeof (sr_request_claim),
--- a/src/request/run-peers.h
+++ b/src/request/run-peers.h
@@ -28,14 +28,10 @@
   SR_RUN_FOLLOWED_OTHER_BODY
 };
 
-struct sr_run_peers *
-sr_run_peers_new (const struct sr_run_peers_options *options);
-void
-sr_run_peers_delete (struct sr_run_peers *peers);
-void
-sr_run_peers_add_to_server (struct sr_run_peers *peers, struct sr_peer_server *server);
-enum sr_run_followed
-sr_run_peers_follow (struct sr_run_peers *peers,
-                     struct sr_run *run,
-                     struct sr_run_result *result,
-                     bool *may_have_run);
+struct sr_run_peers *sr_run_peers_new (const struct sr_run_peers_options *options);
+void sr_run_peers_delete (struct sr_run_peers *peers);
+void sr_run_peers_add_to_server (struct sr_run_peers *peers, struct sr_peer_server *server);
+enum sr_run_followed sr_run_peers_follow (struct sr_run_peers *peers,
+                                          struct sr_run *run,
+                                          struct sr_run_result *result,
+                                          bool *may_have_run);
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -69,8 +69,7 @@
 };
 
 /* The mutex stays locked, so that a listener that was dropped is never called. */
-static void
-wake_ (struct sr_run *run);
+static void wake_ (struct sr_run *run);
 
 /* Creates a run of ORDER, which it takes over, under CONFIG, of which it takes a reference. The
  * order's service must be in CONFIG, unless it is a look-up. The caller owns the one reference. */
--- a/src/request/run.h
+++ b/src/request/run.h
@@ -82,59 +82,33 @@
  * it. */
 typedef void (*sr_run_listener) (void *data);
 
-struct sr_run *
-sr_run_new (struct sr_run_order *order, struct sr_config *config);
-struct sr_run *
-sr_run_ref (struct sr_run *run);
-void
-sr_run_unref (struct sr_run *run);
-const struct sr_run_order *
-sr_run_order (const struct sr_run *run);
-const struct sr_config_service *
-sr_run_service (const struct sr_run *run);
-void
-sr_run_order_free (struct sr_run_order *order);
+struct sr_run *sr_run_new (struct sr_run_order *order, struct sr_config *config);
+struct sr_run *sr_run_ref (struct sr_run *run);
+void sr_run_unref (struct sr_run *run);
+const struct sr_run_order *sr_run_order (const struct sr_run *run);
+const struct sr_config_service *sr_run_service (const struct sr_run *run);
+void sr_run_order_free (struct sr_run_order *order);
 
-enum sr_run_state
-sr_run_state (struct sr_run *run);
-void
-sr_run_set_running (struct sr_run *run);
-void
-sr_run_append (struct sr_run *run, const char *text, size_t length, unsigned tokens);
-void
-sr_run_set_result_text (struct sr_run *run, const char *text, size_t length);
-void
-sr_run_finish (struct sr_run *run, const struct sr_run_result *result);
-const struct sr_run_result *
-sr_run_result (struct sr_run *run);
-int64_t
-sr_run_tokens (struct sr_run *run);
-int64_t
-sr_run_finished_us (struct sr_run *run);
+enum sr_run_state sr_run_state (struct sr_run *run);
+void sr_run_set_running (struct sr_run *run);
+void sr_run_append (struct sr_run *run, const char *text, size_t length, unsigned tokens);
+void sr_run_set_result_text (struct sr_run *run, const char *text, size_t length);
+void sr_run_finish (struct sr_run *run, const struct sr_run_result *result);
+const struct sr_run_result *sr_run_result (struct sr_run *run);
+int64_t sr_run_tokens (struct sr_run *run);
+int64_t sr_run_finished_us (struct sr_run *run);
 
-size_t
-sr_run_text_length (struct sr_run *run);
-void
-sr_run_copy_text (struct sr_run *run, size_t offset, GString *out);
-void
-sr_run_copy_from (struct sr_run *run, size_t offset, GString *out, int64_t *tokens);
-bool
-sr_run_wait_for_more (
+size_t sr_run_text_length (struct sr_run *run);
+void sr_run_copy_text (struct sr_run *run, size_t offset, GString *out);
+void sr_run_copy_from (struct sr_run *run, size_t offset, GString *out, int64_t *tokens);
+bool sr_run_wait_for_more (
     struct sr_run *run, size_t offset, bool whole, sr_run_listener listener, void *data);
-void
-sr_run_add_listener (struct sr_run *run);
-void
-sr_run_drop_listener (struct sr_run *run, void *data);
-bool
-sr_run_is_abandoned (struct sr_run *run, int64_t now_us);
+void sr_run_add_listener (struct sr_run *run);
+void sr_run_drop_listener (struct sr_run *run, void *data);
+bool sr_run_is_abandoned (struct sr_run *run, int64_t now_us);
 
-enum sr_outcome
-sr_run_refusal_outcome (const struct sr_run_order *order);
-const char *
-sr_run_state_to_string (enum sr_run_state state);
-const char *
-sr_error_code (enum sr_error error);
-const char *
-sr_error_message (enum sr_error error);
-int
-sr_error_http_status (enum sr_error error);
+enum sr_outcome sr_run_refusal_outcome (const struct sr_run_order *order);
+const char *sr_run_state_to_string (enum sr_run_state state);
+const char *sr_error_code (enum sr_error error);
+const char *sr_error_message (enum sr_error error);
+int sr_error_http_status (enum sr_error error);
--- a/src/request/table.c
+++ b/src/request/table.c
@@ -11,12 +11,9 @@
   struct sr_run_table_options options;
 };
 
-static char *
-key_of_ (const char *team, const char *request);
-static void
-run_unref_ (gpointer data);
-static void
-drop_oldest_ (struct sr_run_table *table);
+static char *key_of_ (const char *team, const char *request);
+static void run_unref_ (gpointer data);
+static void drop_oldest_ (struct sr_run_table *table);
 
 /* Creates an empty table that keeps at most OPTIONS' number of answers for OPTIONS' time. The
  * caller owns it. */
--- a/src/route/backend-state.c
+++ b/src/route/backend-state.c
@@ -26,22 +26,16 @@
 static const double LIMIT_BACKOFF_SLOW = 0.9;
 static const double LIMIT_BACKOFF_REFUSED = 0.7;
 
-static double
-decay_ (int64_t age_us, int64_t half_life_us);
-static double
-prior_others_ (const struct sr_backend_state *state,
-               const struct sr_load_prior *prior,
-               int64_t now_us);
-static void
-note_load_ (struct sr_backend_state *state,
-            struct sr_load_prior *prior,
-            const struct sr_route_report *report);
-static void
-note_latency_ (struct sr_backend_state *state, const struct sr_route_report *report);
-static void
-decrease_limit_ (struct sr_backend_state *state, double factor, int64_t now_us);
-static void
-note_success_ (struct sr_backend_state *state, int64_t now_us);
+static double decay_ (int64_t age_us, int64_t half_life_us);
+static double prior_others_ (const struct sr_backend_state *state,
+                             const struct sr_load_prior *prior,
+                             int64_t now_us);
+static void note_load_ (struct sr_backend_state *state,
+                        struct sr_load_prior *prior,
+                        const struct sr_route_report *report);
+static void note_latency_ (struct sr_backend_state *state, const struct sr_route_report *report);
+static void decrease_limit_ (struct sr_backend_state *state, double factor, int64_t now_us);
+static void note_success_ (struct sr_backend_state *state, int64_t now_us);
 
 /* Creates the state of BACKEND, as if it had been in use for long. The caller owns it. */
 struct sr_backend_state *
--- a/src/route/backend-state.h
+++ b/src/route/backend-state.h
@@ -42,29 +42,20 @@
   int64_t updated_us;
 };
 
-struct sr_backend_state *
-sr_backend_state_new (const struct sr_config_backend *backend);
-void
-sr_backend_state_delete (struct sr_backend_state *state);
-void
-sr_backend_state_configure (struct sr_backend_state *state,
-                            const struct sr_config_backend *backend,
-                            const char *data_centre);
-double
-sr_backend_state_capacity (const struct sr_backend_state *state, int64_t now_us);
-double
-sr_backend_state_load (const struct sr_backend_state *state,
-                       const struct sr_load_prior *prior,
-                       int64_t now_us);
-unsigned
-sr_backend_state_room (const struct sr_backend_state *state,
-                       const struct sr_load_prior *prior,
-                       int64_t now_us);
-bool
-sr_backend_state_is_probe_due (const struct sr_backend_state *state, int64_t now_us);
-void
-sr_backend_state_report (struct sr_backend_state *state,
-                         struct sr_load_prior *prior,
-                         const struct sr_route_report *report);
-void
-sr_backend_state_eject (struct sr_backend_state *state, int64_t now_us, double random);
+struct sr_backend_state *sr_backend_state_new (const struct sr_config_backend *backend);
+void sr_backend_state_delete (struct sr_backend_state *state);
+void sr_backend_state_configure (struct sr_backend_state *state,
+                                 const struct sr_config_backend *backend,
+                                 const char *data_centre);
+double sr_backend_state_capacity (const struct sr_backend_state *state, int64_t now_us);
+double sr_backend_state_load (const struct sr_backend_state *state,
+                              const struct sr_load_prior *prior,
+                              int64_t now_us);
+unsigned sr_backend_state_room (const struct sr_backend_state *state,
+                                const struct sr_load_prior *prior,
+                                int64_t now_us);
+bool sr_backend_state_is_probe_due (const struct sr_backend_state *state, int64_t now_us);
+void sr_backend_state_report (struct sr_backend_state *state,
+                              struct sr_load_prior *prior,
+                              const struct sr_route_report *report);
+void sr_backend_state_eject (struct sr_backend_state *state, int64_t now_us, double random);
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -25,16 +25,12 @@
 static struct sr_counter failed_total
     = { .name = "sr_route_failed_total", .help = "Calls to backend servers that failed." };
 
-static void
-apply_to_services_ (struct sr_router *router, GHashTable *groups, int64_t now_us);
-static GHashTable *
-group_by_service_ (const GPtrArray *backends);
-static void
-service_free_ (void *data);
-static json_t *
-backend_to_json_ (const struct sr_service_state *service,
-                  const struct sr_backend_state *state,
-                  int64_t now_us);
+static void apply_to_services_ (struct sr_router *router, GHashTable *groups, int64_t now_us);
+static GHashTable *group_by_service_ (const GPtrArray *backends);
+static void service_free_ (void *data);
+static json_t *backend_to_json_ (const struct sr_service_state *service,
+                                 const struct sr_backend_state *state,
+                                 int64_t now_us);
 
 /* Creates a router without services. OPTIONS' strings are copied. The caller owns the result and
  * frees it with sr_router_delete. */
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -60,23 +60,15 @@
   int64_t now_us;
 };
 
-struct sr_router *
-sr_router_new (const struct sr_router_options *options);
-void
-sr_router_delete (struct sr_router *router);
-void
-sr_router_apply (struct sr_router *router, struct sr_config *config, int64_t now_us);
-void
-sr_router_apply_backends (struct sr_router *router, const GPtrArray *backends, int64_t now_us);
-enum sr_route_verdict
-sr_router_pick (struct sr_router *router,
-                const struct sr_route_query *query,
-                struct sr_route *route);
-void
-sr_router_done (struct sr_router *router,
-                const struct sr_route *route,
-                const struct sr_route_report *report);
-unsigned
-sr_router_places (struct sr_router *router, const char *service, int64_t now_us);
-void
-sr_router_print_status (struct sr_router *router, GString *json, int64_t now_us);
+struct sr_router *sr_router_new (const struct sr_router_options *options);
+void sr_router_delete (struct sr_router *router);
+void sr_router_apply (struct sr_router *router, struct sr_config *config, int64_t now_us);
+void sr_router_apply_backends (struct sr_router *router, const GPtrArray *backends, int64_t now_us);
+enum sr_route_verdict sr_router_pick (struct sr_router *router,
+                                      const struct sr_route_query *query,
+                                      struct sr_route *route);
+void sr_router_done (struct sr_router *router,
+                     const struct sr_route *route,
+                     const struct sr_route_report *report);
+unsigned sr_router_places (struct sr_router *router, const char *service, int64_t now_us);
+void sr_router_print_status (struct sr_router *router, GString *json, int64_t now_us);
--- a/src/route/service-state.c
+++ b/src/route/service-state.c
@@ -31,40 +31,31 @@
   double capacity; /* of all of them */
 };
 
-static struct sr_backend_state *
-find_backend_ (const struct sr_service_state *service, const char *name);
-static GPtrArray *
-choose_subset_ (const GPtrArray *backends, const struct sr_router_options *options);
-static void
-add_preferred_ (GPtrArray *subset, GPtrArray *from, const char *instance, unsigned max);
-static void
-drop_idle_retired_ (struct sr_service_state *service);
-static bool
-is_excluded_ (const struct sr_route_query *query, const struct sr_backend_state *state);
-static double
-relative_load_ (const struct sr_service_state *service,
-                const struct sr_backend_state *state,
-                int64_t now_us);
-static unsigned
-collect_ (const struct sr_service_state *service,
-          const struct sr_route_query *query,
-          struct candidates *all,
-          struct candidates *local);
-static struct sr_backend_state *
-choose_probe_ (const struct sr_service_state *service, const struct sr_route_query *query);
-static struct sr_backend_state *
-choose_by_affinity_ (const struct sr_service_state *service,
-                     const struct candidates *candidates,
-                     const struct sr_route_query *query);
-static struct sr_backend_state *
-choose_by_load_ (const struct sr_service_state *service,
-                 const struct candidates *candidates,
-                 int64_t now_us,
-                 GRand *random);
-static void
-take_place_ (struct sr_backend_state *state, int64_t now_us, struct sr_route *route);
-static bool
-may_eject_ (const struct sr_service_state *service);
+static struct sr_backend_state *find_backend_ (const struct sr_service_state *service,
+                                               const char *name);
+static GPtrArray *choose_subset_ (const GPtrArray *backends,
+                                  const struct sr_router_options *options);
+static void add_preferred_ (GPtrArray *subset, GPtrArray *from, const char *instance, unsigned max);
+static void drop_idle_retired_ (struct sr_service_state *service);
+static bool is_excluded_ (const struct sr_route_query *query, const struct sr_backend_state *state);
+static double relative_load_ (const struct sr_service_state *service,
+                              const struct sr_backend_state *state,
+                              int64_t now_us);
+static unsigned collect_ (const struct sr_service_state *service,
+                          const struct sr_route_query *query,
+                          struct candidates *all,
+                          struct candidates *local);
+static struct sr_backend_state *choose_probe_ (const struct sr_service_state *service,
+                                               const struct sr_route_query *query);
+static struct sr_backend_state *choose_by_affinity_ (const struct sr_service_state *service,
+                                                     const struct candidates *candidates,
+                                                     const struct sr_route_query *query);
+static struct sr_backend_state *choose_by_load_ (const struct sr_service_state *service,
+                                                 const struct candidates *candidates,
+                                                 int64_t now_us,
+                                                 GRand *random);
+static void take_place_ (struct sr_backend_state *state, int64_t now_us, struct sr_route *route);
+static bool may_eject_ (const struct sr_service_state *service);
 
 /* Creates the state of the service NAME, without backend servers. The caller owns it. */
 struct sr_service_state *
--- a/src/route/service-state.h
+++ b/src/route/service-state.h
@@ -18,24 +18,18 @@
   SR_SUBSET_LOCAL_MAX = 48 /* of them in its own data centre, when there are others */
 };
 
-struct sr_service_state *
-sr_service_state_new (const char *name);
-void
-sr_service_state_delete (struct sr_service_state *service);
-void
-sr_service_state_apply (struct sr_service_state *service,
-                        const GPtrArray *backends,
-                        const struct sr_router_options *options,
-                        int64_t now_us);
-enum sr_route_verdict
-sr_service_state_pick (struct sr_service_state *service,
-                       const struct sr_route_query *query,
-                       GRand *random,
-                       struct sr_route *route);
-bool
-sr_service_state_report (struct sr_service_state *service,
-                         const char *backend,
-                         const struct sr_route_report *report,
-                         GRand *random);
-unsigned
-sr_service_state_places (const struct sr_service_state *service, int64_t now_us);
+struct sr_service_state *sr_service_state_new (const char *name);
+void sr_service_state_delete (struct sr_service_state *service);
+void sr_service_state_apply (struct sr_service_state *service,
+                             const GPtrArray *backends,
+                             const struct sr_router_options *options,
+                             int64_t now_us);
+enum sr_route_verdict sr_service_state_pick (struct sr_service_state *service,
+                                             const struct sr_route_query *query,
+                                             GRand *random,
+                                             struct sr_route *route);
+bool sr_service_state_report (struct sr_service_state *service,
+                              const char *backend,
+                              const struct sr_route_report *report,
+                              GRand *random);
+unsigned sr_service_state_places (const struct sr_service_state *service, int64_t now_us);
--- a/src/settings/ini-reader.c
+++ b/src/settings/ini-reader.c
@@ -26,42 +26,29 @@
   bool skipping;                  /* within a section whose header was wrong */
 };
 
-static void
-set_up_inih_ (void);
-static char *
-read_line_ (char *buffer, int size, void *stream);
+static void set_up_inih_ (void);
+static char *read_line_ (char *buffer, int size, void *stream);
 static void
 copy_line_ (struct parse_ *parse, const char *start, size_t length, char *buffer, size_t size);
-static void
-note_line_ (struct parse_ *parse, const char *line);
-static void
-end_line_ (struct parse_ *parse);
-static void
-open_section_ (struct parse_ *parse, const char *header);
-static int
-take_entry_ (void *user, const char *section, const char *key, const char *value);
-static const struct sr_ini_entry *
-find_entry_ (const struct sr_ini_section *section, const char *key);
+static void note_line_ (struct parse_ *parse, const char *line);
+static void end_line_ (struct parse_ *parse);
+static void open_section_ (struct parse_ *parse, const char *header);
+static int take_entry_ (void *user, const char *section, const char *key, const char *value);
+static const struct sr_ini_entry *find_entry_ (const struct sr_ini_section *section,
+                                               const char *key);
 static const struct sr_ini_key *
 find_key_ (const struct sr_ini_key *keys, size_t n_keys, const char *name);
-static const char *
-set_value_ (const struct sr_ini_key *key, const char *value, void *target);
+static const char *set_value_ (const struct sr_ini_key *key, const char *value, void *target);
 static const char *
 set_unsigned_ (const struct sr_ini_key *key, const char *value, unsigned *member);
-static const char *
-set_choice_ (const struct sr_ini_key *key, const char *value, int *member);
-static const char *
-set_list_ (const struct sr_ini_key *key, const char *value, GPtrArray *list);
-static void
-prepare_member_ (const struct sr_ini_key *key, void *target);
+static const char *set_choice_ (const struct sr_ini_key *key, const char *value, int *member);
+static const char *set_list_ (const struct sr_ini_key *key, const char *value, GPtrArray *list);
+static void prepare_member_ (const struct sr_ini_key *key, void *target);
 static const char *
 with_range_ (const struct sr_ini_key *key, const char *problem, char *buffer, size_t size);
-static void
-entry_free_ (void *data);
-static void
-section_free_ (void *data);
-static void
-string_free_ (void *data);
+static void entry_free_ (void *data);
+static void section_free_ (void *data);
+static void string_free_ (void *data);
 
 /* Reads LENGTH bytes of TEXT as an INI file; FILE_NAME is only for the findings. Every line that is
  * no header, entry, comment or blank, every section or key that stands twice and every line that is
--- a/src/settings/ini-reader.h
+++ b/src/settings/ini-reader.h
@@ -60,23 +60,17 @@
 
 struct sr_ini_document *
 sr_ini_read (const char *file_name, const char *text, size_t length, struct sr_findings *findings);
-void
-sr_ini_document_delete (struct sr_ini_document *document);
-const struct sr_ini_section *
-sr_ini_find (const struct sr_ini_document *document, const char *section);
-void
-sr_ini_fill (const struct sr_ini_document *document,
-             const struct sr_ini_section *section,
-             const char *section_name,
-             const struct sr_ini_key *keys,
-             size_t n_keys,
-             void *target,
-             struct sr_findings *findings);
-bool
-sr_ini_is_name (const char *text);
-const char *
-sr_ini_check_name (const char *item);
-const char *
-sr_ini_check_address_port (const char *item);
-bool
-sr_ini_parse_address_port (const char *text, char ip[16], unsigned *port);
+void sr_ini_document_delete (struct sr_ini_document *document);
+const struct sr_ini_section *sr_ini_find (const struct sr_ini_document *document,
+                                          const char *section);
+void sr_ini_fill (const struct sr_ini_document *document,
+                  const struct sr_ini_section *section,
+                  const char *section_name,
+                  const struct sr_ini_key *keys,
+                  size_t n_keys,
+                  void *target,
+                  struct sr_findings *findings);
+bool sr_ini_is_name (const char *text);
+const char *sr_ini_check_name (const char *item);
+const char *sr_ini_check_address_port (const char *item);
+bool sr_ini_parse_address_port (const char *text, char ip[16], unsigned *port);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -94,12 +94,10 @@
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
-static void
-check_sections_ (const struct sr_ini_document *document, struct sr_findings *findings);
-static void
-check_relations_ (const struct sr_ini_document *document,
-                  const struct sr_settings *settings,
-                  struct sr_findings *findings);
+static void check_sections_ (const struct sr_ini_document *document, struct sr_findings *findings);
+static void check_relations_ (const struct sr_ini_document *document,
+                              const struct sr_settings *settings,
+                              struct sr_findings *findings);
 
 /* Reads the settings from the file at PATH. Returns NULL after adding every fault of the file to
  * FINDINGS, each with its line, section and key. The caller owns the settings. */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -47,12 +47,9 @@
   unsigned stop_limit_s;
 };
 
-struct sr_settings *
-sr_settings_load (const char *path, struct sr_findings *findings);
-struct sr_settings *
-sr_settings_parse (const char *file_name,
-                   const char *text,
-                   size_t length,
-                   struct sr_findings *findings);
-void
-sr_settings_delete (struct sr_settings *settings);
+struct sr_settings *sr_settings_load (const char *path, struct sr_findings *findings);
+struct sr_settings *sr_settings_parse (const char *file_name,
+                                       const char *text,
+                                       size_t length,
+                                       struct sr_findings *findings);
+void sr_settings_delete (struct sr_settings *settings);
--- a/testing/harness/caller.c
+++ b/testing/harness/caller.c
@@ -1,6 +1,6 @@
 #include "testing/harness/caller.h"
 
-#include "testing/common/text.h"
+#include "emulator/common/text.h"
 
 #include <string.h>
 
@@ -21,16 +21,12 @@
   unsigned pieces;
 };
 
-static char *
-make_body_ (const struct harness_ask *ask);
-static bool
-gather_ (const struct harness_ask *ask,
-         const struct harness_reply *reply,
-         struct gathered *gathered);
-static bool
-is_right_ (const struct harness_ask *ask, const struct gathered *gathered);
-static void
-judge_error_ (const struct harness_reply *reply, struct harness_answer *answer);
+static char *make_body_ (const struct harness_ask *ask);
+static bool gather_ (const struct harness_ask *ask,
+                     const struct harness_reply *reply,
+                     struct gathered *gathered);
+static bool is_right_ (const struct harness_ask *ask, const struct gathered *gathered);
+static void judge_error_ (const struct harness_reply *reply, struct harness_answer *answer);
 
 /* Sends what ASK says and returns the reply as it is; the caller frees it. */
 struct harness_reply *
--- a/testing/harness/caller.h
+++ b/testing/harness/caller.h
@@ -48,11 +48,8 @@
   unsigned pieces; /* token lines of a stream */
 };
 
-struct harness_reply *
-harness_ask_raw (const struct harness_ask *ask);
-struct harness_answer
-harness_ask (const struct harness_ask *ask);
-struct harness_answer
-harness_judge (const struct harness_ask *ask, const struct harness_reply *reply);
-const char *
-harness_verdict_to_string (enum harness_verdict verdict);
+struct harness_reply *harness_ask_raw (const struct harness_ask *ask);
+struct harness_answer harness_ask (const struct harness_ask *ask);
+struct harness_answer harness_judge (const struct harness_ask *ask,
+                                     const struct harness_reply *reply);
+const char *harness_verdict_to_string (enum harness_verdict verdict);
--- a/testing/harness/client.c
+++ b/testing/harness/client.c
@@ -11,13 +11,11 @@
   BLOCK_BYTES = 4096
 };
 
-static void
-read_body_ (struct sr_exchange *exchange,
-            const struct harness_call *call,
-            struct harness_reply *reply,
-            int64_t start_us);
-static const json_t *
-look_up_ (const json_t *root, const char *path);
+static void read_body_ (struct sr_exchange *exchange,
+                        const struct harness_call *call,
+                        struct harness_reply *reply,
+                        int64_t start_us);
+static const json_t *look_up_ (const json_t *root, const char *path);
 
 /* Makes one call and waits for its end. The caller frees the reply. */
 struct harness_reply *
--- a/testing/harness/client.h
+++ b/testing/harness/client.h
@@ -35,17 +35,10 @@
   void *data;
 };
 
-struct harness_reply *
-harness_call (const struct harness_call *call);
-void
-harness_reply_free (struct harness_reply *reply);
-json_t *
-harness_reply_json (const struct harness_reply *reply);
-json_t *
-harness_get_json (const char *address, unsigned port, const char *path);
-bool
-harness_post (const char *address, unsigned port, const char *path);
-int64_t
-harness_json_number (const json_t *root, const char *path);
-const char *
-harness_json_text (const json_t *root, const char *path);
+struct harness_reply *harness_call (const struct harness_call *call);
+void harness_reply_free (struct harness_reply *reply);
+json_t *harness_reply_json (const struct harness_reply *reply);
+json_t *harness_get_json (const char *address, unsigned port, const char *path);
+bool harness_post (const char *address, unsigned port, const char *path);
+int64_t harness_json_number (const json_t *root, const char *path);
+const char *harness_json_text (const json_t *root, const char *path);
--- a/testing/harness/configuration.c
+++ b/testing/harness/configuration.c
@@ -6,12 +6,11 @@
   SERVICE_SLOTS = 64
 };
 
-static void
-add_backend_ (const struct harness *harness,
-              GString *text,
-              unsigned number,
-              const char *service,
-              unsigned slots);
+static void add_backend_ (const struct harness *harness,
+                          GString *text,
+                          unsigned number,
+                          const char *service,
+                          unsigned slots);
 
 /* The configuration of the fleet; the caller frees it. */
 GString *
--- a/testing/harness/harness.c
+++ b/testing/harness/harness.c
@@ -24,28 +24,18 @@
 static const char *const one_data_centre[] = { "dc1", NULL };
 static const char control_address[] = "127.0.0.1";
 
-static void
-fill_defaults_ (struct harness_options *options);
-static bool
-start_platform_ (struct harness *harness);
-static bool
-start_backends_ (struct harness *harness);
-static bool
-start_proxy_ (struct harness *harness);
+static void fill_defaults_ (struct harness_options *options);
+static bool start_platform_ (struct harness *harness);
+static bool start_backends_ (struct harness *harness);
+static bool start_proxy_ (struct harness *harness);
 static void
 add_link_ (GPtrArray *arguments, enum harness_port port, unsigned number, unsigned port_number);
-static bool
-start_instances_ (struct harness *harness);
-static bool
-configure_ (struct harness *harness);
-static GPtrArray *
-arguments_ (const struct harness *harness, const char *program);
-static void
-add_ (GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF (2, 3);
-static bool
-is_ready_ (void *data);
-static void
-print_log_ (const struct harness_process *process);
+static bool start_instances_ (struct harness *harness);
+static bool configure_ (struct harness *harness);
+static GPtrArray *arguments_ (const struct harness *harness, const char *program);
+static void add_ (GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF (2, 3);
+static bool is_ready_ (void *data);
+static void print_log_ (const struct harness_process *process);
 
 /* Waits until CONDITION holds; false when it does not within LIMIT_MS. */
 bool
--- a/testing/harness/harness.h
+++ b/testing/harness/harness.h
@@ -66,46 +66,26 @@
   HARNESS_PORT_TURN = 9
 };
 
-bool
-harness_wait_until (bool (*condition) (void *data), void *data, int64_t limit_ms);
+bool harness_wait_until (bool (*condition) (void *data), void *data, int64_t limit_ms);
 
-struct harness *
-harness_start (const struct harness_options *options);
-struct harness *
-harness_start_standins (const struct harness_options *options);
-void
-harness_stop (struct harness *harness);
-bool
-harness_start_instance (struct harness *harness, unsigned instance);
-bool
-harness_wait_instance_ready (struct harness *harness, unsigned instance, int64_t limit_ms);
-bool
-harness_submit (struct harness *harness, const char *configuration);
-bool
-harness_top_up (struct harness *harness, const char *budget, int64_t tokens, const char *id);
-bool
-harness_run (struct harness *harness, const char *name, GPtrArray *arguments, int *exit_code);
-GString *
-harness_configuration (const struct harness *harness);
-const char *
-harness_data_centre (const struct harness *harness, unsigned number);
-unsigned
-harness_port (const struct harness *harness, enum harness_port port);
-char *
-harness_address (enum harness_port port, unsigned number, bool advertised);
+struct harness *harness_start (const struct harness_options *options);
+struct harness *harness_start_standins (const struct harness_options *options);
+void harness_stop (struct harness *harness);
+bool harness_start_instance (struct harness *harness, unsigned instance);
+bool harness_wait_instance_ready (struct harness *harness, unsigned instance, int64_t limit_ms);
+bool harness_submit (struct harness *harness, const char *configuration);
+bool harness_top_up (struct harness *harness, const char *budget, int64_t tokens, const char *id);
+bool harness_run (struct harness *harness, const char *name, GPtrArray *arguments, int *exit_code);
+GString *harness_configuration (const struct harness *harness);
+const char *harness_data_centre (const struct harness *harness, unsigned number);
+unsigned harness_port (const struct harness *harness, enum harness_port port);
+char *harness_address (enum harness_port port, unsigned number, bool advertised);
 
-json_t *
-harness_ledger (struct harness *harness, unsigned backend);
-bool
-harness_control_backend (struct harness *harness, unsigned backend, const char *path);
-bool
-harness_control_platform (struct harness *harness, const char *path);
-json_t *
-harness_platform_counts (struct harness *harness);
-bool
-harness_rule (
+json_t *harness_ledger (struct harness *harness, unsigned backend);
+bool harness_control_backend (struct harness *harness, unsigned backend, const char *path);
+bool harness_control_platform (struct harness *harness, const char *path);
+json_t *harness_platform_counts (struct harness *harness);
+bool harness_rule (
     struct harness *harness, const char *from, const char *to, const char *mode, int delay_ms);
-bool
-harness_clear_rules (struct harness *harness);
-void
-harness_print_logs (struct harness *harness);
+bool harness_clear_rules (struct harness *harness);
+void harness_print_logs (struct harness *harness);
--- a/testing/harness/process.c
+++ b/testing/harness/process.c
@@ -18,10 +18,8 @@
   LOG_MODE = 0644
 };
 
-static void
-run_child_ (const struct harness_process *process, int log_fd, pid_t parent);
-static bool
-reap_ (struct harness_process *process, int *exit_code);
+static void run_child_ (const struct harness_process *process, int log_fd, pid_t parent);
+static bool reap_ (struct harness_process *process, int *exit_code);
 
 /* A process that is not yet running. ARGUMENTS (char *, with the program first) is taken. */
 struct harness_process *
--- a/testing/harness/samples.c
+++ b/testing/harness/samples.c
@@ -14,8 +14,7 @@
   GArray *values; /* int64_t */
 };
 
-static int
-compare_ (gconstpointer a, gconstpointer b);
+static int compare_ (gconstpointer a, gconstpointer b);
 
 /* An empty set of samples. */
 struct samples *
--- a/testing/harness/samples.h
+++ b/testing/harness/samples.h
@@ -6,13 +6,8 @@
 
 struct samples;
 
-struct samples *
-samples_new (void);
-void
-samples_delete (struct samples *samples);
-void
-samples_add (struct samples *samples, int64_t value);
-size_t
-samples_count (struct samples *samples);
-int64_t
-samples_percentile (struct samples *samples, double percent);
+struct samples *samples_new (void);
+void samples_delete (struct samples *samples);
+void samples_add (struct samples *samples, int64_t value);
+size_t samples_count (struct samples *samples);
+int64_t samples_percentile (struct samples *samples, double percent);
--- a/testing/harness/settings.c
+++ b/testing/harness/settings.c
@@ -30,10 +30,8 @@
                                         "30",
                                         NULL };
 
-static void
-set_all_ (GKeyFile *file, const char *const *values);
-static char *
-seeds_ (const struct harness *harness, unsigned instance);
+static void set_all_ (GKeyFile *file, const char *const *values);
+static char *seeds_ (const struct harness *harness, unsigned instance);
 
 /* Writes the settings file of an instance and returns its path; the caller frees it. */
 char *
--- a/testing/harness/settings.h
+++ b/testing/harness/settings.h
@@ -3,5 +3,4 @@
 
 #include "testing/harness/harness.h"
 
-char *
-harness_write_settings (const struct harness *harness, unsigned instance);
+char *harness_write_settings (const struct harness *harness, unsigned instance);
--- a/testing/harness/traffic.c
+++ b/testing/harness/traffic.c
@@ -46,18 +46,12 @@
   bool interactive;
 };
 
-static void *
-call_ (void *data);
-static bool
-wait_for_turn_ (struct traffic *traffic, int64_t number, int64_t *due_us);
-static struct shape
-shape_ (const struct traffic_options *options, int64_t number);
-static void
-ask_ (struct traffic *traffic, const struct shape *shape, int64_t due_us);
-static bool
-note_piece_ (void *data, const char *bytes, size_t length);
-static void
-count_ (struct traffic *traffic, const struct harness_answer *answer);
+static void *call_ (void *data);
+static bool wait_for_turn_ (struct traffic *traffic, int64_t number, int64_t *due_us);
+static struct shape shape_ (const struct traffic_options *options, int64_t number);
+static void ask_ (struct traffic *traffic, const struct shape *shape, int64_t due_us);
+static bool note_piece_ (void *data, const char *bytes, size_t length);
+static void count_ (struct traffic *traffic, const struct harness_answer *answer);
 
 /* Sends the whole mix and waits for its end. The caller frees the result. */
 struct traffic_result *
--- a/testing/harness/traffic.h
+++ b/testing/harness/traffic.h
@@ -44,11 +44,7 @@
   struct samples *total_us;
 };
 
-struct traffic_result *
-traffic_run (const struct traffic_options *options);
-void
-traffic_result_delete (struct traffic_result *result);
-json_t *
-traffic_result_json (struct traffic_result *result);
-void
-traffic_result_print (struct traffic_result *result, FILE *stream);
+struct traffic_result *traffic_run (const struct traffic_options *options);
+void traffic_result_delete (struct traffic_result *result);
+json_t *traffic_result_json (struct traffic_result *result);
+void traffic_result_print (struct traffic_result *result, FILE *stream);
--- a/testing/harness/turn.h
+++ b/testing/harness/turn.h
@@ -3,7 +3,5 @@
 
 #include <stdint.h>
 
-int
-harness_take_turn (unsigned port, int64_t limit_ms);
-void
-harness_end_turn (int turn);
+int harness_take_turn (unsigned port, int64_t limit_ms);
+void harness_end_turn (int turn);
--- a/testing/process/test-standins.c
+++ b/testing/process/test-standins.c
@@ -1,5 +1,5 @@
 /* The stand-ins and the fault proxy by themselves: other process tests rely on them. */
-#include "testing/common/text.h"
+#include "emulator/common/text.h"
 #include "testing/harness/harness.h"
 
 #include <arpa/inet.h>
--- a/testing/process/test-streams.c
+++ b/testing/process/test-streams.c
@@ -1,6 +1,6 @@
 /* Streams under faults: cut, hung, crashed and silent engines. An answer is whole and right to the
  * byte, or it looks cut. */
-#include "testing/common/text.h"
+#include "emulator/common/text.h"
 #include "testing/harness/traffic.h"
 
 #include <pthread.h>
