--- /dev/null
+++ b/src/budget/ledger-record.c
@@ -0,0 +1,245 @@
+#include "budget/ledger-private.h"
+
+static void source_doubt_ (struct sr_source *source, int64_t version, int64_t granted);
+static struct sr_source *
+own_open_ (struct sr_ledger *ledger, const char *witness, uint64_t witness_incarnation);
+static void read_source_ (struct sr_ledger *ledger,
+                          struct sr_source *source,
+                          const struct sr_record *record,
+                          int64_t version);
+
+/* Takes over what RECORD, read at VERSION, says of the own records. It settles every doubt about
+ * an earlier write, once the version shows that this write can no longer take effect. A record that
+ * is no longer there was closed by another instance. */
+void
+sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version)
+{
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      struct sr_source *source = ledger->sources->pdata[i];
+
+      if (source->own)
+        read_source_ (ledger, source, record, version);
+    }
+  sr_ledger_forget_empty_ (ledger);
+}
+
+/* Tells whether something is left of an own record that is not drawn on any more. */
+bool
+sr_ledger_has_left_over (const struct sr_ledger *ledger)
+{
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      const struct sr_source *source = ledger->sources->pdata[i];
+
+      if (source->own && !source->open && !source->gone && sr_source_available (source) > 0)
+        return true;
+    }
+  return false;
+}
+
+/* Edits in RECORD the own records that are not drawn on any more and that nobody has closed yet.
+ * Such a record shrinks to what may still be used of it, and is closed as having spent what was
+ * used once that is used up, or, when it is the FINAL update, with what is left given back: that
+ * may then not be used any more. Returns whether there was something to change. */
+bool
+sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final)
+{
+  bool changed = false;
+
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      struct sr_source *source = ledger->sources->pdata[i];
+      struct sr_record_holder *holder = sr_record_find (record, &source->id);
+      int64_t committed = source->used + source->reserved + source->given;
+
+      if (!source->own || source->open || holder == NULL)
+        continue;
+      if (source->reserved == 0 && (final || sr_source_available (source) == 0))
+        {
+          source->granted = MIN (source->granted, committed);
+          sr_record_close (record, &source->id, committed);
+          changed = true;
+        }
+      else if (holder->granted > sr_source_limit (source))
+        {
+          holder->granted = sr_source_limit (source);
+          changed = true;
+        }
+    }
+  return changed;
+}
+
+/* Edits RECORD, which was read at VERSION and given to sr_ledger_read, so that the own record gets
+ * NEED and up to WANT more tokens, see sr_record_grant. A new record names WITNESS and its
+ * incarnation (NULL: no witness). The caller then writes RECORD conditionally on VERSION: after
+ * success it calls sr_ledger_written, and after anything else it reads again. */
+void
+sr_ledger_draw (struct sr_ledger *ledger,
+                struct sr_record *record,
+                int64_t version,
+                int64_t need,
+                int64_t want,
+                const char *witness,
+                uint64_t witness_incarnation)
+{
+  struct sr_source *own = ledger->own;
+  struct sr_record_holder *holder;
+
+  if (own == NULL)
+    own = own_open_ (ledger, witness, witness_incarnation);
+  holder = sr_record_find (record, &own->id);
+  if (holder == NULL)
+    holder = sr_record_open (record, &own->id, ledger->options.data_centre);
+  g_strlcpy (holder->witness, own->witness, sizeof holder->witness);
+  holder->witness_incarnation = own->witness_incarnation;
+  holder->spent = MIN (own->used, holder->granted);
+  sr_record_grant (record, holder, need, want);
+  source_doubt_ (own, version, holder->granted);
+}
+
+/* Edits RECORD, see sr_ledger_draw, so that the own record keeps no more than KEEP tokens that are
+ * not in use, or is closed when CLOSE is set and none of it is reserved (tokens out on loan count
+ * as spent). Returns false when there is nothing to write. */
+bool
+sr_ledger_give_back (
+    struct sr_ledger *ledger, struct sr_record *record, int64_t version, int64_t keep, bool close)
+{
+  struct sr_source *own = ledger->own;
+  struct sr_record_holder *holder = own == NULL ? NULL : sr_record_find (record, &own->id);
+  int64_t committed = sr_ledger_committed (ledger);
+  int64_t granted;
+
+  if (holder == NULL)
+    return false;
+  holder->spent = MIN (own->used, holder->granted);
+  granted = MIN (holder->granted, committed + keep);
+  if (close && own->reserved == 0)
+    {
+      sr_record_close (record, &own->id, committed);
+      granted = committed;
+    }
+  else
+    holder->granted = granted;
+  source_doubt_ (own, version, granted);
+  return true;
+}
+
+/* Takes over that RECORD, edited by sr_ledger_draw or sr_ledger_give_back, was written. */
+void
+sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record)
+{
+  sr_ledger_read (ledger, record, INT64_MAX);
+}
+
+/* Gives up the own record for good: no more of it is used than now (tokens out on loan count as
+ * used). Returns that number, to be told to the witness, so that the rest can be taken back at
+ * once. There must be an own record. */
+int64_t
+sr_ledger_finish (struct sr_ledger *ledger)
+{
+  int64_t committed = sr_ledger_committed (ledger);
+
+  ledger->own->ceiling = MIN (ledger->own->ceiling, committed);
+  sr_ledger_own_close_ (ledger, ledger->own);
+  return committed;
+}
+
+/* Returns the ceiling to ask the witness for, so that NEED tokens and those of the demand to come
+ * can be reserved, or 0 when the acknowledged one is high enough, or there is no witness. */
+int64_t
+sr_ledger_ceiling_wanted (struct sr_ledger *ledger, int64_t need, int64_t now_us)
+{
+  const struct sr_source *own = ledger->own;
+  int64_t ahead = sr_ledger_demand (ledger, now_us, ledger->options.ceiling_cover_us);
+  int64_t committed = sr_ledger_committed (ledger);
+  int64_t wanted;
+
+  if (own == NULL || own->witness[0] == '\0' || !own->on_record)
+    return 0;
+  if (own->ceiling - committed >= MAX (need, ahead / 2))
+    return 0;
+  wanted = MIN (committed + MAX (need, 0) + ahead, own->granted);
+  return wanted > own->ceiling ? wanted : 0;
+}
+
+/* Takes over the witness' answer for record ID: it acknowledges CEILING. When it has sealed the
+ * record, what the ceiling allows may still be used, and the next draw opens a new record. */
+void
+sr_ledger_raised (struct sr_ledger *ledger,
+                  const struct sr_holder_id *id,
+                  int64_t ceiling,
+                  bool sealed)
+{
+  struct sr_source *own = ledger->own;
+
+  if (own == NULL || !sr_holder_id_equal (&own->id, id))
+    return;
+  own->ceiling = MAX (own->ceiling, ceiling);
+  if (sealed)
+    sr_ledger_own_close_ (ledger, own);
+}
+
+/* Stops using the witness of the own record, which could not be reached or has lost its memory:
+ * what was acknowledged may still be used, and the next draw opens a new record. */
+void
+sr_ledger_abandon (struct sr_ledger *ledger)
+{
+  if (ledger->own != NULL)
+    sr_ledger_own_close_ (ledger, ledger->own);
+}
+
+/* Several writes may be in doubt on the same version: the smallest grant counts. */
+static void
+source_doubt_ (struct sr_source *source, int64_t version, int64_t granted)
+{
+  if (source->in_doubt)
+    granted = MIN (granted, source->doubt_granted);
+  source->in_doubt = true;
+  source->doubt_version = version;
+  source->doubt_granted = granted;
+}
+
+static struct sr_source *
+own_open_ (struct sr_ledger *ledger, const char *witness, uint64_t witness_incarnation)
+{
+  struct sr_holder_id id = { .incarnation = ledger->options.incarnation };
+  struct sr_source *own;
+
+  g_strlcpy (id.instance, ledger->options.instance, sizeof id.instance);
+  id.generation = ++ledger->generation;
+  own = sr_ledger_source_new_ (ledger, &id, true);
+  if (witness != NULL)
+    {
+      g_strlcpy (own->witness, witness, sizeof own->witness);
+      own->witness_incarnation = witness_incarnation;
+      own->ceiling = 0;
+    }
+  ledger->own = own;
+  return own;
+}
+
+static void
+read_source_ (struct sr_ledger *ledger,
+              struct sr_source *source,
+              const struct sr_record *record,
+              int64_t version)
+{
+  const struct sr_record_holder *holder = sr_record_find (record, &source->id);
+
+  if (source->in_doubt && version <= source->doubt_version)
+    return;
+  if (holder != NULL)
+    {
+      source->on_record = true;
+      source->granted = source->open ? holder->granted : MIN (source->granted, holder->granted);
+    }
+  else
+    {
+      if (source->in_doubt)
+        source->granted = MIN (source->granted, source->doubt_granted);
+      source->gone = true;
+      sr_ledger_own_close_ (ledger, source);
+    }
+  source->in_doubt = false;
+}
