--- a/src/dispatch/dispatch-private.h
+++ b/src/dispatch/dispatch-private.h
@@ -24,6 +24,7 @@
   _Atomic uint64_t next_nonce;
 };
 
+void sr_dispatch_register_metrics_ (void);
 void sr_dispatch_perform_ (struct sr_dispatch *dispatch, struct sr_run *run);
 void sr_dispatch_got_place_ (struct sr_dispatch *dispatch, struct sr_run *run);
 void sr_dispatch_finish_ (struct sr_dispatch *dispatch,
--- a/src/dispatch/dispatch.c
+++ b/src/dispatch/dispatch.c
@@ -53,6 +53,7 @@
   sr_counter_register (&refused_total);
   sr_counter_register (&answered_total);
   sr_counter_register (&unknown_total);
+  sr_dispatch_register_metrics_ ();
   return dispatch;
 }
 
--- a/src/dispatch/perform.c
+++ b/src/dispatch/perform.c
@@ -20,6 +20,15 @@
 static bool follow_elsewhere_ (struct performance *p);
 static bool sink_ (void *data, const char *text, size_t length);
 
+/* Registers the metrics of carrying out requests. */
+void
+sr_dispatch_register_metrics_ (void)
+{
+  sr_counter_register (&attempts_total);
+  sr_perform_model_register_ ();
+  sr_histogram_register (&queue_to_first_us);
+}
+
 /* Carries RUN out from its place in the queue to its end. Runs in a worker thread and takes over
  * the queue's reference. */
 void
@@ -31,9 +40,6 @@
                            .service = sr_run_service (run),
                            .started_us = g_get_monotonic_time () };
 
-  sr_counter_register (&attempts_total);
-  sr_perform_model_register_ ();
-  sr_histogram_register (&queue_to_first_us);
   p.failed = g_ptr_array_new_with_free_func (g_free);
   if (p.order->is_look_up)
     sr_perform_look_up_ (&p);
