--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # bench/<name>.c one measurement program each.
 BUILD ?= build
 CC = gcc
-PKGS = glib-2.0 liburcu libtirpc libmicrohttpd neon jansson
+PKGS = glib-2.0 liburcu libtirpc libmicrohttpd neon jansson libuv
 # pkg-config is asked lazily, because `make setup` may have to install it first.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null)
@@ -13,15 +13,15 @@
 SAN ?=
 OPT ?= -O2 -g
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -I. -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
-LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lpthread -lm
+LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lhttp_parser -lpthread -lm
 
-LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c),$(wildcard src/*/*.c))
+LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c platform/test-*.c),$(wildcard src/*/*.c platform/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libsapphirerun.a
 # What operators' own programs link with.
 CONFIG_LIB := $(BUILD)/libsapphirerun-config.a
 CONFIG_OBJ := $(addprefix $(BUILD)/src/,config/builder.o config/config.o config/sections.o config/references.o settings/ini-reader.o base/findings.o)
-UNIT_SRC := $(wildcard src/*/test-*.c)
+UNIT_SRC := $(wildcard src/*/test-*.c platform/test-*.c)
 UNIT := $(UNIT_SRC:%.c=$(BUILD)/%)
 STANDINS := $(filter-out common,$(notdir $(patsubst %/,%,$(wildcard emulator/*/))))
 STANDIN_BIN := $(STANDINS:%=$(BUILD)/standin-%)
@@ -34,7 +34,7 @@
 EXAMPLE_SRC := $(wildcard examples/*.c)
 EXAMPLE := $(EXAMPLE_SRC:%.c=$(BUILD)/%)
 BIN := $(BUILD)/sapphirerun
-ALL_C := $(wildcard src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h emulator/*/*.c emulator/*/*.h bench/*.c bench/*.h examples/*.c)
+ALL_C := $(wildcard platform/*.c platform/*.h src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h emulator/*/*.c emulator/*/*.h bench/*.c bench/*.h examples/*.c)
 HAND_C := $(filter-out %_xdr.c %_xdr.h,$(ALL_C))
 
 .PHONY: all setup demo check check-unit check-process check-asan check-tsan bench format format-check tidy cppcheck clean
@@ -61,7 +61,7 @@
 $(BIN): $(BUILD)/src/cli/main.o $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
-$(UNIT): $(BUILD)/src/%: $(BUILD)/src/%.o $(LIB)
+$(UNIT): $(BUILD)/%: $(BUILD)/%.o $(LIB)
 	$(CC) $^ -o $@ $(LIBS) -lcmocka
 
 define STANDIN_RULE
--- /dev/null
+++ b/src/allotment/allotment.c
@@ -0,0 +1,1023 @@
+#include "allotment/allotment.h"
+
+#include "base/event-log.h"
+#include "base/rendezvous.h"
+
+#include <string.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  HOME_COVER_US = 12000000, /* demand a home holds: a cut of nine seconds and the time to notice */
+  LOAN_COVER_US = 1500000,  /* demand a loan covers: what a crash of the borrower loses */
+  IDLE_US = 3000000,        /* after this time without demand loans go back */
+  FIRST_SHARE_DIVISOR = 4,  /* of an untouched budget: demand of ten seconds of a short day */
+  FLOOR_DIVISOR = 12,       /* of any budget, until demand is known: half of what a cut asks for */
+  LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
+  FIRST_DRAW_DELAY_US = 1500000, /* all instances have announced themselves by then */
+  ASK_REPEAT_US = 25 * US_PER_MS, /* several round trips, and a processor that is taken up */
+  ASK_TRIES = 3,                  /* doubling pauses: given up after 175 ms */
+  SUSPECT_FIRST_US = 1000000,     /* a peer that did not answer is passed over; doubles */
+  SUSPECT_MAX_US = 16000000,
+  STORE_RETRY_US = 50 * US_PER_MS,       /* after a conflict or a lost answer */
+  STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
+  WAIT_MAX_US = 600 * US_PER_MS, /* two calls to a slow store; then the caller hears when to return */
+  FRESH_US = 150 * US_PER_MS,    /* a record read this long ago still tells what remains */
+  DRY_MEMORY_US = 400 * US_PER_MS, /* a home that had nothing is not asked again at once */
+  TICK_US = 200 * US_PER_MS      /* between looks at demand to come */
+};
+
+enum store_step_
+{
+  STEP_IDLE,
+  STEP_READING,
+  STEP_WRITING
+};
+
+struct peer_
+{
+  char *name;
+  int64_t suspect_until_us;
+  unsigned failures; /* in a row */
+};
+
+struct waiter_
+{
+  int64_t tokens;
+  int64_t since_us;
+  allotment_callback done;
+  void *data;
+};
+
+/* An ask of another instance that waits for a draw. */
+struct pending_ask_
+{
+  uint64_t handle;
+  int64_t since_us;
+  uint32_t number;
+  char borrower[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t borrower_incarnation;
+  struct sr_holder_id lender;
+  int64_t returned;
+  int64_t need;
+  int64_t want;
+  int64_t missing; /* what has to be drawn before it can be met */
+};
+
+struct team_
+{
+  char *name;
+  int64_t prepaid_tokens;
+  struct sr_ledger *ledger;
+  GQueue waiters; /* struct waiter_ */
+  GQueue asks;    /* struct pending_ask_ */
+  /* The store. */
+  enum store_step_ step;
+  struct sr_record *record; /* as last read or written; NULL: not known */
+  int64_t revision;         /* of record; 0: there is none yet */
+  int64_t record_us;
+  struct sr_record *edited; /* being written */
+  int64_t retry_us;
+  bool store_is_down;
+  /* Borrowing. */
+  bool asking;
+  uint32_t number;
+  unsigned tries;
+  int64_t asked_us;
+  char asked[SR_BUDGET_NAME_MAX_BYTES];
+  struct sr_holder_id asked_lender;
+  int64_t asked_returned;
+  int64_t asked_need;
+  int64_t asked_want;
+  int64_t dry_until_us; /* the home had nothing: the store is asked directly */
+};
+
+struct allotment_book
+{
+  struct allotment_book_options options;
+  GHashTable *teams; /* name: struct team_ */
+  GPtrArray *peers;  /* struct peer_, not this instance */
+  int64_t peers_since_us; /* when they were first known; 0: not yet */
+  bool stopping;
+};
+
+static const struct allotment_link_vtable *link_ (const struct allotment_book *book);
+static struct team_ *team_new_ (struct allotment_book *book, const char *name);
+static void team_free_ (void *data);
+static void pump_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
+static int64_t
+home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us);
+static void serve_waiters_ (struct team_ *team, int64_t now_us);
+static void serve_asks_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
+static bool serve_ask_ (struct allotment_book *book,
+                        struct team_ *team,
+                        struct pending_ask_ *ask,
+                        bool is_last,
+                        int64_t now_us);
+static void refuse_waiters_ (struct team_ *team, int64_t left_at_most, int64_t now_us);
+static void refuse_late_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
+static struct peer_ *home_ (struct allotment_book *book, const struct team_ *team, int64_t now_us);
+static struct peer_ *peer_find_ (const struct allotment_book *book, const char *name);
+static void peer_suspect_ (struct peer_ *peer, int64_t now_us);
+static void
+draw_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t want, int64_t now_us);
+static void read_ (struct allotment_book *book, struct team_ *team);
+static void write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record);
+static void store_failed_ (struct allotment_book *book,
+                           struct team_ *team,
+                           enum store_status status,
+                           int64_t now_us);
+static void take_record_ (struct team_ *team, struct sr_record *record, int64_t revision, int64_t now_us);
+static struct sr_record *edit_record_ (struct allotment_book *book, struct team_ *team);
+static void
+refuse_all_ (struct allotment_book *book, struct team_ *team, int64_t left_at_most, int64_t now_us);
+static int64_t left_at_most_ (const struct team_ *team);
+static void borrow_ (
+    struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us);
+static void send_ask_ (struct allotment_book *book, struct team_ *team);
+static void return_idle_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
+static int64_t needed_by_waiters_ (const struct team_ *team);
+static int64_t needed_by_asks_ (struct team_ *team);
+static struct sr_source *any_open_loan_ (const struct team_ *team);
+
+static const char *const verdict_names_[] = {
+  [ALLOTMENT_GRANTED] = "granted",
+  [ALLOTMENT_EXHAUSTED] = "exhausted",
+  [ALLOTMENT_LATER] = "later",
+};
+
+/* Returns the word for VERDICT in logs. */
+const char *
+allotment_verdict_to_string (enum allotment_verdict verdict)
+{
+  g_assert ((size_t)verdict < G_N_ELEMENTS (verdict_names_));
+  return verdict_names_[verdict];
+}
+
+/* Creates an empty book. The strings of OPTIONS must outlive it. */
+struct allotment_book *
+allotment_book_new (const struct allotment_book_options *options)
+{
+  struct allotment_book *book = g_new0 (struct allotment_book, 1);
+
+  book->options = *options;
+  book->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
+  book->peers = g_ptr_array_new ();
+  return book;
+}
+
+/* Frees BOOK; no reservation may be left. */
+void
+allotment_book_delete (struct allotment_book *book)
+{
+  g_hash_table_unref (book->teams);
+  for (unsigned i = 0; i < book->peers->len; i++)
+    {
+      struct peer_ *peer = book->peers->pdata[i];
+
+      g_free (peer->name);
+      g_free (peer);
+    }
+  g_ptr_array_unref (book->peers);
+  g_free (book);
+}
+
+/* Says which other instances there are: NAMES (char *), copied. */
+void
+allotment_book_set_peers (struct allotment_book *book, GPtrArray *names, int64_t now_us)
+{
+  GPtrArray *known = book->peers;
+  GHashTableIter iter;
+  void *team;
+
+  book->peers = g_ptr_array_new ();
+  for (unsigned i = 0; i < names->len; i++)
+    {
+      struct peer_ *peer = NULL;
+
+      for (unsigned k = 0; k < known->len && peer == NULL; k++)
+        if (strcmp (((struct peer_ *)known->pdata[k])->name, names->pdata[i]) == 0)
+          peer = g_ptr_array_steal_index_fast (known, k);
+      if (peer == NULL)
+        {
+          peer = g_new0 (struct peer_, 1);
+          peer->name = g_strdup (names->pdata[i]);
+        }
+      g_ptr_array_add (book->peers, peer);
+    }
+  for (unsigned k = 0; k < known->len; k++)
+    {
+      g_free (((struct peer_ *)known->pdata[k])->name);
+      g_free (known->pdata[k]);
+    }
+  g_ptr_array_unref (known);
+  if (book->peers_since_us == 0)
+    book->peers_since_us = now_us;
+  g_hash_table_iter_init (&iter, book->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &team))
+    pump_ (book, team, now_us);
+}
+
+/* Says what TEAM has paid for in all; the total never falls. */
+void
+allotment_book_set_team (struct allotment_book *book,
+                         const char *name,
+                         int64_t prepaid_tokens,
+                         int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+
+  if (team == NULL)
+    team = team_new_ (book, name);
+  if (prepaid_tokens > team->prepaid_tokens)
+    {
+      team->prepaid_tokens = prepaid_tokens;
+      team->dry_until_us = 0;
+      team->record_us = 0;
+    }
+  pump_ (book, team, now_us);
+}
+
+/* Reserves TOKENS of TEAM, which must be known, and tells DONE, perhaps at once. */
+void
+allotment_reserve (struct allotment_book *book,
+                   const char *name,
+                   int64_t tokens,
+                   allotment_callback done,
+                   void *data,
+                   int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+  struct waiter_ *waiter;
+
+  g_assert (team != NULL && tokens > 0);
+  if (tokens > team->prepaid_tokens)
+    {
+      done (ALLOTMENT_EXHAUSTED, NULL, data);
+      return;
+    }
+  waiter = g_new0 (struct waiter_, 1);
+  *waiter = (struct waiter_){ tokens, now_us, done, data };
+  g_queue_push_tail (&team->waiters, waiter);
+  pump_ (book, team, now_us);
+}
+
+/* Takes back a reservation of DATA that has not been told its end. Returns false when there is none.
+ */
+bool
+allotment_cancel (struct allotment_book *book, const char *name, void *data)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+
+  for (GList *link = team == NULL ? NULL : team->waiters.head; link != NULL; link = link->next)
+    if (((struct waiter_ *)link->data)->data == data)
+      {
+        g_free (link->data);
+        g_queue_delete_link (&team->waiters, link);
+        return true;
+      }
+  return false;
+}
+
+/* Ends the reservation PARTS, of which USED tokens were consumed. */
+void
+allotment_settle (
+    struct allotment_book *book, const char *name, GArray *parts, int64_t used, int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+
+  g_assert (team != NULL);
+  sr_ledger_settle (team->ledger, parts, used);
+  if (!g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks))
+    pump_ (book, team, now_us);
+}
+
+/* The read of the record of TEAM has ended. CONTENT may be NULL and stays the caller's. */
+void
+allotment_book_read_done (struct allotment_book *book,
+                          const char *name,
+                          enum store_status status,
+                          json_t *content,
+                          int64_t revision,
+                          int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+  struct sr_record *record;
+
+  g_assert (team != NULL && team->step == STEP_READING);
+  team->step = STEP_IDLE;
+  if (status == STORE_ABSENT)
+    take_record_ (team, sr_record_new (), 0, now_us);
+  else if (status != STORE_OK)
+    store_failed_ (book, team, status, now_us);
+  else if ((record = sr_record_from_json (content)) != NULL)
+    take_record_ (team, record, revision, now_us);
+  else
+    store_failed_ (book, team, STORE_INVALID, now_us);
+  pump_ (book, team, now_us);
+}
+
+/* The write of the record of TEAM has ended; after a conflict, CONTENT is the record as it is. */
+void
+allotment_book_write_done (struct allotment_book *book,
+                           const char *name,
+                           enum store_status status,
+                           json_t *content,
+                           int64_t revision,
+                           int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, name);
+  struct sr_record *edited = team->edited;
+  struct sr_record *current;
+
+  g_assert (team->step == STEP_WRITING);
+  team->step = STEP_IDLE;
+  team->edited = NULL;
+  if (status == STORE_OK)
+    {
+      sr_ledger_written (team->ledger, edited);
+      take_record_ (team, edited, revision, now_us);
+      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I}", "team", name, "revision",
+                (json_int_t)revision, "available", (json_int_t)sr_ledger_available (team->ledger),
+                "remaining", (json_int_t)sr_record_remaining (edited));
+    }
+  else
+    {
+      sr_record_delete (edited);
+      current = status == STORE_CONFLICT ? sr_record_from_json (content) : NULL;
+      if (current != NULL)
+        {
+          sr_ledger_read (team->ledger, current, revision);
+          take_record_ (team, current, revision, now_us);
+        }
+      else
+        {
+          /* Whether it took effect only a read can tell. */
+          team->record_us = 0;
+          g_clear_pointer (&team->record, sr_record_delete);
+          if (status != STORE_CONFLICT && status != STORE_ABSENT)
+            store_failed_ (book, team, status, now_us);
+        }
+    }
+  pump_ (book, team, now_us);
+}
+
+/* Another instance asks for a loan, or returns one. HANDLE is the link's, to answer it. */
+void
+allotment_book_asked (struct allotment_book *book,
+                      uint64_t handle,
+                      const struct allotment_ask *ask,
+                      int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, ask->team);
+  struct pending_ask_ *pending;
+
+  if (team == NULL)
+    return; /* a configuration not known here yet: the borrower asks again */
+  for (GList *link = team->asks.head; link != NULL; link = link->next)
+    {
+      pending = link->data;
+      if (strcmp (pending->borrower, ask->borrower) == 0)
+        {
+          g_free (pending);
+          g_queue_delete_link (&team->asks, link);
+          break;
+        }
+    }
+  pending = g_new0 (struct pending_ask_, 1);
+  *pending = (struct pending_ask_){
+    .handle = handle,
+    .since_us = now_us,
+    .number = ask->number,
+    .borrower_incarnation = ask->borrower_incarnation,
+    .lender = ask->lender,
+    .returned = ask->returned,
+    .need = ask->need,
+    .want = ask->want,
+  };
+  g_strlcpy (pending->borrower, ask->borrower, sizeof pending->borrower);
+  g_queue_push_tail (&team->asks, pending);
+  pump_ (book, team, now_us);
+}
+
+/* PEER has answered an ask. */
+void
+allotment_book_answered (struct allotment_book *book,
+                         const char *peer_name,
+                         const struct allotment_answer *answer,
+                         int64_t now_us)
+{
+  struct team_ *team = g_hash_table_lookup (book->teams, answer->team);
+  struct peer_ *peer = peer_find_ (book, peer_name);
+
+  if (peer != NULL)
+    {
+      peer->failures = 0;
+      peer->suspect_until_us = answer->is_leaving ? now_us + SUSPECT_MAX_US : 0;
+    }
+  if (team == NULL)
+    return;
+  sr_ledger_borrowed (team->ledger, &answer->loan);
+  if (!team->asking || team->number != answer->number)
+    return;
+  team->asking = false;
+  if (answer->is_dry)
+    {
+      team->dry_until_us = now_us + DRY_MEMORY_US;
+    }
+  pump_ (book, team, now_us);
+}
+
+/* Looks after what is due. Returns when to call again at the latest. */
+int64_t
+allotment_book_tick (struct allotment_book *book, int64_t now_us)
+{
+  int64_t due_us = now_us + TICK_US;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, book->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct team_ *team = value;
+
+      if (team->asking && now_us - team->asked_us >= (int64_t)ASK_REPEAT_US << (team->tries - 1))
+        {
+          if (team->tries < ASK_TRIES)
+            send_ask_ (book, team);
+          else
+            {
+              struct peer_ *peer = peer_find_ (book, team->asked);
+
+              team->asking = false;
+              sr_event (SR_EVENT_FAILURE, "peer_silent", "{s:s,s:s,s:i}", "peer", team->asked,
+                        "team", team->name, "tries", (int)team->tries);
+              if (peer != NULL)
+                peer_suspect_ (peer, now_us);
+            }
+        }
+      pump_ (book, team, now_us);
+      return_idle_ (book, team, now_us);
+      if (team->asking)
+        due_us = MIN (due_us, team->asked_us + ((int64_t)ASK_REPEAT_US << (team->tries - 1)));
+      if (!g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks))
+        due_us = MIN (due_us, now_us + ASK_REPEAT_US);
+    }
+  return MAX (due_us, now_us + US_PER_MS);
+}
+
+/* The instance stops: nothing more is lent or drawn, and what is left goes back, see
+ * allotment_book_is_empty. */
+void
+allotment_book_stop (struct allotment_book *book, int64_t now_us)
+{
+  book->stopping = true;
+  allotment_book_tick (book, now_us);
+}
+
+/* Tells, after allotment_book_stop, whether everything that could be given back is. */
+bool
+allotment_book_is_empty (const struct allotment_book *book)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, book->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct team_ *team = value;
+
+      if (team->asking || team->step != STEP_IDLE || sr_ledger_loans_left (team->ledger)
+          || team->ledger->own != NULL)
+        return false;
+    }
+  return true;
+}
+
+/* Returns the tokens of TEAM that can be reserved without asking anybody. */
+int64_t
+allotment_book_available (const struct allotment_book *book, const char *name)
+{
+  const struct team_ *team = g_hash_table_lookup (book->teams, name);
+
+  return team == NULL ? 0 : sr_ledger_available (team->ledger);
+}
+
+static const struct allotment_link_vtable *
+link_ (const struct allotment_book *book)
+{
+  return *(const struct allotment_link_vtable **)book->options.link;
+}
+
+static struct team_ *
+team_new_ (struct allotment_book *book, const char *name)
+{
+  const struct sr_ledger_options options = {
+    .instance = book->options.instance,
+    .data_centre = book->options.data_centre,
+    .incarnation = book->options.incarnation,
+    .cover_us = HOME_COVER_US,
+    .loan_cover_us = LOAN_COVER_US,
+    .idle_us = IDLE_US,
+  };
+  struct team_ *team = g_new0 (struct team_, 1);
+
+  team->name = g_strdup (name);
+  team->ledger = sr_ledger_new (&options);
+  g_queue_init (&team->waiters);
+  g_queue_init (&team->asks);
+  g_hash_table_insert (book->teams, team->name, team);
+  return team;
+}
+
+static void
+team_free_ (void *data)
+{
+  struct team_ *team = data;
+
+  g_queue_clear_full (&team->waiters, g_free);
+  g_queue_clear_full (&team->asks, g_free);
+  sr_record_delete (team->record);
+  sr_record_delete (team->edited);
+  sr_ledger_delete (team->ledger);
+  g_free (team->name);
+  g_free (team);
+}
+
+/* Serves what can be served and fetches what is missing, from the home or from the store. */
+static void
+pump_ (struct allotment_book *book, struct team_ *team, int64_t now_us)
+{
+  struct peer_ *home = home_ (book, team, now_us);
+  int64_t need;
+
+  serve_waiters_ (team, now_us);
+  serve_asks_ (book, team, now_us);
+  if (book->stopping)
+    {
+      refuse_waiters_ (team, INT64_MAX, now_us);
+      return;
+    }
+  need = needed_by_waiters_ (team) + needed_by_asks_ (team) - sr_ledger_available (team->ledger);
+  if (home == NULL || (need > 0 && !g_queue_is_empty (&team->asks)))
+    {
+      int64_t target = home == NULL ? home_target_ (book, team, now_us) : 0;
+      int64_t available = sr_ledger_available (team->ledger);
+
+      if (need > 0 || available < target * 3 / 4)
+        draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
+    }
+  else if (!team->asking)
+    {
+      int64_t ahead = sr_ledger_demand (team->ledger, now_us, LOAN_COVER_US);
+
+      if (need > 0 || (sr_ledger_available (team->ledger) < ahead / 2 && now_us >= team->dry_until_us))
+        borrow_ (book, team, home, MAX (need, 0), now_us);
+    }
+  refuse_late_ (book, team, now_us);
+}
+
+/* Returns the tokens that this instance, as the home of TEAM, should have available. */
+static int64_t
+home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us)
+{
+  int64_t target = sr_ledger_demand (team->ledger, now_us, HOME_COVER_US);
+  bool untouched = team->record == NULL
+                   || (team->record->holders->len == 0 && team->record->settled == 0);
+
+  if (book->peers_since_us == 0 || now_us - book->peers_since_us < FIRST_DRAW_DELAY_US)
+    return 0;
+  return MAX (target, team->prepaid_tokens / (untouched ? FIRST_SHARE_DIVISOR : FLOOR_DIVISOR));
+}
+
+/* Serves what fits, the oldest first: a large reservation that waits for a draw stops nobody. */
+static void
+serve_waiters_ (struct team_ *team, int64_t now_us)
+{
+  for (GList *link = team->waiters.head, *next; link != NULL; link = next)
+    {
+      struct waiter_ copy = *(struct waiter_ *)link->data;
+      GArray *parts = sr_ledger_reserve (team->ledger, copy.tokens, now_us);
+
+      next = link->next;
+      if (parts == NULL)
+        continue;
+      g_free (link->data);
+      g_queue_delete_link (&team->waiters, link);
+      copy.done (ALLOTMENT_GRANTED, parts, copy.data);
+    }
+}
+
+static void
+serve_asks_ (struct allotment_book *book, struct team_ *team, int64_t now_us)
+{
+  for (GList *link = team->asks.head, *next; link != NULL; link = next)
+    {
+      next = link->next;
+      if (!serve_ask_ (book, team, link->data, book->stopping, now_us))
+        continue;
+      g_free (link->data);
+      g_queue_delete_link (&team->asks, link);
+    }
+}
+
+/* Answers ASK if it can be met in full, or in any case when IS_LAST is set: the answer then says
+ * that there is no more. */
+static bool
+serve_ask_ (struct allotment_book *book,
+            struct team_ *team,
+            struct pending_ask_ *ask,
+            bool is_last,
+            int64_t now_us)
+{
+  struct allotment_answer answer
+      = { .team = team->name, .number = ask->number, .is_leaving = book->stopping };
+  const struct sr_ledger *ledger = team->ledger;
+  bool is_first = ask->lender.instance[0] == '\0';
+
+  sr_ledger_take_return (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
+                         ask->returned);
+  ask->missing = ask->need;
+  if (ledger->own == NULL && ask->need > 0 && !is_last)
+    return false;
+  /* Nothing is lent in part: the borrower could not use it, and the next one would miss it. */
+  sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
+                  ask->returned, 0, 0, now_us, &answer.loan);
+  ask->missing = 0;
+  if (answer.loan.has_record
+      && (sr_holder_id_equal (&ask->lender, &answer.loan.lender)
+          || (is_first && answer.loan.lent == 0)))
+    ask->missing = MAX (ask->need - answer.loan.lent, 0);
+  if (ask->missing > (ledger->own == NULL ? 0 : sr_source_available (ledger->own)))
+    {
+      if (!is_last)
+        return false;
+      answer.is_dry = true;
+    }
+  else if (!book->stopping)
+    sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
+                    ask->returned, ask->need, ask->want, now_us, &answer.loan);
+  answer.is_dry = answer.is_dry || (!answer.loan.has_record && ask->need > 0);
+  link_ (book)->answer (book->options.link, ask->handle, &answer);
+  return true;
+}
+
+/* Nothing more can be fetched: LEFT_AT_MOST is what can be left of the whole budget. */
+static void
+refuse_waiters_ (struct team_ *team, int64_t left_at_most, int64_t now_us)
+{
+  GQueue refused = team->waiters;
+  struct waiter_ *waiter;
+
+  g_queue_init (&team->waiters);
+  while ((waiter = g_queue_pop_head (&refused)) != NULL)
+    {
+      struct waiter_ copy = *waiter;
+      GArray *parts = sr_ledger_reserve (team->ledger, copy.tokens, now_us);
+
+      g_free (waiter);
+      if (parts != NULL)
+        copy.done (ALLOTMENT_GRANTED, parts, copy.data);
+      else
+        copy.done (copy.tokens > left_at_most ? ALLOTMENT_EXHAUSTED : ALLOTMENT_LATER, NULL,
+                   copy.data);
+    }
+}
+
+/* Refuses reservations that have waited too long, and asks of others too. */
+static void
+refuse_late_ (struct allotment_book *book, struct team_ *team, int64_t now_us)
+{
+  struct waiter_ *waiter;
+  struct pending_ask_ *ask;
+
+  while ((waiter = g_queue_peek_head (&team->waiters)) != NULL
+         && now_us - waiter->since_us >= WAIT_MAX_US)
+    {
+      struct waiter_ copy = *waiter;
+
+      g_free (g_queue_pop_head (&team->waiters));
+      copy.done (ALLOTMENT_LATER, NULL, copy.data);
+    }
+  while ((ask = g_queue_peek_head (&team->asks)) != NULL && now_us - ask->since_us >= WAIT_MAX_US)
+    {
+      g_queue_pop_head (&team->asks);
+      serve_ask_ (book, team, ask, true, now_us);
+      g_free (ask);
+    }
+}
+
+/* Returns the instance that holds the allotment of TEAM, or NULL when it is this one. Instances that
+ * did not answer lately are passed over. */
+static struct peer_ *
+home_ (struct allotment_book *book, const struct team_ *team, int64_t now_us)
+{
+  size_t length = strlen (team->name);
+  uint64_t best = sr_rendezvous_weight (team->name, length, book->options.instance);
+  struct peer_ *home = NULL;
+
+  for (unsigned i = 0; i < book->peers->len; i++)
+    {
+      struct peer_ *peer = book->peers->pdata[i];
+      uint64_t weight;
+
+      if (peer->suspect_until_us > now_us)
+        continue;
+      weight = sr_rendezvous_weight (team->name, length, peer->name);
+      if (weight > best)
+        {
+          best = weight;
+          home = peer;
+        }
+    }
+  return home;
+}
+
+static struct peer_ *
+peer_find_ (const struct allotment_book *book, const char *name)
+{
+  for (unsigned i = 0; i < book->peers->len; i++)
+    if (strcmp (((struct peer_ *)book->peers->pdata[i])->name, name) == 0)
+      return book->peers->pdata[i];
+  return NULL;
+}
+
+static void
+peer_suspect_ (struct peer_ *peer, int64_t now_us)
+{
+  int64_t span = (int64_t)SUSPECT_FIRST_US << MIN (peer->failures, 8U);
+
+  peer->failures++;
+  peer->suspect_until_us = now_us + MIN (span, (int64_t)SUSPECT_MAX_US);
+}
+
+/* Draws NEED and up to WANT more tokens from the store, unless a call is out or the store was down
+ * a moment ago. */
+static void
+draw_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t want, int64_t now_us)
+{
+  struct sr_record *record;
+  int64_t before;
+  int64_t after;
+
+  if (team->step != STEP_IDLE)
+    return;
+  if (now_us < team->retry_us)
+    {
+      if (team->store_is_down && need > 0)
+        refuse_all_ (book, team, INT64_MAX, now_us);
+      return;
+    }
+  if (team->record == NULL)
+    {
+      read_ (book, team);
+      return;
+    }
+  record = edit_record_ (book, team);
+  before = sr_record_outstanding (record);
+  if (sr_record_remaining (record) <= 0
+      || (need == 0
+          && MIN (want, sr_record_remaining (record))
+                 < MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1)))
+    {
+      sr_record_delete (record);
+      if (need == 0)
+        return;
+      if (now_us - team->record_us > FRESH_US)
+        read_ (book, team);
+      else
+        refuse_all_ (book, team, left_at_most_ (team), now_us);
+      return;
+    }
+  if (need > sr_record_remaining (record) && now_us - team->record_us > FRESH_US)
+    {
+      sr_record_delete (record);
+      read_ (book, team);
+      return;
+    }
+  sr_ledger_draw (team->ledger, record, team->revision, need, want, NULL, 0);
+  after = sr_record_outstanding (record);
+  sr_event (SR_EVENT_INFO, "allotment_draw", "{s:s,s:I,s:I,s:I,s:I}", "team", team->name,
+            "revision", (json_int_t)team->revision, "need", (json_int_t)need, "want",
+            (json_int_t)want, "drawn", (json_int_t)(after - before));
+  write_ (book, team, record);
+}
+
+static void
+read_ (struct allotment_book *book, struct team_ *team)
+{
+  team->step = STEP_READING;
+  link_ (book)->read (book->options.link, team->name);
+}
+
+static void
+write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record)
+{
+  team->step = STEP_WRITING;
+  team->edited = record;
+  link_ (book)->write (book->options.link, team->name, sr_record_to_json (record),
+                       team->revision);
+}
+
+static void
+store_failed_ (struct allotment_book *book,
+               struct team_ *team,
+               enum store_status status,
+               int64_t now_us)
+{
+  team->retry_us = now_us + (status == STORE_UNKNOWN ? STORE_RETRY_US : STORE_DOWN_RETRY_US);
+  team->store_is_down = true;
+  sr_event (SR_EVENT_FAILURE, "allotment_store_failed", "{s:s,s:s,s:I}", "team", team->name,
+            "status", store_status_to_string (status), "available",
+            (json_int_t)sr_ledger_available (team->ledger));
+  refuse_all_ (book, team, INT64_MAX, now_us);
+}
+
+/* Nothing can be fetched now: whoever waits hears so at once. */
+static void
+refuse_all_ (struct allotment_book *book, struct team_ *team, int64_t left_at_most, int64_t now_us)
+{
+  refuse_waiters_ (team, left_at_most, now_us);
+  while (!g_queue_is_empty (&team->asks))
+    {
+      struct pending_ask_ *ask = g_queue_pop_head (&team->asks);
+
+      serve_ask_ (book, team, ask, true, now_us);
+      g_free (ask);
+    }
+}
+
+/* Keeps RECORD, which it takes over, as what the store holds at REVISION. */
+static void
+take_record_ (struct team_ *team, struct sr_record *record, int64_t revision, int64_t now_us)
+{
+  if (team->record != NULL && team->record != record)
+    sr_record_delete (team->record);
+  team->record = record;
+  team->revision = revision;
+  team->record_us = now_us;
+  team->store_is_down = false;
+  sr_ledger_read (team->ledger, record, revision);
+}
+
+/* Returns a copy of the record with what changes by itself: the total that was paid, and holders
+ * that are earlier starts of this instance. They are dead, and whatever they held may be spent. */
+static struct sr_record *
+edit_record_ (struct allotment_book *book, struct team_ *team)
+{
+  json_t *json = sr_record_to_json (team->record);
+  struct sr_record *record = sr_record_from_json (json);
+
+  json_decref (json);
+  g_assert (record != NULL);
+  record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
+  for (unsigned i = record->holders->len; i > 0; i--)
+    {
+      const struct sr_holder_id id
+          = g_array_index (record->holders, struct sr_record_holder, i - 1).id;
+
+      if (strcmp (id.instance, book->options.instance) == 0
+          && id.incarnation != book->options.incarnation)
+        {
+          sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name,
+                    "incarnation", (json_int_t)id.incarnation);
+          sr_record_write_off (record, &id);
+        }
+    }
+  sr_ledger_close_left_over (team->ledger, record, book->stopping);
+  return record;
+}
+
+/* Returns what can at most be left of the budget: what is paid for, less what holders said they have
+ * spent. */
+static int64_t
+left_at_most_ (const struct team_ *team)
+{
+  const struct sr_record *record = team->record;
+  int64_t left = MAX (record->prepaid, team->prepaid_tokens) - record->settled;
+
+  for (unsigned i = 0; i < record->holders->len; i++)
+    left -= g_array_index (record->holders, struct sr_record_holder, i).spent;
+  return left;
+}
+
+/* Asks HOME for NEED tokens more than are available here, and for the demand to come. */
+static void
+borrow_ (
+    struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us)
+{
+  struct sr_source *loan = sr_ledger_loan_from (team->ledger, home->name);
+  int64_t lent = loan == NULL ? 0 : loan->granted;
+
+  if (need > 0 && now_us < team->dry_until_us)
+    {
+      draw_ (book, team, need, 0, now_us);
+      return;
+    }
+  team->asking = true;
+  team->tries = 0;
+  team->number++;
+  g_strlcpy (team->asked, home->name, sizeof team->asked);
+  team->asked_lender = loan == NULL ? (struct sr_holder_id){ 0 } : loan->id;
+  team->asked_returned = loan == NULL ? 0 : loan->given;
+  team->asked_need = lent + need;
+  team->asked_want = lent + need + sr_ledger_demand (team->ledger, now_us, LOAN_COVER_US);
+  team->asked_us = now_us;
+  send_ask_ (book, team);
+}
+
+static void
+send_ask_ (struct allotment_book *book, struct team_ *team)
+{
+  const struct allotment_ask ask = {
+    .team = team->name,
+    .number = team->number,
+    .borrower = book->options.instance,
+    .borrower_incarnation = book->options.incarnation,
+    .lender = team->asked_lender,
+    .returned = team->asked_returned,
+    .need = team->asked_need,
+    .want = team->asked_want,
+  };
+
+  team->tries++;
+  link_ (book)->ask (book->options.link, team->asked, &ask);
+}
+
+/* Returns loans that nobody needs to their lender, and an own allotment to the store when this is
+ * not the home, or far more than the demand, or the instance stops. */
+static void
+return_idle_ (struct allotment_book *book, struct team_ *team, int64_t now_us)
+{
+  bool is_home = home_ (book, team, now_us) == NULL;
+  bool idle = book->stopping || sr_ledger_is_idle (team->ledger, now_us);
+  struct sr_source *loan = any_open_loan_ (team);
+  int64_t keep;
+  struct sr_record *record;
+
+  if (loan != NULL && idle && !team->asking && sr_source_available (loan) > 0)
+    {
+      struct sr_holder_id lender = loan->id;
+
+      team->asking = true;
+      team->tries = 0;
+      team->number++;
+      g_strlcpy (team->asked, lender.instance, sizeof team->asked);
+      team->asked_lender = lender;
+      team->asked_returned = sr_ledger_return_loan (team->ledger, &lender, 0);
+      team->asked_need = 0;
+      team->asked_want = 0;
+      team->asked_us = now_us;
+      send_ask_ (book, team);
+    }
+  if (team->ledger->own == NULL || team->record == NULL || team->step != STEP_IDLE
+      || now_us < team->retry_us)
+    return;
+  keep = book->stopping ? 0 : sr_ledger_demand (team->ledger, now_us, HOME_COVER_US);
+  if (is_home && !book->stopping)
+    keep = MAX (2 * keep, team->prepaid_tokens / FIRST_SHARE_DIVISOR);
+  else if (!is_home && !book->stopping && !idle)
+    return;
+  if (!book->stopping && sr_source_available (team->ledger->own) <= keep)
+    return;
+  record = edit_record_ (book, team);
+  if (sr_ledger_give_back (team->ledger, record, team->revision, keep, book->stopping))
+    write_ (book, team, record);
+  else
+    sr_record_delete (record);
+}
+
+static int64_t
+needed_by_waiters_ (const struct team_ *team)
+{
+  int64_t sum = 0;
+
+  for (const GList *link = team->waiters.head; link != NULL; link = link->next)
+    sum += ((const struct waiter_ *)link->data)->tokens;
+  return sum;
+}
+
+/* Returns the tokens that asks of others wait for; one that merely has to learn of a record here
+ * waits for a single token. */
+static int64_t
+needed_by_asks_ (struct team_ *team)
+{
+  int64_t sum = 0;
+
+  for (const GList *link = team->asks.head; link != NULL; link = link->next)
+    sum += MAX (((const struct pending_ask_ *)link->data)->missing, 1);
+  return sum;
+}
+
+static struct sr_source *
+any_open_loan_ (const struct team_ *team)
+{
+  for (unsigned i = 0; i < team->ledger->sources->len; i++)
+    {
+      struct sr_source *source = team->ledger->sources->pdata[i];
+
+      if (!source->own && source->open && sr_source_available (source) > 0)
+        return source;
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/allotment/allotment.h
@@ -0,0 +1,115 @@
+/* Prepaid tokens at an instance on an event loop: the ledgers of all teams, fed from the store and
+ * from other instances. Each team has a home, an instance that draws allotments from the store; the
+ * others borrow from it, so that a cut from the store stops nobody as long as instances reach each
+ * other, and large requests find their tokens in one place. Which instance is the home is a hint:
+ * whoever can't reach it draws for itself, and every draw is conditional on the record's revision.
+ * Answers cuts of ten seconds and teams whose demand doubles. No thread, socket or clock: the link
+ * carries out what is asked of the store and of peers, and tells how it ended. */
+#pragma once
+
+#include "budget/ledger.h"
+#include "store/store.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum allotment_verdict
+{
+  ALLOTMENT_GRANTED,
+  ALLOTMENT_EXHAUSTED, /* what can be left of the budget does not hold the request */
+  ALLOTMENT_LATER      /* tokens are left, but out of reach now */
+};
+
+const char *allotment_verdict_to_string (enum allotment_verdict verdict);
+
+/* Asks for a loan. need and want count from the beginning of the lender's record, as returned does.
+ */
+struct allotment_ask
+{
+  const char *team;
+  uint32_t number; /* of this ask, to tell its answer */
+  const char *borrower;
+  uint64_t borrower_incarnation;
+  struct sr_holder_id lender; /* empty instance: not known */
+  int64_t returned;
+  int64_t need;
+  int64_t want;
+};
+
+struct allotment_answer
+{
+  const char *team;
+  uint32_t number;
+  struct sr_loan_answer loan;
+  bool is_dry;     /* the lender can't get more now */
+  bool is_leaving; /* the lender stops: ask another one from now on */
+};
+
+/* How the book reaches the store and other instances. Every implementation begins with a pointer to
+ * this table. */
+struct allotment_link_vtable
+{
+  /* Ends with allotment_book_read_done. */
+  void (*read) (void *link, const char *team);
+  /* CONTENT becomes the link's. Ends with allotment_book_write_done. */
+  void (*write) (void *link, const char *team, json_t *content, int64_t expected_revision);
+  void (*ask) (void *link, const char *peer, const struct allotment_ask *ask);
+  /* Answers whoever sent the ask with HANDLE. */
+  void (*answer) (void *link, uint64_t handle, const struct allotment_answer *answer);
+};
+
+/* Called once for each reservation: PARTS are given back by allotment_settle, and NULL unless
+ * granted. */
+typedef void (*allotment_callback) (enum allotment_verdict verdict, GArray *parts, void *data);
+
+struct allotment_book;
+
+struct allotment_book_options
+{
+  void *link;
+  const char *instance;
+  const char *data_centre;
+  uint64_t incarnation; /* higher with each start of this instance */
+};
+
+struct allotment_book *allotment_book_new (const struct allotment_book_options *options);
+void allotment_book_delete (struct allotment_book *book);
+void allotment_book_set_peers (struct allotment_book *book, GPtrArray *names, int64_t now_us);
+void allotment_book_set_team (struct allotment_book *book,
+                              const char *team,
+                              int64_t prepaid_tokens,
+                              int64_t now_us);
+void allotment_reserve (struct allotment_book *book,
+                        const char *team,
+                        int64_t tokens,
+                        allotment_callback done,
+                        void *data,
+                        int64_t now_us);
+bool allotment_cancel (struct allotment_book *book, const char *team, void *data);
+void allotment_settle (
+    struct allotment_book *book, const char *team, GArray *parts, int64_t used, int64_t now_us);
+void allotment_book_read_done (struct allotment_book *book,
+                               const char *team,
+                               enum store_status status,
+                               json_t *content,
+                               int64_t revision,
+                               int64_t now_us);
+void allotment_book_write_done (struct allotment_book *book,
+                                const char *team,
+                                enum store_status status,
+                                json_t *content,
+                                int64_t revision,
+                                int64_t now_us);
+void allotment_book_asked (struct allotment_book *book,
+                           uint64_t handle,
+                           const struct allotment_ask *ask,
+                           int64_t now_us);
+void allotment_book_answered (struct allotment_book *book,
+                              const char *peer,
+                              const struct allotment_answer *answer,
+                              int64_t now_us);
+int64_t allotment_book_tick (struct allotment_book *book, int64_t now_us);
+void allotment_book_stop (struct allotment_book *book, int64_t now_us);
+bool allotment_book_is_empty (const struct allotment_book *book);
+int64_t allotment_book_available (const struct allotment_book *book, const char *team);
--- a/src/budget/record.c
+++ b/src/budget/record.c
@@ -52,8 +52,19 @@
 struct sr_record *
 sr_record_parse (const char *text, size_t length)
 {
-  struct sr_record *record = sr_record_new ();
   json_t *root = json_loadb (text, length, 0, NULL);
+  struct sr_record *record = sr_record_from_json (root);
+
+  json_decref (root);
+  return record;
+}
+
+/* Reads what sr_record_to_json returned; ROOT stays the caller's and may be NULL. Returns NULL when
+ * it is malformed; else the caller owns the record. */
+struct sr_record *
+sr_record_from_json (json_t *root)
+{
+  struct sr_record *record = sr_record_new ();
   json_t *top_ups;
   json_t *holders;
   json_int_t prepaid;
@@ -72,7 +83,6 @@
       record->settled = settled;
       record->written_off = written_off;
     }
-  json_decref (root);
   if (good)
     return record;
   sr_record_delete (record);
@@ -82,24 +92,30 @@
 /* Appends RECORD as one JSON object to OUT. */
 void
 sr_record_print (const struct sr_record *record, GString *out)
+{
+  json_t *root = sr_record_to_json (record);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  g_string_append (out, text);
+  free (text);
+  json_decref (root);
+}
+
+/* Returns RECORD as a JSON object, which the caller owns. */
+json_t *
+sr_record_to_json (const struct sr_record *record)
 {
   json_t *top_ups = json_array ();
   json_t *holders = json_array ();
-  json_t *root;
-  char *text;
 
   for (unsigned i = 0; i < record->top_ups->len; i++)
     json_array_append_new (top_ups, top_up_to_json_ (record->top_ups->pdata[i]));
   for (unsigned i = 0; i < record->holders->len; i++)
     json_array_append_new (
         holders, holder_to_json_ (&g_array_index (record->holders, struct sr_record_holder, i)));
-  root = json_pack ("{s:I,s:I,s:I,s:o,s:o}", "prepaid", (json_int_t)record->prepaid, "settled",
+  return json_pack ("{s:I,s:I,s:I,s:o,s:o}", "prepaid", (json_int_t)record->prepaid, "settled",
                     (json_int_t)record->settled, "written_off", (json_int_t)record->written_off,
                     "top_ups", top_ups, "holders", holders);
-  text = json_dumps (root, JSON_COMPACT);
-  g_string_append (out, text);
-  free (text);
-  json_decref (root);
 }
 
 /* Returns the tokens granted to the open holders, spent or not. */
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -62,7 +63,9 @@
 struct sr_record *sr_record_new (void);
 void sr_record_delete (struct sr_record *record);
 struct sr_record *sr_record_parse (const char *text, size_t length);
+struct sr_record *sr_record_from_json (json_t *root);
 void sr_record_print (const struct sr_record *record, GString *out);
+json_t *sr_record_to_json (const struct sr_record *record);
 int64_t sr_record_outstanding (const struct sr_record *record);
 int64_t sr_record_remaining (const struct sr_record *record);
 struct sr_record_holder *sr_record_find (const struct sr_record *record,
--- a/src/cli/command-serve.c
+++ b/src/cli/command-serve.c
@@ -1,17 +1,22 @@
 #include "base/log.h"
 #include "cli/cli.h"
 #include "entry/serve.h"
+#include "gateway/serve.h"
+#include "platform/adapter.h"
 #include "settings/settings.h"
 
 #include <stdio.h>
 
-/* Runs "serve": reads the settings and runs one instance until it is told to stop. Findings are
+static int serve_on_platform_ (const char *path, struct sr_findings *findings);
+
+/* Runs "serve": reads the settings and runs one instance until it is told to stop. Without a file,
+ * the platform's settings are taken: the instance is then a gateway on the platform. Findings are
  * printed on stderr. */
 int
 cli_command_serve (int argc, char **argv)
 {
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
-  struct arg_file *path = arg_file1 (NULL, "settings", "FILE", "settings of this instance");
+  struct arg_file *path = arg_file0 (NULL, "settings", "FILE", "settings of this instance");
   struct arg_end *end = arg_end (10);
   void *table[] = { help, path, end };
   struct sr_findings *findings = sr_findings_new ();
@@ -20,6 +25,11 @@
 
   if (code != CLI_GO_ON)
     goto out;
+  if (path->count == 0)
+    {
+      code = serve_on_platform_ (platform_settings_path (), findings);
+      goto out;
+    }
   settings = sr_settings_load (path->filename[0], findings);
   if (settings == NULL)
     {
@@ -36,3 +46,25 @@
   arg_freetable (table, G_N_ELEMENTS (table));
   return code;
 }
+
+static int
+serve_on_platform_ (const char *path, struct sr_findings *findings)
+{
+  struct gw_settings *settings;
+  int code;
+
+  if (path == NULL)
+    {
+      fprintf (stderr, "serve: --settings is missing, and the platform names no file\n");
+      return CLI_EXIT_USAGE;
+    }
+  settings = gw_settings_load (path, findings);
+  if (settings == NULL)
+    {
+      sr_findings_print (findings, stderr);
+      return CLI_EXIT_REFUSED;
+    }
+  code = gw_serve (settings, path, platform_adapter ());
+  gw_settings_delete (settings);
+  return code;
+}
--- /dev/null
+++ b/src/gateway/event-scan.c
@@ -0,0 +1,62 @@
+#include "gateway/event-scan.h"
+
+#include <string.h>
+
+static void end_line_ (struct gw_event_scan *scan);
+
+/* Takes the next LENGTH bytes of the stream. Returns how many of them belong to complete events:
+ * what is after them is the beginning of the next one. */
+size_t
+gw_event_scan_feed (struct gw_event_scan *scan, const char *data, size_t length)
+{
+  size_t complete = 0;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      if (data[i] != '\n')
+        {
+          if (scan->line_length < sizeof scan->line - 1)
+            scan->line[scan->line_length] = data[i];
+          scan->line_length++;
+          continue;
+        }
+      if (scan->line_length > 0 && scan->line_length < sizeof scan->line
+          && scan->line[scan->line_length - 1] == '\r')
+        scan->line_length--;
+      if (scan->line_length > 0)
+        end_line_ (scan);
+      else if (scan->has_content)
+        {
+          scan->events++;
+          memcpy (scan->last_id, scan->pending_id, sizeof scan->last_id);
+          scan->has_content = false;
+          complete = i + 1;
+        }
+      else
+        complete = i + 1;
+      scan->line_length = 0;
+    }
+  return complete;
+}
+
+static void
+end_line_ (struct gw_event_scan *scan)
+{
+  const char *id = scan->line + 3;
+  size_t length;
+
+  scan->has_content = true;
+  if (scan->line_length >= sizeof scan->line || scan->line_length < 3
+      || memcmp (scan->line, "id:", 3) != 0)
+    return;
+  length = scan->line_length - 3;
+  if (length > 0 && *id == ' ')
+    {
+      id++;
+      length--;
+    }
+  if (length >= sizeof scan->pending_id)
+    return;
+  memcpy (scan->pending_id, id, length);
+  scan->pending_id[length] = '\0';
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,31 @@
+/* An instance that forwards callers' requests to backend servers as they are, on one event loop. */
+#pragma once
+
+#include "allotment/allotment.h"
+#include "gateway/backends.h"
+#include "gateway/dialect.h"
+#include "gateway/placement.h"
+#include "gateway/retry-budget.h"
+#include "gateway/routes.h"
+
+#include <glib.h>
+#include <uv.h>
+
+/* What requests share. The duties beside them keep it up to date. */
+struct gw_context
+{
+  uv_loop_t *loop;
+  const struct gw_dialect *dialect;
+  const char *data_centre;
+  struct gw_routes *routes; /* NULL until the first configuration is there */
+  struct gw_backends *backends;
+  struct allotment_book *book; /* NULL until this instance is announced */
+  GHashTable *retry_budgets;   /* service: struct gw_retry_budget */
+  struct gw_retry_budget_options retry_options;
+  unsigned instances; /* this one included */
+  GRand *random;
+  bool stopping;
+  unsigned exchanges; /* in progress */
+};
+
+struct gw_retry_budget *gw_context_retry_budget (struct gw_context *context, const char *service);
--- /dev/null
+++ b/src/gateway/ingress.c
@@ -0,0 +1,455 @@
+#include "gateway/ingress.h"
+
+#include "base/counters.h"
+#include "base/event-log.h"
+#include "gateway/exchange.h"
+
+#include <string.h>
+
+enum
+{
+  BACKLOG = 1024,              /* the burst of connections when another instance has gone */
+  HEAD_MAX_BYTES = 16384,      /* until a configuration says otherwise */
+  REQUEST_LINE_BYTES = 2048    /* what a head may hold besides its headers */
+};
+
+struct gw_ingress
+{
+  struct gw_context *context;
+  uv_tcp_t listener;
+  GHashTable *callers; /* struct caller_ */
+};
+
+struct caller_
+{
+  const struct net_http_owner_vtable *vtable; /* first: the connection's owner */
+  const struct gw_asker_vtable *asker_vtable; /* what the exchange calls */
+  struct gw_ingress *ingress;
+  struct net_http_conn *conn;
+  struct gw_exchange *exchange;
+  uv_timer_t timer;
+  uint64_t idle_since_ms;
+  bool is_reading;  /* the request is not whole */
+  bool is_answered; /* the answer to it is out */
+  bool is_chunked;
+  bool closes; /* after this answer */
+  bool stalled; /* a head was incomplete at the last look */
+  bool is_closed;
+};
+
+static void on_connection_ (uv_stream_t *listener, int status);
+static void on_head_ (void *owner, const struct net_http_head *head);
+static void on_body_ (void *owner, const char *data, size_t length);
+static void on_message_end_ (void *owner);
+static void on_written_ (void *owner);
+static void on_ended_ (void *owner, enum net_end end);
+static void on_refusable_ (void *owner, enum net_end end);
+static void begin_ (void *asker, const struct gw_reply *reply);
+static void body_ (void *asker, const struct net_text *parts, size_t n_parts);
+static size_t queued_ (void *asker);
+static void finish_ (void *asker);
+static void break_off_ (void *asker);
+static void next_request_ (struct caller_ *caller);
+static void set_timer_ (struct caller_ *caller);
+static void on_timer_ (uv_timer_t *timer);
+static void free_ (struct caller_ *caller);
+static void on_timer_closed_ (uv_handle_t *handle);
+static const struct gw_limits *limits_ (const struct caller_ *caller);
+static struct caller_ *caller_of_ (void *asker);
+
+static const struct net_http_owner_vtable owner_vtable_ = {
+  .head = on_head_,
+  .body = on_body_,
+  .message_end = on_message_end_,
+  .written = on_written_,
+  .refusable = on_refusable_,
+  .ended = on_ended_,
+};
+
+static const struct gw_asker_vtable asker_vtable_ = {
+  .begin = begin_,
+  .body = body_,
+  .queued = queued_,
+  .finish = finish_,
+  .break_off = break_off_,
+};
+
+static struct sr_counter connections_counter_
+    = { .name = "sapphirerun_caller_connections_total", .help = "Connections of callers." };
+
+/* Begins to listen on ADDRESS. Returns NULL, with a line in the log, when that fails. */
+struct gw_ingress *
+gw_ingress_new (struct gw_context *context, const struct sockaddr_in *address)
+{
+  struct gw_ingress *ingress = g_new0 (struct gw_ingress, 1);
+  int error;
+
+  ingress->context = context;
+  ingress->callers = g_hash_table_new (NULL, NULL);
+  sr_counter_register (&connections_counter_);
+  uv_tcp_init (context->loop, &ingress->listener);
+  ingress->listener.data = ingress;
+  error = uv_tcp_bind (&ingress->listener, (const struct sockaddr *)address, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)&ingress->listener, BACKLOG, on_connection_);
+  if (error == 0)
+    return ingress;
+  sr_event (SR_EVENT_FAILURE, "listen_failed", "{s:s}", "reason", uv_strerror (error));
+  return NULL;
+}
+
+/* Closes the connections on which nothing is asked or answered. */
+void
+gw_ingress_close_idle (struct gw_ingress *ingress)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, ingress->callers);
+  while (g_hash_table_iter_next (&iter, &value, NULL))
+    {
+      struct caller_ *caller = value;
+
+      if (caller->exchange != NULL || caller->is_reading || net_http_conn_has_received (caller->conn))
+        continue;
+      g_hash_table_iter_remove (&iter);
+      net_http_conn_finish (caller->conn);
+      free_ (caller);
+    }
+}
+
+/* Returns how many callers are connected. */
+unsigned
+gw_ingress_connections (const struct gw_ingress *ingress)
+{
+  return g_hash_table_size (ingress->callers);
+}
+
+static void
+on_connection_ (uv_stream_t *listener, int status)
+{
+  struct gw_ingress *ingress = listener->data;
+  const struct net_http_conn_options options = { .loop = ingress->context->loop,
+                                                 .is_server = true,
+                                                 .head_max_bytes = HEAD_MAX_BYTES };
+  struct caller_ *caller;
+
+  if (status != 0)
+    {
+      sr_event (SR_EVENT_FAILURE, "accept_failed", "{s:s}", "reason", uv_strerror (status));
+      return;
+    }
+  caller = g_new0 (struct caller_, 1);
+  caller->vtable = &owner_vtable_;
+  caller->asker_vtable = &asker_vtable_;
+  caller->ingress = ingress;
+  caller->conn = net_http_conn_new (&options, caller);
+  uv_timer_init (ingress->context->loop, &caller->timer);
+  caller->timer.data = caller;
+  g_hash_table_add (ingress->callers, caller);
+  net_http_conn_set_head_max (caller->conn,
+                              limits_ (caller)->header_max_bytes + REQUEST_LINE_BYTES);
+  sr_counter_add (&connections_counter_, 1);
+  if (!net_http_conn_accept (caller->conn, listener))
+    {
+      sr_event (SR_EVENT_FAILURE, "accept_failed", "{s:s}", "reason", "no descriptor left");
+      caller->conn = NULL;
+      free_ (caller);
+      return;
+    }
+  set_timer_ (caller);
+}
+
+static void
+on_head_ (void *owner, const struct net_http_head *head)
+{
+  static const struct net_text go_on = { "HTTP/1.1 100 Continue\r\n\r\n", 25 };
+  struct caller_ *caller = owner;
+  struct gw_context *context = caller->ingress->context;
+  GString *headers = g_string_sized_new (512);
+  struct gw_exchange *exchange;
+  struct gw_ask ask;
+
+  caller->is_reading = true;
+  caller->is_answered = false;
+  caller->stalled = false;
+  caller->closes = !head->keeps_alive || context->stopping;
+  context->dialect->decode_ask (head, &ask, headers);
+  exchange = gw_exchange_new (context, &caller->asker_vtable, head, &ask, headers);
+  if (exchange == NULL)
+    return;
+  caller->exchange = exchange;
+  if (head->has_length && head->length > limits_ (caller)->body_max_bytes)
+    {
+      caller->closes = true;
+      gw_exchange_too_large (exchange);
+      net_http_conn_finish (caller->conn);
+      caller->conn = NULL;
+      free_ (caller);
+    }
+  else if (ask.expects_continue)
+    net_http_conn_write (caller->conn, &go_on, 1);
+}
+
+static void
+on_body_ (void *owner, const char *data, size_t length)
+{
+  struct caller_ *caller = owner;
+
+  caller->idle_since_ms = uv_now (caller->ingress->context->loop);
+  if (caller->exchange == NULL)
+    return;
+  if (!gw_exchange_body (caller->exchange, data, length))
+    {
+      /* The rest of the body would take long to pass over. */
+      net_http_conn_finish (caller->conn);
+      caller->conn = NULL;
+      free_ (caller);
+    }
+}
+
+static void
+on_message_end_ (void *owner)
+{
+  struct caller_ *caller = owner;
+
+  caller->is_reading = false;
+  if (caller->is_answered)
+    {
+      next_request_ (caller);
+      return;
+    }
+  net_http_conn_hold_messages (caller->conn, true);
+  gw_exchange_start (caller->exchange);
+}
+
+static void
+on_written_ (void *owner)
+{
+  struct caller_ *caller = owner;
+
+  if (caller->exchange != NULL)
+    gw_exchange_drained (caller->exchange);
+}
+
+/* The caller has closed, or its connection broke. */
+static void
+on_ended_ (void *owner, enum net_end end)
+{
+  struct caller_ *caller = owner;
+
+  caller->conn = NULL;
+  if (caller->exchange != NULL)
+    {
+      struct gw_exchange *exchange = caller->exchange;
+
+      caller->exchange = NULL;
+      gw_exchange_abandon (exchange);
+    }
+  free_ (caller);
+}
+
+/* What came is no request: say so where no answer has begun, and close. */
+static void
+on_refusable_ (void *owner, enum net_end end)
+{
+  struct caller_ *caller = owner;
+  const char *text = end == NET_END_HEAD_TOO_LARGE
+                         ? "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: "
+                           "0\r\nConnection: close\r\n\r\n"
+                         : "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: "
+                           "close\r\n\r\n";
+  struct net_text part = net_text_of (text);
+  struct net_http_conn *conn = caller->conn;
+
+  sr_event (SR_EVENT_FAILURE, "request_unreadable", "{s:s}", "reason", net_end_to_string (end));
+  if (caller->exchange != NULL)
+    {
+      struct gw_exchange *exchange = caller->exchange;
+
+      caller->exchange = NULL;
+      gw_exchange_abandon (exchange);
+    }
+  if (!caller->is_answered)
+    net_http_conn_write (conn, &part, 1);
+  caller->conn = NULL;
+  net_http_conn_finish (conn);
+  free_ (caller);
+}
+
+static void
+begin_ (void *asker, const struct gw_reply *reply)
+{
+  struct caller_ *caller = caller_of_ (asker);
+  GString *head = g_string_sized_new (512);
+  struct net_text part;
+
+  caller->is_chunked = !reply->has_length && reply->status != 204 && reply->status != 304;
+  g_string_printf (head, "HTTP/1.1 %u ", reply->status);
+  g_string_append_len (head, reply->reason.data, (gssize)reply->reason.length);
+  g_string_append (head, "\r\n");
+  g_string_append_len (head, reply->headers.data, (gssize)reply->headers.length);
+  if (reply->has_length)
+    g_string_append_printf (head, "Content-Length: %" G_GUINT64_FORMAT "\r\n", reply->length);
+  else if (caller->is_chunked)
+    g_string_append (head, "Transfer-Encoding: chunked\r\n");
+  caller->closes = caller->closes || caller->ingress->context->stopping;
+  if (caller->closes)
+    g_string_append (head, "Connection: close\r\n");
+  g_string_append (head, "\r\n");
+  part = (struct net_text){ head->str, head->len };
+  net_http_conn_write (caller->conn, &part, 1);
+  g_string_free (head, TRUE);
+}
+
+static void
+body_ (void *asker, const struct net_text *parts, size_t n_parts)
+{
+  struct caller_ *caller = caller_of_ (asker);
+  struct net_text framed[4];
+  char size[24];
+  size_t total = 0;
+
+  g_assert (n_parts <= 2);
+  if (!caller->is_chunked)
+    {
+      net_http_conn_write (caller->conn, parts, n_parts);
+      return;
+    }
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      framed[i + 1] = parts[i];
+      total += parts[i].length;
+    }
+  if (total == 0)
+    return;
+  g_snprintf (size, sizeof size, "%zx\r\n", total);
+  framed[0] = net_text_of (size);
+  framed[n_parts + 1] = net_text_of ("\r\n");
+  net_http_conn_write (caller->conn, framed, n_parts + 2);
+}
+
+static size_t
+queued_ (void *asker)
+{
+  return net_http_conn_queued (caller_of_ (asker)->conn);
+}
+
+static void
+finish_ (void *asker)
+{
+  struct caller_ *caller = caller_of_ (asker);
+  const struct net_text last = net_text_of ("0\r\n\r\n");
+
+  if (caller->is_chunked)
+    net_http_conn_write (caller->conn, &last, 1);
+  caller->exchange = NULL;
+  caller->is_answered = true;
+  if (!caller->is_reading)
+    next_request_ (caller);
+}
+
+static void
+break_off_ (void *asker)
+{
+  struct caller_ *caller = caller_of_ (asker);
+  struct net_http_conn *conn = caller->conn;
+
+  caller->exchange = NULL;
+  caller->conn = NULL;
+  net_http_conn_reset (conn);
+  free_ (caller);
+}
+
+/* The request is whole and answered. */
+static void
+next_request_ (struct caller_ *caller)
+{
+  if (caller->closes)
+    {
+      struct net_http_conn *conn = caller->conn;
+
+      caller->conn = NULL;
+      net_http_conn_finish (conn);
+      free_ (caller);
+      return;
+    }
+  caller->idle_since_ms = uv_now (caller->ingress->context->loop);
+  set_timer_ (caller);
+  net_http_conn_hold_messages (caller->conn, false);
+}
+
+/* Looks after a head that does not get complete, and after idleness. */
+static void
+set_timer_ (struct caller_ *caller)
+{
+  const struct gw_limits *limits = limits_ (caller);
+
+  if (caller->idle_since_ms == 0)
+    caller->idle_since_ms = uv_now (caller->ingress->context->loop);
+  uv_timer_start (&caller->timer, on_timer_, MIN (limits->header_timeout_ms, limits->idle_timeout_ms),
+                  0);
+}
+
+static void
+on_timer_ (uv_timer_t *timer)
+{
+  struct caller_ *caller = timer->data;
+  uint64_t idle_ms = uv_now (caller->ingress->context->loop) - caller->idle_since_ms;
+  bool waits_for_head = caller->exchange == NULL && !caller->is_reading;
+  bool has_part = waits_for_head && net_http_conn_has_received (caller->conn);
+
+  if ((has_part && caller->stalled)
+      || ((waits_for_head || caller->is_reading) && idle_ms >= limits_ (caller)->idle_timeout_ms))
+    {
+      struct net_http_conn *conn = caller->conn;
+
+      if (caller->exchange != NULL)
+        {
+          struct gw_exchange *exchange = caller->exchange;
+
+          caller->exchange = NULL;
+          gw_exchange_abandon (exchange);
+        }
+      caller->conn = NULL;
+      net_http_conn_finish (conn);
+      free_ (caller);
+      return;
+    }
+  caller->stalled = has_part;
+  set_timer_ (caller);
+}
+
+static void
+free_ (struct caller_ *caller)
+{
+  if (caller->is_closed)
+    return;
+  caller->is_closed = true;
+  g_hash_table_remove (caller->ingress->callers, caller);
+  uv_close ((uv_handle_t *)&caller->timer, on_timer_closed_);
+}
+
+static void
+on_timer_closed_ (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+static const struct gw_limits *
+limits_ (const struct caller_ *caller)
+{
+  static const struct gw_limits fallback = { .header_max_bytes = HEAD_MAX_BYTES,
+                                             .body_max_bytes = 4 * 1024 * 1024,
+                                             .header_timeout_ms = 3000,
+                                             .idle_timeout_ms = 15000 };
+  const struct gw_routes *routes = caller->ingress->context->routes;
+
+  return routes == NULL ? &fallback : &routes->limits;
+}
+
+static struct caller_ *
+caller_of_ (void *asker)
+{
+  return (struct caller_ *)((char *)asker - offsetof (struct caller_, asker_vtable));
+}
--- /dev/null
+++ b/src/gateway/probe.c
@@ -0,0 +1,116 @@
+#include "gateway/probe.h"
+
+#include "base/event-log.h"
+#include "net/http-conn.h"
+
+enum
+{
+  BACKLOG = 16,
+  HEAD_MAX_BYTES = 4096
+};
+
+struct probe_
+{
+  struct gw_probe_options options;
+  uv_tcp_t listener;
+};
+
+struct visitor_
+{
+  const struct net_http_owner_vtable *vtable; /* first: the connection's owner */
+  struct probe_ *probe;
+  struct net_http_conn *conn;
+  char path[64];
+  bool keeps_alive;
+};
+
+static void on_connection_ (uv_stream_t *listener, int status);
+static void on_head_ (void *owner, const struct net_http_head *head);
+static void on_body_ (void *owner, const char *data, size_t length);
+static void on_message_end_ (void *owner);
+static void on_ended_ (void *owner, enum net_end end);
+
+static const struct net_http_owner_vtable owner_vtable_ = {
+  .head = on_head_,
+  .body = on_body_,
+  .message_end = on_message_end_,
+  .ended = on_ended_,
+};
+
+/* Begins to listen. Returns false, with a line in the log, when that fails. */
+bool
+gw_probe_listen (const struct gw_probe_options *options)
+{
+  struct probe_ *probe = g_new0 (struct probe_, 1);
+  int error;
+
+  probe->options = *options;
+  uv_tcp_init (options->loop, &probe->listener);
+  probe->listener.data = probe;
+  error = uv_tcp_bind (&probe->listener, (const struct sockaddr *)&options->address, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)&probe->listener, BACKLOG, on_connection_);
+  if (error != 0)
+    sr_event (SR_EVENT_FAILURE, "listen_failed", "{s:s}", "reason", uv_strerror (error));
+  return error == 0;
+}
+
+static void
+on_connection_ (uv_stream_t *listener, int status)
+{
+  struct probe_ *probe = listener->data;
+  const struct net_http_conn_options options
+      = { .loop = probe->options.loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
+  struct visitor_ *visitor;
+
+  if (status != 0)
+    return;
+  visitor = g_new0 (struct visitor_, 1);
+  visitor->vtable = &owner_vtable_;
+  visitor->probe = probe;
+  visitor->conn = net_http_conn_new (&options, visitor);
+  if (!net_http_conn_accept (visitor->conn, listener))
+    g_free (visitor);
+}
+
+static void
+on_head_ (void *owner, const struct net_http_head *head)
+{
+  struct visitor_ *visitor = owner;
+
+  g_snprintf (visitor->path, sizeof visitor->path, "%.*s", (int)head->target.length,
+              head->target.data);
+  visitor->keeps_alive = head->keeps_alive;
+}
+
+static void
+on_body_ (void *owner, const char *data, size_t length)
+{
+}
+
+static void
+on_message_end_ (void *owner)
+{
+  struct visitor_ *visitor = owner;
+  const struct gw_probe_options *options = &visitor->probe->options;
+  GString *body = g_string_new (NULL);
+  unsigned status = options->answer (visitor->path, body, options->data);
+  g_autofree char *head
+      = g_strdup_printf ("HTTP/1.1 %u %s\r\nContent-Type: text/plain; version=0.0.4\r\n"
+                         "Content-Length: %zu\r\n\r\n",
+                         status, status == 200 ? "OK" : "Unavailable", body->len);
+  const struct net_text parts[] = { net_text_of (head), { body->str, body->len } };
+
+  net_http_conn_write (visitor->conn, parts, body->len > 0 ? 2 : 1);
+  g_string_free (body, TRUE);
+  if (visitor->keeps_alive)
+    return;
+  net_http_conn_finish (visitor->conn);
+  g_free (visitor);
+}
+
+static void
+on_ended_ (void *owner, enum net_end end)
+{
+  g_free (owner);
+}
--- /dev/null
+++ b/src/gateway/routes.h
@@ -0,0 +1,93 @@
+/* The configuration in force at a gateway: which request goes to which service, who may send it and
+ * what each team has paid for. Immutable once built, and counted. */
+#pragma once
+
+#include "net/http-conn.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum gw_route_kind
+{
+  GW_ROUTE_REPEATABLE, /* may run more than once */
+  GW_ROUTE_ONCE,       /* may run once at most */
+  GW_ROUTE_STREAM      /* answers with events; runs once, unless it can be resumed */
+};
+
+struct gw_route_target
+{
+  GString *service;
+  unsigned weight;
+};
+
+struct gw_route
+{
+  GString *name;
+  GString *host;
+  GString *path_prefix;
+  enum gw_route_kind kind;
+  bool resumable;
+  bool is_public;        /* needs no key */
+  bool carries_prompts;  /* its requests state their prompt and output */
+  unsigned timeout_ms;   /* after it the caller has its final answer */
+  unsigned objective_ms; /* latency objective, to the first event of a stream */
+  unsigned priority;     /* 0 is the highest */
+  unsigned attempts_max; /* backend servers that one request may be sent to */
+  GArray *targets;       /* struct gw_route_target */
+};
+
+struct gw_service
+{
+  GString *name;
+  GString *health_path;
+  unsigned connections_max; /* of one backend server, by all callers */
+  bool is_model;
+  unsigned tokens_per_event; /* at most */
+  unsigned slots;            /* requests that run at once in one backend server */
+  int64_t memory_tokens;     /* of one backend server */
+};
+
+struct gw_team
+{
+  GString *name;
+  bool is_prepaid;
+  int64_t prepaid_tokens;
+  bool has_priority;
+  unsigned priority; /* goes before the route's */
+};
+
+struct gw_limits
+{
+  unsigned header_max_bytes;
+  unsigned body_max_bytes;
+  unsigned header_timeout_ms;
+  unsigned idle_timeout_ms;
+};
+
+struct gw_routes
+{
+  int reference_count;
+  int64_t version;
+  GPtrArray *routes;        /* struct gw_route */
+  GHashTable *by_host;      /* host: GPtrArray of struct gw_route, longest prefix first */
+  GHashTable *services;     /* name: struct gw_service */
+  GHashTable *teams;        /* name: struct gw_team */
+  GHashTable *teams_by_key; /* key: struct gw_team */
+  struct gw_limits limits;
+};
+
+struct gw_routes *gw_routes_new (int64_t version);
+struct gw_routes *gw_routes_ref (struct gw_routes *routes);
+void gw_routes_unref (struct gw_routes *routes);
+struct gw_route *gw_routes_add_route (struct gw_routes *routes, const char *name);
+struct gw_service *gw_routes_add_service (struct gw_routes *routes, const char *name);
+struct gw_team *gw_routes_add_team (struct gw_routes *routes, const char *name);
+void gw_routes_add_key (struct gw_routes *routes, const char *key, struct gw_team *team);
+void gw_route_add_target (struct gw_route *route, const char *service, unsigned weight);
+void gw_routes_finish (struct gw_routes *routes);
+const struct gw_route *
+gw_routes_match (const struct gw_routes *routes, struct net_text host, struct net_text path);
+const struct gw_team *gw_routes_team (const struct gw_routes *routes, struct net_text key);
+const struct gw_service *gw_routes_service (const struct gw_routes *routes, const char *name);
+const GString *gw_route_pick_service (const struct gw_route *route, uint32_t random);
--- /dev/null
+++ b/src/gateway/settings.c
@@ -0,0 +1,188 @@
+#include "gateway/settings.h"
+
+#include "settings/ini-reader.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+enum
+{
+  PORT_MAX = 65535
+};
+
+#define MEMBER(member) offsetof (struct gw_settings, member)
+
+static const struct sr_ini_key instance_keys_[] = {
+  { .name = "name", .type = SR_INI_NAME, .offset = MEMBER (name), .required = true },
+  { .name = "data_centre", .type = SR_INI_NAME, .offset = MEMBER (data_centre), .required = true },
+};
+
+static const struct sr_ini_key listen_keys_[] = {
+  { .name = "address", .type = SR_INI_IP, .offset = MEMBER (address), .required = true },
+  { .name = "entry", .type = SR_INI_TEXT, .offset = MEMBER (entry_text), .required = true },
+  { .name = "ready", .type = SR_INI_TEXT, .offset = MEMBER (ready_text), .required = true },
+  { .name = "peer_port",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (peer_port),
+    .required = true,
+    .min = 1,
+    .max = PORT_MAX },
+};
+
+static const struct sr_ini_key store_keys_[] = {
+  { .name = "address", .type = SR_INI_TEXT, .offset = MEMBER (store_host), .required = true },
+};
+
+static const struct sr_ini_key retries_keys_[] = {
+  { .name = "ratio",
+    .type = SR_INI_TEXT,
+    .offset = MEMBER (retry_ratio_text),
+    .fallback = "0.1" }, /* of the requests: what common retry budgets allow */
+  { .name = "extra", .type = SR_INI_UNSIGNED, .offset = MEMBER (retry_extra), .max = 1000000,
+    .fallback = "10" },
+  { .name = "window_s", .type = SR_INI_UNSIGNED, .offset = MEMBER (retry_window_s), .min = 1,
+    .max = 3600, .fallback = "10" },
+};
+
+static const struct sr_ini_key stop_keys_[] = {
+  { .name = "limit_s", .type = SR_INI_UNSIGNED, .offset = MEMBER (stop_limit_s), .min = 1,
+    .max = 3600, .fallback = "30" },
+};
+
+#undef MEMBER
+
+static const struct
+{
+  const char *section;
+  const struct sr_ini_key *keys;
+  size_t n_keys;
+} schemas_[] = {
+  { "instance", instance_keys_, G_N_ELEMENTS (instance_keys_) },
+  { "listen", listen_keys_, G_N_ELEMENTS (listen_keys_) },
+  { "store", store_keys_, G_N_ELEMENTS (store_keys_) },
+  { "retries", retries_keys_, G_N_ELEMENTS (retries_keys_) },
+  { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
+};
+
+static void text_free_ (GString *text);
+static void resolve_ (struct gw_settings *settings,
+                      const char *file_name,
+                      struct sr_findings *findings);
+static void resolve_address_ (const char *text,
+                              struct sockaddr_in *address,
+                              const char *file_name,
+                              const char *section,
+                              const char *key,
+                              struct sr_findings *findings);
+
+/* Reads the settings from the file at PATH. Returns NULL after adding every fault of the file to
+ * FINDINGS, each with its line, section and key. The caller owns the settings. */
+struct gw_settings *
+gw_settings_load (const char *path, struct sr_findings *findings)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  gsize length;
+
+  if (!g_file_get_contents (path, &text, &length, &error))
+    {
+      sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
+      return NULL;
+    }
+  return gw_settings_parse (path, text, length, findings);
+}
+
+/* As gw_settings_load, from LENGTH bytes of TEXT; FILE_NAME is only for the findings. */
+struct gw_settings *
+gw_settings_parse (const char *file_name,
+                   const char *text,
+                   size_t length,
+                   struct sr_findings *findings)
+{
+  size_t before = sr_findings_count (findings);
+  struct sr_ini_document *document = sr_ini_read (file_name, text, length, findings);
+  struct gw_settings *settings = g_new0 (struct gw_settings, 1);
+
+  for (size_t i = 0; document != NULL && i < G_N_ELEMENTS (schemas_); i++)
+    sr_ini_fill (document, sr_ini_find (document, schemas_[i].section), schemas_[i].section,
+                 schemas_[i].keys, schemas_[i].n_keys, settings, findings);
+  if (document == NULL && sr_findings_count (findings) == before)
+    sr_findings_add (findings, file_name, 0, NULL, NULL, "can't be read as INI");
+  if (sr_findings_count (findings) == before)
+    resolve_ (settings, file_name, findings);
+  if (document != NULL)
+    sr_ini_document_delete (document);
+  if (sr_findings_count (findings) == before)
+    return settings;
+  gw_settings_delete (settings);
+  return NULL;
+}
+
+/* Frees SETTINGS. NULL is allowed. */
+void
+gw_settings_delete (struct gw_settings *settings)
+{
+  if (settings == NULL)
+    return;
+  text_free_ (settings->name);
+  text_free_ (settings->data_centre);
+  text_free_ (settings->store_host);
+  text_free_ (settings->entry_text);
+  text_free_ (settings->ready_text);
+  text_free_ (settings->address);
+  text_free_ (settings->retry_ratio_text);
+  g_free (settings);
+}
+
+static void
+text_free_ (GString *text)
+{
+  if (text != NULL)
+    g_string_free (text, TRUE);
+}
+
+/* Turns addresses and numbers into what the gateway uses. */
+static void
+resolve_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings)
+{
+  char *end;
+
+  resolve_address_ (settings->entry_text->str, &settings->entry_address, file_name, "listen",
+                    "entry", findings);
+  resolve_address_ (settings->ready_text->str, &settings->ready_address, file_name, "listen",
+                    "ready", findings);
+  resolve_address_ (settings->store_host->str, &settings->store_address, file_name, "store",
+                    "address", findings);
+  settings->peer_address = (struct sockaddr_in){
+    .sin_family = AF_INET, .sin_port = htons ((uint16_t)settings->peer_port)
+  };
+  inet_pton (AF_INET, settings->address->str, &settings->peer_address.sin_addr);
+  settings->metrics_address = settings->peer_address;
+  errno = 0;
+  settings->retry_ratio = g_ascii_strtod (settings->retry_ratio_text->str, &end);
+  if (errno != 0 || *end != '\0' || settings->retry_ratio < 0 || settings->retry_ratio > 1)
+    sr_findings_add (findings, file_name, 0, "retries", "ratio", "is no number from 0 to 1");
+}
+
+static void
+resolve_address_ (const char *text,
+                  struct sockaddr_in *address,
+                  const char *file_name,
+                  const char *section,
+                  const char *key,
+                  struct sr_findings *findings)
+{
+  char ip[16];
+  unsigned port;
+
+  *address = (struct sockaddr_in){ .sin_family = AF_INET };
+  if (!sr_ini_parse_address_port (text, ip, &port)
+      || inet_pton (AF_INET, ip, &address->sin_addr) != 1)
+    {
+      sr_findings_add (findings, file_name, 0, section, key, "is no IP:PORT");
+      return;
+    }
+  address->sin_port = htons ((uint16_t)port);
+}
--- /dev/null
+++ b/src/gateway/settings.h
@@ -0,0 +1,43 @@
+/* The settings of a gateway, read from an INI file and checked whole. */
+#pragma once
+
+#include "base/findings.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+
+struct gw_settings
+{
+  /* [instance] */
+  GString *name;
+  GString *data_centre;
+  /* [listen] */
+  struct sockaddr_in entry_address;
+  struct sockaddr_in ready_address;
+  struct sockaddr_in peer_address;    /* UDP, between instances */
+  struct sockaddr_in metrics_address; /* TCP, the same port */
+  /* [store] */
+  GString *store_host; /* "IP:PORT" */
+  struct sockaddr_in store_address;
+  /* [retries] */
+  double retry_ratio;
+  unsigned retry_extra;
+  unsigned retry_window_s;
+  /* [stop] */
+  unsigned stop_limit_s; /* then the process is killed */
+
+  /* As the file has them. */
+  GString *entry_text;
+  GString *ready_text;
+  GString *address;
+  unsigned peer_port;
+  GString *retry_ratio_text;
+};
+
+struct gw_settings *gw_settings_load (const char *path, struct sr_findings *findings);
+struct gw_settings *gw_settings_parse (const char *file_name,
+                                       const char *text,
+                                       size_t length,
+                                       struct sr_findings *findings);
+void gw_settings_delete (struct gw_settings *settings);
--- /dev/null
+++ b/src/mesh/mesh.c
@@ -0,0 +1,290 @@
+#include "mesh/mesh.h"
+
+#include "base/counters.h"
+#include "base/event-log.h"
+#include "budget/budget_xdr.h"
+
+#include <string.h>
+
+enum
+{
+  MESSAGE_MAX_BYTES = 1024, /* far above the largest message; below every link's packet size */
+  FORMAT = 1
+};
+
+enum kind_
+{
+  KIND_ASK = 1,
+  KIND_ANSWER = 2
+};
+
+struct mesh
+{
+  struct mesh_options options;
+  uv_udp_t socket;
+  GHashTable *peers; /* name: struct sockaddr_in */
+  char buffer[MESSAGE_MAX_BYTES];
+};
+
+struct head_
+{
+  u_int format;
+  u_int kind;
+  u_int number;
+  char sender[SR_BUDGET_NAME_BYTES];
+  bool_t is_leaving;
+};
+
+static struct sr_counter sent_counter_
+    = { .name = "sapphirerun_mesh_datagrams_sent_total", .help = "Datagrams sent to other instances." };
+static struct sr_counter received_counter_
+    = { .name = "sapphirerun_mesh_datagrams_received_total", .help = "Datagrams of other instances." };
+static struct sr_counter malformed_counter_
+    = { .name = "sapphirerun_mesh_datagrams_malformed_total", .help = "Datagrams that could not be read." };
+
+static void on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_receive_ (uv_udp_t *socket,
+                         ssize_t length,
+                         const uv_buf_t *buffer,
+                         const struct sockaddr *from,
+                         unsigned flags);
+static bool xdr_head_ (XDR *xdr, struct head_ *head);
+static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
+static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
+static void take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
+static void
+to_message_ (const struct sr_holder_id *id, struct sr_budget_holder_msg *message);
+static void
+from_message_ (const struct sr_budget_holder_msg *message, struct sr_holder_id *id);
+static bool is_name_ (const char *name);
+
+/* Opens the socket. Returns NULL, with a line in the log, when that fails. */
+struct mesh *
+mesh_new (const struct mesh_options *options)
+{
+  struct mesh *mesh = g_new0 (struct mesh, 1);
+  int error;
+
+  mesh->options = *options;
+  mesh->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  uv_udp_init (options->loop, &mesh->socket);
+  mesh->socket.data = mesh;
+  error = uv_udp_bind (&mesh->socket, (const struct sockaddr *)&options->address, 0);
+  if (error == 0)
+    error = uv_udp_recv_start (&mesh->socket, on_alloc_, on_receive_);
+  if (error != 0)
+    {
+      sr_event (SR_EVENT_FAILURE, "mesh_not_opened", "{s:s}", "reason", uv_strerror (error));
+      return NULL;
+    }
+  sr_counter_register (&sent_counter_);
+  sr_counter_register (&received_counter_);
+  sr_counter_register (&malformed_counter_);
+  return mesh;
+}
+
+/* Says where instance NAME is. */
+void
+mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address)
+{
+  g_hash_table_replace (mesh->peers, g_strdup (name), g_memdup2 (address, sizeof *address));
+}
+
+/* Forgets instance NAME. */
+void
+mesh_remove_peer (struct mesh *mesh, const char *name)
+{
+  g_hash_table_remove (mesh->peers, name);
+}
+
+/* Returns the names (char *) of the other instances; the array is the caller's, the names are not.
+ */
+GPtrArray *
+mesh_peer_names (const struct mesh *mesh)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *name;
+
+  g_hash_table_iter_init (&iter, mesh->peers);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    g_ptr_array_add (names, name);
+  return names;
+}
+
+/* Sends ASK to PEER; one that is not known gets nothing. */
+void
+mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask)
+{
+  const struct sockaddr_in *address = g_hash_table_lookup (mesh->peers, peer);
+  struct head_ head = { .format = FORMAT, .kind = KIND_ASK, .number = ask->number };
+  struct sr_budget_borrow_msg message = { 0 };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  if (address == NULL)
+    return;
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  g_strlcpy (message.budget, ask->team, sizeof message.budget);
+  g_strlcpy (message.borrower, ask->borrower, sizeof message.borrower);
+  message.borrower_incarnation = ask->borrower_incarnation;
+  to_message_ (&ask->lender, &message.lender);
+  message.returned = ask->returned;
+  message.need = ask->need;
+  message.want = ask->want;
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  if (xdr_head_ (&xdr, &head) && xdr_sr_budget_borrow_msg (&xdr, &message))
+    send_ (mesh, address, &xdr, bytes);
+  xdr_destroy (&xdr);
+}
+
+/* Sends ANSWER to where the ask with HANDLE came from. */
+void
+mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer)
+{
+  const struct sockaddr_in address = { .sin_family = AF_INET,
+                                       .sin_addr.s_addr = (in_addr_t)(handle >> 16),
+                                       .sin_port = (in_port_t)(handle & 0xffff) };
+  struct head_ head = { .format = FORMAT,
+                        .kind = KIND_ANSWER,
+                        .number = answer->number,
+                        .is_leaving = answer->is_leaving };
+  struct sr_budget_borrowed_msg message = { 0 };
+  char team[SR_BUDGET_NAME_BYTES] = { 0 };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  g_strlcpy (team, answer->team, sizeof team);
+  message.has_record = answer->loan.has_record;
+  to_message_ (&answer->loan.lender, &message.lender);
+  message.lent = answer->loan.lent;
+  message.exhausted = answer->is_dry;
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  if (xdr_head_ (&xdr, &head) && xdr_opaque (&xdr, team, sizeof team)
+      && xdr_sr_budget_borrowed_msg (&xdr, &message))
+    send_ (mesh, &address, &xdr, bytes);
+  xdr_destroy (&xdr);
+}
+
+static void
+on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  struct mesh *mesh = handle->data;
+
+  *buffer = uv_buf_init (mesh->buffer, sizeof mesh->buffer);
+}
+
+static void
+on_receive_ (uv_udp_t *socket,
+             ssize_t length,
+             const uv_buf_t *buffer,
+             const struct sockaddr *from,
+             unsigned flags)
+{
+  struct mesh *mesh = socket->data;
+  const struct sockaddr_in *address = (const struct sockaddr_in *)from;
+  struct head_ head = { 0 };
+  XDR xdr;
+
+  if (length <= 0 || from == NULL)
+    return;
+  sr_counter_add (&received_counter_, 1);
+  xdrmem_create (&xdr, buffer->base, (u_int)length, XDR_DECODE);
+  if (!xdr_head_ (&xdr, &head) || head.format != FORMAT || !is_name_ (head.sender))
+    sr_counter_add (&malformed_counter_, 1);
+  else if (head.kind == KIND_ASK)
+    take_ask_ (mesh, &xdr, &head,
+               (uint64_t)address->sin_addr.s_addr << 16 | (uint64_t)address->sin_port);
+  else if (head.kind == KIND_ANSWER)
+    take_answer_ (mesh, &xdr, &head);
+  else
+    sr_counter_add (&malformed_counter_, 1);
+  xdr_destroy (&xdr);
+}
+
+static bool
+xdr_head_ (XDR *xdr, struct head_ *head)
+{
+  return xdr_u_int (xdr, &head->format) && xdr_u_int (xdr, &head->kind)
+         && xdr_u_int (xdr, &head->number) && xdr_opaque (xdr, head->sender, sizeof head->sender)
+         && xdr_bool (xdr, &head->is_leaving);
+}
+
+/* What the kernel does not take is lost, as a datagram may be. */
+static void
+send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes)
+{
+  uv_buf_t buffer = uv_buf_init (bytes, xdr_getpos (xdr));
+
+  if (uv_udp_try_send (&mesh->socket, &buffer, 1, (const struct sockaddr *)to) >= 0)
+    sr_counter_add (&sent_counter_, 1);
+}
+
+static void
+take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle)
+{
+  struct sr_budget_borrow_msg message = { 0 };
+  struct allotment_ask ask = { .number = head->number };
+
+  if (!xdr_sr_budget_borrow_msg (xdr, &message) || !is_name_ (message.budget)
+      || !is_name_ (message.borrower) || message.lender.instance[SR_BUDGET_NAME_BYTES - 1] != '\0'
+      || message.returned < 0 || message.need < 0 || message.want < 0)
+    {
+      sr_counter_add (&malformed_counter_, 1);
+      return;
+    }
+  ask.team = message.budget;
+  ask.borrower = message.borrower;
+  ask.borrower_incarnation = message.borrower_incarnation;
+  from_message_ (&message.lender, &ask.lender);
+  ask.returned = message.returned;
+  ask.need = message.need;
+  ask.want = message.want;
+  mesh->options.asked (handle, &ask, mesh->options.data);
+}
+
+static void
+take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head)
+{
+  struct sr_budget_borrowed_msg message = { 0 };
+  struct allotment_answer answer = { .number = head->number, .is_leaving = head->is_leaving };
+  char team[SR_BUDGET_NAME_BYTES];
+
+  if (!xdr_opaque (xdr, team, sizeof team) || !is_name_ (team)
+      || !xdr_sr_budget_borrowed_msg (xdr, &message)
+      || message.lender.instance[SR_BUDGET_NAME_BYTES - 1] != '\0' || message.lent < 0)
+    {
+      sr_counter_add (&malformed_counter_, 1);
+      return;
+    }
+  answer.team = team;
+  answer.loan.has_record = message.has_record;
+  from_message_ (&message.lender, &answer.loan.lender);
+  answer.loan.lent = message.lent;
+  answer.is_dry = message.exhausted;
+  mesh->options.answered (head->sender, &answer, mesh->options.data);
+}
+
+static void
+to_message_ (const struct sr_holder_id *id, struct sr_budget_holder_msg *message)
+{
+  g_strlcpy (message->instance, id->instance, sizeof message->instance);
+  message->incarnation = id->incarnation;
+  message->generation = id->generation;
+}
+
+static void
+from_message_ (const struct sr_budget_holder_msg *message, struct sr_holder_id *id)
+{
+  *id = (struct sr_holder_id){ .incarnation = message->incarnation,
+                               .generation = message->generation };
+  g_strlcpy (id->instance, message->instance, sizeof id->instance);
+}
+
+/* Tells whether NAME, of fixed length on the wire, holds a name that ends inside. */
+static bool
+is_name_ (const char *name)
+{
+  return name[0] != '\0' && memchr (name, '\0', SR_BUDGET_NAME_BYTES) != NULL;
+}
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,27 @@
+/* Datagrams between instances on an event loop: asks for loans of tokens and their answers, in XDR.
+ * Any of them may be lost, repeated or reordered; who sent one repeats it. */
+#pragma once
+
+#include "allotment/allotment.h"
+
+#include <netinet/in.h>
+#include <uv.h>
+
+struct mesh;
+
+struct mesh_options
+{
+  uv_loop_t *loop;
+  struct sockaddr_in address; /* to listen on */
+  const char *instance;
+  void *data;
+  void (*asked) (uint64_t handle, const struct allotment_ask *ask, void *data);
+  void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
+};
+
+struct mesh *mesh_new (const struct mesh_options *options);
+void mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address);
+void mesh_remove_peer (struct mesh *mesh, const char *name);
+GPtrArray *mesh_peer_names (const struct mesh *mesh);
+void mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask);
+void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- /dev/null
+++ b/src/net/http-conn.c
@@ -0,0 +1,726 @@
+#include "net/http-conn.h"
+
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+enum
+{
+  READ_CHUNK_BYTES = 32768, /* a prompt's body in one or two reads */
+  HEAD_LINES_MAX = 128,     /* far above what any message of the field carries */
+  HELD_MAX_BYTES = 65536,   /* a pipelined request that waits for the one before it */
+  LINGER_MS = 1000,         /* a round trip over any link, several times */
+  KEEPALIVE_IDLE_S = 1,     /* silence is found in about 3 s, the time after which rules hold again */
+  KEEPALIVE_INTERVAL_S = 1,
+  KEEPALIVE_PROBES = 2,
+  UNACKNOWLEDGED_MAX_MS = 3000 /* the same for bytes that are on their way */
+};
+
+enum conn_state_
+{
+  CONN_CONNECTING,
+  CONN_OPEN,
+  CONN_LINGERING, /* the last answer is out; what still comes is dropped */
+  CONN_CLOSED
+};
+
+struct net_http_conn
+{
+  uv_tcp_t tcp; /* first: libuv hands it back */
+  const struct net_http_owner_vtable **owner;
+  enum conn_state_ state;
+  bool is_server;
+  bool in_body;
+  bool skips_body;
+  bool held;
+  bool paused;
+  bool reading;
+  bool has_received;
+  bool end_is_due; /* an end that came while messages were held */
+  bool parsing;
+  enum net_end due_end;
+  size_t head_max_bytes;
+  size_t queued_bytes;
+  unsigned open_requests; /* of libuv, on this handle */
+  unsigned open_handles;
+  GByteArray *input;   /* bytes not parsed yet */
+  size_t scanned;      /* of input, without an end of head */
+  struct net_http_head head;
+  http_parser parser;
+  uv_connect_t connect_request;
+  uv_shutdown_t shutdown_request;
+  uv_timer_t linger;
+};
+
+struct write_
+{
+  uv_write_t request;
+  struct net_http_conn *conn;
+  size_t length;
+  char bytes[];
+};
+
+static void on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_read_ (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer);
+static void on_connect_ (uv_connect_t *request, int status);
+static void on_write_ (uv_write_t *request, int status);
+static void on_shutdown_ (uv_shutdown_t *request, int status);
+static void on_linger_ (uv_timer_t *timer);
+static void on_handle_closed_ (uv_handle_t *handle);
+static void end_ (struct net_http_conn *conn, enum net_end end);
+static void parse_ (struct net_http_conn *conn);
+static bool parse_head_ (struct net_http_conn *conn);
+static size_t find_head_end_ (struct net_http_conn *conn);
+static bool head_is_strict_ (const uint8_t *bytes, size_t length);
+static void update_reading_ (struct net_http_conn *conn);
+static void set_socket_options_ (struct net_http_conn *conn);
+
+static int on_url_ (http_parser *parser, const char *at, size_t length);
+static int on_status_ (http_parser *parser, const char *at, size_t length);
+static int on_field_ (http_parser *parser, const char *at, size_t length);
+static int on_value_ (http_parser *parser, const char *at, size_t length);
+static int on_headers_complete_ (http_parser *parser);
+static int on_body_ (http_parser *parser, const char *at, size_t length);
+static int on_message_complete_ (http_parser *parser);
+
+static const http_parser_settings parser_settings_ = {
+  .on_url = on_url_,
+  .on_status = on_status_,
+  .on_header_field = on_field_,
+  .on_header_value = on_value_,
+  .on_headers_complete = on_headers_complete_,
+  .on_body = on_body_,
+  .on_message_complete = on_message_complete_,
+};
+
+static const char *const end_names_[] = {
+  [NET_END_CONNECT_FAILED] = "connect_failed",
+  [NET_END_EOF] = "eof",
+  [NET_END_RESET] = "reset",
+  [NET_END_MALFORMED] = "malformed",
+  [NET_END_HEAD_TOO_LARGE] = "head_too_large",
+};
+
+/* Read by one connection at a time: the loop has one thread. */
+static char read_buffer_[READ_CHUNK_BYTES];
+
+/* Returns the word for END in logs. */
+const char *
+net_end_to_string (enum net_end end)
+{
+  g_assert ((size_t)end < G_N_ELEMENTS (end_names_));
+  return end_names_[end];
+}
+
+/* Creates a connection that belongs to OWNER, whose first member points to its
+ * net_http_owner_vtable. It is freed after net_http_conn_close or after `ended` was called. */
+struct net_http_conn *
+net_http_conn_new (const struct net_http_conn_options *options, void *owner)
+{
+  struct net_http_conn *conn = g_new0 (struct net_http_conn, 1);
+
+  conn->owner = owner;
+  conn->is_server = options->is_server;
+  conn->head_max_bytes = options->head_max_bytes;
+  conn->input = g_byte_array_new ();
+  conn->head.headers = g_array_new (FALSE, FALSE, sizeof (struct net_header));
+  uv_tcp_init (options->loop, &conn->tcp);
+  uv_timer_init (options->loop, &conn->linger);
+  conn->tcp.data = conn;
+  conn->linger.data = conn;
+  conn->open_handles = 2;
+  http_parser_init (&conn->parser, conn->is_server ? HTTP_REQUEST : HTTP_RESPONSE);
+  conn->parser.data = conn;
+  return conn;
+}
+
+/* Takes the next connection of LISTENER. On failure CONN is closed and false returned. */
+bool
+net_http_conn_accept (struct net_http_conn *conn, uv_stream_t *listener)
+{
+  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0)
+    {
+      net_http_conn_close (conn);
+      return false;
+    }
+  conn->state = CONN_OPEN;
+  set_socket_options_ (conn);
+  update_reading_ (conn);
+  return true;
+}
+
+/* Begins to connect to ADDRESS. On failure CONN is closed and false returned. */
+bool
+net_http_conn_connect (struct net_http_conn *conn, const struct sockaddr_in *address)
+{
+  if (uv_tcp_connect (&conn->connect_request, &conn->tcp, (const struct sockaddr *)address,
+                      on_connect_)
+      != 0)
+    {
+      net_http_conn_close (conn);
+      return false;
+    }
+  conn->open_requests++;
+  return true;
+}
+
+/* Sets the largest head, in bytes, that is taken from now on. */
+void
+net_http_conn_set_head_max (struct net_http_conn *conn, size_t bytes)
+{
+  conn->head_max_bytes = bytes;
+}
+
+/* Says that the next response has no body, because its request was a HEAD. */
+void
+net_http_conn_expect_no_body (struct net_http_conn *conn)
+{
+  conn->skips_body = true;
+}
+
+/* Sends the parts in order; what the kernel does not take at once is copied and queued. */
+void
+net_http_conn_write (struct net_http_conn *conn, const struct net_text *parts, size_t n_parts)
+{
+  uv_buf_t buffers[8];
+  size_t total = 0;
+  int sent = 0;
+  struct write_ *write;
+  size_t at = 0;
+
+  g_assert (n_parts <= G_N_ELEMENTS (buffers));
+  if (conn->state != CONN_OPEN)
+    return;
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      buffers[i] = uv_buf_init ((char *)parts[i].data, (unsigned)parts[i].length);
+      total += parts[i].length;
+    }
+  if (conn->queued_bytes == 0)
+    sent = uv_try_write ((uv_stream_t *)&conn->tcp, buffers, (unsigned)n_parts);
+  if (sent < 0)
+    sent = 0; /* a broken connection is reported by the queued write or the next read */
+  if ((size_t)sent == total)
+    return;
+  write = g_malloc (sizeof *write + total - (size_t)sent);
+  write->conn = conn;
+  write->length = total - (size_t)sent;
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      size_t skip = MIN ((size_t)sent, parts[i].length);
+
+      memcpy (write->bytes + at, parts[i].data + skip, parts[i].length - skip);
+      at += parts[i].length - skip;
+      sent -= (int)skip;
+    }
+  buffers[0] = uv_buf_init (write->bytes, (unsigned)write->length);
+  if (uv_write (&write->request, (uv_stream_t *)&conn->tcp, buffers, 1, on_write_) != 0)
+    {
+      g_free (write);
+      return;
+    }
+  conn->open_requests++;
+  conn->queued_bytes += write->length;
+}
+
+/* Returns the bytes that wait for the peer to read. */
+size_t
+net_http_conn_queued (const struct net_http_conn *conn)
+{
+  return conn->queued_bytes;
+}
+
+/* Tells whether bytes of a next message have already arrived. */
+bool
+net_http_conn_has_received (const struct net_http_conn *conn)
+{
+  return conn->input->len > 0;
+}
+
+/* While HOLD is set, further messages wait in the buffer; the end of the connection is noticed all
+ * the same. */
+void
+net_http_conn_hold_messages (struct net_http_conn *conn, bool hold)
+{
+  conn->held = hold;
+  if (!hold && !conn->parsing && conn->state == CONN_OPEN)
+    parse_ (conn);
+}
+
+/* While PAUSE is set, nothing is read: the peer is slowed down. */
+void
+net_http_conn_pause (struct net_http_conn *conn, bool pause)
+{
+  conn->paused = pause;
+  update_reading_ (conn);
+}
+
+/* Closes CONN at once; its owner hears nothing more. Queued bytes are lost. */
+void
+net_http_conn_close (struct net_http_conn *conn)
+{
+  if (conn->state == CONN_CLOSED)
+    return;
+  conn->state = CONN_CLOSED;
+  conn->owner = NULL;
+  uv_close ((uv_handle_t *)&conn->tcp, on_handle_closed_);
+  uv_close ((uv_handle_t *)&conn->linger, on_handle_closed_);
+}
+
+/* Closes CONN after all queued bytes are out, and drops what still arrives for a moment: closing
+ * with unread bytes would reset the connection and could destroy the answer. */
+void
+net_http_conn_finish (struct net_http_conn *conn)
+{
+  if (conn->state != CONN_OPEN)
+    {
+      net_http_conn_close (conn);
+      return;
+    }
+  conn->state = CONN_LINGERING;
+  conn->owner = NULL;
+  conn->paused = false;
+  update_reading_ (conn);
+  uv_timer_start (&conn->linger, on_linger_, LINGER_MS, 0);
+  if (uv_shutdown (&conn->shutdown_request, (uv_stream_t *)&conn->tcp, on_shutdown_) == 0)
+    conn->open_requests++;
+  else
+    net_http_conn_close (conn);
+}
+
+/* Closes CONN at once with a reset, so that an unfinished answer can't look complete. */
+void
+net_http_conn_reset (struct net_http_conn *conn)
+{
+  if (conn->state == CONN_CLOSED)
+    return;
+  if (conn->state == CONN_OPEN && conn->open_requests == 0)
+    {
+      conn->state = CONN_CLOSED;
+      conn->owner = NULL;
+      uv_close ((uv_handle_t *)&conn->linger, on_handle_closed_);
+      if (uv_tcp_close_reset (&conn->tcp, on_handle_closed_) != 0)
+        uv_close ((uv_handle_t *)&conn->tcp, on_handle_closed_);
+      return;
+    }
+  net_http_conn_close (conn);
+}
+
+/* Tells whether both texts hold the same bytes. */
+bool
+net_text_equal (struct net_text left, struct net_text right)
+{
+  return left.length == right.length && memcmp (left.data, right.data, left.length) == 0;
+}
+
+/* Tells whether TEXT is VALUE. */
+bool
+net_text_is (struct net_text text, const char *value)
+{
+  return text.length == strlen (value) && memcmp (text.data, value, text.length) == 0;
+}
+
+/* Tells whether TEXT is VALUE, whatever the case of its letters. */
+bool
+net_text_is_nocase (struct net_text text, const char *value)
+{
+  return text.length == strlen (value) && strncasecmp (text.data, value, text.length) == 0;
+}
+
+/* Returns VALUE, ended by NUL, as a text. */
+struct net_text
+net_text_of (const char *value)
+{
+  return (struct net_text){ value, strlen (value) };
+}
+
+/* Reads TEXT as a decimal number that is not negative. Returns false when it is none. */
+bool
+net_text_to_int (struct net_text text, int64_t *value)
+{
+  int64_t sum = 0;
+
+  if (text.length == 0 || text.length > 18)
+    return false;
+  for (size_t i = 0; i < text.length; i++)
+    {
+      if (!g_ascii_isdigit (text.data[i]))
+        return false;
+      sum = sum * 10 + (text.data[i] - '0');
+    }
+  *value = sum;
+  return true;
+}
+
+static void
+on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  *buffer = uv_buf_init (read_buffer_, sizeof read_buffer_);
+}
+
+static void
+on_read_ (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+  struct net_http_conn *conn = stream->data;
+
+  if (length == 0)
+    return;
+  if (conn->state == CONN_LINGERING)
+    {
+      if (length < 0)
+        net_http_conn_close (conn);
+      return;
+    }
+  if (length < 0)
+    {
+      end_ (conn, length == UV_EOF ? NET_END_EOF : NET_END_RESET);
+      return;
+    }
+  conn->has_received = true;
+  g_byte_array_append (conn->input, (const guint8 *)buffer->base, (guint)length);
+  parse_ (conn);
+}
+
+static void
+on_connect_ (uv_connect_t *request, int status)
+{
+  struct net_http_conn *conn = request->handle->data;
+
+  conn->open_requests--;
+  if (conn->state == CONN_CLOSED)
+    return;
+  if (status != 0)
+    {
+      end_ (conn, NET_END_CONNECT_FAILED);
+      return;
+    }
+  conn->state = CONN_OPEN;
+  set_socket_options_ (conn);
+  update_reading_ (conn);
+  if ((*conn->owner)->connected != NULL)
+    (*conn->owner)->connected (conn->owner);
+}
+
+static void
+on_write_ (uv_write_t *request, int status)
+{
+  struct write_ *write = (struct write_ *)request;
+  struct net_http_conn *conn = write->conn;
+
+  conn->open_requests--;
+  conn->queued_bytes -= write->length;
+  g_free (write);
+  if (conn->state != CONN_OPEN)
+    return;
+  if (status != 0)
+    end_ (conn, NET_END_RESET);
+  else if (conn->queued_bytes == 0 && (*conn->owner)->written != NULL)
+    (*conn->owner)->written (conn->owner);
+}
+
+static void
+on_shutdown_ (uv_shutdown_t *request, int status)
+{
+  struct net_http_conn *conn = request->handle->data;
+
+  conn->open_requests--;
+  if (status != 0)
+    net_http_conn_close (conn);
+}
+
+static void
+on_linger_ (uv_timer_t *timer)
+{
+  net_http_conn_close (timer->data);
+}
+
+static void
+on_handle_closed_ (uv_handle_t *handle)
+{
+  struct net_http_conn *conn = handle->data;
+
+  if (--conn->open_handles > 0)
+    return;
+  g_byte_array_unref (conn->input);
+  g_array_unref (conn->head.headers);
+  g_free (conn);
+}
+
+/* Tells the owner that the connection has ended, after a message that ends with it. */
+static void
+end_ (struct net_http_conn *conn, enum net_end end)
+{
+  const struct net_http_owner_vtable **owner = conn->owner;
+
+  if (conn->state == CONN_CLOSED || owner == NULL)
+    return;
+  if (end == NET_END_EOF && conn->in_body && conn->head.ends_with_connection)
+    {
+      conn->parsing = true;
+      http_parser_execute (&conn->parser, &parser_settings_, NULL, 0);
+      conn->parsing = false;
+    }
+  if (conn->state == CONN_CLOSED || conn->owner == NULL)
+    return;
+  if ((end == NET_END_MALFORMED || end == NET_END_HEAD_TOO_LARGE) && (*owner)->refusable != NULL)
+    {
+      (*owner)->refusable (owner, end);
+      return;
+    }
+  net_http_conn_close (conn);
+  (*owner)->ended (owner, end);
+}
+
+/* Parses what the buffer holds, message by message, until it is held, paused or closed. */
+static void
+parse_ (struct net_http_conn *conn)
+{
+  conn->parsing = true;
+  while (conn->state == CONN_OPEN && conn->input->len > 0)
+    {
+      size_t used;
+
+      if (!conn->in_body)
+        {
+          if (conn->held)
+            break;
+          if (!parse_head_ (conn))
+            break;
+          continue;
+        }
+      used = http_parser_execute (&conn->parser, &parser_settings_,
+                                  (const char *)conn->input->data, conn->input->len);
+      if (conn->state != CONN_OPEN)
+        break;
+      if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
+        http_parser_pause (&conn->parser, 0);
+      else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
+        {
+          end_ (conn, NET_END_MALFORMED);
+          break;
+        }
+      g_byte_array_remove_range (conn->input, 0, (guint)used);
+    }
+  conn->parsing = false;
+  if (conn->state == CONN_OPEN)
+    update_reading_ (conn);
+}
+
+/* Parses the head at the beginning of the buffer. Returns false when it is not complete yet, or the
+ * connection has ended. */
+static bool
+parse_head_ (struct net_http_conn *conn)
+{
+  size_t length = find_head_end_ (conn);
+  size_t used;
+
+  if (length == 0 && conn->input->len <= conn->head_max_bytes)
+    return false;
+  if (length == 0 || length > conn->head_max_bytes)
+    {
+      end_ (conn, NET_END_HEAD_TOO_LARGE);
+      return false;
+    }
+  if (conn->is_server && !head_is_strict_ (conn->input->data, length))
+    {
+      end_ (conn, NET_END_MALFORMED);
+      return false;
+    }
+  g_array_set_size (conn->head.headers, 0);
+  conn->head.reason = (struct net_text){ "", 0 };
+  conn->in_body = true;
+  used = http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data,
+                              length);
+  if (conn->state != CONN_OPEN)
+    return false;
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
+    http_parser_pause (&conn->parser, 0);
+  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
+    {
+      end_ (conn, NET_END_MALFORMED);
+      return false;
+    }
+  conn->scanned = 0;
+  g_byte_array_remove_range (conn->input, 0, (guint)used);
+  return true;
+}
+
+/* Returns the length of the head with its empty line, or 0 when that has not arrived. */
+static size_t
+find_head_end_ (struct net_http_conn *conn)
+{
+  size_t from = conn->scanned > 3 ? conn->scanned - 3 : 0;
+  const uint8_t *found;
+
+  if (conn->input->len <= from)
+    return 0;
+  found = memmem (conn->input->data + from, conn->input->len - from, "\r\n\r\n", 4);
+  conn->scanned = conn->input->len;
+  return found == NULL ? 0 : (size_t)(found - conn->input->data) + 4;
+}
+
+/* Refuses what two readers could part differently: bare CR or LF, folded lines, a blank before the
+ * colon, an endless number of lines. */
+static bool
+head_is_strict_ (const uint8_t *bytes, size_t length)
+{
+  unsigned lines = 0;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      if (bytes[i] == '\r' && (i + 1 == length || bytes[i + 1] != '\n'))
+        return false;
+      if (bytes[i] == 0)
+        return false;
+      if (bytes[i] != '\n')
+        continue;
+      if (i == 0 || bytes[i - 1] != '\r' || ++lines > HEAD_LINES_MAX)
+        return false;
+      if (i + 1 < length && (bytes[i + 1] == ' ' || bytes[i + 1] == '\t'))
+        return false;
+    }
+  return true;
+}
+
+/* Reads on unless paused, or too much of a next message already waits. */
+static void
+update_reading_ (struct net_http_conn *conn)
+{
+  bool wanted;
+
+  if (conn->state != CONN_OPEN && conn->state != CONN_LINGERING)
+    return;
+  wanted = !conn->paused && !(conn->held && conn->input->len > HELD_MAX_BYTES);
+  if (wanted == conn->reading)
+    return;
+  conn->reading = wanted;
+  if (wanted)
+    uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc_, on_read_);
+  else
+    uv_read_stop ((uv_stream_t *)&conn->tcp);
+}
+
+/* A peer behind a partition answers nothing: probes and the limit for unacknowledged bytes end such
+ * a connection. */
+static void
+set_socket_options_ (struct net_http_conn *conn)
+{
+  const int options[][3] = {
+    { IPPROTO_TCP, TCP_NODELAY, 1 },
+    { SOL_SOCKET, SO_KEEPALIVE, 1 },
+    { IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
+    { IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S },
+    { IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS },
+  };
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
+    return;
+  /* Callers may be slow for long; their silence is bounded by the idle time. */
+  for (size_t i = 0; i < (conn->is_server ? 1 : G_N_ELEMENTS (options)); i++)
+    {
+      if (setsockopt (fd, options[i][0], options[i][1], &options[i][2], sizeof (int)) != 0)
+        g_debug ("socket option %d of level %d is not available", options[i][1], options[i][0]);
+    }
+}
+
+static int
+on_url_ (http_parser *parser, const char *at, size_t length)
+{
+  struct net_http_conn *conn = parser->data;
+
+  conn->head.target = (struct net_text){ at, length };
+  return 0;
+}
+
+static int
+on_status_ (http_parser *parser, const char *at, size_t length)
+{
+  struct net_http_conn *conn = parser->data;
+
+  conn->head.reason = (struct net_text){ at, length };
+  return 0;
+}
+
+static int
+on_field_ (http_parser *parser, const char *at, size_t length)
+{
+  struct net_http_conn *conn = parser->data;
+  struct net_header header = { .name = { at, length }, .value = { "", 0 } };
+
+  g_array_append_val (conn->head.headers, header);
+  return 0;
+}
+
+static int
+on_value_ (http_parser *parser, const char *at, size_t length)
+{
+  struct net_http_conn *conn = parser->data;
+  GArray *headers = conn->head.headers;
+
+  if (headers->len == 0)
+    return -1;
+  g_array_index (headers, struct net_header, headers->len - 1).value
+      = (struct net_text){ at, length };
+  return 0;
+}
+
+static int
+on_headers_complete_ (http_parser *parser)
+{
+  struct net_http_conn *conn = parser->data;
+  struct net_http_head *head = &conn->head;
+  bool has_no_body = false;
+
+  if (parser->upgrade)
+    return -1;
+  if (!conn->is_server && parser->status_code / 100 == 1)
+    return 0; /* an interim answer: the final one follows */
+  head->minor_version = parser->http_minor;
+  head->is_chunked = (parser->flags & F_CHUNKED) != 0;
+  head->has_length = !head->is_chunked && (parser->flags & F_CONTENTLENGTH) != 0;
+  head->length = head->has_length ? parser->content_length : 0;
+  head->keeps_alive = http_should_keep_alive (parser);
+  head->ends_with_connection = false;
+  if (conn->is_server)
+    head->method = net_text_of (http_method_str (parser->method));
+  else
+    {
+      head->status = parser->status_code;
+      has_no_body = conn->skips_body || head->status == 204 || head->status == 304;
+      head->ends_with_connection = !has_no_body && !head->is_chunked && !head->has_length;
+    }
+  conn->skips_body = false;
+  (*conn->owner)->head (conn->owner, head);
+  if (conn->state != CONN_OPEN)
+    return -1;
+  return has_no_body ? 1 : 0;
+}
+
+static int
+on_body_ (http_parser *parser, const char *at, size_t length)
+{
+  struct net_http_conn *conn = parser->data;
+
+  (*conn->owner)->body (conn->owner, at, length);
+  return conn->state == CONN_OPEN ? 0 : -1;
+}
+
+/* Pauses the parser, so that the next message is parsed on its own. */
+static int
+on_message_complete_ (http_parser *parser)
+{
+  struct net_http_conn *conn = parser->data;
+
+  http_parser_pause (parser, 1);
+  conn->in_body = false;
+  conn->scanned = 0;
+  if (!conn->is_server && parser->status_code / 100 == 1)
+    return 0;
+  (*conn->owner)->message_end (conn->owner);
+  return 0;
+}
--- /dev/null
+++ b/src/store/watcher.h
@@ -0,0 +1,28 @@
+/* Follows all objects of one kind: a list first, then watches from there. After a failed watch it
+ * goes on from the same revision, and lists again when that history is gone. */
+#pragma once
+
+#include "store/store.h"
+
+#include <uv.h>
+
+struct watcher;
+
+struct watcher_options
+{
+  uv_loop_t *loop;
+  struct store *store;
+  const char *kind;
+  unsigned wait_ms; /* longest time that one watch is open */
+  void *data;
+  /* All objects there are, in place of all that was known. */
+  void (*listed) (const struct store_result *result, void *data);
+  /* Changes since, in their order. */
+  void (*changed) (const struct store_result *result, void *data);
+  /* The store could not be asked (false), or answers again (true). */
+  void (*reachable) (bool reachable, void *data);
+};
+
+struct watcher *watcher_new (const struct watcher_options *options);
+void watcher_start (struct watcher *watcher);
+void watcher_stop (struct watcher *watcher);
