--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -3,16 +3,19 @@
 #include "base/event-log.h"
 #include "base/rendezvous.h"
 
+#include <math.h>
 #include <string.h>
 
 enum
 {
   US_PER_MS = 1000,
-  HOME_COVER_US = 12000000, /* demand a home holds: a cut of nine seconds and the time to notice */
-  LOAN_COVER_US = 1500000,  /* demand a loan covers: what a crash of the borrower loses */
-  IDLE_US = 3000000,        /* after this time without demand loans go back */
-  FIRST_SHARE_DIVISOR = 4,  /* of an untouched budget: demand of ten seconds of a short day */
-  FLOOR_DIVISOR = 12,       /* of any budget, until demand is known: half of what a cut asks for */
+  HOME_COVER_US = 9500000,  /* demand a home holds: the longest cut that is expected */
+  LEFT_DIVISOR = 3,         /* of what is left, at most: what a crash may lose of a scarce budget */
+  IDLE_US = 1500000,        /* after this time without demand loans go back */
+  DEMAND_TIME_US = 8000000, /* over which demand is averaged: a burst is covered while it lasts */
+  DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
+  FIRST_SHARE_DIVISOR = 5,  /* of an untouched budget: demand of ten seconds of a short day */
+  FLOOR_DIVISOR = 40,       /* of any budget, until demand is known: the largest of requests */
   LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
   FIRST_DRAW_DELAY_US = 1500000, /* all instances have announced themselves by then */
   ASK_REPEAT_US = 25 * US_PER_MS, /* several round trips, and a processor that is taken up */
@@ -34,6 +37,14 @@
   STEP_WRITING
 };
 
+/* Tokens asked for, a decaying average. */
+struct demand_
+{
+  double per_us;
+  int64_t first_us;
+  int64_t at_us;
+};
+
 struct peer_
 {
   char *name;
@@ -69,6 +80,7 @@
   char *name;
   int64_t prepaid_tokens;
   struct sr_ledger *ledger;
+  struct demand_ demand;
   GQueue waiters; /* struct waiter_ */
   GQueue asks;    /* struct pending_ask_ */
   /* The store. */
@@ -98,9 +110,12 @@
   GHashTable *teams; /* name: struct team_ */
   GPtrArray *peers;  /* struct peer_, not this instance */
   int64_t peers_since_us; /* when they were first known; 0: not yet */
+  bool leaving; /* others are the homes from now on */
   bool stopping;
 };
 
+static void demand_count_ (struct demand_ *demand, int64_t tokens, int64_t now_us);
+static int64_t demand_in_ (struct demand_ *demand, int64_t span_us, int64_t now_us);
 static const struct allotment_link_vtable *link_ (const struct allotment_book *book);
 static struct team_ *team_new_ (struct allotment_book *book, const char *name);
 static void team_free_ (void *data);
@@ -231,6 +246,8 @@
     team = team_new_ (book, name);
   if (prepaid_tokens > team->prepaid_tokens)
     {
+      sr_event (SR_EVENT_INFO, "budget_paid", "{s:s,s:I,s:I}", "team", name, "prepaid",
+                (json_int_t)prepaid_tokens, "before", (json_int_t)team->prepaid_tokens);
       team->prepaid_tokens = prepaid_tokens;
       team->dry_until_us = 0;
       team->record_us = 0;
@@ -285,8 +302,12 @@
     struct allotment_book *book, const char *name, GArray *parts, int64_t used, int64_t now_us)
 {
   struct team_ *team = g_hash_table_lookup (book->teams, name);
+  int64_t reserved = 0;
 
   g_assert (team != NULL);
+  for (unsigned i = 0; i < parts->len; i++)
+    reserved += g_array_index (parts, struct sr_part, i).tokens;
+  demand_count_ (&team->demand, used - reserved, now_us);
   sr_ledger_settle (team->ledger, parts, used);
   if (!g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks))
     pump_ (book, team, now_us);
@@ -337,9 +358,10 @@
     {
       sr_ledger_written (team->ledger, edited);
       take_record_ (team, edited, revision, now_us);
-      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I}", "team", name, "revision",
+      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I,s:I,s:I}", "team", name, "revision",
                 (json_int_t)revision, "available", (json_int_t)sr_ledger_available (team->ledger),
-                "remaining", (json_int_t)sr_record_remaining (edited));
+                "remaining", (json_int_t)sr_record_remaining (edited), "settled",
+                (json_int_t)edited->settled, "prepaid", (json_int_t)edited->prepaid);
     }
   else
     {
@@ -466,6 +488,27 @@
   return MAX (due_us, now_us + US_PER_MS);
 }
 
+/* PEER has started anew: it may be asked again. */
+void
+allotment_book_peer_started (struct allotment_book *book, const char *name)
+{
+  struct peer_ *peer = peer_find_ (book, name);
+
+  if (peer == NULL)
+    return;
+  peer->failures = 0;
+  peer->suspect_until_us = 0;
+}
+
+/* The instance is going to stop: others become the homes, what is not in use goes back to the store
+ * and requests are served by loans. */
+void
+allotment_book_leave (struct allotment_book *book, int64_t now_us)
+{
+  book->leaving = true;
+  allotment_book_tick (book, now_us);
+}
+
 /* The instance stops: nothing more is lent or drawn, and what is left goes back, see
  * allotment_book_is_empty. */
 void
@@ -516,8 +559,6 @@
     .instance = book->options.instance,
     .data_centre = book->options.data_centre,
     .incarnation = book->options.incarnation,
-    .cover_us = HOME_COVER_US,
-    .loan_cover_us = LOAN_COVER_US,
     .idle_us = IDLE_US,
   };
   struct team_ *team = g_new0 (struct team_, 1);
@@ -567,27 +608,30 @@
       if (need > 0 || available < target * 3 / 4)
         draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
     }
-  else if (!team->asking)
-    {
-      int64_t ahead = sr_ledger_demand (team->ledger, now_us, LOAN_COVER_US);
-
-      if (need > 0 || (sr_ledger_available (team->ledger) < ahead / 2 && now_us >= team->dry_until_us))
-        borrow_ (book, team, home, MAX (need, 0), now_us);
-    }
+  else if (!team->asking && need > 0)
+    borrow_ (book, team, home, need, now_us);
   refuse_late_ (book, team, now_us);
 }
 
-/* Returns the tokens that this instance, as the home of TEAM, should have available. */
+/* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of a
+ * cut, but of a scarce budget only a part. When all instances crash, what is held is lost; and while
+ * tokens are scarce, a request refused in a cut leaves its tokens to a later one. */
 static int64_t
 home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us)
 {
-  int64_t target = sr_ledger_demand (team->ledger, now_us, HOME_COVER_US);
-  bool untouched = team->record == NULL
-                   || (team->record->holders->len == 0 && team->record->settled == 0);
+  int64_t target = demand_in_ (&team->demand, HOME_COVER_US, now_us);
+  const struct sr_record *record = team->record;
+  bool untouched = record == NULL || (record->holders->len == 0 && record->settled == 0);
+  int64_t left;
 
   if (book->peers_since_us == 0 || now_us - book->peers_since_us < FIRST_DRAW_DELAY_US)
     return 0;
-  return MAX (target, team->prepaid_tokens / (untouched ? FIRST_SHARE_DIVISOR : FLOOR_DIVISOR));
+  target = MAX (target, team->prepaid_tokens / (untouched ? FIRST_SHARE_DIVISOR : FLOOR_DIVISOR));
+  if (record == NULL)
+    return target;
+  left = sr_ledger_available (team->ledger) + MAX (sr_record_remaining (record), 0)
+         + MAX (team->prepaid_tokens - record->prepaid, 0);
+  return MIN (target, left / LEFT_DIVISOR);
 }
 
 /* Serves what fits, the oldest first: a large reservation that waits for a draw stops nobody. */
@@ -604,6 +648,7 @@
         continue;
       g_free (link->data);
       g_queue_delete_link (&team->waiters, link);
+      demand_count_ (&team->demand, copy.tokens, now_us);
       copy.done (ALLOTMENT_GRANTED, parts, copy.data);
     }
 }
@@ -631,9 +676,10 @@
             int64_t now_us)
 {
   struct allotment_answer answer
-      = { .team = team->name, .number = ask->number, .is_leaving = book->stopping };
+      = { .team = team->name, .number = ask->number, .is_leaving = book->leaving };
   const struct sr_ledger *ledger = team->ledger;
   bool is_first = ask->lender.instance[0] == '\0';
+  int64_t before = sr_ledger_committed (ledger);
 
   sr_ledger_take_return (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
                          ask->returned);
@@ -657,6 +703,7 @@
   else if (!book->stopping)
     sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
                     ask->returned, ask->need, ask->want, now_us, &answer.loan);
+  demand_count_ (&team->demand, sr_ledger_committed (ledger) - before, now_us);
   answer.is_dry = answer.is_dry || (!answer.loan.has_record && ask->need > 0);
   link_ (book)->answer (book->options.link, ask->handle, &answer);
   return true;
@@ -713,7 +760,9 @@
 home_ (struct allotment_book *book, const struct team_ *team, int64_t now_us)
 {
   size_t length = strlen (team->name);
-  uint64_t best = sr_rendezvous_weight (team->name, length, book->options.instance);
+  uint64_t best = book->leaving
+                      ? 0
+                      : sr_rendezvous_weight (team->name, length, book->options.instance);
   struct peer_ *home = NULL;
 
   for (unsigned i = 0; i < book->peers->len; i++)
@@ -901,7 +950,8 @@
   return left;
 }
 
-/* Asks HOME for NEED tokens more than are available here, and for the demand to come. */
+/* Asks HOME for NEED tokens more than are available here. Not for more: a home is a round trip away,
+ * and what lies elsewhere can't serve a large request. */
 static void
 borrow_ (
     struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us)
@@ -921,7 +971,7 @@
   team->asked_lender = loan == NULL ? (struct sr_holder_id){ 0 } : loan->id;
   team->asked_returned = loan == NULL ? 0 : loan->given;
   team->asked_need = lent + need;
-  team->asked_want = lent + need + sr_ledger_demand (team->ledger, now_us, LOAN_COVER_US);
+  team->asked_want = lent + need;
   team->asked_us = now_us;
   send_ask_ (book, team);
 }
@@ -973,12 +1023,12 @@
   if (team->ledger->own == NULL || team->record == NULL || team->step != STEP_IDLE
       || now_us < team->retry_us)
     return;
-  keep = book->stopping ? 0 : sr_ledger_demand (team->ledger, now_us, HOME_COVER_US);
-  if (is_home && !book->stopping)
-    keep = MAX (2 * keep, team->prepaid_tokens / FIRST_SHARE_DIVISOR);
-  else if (!is_home && !book->stopping && !idle)
+  if (!is_home && !book->leaving && !idle)
     return;
-  if (!book->stopping && sr_source_available (team->ledger->own) <= keep)
+  keep = is_home && !book->stopping ? home_target_ (book, team, now_us) : 0;
+  if (!book->stopping
+      && sr_source_available (team->ledger->own)
+             <= keep * 3 / 2 + MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1))
     return;
   record = edit_record_ (book, team);
   if (sr_ledger_give_back (team->ledger, record, team->revision, keep, book->stopping))
@@ -987,6 +1037,30 @@
     sr_record_delete (record);
 }
 
+static void
+demand_count_ (struct demand_ *demand, int64_t tokens, int64_t now_us)
+{
+  if (demand->first_us == 0)
+    demand->first_us = demand->at_us = now_us;
+  demand->per_us *= exp (-(double)(now_us - demand->at_us) / DEMAND_TIME_US);
+  demand->per_us = MAX (demand->per_us + (double)tokens / DEMAND_TIME_US, 0);
+  demand->at_us = now_us;
+}
+
+/* Returns the tokens that DEMAND asks for in SPAN_US. Soon after its first token the average has seen
+ * only a part of its time. */
+static int64_t
+demand_in_ (struct demand_ *demand, int64_t span_us, int64_t now_us)
+{
+  double seen;
+
+  if (demand->first_us == 0)
+    return 0;
+  demand_count_ (demand, 0, now_us);
+  seen = 1 - exp (-(double)MAX (now_us - demand->first_us, DEMAND_LEAST_US) / DEMAND_TIME_US);
+  return (int64_t)(demand->per_us / seen * (double)span_us);
+}
+
 static int64_t
 needed_by_waiters_ (const struct team_ *team)
 {
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -64,6 +64,7 @@
   uv_timer_t timer;
   /* Tokens. */
   int64_t reserved;
+  int64_t used;
   GArray *parts;
   unsigned runs; /* backend servers that may have run it */
   /* The attempt in progress. */
@@ -79,6 +80,7 @@
   GString *reason;
   GString *answer_headers;
   bool answer_has_length;
+  bool answer_ends_with_connection;
   uint64_t answer_length;
   GByteArray *answer_body; /* a plain answer that is kept back */
   bool is_events;
@@ -479,6 +481,7 @@
   exchange->is_events = answer->is_events;
   exchange->answer_has_length = head->has_length;
   exchange->answer_length = head->length;
+  exchange->answer_ends_with_connection = head->ends_with_connection;
   exchange->first_us = now_us;
   sr_histogram_observe (&first_histogram_, now_us - exchange->arrived_us);
   if (exchange->began)
@@ -549,7 +552,7 @@
   exchange->upstream = NULL;
   if (!exchange->began)
     {
-      exchange->answer_has_length = true;
+      exchange->answer_has_length = !exchange->answer_ends_with_connection;
       if (strcmp (exchange->method, "HEAD") != 0)
         exchange->answer_length = exchange->answer_body->len;
       begin_answer_ (exchange);
@@ -639,6 +642,7 @@
     .headers = { exchange->answer_headers->str, exchange->answer_headers->len },
     .has_length = exchange->answer_has_length && !exchange->is_events,
     .length = exchange->answer_length,
+    .ends_with_connection = exchange->answer_ends_with_connection,
   };
 
   exchange->state = EXCHANGE_ANSWERING;
@@ -778,8 +782,9 @@
   if (!whole && exchange->asker != NULL)
     sr_counter_add (&failed_counter_, 1);
   sr_event (whole ? SR_EVENT_INFO : SR_EVENT_FAILURE, "request_ended",
-            "{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I}", "request", exchange->id, "outcome", outcome,
-            "state", state_names_[exchange->state], "status", (int)exchange->status, "attempts",
+            "{s:s,s:s,s:s,s:I,s:I,s:s,s:i,s:i,s:I,s:I,s:I}", "request", exchange->id, "outcome",
+            outcome, "team", exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
+            (json_int_t)exchange->reserved, "used", (json_int_t)exchange->used, "state", state_names_[exchange->state], "status", (int)exchange->status, "attempts",
             (int)exchange->attempts, "events", (json_int_t)exchange->scan.events, "first_us",
             (json_int_t)(exchange->first_us == 0 ? 0 : exchange->first_us - exchange->arrived_us),
             "took_us", (json_int_t)(now_us - exchange->arrived_us));
@@ -820,9 +825,9 @@
   if (exchange->scan.has_content || exchange->scan.line_length > 0)
     output += exchange->service == NULL ? 1 : exchange->service->tokens_per_event;
   output = MIN (output, exchange->prompt.output_tokens_max);
+  exchange->used = exchange->runs > 0 ? exchange->prompt.input_tokens + output : 0;
   allotment_settle (exchange->context->book, exchange->team->name->str, exchange->parts,
-                    exchange->runs > 0 ? exchange->prompt.input_tokens + output : 0,
-                    g_get_monotonic_time ());
+                    exchange->used, g_get_monotonic_time ());
   exchange->parts = NULL;
 }
 
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -284,7 +284,8 @@
   GString *head = g_string_sized_new (512);
   struct net_text part;
 
-  caller->is_chunked = !reply->has_length && reply->status != 204 && reply->status != 304;
+  caller->is_chunked = !reply->has_length && !reply->ends_with_connection && reply->status != 204
+                       && reply->status != 304;
   g_string_printf (head, "HTTP/1.1 %u ", reply->status);
   g_string_append_len (head, reply->reason.data, (gssize)reply->reason.length);
   g_string_append (head, "\r\n");
@@ -293,7 +294,8 @@
     g_string_append_printf (head, "Content-Length: %" G_GUINT64_FORMAT "\r\n", reply->length);
   else if (caller->is_chunked)
     g_string_append (head, "Transfer-Encoding: chunked\r\n");
-  caller->closes = caller->closes || caller->ingress->context->stopping;
+  caller->closes
+      = caller->closes || reply->ends_with_connection || caller->ingress->context->stopping;
   if (caller->closes)
     g_string_append (head, "Connection: close\r\n");
   g_string_append (head, "\r\n");
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -15,7 +15,9 @@
 enum
 {
   US_PER_MS = 1000,
-  WATCH_MS = 10000,            /* each watch is a call that counts; silence is found by probes */
+  WATCH_MS = 1200,             /* a watch that hears nothing of a change is found out in time for the
+                                  two seconds in which it must be in force */
+  WATCH_INSTANCES_MS = 10000,  /* a hint only, and each watch is a call that counts */
   LEASE_RETURN_MS = 2200,      /* entries that lapsed in an outage are back two seconds after it */
   ANNOUNCE_RETRY_MS = 100,
   BALANCER_NOTICE_MS = 3200,   /* two questions of the balancer, a second each, go unanswered */
@@ -52,6 +54,8 @@
   bool backends_listed;
   bool announced;
   bool handing_back;
+  int64_t announced_revision;
+  GHashTable *leaving; /* names of instances that stop: they lend no more */
   int64_t outage_ended_us; /* of the store, as far as this instance has seen */
   int64_t stop_us;
 };
@@ -69,6 +73,7 @@
 static void on_announcement_read_ (const struct store_result *result, void *data);
 static void on_announce_timer_ (uv_timer_t *timer);
 static void on_withdrawn_ (const struct store_result *result, void *data);
+static json_t *announcement_ (const struct gateway_ *gateway);
 static void open_book_ (struct gateway_ *gateway, uint64_t incarnation);
 static void on_routes_ (const struct store_result *result, void *data);
 static void on_backends_listed_ (const struct store_result *result, void *data);
@@ -79,6 +84,7 @@
 static void on_instances_changed_ (const struct store_result *result, void *data);
 static void put_backend_ (struct gateway_ *gateway, const struct store_object *object);
 static void put_instance_ (struct gateway_ *gateway, const struct store_object *object);
+static void forget_instance_ (struct gateway_ *gateway, const char *name);
 static void peers_changed_ (struct gateway_ *gateway);
 static bool leases_doubtful_ (const struct gateway_ *gateway);
 static void read_record_ (void *link, const char *team);
@@ -183,6 +189,7 @@
     .window_us = (int64_t)settings->retry_window_s * 1000 * US_PER_MS,
   };
   context->instances = 1;
+  gateway->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->random = g_rand_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (timers); i++)
     {
@@ -216,6 +223,7 @@
   watch.reachable = on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
   watch.kind = KIND_INSTANCES;
+  watch.wait_ms = WATCH_INSTANCES_MS;
   watch.listed = on_instances_listed_;
   watch.changed = on_instances_changed_;
   watch.reachable = NULL;
@@ -260,15 +268,23 @@
       open_book_ (gateway, (uint64_t)result->objects[0].revision);
       return;
     }
-  content = json_pack ("{s:s,s:i,s:s,s:s}", "address", settings->address->str, "peer_port",
-                       (int)settings->peer_port, "data_centre", settings->data_centre->str,
-                       "nonce", gateway->nonce);
+  content = announcement_ (gateway);
   store_write (gateway->store, KIND_INSTANCES, settings->name->str, content,
                result->status == STORE_OK ? result->objects[0].revision : 0, on_announced_,
                gateway);
   json_decref (content);
 }
 
+static json_t *
+announcement_ (const struct gateway_ *gateway)
+{
+  const struct gw_settings *settings = gateway->settings;
+
+  return json_pack ("{s:s,s:i,s:s,s:s,s:b}", "address", settings->address->str, "peer_port",
+                    (int)settings->peer_port, "data_centre", settings->data_centre->str, "nonce",
+                    gateway->nonce, "leaving", gateway->context.stopping);
+}
+
 static void
 on_announced_ (const struct store_result *result, void *data)
 {
@@ -299,6 +315,7 @@
   if (gateway->announced)
     return;
   gateway->announced = true;
+  gateway->announced_revision = (int64_t)incarnation;
   sr_event (SR_EVENT_INFO, "announced", "{s:I}", "incarnation", (json_int_t)incarnation);
   gateway->context.book = allotment_book_new (&options);
   if (gateway->context.routes != NULL)
@@ -438,7 +455,7 @@
       for (size_t i = 0; i < result->n_objects && !listed; i++)
         listed = strcmp (result->objects[i].name, known->pdata[k]) == 0;
       if (!listed)
-        mesh_remove_peer (gateway->mesh, known->pdata[k]);
+        forget_instance_ (gateway, known->pdata[k]);
     }
   for (size_t i = 0; i < result->n_objects; i++)
     put_instance_ (gateway, &result->objects[i]);
@@ -452,7 +469,7 @@
 
   for (size_t i = 0; i < result->n_objects; i++)
     if (result->objects[i].deleted)
-      mesh_remove_peer (gateway->mesh, result->objects[i].name);
+      forget_instance_ (gateway, result->objects[i].name);
     else
       put_instance_ (gateway, &result->objects[i]);
   peers_changed_ (gateway);
@@ -475,6 +492,20 @@
     }
   address.sin_port = htons ((uint16_t)port);
   mesh_set_peer (gateway->mesh, object->name, &address);
+  if (json_is_true (json_object_get (object->content, "leaving")))
+    g_hash_table_add (gateway->leaving, g_strdup (object->name));
+  else
+    {
+      g_hash_table_remove (gateway->leaving, object->name);
+      allotment_book_peer_started (gateway->context.book, object->name);
+    }
+}
+
+static void
+forget_instance_ (struct gateway_ *gateway, const char *name)
+{
+  g_hash_table_remove (gateway->leaving, name);
+  mesh_remove_peer (gateway->mesh, name);
 }
 
 static void
@@ -482,6 +513,9 @@
 {
   g_autoptr (GPtrArray) names = mesh_peer_names (gateway->mesh);
 
+  for (unsigned i = names->len; i > 0; i--)
+    if (g_hash_table_contains (gateway->leaving, names->pdata[i - 1]))
+      g_ptr_array_remove_index (names, i - 1);
   gateway->context.instances = names->len + 1;
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
@@ -620,6 +654,15 @@
             (int)gateway->context.exchanges, "connections",
             (int)gw_ingress_connections (gateway->ingress));
   uv_timer_start (&gateway->stop_timer, on_stop_timer_, STOP_LOOK_MS, STOP_LOOK_MS);
+  if (gateway->context.book != NULL)
+    {
+      json_t *content = announcement_ (gateway);
+
+      store_write (gateway->store, KIND_INSTANCES, gateway->settings->name->str, content,
+                   gateway->announced_revision, on_withdrawn_, NULL);
+      json_decref (content);
+      allotment_book_leave (gateway->context.book, gateway->stop_us);
+    }
 }
 
 /* The settings are read once at start; a change of them takes effect with the next start. */
