--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -9,8 +9,8 @@
 enum
 {
   US_PER_MS = 1000,
-  HOME_COVER_US = 9500000,  /* demand a home holds: the longest cut that is expected */
-  LEFT_DIVISOR = 3,         /* of what is left, at most: what a crash may lose of a scarce budget */
+  HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
+  LEFT_DIVISOR = 2,         /* of what is left, at most: what a crash may lose of a scarce budget */
   IDLE_US = 1500000,        /* after this time without demand loans go back */
   DEMAND_TIME_US = 8000000, /* over which demand is averaged: a burst is covered while it lasts */
   DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
@@ -22,6 +22,7 @@
   ASK_TRIES = 3,                  /* doubling pauses: given up after 175 ms */
   SUSPECT_FIRST_US = 1000000,     /* a peer that did not answer is passed over; doubles */
   SUSPECT_MAX_US = 16000000,
+  STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
   STORE_RETRY_US = 50 * US_PER_MS,       /* after a conflict or a lost answer */
   STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
   WAIT_MAX_US = 600 * US_PER_MS, /* two calls to a slow store; then the caller hears when to return */
@@ -45,6 +46,22 @@
   int64_t at_us;
 };
 
+/* What the store may still give to who waits here. */
+enum supply_
+{
+  SUPPLY_MAY_COME,
+  SUPPLY_OUT_OF_REACH,
+  SUPPLY_EMPTY /* nothing is left on the record */
+};
+
+/* Where tokens come from. */
+enum source_
+{
+  SOURCE_NONE,
+  SOURCE_STORE,
+  SOURCE_PEER
+};
+
 struct peer_
 {
   char *name;
@@ -85,6 +102,7 @@
   GQueue asks;    /* struct pending_ask_ */
   /* The store. */
   enum store_step_ step;
+  int64_t step_us; /* when it began */
   struct sr_record *record; /* as last read or written; NULL: not known */
   int64_t revision;         /* of record; 0: there is none yet */
   int64_t record_us;
@@ -101,7 +119,7 @@
   int64_t asked_returned;
   int64_t asked_need;
   int64_t asked_want;
-  int64_t dry_until_us; /* the home had nothing: the store is asked directly */
+  GHashTable *dry; /* name of an instance that could get nothing: until when (int64_t) */
 };
 
 struct allotment_book
@@ -122,12 +140,17 @@
 static void pump_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
 static int64_t
 home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us);
+static void
+fetch_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t now_us);
+static bool store_is_out_ (const struct team_ *team, int64_t now_us);
+static enum source_ source_ (
+    struct allotment_book *book, struct team_ *team, bool down, struct peer_ **peer, int64_t now_us);
 static void serve_waiters_ (struct team_ *team, int64_t now_us);
 static void serve_asks_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
 static bool serve_ask_ (struct allotment_book *book,
                         struct team_ *team,
                         struct pending_ask_ *ask,
-                        bool is_last,
+                        enum supply_ supply,
                         int64_t now_us);
 static void refuse_waiters_ (struct team_ *team, int64_t left_at_most, int64_t now_us);
 static void refuse_late_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
@@ -136,8 +159,9 @@
 static void peer_suspect_ (struct peer_ *peer, int64_t now_us);
 static void
 draw_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t want, int64_t now_us);
-static void read_ (struct allotment_book *book, struct team_ *team);
-static void write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record);
+static void read_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
+static void
+write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record, int64_t now_us);
 static void store_failed_ (struct allotment_book *book,
                            struct team_ *team,
                            enum store_status status,
@@ -145,7 +169,7 @@
 static void take_record_ (struct team_ *team, struct sr_record *record, int64_t revision, int64_t now_us);
 static struct sr_record *edit_record_ (struct allotment_book *book, struct team_ *team);
 static void
-refuse_all_ (struct allotment_book *book, struct team_ *team, int64_t left_at_most, int64_t now_us);
+answer_asks_ (struct allotment_book *book, struct team_ *team, enum supply_ supply, int64_t now_us);
 static int64_t left_at_most_ (const struct team_ *team);
 static void borrow_ (
     struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us);
@@ -249,7 +273,7 @@
       sr_event (SR_EVENT_INFO, "budget_paid", "{s:s,s:I,s:I}", "team", name, "prepaid",
                 (json_int_t)prepaid_tokens, "before", (json_int_t)team->prepaid_tokens);
       team->prepaid_tokens = prepaid_tokens;
-      team->dry_until_us = 0;
+      g_hash_table_remove_all (team->dry);
       team->record_us = 0;
     }
   pump_ (book, team, now_us);
@@ -358,10 +382,11 @@
     {
       sr_ledger_written (team->ledger, edited);
       take_record_ (team, edited, revision, now_us);
-      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I,s:I,s:I}", "team", name, "revision",
+      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "team", name, "revision",
                 (json_int_t)revision, "available", (json_int_t)sr_ledger_available (team->ledger),
                 "remaining", (json_int_t)sr_record_remaining (edited), "settled",
-                (json_int_t)edited->settled, "prepaid", (json_int_t)edited->prepaid);
+                (json_int_t)edited->settled, "written_off", (json_int_t)edited->written_off,
+                "prepaid", (json_int_t)edited->prepaid);
     }
   else
     {
@@ -443,9 +468,16 @@
   if (!team->asking || team->number != answer->number)
     return;
   team->asking = false;
-  if (answer->is_dry)
+  if (answer->is_empty)
+    {
+      serve_waiters_ (team, now_us);
+      refuse_waiters_ (team, answer->left_at_most, now_us);
+    }
+  else if (answer->is_dry)
     {
-      team->dry_until_us = now_us + DRY_MEMORY_US;
+      int64_t until_us = now_us + DRY_MEMORY_US;
+
+      g_hash_table_replace (team->dry, g_strdup (peer_name), g_memdup2 (&until_us, sizeof until_us));
     }
   pump_ (book, team, now_us);
 }
@@ -564,6 +596,7 @@
   struct team_ *team = g_new0 (struct team_, 1);
 
   team->name = g_strdup (name);
+  team->dry = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   team->ledger = sr_ledger_new (&options);
   g_queue_init (&team->waiters);
   g_queue_init (&team->asks);
@@ -581,6 +614,7 @@
   sr_record_delete (team->record);
   sr_record_delete (team->edited);
   sr_ledger_delete (team->ledger);
+  g_hash_table_unref (team->dry);
   g_free (team->name);
   g_free (team);
 }
@@ -602,17 +636,81 @@
   need = needed_by_waiters_ (team) + needed_by_asks_ (team) - sr_ledger_available (team->ledger);
   if (home == NULL || (need > 0 && !g_queue_is_empty (&team->asks)))
     {
+      /* Asks are met from the store; who asks knows others to turn to. */
       int64_t target = home == NULL ? home_target_ (book, team, now_us) : 0;
       int64_t available = sr_ledger_available (team->ledger);
 
-      if (need > 0 || available < target * 3 / 4)
+      if (need > 0 || available < target * 7 / 8)
         draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
     }
-  else if (!team->asking && need > 0)
-    borrow_ (book, team, home, need, now_us);
+  need = needed_by_waiters_ (team) - sr_ledger_available (team->ledger);
+  if (need > 0 && !g_queue_is_empty (&team->waiters))
+    fetch_ (book, team, need, now_us);
   refuse_late_ (book, team, now_us);
 }
 
+/* Fetches NEED tokens for requests that wait: from the first instance in the order of homes that can
+ * be expected to have or get them. */
+static void
+fetch_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t now_us)
+{
+  struct peer_ *peer = NULL;
+  bool down = store_is_out_ (team, now_us);
+
+  if (team->asking || (team->step != STEP_IDLE && !down))
+    return;
+  switch (source_ (book, team, down, &peer, now_us))
+    {
+    case SOURCE_STORE:
+      draw_ (book, team, need, 0, now_us);
+      return;
+    case SOURCE_PEER:
+      borrow_ (book, team, peer, need, now_us);
+      return;
+    case SOURCE_NONE:
+      refuse_waiters_ (team, INT64_MAX, now_us);
+      return;
+    }
+}
+
+/* Tells whether the store is not to be counted on now. */
+static bool
+store_is_out_ (const struct team_ *team, int64_t now_us)
+{
+  return (team->store_is_down && now_us < team->retry_us)
+         || (team->step != STEP_IDLE && now_us - team->step_us > STORE_LATE_US);
+}
+
+/* Chooses where tokens of TEAM come from, in the order of rendezvous hashing. Passed over are
+ * instances that do not answer or had nothing a moment ago, and this one while the store is DOWN. */
+static enum source_
+source_ (
+    struct allotment_book *book, struct team_ *team, bool down, struct peer_ **peer, int64_t now_us)
+{
+  size_t length = strlen (team->name);
+  uint64_t own = book->leaving ? 0
+                               : sr_rendezvous_weight (team->name, length, book->options.instance);
+  enum source_ source = down ? SOURCE_NONE : SOURCE_STORE;
+  uint64_t best = down ? 0 : own;
+
+  for (unsigned i = 0; i < book->peers->len; i++)
+    {
+      struct peer_ *each = book->peers->pdata[i];
+      const int64_t *dry_until_us = g_hash_table_lookup (team->dry, each->name);
+      uint64_t weight;
+
+      if (each->suspect_until_us > now_us || (dry_until_us != NULL && *dry_until_us > now_us))
+        continue;
+      weight = sr_rendezvous_weight (team->name, length, each->name);
+      if (weight < best)
+        continue;
+      best = weight;
+      *peer = each;
+      source = SOURCE_PEER;
+    }
+  return source;
+}
+
 /* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of a
  * cut, but of a scarce budget only a part. When all instances crash, what is held is lost; and while
  * tokens are scarce, a request refused in a cut leaves its tokens to a later one. */
@@ -659,20 +757,20 @@
   for (GList *link = team->asks.head, *next; link != NULL; link = next)
     {
       next = link->next;
-      if (!serve_ask_ (book, team, link->data, book->stopping, now_us))
+      if (!serve_ask_ (book, team, link->data,
+                       book->stopping ? SUPPLY_OUT_OF_REACH : SUPPLY_MAY_COME, now_us))
         continue;
       g_free (link->data);
       g_queue_delete_link (&team->asks, link);
     }
 }
 
-/* Answers ASK if it can be met in full, or in any case when IS_LAST is set: the answer then says
- * that there is no more. */
+/* Answers ASK if it can be met in full, or, when no more can come, in any case. */
 static bool
 serve_ask_ (struct allotment_book *book,
             struct team_ *team,
             struct pending_ask_ *ask,
-            bool is_last,
+            enum supply_ supply,
             int64_t now_us)
 {
   struct allotment_answer answer
@@ -684,7 +782,7 @@
   sr_ledger_take_return (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
                          ask->returned);
   ask->missing = ask->need;
-  if (ledger->own == NULL && ask->need > 0 && !is_last)
+  if (ledger->own == NULL && ask->need > 0 && supply == SUPPLY_MAY_COME)
     return false;
   /* Nothing is lent in part: the borrower could not use it, and the next one would miss it. */
   sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
@@ -696,9 +794,11 @@
     ask->missing = MAX (ask->need - answer.loan.lent, 0);
   if (ask->missing > (ledger->own == NULL ? 0 : sr_source_available (ledger->own)))
     {
-      if (!is_last)
+      if (supply == SUPPLY_MAY_COME)
         return false;
       answer.is_dry = true;
+      answer.is_empty = supply == SUPPLY_EMPTY;
+      answer.left_at_most = answer.is_empty ? left_at_most_ (team) : 0;
     }
   else if (!book->stopping)
     sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
@@ -749,7 +849,7 @@
   while ((ask = g_queue_peek_head (&team->asks)) != NULL && now_us - ask->since_us >= WAIT_MAX_US)
     {
       g_queue_pop_head (&team->asks);
-      serve_ask_ (book, team, ask, true, now_us);
+      serve_ask_ (book, team, ask, SUPPLY_OUT_OF_REACH, now_us);
       g_free (ask);
     }
 }
@@ -809,17 +909,13 @@
   int64_t before;
   int64_t after;
 
-  if (team->step != STEP_IDLE)
+  if (store_is_out_ (team, now_us))
+    answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
+  if (team->step != STEP_IDLE || now_us < team->retry_us)
     return;
-  if (now_us < team->retry_us)
-    {
-      if (team->store_is_down && need > 0)
-        refuse_all_ (book, team, INT64_MAX, now_us);
-      return;
-    }
   if (team->record == NULL)
     {
-      read_ (book, team);
+      read_ (book, team, now_us);
       return;
     }
   record = edit_record_ (book, team);
@@ -833,15 +929,18 @@
       if (need == 0)
         return;
       if (now_us - team->record_us > FRESH_US)
-        read_ (book, team);
+        read_ (book, team, now_us);
       else
-        refuse_all_ (book, team, left_at_most_ (team), now_us);
+        {
+          answer_asks_ (book, team, SUPPLY_EMPTY, now_us);
+          refuse_waiters_ (team, left_at_most_ (team), now_us);
+        }
       return;
     }
   if (need > sr_record_remaining (record) && now_us - team->record_us > FRESH_US)
     {
       sr_record_delete (record);
-      read_ (book, team);
+      read_ (book, team, now_us);
       return;
     }
   sr_ledger_draw (team->ledger, record, team->revision, need, want, NULL, 0);
@@ -849,20 +948,22 @@
   sr_event (SR_EVENT_INFO, "allotment_draw", "{s:s,s:I,s:I,s:I,s:I}", "team", team->name,
             "revision", (json_int_t)team->revision, "need", (json_int_t)need, "want",
             (json_int_t)want, "drawn", (json_int_t)(after - before));
-  write_ (book, team, record);
+  write_ (book, team, record, now_us);
 }
 
 static void
-read_ (struct allotment_book *book, struct team_ *team)
+read_ (struct allotment_book *book, struct team_ *team, int64_t now_us)
 {
   team->step = STEP_READING;
+  team->step_us = now_us;
   link_ (book)->read (book->options.link, team->name);
 }
 
 static void
-write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record)
+write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record, int64_t now_us)
 {
   team->step = STEP_WRITING;
+  team->step_us = now_us;
   team->edited = record;
   link_ (book)->write (book->options.link, team->name, sr_record_to_json (record),
                        team->revision);
@@ -879,19 +980,18 @@
   sr_event (SR_EVENT_FAILURE, "allotment_store_failed", "{s:s,s:s,s:I}", "team", team->name,
             "status", store_status_to_string (status), "available",
             (json_int_t)sr_ledger_available (team->ledger));
-  refuse_all_ (book, team, INT64_MAX, now_us);
+  answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
 }
 
-/* Nothing can be fetched now: whoever waits hears so at once. */
+/* Answers all asks that wait for the store, which is not going to help them. */
 static void
-refuse_all_ (struct allotment_book *book, struct team_ *team, int64_t left_at_most, int64_t now_us)
+answer_asks_ (struct allotment_book *book, struct team_ *team, enum supply_ supply, int64_t now_us)
 {
-  refuse_waiters_ (team, left_at_most, now_us);
   while (!g_queue_is_empty (&team->asks))
     {
       struct pending_ask_ *ask = g_queue_pop_head (&team->asks);
 
-      serve_ask_ (book, team, ask, true, now_us);
+      serve_ask_ (book, team, ask, supply, now_us);
       g_free (ask);
     }
 }
@@ -943,7 +1043,9 @@
 left_at_most_ (const struct team_ *team)
 {
   const struct sr_record *record = team->record;
-  int64_t left = MAX (record->prepaid, team->prepaid_tokens) - record->settled;
+  /* Of what was written off nobody knows whether it was spent. */
+  int64_t left
+      = MAX (record->prepaid, team->prepaid_tokens) - record->settled + record->written_off;
 
   for (unsigned i = 0; i < record->holders->len; i++)
     left -= g_array_index (record->holders, struct sr_record_holder, i).spent;
@@ -959,11 +1061,6 @@
   struct sr_source *loan = sr_ledger_loan_from (team->ledger, home->name);
   int64_t lent = loan == NULL ? 0 : loan->granted;
 
-  if (need > 0 && now_us < team->dry_until_us)
-    {
-      draw_ (book, team, need, 0, now_us);
-      return;
-    }
   team->asking = true;
   team->tries = 0;
   team->number++;
@@ -1032,7 +1129,7 @@
     return;
   record = edit_record_ (book, team);
   if (sr_ledger_give_back (team->ledger, record, team->revision, keep, book->stopping))
-    write_ (book, team, record);
+    write_ (book, team, record, now_us);
   else
     sr_record_delete (record);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -151,6 +151,7 @@
                         .is_leaving = answer->is_leaving };
   struct sr_budget_borrowed_msg message = { 0 };
   char team[SR_BUDGET_NAME_BYTES] = { 0 };
+  int64_t left = answer->left_at_most;
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
@@ -159,10 +160,11 @@
   message.has_record = answer->loan.has_record;
   to_message_ (&answer->loan.lender, &message.lender);
   message.lent = answer->loan.lent;
-  message.exhausted = answer->is_dry;
+  message.pending = answer->is_dry && !answer->is_empty;
+  message.exhausted = answer->is_empty;
   xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
   if (xdr_head_ (&xdr, &head) && xdr_opaque (&xdr, team, sizeof team)
-      && xdr_sr_budget_borrowed_msg (&xdr, &message))
+      && xdr_sr_budget_borrowed_msg (&xdr, &message) && xdr_int64_t (&xdr, &left))
     send_ (mesh, &address, &xdr, bytes);
   xdr_destroy (&xdr);
 }
@@ -252,7 +254,7 @@
   char team[SR_BUDGET_NAME_BYTES];
 
   if (!xdr_opaque (xdr, team, sizeof team) || !is_name_ (team)
-      || !xdr_sr_budget_borrowed_msg (xdr, &message)
+      || !xdr_sr_budget_borrowed_msg (xdr, &message) || !xdr_int64_t (xdr, &answer.left_at_most)
       || message.lender.instance[SR_BUDGET_NAME_BYTES - 1] != '\0' || message.lent < 0)
     {
       sr_counter_add (&malformed_counter_, 1);
@@ -262,7 +264,8 @@
   answer.loan.has_record = message.has_record;
   from_message_ (&message.lender, &answer.loan.lender);
   answer.loan.lent = message.lent;
-  answer.is_dry = message.exhausted;
+  answer.is_dry = message.pending || message.exhausted;
+  answer.is_empty = message.exhausted;
   mesh->options.answered (head->sender, &answer, mesh->options.data);
 }
 
