--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -17,6 +17,7 @@
   QUIET_PER_OBJECTIVE = 3,         /* or after this many latency objectives, if that is longer */
   STREAM_QUIET_MS = 1500,          /* a resumable stream moves on when its server is this silent */
   STREAM_LOOK_MS = 500,            /* between looks whether it is */
+  STOPPING_STREAMS_MS = 3000,      /* a stream that begins later would outlast a planned stop */
   ATTEMPTS_MAX = 4                 /* whatever a route allows */
 };
 
@@ -107,6 +108,7 @@
 static void on_timer_closed_ (uv_handle_t *handle);
 static void set_timer_ (struct gw_exchange *exchange);
 static bool admit_ (struct gw_exchange *exchange, const struct gw_ask *ask);
+static bool outlasts_stop_ (const struct gw_exchange *exchange);
 static void place_ (struct gw_exchange *exchange);
 static void send_ (struct gw_exchange *exchange);
 static void end_attempt_ (struct gw_exchange *exchange, enum gw_place_end end);
@@ -312,9 +314,28 @@
   if (ask->deadline_ms > 0 && (limit_ms == 0 || ask->deadline_ms < limit_ms))
     limit_ms = ask->deadline_ms;
   exchange->end_us = limit_ms == 0 ? INT64_MAX : exchange->arrived_us + limit_ms * US_PER_MS;
+  if (outlasts_stop_ (exchange))
+    {
+      refuse_ (exchange, 503, RETRY_SOON_S, "stopping");
+      return false;
+    }
   return true;
 }
 
+/* Tells whether the instance may be gone before the request is answered. The balancer may send
+ * callers here all the while, when too few other instances are ready. */
+static bool
+outlasts_stop_ (const struct gw_exchange *exchange)
+{
+  const struct gw_context *context = exchange->context;
+
+  if (!context->stopping)
+    return false;
+  if (exchange->route->kind == GW_ROUTE_STREAM)
+    return exchange->arrived_us - context->stopping_since_us > STOPPING_STREAMS_MS * US_PER_MS;
+  return exchange->end_us > context->stop_by_us;
+}
+
 static void
 on_reserved_ (enum allotment_verdict verdict, GArray *parts, void *data)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,8 @@
   unsigned instances; /* this one included */
   GRand *random;
   bool stopping;
+  int64_t stopping_since_us;
+  int64_t stop_by_us; /* when what still runs is cut off */
   unsigned exchanges; /* in progress */
 };
 
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -650,6 +650,10 @@
     return;
   gateway->context.stopping = true;
   gateway->stop_us = g_get_monotonic_time ();
+  gateway->context.stopping_since_us = gateway->stop_us;
+  gateway->context.stop_by_us
+      = gateway->stop_us
+        + ((int64_t)gateway->settings->stop_limit_s * 1000 - STOP_MARGIN_MS) * US_PER_MS;
   sr_event (SR_EVENT_INFO, "stopping", "{s:i,s:i,s:i}", "signal", number, "requests",
             (int)gateway->context.exchanges, "connections",
             (int)gw_ingress_connections (gateway->ingress));
--- /dev/null
+++ b/src/gateway/test-gateway.c
@@ -0,0 +1,398 @@
+/* Decisions of the gateway: events, routes, retry budget, placement. */
+#include "gateway/event-scan.h"
+#include "gateway/placement.h"
+#include "gateway/retry-budget.h"
+#include "gateway/routes.h"
+#include "gateway/settings.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  MS = 1000,
+  SECOND = 1000 * MS
+};
+
+static const char stream_[] = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
+                              "id: 4\ndata: cut";
+
+static void
+events_are_found_however_they_are_cut (void **state)
+{
+  for (size_t step = 1; step < sizeof stream_; step++)
+    {
+      struct gw_event_scan scan = { 0 };
+      size_t complete = 0;
+
+      for (size_t at = 0; at < sizeof stream_ - 1; at += step)
+        {
+          size_t length = MIN (step, sizeof stream_ - 1 - at);
+          size_t end = gw_event_scan_feed (&scan, stream_ + at, length);
+
+          if (end > 0)
+            complete = at + end;
+        }
+      assert_int_equal (scan.events, 3);
+      assert_string_equal (scan.last_id, "3");
+      assert_true (scan.has_content);
+      assert_int_equal (complete, strstr (stream_, "id: 4") - stream_);
+    }
+}
+
+static struct gw_routes *
+routes_ (void)
+{
+  struct gw_routes *routes = gw_routes_new (7);
+  struct gw_route *route = gw_routes_add_route (routes, "short");
+  struct gw_team *team = gw_routes_add_team (routes, "team-1");
+
+  g_string_assign (route->host, "a.example");
+  g_string_assign (route->path_prefix, "/x/");
+  gw_route_add_target (route, "one", 3);
+  gw_route_add_target (route, "two", 1);
+  route = gw_routes_add_route (routes, "long");
+  g_string_assign (route->host, "a.example");
+  g_string_assign (route->path_prefix, "/x/y/");
+  gw_route_add_target (route, "two", 1);
+  gw_routes_add_key (routes, "key-1", team);
+  gw_routes_finish (routes);
+  return routes;
+}
+
+static void
+the_longest_prefix_of_the_host_selects_the_route (void **state)
+{
+  struct gw_routes *routes = routes_ ();
+  const struct gw_route *route;
+
+  route = gw_routes_match (routes, net_text_of ("A.example:80"), net_text_of ("/x/y/z"));
+  assert_string_equal (route->name->str, "long");
+  route = gw_routes_match (routes, net_text_of ("a.example"), net_text_of ("/x/yz"));
+  assert_string_equal (route->name->str, "short");
+  assert_null (gw_routes_match (routes, net_text_of ("a.example"), net_text_of ("/x")));
+  assert_null (gw_routes_match (routes, net_text_of ("b.example"), net_text_of ("/x/")));
+  assert_non_null (gw_routes_team (routes, net_text_of ("key-1")));
+  assert_null (gw_routes_team (routes, net_text_of ("key-2")));
+  assert_null (gw_routes_team (routes, (struct net_text){ "", 0 }));
+  gw_routes_unref (routes);
+}
+
+static void
+weights_split_the_traffic (void **state)
+{
+  struct gw_routes *routes = routes_ ();
+  const struct gw_route *route
+      = gw_routes_match (routes, net_text_of ("a.example"), net_text_of ("/x/"));
+  unsigned ones = 0;
+
+  for (uint32_t random = 0; random < 400; random++)
+    ones += strcmp (gw_route_pick_service (route, random)->str, "one") == 0;
+  assert_int_equal (ones, 300);
+  gw_routes_unref (routes);
+}
+
+static void
+the_retry_budget_holds_in_every_window (void **state)
+{
+  const struct gw_retry_budget_options options
+      = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
+  struct gw_retry_budget budget;
+  GRand *random = g_rand_new_with_seed (1);
+  GArray *repeats = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  GArray *requests = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  int64_t now_us = 5 * SECOND;
+
+  gw_retry_budget_init (&budget, &options, now_us);
+  for (unsigned i = 0; i < 20000; i++)
+    {
+      now_us += g_rand_int_range (random, 0, i % 4000 < 2000 ? 4 * MS : 60 * MS);
+      gw_retry_budget_count_request (&budget, now_us);
+      g_array_append_val (requests, now_us);
+      if (gw_retry_budget_take (&budget, 7, now_us))
+        g_array_append_val (repeats, now_us);
+    }
+  assert_true (repeats->len > 100);
+  for (unsigned first = 0, r = 0; first < repeats->len; first += 50)
+    {
+      int64_t from_us = g_array_index (repeats, int64_t, first);
+      unsigned in_window = 0;
+      unsigned asked = 0;
+
+      for (unsigned i = first; i < repeats->len; i++)
+        in_window += g_array_index (repeats, int64_t, i) < from_us + options.window_us;
+      while (r < requests->len && g_array_index (requests, int64_t, r) < from_us)
+        r++;
+      for (unsigned i = r; i < requests->len; i++)
+        asked += g_array_index (requests, int64_t, i) < from_us + options.window_us;
+      assert_true (in_window <= options.ratio * asked + (double)options.extra / 7 + 1);
+    }
+  g_array_unref (repeats);
+  g_array_unref (requests);
+  g_rand_free (random);
+}
+
+static void
+a_fresh_process_goes_without_the_fixed_part (void **state)
+{
+  const struct gw_retry_budget_options options
+      = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
+  struct gw_retry_budget budget;
+
+  gw_retry_budget_init (&budget, &options, SECOND);
+  assert_false (gw_retry_budget_take (&budget, 1, SECOND));
+  assert_true (gw_retry_budget_take (&budget, 1, 12 * SECOND));
+}
+
+struct fleet_
+{
+  struct gw_backends *table;
+  struct gw_service service;
+  GRand *random;
+};
+
+static void
+fleet_set_up_ (struct fleet_ *fleet, unsigned count, bool is_model)
+{
+  fleet->table = gw_backends_new ();
+  fleet->random = g_rand_new_with_seed (3);
+  fleet->service = (struct gw_service){ .is_model = is_model,
+                                        .slots = 64,
+                                        .tokens_per_event = 6,
+                                        .memory_tokens = 460000 };
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct gw_backend_facts facts = { .id = g_strdup_printf ("i-%u", i),
+                                        .service = g_strdup ("s"),
+                                        .data_centre = g_strdup (i % 3 == 0 ? "here" : "there"),
+                                        .slots = is_model ? 64 : 6 };
+
+      gw_backends_put (fleet->table, &facts);
+    }
+}
+
+static struct gw_place_query
+query_ (struct fleet_ *fleet, const struct gw_prompt *prompt, int64_t now_us)
+{
+  return (struct gw_place_query){ .backends = gw_backends_of (fleet->table, "s"),
+                                  .service = &fleet->service,
+                                  .prompt = prompt,
+                                  .data_centre = "here",
+                                  .now_us = now_us };
+}
+
+/* Sixty long prompts at once: no engine gets much more than its share of what has to be read. */
+static void
+long_prompts_are_spread (void **state)
+{
+  struct fleet_ fleet;
+  GHashTable *unread = g_hash_table_new (NULL, NULL);
+  int64_t most = 0;
+
+  fleet_set_up_ (&fleet, 9, true);
+  for (unsigned i = 0; i < 60; i++)
+    {
+      const struct gw_prompt prompt = { .is_stated = true,
+                                        .input_tokens = 12000,
+                                        .output_tokens_max = 400,
+                                        .n_parts = 2,
+                                        .parts = { { 1 + i % 40, 5000 }, { 1000 + i, 7000 } } };
+      struct gw_place_query query = query_ (&fleet, &prompt, 10 * SECOND + i * MS);
+      struct gw_place place;
+      int64_t sum;
+
+      assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_PICKED);
+      gw_place_begin (&place, &query, 12400);
+      sum = GPOINTER_TO_INT (g_hash_table_lookup (unread, place.backend)) + place.unread_tokens;
+      g_hash_table_insert (unread, place.backend, GINT_TO_POINTER ((int)sum));
+      most = MAX (most, sum);
+    }
+  assert_int_equal (g_hash_table_size (unread), 9);
+  assert_true (most <= 12000 * 60 / 9 * 3 / 2);
+  g_hash_table_unref (unread);
+}
+
+/* Requests of one session meet where its parts are cached, as long as nobody waits there. */
+static void
+sessions_stay_where_they_are_cached (void **state)
+{
+  struct fleet_ fleet;
+  const struct gw_prompt prompt = { .is_stated = true,
+                                    .input_tokens = 6000,
+                                    .output_tokens_max = 100,
+                                    .n_parts = 2,
+                                    .parts = { { 77, 5000 }, { 5, 1000 } } };
+  struct gw_backend *first = NULL;
+
+  fleet_set_up_ (&fleet, 9, true);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      struct gw_place_query query = query_ (&fleet, &prompt, 10 * SECOND + i * SECOND);
+      struct gw_place place;
+
+      gw_place_pick (&query, fleet.random, &place);
+      gw_place_begin (&place, &query, 6100);
+      if (first == NULL)
+        first = place.backend;
+      assert_ptr_equal (place.backend, first);
+      gw_place_first_byte (place.backend, place.unread_tokens, query.now_us + 100 * MS);
+      gw_place_finish (place.backend, 0, 6100, GW_PLACE_END_OK, query.now_us + 500 * MS);
+    }
+}
+
+static unsigned
+picks_of_ (struct fleet_ *fleet, const char *id, int64_t now_us)
+{
+  const struct gw_prompt prompt = { 0 };
+  unsigned picks = 0;
+
+  for (unsigned i = 0; i < 60; i++)
+    {
+      struct gw_place_query query = query_ (fleet, &prompt, now_us);
+      struct gw_place place;
+
+      assert_int_not_equal (gw_place_pick (&query, fleet->random, &place), GW_PLACE_NONE);
+      picks += strcmp (place.backend->facts.id, id) == 0;
+    }
+  return picks;
+}
+
+static struct gw_backend *
+backend_ (struct fleet_ *fleet, unsigned index)
+{
+  return gw_backends_of (fleet->table, "s")->pdata[index];
+}
+
+static void
+take_ (struct fleet_ *fleet, unsigned index, enum gw_place_end end, int64_t now_us)
+{
+  const struct gw_prompt prompt = { 0 };
+  const struct gw_place_query query = query_ (fleet, &prompt, now_us);
+  const struct gw_place place = { .backend = backend_ (fleet, index) };
+
+  gw_place_begin (&place, &query, 0);
+  gw_place_finish (place.backend, 0, 0, end, now_us);
+}
+
+static void
+a_server_that_fails_often_is_avoided_for_a_while (void **state)
+{
+  struct fleet_ fleet;
+
+  fleet_set_up_ (&fleet, 3, false);
+  assert_true (picks_of_ (&fleet, "i-0", 10 * SECOND) > 0);
+  for (unsigned i = 0; i < 10; i++)
+    take_ (&fleet, 0, i % 2 == 0 ? GW_PLACE_END_ERROR : GW_PLACE_END_OK, 10 * SECOND + i * MS);
+  assert_int_equal (picks_of_ (&fleet, "i-0", 10 * SECOND + 20 * MS), 0);
+  assert_true (picks_of_ (&fleet, "i-0", 20 * SECOND) > 0);
+}
+
+/* One failure in seven is what these services do by themselves. */
+static void
+a_few_failures_do_not_count (void **state)
+{
+  struct fleet_ fleet;
+
+  fleet_set_up_ (&fleet, 3, false);
+  for (unsigned i = 0; i < 28; i++)
+    take_ (&fleet, 0, i % 7 == 0 ? GW_PLACE_END_ERROR : GW_PLACE_END_OK, 10 * SECOND + i * MS);
+  assert_true (picks_of_ (&fleet, "i-0", 11 * SECOND) > 0);
+}
+
+static void
+a_broken_server_is_passed_over_but_never_the_last_one (void **state)
+{
+  struct fleet_ fleet;
+
+  fleet_set_up_ (&fleet, 3, false);
+  take_ (&fleet, 1, GW_PLACE_END_BROKEN, 10 * SECOND);
+  assert_int_equal (picks_of_ (&fleet, "i-1", 10 * SECOND + MS), 0);
+  take_ (&fleet, 0, GW_PLACE_END_BROKEN, 10 * SECOND);
+  take_ (&fleet, 2, GW_PLACE_END_BROKEN, 10 * SECOND);
+  picks_of_ (&fleet, "i-0", 10 * SECOND + MS);
+}
+
+static void
+nobody_is_picked_who_leaves_or_was_tried (void **state)
+{
+  struct fleet_ fleet;
+  const struct gw_prompt prompt = { 0 };
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+  struct gw_place_query query;
+  struct gw_place place;
+
+  fleet_set_up_ (&fleet, 2, false);
+  query = query_ (&fleet, &prompt, SECOND);
+  backend_ (&fleet, 0)->facts.is_leaving = true;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_PICKED);
+      assert_string_equal (place.backend->facts.id, "i-1");
+    }
+  g_ptr_array_add (tried, backend_ (&fleet, 1));
+  query.excluded = tried;
+  assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_NONE);
+}
+
+static void
+entries_missing_after_an_outage_are_used_until_they_have_had_their_time (void **state)
+{
+  struct fleet_ fleet;
+
+  fleet_set_up_ (&fleet, 3, false);
+  backend_ (&fleet, 2)->facts.is_leaving = true;
+  gw_backends_begin_list (fleet.table);
+  gw_backends_end_list (fleet.table, true);
+  assert_int_equal (gw_backends_of (fleet.table, "s")->len, 2); /* the leaving one is gone */
+  gw_backends_drop_missing (fleet.table);
+  assert_int_equal (gw_backends_of (fleet.table, "s")->len, 0);
+}
+
+static void
+settings_are_checked_whole (void **state)
+{
+  const char good[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
+                      "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
+                      "address = 10.0.0.2:83\n[retries]\nratio = 0.2\nextra = 54\nwindow_s = 10\n"
+                      "[stop]\nlimit_s = 8\n";
+  const char bad[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
+                     "entry = 10.0.0.1\nready = x\npeer_port = 82\n[store]\naddress = 10.0.0.2:83\n"
+                     "[retries]\nratio = 2\n";
+  struct sr_findings *findings = sr_findings_new ();
+  struct gw_settings *settings = gw_settings_parse ("f", good, strlen (good), findings);
+
+  assert_non_null (settings);
+  assert_int_equal (sr_findings_count (findings), 0);
+  assert_int_equal (ntohs (settings->store_address.sin_port), 83);
+  assert_true (settings->retry_ratio > 0.19 && settings->retry_ratio < 0.21);
+  gw_settings_delete (settings);
+  assert_null (gw_settings_parse ("f", bad, strlen (bad), findings));
+  assert_int_equal (sr_findings_count (findings), 3);
+  sr_findings_delete (findings);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (events_are_found_however_they_are_cut),
+    cmocka_unit_test (the_longest_prefix_of_the_host_selects_the_route),
+    cmocka_unit_test (weights_split_the_traffic),
+    cmocka_unit_test (the_retry_budget_holds_in_every_window),
+    cmocka_unit_test (a_fresh_process_goes_without_the_fixed_part),
+    cmocka_unit_test (long_prompts_are_spread),
+    cmocka_unit_test (sessions_stay_where_they_are_cached),
+    cmocka_unit_test (a_server_that_fails_often_is_avoided_for_a_while),
+    cmocka_unit_test (a_few_failures_do_not_count),
+    cmocka_unit_test (a_broken_server_is_passed_over_but_never_the_last_one),
+    cmocka_unit_test (nobody_is_picked_who_leaves_or_was_tried),
+    cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
+    cmocka_unit_test (settings_are_checked_whole),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -568,9 +568,14 @@
 head_is_strict_ (const uint8_t *bytes, size_t length)
 {
   unsigned lines = 0;
+  bool in_name = false; /* before the colon of a header line */
 
   for (size_t i = 0; i < length; i++)
     {
+      if (in_name && (bytes[i] == ' ' || bytes[i] == '\t'))
+        return false;
+      if (bytes[i] == ':')
+        in_name = false;
       if (bytes[i] == '\r' && (i + 1 == length || bytes[i + 1] != '\n'))
         return false;
       if (bytes[i] == 0)
@@ -579,8 +584,7 @@
         continue;
       if (i == 0 || bytes[i - 1] != '\r' || ++lines > HEAD_LINES_MAX)
         return false;
-      if (i + 1 < length && (bytes[i + 1] == ' ' || bytes[i + 1] == '\t'))
-        return false;
+      in_name = true; /* a folded line begins with a blank, too */
     }
   return true;
 }
