--- /dev/null
+++ b/src/store/test-watcher.c
@@ -0,0 +1,187 @@
+/* The watcher on a store whose answers the test gives. */
+#include "store/watcher.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum call_
+{
+  CALL_NONE,
+  CALL_LIST,
+  CALL_WATCH
+};
+
+struct fake_
+{
+  struct store base;
+  enum call_ call; /* the one that is out */
+  int64_t after_revision;
+  unsigned wait_ms;
+  store_callback done;
+  void *data;
+  unsigned listed;
+  unsigned changed;
+  unsigned lost;
+  unsigned regained;
+  uv_loop_t loop;
+  struct watcher *watcher;
+};
+
+static void
+list_ (struct store *store, const char *kind, store_callback done, void *data)
+{
+  struct fake_ *fake = (struct fake_ *)store;
+
+  fake->call = CALL_LIST;
+  fake->done = done;
+  fake->data = data;
+}
+
+static void
+watch_ (struct store *store,
+        const char *kind,
+        int64_t after_revision,
+        unsigned wait_ms,
+        store_callback done,
+        void *data)
+{
+  struct fake_ *fake = (struct fake_ *)store;
+
+  fake->call = CALL_WATCH;
+  fake->after_revision = after_revision;
+  fake->wait_ms = wait_ms;
+  fake->done = done;
+  fake->data = data;
+}
+
+static const struct store_vtable vtable_ = { .list = list_, .watch = watch_ };
+
+static void
+on_listed_ (const struct store_result *result, void *data)
+{
+  ((struct fake_ *)data)->listed++;
+}
+
+static void
+on_changed_ (const struct store_result *result, void *data)
+{
+  ((struct fake_ *)data)->changed++;
+}
+
+static void
+on_reachable_ (bool reachable, void *data)
+{
+  struct fake_ *fake = data;
+
+  if (reachable)
+    fake->regained++;
+  else
+    fake->lost++;
+}
+
+static struct fake_ *
+fake_new_ (void)
+{
+  struct fake_ *fake = g_new0 (struct fake_, 1);
+  struct watcher_options options = { .loop = &fake->loop,
+                                     .store = &fake->base,
+                                     .kind = "k",
+                                     .wait_ms = 1200,
+                                     .data = fake,
+                                     .listed = on_listed_,
+                                     .changed = on_changed_,
+                                     .reachable = on_reachable_ };
+
+  fake->base.vtable = &vtable_;
+  uv_loop_init (&fake->loop);
+  fake->watcher = watcher_new (&options);
+  watcher_start (fake->watcher);
+  return fake;
+}
+
+/* Answers the call that is out. */
+static void
+answer_ (struct fake_ *fake, enum store_status status, int64_t revision, size_t n_objects)
+{
+  const struct store_object object = { .name = "o", .revision = revision };
+  const struct store_result result
+      = { .status = status, .revision = revision, .objects = &object, .n_objects = n_objects };
+
+  assert_int_not_equal (fake->call, CALL_NONE);
+  fake->call = CALL_NONE;
+  fake->done (&result, fake->data);
+}
+
+static void
+run_until_call_ (struct fake_ *fake)
+{
+  while (fake->call == CALL_NONE)
+    uv_run (&fake->loop, UV_RUN_ONCE);
+}
+
+static void
+a_list_is_followed_by_watches_from_there (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 10, 1);
+  assert_int_equal (fake->listed, 1);
+  assert_int_equal (fake->after_revision, 10);
+  assert_int_equal (fake->wait_ms, 1200);
+  answer_ (fake, STORE_OK, 12, 1);
+  assert_int_equal (fake->changed, 1);
+  assert_int_equal (fake->after_revision, 12);
+  answer_ (fake, STORE_OK, 12, 0);
+  assert_int_equal (fake->changed, 1);
+}
+
+static void
+a_history_that_is_gone_is_listed_again (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  answer_ (fake, STORE_HISTORY_GONE, 0, 0);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 30, 1);
+  assert_int_equal (fake->listed, 2);
+  assert_int_equal (fake->after_revision, 30);
+}
+
+/* The end of an outage must be known at once, not after a whole wait: it decides how long entries
+ * that are missing are still used. */
+static void
+the_first_watch_after_an_outage_does_not_wait (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      answer_ (fake, STORE_UNREACHABLE, 0, 0);
+      run_until_call_ (fake);
+      assert_int_equal (fake->after_revision, 10);
+      assert_true (fake->wait_ms <= 50);
+    }
+  assert_int_equal (fake->lost, 1);
+  answer_ (fake, STORE_OK, 10, 0);
+  assert_int_equal (fake->regained, 1);
+  assert_int_equal (fake->wait_ms, 1200);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_list_is_followed_by_watches_from_there),
+    cmocka_unit_test (a_history_that_is_gone_is_listed_again),
+    cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -5,7 +5,8 @@
 enum
 {
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
-  RETRY_MAX_MS = 400   /* a fifth of the time in which a change must be in force */
+  RETRY_MAX_MS = 400,  /* a fifth of the time in which a change must be in force */
+  RETURN_WAIT_MS = 20  /* of the first watch after a failure: its answer tells that the store is back */
 };
 
 struct watcher
@@ -64,7 +65,8 @@
   if (watcher->revision == 0)
     store_list (options->store, options->kind, on_listed_, watcher);
   else
-    store_watch (options->store, options->kind, watcher->revision, options->wait_ms, on_changed_,
+    store_watch (options->store, options->kind, watcher->revision,
+                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : options->wait_ms, on_changed_,
                  watcher);
 }
 
