--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -10,7 +10,7 @@
 {
   US_PER_MS = 1000,
   HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
-  LEFT_DIVISOR = 2,         /* of what is left, at most: what a crash may lose of a scarce budget */
+  LEFT_DIVISOR = 10,        /* of what is left of a scarce budget: what a crash may lose of it */
   IDLE_US = 1500000,        /* after this time without demand loans go back */
   DEMAND_TIME_US = 8000000, /* over which demand is averaged: a burst is covered while it lasts */
   DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
@@ -719,8 +719,9 @@
 }
 
 /* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of a
- * cut, but of a scarce budget only a part. When all instances crash, what is held is lost; and while
- * tokens are scarce, a request refused in a cut leaves its tokens to a later one. */
+ * cut. When all instances crash, what is held is lost. That is not missed while more is left than was
+ * spent; of a scarcer budget only a part is held, since a request that is refused in a cut leaves its
+ * tokens to a later one, and a crash does not. */
 static int64_t
 home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us)
 {
@@ -736,7 +737,7 @@
     return target;
   left = sr_ledger_available (team->ledger) + MAX (sr_record_remaining (record), 0)
          + MAX (team->prepaid_tokens - record->prepaid, 0);
-  return MIN (target, left / LEFT_DIVISOR);
+  return MIN (target, MAX (left / LEFT_DIVISOR, 2 * left - team->prepaid_tokens));
 }
 
 /* Serves what fits, the oldest first: a large reservation that waits for a draw stops nobody. */
@@ -1031,14 +1032,16 @@
   record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
   for (unsigned i = record->holders->len; i > 0; i--)
     {
-      const struct sr_holder_id id
-          = g_array_index (record->holders, struct sr_record_holder, i - 1).id;
+      const struct sr_record_holder holder
+          = g_array_index (record->holders, struct sr_record_holder, i - 1);
+      const struct sr_holder_id id = holder.id;
 
       if (strcmp (id.instance, book->options.instance) == 0
           && id.incarnation != book->options.incarnation)
         {
-          sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name,
-                    "incarnation", (json_int_t)id.incarnation);
+          sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I,s:I,s:I}", "team",
+                    team->name, "incarnation", (json_int_t)id.incarnation, "granted",
+                    (json_int_t)holder.granted, "spent", (json_int_t)holder.spent);
           sr_record_write_off (record, &id);
         }
     }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -444,8 +444,9 @@
   exchange->runs++;
   exchange->attempts++;
   sr_counter_add (&attempts_counter_, 1);
-  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:i,s:I,s:I,s:I}", "request", exchange->id,
-            "backend", exchange->backend->facts.id, "attempt", (int)exchange->attempts, "left_ms",
+  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I}", "request", exchange->id,
+            "team", exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
+            (json_int_t)exchange->reserved, "backend", exchange->backend->facts.id, "attempt", (int)exchange->attempts, "left_ms",
             (json_int_t)send.left_ms, "unread_tokens", (json_int_t)exchange->unread_tokens,
             "after_us", (json_int_t)(now_us - exchange->arrived_us));
   gw_upstream_send (exchange->upstream, parts, exchange->body->len > 0 ? 2 : 1,
