--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -62,7 +62,8 @@
                             int64_t unread_tokens);
 static int64_t unread_tokens_ (const struct gw_place_query *query,
                                const struct gw_backend *backend,
-                               const struct gw_backend *home);
+                               const struct gw_backend *home,
+                               int64_t *again);
 static const struct gw_backend *home_of_prompt_ (const struct gw_place_query *query);
 static double others_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
@@ -87,7 +88,8 @@
   g_free (load);
 }
 
-/* Picks the backend server with the earliest expected first byte. Servers that were broken lately
+/* Picks the backend server with the earliest expected first byte; shared parts that would be read
+ * once more count twice, as they take memory and time of others beside. Servers that were broken lately
  * are taken only when there is no other. */
 enum gw_place_verdict
 gw_place_pick (const struct gw_place_query *query, GRand *random, struct gw_place *place)
@@ -105,12 +107,13 @@
       bool ejected = load->ejected_until_us > query->now_us;
       unsigned slots = MAX (backend->facts.slots, 1U);
       int64_t unread;
+      int64_t again;
       double ms;
 
       if (backend->facts.is_leaving || backend->is_gone || is_excluded_ (query, backend))
         continue;
-      unread = unread_tokens_ (query, backend, home);
-      ms = expected_ms_ (query, backend, unread);
+      unread = unread_tokens_ (query, backend, home, &again);
+      ms = expected_ms_ (query, backend, unread + again);
       if (load->in_flight + others_ (load, query->now_us)
           < (double)slots * (1 + WAITING_MAX_PER_SLOT))
         all_full = false;
@@ -271,29 +274,37 @@
   return ms + MAX (error_rate_ (load, query->now_us) - ERROR_RATE_USUAL, 0) * ERROR_MS;
 }
 
-/* Returns the tokens of the prompt that BACKEND would have to read: parts count as cached up to the
+/* Returns the tokens of the prompt that BACKEND would have to read, and in AGAIN those of shared parts
+ * among them, which others have cached: parts count as cached up to the
  * first one that is not. Other instances send the same parts to their home, so they are believed
  * to be there. */
 static int64_t
 unread_tokens_ (const struct gw_place_query *query,
                 const struct gw_backend *backend,
-                const struct gw_backend *home)
+                const struct gw_backend *home,
+                int64_t *again)
 {
   const struct gw_prompt *prompt = query->prompt;
-  int64_t unread;
+  int64_t shared;
+  int64_t cached;
 
+  *again = 0;
   if (prompt == NULL || !prompt->is_stated)
     return 0;
-  unread = prompt->input_tokens;
+  shared = 0;
+  for (unsigned i = 0; i + 1 < prompt->n_parts; i++)
+    shared += prompt->parts[i].tokens;
+  cached = 0;
   for (unsigned i = 0; i + 1 < prompt->n_parts; i++)
     {
       const struct part_use_ *use = g_hash_table_lookup (backend->load->parts, &prompt->parts[i].id);
 
       if ((use == NULL || query->now_us - use->used_us > PART_MEMORY_US) && backend != home)
         break;
-      unread -= prompt->parts[i].tokens;
+      cached += prompt->parts[i].tokens;
     }
-  return MAX (unread, 0);
+  *again = shared - cached;
+  return MAX (prompt->input_tokens - cached, 0);
 }
 
 /* Returns the backend server that instances agree on for the prompt's longest shared beginning, by
