--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -10,7 +10,7 @@
 {
   US_PER_MS = 1000,
   HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
-  LEFT_DIVISOR = 10,        /* of what is left of a scarce budget: what a crash may lose of it */
+  LEFT_DIVISOR = 4,         /* of what is left of a scarce budget: what a crash may lose of it */
   IDLE_US = 1500000,        /* after this time without demand loans go back */
   DEMAND_TIME_US = 8000000, /* over which demand is averaged: a burst is covered while it lasts */
   DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
