--- /dev/null
+++ b/emulator/site/main.c
@@ -0,0 +1,274 @@
+/* Runs the stand-in of the users' platform, with a port for its control by tests. */
+#include "emulator/site/site.h"
+
+#include <argtable2.h>
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One connection to the control port. */
+struct control_visit_
+{
+  const struct net_http_owner_vtable *vtable; /* first: the connection's owner */
+  struct site *site;
+  struct net_http_conn *conn;
+  char *target;
+  GString *body;
+};
+
+static void on_head_ (void *owner, const struct net_http_head *head);
+static void on_body_ (void *owner, const char *data, size_t length);
+static void on_message_end_ (void *owner);
+static void on_ended_ (void *owner, enum net_end end);
+
+static const struct net_http_owner_vtable control_vtable_ = {
+  .head = on_head_,
+  .body = on_body_,
+  .message_end = on_message_end_,
+  .ended = on_ended_,
+};
+
+static const char *const store_modes_[] = { [SITE_STORE_UP] = "up",
+                                            [SITE_STORE_SILENT] = "silent",
+                                            [SITE_STORE_BUSY] = "busy",
+                                            [SITE_STORE_LOST] = "lost" };
+static const char *const backend_modes_[] = {
+  [SITE_BACKEND_OK] = "ok",       [SITE_BACKEND_SHED] = "shed",
+  [SITE_BACKEND_CUT] = "cut",     [SITE_BACKEND_RESET] = "reset",
+  [SITE_BACKEND_SILENT] = "silent", [SITE_BACKEND_ERROR] = "error",
+  [SITE_BACKEND_EXTRA] = "extra", [SITE_BACKEND_UNFRAMED] = "unframed",
+  [SITE_BACKEND_OTHER] = "other",
+};
+
+static int
+index_of_ (const char *const *names, size_t count, const char *name)
+{
+  for (size_t i = 0; name != NULL && i < count; i++)
+    if (strcmp (names[i], name) == 0)
+      return (int)i;
+  return -1;
+}
+
+/* Listens on PORT of the stand-in's address. Returns false when that fails. */
+bool
+site_listen (struct site *site, uv_tcp_t *listener, unsigned port, uv_connection_cb accept)
+{
+  struct sockaddr_in address;
+
+  uv_ip4_addr (site->address, (int)port, &address);
+  uv_tcp_init (&site->loop, listener);
+  return uv_tcp_bind (listener, (struct sockaddr *)&address, 0) == 0
+         && uv_listen ((uv_stream_t *)listener, 512, accept) == 0;
+}
+
+/* Sends an answer with HEADERS (lines) and BODY. */
+void
+site_reply (struct net_http_conn *conn, unsigned status, const char *headers, const char *body)
+{
+  g_autofree char *head = g_strdup_printf ("HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n", status,
+                                           headers, strlen (body));
+  const struct net_text parts[] = { net_text_of (head), net_text_of (body) };
+
+  net_http_conn_write (conn, parts, 2);
+}
+
+/* Returns the value of a header, the caller's, or NULL. */
+char *
+site_header (const struct net_http_head *head, const char *name)
+{
+  for (unsigned i = 0; i < head->headers->len; i++)
+    {
+      const struct net_header *header = &g_array_index (head->headers, struct net_header, i);
+
+      if (net_text_is_nocase (header->name, name))
+        return g_strndup (header->value.data, header->value.length);
+    }
+  return NULL;
+}
+
+/* Returns the value of NAME in the query of TARGET, the caller's, or NULL. */
+char *
+site_query (const char *target, const char *name)
+{
+  const char *query = strchr (target, '?');
+  g_auto (GStrv) pairs = g_strsplit (query == NULL ? "" : query + 1, "&", -1);
+  size_t length = strlen (name);
+
+  for (unsigned i = 0; pairs[i] != NULL; i++)
+    if (strncmp (pairs[i], name, length) == 0 && pairs[i][length] == '=')
+      return g_strdup (pairs[i] + length + 1);
+  return NULL;
+}
+
+/* Takes a connection to the control port. */
+void
+site_control_accept (uv_stream_t *listener, int status)
+{
+  struct site *site = listener->data;
+  const struct net_http_conn_options options
+      = { .loop = &site->loop, .is_server = true, .head_max_bytes = 16384 };
+  struct control_visit_ *visit;
+
+  if (status != 0)
+    return;
+  visit = g_new0 (struct control_visit_, 1);
+  visit->vtable = &control_vtable_;
+  visit->site = site;
+  visit->body = g_string_new (NULL);
+  visit->conn = net_http_conn_new (&options, visit);
+  net_http_conn_accept (visit->conn, listener);
+}
+
+static void
+on_head_ (void *owner, const struct net_http_head *head)
+{
+  struct control_visit_ *visit = owner;
+
+  g_free (visit->target);
+  visit->target = g_strndup (head->target.data, head->target.length);
+  g_string_truncate (visit->body, 0);
+}
+
+static void
+on_body_ (void *owner, const char *data, size_t length)
+{
+  g_string_append_len (((struct control_visit_ *)owner)->body, data, (gssize)length);
+}
+
+static json_t *
+counts_ (const struct site *site)
+{
+  json_t *leaving = json_array ();
+
+  for (unsigned i = 0; i < site->n_backends; i++)
+    json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
+  return json_pack ("{s:O,s:O,s:i,s:i,s:i,s:o}", "runs", site->runs, "consumed", site->consumed,
+                    "abandoned", (int)site->abandoned, "arrivals", (int)site->arrivals, "keys_seen",
+                    (int)site->keys_seen, "latest_after_leaving_ms", leaving);
+}
+
+static bool
+set_backend_ (struct site *site, const char *target)
+{
+  g_autofree char *index = site_query (target, "index");
+  g_autofree char *mode = site_query (target, "mode");
+  g_autofree char *state = site_query (target, "state");
+  unsigned at = index == NULL ? SITE_BACKENDS_MAX : (unsigned)g_ascii_strtoull (index, NULL, 10);
+  int number = index_of_ (backend_modes_, G_N_ELEMENTS (backend_modes_), mode);
+
+  if (at >= site->n_backends || (mode != NULL && number < 0))
+    return false;
+  if (mode != NULL)
+    site->backends[at].mode = (enum site_backend_mode)number;
+  if (state != NULL)
+    site_backend_announce (&site->backends[at], state);
+  return true;
+}
+
+static void
+on_message_end_ (void *owner)
+{
+  struct control_visit_ *visit = owner;
+  struct site *site = visit->site;
+  json_t *reply = NULL;
+  bool done = false;
+  char *text;
+
+  if (g_str_has_prefix (visit->target, "/counts"))
+    {
+      reply = counts_ (site);
+      done = true;
+    }
+  else if (g_str_has_prefix (visit->target, "/store"))
+    {
+      g_autofree char *mode = site_query (visit->target, "mode");
+      int number = index_of_ (store_modes_, G_N_ELEMENTS (store_modes_), mode);
+
+      done = number >= 0;
+      if (done)
+        site->store_mode = (enum site_store_mode)number;
+    }
+  else if (g_str_has_prefix (visit->target, "/backend"))
+    done = set_backend_ (site, visit->target);
+  else if (g_str_has_prefix (visit->target, "/configuration"))
+    {
+      json_t *spec = json_loadb (visit->body->str, visit->body->len, 0, NULL);
+
+      done = spec != NULL && objects_put (site->objects, "config", "main", spec, -1);
+      json_decref (spec);
+      site_store_changed (site);
+    }
+  text = reply == NULL ? NULL : json_dumps (reply, JSON_COMPACT);
+  site_reply (visit->conn, done ? 200 : 400, "Content-Type: application/json\r\n",
+              text == NULL ? "{}" : text);
+  free (text);
+  json_decref (reply);
+}
+
+static void
+on_ended_ (void *owner, enum net_end end)
+{
+  struct control_visit_ *visit = owner;
+
+  g_free (visit->target);
+  g_string_free (visit->body, TRUE);
+  g_free (visit);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_str *address = arg_str1 (NULL, "address", "IP", "address to listen on");
+  struct arg_int *port = arg_int1 (NULL, "port", "PORT",
+                                   "of the store; then control, then one for each backend server");
+  struct arg_int *models = arg_int1 (NULL, "models", "N", "model engines");
+  struct arg_int *plains = arg_int1 (NULL, "plains", "N", "plain services");
+  struct arg_int *pace = arg_int0 (NULL, "pace-ms", "MS", "between events (2)");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { address, port, models, plains, pace, end };
+  struct site *site = g_new0 (struct site, 1);
+
+  if (arg_parse (argc, argv, table) != 0
+      || models->ival[0] + plains->ival[0] > SITE_BACKENDS_MAX)
+    {
+      arg_print_errors (stderr, end, argv[0]);
+      return 2;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  uv_loop_init (&site->loop);
+  site->address = address->sval[0];
+  site->pace_ms = pace->count > 0 ? (unsigned)pace->ival[0] : 2;
+  site->objects = objects_new ();
+  site->watches = g_ptr_array_new ();
+  site->runs = json_object ();
+  site->consumed = json_object ();
+  site->store_listener.data = site->control_listener.data = site;
+  if (!site_listen (site, &site->store_listener, (unsigned)port->ival[0], site_store_accept)
+      || !site_listen (site, &site->control_listener, (unsigned)port->ival[0] + 1,
+                       site_control_accept))
+    {
+      fprintf (stderr, "cannot listen on %s:%d\n", site->address, port->ival[0]);
+      return 1;
+    }
+  for (int i = 0; i < models->ival[0] + plains->ival[0]; i++)
+    {
+      struct site_backend *backend = &site->backends[site->n_backends];
+
+      backend->index = site->n_backends++;
+      backend->port = (unsigned)port->ival[0] + 2 + backend->index;
+      backend->is_model = i < models->ival[0];
+      backend->site = site;
+      backend->listener.data = backend;
+      g_snprintf (backend->id, sizeof backend->id, "i-%u", backend->index);
+      if (!site_listen (site, &backend->listener, backend->port, site_backend_accept))
+        return 1;
+      backend->listener.data = backend;
+      site_backend_announce (backend, "ready");
+    }
+  printf ("ready %s:%d\n", site->address, port->ival[0]);
+  fflush (stdout);
+  uv_run (&site->loop, UV_RUN_DEFAULT);
+  return 0;
+}
--- /dev/null
+++ b/emulator/site/objects.c
@@ -0,0 +1,148 @@
+#include "emulator/site/objects.h"
+
+#include <string.h>
+
+struct object_
+{
+  char *kind;
+  char *name;
+  int64_t revision;
+  int64_t created;
+  bool deleted;
+  json_t *spec;
+};
+
+struct objects
+{
+  int64_t revision;
+  GPtrArray *objects; /* struct object_, deleted ones too */
+};
+
+static struct object_ *find_ (const struct objects *objects, const char *kind, const char *name);
+static json_t *to_json_ (const struct object_ *object);
+
+/* Creates an empty store; it lives as long as the process. */
+struct objects *
+objects_new (void)
+{
+  struct objects *objects = g_new0 (struct objects, 1);
+
+  objects->revision = 1;
+  objects->objects = g_ptr_array_new ();
+  return objects;
+}
+
+/* Returns all objects of KIND as an array, the caller's. */
+json_t *
+objects_list (const struct objects *objects, const char *kind)
+{
+  json_t *list = json_array ();
+
+  for (unsigned i = 0; i < objects->objects->len; i++)
+    {
+      const struct object_ *object = objects->objects->pdata[i];
+
+      if (!object->deleted && strcmp (object->kind, kind) == 0)
+        json_array_append_new (list, to_json_ (object));
+    }
+  return list;
+}
+
+/* Returns one object, the caller's, or NULL. */
+json_t *
+objects_get (const struct objects *objects, const char *kind, const char *name)
+{
+  const struct object_ *object = find_ (objects, kind, name);
+
+  return object == NULL || object->deleted ? NULL : to_json_ (object);
+}
+
+/* Returns the revision of the whole store. */
+int64_t
+objects_revision (const struct objects *objects)
+{
+  return objects->revision;
+}
+
+/* Writes SPEC, which stays the caller's, if the object has revision EXPECTED (0: there is none; -1:
+ * whatever there is). Returns false without effect otherwise. */
+bool
+objects_put (
+    struct objects *objects, const char *kind, const char *name, json_t *spec, int64_t expected)
+{
+  struct object_ *object = find_ (objects, kind, name);
+  int64_t current = object == NULL || object->deleted ? 0 : object->revision;
+
+  if (expected >= 0 && expected != current)
+    return false;
+  if (current != 0 && json_equal (object->spec, spec))
+    return true;
+  if (object == NULL)
+    {
+      object = g_new0 (struct object_, 1);
+      object->kind = g_strdup (kind);
+      object->name = g_strdup (name);
+      g_ptr_array_add (objects->objects, object);
+    }
+  if (current == 0)
+    object->created = objects->revision + 1;
+  json_decref (object->spec);
+  object->spec = json_deep_copy (spec);
+  object->deleted = false;
+  object->revision = ++objects->revision;
+  return true;
+}
+
+/* Removes an object. Returns false when there is none. */
+bool
+objects_remove (struct objects *objects, const char *kind, const char *name)
+{
+  struct object_ *object = find_ (objects, kind, name);
+
+  if (object == NULL || object->deleted)
+    return false;
+  object->deleted = true;
+  object->revision = ++objects->revision;
+  return true;
+}
+
+/* Returns what of KIND has changed after revision AFTER, as events in the order of their revisions;
+ * the array is the caller's. */
+json_t *
+objects_changes (const struct objects *objects, const char *kind, int64_t after)
+{
+  json_t *events = json_array ();
+
+  for (int64_t revision = after + 1; revision <= objects->revision; revision++)
+    for (unsigned i = 0; i < objects->objects->len; i++)
+      {
+        const struct object_ *object = objects->objects->pdata[i];
+
+        if (object->revision == revision && strcmp (object->kind, kind) == 0)
+          json_array_append_new (events, json_pack ("{s:b,s:o}", "deleted", object->deleted,
+                                                    "object", to_json_ (object)));
+      }
+  return events;
+}
+
+static struct object_ *
+find_ (const struct objects *objects, const char *kind, const char *name)
+{
+  for (unsigned i = 0; i < objects->objects->len; i++)
+    {
+      struct object_ *object = objects->objects->pdata[i];
+
+      if (strcmp (object->kind, kind) == 0 && strcmp (object->name, name) == 0)
+        return object;
+    }
+  return NULL;
+}
+
+static json_t *
+to_json_ (const struct object_ *object)
+{
+  return json_pack ("{s:{s:s,s:I,s:I,s:[],s:b},s:O,s:n}", "metadata", "name", object->name,
+                    "revision", (json_int_t)object->revision, "created",
+                    (json_int_t)object->created, "finalizers", "deleting", false, "spec",
+                    object->spec, "status");
+}
--- /dev/null
+++ b/emulator/site/objects.h
@@ -0,0 +1,19 @@
+/* The object store of the stand-in: objects by kind and name, one counter of revisions, and what has
+ * changed since the start. */
+#pragma once
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct objects;
+
+struct objects *objects_new (void);
+json_t *objects_list (const struct objects *objects, const char *kind);
+json_t *objects_get (const struct objects *objects, const char *kind, const char *name);
+int64_t objects_revision (const struct objects *objects);
+bool objects_put (
+    struct objects *objects, const char *kind, const char *name, json_t *spec, int64_t expected);
+bool objects_remove (struct objects *objects, const char *kind, const char *name);
+json_t *objects_changes (const struct objects *objects, const char *kind, int64_t after);
--- a/src/cli/command-serve.c
+++ b/src/cli/command-serve.c
@@ -7,18 +7,20 @@
 
 #include <stdio.h>
 
-static int serve_on_platform_ (const char *path, struct sr_findings *findings);
+static int serve_gateway_ (const char *path, struct sr_findings *findings);
 
-/* Runs "serve": reads the settings and runs one instance until it is told to stop. Without a file,
- * the platform's settings are taken: the instance is then a gateway on the platform. Findings are
+/* Runs "serve": reads the settings and runs one instance until it is told to stop. Without a file
+ * the instance is a gateway with the settings that the platform wrote. Findings are
  * printed on stderr. */
 int
 cli_command_serve (int argc, char **argv)
 {
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_file *path = arg_file0 (NULL, "settings", "FILE", "settings of this instance");
+  struct arg_file *gateway
+      = arg_file0 (NULL, "gateway", "FILE", "settings of a gateway, as deploy/instance.ini has them");
   struct arg_end *end = arg_end (10);
-  void *table[] = { help, path, end };
+  void *table[] = { help, path, gateway, end };
   struct sr_findings *findings = sr_findings_new ();
   struct sr_settings *settings = NULL;
   int code = cli_parse (argc, argv, table, help, end, "Runs one instance.");
@@ -27,7 +29,8 @@
     goto out;
   if (path->count == 0)
     {
-      code = serve_on_platform_ (platform_settings_path (), findings);
+      code = serve_gateway_ (gateway->count > 0 ? gateway->filename[0] : platform_settings_path (),
+                             findings);
       goto out;
     }
   settings = sr_settings_load (path->filename[0], findings);
@@ -48,14 +51,14 @@
 }
 
 static int
-serve_on_platform_ (const char *path, struct sr_findings *findings)
+serve_gateway_ (const char *path, struct sr_findings *findings)
 {
   struct gw_settings *settings;
   int code;
 
   if (path == NULL)
     {
-      fprintf (stderr, "serve: --settings is missing, and the platform names no file\n");
+      fprintf (stderr, "serve: neither --settings nor --gateway is given, and the platform names no file\n");
       return CLI_EXIT_USAGE;
     }
   settings = gw_settings_load (path, findings);
--- /dev/null
+++ b/testing/harness/raw-http.c
@@ -0,0 +1,103 @@
+#include "testing/harness/raw-http.h"
+
+#include <arpa/inet.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+struct reading_
+{
+  struct raw_reply *reply;
+  bool retry_after;
+};
+
+static int
+on_field_ (http_parser *parser, const char *at, size_t length)
+{
+  struct reading_ *reading = parser->data;
+
+  reading->retry_after = length == 11 && g_ascii_strncasecmp (at, "Retry-After", 11) == 0;
+  return 0;
+}
+
+static int
+on_value_ (http_parser *parser, const char *at, size_t length)
+{
+  struct reading_ *reading = parser->data;
+  g_autofree char *value = g_strndup (at, length);
+
+  if (reading->retry_after)
+    reading->reply->retry_after_s = g_ascii_strtod (value, NULL);
+  return 0;
+}
+
+static int
+on_headers_ (http_parser *parser)
+{
+  ((struct reading_ *)parser->data)->reply->status = (int)parser->status_code;
+  return 0;
+}
+
+static int
+on_body_ (http_parser *parser, const char *at, size_t length)
+{
+  g_string_append_len (((struct reading_ *)parser->data)->reply->body, at, (gssize)length);
+  return 0;
+}
+
+static int
+on_end_ (http_parser *parser)
+{
+  ((struct reading_ *)parser->data)->reply->whole = true;
+  return 0;
+}
+
+/* Sends LENGTH BYTES on a connection of its own and reads one answer, for LIMIT_S without a byte at
+ * most. The reply is the caller's. */
+struct raw_reply *
+raw_http_call (const char *address, unsigned port, const char *bytes, size_t length, int limit_s)
+{
+  static const http_parser_settings settings = { .on_header_field = on_field_,
+                                                 .on_header_value = on_value_,
+                                                 .on_headers_complete = on_headers_,
+                                                 .on_body = on_body_,
+                                                 .on_message_complete = on_end_ };
+  struct sockaddr_in target = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+  const struct timeval limit = { .tv_sec = limit_s };
+  struct raw_reply *reply = g_new0 (struct raw_reply, 1);
+  struct reading_ reading = { .reply = reply };
+  char buffer[16384];
+  http_parser parser;
+  ssize_t got;
+  int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  reply->body = g_string_new (NULL);
+  http_parser_init (&parser, HTTP_RESPONSE);
+  parser.data = &reading;
+  inet_pton (AF_INET, address, &target.sin_addr);
+  setsockopt (peer, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (connect (peer, (struct sockaddr *)&target, sizeof target) == 0
+      && send (peer, bytes, length, MSG_NOSIGNAL) >= 0)
+    while (!reply->whole && (got = recv (peer, buffer, sizeof buffer, 0)) >= 0)
+      {
+        size_t used = http_parser_execute (&parser, &settings, buffer, (size_t)got);
+
+        /* Where only the end of the connection ends the answer, nothing says that it is whole. */
+        if (got == 0)
+          reply->whole = false;
+        if (got == 0 || used != (size_t)got)
+          break;
+      }
+  close (peer);
+  return reply;
+}
+
+/* Frees REPLY. */
+void
+raw_reply_free (struct raw_reply *reply)
+{
+  g_string_free (reply->body, TRUE);
+  g_free (reply);
+}
--- /dev/null
+++ b/testing/harness/site.c
@@ -0,0 +1,274 @@
+#include "testing/harness/site.h"
+
+#include "testing/harness/harness.h"
+#include "testing/harness/raw-http.h"
+#include "testing/harness/turn.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  READY_LIMIT_MS = 20000,
+  TOKENS_PER_EVENT = 6,
+  SILENCE_LIMIT_S = 20,
+  CONTROL = 1, /* after the store's port */
+  ENTRY = 18,
+  READY = 19,
+  PEERS = 20
+};
+
+static const char site_address_[] = "127.0.6.100";
+
+static bool write_settings_ (const struct site_fleet *fleet, unsigned instance);
+static enum site_verdict judge_ (const struct site_request *request, const struct raw_reply *reply);
+
+/* Returns the address of INSTANCE, the caller's. */
+char *
+site_instance_address (unsigned instance)
+{
+  return g_strdup_printf ("127.0.6.%u", instance);
+}
+
+/* Starts the stand-in and all instances, and waits until they are ready. Returns NULL, with the
+ * reason on stderr, when that fails. */
+struct site_fleet *
+site_fleet_start (const struct site_options *options)
+{
+  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
+  struct site_fleet *fleet = g_new0 (struct site_fleet, 1);
+  GPtrArray *arguments = g_ptr_array_new_with_free_func (g_free);
+
+  fleet->options = *options;
+  fleet->directory = g_strdup_printf ("%s/test-logs/%s", build, options->name);
+  g_mkdir_with_parents (fleet->directory, 0755);
+  fleet->turn = harness_take_turn (options->port_base + 22, 120000);
+  g_ptr_array_add (arguments, g_strdup_printf ("%s/standin-site", build));
+  g_ptr_array_add (arguments, g_strdup ("--address"));
+  g_ptr_array_add (arguments, g_strdup (site_address_));
+  g_ptr_array_add (arguments, g_strdup ("--port"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", options->port_base));
+  g_ptr_array_add (arguments, g_strdup ("--models"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", options->models));
+  g_ptr_array_add (arguments, g_strdup ("--plains"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", options->plains));
+  g_ptr_array_add (arguments, g_strdup ("--pace-ms"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", options->pace_ms));
+  fleet->site = harness_process_new (fleet->directory, "site", arguments);
+  if (!harness_process_start (fleet->site)
+      || !harness_process_wait_ready (fleet->site, READY_LIMIT_MS)
+      || !site_fleet_configure (fleet, options->prepaid, false))
+    {
+      fprintf (stderr, "the stand-in of the platform did not start\n");
+      site_fleet_stop (fleet);
+      return NULL;
+    }
+  for (unsigned i = 1; i <= options->instances; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("instance-%u", i);
+
+      arguments = g_ptr_array_new_with_free_func (g_free);
+      g_ptr_array_add (arguments, g_strdup_printf ("%s/sapphirerun", build));
+      g_ptr_array_add (arguments, g_strdup ("serve"));
+      g_ptr_array_add (arguments, g_strdup ("--gateway"));
+      g_ptr_array_add (arguments, g_strdup_printf ("%s/%s.ini", fleet->directory, name));
+      fleet->instances[i] = harness_process_new (fleet->directory, name, arguments);
+      if (!write_settings_ (fleet, i) || !site_fleet_start_instance (fleet, i))
+        return NULL;
+    }
+  for (unsigned i = 1; i <= options->instances; i++)
+    if (!site_fleet_wait_ready (fleet, i, READY_LIMIT_MS))
+      {
+        fprintf (stderr, "instance %u did not get ready\n", i);
+        site_fleet_stop (fleet);
+        return NULL;
+      }
+  return fleet;
+}
+
+/* Ends all processes of FLEET and frees it. NULL is allowed. */
+void
+site_fleet_stop (struct site_fleet *fleet)
+{
+  if (fleet == NULL)
+    return;
+  for (unsigned i = 1; i <= SITE_INSTANCES_MAX; i++)
+    harness_process_delete (fleet->instances[i]);
+  harness_process_delete (fleet->site);
+  harness_end_turn (fleet->turn);
+  g_free (fleet->directory);
+  g_free (fleet);
+}
+
+/* Starts an instance that is not running. */
+bool
+site_fleet_start_instance (struct site_fleet *fleet, unsigned instance)
+{
+  return harness_process_start (fleet->instances[instance]);
+}
+
+/* Waits until INSTANCE says that it is ready. */
+bool
+site_fleet_wait_ready (struct site_fleet *fleet, unsigned instance, int64_t limit_ms)
+{
+  int64_t end_us = g_get_monotonic_time () + limit_ms * 1000;
+
+  while (site_fleet_ready_status (fleet, instance) != 200)
+    {
+      if (g_get_monotonic_time () >= end_us)
+        return false;
+      g_usleep (20000);
+    }
+  return true;
+}
+
+/* Returns the status of the balancer's question; 0: no answer. */
+int
+site_fleet_ready_status (struct site_fleet *fleet, unsigned instance)
+{
+  g_autofree char *address = site_instance_address (instance);
+  const struct harness_call call
+      = { .address = address, .port = fleet->options.port_base + READY, .path = "/ready" };
+  struct harness_reply *reply = harness_call (&call);
+  int status = reply->status;
+
+  harness_reply_free (reply);
+  return status;
+}
+
+/* Puts a configuration in force with the next version: PREPAID tokens for the team, and a route more
+ * when WITH_EXTRA_ROUTE is set. */
+bool
+site_fleet_configure (struct site_fleet *fleet, int64_t prepaid, bool with_extra_route)
+{
+  json_t *configuration = json_pack (
+      "{s:I,s:[{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i,s:b,s:b},{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i,s:b,s:b},"
+      "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i},{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i}],"
+      "s:[{s:s,s:s,s:i,s:{s:i,s:i,s:i}},{s:s,s:s,s:i}],s:{s:i,s:i,s:i,s:i},"
+      "s:[{s:s,s:[s],s:I}]}",
+      "version", (json_int_t)++fleet->version, "routes", "name", "r-stream", "host", "site.test",
+      "pathPrefix", "/stream/", "kind", "streaming", "timeoutMs", 15000, "goalMs", 800, "service",
+      "model", "maxAttempts", 2, "sticky", true, "resumable", false, "name", "r-resume", "host",
+      "site.test", "pathPrefix", "/resume/", "kind", "streaming", "timeoutMs", 15000, "goalMs", 400,
+      "service", "model", "maxAttempts", 2, "sticky", true, "resumable", true, "name", "r-once",
+      "host", "site.test", "pathPrefix", "/once/", "kind", "unsafe", "timeoutMs", 1500, "goalMs",
+      100, "service", "plain", "maxAttempts", 1, "name", "r-safe", "host", "site.test",
+      "pathPrefix", "/safe/", "kind", "safe", "timeoutMs", 3000, "goalMs", 100, "service", "plain",
+      "maxAttempts", 2, "services", "name", "model", "healthPath", "/health", "maxConns", 360,
+      "engine", "slots", 64, "kvTokens", 460000, "stride", TOKENS_PER_EVENT, "name", "plain",
+      "healthPath", "/health", "maxConns", 100, "limits", "maxHeaderBytes", 16384, "maxBodyBytes",
+      65536, "headerTimeoutMs", 3000, "idleTimeoutMs", 15000, "tenants", "name", "team-1",
+      "apiKeys", "key-1", "prepaid", (json_int_t)prepaid);
+  g_autofree char *text = NULL;
+  struct harness_call call = { .address = site_address_,
+                               .port = fleet->options.port_base + CONTROL,
+                               .method = "POST",
+                               .path = "/configuration" };
+  struct harness_reply *reply;
+  bool done;
+
+  g_assert (configuration != NULL);
+  if (with_extra_route)
+    json_array_append_new (json_object_get (configuration, "routes"),
+                           json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i}", "name", "r-extra",
+                                      "host", "site.test", "pathPrefix", "/extra/", "kind", "safe",
+                                      "timeoutMs", 3000, "goalMs", 100, "service", "plain",
+                                      "maxAttempts", 2));
+  text = json_dumps (configuration, JSON_COMPACT);
+  call.body = text;
+  reply = harness_call (&call);
+  done = reply->status == 200;
+  harness_reply_free (reply);
+  json_decref (configuration);
+  return done;
+}
+
+/* Tells the stand-in what to do, for example "/store?mode=silent". */
+bool
+site_fleet_control (struct site_fleet *fleet, const char *path)
+{
+  return harness_post (site_address_, fleet->options.port_base + CONTROL, path);
+}
+
+/* Returns what the stand-in has counted; the caller's. */
+json_t *
+site_fleet_counts (struct site_fleet *fleet)
+{
+  return harness_get_json (site_address_, fleet->options.port_base + CONTROL, "/counts");
+}
+
+/* Sends one request and judges its answer. */
+struct site_answer
+site_ask (struct site_fleet *fleet, const struct site_request *request)
+{
+  g_autofree char *address = site_instance_address (request->instance);
+  g_autofree char *counts = g_strdup_printf ("%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT,
+                                             (gint64)request->input_tokens,
+                                             (gint64)request->output_tokens);
+  g_autofree char *parts
+      = g_strdup_printf ("5c1e:%" G_GINT64_FORMAT, (gint64)request->input_tokens);
+  g_autofree char *deadline = g_strdup_printf (
+      "%" G_GINT64_FORMAT, (gint64)(request->deadline_ms > 0 ? request->deadline_ms : 10000));
+  g_autofree char *tokens
+      = request->output_tokens > 0
+            ? g_strdup_printf ("X-Token-Counts: %s\r\nX-Prompt-Prefix: %s\r\n", counts, parts)
+            : g_strdup ("");
+  g_autofree char *bytes = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %s\r\n"
+      "Authorization: Token key-1\r\n%sContent-Length: 4\r\n\r\nbody",
+      request->path, request->id, deadline, tokens);
+  int64_t begin_us = g_get_monotonic_time ();
+  struct raw_reply *reply = raw_http_call (address, fleet->options.port_base + ENTRY, bytes,
+                                           strlen (bytes), SILENCE_LIMIT_S);
+  struct site_answer answer = { .verdict = judge_ (request, reply),
+                                .status = reply->status,
+                                .took_ms = (g_get_monotonic_time () - begin_us) / 1000,
+                                .retry_after_s = reply->retry_after_s };
+
+  raw_reply_free (reply);
+  return answer;
+}
+
+/* Returns how often request ID ran. */
+unsigned
+site_runs_of (json_t *counts, const char *id)
+{
+  return (unsigned)json_array_size (json_object_get (json_object_get (counts, "runs"), id));
+}
+
+static enum site_verdict
+judge_ (const struct site_request *request, const struct raw_reply *reply)
+{
+  g_autoptr (GString) expected = g_string_new (NULL);
+
+  if (reply->status == 0)
+    return SITE_NO_ANSWER;
+  if (reply->status == 503 || reply->status == 429 || reply->status == 408 || reply->status == 421)
+    return SITE_NOT_RUN;
+  if (reply->status != 200)
+    return SITE_FAILED;
+  if (!reply->whole)
+    return SITE_CUT;
+  if (request->output_tokens == 0)
+    g_string_printf (expected, "answer to %s", request->id);
+  for (int64_t i = 1; i <= request->output_tokens / TOKENS_PER_EVENT; i++)
+    g_string_append_printf (expected, "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
+                            (gint64)i, request->id, (gint64)i);
+  return g_string_equal (expected, reply->body) ? SITE_ANSWERED : SITE_WRONG;
+}
+
+static bool
+write_settings_ (const struct site_fleet *fleet, unsigned instance)
+{
+  g_autofree char *address = site_instance_address (instance);
+  g_autofree char *path = g_strdup_printf ("%s/instance-%u.ini", fleet->directory, instance);
+  unsigned base = fleet->options.port_base;
+  g_autofree char *text = g_strdup_printf (
+      "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
+      "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
+      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
+      instance, address, address, base + ENTRY, address, base + READY, base + PEERS, site_address_,
+      base, fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+
+  return g_file_set_contents (path, text, -1, NULL);
+}
--- /dev/null
+++ b/testing/process/test-gateway-path.c
@@ -0,0 +1,514 @@
+/* Gateways as real processes before the stand-in of the users' platform: answers, refusals, budgets,
+ * configuration and stops, with faults of the store, of backend servers and of the instances. */
+#include "testing/harness/harness.h"
+#include "testing/harness/raw-http.h"
+#include "testing/harness/site.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 34100,
+  INSTANCES = 3,
+  MODELS = 3,
+  PLAINS = 2,
+  PREPAID = 3000000,
+  IN_FORCE_MAX_MS = 2000, /* a configuration, and the leaving of a backend server */
+  NOTICE_MS = 1000        /* for what the stand-in counts a little later */
+};
+
+static struct site_fleet *fleet;
+static unsigned ids;
+
+static int
+start_fleet (void **state)
+{
+  static const struct site_options options = { .name = "gateway-path",
+                                               .port_base = PORT_BASE,
+                                               .instances = INSTANCES,
+                                               .models = MODELS,
+                                               .plains = PLAINS,
+                                               .pace_ms = 2,
+                                               .prepaid = PREPAID };
+
+  fleet = site_fleet_start (&options);
+  return fleet != NULL ? 0 : -1;
+}
+
+static int
+stop_fleet (void **state)
+{
+  site_fleet_stop (fleet);
+  return 0;
+}
+
+static int
+mend (void **state)
+{
+  for (unsigned i = 0; i < MODELS + PLAINS; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=ok", i);
+
+      site_fleet_control (fleet, path);
+    }
+  site_fleet_control (fleet, "/store?mode=up");
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      if (!harness_process_is_running (fleet->instances[i]))
+        {
+          harness_process_kill (fleet->instances[i]);
+          site_fleet_start_instance (fleet, i);
+        }
+      site_fleet_wait_ready (fleet, i, HARNESS_WAIT_MS);
+    }
+  return 0;
+}
+
+static char *
+next_id_ (void)
+{
+  return g_strdup_printf ("id-%u", ++ids);
+}
+
+static struct site_answer
+ask_ (unsigned instance, const char *path, int64_t output_tokens, const char *id)
+{
+  const struct site_request request = { .instance = instance,
+                                        .path = path,
+                                        .id = id,
+                                        .input_tokens = output_tokens > 0 ? 1000 : 0,
+                                        .output_tokens = output_tokens };
+
+  return site_ask (fleet, &request);
+}
+
+static void
+set_all_ (unsigned from, unsigned to, const char *mode)
+{
+  for (unsigned i = from; i < to; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=%s", i, mode);
+
+      assert_true (site_fleet_control (fleet, path));
+    }
+}
+
+static unsigned
+runs_ (const char *id)
+{
+  json_t *counts = site_fleet_counts (fleet);
+  unsigned runs = site_runs_of (counts, id);
+
+  json_decref (counts);
+  return runs;
+}
+
+static void
+every_caller_gets_its_own_whole_answer (void **state)
+{
+  static const char *const paths[] = { "/stream/a", "/resume/a", "/once/a", "/safe/a" };
+  json_t *counts;
+
+  for (unsigned i = 0; i < 60; i++)
+    {
+      g_autofree char *id = next_id_ ();
+      struct site_answer answer
+          = ask_ (1 + i % INSTANCES, paths[i % 4], i % 4 < 2 ? 60 : 0, id);
+
+      assert_int_equal (answer.verdict, SITE_ANSWERED);
+      assert_int_equal (runs_ (id), 1);
+    }
+  counts = site_fleet_counts (fleet);
+  assert_int_equal (harness_json_number (counts, "keys_seen"), 0);
+  json_decref (counts);
+}
+
+static void
+what_is_not_allowed_is_refused (void **state)
+{
+  g_autofree char *address = site_instance_address (1);
+  g_autofree char *large = g_strnfill (70000, 'x');
+  const struct
+  {
+    const char *path;
+    const char *headers;
+    const char *body;
+    int status;
+  } cases[] = {
+    { "/safe/a", "Host: site.test\r\nX-Request-Id: r1\r\n", "b", 401 },
+    { "/safe/a", "Host: site.test\r\nX-Request-Id: r2\r\nAuthorization: Token no\r\n", "b", 401 },
+    { "/none/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", "b", 404 },
+    { "/safe/a", "Host: other.test\r\nX-Request-Id: r4\r\nAuthorization: Token key-1\r\n", "b", 404 },
+    { "/safe/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", large, 413 },
+    { "/safe/a", "Host: site.test\r\nHost: site.test\r\nX-Request-Id: r1\r\n", "b", 400 },
+    { "/safe/a", "Host: site.test\r\nX-Request-Id: r1\r\n folded: x\r\n", "b", 400 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *bytes
+          = g_strdup_printf ("POST %s HTTP/1.1\r\n%sContent-Length: %zu\r\n\r\n%s", cases[i].path,
+                             cases[i].headers, strlen (cases[i].body), cases[i].body);
+      struct raw_reply *reply
+          = raw_http_call (address, PORT_BASE + 18, bytes, strlen (bytes), 10);
+
+      assert_int_equal (reply->status, cases[i].status);
+      raw_reply_free (reply);
+    }
+  assert_int_equal (runs_ ("r1") + runs_ ("r2") + runs_ ("r3") + runs_ ("r4"), 0);
+}
+
+/* Whatever a backend server does with an order: it runs once at most, and a refusal that says it has
+ * not run is true. */
+static void
+an_order_runs_once_at_most (void **state)
+{
+  static const char *const modes[]
+      = { "shed", "cut", "reset", "silent", "error", "extra", "unframed", "other" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes) * 6; i++)
+    {
+      g_autofree char *id = next_id_ ();
+      struct site_answer answer;
+      unsigned runs;
+
+      set_all_ (MODELS, MODELS + PLAINS, modes[i / 6]);
+      answer = ask_ (1 + i % INSTANCES, "/once/a", 0, id);
+      runs = runs_ (id);
+      assert_true (runs <= 1);
+      assert_int_not_equal (answer.verdict, SITE_WRONG);
+      if (answer.verdict == SITE_NOT_RUN)
+        assert_int_equal (runs, 0);
+      if (answer.verdict == SITE_ANSWERED)
+        assert_int_equal (runs, 1);
+      if (strcmp (modes[i / 6], "silent") == 0)
+        assert_true (answer.took_ms >= 1400 && answer.took_ms < 1500 + NOTICE_MS);
+    }
+}
+
+static void
+what_may_be_repeated_is_answered_by_another_server (void **state)
+{
+  static const char *const modes[] = { "cut", "reset", "silent", "error", "shed" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      unsigned answered = 0;
+
+      set_all_ (MODELS, MODELS + 1, modes[i]);
+      for (unsigned k = 0; k < 10; k++)
+        {
+          g_autofree char *id = next_id_ ();
+
+          answered += ask_ (1 + k % INSTANCES, "/safe/a", 0, id).verdict == SITE_ANSWERED;
+          /* What may be repeated is a share of the requests. */
+          for (unsigned m = 0; m < 8; m++)
+            {
+              g_autofree char *other = next_id_ ();
+
+              ask_ (1 + k % INSTANCES, "/safe/a", 0, other);
+            }
+        }
+      assert_true (answered >= 8);
+      mend (state);
+    }
+}
+
+static void
+a_resumable_stream_goes_on_elsewhere (void **state)
+{
+  unsigned answered = 0;
+
+  for (unsigned i = 0; i < 12; i++)
+    {
+      g_autofree char *id = next_id_ ();
+      struct site_answer answer;
+
+      for (unsigned k = 0; k < 10; k++)
+        {
+          g_autofree char *other = next_id_ ();
+
+          ask_ (1 + i % INSTANCES, "/resume/a", 6, other);
+        }
+      set_all_ (0, 1, "cut");
+      answer = ask_ (1 + i % INSTANCES, "/resume/a", 120, id);
+      mend (state);
+      assert_int_not_equal (answer.verdict, SITE_WRONG);
+      answered += answer.verdict == SITE_ANSWERED;
+    }
+  assert_true (answered >= 10);
+}
+
+static void
+a_stream_that_is_cut_looks_so (void **state)
+{
+  unsigned cut = 0;
+
+  set_all_ (0, MODELS, "cut");
+  for (unsigned i = 0; i < 9; i++)
+    {
+      g_autofree char *id = next_id_ ();
+      struct site_answer answer = ask_ (1 + i % INSTANCES, "/stream/a", 120, id);
+
+      assert_int_equal (runs_ (id), 1);
+      assert_int_not_equal (answer.verdict, SITE_ANSWERED);
+      assert_int_not_equal (answer.verdict, SITE_WRONG);
+      cut += answer.verdict == SITE_CUT;
+    }
+  assert_int_equal (cut, 9);
+}
+
+static void
+the_store_may_be_away_for_a_while (void **state)
+{
+  static const char *const modes[] = { "silent", "busy", "lost" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/store?mode=%s", modes[i]);
+      int64_t end_us;
+
+      assert_true (site_fleet_control (fleet, path));
+      end_us = g_get_monotonic_time () + 3 * G_USEC_PER_SEC;
+      while (g_get_monotonic_time () < end_us)
+        {
+          g_autofree char *id = next_id_ ();
+
+          assert_int_equal (ask_ (1 + ids % INSTANCES, "/stream/a", 60, id).verdict, SITE_ANSWERED);
+          for (unsigned k = 1; k <= INSTANCES; k++)
+            assert_int_equal (site_fleet_ready_status (fleet, k), 200);
+        }
+      site_fleet_control (fleet, "/store?mode=up");
+      g_usleep (G_USEC_PER_SEC);
+    }
+}
+
+static void
+a_configuration_is_in_force_within_its_time (void **state)
+{
+  int64_t end_us;
+  unsigned instances = 0;
+
+  assert_true (site_fleet_configure (fleet, PREPAID, true));
+  end_us = g_get_monotonic_time () + IN_FORCE_MAX_MS * 1000;
+  while (g_get_monotonic_time () < end_us && instances != (1U << INSTANCES) - 1)
+    for (unsigned i = 1; i <= INSTANCES; i++)
+      {
+        g_autofree char *id = next_id_ ();
+
+        if (ask_ (i, "/extra/a", 0, id).verdict == SITE_ANSWERED)
+          instances |= 1U << (i - 1);
+      }
+  assert_int_equal (instances, (1U << INSTANCES) - 1);
+  /* An older version that appears later is not taken. */
+  fleet->version -= 2;
+  assert_true (site_fleet_configure (fleet, PREPAID, false));
+  g_usleep (IN_FORCE_MAX_MS * 1000);
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      g_autofree char *id = next_id_ ();
+
+      assert_int_equal (ask_ (i, "/extra/a", 0, id).verdict, SITE_ANSWERED);
+    }
+  fleet->version += 2;
+}
+
+static void
+a_leaving_server_gets_no_new_work_after_its_time (void **state)
+{
+  json_t *counts;
+  int64_t end_us = g_get_monotonic_time () + 4 * G_USEC_PER_SEC;
+
+  assert_true (site_fleet_control (fleet, "/backend?index=0&state=draining"));
+  while (g_get_monotonic_time () < end_us)
+    {
+      g_autofree char *id = next_id_ ();
+
+      assert_int_equal (ask_ (1 + ids % INSTANCES, "/stream/a", 6, id).verdict, SITE_ANSWERED);
+    }
+  counts = site_fleet_counts (fleet);
+  assert_true (json_integer_value (
+                   json_array_get (json_object_get (counts, "latest_after_leaving_ms"), 0))
+               <= IN_FORCE_MAX_MS);
+  json_decref (counts);
+}
+
+struct caller_
+{
+  unsigned instance;
+  unsigned requests;
+  int64_t output_tokens;
+  unsigned verdicts[SITE_WRONG + 1];
+  const char *name;
+};
+
+static void *
+call_often_ (void *data)
+{
+  struct caller_ *caller = data;
+
+  for (unsigned i = 0; i < caller->requests; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%s-%u", caller->name, i);
+      struct site_answer answer
+          = ask_ (caller->instance, "/stream/a", caller->output_tokens, id);
+
+      caller->verdicts[answer.verdict]++;
+    }
+  return NULL;
+}
+
+static void
+a_planned_stop_finishes_what_runs (void **state)
+{
+  struct caller_ caller = { .instance = 1, .requests = 1, .output_tokens = 3000, .name = "stop" };
+  GThread *thread = g_thread_new ("caller", call_often_, &caller);
+  int code = -1;
+
+  g_usleep (300000);
+  harness_process_signal (fleet->instances[1], SIGTERM);
+  g_usleep (200000);
+  assert_int_equal (site_fleet_ready_status (fleet, 1), 503);
+  g_thread_join (thread);
+  assert_int_equal (caller.verdicts[SITE_ANSWERED], 1);
+  assert_true (harness_process_wait (fleet->instances[1], 9000, &code));
+  assert_int_equal (code, 0);
+}
+
+static void
+a_change_of_settings_stops_nothing (void **state)
+{
+  struct caller_ caller = { .instance = 2, .requests = 5, .output_tokens = 300, .name = "hup" };
+  GThread *thread = g_thread_new ("caller", call_often_, &caller);
+
+  for (unsigned i = 0; i < 5; i++)
+    {
+      harness_process_signal (fleet->instances[2], SIGHUP);
+      g_usleep (50000);
+    }
+  g_thread_join (thread);
+  assert_int_equal (caller.verdicts[SITE_ANSWERED], 5);
+  assert_true (harness_process_is_running (fleet->instances[2]));
+}
+
+/* A caller leaves before the first byte: the engine is told at once. */
+static void
+a_departure_ends_the_work (void **state)
+{
+  g_autofree char *address = site_instance_address (3);
+  const char request[] = "POST /stream/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: gone-1\r\n"
+                         "X-Token-Counts: 100,60\r\nAuthorization: Token key-1\r\n"
+                         "Content-Length: 0\r\n\r\n";
+  struct sockaddr_in target = { .sin_family = AF_INET, .sin_port = htons (PORT_BASE + 18) };
+  int64_t end_us;
+  json_t *counts = site_fleet_counts (fleet);
+  int64_t before = harness_json_number (counts, "abandoned");
+  int64_t after = before;
+  int peer = socket (AF_INET, SOCK_STREAM, 0);
+
+  json_decref (counts);
+  set_all_ (0, MODELS, "silent");
+  inet_pton (AF_INET, address, &target.sin_addr);
+  assert_int_equal (connect (peer, (struct sockaddr *)&target, sizeof target), 0);
+  assert_int_equal (send (peer, request, sizeof request - 1, 0), sizeof request - 1);
+  g_usleep (200000);
+  assert_int_equal (runs_ ("gone-1"), 1);
+  close (peer);
+  end_us = g_get_monotonic_time () + 500 * 1000;
+  while (after == before && g_get_monotonic_time () < end_us)
+    {
+      g_usleep (20000);
+      counts = site_fleet_counts (fleet);
+      after = harness_json_number (counts, "abandoned");
+      json_decref (counts);
+    }
+  assert_int_equal (after, before + 1);
+}
+
+/* Kills, restarts and an outage of the store while a budget is used up: nothing beyond it is
+ * consumed, and what is refused was not run. Comes last: it leaves the budget empty. */
+static void
+no_budget_is_overspent (void **state)
+{
+  struct caller_ callers[9];
+  GThread *threads[G_N_ELEMENTS (callers)];
+  g_autofree char *names[G_N_ELEMENTS (callers)] = { 0 };
+  json_t *counts = site_fleet_counts (fleet);
+  int64_t spent = harness_json_number (json_object_get (counts, "consumed"), "team-1");
+  int64_t prepaid = MAX (spent, PREPAID) + 60000;
+  unsigned answered = 0;
+  unsigned refused = 0;
+
+  json_decref (counts);
+  fleet->version += 10;
+  /* The total can only be raised. */
+  assert_true (site_fleet_configure (fleet, prepaid, true));
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      names[i] = g_strdup_printf ("spend-%u", i);
+      callers[i] = (struct caller_){ .instance = 1 + i % INSTANCES,
+                                     .requests = 60,
+                                     .output_tokens = 6000,
+                                     .name = names[i] };
+      threads[i] = g_thread_new ("caller", call_often_, &callers[i]);
+    }
+  g_usleep (G_USEC_PER_SEC);
+  harness_process_kill (fleet->instances[1]);
+  site_fleet_start_instance (fleet, 1);
+  g_usleep (G_USEC_PER_SEC);
+  site_fleet_control (fleet, "/store?mode=lost");
+  g_usleep (G_USEC_PER_SEC);
+  site_fleet_control (fleet, "/store?mode=silent");
+  harness_process_kill (fleet->instances[2]);
+  site_fleet_start_instance (fleet, 2);
+  g_usleep (G_USEC_PER_SEC);
+  site_fleet_control (fleet, "/store?mode=up");
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      g_thread_join (threads[i]);
+      g_clear_pointer (&names[i], g_free);
+      answered += callers[i].verdicts[SITE_ANSWERED];
+      refused += callers[i].verdicts[SITE_NOT_RUN];
+      assert_int_equal (callers[i].verdicts[SITE_WRONG], 0);
+    }
+  counts = site_fleet_counts (fleet);
+  spent = harness_json_number (json_object_get (counts, "consumed"), "team-1");
+  json_decref (counts);
+  print_message ("prepaid %" G_GINT64_FORMAT ", consumed %" G_GINT64_FORMAT
+                 ", answered %u, refused %u\n",
+                 (gint64)prepaid, (gint64)spent, answered, refused);
+  assert_true (spent <= prepaid);
+  assert_true (answered > 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_teardown (every_caller_gets_its_own_whole_answer, mend),
+    cmocka_unit_test_teardown (what_is_not_allowed_is_refused, mend),
+    cmocka_unit_test_teardown (an_order_runs_once_at_most, mend),
+    cmocka_unit_test_teardown (what_may_be_repeated_is_answered_by_another_server, mend),
+    cmocka_unit_test_teardown (a_resumable_stream_goes_on_elsewhere, mend),
+    cmocka_unit_test_teardown (a_stream_that_is_cut_looks_so, mend),
+    cmocka_unit_test_teardown (the_store_may_be_away_for_a_while, mend),
+    cmocka_unit_test_teardown (a_configuration_is_in_force_within_its_time, mend),
+    cmocka_unit_test_teardown (a_leaving_server_gets_no_new_work_after_its_time, mend),
+    cmocka_unit_test_teardown (a_planned_stop_finishes_what_runs, mend),
+    cmocka_unit_test_teardown (a_change_of_settings_stops_nothing, mend),
+    cmocka_unit_test_teardown (a_departure_ends_the_work, mend),
+    cmocka_unit_test_teardown (no_budget_is_overspent, mend),
+  };
+
+  return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
+}
