--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -15,9 +15,11 @@
 enum
 {
   US_PER_MS = 1000,
-  WATCH_MS = 1200,             /* a watch that hears nothing of a change is found out in time for the
-                                  two seconds in which it must be in force */
-  WATCH_INSTANCES_MS = 10000,  /* a hint only, and each watch is a call that counts */
+  /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and tells
+   * the others: in time for the two seconds in which a change must be in force. */
+  WATCH_FLEET_MS = 170,
+  WATCH_MIN_MS = 1200,
+  WATCH_MAX_MS = 10000, /* instances that reach nobody else find out by themselves after this time */
   LEASE_RETURN_MS = 2200,      /* entries that lapsed in an outage are back two seconds after it */
   ANNOUNCE_RETRY_MS = 100,
   BALANCER_NOTICE_MS = 3200,   /* two questions of the balancer, a second each, go unanswered */
@@ -96,6 +98,8 @@
 static void send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
 static void on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data);
 static void on_answered_ (const char *peer, const struct allotment_answer *answer, void *data);
+static void on_told_ (const struct mesh_news *news, void *data);
+static void spread_news_ (struct gateway_ *gateway);
 static void on_book_timer_ (uv_timer_t *timer);
 static unsigned answer_ready_ (const char *path, GString *body, void *data);
 static unsigned answer_metrics_ (const char *path, GString *body, void *data);
@@ -162,7 +166,7 @@
 {
   const struct gw_settings *settings = gateway->settings;
   struct gw_context *context = &gateway->context;
-  struct watcher_options watch = { .loop = &gateway->loop, .wait_ms = WATCH_MS, .data = gateway };
+  struct watcher_options watch = { .loop = &gateway->loop, .wait_ms = WATCH_MIN_MS, .data = gateway };
   const struct mesh_options mesh = {
     .loop = &gateway->loop,
     .address = settings->peer_address,
@@ -170,6 +174,7 @@
     .data = gateway,
     .asked = on_asked_,
     .answered = on_answered_,
+    .told = on_told_,
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
@@ -223,7 +228,7 @@
   watch.reachable = on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
   watch.kind = KIND_INSTANCES;
-  watch.wait_ms = WATCH_INSTANCES_MS;
+  watch.wait_ms = WATCH_MAX_MS;
   watch.listed = on_instances_listed_;
   watch.changed = on_instances_changed_;
   watch.reachable = NULL;
@@ -362,6 +367,7 @@
         }
       gw_routes_unref (context->routes);
       context->routes = routes;
+      spread_news_ (gateway);
       sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i}", "version",
                 (json_int_t)routes->version, "revision", (json_int_t)result->objects[i].revision,
                 "routes", (int)routes->routes->len, "teams",
@@ -388,6 +394,7 @@
     put_backend_ (gateway, &result->objects[i]);
   gw_backends_end_list (gateway->context.backends, leases_doubtful_ (gateway));
   gateway->backends_listed = true;
+  spread_news_ (gateway);
 }
 
 static void
@@ -395,6 +402,7 @@
 {
   struct gateway_ *gateway = data;
 
+  spread_news_ (gateway);
   for (size_t i = 0; i < result->n_objects; i++)
     if (result->objects[i].deleted)
       gw_backends_remove (gateway->context.backends, result->objects[i].name,
@@ -512,11 +520,16 @@
 peers_changed_ (struct gateway_ *gateway)
 {
   g_autoptr (GPtrArray) names = mesh_peer_names (gateway->mesh);
+  unsigned wait_ms;
 
   for (unsigned i = names->len; i > 0; i--)
     if (g_hash_table_contains (gateway->leaving, names->pdata[i - 1]))
       g_ptr_array_remove_index (names, i - 1);
   gateway->context.instances = names->len + 1;
+  wait_ms = CLAMP (gateway->context.instances * WATCH_FLEET_MS, (unsigned)WATCH_MIN_MS,
+                   (unsigned)WATCH_MAX_MS);
+  watcher_set_wait (gateway->routes_watcher, wait_ms);
+  watcher_set_wait (gateway->backends_watcher, wait_ms);
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
@@ -605,6 +618,27 @@
     allotment_book_answered (gateway->context.book, peer, answer, g_get_monotonic_time ());
 }
 
+static void
+on_told_ (const struct mesh_news *news, void *data)
+{
+  struct gateway_ *gateway = data;
+
+  watcher_look_after (gateway->routes_watcher, news->configuration_revision);
+  watcher_look_after (gateway->backends_watcher, news->backends_revision);
+}
+
+/* Tells a few others what the own watches have shown, once. */
+static void
+spread_news_ (struct gateway_ *gateway)
+{
+  const struct mesh_news news = {
+    .configuration_revision = watcher_seen (gateway->routes_watcher),
+    .backends_revision = watcher_seen (gateway->backends_watcher),
+  };
+
+  mesh_spread_news (gateway->mesh, &news, gateway->context.random);
+}
+
 static void
 on_book_timer_ (uv_timer_t *timer)
 {
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -8,6 +8,7 @@
 
 enum
 {
+  NEWS_FANOUT = 3, /* a fleet of a thousand is told in seven rounds */
   MESSAGE_MAX_BYTES = 1024, /* far above the largest message; below every link's packet size */
   FORMAT = 1
 };
@@ -15,7 +16,8 @@
 enum kind_
 {
   KIND_ASK = 1,
-  KIND_ANSWER = 2
+  KIND_ANSWER = 2,
+  KIND_NEWS = 3
 };
 
 struct mesh
@@ -49,6 +51,7 @@
                          const struct sockaddr *from,
                          unsigned flags);
 static bool xdr_head_ (XDR *xdr, struct head_ *head);
+static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
 static void take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -169,6 +172,29 @@
   xdr_destroy (&xdr);
 }
 
+/* Tells NEWS to a few instances, chosen by chance; those to whom it is new tell others. */
+void
+mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random)
+{
+  g_autoptr (GPtrArray) names = mesh_peer_names (mesh);
+
+  for (unsigned i = 0; i < NEWS_FANOUT && names->len > 0; i++)
+    {
+      unsigned pick = (unsigned)g_rand_int_range (random, 0, (gint32)names->len);
+      struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
+      struct mesh_news copy = *news;
+      char bytes[MESSAGE_MAX_BYTES];
+      XDR xdr;
+
+      g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+      xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+      if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
+        send_ (mesh, g_hash_table_lookup (mesh->peers, names->pdata[pick]), &xdr, bytes);
+      xdr_destroy (&xdr);
+      g_ptr_array_remove_index_fast (names, pick);
+    }
+}
+
 static void
 on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -187,6 +213,7 @@
   struct mesh *mesh = socket->data;
   const struct sockaddr_in *address = (const struct sockaddr_in *)from;
   struct head_ head = { 0 };
+  struct mesh_news news;
   XDR xdr;
 
   if (length <= 0 || from == NULL)
@@ -200,6 +227,8 @@
                (uint64_t)address->sin_addr.s_addr << 16 | (uint64_t)address->sin_port);
   else if (head.kind == KIND_ANSWER)
     take_answer_ (mesh, &xdr, &head);
+  else if (head.kind == KIND_NEWS && xdr_news_ (&xdr, &news))
+    mesh->options.told (&news, mesh->options.data);
   else
     sr_counter_add (&malformed_counter_, 1);
   xdr_destroy (&xdr);
@@ -213,6 +242,13 @@
          && xdr_bool (xdr, &head->is_leaving);
 }
 
+static bool
+xdr_news_ (XDR *xdr, struct mesh_news *news)
+{
+  return xdr_int64_t (xdr, &news->configuration_revision)
+         && xdr_int64_t (xdr, &news->backends_revision);
+}
+
 /* What the kernel does not take is lost, as a datagram may be. */
 static void
 send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes)
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -7,6 +7,14 @@
 #include <netinet/in.h>
 #include <uv.h>
 
+/* How far an instance has seen the store's changes, by what it watches. Who is told of a higher
+ * revision than its own watch has shown looks itself: a watch can be deaf. */
+struct mesh_news
+{
+  int64_t configuration_revision;
+  int64_t backends_revision;
+};
+
 struct mesh;
 
 struct mesh_options
@@ -17,6 +25,7 @@
   void *data;
   void (*asked) (uint64_t handle, const struct allotment_ask *ask, void *data);
   void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
+  void (*told) (const struct mesh_news *news, void *data);
 };
 
 struct mesh *mesh_new (const struct mesh_options *options);
@@ -24,4 +33,5 @@
 void mesh_remove_peer (struct mesh *mesh, const char *name);
 GPtrArray *mesh_peer_names (const struct mesh *mesh);
 void mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask);
+void mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -174,12 +174,33 @@
   assert_int_equal (fake->wait_ms, 1200);
 }
 
+/* A watch that hears nothing while others have seen a change. */
+static void
+a_deaf_watch_is_found_out_by_what_others_have_seen (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  fake->call = CALL_NONE; /* the watch stays open and says nothing */
+  watcher_look_after (fake->watcher, 9);
+  watcher_look_after (fake->watcher, 15);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_WATCH);
+  assert_int_equal (fake->after_revision, 10);
+  answer_ (fake, STORE_HISTORY_GONE, 0, 0);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 16, 1);
+  assert_int_equal (fake->listed, 2);
+  assert_int_equal (watcher_seen (fake->watcher), 16);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_list_is_followed_by_watches_from_there),
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
+    cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
   };
 
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -6,6 +6,7 @@
 {
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 400,  /* a fifth of the time in which a change must be in force */
+  LOOK_DELAY_MS = 300, /* in which the own watch is likely to show what others have seen */
   RETURN_WAIT_MS = 20  /* of the first watch after a failure: its answer tells that the store is back */
 };
 
@@ -13,6 +14,10 @@
 {
   struct watcher_options options;
   uv_timer_t timer;
+  uv_timer_t look_timer;
+  bool looking;
+  int64_t wanted;   /* a revision that others have seen */
+  int64_t seen;     /* of the latest change that was told */
   int64_t revision; /* 0: list first */
   unsigned retry_ms;
   bool reachable;
@@ -21,6 +26,11 @@
 
 static void ask_ (struct watcher *watcher);
 static void on_timer_ (uv_timer_t *timer);
+static void on_look_timer_ (uv_timer_t *timer);
+static void on_looked_ (const struct store_result *result, void *data);
+static void on_looked_list_ (const struct store_result *result, void *data);
+static void take_list_ (struct watcher *watcher, const struct store_result *result);
+static void take_changes_ (struct watcher *watcher, const struct store_result *result);
 static void on_listed_ (const struct store_result *result, void *data);
 static void on_changed_ (const struct store_result *result, void *data);
 static void retry_ (struct watcher *watcher, enum store_status status);
@@ -36,7 +46,8 @@
   watcher->retry_ms = RETRY_FIRST_MS;
   watcher->reachable = true;
   uv_timer_init (options->loop, &watcher->timer);
-  watcher->timer.data = watcher;
+  uv_timer_init (options->loop, &watcher->look_timer);
+  watcher->timer.data = watcher->look_timer.data = watcher;
   return watcher;
 }
 
@@ -47,12 +58,39 @@
   ask_ (watcher);
 }
 
+/* Sets how long watches are open from the next one on. */
+void
+watcher_set_wait (struct watcher *watcher, unsigned wait_ms)
+{
+  watcher->options.wait_ms = wait_ms;
+}
+
+/* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more beside
+ * it. */
+void
+watcher_look_after (struct watcher *watcher, int64_t revision)
+{
+  if (watcher->stopped || !watcher->reachable || watcher->revision == 0
+      || revision <= MAX (watcher->revision, watcher->wanted))
+    return;
+  watcher->wanted = revision;
+  uv_timer_start (&watcher->look_timer, on_look_timer_, LOOK_DELAY_MS, 0);
+}
+
+/* Returns the revision of the latest change that was told. */
+int64_t
+watcher_seen (const struct watcher *watcher)
+{
+  return watcher->seen;
+}
+
 /* Stops following: nothing more is told. */
 void
 watcher_stop (struct watcher *watcher)
 {
   watcher->stopped = true;
   uv_timer_stop (&watcher->timer);
+  uv_timer_stop (&watcher->look_timer);
 }
 
 static void
@@ -76,6 +114,68 @@
   ask_ (timer->data);
 }
 
+static void
+on_look_timer_ (uv_timer_t *timer)
+{
+  struct watcher *watcher = timer->data;
+
+  if (watcher->stopped || watcher->looking || watcher->revision == 0
+      || watcher->wanted <= watcher->revision)
+    return;
+  sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
+            "revision", (json_int_t)watcher->revision, "others", (json_int_t)watcher->wanted);
+  watcher->looking = true;
+  store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
+               watcher);
+}
+
+/* The call beside the watch has ended. What it tells is told once more when the watch returns. */
+static void
+on_looked_ (const struct store_result *result, void *data)
+{
+  struct watcher *watcher = data;
+
+  watcher->looking = false;
+  if (watcher->stopped)
+    return;
+  if (result->status == STORE_HISTORY_GONE)
+    {
+      watcher->looking = true;
+      store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+    }
+  else if (result->status == STORE_OK)
+    take_changes_ (watcher, result);
+}
+
+static void
+on_looked_list_ (const struct store_result *result, void *data)
+{
+  struct watcher *watcher = data;
+
+  watcher->looking = false;
+  if (!watcher->stopped && result->status == STORE_OK)
+    take_list_ (watcher, result);
+}
+
+static void
+take_list_ (struct watcher *watcher, const struct store_result *result)
+{
+  watcher->revision = MAX (watcher->revision, result->revision);
+  for (size_t i = 0; i < result->n_objects; i++)
+    watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+  watcher->options.listed (result, watcher->options.data);
+}
+
+static void
+take_changes_ (struct watcher *watcher, const struct store_result *result)
+{
+  watcher->revision = MAX (watcher->revision, result->revision);
+  for (size_t i = 0; i < result->n_objects; i++)
+    watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+  if (result->n_objects > 0)
+    watcher->options.changed (result, watcher->options.data);
+}
+
 static void
 on_listed_ (const struct store_result *result, void *data)
 {
@@ -90,8 +190,7 @@
     }
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
-  watcher->revision = result->revision;
-  watcher->options.listed (result, watcher->options.data);
+  take_list_ (watcher, result);
   ask_ (watcher);
 }
 
@@ -117,9 +216,7 @@
     }
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
-  watcher->revision = MAX (watcher->revision, result->revision);
-  if (result->n_objects > 0)
-    watcher->options.changed (result, watcher->options.data);
+  take_changes_ (watcher, result);
   ask_ (watcher);
 }
 
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -22,7 +22,7 @@
   INSTANCES = 3,
   MODELS = 3,
   PLAINS = 2,
-  PREPAID = 3000000,
+  PREPAID = 900000,
   IN_FORCE_MAX_MS = 2000, /* a configuration, and the leaving of a backend server */
   NOTICE_MS = 1000        /* for what the stand-in counts a little later */
 };
@@ -457,8 +457,8 @@
     {
       names[i] = g_strdup_printf ("spend-%u", i);
       callers[i] = (struct caller_){ .instance = 1 + i % INSTANCES,
-                                     .requests = 60,
-                                     .output_tokens = 6000,
+                                     .requests = 40,
+                                     .output_tokens = 1800,
                                      .name = names[i] };
       threads[i] = g_thread_new ("caller", call_often_, &callers[i]);
     }
