--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -22,6 +22,7 @@
 };
 
 /* Seconds after which a refused caller may return: spread, so that they do not return together. */
+static const double RETRY_AT_ONCE_S = 0.02; /* another instance has room */
 static const double RETRY_SOON_S = 0.25;
 static const double RETRY_BUDGET_S = 1.0;
 /* Tokens that are out of reach come back with the store, after seconds; a caller with less time left
@@ -314,6 +315,13 @@
   if (ask->deadline_ms > 0 && (limit_ms == 0 || ask->deadline_ms < limit_ms))
     limit_ms = ask->deadline_ms;
   exchange->end_us = limit_ms == 0 ? INT64_MAX : exchange->arrived_us + limit_ms * US_PER_MS;
+  gw_link_load_note (&context->link, MAX (net_traffic ()->received, net_traffic ()->sent),
+                     exchange->arrived_us);
+  if (gw_link_load_refuses (&context->link, context->random))
+    {
+      refuse_ (exchange, 503, RETRY_AT_ONCE_S, "link_full");
+      return false;
+    }
   if (outlasts_stop_ (exchange))
     {
       refuse_ (exchange, 503, RETRY_SOON_S, "stopping");
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "allotment/allotment.h"
 #include "gateway/backends.h"
 #include "gateway/dialect.h"
+#include "gateway/link-load.h"
 #include "gateway/placement.h"
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
@@ -22,6 +23,7 @@
   struct allotment_book *book; /* NULL until this instance is announced */
   GHashTable *retry_budgets;   /* service: struct gw_retry_budget */
   struct gw_retry_budget_options retry_options;
+  struct gw_link_load link;
   unsigned instances; /* this one included */
   GRand *random;
   bool stopping;
--- /dev/null
+++ b/src/gateway/link-load.c
@@ -0,0 +1,60 @@
+#include "gateway/link-load.h"
+
+#include <string.h>
+
+/* Above the first share of the link requests are refused by chance, above the second all are: what
+ * runs needs the rest. */
+static const double REFUSES_SOME = 0.65;
+static const double REFUSES_ALL = 0.9;
+
+enum
+{
+  STEP_US = 100000 /* a second in all: a burst of one long prompt does not count */
+};
+
+/* Starts with an idle link of MEGABITS_PER_S in each direction; 0: not known. */
+void
+gw_link_load_init (struct gw_link_load *load, double megabits_per_s)
+{
+  memset (load, 0, sizeof *load);
+  load->bytes_per_s = megabits_per_s * 1e6 / 8;
+}
+
+/* TOTAL_BYTES have passed since the start, in the direction with more. */
+void
+gw_link_load_note (struct gw_link_load *load, uint64_t total_bytes, int64_t now_us)
+{
+  int64_t step = now_us / STEP_US;
+
+  if (step - load->step >= GW_LINK_STEPS)
+    memset (load->bytes, 0, sizeof load->bytes);
+  else
+    for (int64_t at = load->step + 1; at <= step; at++)
+      load->bytes[at % GW_LINK_STEPS] = 0;
+  load->step = step;
+  load->bytes[step % GW_LINK_STEPS] += total_bytes - load->total;
+  load->total = total_bytes;
+}
+
+/* Returns the share of the link that was taken in the last second. */
+double
+gw_link_load_share (const struct gw_link_load *load)
+{
+  uint64_t sum = 0;
+
+  for (unsigned i = 0; i < GW_LINK_STEPS; i++)
+    sum += load->bytes[i];
+  return load->bytes_per_s > 0
+             ? (double)sum / (load->bytes_per_s * GW_LINK_STEPS * STEP_US / 1000000)
+             : 0;
+}
+
+/* Tells whether the next request is better served elsewhere. */
+bool
+gw_link_load_refuses (const struct gw_link_load *load, GRand *random)
+{
+  double share = gw_link_load_share (load);
+
+  return share > REFUSES_SOME
+         && g_rand_double (random) < (share - REFUSES_SOME) / (REFUSES_ALL - REFUSES_SOME);
+}
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -194,6 +194,7 @@
     .window_us = (int64_t)settings->retry_window_s * 1000 * US_PER_MS,
   };
   context->instances = 1;
+  gw_link_load_init (&context->link, settings->link_megabits_per_s);
   gateway->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->random = g_rand_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (timers); i++)
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -46,6 +46,10 @@
     .max = 3600, .fallback = "10" },
 };
 
+static const struct sr_ini_key limits_keys_[] = {
+  { .name = "link_mbps", .type = SR_INI_TEXT, .offset = MEMBER (link_text), .fallback = "0" },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s", .type = SR_INI_UNSIGNED, .offset = MEMBER (stop_limit_s), .min = 1,
     .max = 3600, .fallback = "30" },
@@ -63,6 +67,7 @@
   { "listen", listen_keys_, G_N_ELEMENTS (listen_keys_) },
   { "store", store_keys_, G_N_ELEMENTS (store_keys_) },
   { "retries", retries_keys_, G_N_ELEMENTS (retries_keys_) },
+  { "limits", limits_keys_, G_N_ELEMENTS (limits_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
@@ -133,6 +138,7 @@
   text_free_ (settings->ready_text);
   text_free_ (settings->address);
   text_free_ (settings->retry_ratio_text);
+  text_free_ (settings->link_text);
   g_free (settings);
 }
 
@@ -164,6 +170,9 @@
   settings->retry_ratio = g_ascii_strtod (settings->retry_ratio_text->str, &end);
   if (errno != 0 || *end != '\0' || settings->retry_ratio < 0 || settings->retry_ratio > 1)
     sr_findings_add (findings, file_name, 0, "retries", "ratio", "is no number from 0 to 1");
+  settings->link_megabits_per_s = g_ascii_strtod (settings->link_text->str, &end);
+  if (errno != 0 || *end != '\0' || settings->link_megabits_per_s < 0)
+    sr_findings_add (findings, file_name, 0, "limits", "link_mbps", "is no number from 0");
 }
 
 static void
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -24,6 +24,8 @@
   double retry_ratio;
   unsigned retry_extra;
   unsigned retry_window_s;
+  /* [limits] */
+  double link_megabits_per_s; /* of each direction; 0: not known */
   /* [stop] */
   unsigned stop_limit_s; /* then the process is killed */
 
@@ -33,6 +35,7 @@
   GString *address;
   unsigned peer_port;
   GString *retry_ratio_text;
+  GString *link_text;
 };
 
 struct gw_settings *gw_settings_load (const char *path, struct sr_findings *findings);
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -1,5 +1,6 @@
 /* Decisions of the gateway: events, routes, retry budget, placement. */
 #include "gateway/event-scan.h"
+#include "gateway/link-load.h"
 #include "gateway/placement.h"
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
@@ -352,6 +353,33 @@
   assert_int_equal (gw_backends_of (fleet.table, "s")->len, 0);
 }
 
+/* A link of 8 Mbit/s that gets half, then all of what it can carry. */
+static void
+a_full_link_refuses_and_a_half_full_one_does_not (void **state)
+{
+  struct gw_link_load load;
+  GRand *random = g_rand_new_with_seed (1);
+  uint64_t total = 0;
+  unsigned refused = 0;
+
+  gw_link_load_init (&load, 8);
+  for (unsigned i = 0; i < 500; i++)
+    {
+      total += i < 250 ? 5000 : 10000;
+      gw_link_load_note (&load, total, 10 * SECOND + i * 10 * MS);
+      refused = i == 250 ? 0 : refused + gw_link_load_refuses (&load, random);
+      if (i == 249)
+        assert_int_equal (refused, 0);
+    }
+  assert_true (refused > 100);
+  gw_link_load_note (&load, total, 30 * SECOND);
+  assert_false (gw_link_load_refuses (&load, random));
+  gw_link_load_init (&load, 0);
+  gw_link_load_note (&load, 1 << 30, SECOND);
+  assert_false (gw_link_load_refuses (&load, random));
+  g_rand_free (random);
+}
+
 static void
 settings_are_checked_whole (void **state)
 {
@@ -391,6 +419,7 @@
     cmocka_unit_test (a_broken_server_is_passed_over_but_never_the_last_one),
     cmocka_unit_test (nobody_is_picked_who_leaves_or_was_tried),
     cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
+    cmocka_unit_test (a_full_link_refuses_and_a_half_full_one_does_not),
     cmocka_unit_test (settings_are_checked_whole),
   };
 
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -104,9 +104,17 @@
   [NET_END_HEAD_TOO_LARGE] = "head_too_large",
 };
 
+static struct net_traffic traffic_;
 /* Read by one connection at a time: the loop has one thread. */
 static char read_buffer_[READ_CHUNK_BYTES];
 
+/* Returns what has passed so far; the loop has one thread. */
+const struct net_traffic *
+net_traffic (void)
+{
+  return &traffic_;
+}
+
 /* Returns the word for END in logs. */
 const char *
 net_end_to_string (enum net_end end)
@@ -199,6 +207,7 @@
       buffers[i] = uv_buf_init ((char *)parts[i].data, (unsigned)parts[i].length);
       total += parts[i].length;
     }
+  traffic_.sent += total;
   if (conn->queued_bytes == 0)
     sent = uv_try_write ((uv_stream_t *)&conn->tcp, buffers, (unsigned)n_parts);
   if (sent < 0)
@@ -380,6 +389,7 @@
       return;
     }
   conn->has_received = true;
+  traffic_.received += (uint64_t)length;
   g_byte_array_append (conn->input, (const guint8 *)buffer->base, (guint)length);
   parse_ (conn);
 }
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -47,6 +47,14 @@
   NET_END_HEAD_TOO_LARGE
 };
 
+/* Bytes of all connections of this process, since its start. */
+struct net_traffic
+{
+  uint64_t received;
+  uint64_t sent;
+};
+
+const struct net_traffic *net_traffic (void);
 const char *net_end_to_string (enum net_end end);
 
 struct net_http_conn;
