Instances tell each other where long prompts are read; pauses between watches

Calls to the store: an announcement woke every other instance's watch; changes in a row now cost one.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -156,6 +156,20 @@
   return g_hash_table_lookup (backends->by_service, service);
 }
 
+/* Returns all backend servers (struct gw_backend); the array is the caller's. */
+GPtrArray *
+gw_backends_all (const struct gw_backends *backends)
+{
+  GPtrArray *all = g_ptr_array_sized_new (g_hash_table_size (backends->by_id));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, backends->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (all, value);
+  return all;
+}
+
 /* Returns how many backend servers there are. */
 unsigned
 gw_backends_count (const struct gw_backends *backends)
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -46,4 +46,5 @@
 /* Brought by the connection pool. */
 void gw_upstream_close_idle (struct gw_backend *backend);
 const GPtrArray *gw_backends_of (const struct gw_backends *backends, const char *service);
+GPtrArray *gw_backends_all (const struct gw_backends *backends);
 unsigned gw_backends_count (const struct gw_backends *backends);
--- a/src/gateway/link-load.c
+++ b/src/gateway/link-load.c
@@ -4,8 +4,8 @@
 
 /* Above the first share of the link requests are refused by chance, above the second all are: what
  * runs needs the rest. */
-static const double REFUSES_SOME = 0.65;
-static const double REFUSES_ALL = 0.9;
+static const double REFUSES_SOME = 0.75;
+static const double REFUSES_ALL = 0.95;
 
 enum
 {
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -31,10 +31,20 @@
   EJECT_FIRST_US = 500000,      /* after a broken connection; doubles */
   EJECT_MAX_US = 8000000,       /* the time in which a crashed server commonly returns */
   PART_MEMORY_US = 9000000,     /* a cached part is believed to be there for this long */
+  OTHERS_MAX = 16,              /* other instances remembered of one server */
+  OTHERS_MEMORY_US = 400000,    /* the time in which a middling prompt is read */
   PARTS_MAX = 4096,             /* parts remembered of one server */
   WAITING_MAX_PER_SLOT = 2      /* beyond this queue nobody is served in time */
 };
 
+/* What another instance has sent to a backend server. */
+struct others_work_
+{
+  uint64_t peer;
+  int64_t unread_tokens;
+  int64_t told_us;
+};
+
 struct gw_backend_load
 {
   unsigned in_flight;
@@ -48,6 +58,7 @@
   unsigned breaks; /* in a row */
   int64_t ejected_until_us;
   int64_t quiet_since_us; /* the last byte, or when the first request in flight was sent */
+  struct others_work_ others[OTHERS_MAX];
   GHashTable *parts;      /* id (uint64_t): struct part_use_ */
 };
 
@@ -66,6 +77,7 @@
                                int64_t *again);
 static const struct gw_backend *home_of_prompt_ (const struct gw_place_query *query);
 static double others_ (const struct gw_backend_load *load, int64_t now_us);
+static double others_unread_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_excluded_ (const struct gw_place_query *query, const struct gw_backend *backend);
@@ -229,6 +241,41 @@
     }
 }
 
+/* Returns the number by which instances speak of BACKEND. */
+uint64_t
+gw_place_key (const struct gw_backend *backend)
+{
+  return XXH3_64bits (backend->facts.id, strlen (backend->facts.id));
+}
+
+/* Returns the prompt tokens sent from here to BACKEND that are not read yet. */
+int64_t
+gw_place_unread (const struct gw_backend *backend)
+{
+  return backend->load->unread_tokens;
+}
+
+/* PEER has UNREAD_TOKENS of its prompts at BACKEND. */
+void
+gw_place_others (struct gw_backend *backend, uint64_t peer, int64_t unread_tokens, int64_t now_us)
+{
+  struct others_work_ *place = &backend->load->others[0];
+
+  for (unsigned i = 0; i < OTHERS_MAX; i++)
+    {
+      struct others_work_ *work = &backend->load->others[i];
+
+      if (work->peer == peer)
+        {
+          place = work;
+          break;
+        }
+      if (work->told_us < place->told_us)
+        place = work;
+    }
+  *place = (struct others_work_){ peer, unread_tokens, now_us };
+}
+
 /* Tells whether BACKEND has work from here and has been quiet for longer than a sound one would. */
 bool
 gw_place_is_silent (const struct gw_backend *backend, int64_t now_us)
@@ -250,10 +297,8 @@
   if (query->service != NULL && query->service->is_model)
     {
       const struct gw_prompt *prompt = query->prompt;
-      /* Others send prompts too: each of theirs that waits is taken to be like ours on average. */
-      double mean = load->in_flight > 0 ? (double)load->unread_tokens / load->in_flight : 0;
 
-      ms += ((double)(load->unread_tokens + unread_tokens) + mean * others)
+      ms += ((double)(load->unread_tokens + unread_tokens) + others_unread_ (load, query->now_us))
             / PREFILL_TOKENS_PER_MS;
       ms += total * RUNNING_MS;
       if (query->service->memory_tokens > 0 && prompt->is_stated
@@ -345,6 +390,23 @@
   return load->reported_us == 0 ? 0 : load->reported_load * exp (-age);
 }
 
+/* Returns the prompt tokens of other instances that are believed to be unread there. */
+static double
+others_unread_ (const struct gw_backend_load *load, int64_t now_us)
+{
+  double sum = 0;
+
+  for (unsigned i = 0; i < OTHERS_MAX; i++)
+    {
+      const struct others_work_ *work = &load->others[i];
+      double age = (double)(now_us - work->told_us) / OTHERS_MEMORY_US;
+
+      if (work->unread_tokens > 0 && age < 1)
+        sum += (double)work->unread_tokens * (1 - age);
+    }
+  return sum;
+}
+
 static double
 error_rate_ (const struct gw_backend_load *load, int64_t now_us)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -61,4 +61,8 @@
                       int64_t memory_tokens,
                       enum gw_place_end end,
                       int64_t now_us);
+uint64_t gw_place_key (const struct gw_backend *backend);
+int64_t gw_place_unread (const struct gw_backend *backend);
+void
+gw_place_others (struct gw_backend *backend, uint64_t peer, int64_t unread_tokens, int64_t now_us);
 bool gw_place_is_silent (const struct gw_backend *backend, int64_t now_us);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -18,9 +18,14 @@
   /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and tells
    * the others: in time for the two seconds in which a change must be in force. */
   WATCH_FLEET_MS = 170,
+  ROUTES_PAUSE_MS = 50,      /* changes that come in quick succession are read together */
+  BACKENDS_PAUSE_MS = 150,   /* the same; small against the time in which a leaving one is dropped */
+  INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
   WATCH_MIN_MS = 1200,
   WATCH_MAX_MS = 10000, /* instances that reach nobody else find out by themselves after this time */
   LEASE_RETURN_MS = 2200,      /* entries that lapsed in an outage are back two seconds after it */
+  WORK_INTERVAL_MS = 60,       /* the time in which 4,000 tokens are read */
+  WORK_LEAST_TOKENS = 3000,    /* shorter prompts delay nobody for long */
   ANNOUNCE_RETRY_MS = 100,
   BALANCER_NOTICE_MS = 3200,   /* two questions of the balancer, a second each, go unanswered */
   STOP_LOOK_MS = 50,
@@ -46,6 +51,7 @@
   struct mesh *mesh;
   struct gw_ingress *ingress;
   uv_timer_t book_timer;
+  uv_timer_t work_timer;
   uv_timer_t lease_timer;
   uv_timer_t announce_timer;
   uv_timer_t stop_timer;
@@ -100,6 +106,9 @@
 static void on_answered_ (const char *peer, const struct allotment_answer *answer, void *data);
 static void on_told_ (const struct mesh_news *news, void *data);
 static void spread_news_ (struct gateway_ *gateway);
+static void on_work_timer_ (uv_timer_t *timer);
+static void
+on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
 static void on_book_timer_ (uv_timer_t *timer);
 static unsigned answer_ready_ (const char *path, GString *body, void *data);
 static unsigned answer_metrics_ (const char *path, GString *body, void *data);
@@ -175,12 +184,13 @@
     .asked = on_asked_,
     .answered = on_answered_,
     .told = on_told_,
+    .works = on_works_,
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
                                     .data = gateway,
                                     .answer = answer_ready_ };
-  uv_timer_t *timers[] = { &gateway->book_timer, &gateway->lease_timer, &gateway->announce_timer,
+  uv_timer_t *timers[] = { &gateway->book_timer, &gateway->work_timer, &gateway->lease_timer, &gateway->announce_timer,
                            &gateway->stop_timer };
 
   context->loop = &gateway->loop;
@@ -222,14 +232,17 @@
   watch.store = gateway->store;
   watch.kind = gateway->platform->kind_of_configuration;
   watch.listed = watch.changed = on_routes_;
+  watch.pause_ms = ROUTES_PAUSE_MS;
   gateway->routes_watcher = watcher_new (&watch);
   watch.kind = gateway->platform->kind_of_backends;
   watch.listed = on_backends_listed_;
+  watch.pause_ms = BACKENDS_PAUSE_MS;
   watch.changed = on_backends_changed_;
   watch.reachable = on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
   watch.kind = KIND_INSTANCES;
   watch.wait_ms = WATCH_MAX_MS;
+  watch.pause_ms = INSTANCES_PAUSE_MS;
   watch.listed = on_instances_listed_;
   watch.changed = on_instances_changed_;
   watch.reachable = NULL;
@@ -239,6 +252,7 @@
   g_snprintf (gateway->nonce, sizeof gateway->nonce, "%08x%08x", g_rand_int (context->random),
               g_rand_int (context->random));
   announce_ (gateway);
+  uv_timer_start (&gateway->work_timer, on_work_timer_, WORK_INTERVAL_MS, WORK_INTERVAL_MS);
   return true;
 }
 
@@ -640,6 +654,39 @@
   mesh_spread_news (gateway->mesh, &news, gateway->context.random);
 }
 
+/* Tells others where long prompts of this instance are being read, and once that they are. */
+static void
+on_work_timer_ (uv_timer_t *timer)
+{
+  struct gateway_ *gateway = timer->data;
+  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
+  struct mesh_work work[MESH_WORK_MAX];
+  unsigned n_work = 0;
+
+  for (unsigned i = 0; i < all->len && n_work < MESH_WORK_MAX; i++)
+    {
+      int64_t unread = gw_place_unread (all->pdata[i]);
+
+      if (unread >= WORK_LEAST_TOKENS)
+        work[n_work++] = (struct mesh_work){ gw_place_key (all->pdata[i]), unread };
+    }
+  if (n_work > 0)
+    mesh_spread_work (gateway->mesh, work, n_work, gateway->context.random);
+}
+
+static void
+on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data)
+{
+  struct gateway_ *gateway = data;
+  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
+  int64_t now_us = g_get_monotonic_time ();
+
+  for (unsigned i = 0; i < all->len; i++)
+    for (unsigned k = 0; k < n_work; k++)
+      if (gw_place_key (all->pdata[i]) == work[k].backend)
+        gw_place_others (all->pdata[i], peer, work[k].unread_tokens, now_us);
+}
+
 static void
 on_book_timer_ (uv_timer_t *timer)
 {
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -8,8 +8,9 @@
 
 enum
 {
+  WORK_FANOUT = 8, /* of a small fleet all are told, of a large one as many as a link carries */
   NEWS_FANOUT = 3, /* a fleet of a thousand is told in seven rounds */
-  MESSAGE_MAX_BYTES = 1024, /* far above the largest message; below every link's packet size */
+  MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
   FORMAT = 1
 };
 
@@ -17,7 +18,8 @@
 {
   KIND_ASK = 1,
   KIND_ANSWER = 2,
-  KIND_NEWS = 3
+  KIND_NEWS = 3,
+  KIND_WORK = 4
 };
 
 struct mesh
@@ -52,6 +54,12 @@
                          unsigned flags);
 static bool xdr_head_ (XDR *xdr, struct head_ *head);
 static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
+static bool xdr_work_ (XDR *xdr, struct mesh_work *work);
+static uint64_t from_key_ (const struct sockaddr_in *address);
+static void
+spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
+static void
+take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
 static void take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -176,23 +184,43 @@
 void
 mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random)
 {
-  g_autoptr (GPtrArray) names = mesh_peer_names (mesh);
+  struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
+  struct mesh_news copy = *news;
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
+    spread_ (mesh, NEWS_FANOUT, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
+/* Tells some instances, chosen by chance, the WORK sent from here; it replaces what they were told
+ * before. */
+void
+mesh_spread_work (struct mesh *mesh,
+                  const struct mesh_work *work,
+                  unsigned n_work,
+                  GRand *random)
+{
+  struct head_ head = { .format = FORMAT, .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
+  char bytes[MESSAGE_MAX_BYTES];
+  bool encoded;
+  XDR xdr;
 
-  for (unsigned i = 0; i < NEWS_FANOUT && names->len > 0; i++)
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  encoded = xdr_head_ (&xdr, &head);
+  for (u_int i = 0; encoded && i < head.number; i++)
     {
-      unsigned pick = (unsigned)g_rand_int_range (random, 0, (gint32)names->len);
-      struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
-      struct mesh_news copy = *news;
-      char bytes[MESSAGE_MAX_BYTES];
-      XDR xdr;
-
-      g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
-      xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-      if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
-        send_ (mesh, g_hash_table_lookup (mesh->peers, names->pdata[pick]), &xdr, bytes);
-      xdr_destroy (&xdr);
-      g_ptr_array_remove_index_fast (names, pick);
+      struct mesh_work copy = work[i];
+
+      encoded = xdr_work_ (&xdr, &copy);
     }
+  if (encoded)
+    spread_ (mesh, WORK_FANOUT, &xdr, bytes, random);
+  xdr_destroy (&xdr);
 }
 
 static void
@@ -223,10 +251,11 @@
   if (!xdr_head_ (&xdr, &head) || head.format != FORMAT || !is_name_ (head.sender))
     sr_counter_add (&malformed_counter_, 1);
   else if (head.kind == KIND_ASK)
-    take_ask_ (mesh, &xdr, &head,
-               (uint64_t)address->sin_addr.s_addr << 16 | (uint64_t)address->sin_port);
+    take_ask_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_ANSWER)
     take_answer_ (mesh, &xdr, &head);
+  else if (head.kind == KIND_WORK)
+    take_work_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_NEWS && xdr_news_ (&xdr, &news))
     mesh->options.told (&news, mesh->options.data);
   else
@@ -242,6 +271,47 @@
          && xdr_bool (xdr, &head->is_leaving);
 }
 
+/* Sends what XDR has encoded to FANOUT instances. */
+static void
+spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random)
+{
+  g_autoptr (GPtrArray) names = mesh_peer_names (mesh);
+
+  for (unsigned i = 0; i < fanout && names->len > 0; i++)
+    {
+      unsigned pick = (unsigned)g_rand_int_range (random, 0, (gint32)names->len);
+
+      send_ (mesh, g_hash_table_lookup (mesh->peers, names->pdata[pick]), xdr, bytes);
+      g_ptr_array_remove_index_fast (names, pick);
+    }
+}
+
+static void
+take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer)
+{
+  struct mesh_work work[MESH_WORK_MAX];
+
+  for (u_int i = 0; i < head->number; i++)
+    if (i >= MESH_WORK_MAX || !xdr_work_ (xdr, &work[i]) || work[i].unread_tokens < 0)
+      {
+        sr_counter_add (&malformed_counter_, 1);
+        return;
+      }
+  mesh->options.works (peer, work, head->number, mesh->options.data);
+}
+
+static uint64_t
+from_key_ (const struct sockaddr_in *address)
+{
+  return (uint64_t)address->sin_addr.s_addr << 16 | (uint64_t)address->sin_port;
+}
+
+static bool
+xdr_work_ (XDR *xdr, struct mesh_work *work)
+{
+  return xdr_uint64_t (xdr, &work->backend) && xdr_int64_t (xdr, &work->unread_tokens);
+}
+
 static bool
 xdr_news_ (XDR *xdr, struct mesh_news *news)
 {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -15,6 +15,18 @@
   int64_t backends_revision;
 };
 
+enum
+{
+  MESH_WORK_MAX = 64 /* backend servers in one message */
+};
+
+/* Prompt tokens that an instance has sent to a backend server and that are not read yet. */
+struct mesh_work
+{
+  uint64_t backend; /* hash of its id */
+  int64_t unread_tokens;
+};
+
 struct mesh;
 
 struct mesh_options
@@ -25,6 +37,7 @@
   void *data;
   void (*asked) (uint64_t handle, const struct allotment_ask *ask, void *data);
   void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
+  void (*works) (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
   void (*told) (const struct mesh_news *news, void *data);
 };
 
@@ -34,4 +47,8 @@
 GPtrArray *mesh_peer_names (const struct mesh *mesh);
 void mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask);
 void mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
+void mesh_spread_work (struct mesh *mesh,
+                       const struct mesh_work *work,
+                       unsigned n_work,
+                       GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -140,6 +140,35 @@
   assert_int_equal (fake->changed, 1);
 }
 
+/* Changes in a row, each of which would cost a call. */
+static void
+a_pause_after_a_change_gathers_what_follows (void **state)
+{
+  struct fake_ *fake = g_new0 (struct fake_, 1);
+  const struct watcher_options options = { .loop = &fake->loop,
+                                           .store = &fake->base,
+                                           .kind = "k",
+                                           .wait_ms = 1200,
+                                           .pause_ms = 30,
+                                           .data = fake,
+                                           .listed = on_listed_,
+                                           .changed = on_changed_ };
+
+  fake->base.vtable = &vtable_;
+  uv_loop_init (&fake->loop);
+  fake->watcher = watcher_new (&options);
+  watcher_start (fake->watcher);
+  answer_ (fake, STORE_OK, 10, 1);
+  assert_int_equal (fake->call, CALL_NONE);
+  run_until_call_ (fake);
+  answer_ (fake, STORE_OK, 12, 1);
+  assert_int_equal (fake->call, CALL_NONE);
+  run_until_call_ (fake);
+  assert_int_equal (fake->after_revision, 12);
+  answer_ (fake, STORE_OK, 12, 0); /* nothing changed: the next watch begins at once */
+  assert_int_equal (fake->call, CALL_WATCH);
+}
+
 static void
 a_history_that_is_gone_is_listed_again (void **state)
 {
@@ -199,6 +228,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_list_is_followed_by_watches_from_there),
+    cmocka_unit_test (a_pause_after_a_change_gathers_what_follows),
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -191,7 +191,10 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   take_list_ (watcher, result);
-  ask_ (watcher);
+  if (watcher->options.pause_ms > 0)
+    uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
+  else
+    ask_ (watcher);
 }
 
 static void
@@ -217,7 +220,10 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   take_changes_ (watcher, result);
-  ask_ (watcher);
+  if (result->n_objects > 0 && watcher->options.pause_ms > 0)
+    uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
+  else
+    ask_ (watcher);
 }
 
 /* Asks again a little later; the pause doubles up to its limit. */
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -13,7 +13,8 @@
   uv_loop_t *loop;
   struct store *store;
   const char *kind;
-  unsigned wait_ms; /* longest time that one watch is open */
+  unsigned wait_ms;  /* longest time that one watch is open */
+  unsigned pause_ms; /* between a change and the next watch: changes in a row cost one call */
   void *data;
   /* All objects there are, in place of all that was known. */
   void (*listed) (const struct store_result *result, void *data);
