--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -970,6 +970,9 @@
 static void
 write_ (struct allotment_book *book, struct team_ *team, struct sr_record *record, int64_t now_us)
 {
+  if (record->written_off > team->record->written_off)
+    sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name, "tokens",
+              (json_int_t)(record->written_off - team->record->written_off));
   team->step = STEP_WRITING;
   team->step_us = now_us;
   team->edited = record;
@@ -1032,16 +1035,12 @@
   record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
   for (unsigned i = record->holders->len; i > 0; i--)
     {
-      const struct sr_record_holder holder
-          = g_array_index (record->holders, struct sr_record_holder, i - 1);
-      const struct sr_holder_id id = holder.id;
+      const struct sr_holder_id id
+          = g_array_index (record->holders, struct sr_record_holder, i - 1).id;
 
       if (strcmp (id.instance, book->options.instance) == 0
           && id.incarnation != book->options.incarnation)
         {
-          sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I,s:I,s:I}", "team",
-                    team->name, "incarnation", (json_int_t)id.incarnation, "granted",
-                    (json_int_t)holder.granted, "spent", (json_int_t)holder.spent);
           sr_record_write_off (record, &id);
         }
     }
