--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 COMMON_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard emulator/common/*.c))
 PROCESS_SRC := $(wildcard testing/process/test-*.c)
 PROCESS := $(PROCESS_SRC:%.c=$(BUILD)/%)
+SOAK := $(BUILD)/testing/soak/soak
 BENCH_SRC := $(wildcard bench/*.c)
 BENCH := $(BENCH_SRC:%.c=$(BUILD)/%)
 EXAMPLE_SRC := $(wildcard examples/*.c)
@@ -37,10 +38,10 @@
 ALL_C := $(wildcard platform/*.c platform/*.h src/*/*.c src/*/*.h include/*/*.h testing/*/*.c testing/*/*.h emulator/*/*.c emulator/*/*.h bench/*.c bench/*.h examples/*.c)
 HAND_C := $(filter-out %_xdr.c %_xdr.h,$(ALL_C))
 
-.PHONY: all setup demo check check-unit check-process check-asan check-tsan bench format format-check tidy cppcheck clean
+.PHONY: all setup demo check check-unit check-process check-asan check-tsan bench soak format format-check tidy cppcheck clean
 .SECONDARY:
 
-all: $(BIN) $(STANDIN_BIN) $(UNIT) $(PROCESS) $(BENCH) $(EXAMPLE)
+all: $(BIN) $(STANDIN_BIN) $(UNIT) $(PROCESS) $(SOAK) $(BENCH) $(EXAMPLE)
 
 setup:
 	@scripts/setup
@@ -73,6 +74,9 @@
 $(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS) -lcmocka
 
+$(SOAK): $(BUILD)/testing/soak/soak.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
+	$(CC) $^ -o $@ $(LIBS)
+
 $(BENCH): $(BUILD)/bench/%: $(BUILD)/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
@@ -99,6 +103,11 @@
 check-process: all
 	@BUILD=$(BUILD) scripts/run-tests process
 
+# Fresh seeds by hand: make soak SEEDS=50
+SEEDS ?= 10
+soak: all
+	@BUILD=$(BUILD) $(SOAK) --seeds $(SEEDS)
+
 check-asan:
 	@$(MAKE) --no-print-directory -s -j8 BUILD=build-asan OPT='-O1 -g' SAN='-fsanitize=address,undefined -fno-sanitize-recover=undefined' unit-programs
 	@BUILD=build-asan SUITE=asan scripts/run-tests unit
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -12,6 +12,8 @@
   READY_LIMIT_MS = 20000,
   TOKENS_PER_EVENT = 6,
   SILENCE_LIMIT_S = 20,
+  PROXIED = 150, /* last byte of the store's address as an instance sees it, less its number */
+  PROXY_CONTROL = 17,
   CONTROL = 1, /* after the store's port */
   ENTRY = 18,
   READY = 19,
@@ -20,6 +22,7 @@
 
 static const char site_address_[] = "127.0.6.100";
 
+static bool start_proxy_ (struct site_fleet *fleet);
 static bool write_settings_ (const struct site_fleet *fleet, unsigned instance);
 static enum site_verdict judge_ (const struct site_request *request, const struct raw_reply *reply);
 
@@ -63,6 +66,12 @@
       site_fleet_stop (fleet);
       return NULL;
     }
+  if (options->with_proxy && !start_proxy_ (fleet))
+    {
+      fprintf (stderr, "the fault proxy did not start\n");
+      site_fleet_stop (fleet);
+      return NULL;
+    }
   for (unsigned i = 1; i <= options->instances; i++)
     {
       g_autofree char *name = g_strdup_printf ("instance-%u", i);
@@ -94,6 +103,7 @@
     return;
   for (unsigned i = 1; i <= SITE_INSTANCES_MAX; i++)
     harness_process_delete (fleet->instances[i]);
+  harness_process_delete (fleet->proxy);
   harness_process_delete (fleet->site);
   harness_end_turn (fleet->turn);
   g_free (fleet->directory);
@@ -190,6 +200,24 @@
   return harness_post (site_address_, fleet->options.port_base + CONTROL, path);
 }
 
+/* Disturbs the way from INSTANCE to the store: a mode of the fault proxy. */
+bool
+site_fleet_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/control/rule?from=*&to=127.0.6.%u&mode=%s&delay_ms=%d",
+                         PROXIED + instance, mode, delay_ms);
+
+  return harness_post (site_address_, fleet->options.port_base + PROXY_CONTROL, path);
+}
+
+/* Mends all ways. */
+bool
+site_fleet_clear_rules (struct site_fleet *fleet)
+{
+  return harness_post (site_address_, fleet->options.port_base + PROXY_CONTROL, "/control/clear");
+}
+
 /* Returns what the stand-in has counted; the caller's. */
 json_t *
 site_fleet_counts (struct site_fleet *fleet)
@@ -257,18 +285,40 @@
   return g_string_equal (expected, reply->body) ? SITE_ANSWERED : SITE_WRONG;
 }
 
+static bool
+start_proxy_ (struct site_fleet *fleet)
+{
+  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
+  GPtrArray *arguments = g_ptr_array_new_with_free_func (g_free);
+
+  g_ptr_array_add (arguments, g_strdup_printf ("%s/standin-proxy", build));
+  g_ptr_array_add (arguments, g_strdup_printf ("--control-address=%s", site_address_));
+  g_ptr_array_add (arguments, g_strdup_printf ("--control-port=%u",
+                                               fleet->options.port_base + PROXY_CONTROL));
+  for (unsigned i = 1; i <= fleet->options.instances; i++)
+    g_ptr_array_add (arguments,
+                     g_strdup_printf ("--link=127.0.6.%u:%u=%s:%u", PROXIED + i,
+                                      fleet->options.port_base, site_address_,
+                                      fleet->options.port_base));
+  fleet->proxy = harness_process_new (fleet->directory, "proxy", arguments);
+  return harness_process_start (fleet->proxy)
+         && harness_process_wait_ready (fleet->proxy, READY_LIMIT_MS);
+}
+
 static bool
 write_settings_ (const struct site_fleet *fleet, unsigned instance)
 {
   g_autofree char *address = site_instance_address (instance);
   g_autofree char *path = g_strdup_printf ("%s/instance-%u.ini", fleet->directory, instance);
   unsigned base = fleet->options.port_base;
+  g_autofree char *store = fleet->options.with_proxy
+                               ? g_strdup_printf ("127.0.6.%u", PROXIED + instance)
+                               : g_strdup (site_address_);
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
       "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
-      instance, address, address, base + ENTRY, address, base + READY, base + PEERS, site_address_,
-      base, fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+      instance, address, address, base + ENTRY, address, base + READY, base + PEERS, store, base, fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
 
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -23,6 +23,7 @@
   unsigned pace_ms; /* between events */
   int64_t prepaid;  /* of the one team */
   unsigned stop_limit_s;
+  bool with_proxy; /* between each instance and the store: site_fleet_rule */
 };
 
 struct site_fleet
@@ -31,6 +32,7 @@
   char *directory;
   int turn;
   struct harness_process *site;
+  struct harness_process *proxy;
   struct harness_process *instances[SITE_INSTANCES_MAX + 1]; /* from 1 */
   int64_t version;                                           /* of the configuration */
 };
@@ -70,6 +72,8 @@
 int site_fleet_ready_status (struct site_fleet *fleet, unsigned instance);
 bool site_fleet_configure (struct site_fleet *fleet, int64_t prepaid, bool with_extra_route);
 bool site_fleet_control (struct site_fleet *fleet, const char *path);
+bool site_fleet_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms);
+bool site_fleet_clear_rules (struct site_fleet *fleet);
 json_t *site_fleet_counts (struct site_fleet *fleet);
 char *site_instance_address (unsigned instance);
 struct site_answer site_ask (struct site_fleet *fleet, const struct site_request *request);
