--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -182,8 +182,8 @@
                                            "Transfer-Encoding: chunked\r\n\r\n",
                                            headers);
 
-  /* Read once, however often the stream goes on elsewhere. */
-  if (visit->next_event == 1)
+  /* Counted once, however often the request runs. */
+  if (json_array_size (json_object_get (visit->backend->site->runs, visit->id)) == 1)
     consume_ (visit, input);
   visit->events = output / SITE_TOKENS_PER_EVENT;
   write_ (visit, head);
--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -539,6 +539,25 @@
   peer->suspect_until_us = 0;
 }
 
+/* The store answers again: it is asked at once, whatever failed before. */
+void
+allotment_book_store_returned (struct allotment_book *book, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  book->store_out_until_us = 0;
+  g_hash_table_iter_init (&iter, book->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct team_ *team = value;
+
+      team->retry_us = 0;
+      team->store_is_down = false;
+      pump_ (book, team, now_us);
+    }
+}
+
 /* The instance is going to stop: others become the homes, what is not in use goes back to the store
  * and requests are served by loans. */
 void
--- a/src/cli/command-check.c
+++ b/src/cli/command-check.c
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 #include "config/config.h"
+#include "gateway/settings.h"
 #include "settings/ini-reader.h"
 #include "settings/settings.h"
 
@@ -11,7 +12,7 @@
 };
 
 static void check_file_ (const char *path, struct sr_findings *findings);
-static bool is_settings_ (const char *text, size_t length);
+static bool has_section_ (const char *text, size_t length, const char *section);
 
 /* Runs "check": reads files of settings or of configuration and prints every finding on stdout. */
 int
@@ -48,20 +49,22 @@
 
   if (!g_file_get_contents (path, &text, &length, &error))
     sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
-  else if (is_settings_ (text, length))
+  else if (has_section_ (text, length, "store"))
+    gw_settings_delete (gw_settings_parse (path, text, length, findings));
+  else if (has_section_ (text, length, "instance") || has_section_ (text, length, "platform"))
     sr_settings_delete (sr_settings_parse (path, text, length, findings));
   else
     sr_config_unref (sr_config_parse (path, text, length, 0, findings));
 }
 
-/* Tells settings from a configuration: only settings have these sections. */
+/* Tells kinds of files apart: only settings of a gateway have [store], only settings of an instance
+ * [platform], and no configuration has either. */
 static bool
-is_settings_ (const char *text, size_t length)
+has_section_ (const char *text, size_t length, const char *section)
 {
   struct sr_findings *ignored = sr_findings_new ();
   struct sr_ini_document *document = sr_ini_read ("", text, length, ignored);
-  bool found
-      = sr_ini_find (document, "instance") != NULL || sr_ini_find (document, "platform") != NULL;
+  bool found = sr_ini_find (document, section) != NULL;
 
   sr_ini_document_delete (document);
   sr_findings_delete (ignored);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -147,6 +147,20 @@
 static struct sr_histogram whole_histogram_
     = { .name = "sapphirerun_request_microseconds", .help = "From a request's arrival to its end." };
 
+/* Makes the counters of requests known, once at start. */
+void
+gw_exchange_register_metrics (void)
+{
+  sr_counter_register (&requests_counter_);
+  sr_counter_register (&answered_counter_);
+  sr_counter_register (&refused_counter_);
+  sr_counter_register (&failed_counter_);
+  sr_counter_register (&abandoned_counter_);
+  sr_counter_register (&attempts_counter_);
+  sr_histogram_register (&first_histogram_);
+  sr_histogram_register (&whole_histogram_);
+}
+
 /* Begins a request with HEAD of ASKER. HEADERS, which are taken over, are passed on. A request that
  * can't be admitted is refused at once: then NULL is returned. */
 struct gw_exchange *
@@ -179,14 +193,6 @@
   uv_timer_init (context->loop, &exchange->timer);
   exchange->timer.data = exchange;
   context->exchanges++;
-  sr_counter_register (&requests_counter_);
-  sr_counter_register (&answered_counter_);
-  sr_counter_register (&refused_counter_);
-  sr_counter_register (&failed_counter_);
-  sr_counter_register (&abandoned_counter_);
-  sr_counter_register (&attempts_counter_);
-  sr_histogram_register (&first_histogram_);
-  sr_histogram_register (&whole_histogram_);
   sr_counter_add (&requests_counter_, 1);
   if (!admit_ (exchange, ask))
     return NULL;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -32,6 +32,7 @@
   void (*break_off) (void *asker);
 };
 
+void gw_exchange_register_metrics (void);
 struct gw_exchange *gw_exchange_new (struct gw_context *context,
                                      void *asker,
                                      const struct net_http_head *head,
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -2,9 +2,11 @@
 
 #include "base/counters.h"
 #include "base/event-log.h"
+#include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/ingress.h"
 #include "gateway/probe.h"
+#include "gateway/upstream.h"
 #include "mesh/mesh.h"
 #include "store/watcher.h"
 
@@ -193,6 +195,8 @@
   uv_timer_t *timers[] = { &gateway->book_timer, &gateway->work_timer, &gateway->lease_timer, &gateway->announce_timer,
                            &gateway->stop_timer };
 
+  gw_exchange_register_metrics ();
+  gw_upstream_register_metrics ();
   context->loop = &gateway->loop;
   context->dialect = gateway->platform->dialect;
   context->data_centre = settings->data_centre->str;
@@ -446,6 +450,8 @@
       return;
     }
   gateway->outage_ended_us = g_get_monotonic_time ();
+  if (gateway->context.book != NULL)
+    allotment_book_store_returned (gateway->context.book, gateway->outage_ended_us);
   uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RETURN_MS, 0);
 }
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -77,6 +77,14 @@
   return failure_names_[failure];
 }
 
+/* Makes the counters of connections known, once at start. */
+void
+gw_upstream_register_metrics (void)
+{
+  sr_counter_register (&opened_counter_);
+  sr_counter_register (&stray_counter_);
+}
+
 /* Takes a connection to the backend server of OPTIONS for one request. A new one
  * tells its user when it is ready; see gw_upstream_is_ready. Returns NULL when none can be opened. */
 struct gw_upstream *
@@ -104,8 +112,6 @@
   uv_timer_init (options->loop, &upstream->timer);
   upstream->timer.data = upstream;
   options->backend->connections++;
-  sr_counter_register (&opened_counter_);
-  sr_counter_register (&stray_counter_);
   sr_counter_add (&opened_counter_, 1);
   if (!net_http_conn_connect (upstream->conn, &options->backend->facts.address))
     {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -40,6 +40,7 @@
 };
 
 const char *gw_upstream_failure_to_string (enum gw_upstream_failure failure);
+void gw_upstream_register_metrics (void);
 struct gw_upstream *gw_upstream_open (const struct gw_upstream_options *options);
 bool gw_upstream_is_ready (const struct gw_upstream *upstream);
 void gw_upstream_send (struct gw_upstream *upstream,
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -252,6 +252,10 @@
                                 .status = reply->status,
                                 .took_ms = (g_get_monotonic_time () - begin_us) / 1000,
                                 .retry_after_s = reply->retry_after_s };
+  const char *at = reply->body->str;
+
+  for (; request->output_tokens > 0 && (at = strstr (at, "\n\n")) != NULL; at += 2)
+    answer.events++;
 
   raw_reply_free (reply);
   return answer;
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -63,6 +63,7 @@
   int status;
   int64_t took_ms;
   double retry_after_s;
+  int64_t events; /* whole ones that the caller has received */
 };
 
 struct site_fleet *site_fleet_start (const struct site_options *options);
--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -21,6 +21,7 @@
   MODELS = 3,
   PLAINS = 2,
   CALLERS = 10,
+  TOKENS_PER_EVENT = 6,
   RECOVERY_MS = 15000, /* the longest bound of recovery that the users' sites state */
   STOP_LIMIT_S = 5
 };
@@ -31,6 +32,8 @@
   char *id;
   bool repeatable;
   enum site_verdict verdict;
+  int64_t input_tokens;
+  int64_t output_tokens; /* received */
 };
 
 struct caller_
@@ -250,11 +253,15 @@
         .output_tokens = kind < 2 ? 6 * g_rand_int_range (caller->random, 1, 150) : 0,
         .deadline_ms = 3000,
       };
+      struct site_answer answer;
 
       asked->id = g_strdup_printf ("s%u-c%u-%u", run->seed, caller->number, caller->asked->len);
       asked->repeatable = kind == 1 || kind == 3;
       request.id = asked->id;
-      asked->verdict = site_ask (run->fleet, &request).verdict;
+      answer = site_ask (run->fleet, &request);
+      asked->verdict = answer.verdict;
+      asked->input_tokens = request.input_tokens;
+      asked->output_tokens = answer.events * TOKENS_PER_EVENT;
       g_ptr_array_add (caller->asked, asked);
       if (asked->verdict == SITE_NO_ANSWER || asked->verdict == SITE_NOT_RUN)
         g_usleep (20000);
@@ -267,7 +274,7 @@
 judge_ (struct run_ *run)
 {
   json_t *counts = site_fleet_counts (run->fleet);
-  int64_t consumed = harness_json_number (json_object_get (counts, "consumed"), "team-1");
+  int64_t consumed = 0;
   unsigned answers = 0;
 
   for (unsigned c = 0; c < CALLERS; c++)
@@ -277,6 +284,8 @@
         unsigned runs = site_runs_of (counts, asked->id);
 
         answers += asked->verdict == SITE_ANSWERED;
+        if (runs > 0)
+          consumed += asked->input_tokens + asked->output_tokens;
         if (asked->verdict == SITE_WRONG)
           broken_ (run, "a whole answer is the caller's own", asked->id);
         if (asked->verdict == SITE_NOT_RUN && runs > 0)
