--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -110,8 +110,9 @@
 static char *
 answer_headers_ (const struct visit_ *visit)
 {
-  return g_strdup_printf ("X-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\nX-Engine-Load: %u,0,64\r\n",
-                          visit->id, visit->id, visit->backend->running);
+  return g_strdup_printf (
+      "X-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\nX-Engine-Load: %u,0,64\r\n", visit->id,
+      visit->id, visit->backend->running);
 }
 
 static void
@@ -120,8 +121,9 @@
   enum site_backend_mode mode = visit->backend->mode;
   g_autofree char *headers = answer_headers_ (visit);
   g_autofree char *body = g_strdup_printf ("answer to %s", visit->id);
-  g_autofree char *half = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s%s\r\nanswer", headers,
-                                           mode == SITE_BACKEND_CUT ? "Content-Length: 99\r\n" : "");
+  g_autofree char *half
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s%s\r\nanswer", headers,
+                         mode == SITE_BACKEND_CUT ? "Content-Length: 99\r\n" : "");
 
   if (mode == SITE_BACKEND_CUT || mode == SITE_BACKEND_UNFRAMED)
     {
@@ -178,9 +180,10 @@
                        ? 0
                        : g_ascii_strtoll (strchr (visit->counts, ',') + 1, NULL, 10);
   g_autofree char *headers = answer_headers_ (visit);
-  g_autofree char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-                                           "Transfer-Encoding: chunked\r\n\r\n",
-                                           headers);
+  g_autofree char *head
+      = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         headers);
 
   /* Counted once, however often the request runs. */
   if (json_array_size (json_object_get (visit->backend->site->runs, visit->id)) == 1)
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -35,10 +35,10 @@
                                             [SITE_STORE_BUSY] = "busy",
                                             [SITE_STORE_LOST] = "lost" };
 static const char *const backend_modes_[] = {
-  [SITE_BACKEND_OK] = "ok",       [SITE_BACKEND_SHED] = "shed",
-  [SITE_BACKEND_CUT] = "cut",     [SITE_BACKEND_RESET] = "reset",
+  [SITE_BACKEND_OK] = "ok",         [SITE_BACKEND_SHED] = "shed",
+  [SITE_BACKEND_CUT] = "cut",       [SITE_BACKEND_RESET] = "reset",
   [SITE_BACKEND_SILENT] = "silent", [SITE_BACKEND_ERROR] = "error",
-  [SITE_BACKEND_EXTRA] = "extra", [SITE_BACKEND_UNFRAMED] = "unframed",
+  [SITE_BACKEND_EXTRA] = "extra",   [SITE_BACKEND_UNFRAMED] = "unframed",
   [SITE_BACKEND_OTHER] = "other",
 };
 
@@ -228,15 +228,15 @@
   struct arg_int *pace = arg_int0 (NULL, "pace-ms", "MS", "between events (2)");
   struct arg_end *end = arg_end (8);
   void *table[] = { address, port, models, plains, pace, end };
-  struct site *site = g_new0 (struct site, 1);
+  struct site *site;
 
-  if (arg_parse (argc, argv, table) != 0
-      || models->ival[0] + plains->ival[0] > SITE_BACKENDS_MAX)
+  if (arg_parse (argc, argv, table) != 0 || models->ival[0] + plains->ival[0] > SITE_BACKENDS_MAX)
     {
       arg_print_errors (stderr, end, argv[0]);
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
+  site = g_new0 (struct site, 1);
   uv_loop_init (&site->loop);
   site->address = address->sval[0];
   site->pace_ms = pace->count > 0 ? (unsigned)pace->ival[0] : 2;
--- a/emulator/site/objects.h
+++ b/emulator/site/objects.h
@@ -1,5 +1,5 @@
-/* The object store of the stand-in: objects by kind and name, one counter of revisions, and what has
- * changed since the start. */
+/* The object store of the stand-in: objects by kind and name, one counter of revisions, and what
+ * has changed since the start. */
 #pragma once
 
 #include <glib.h>
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -63,8 +63,8 @@
   struct site_backend backends[SITE_BACKENDS_MAX];
   unsigned n_backends;
   /* What was run. */
-  json_t *runs;     /* request id: array of backend ids */
-  json_t *consumed; /* team: tokens */
+  json_t *runs;       /* request id: array of backend ids */
+  json_t *consumed;   /* team: tokens */
   unsigned abandoned; /* requests whose connection was closed while they ran */
   unsigned arrivals;
   unsigned keys_seen; /* requests that came with a caller's key */
@@ -76,6 +76,7 @@
 void site_backend_accept (uv_stream_t *listener, int status);
 void site_backend_announce (struct site_backend *backend, const char *state);
 void site_control_accept (uv_stream_t *listener, int status);
-void site_reply (struct net_http_conn *conn, unsigned status, const char *headers, const char *body);
+void
+site_reply (struct net_http_conn *conn, unsigned status, const char *headers, const char *body);
 char *site_header (const struct net_http_head *head, const char *name);
 char *site_query (const char *target, const char *name);
--- a/emulator/site/store.c
+++ b/emulator/site/store.c
@@ -56,7 +56,8 @@
 {
   char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
 
-  site_reply (visit->conn, status, "Content-Type: application/json\r\n", text == NULL ? "{}" : text);
+  site_reply (visit->conn, status, "Content-Type: application/json\r\n",
+              text == NULL ? "{}" : text);
   net_http_conn_hold_messages (visit->conn, false);
   free (text);
   json_decref (json);
@@ -75,8 +76,9 @@
     }
   g_ptr_array_remove (visit->site->watches, visit);
   uv_timer_stop (&visit->timer);
-  reply_json_ (visit, 200, json_pack ("{s:o,s:I}", "events", events, "at",
-                                      (json_int_t)objects_revision (visit->site->objects)));
+  reply_json_ (visit, 200,
+               json_pack ("{s:o,s:I}", "events", events, "at",
+                          (json_int_t)objects_revision (visit->site->objects)));
   return true;
 }
 
@@ -128,9 +130,9 @@
     }
   if (after == NULL)
     {
-      reply_json_ (visit, 200, json_pack ("{s:o,s:b,s:I}", "items", objects_list (objects, kind),
-                                          "hasMore", false, "at",
-                                          (json_int_t)objects_revision (objects)));
+      reply_json_ (visit, 200,
+                   json_pack ("{s:o,s:b,s:I}", "items", objects_list (objects, kind), "hasMore",
+                              false, "at", (json_int_t)objects_revision (objects)));
       return;
     }
   g_free (visit->kind);
@@ -150,10 +152,10 @@
   json_t *metadata = json_object_get (body, "metadata");
   json_t *revision = json_object_get (metadata, "revision");
   int64_t expected = name == NULL ? 0 : revision == NULL ? -1 : json_integer_value (revision);
-  const char *target
-      = name != NULL ? name : json_string_value (json_object_get (metadata, "name"));
-  bool done = target != NULL
-              && objects_put (site->objects, kind, target, json_object_get (body, "spec"), expected);
+  const char *target = name != NULL ? name : json_string_value (json_object_get (metadata, "name"));
+  bool done
+      = target != NULL
+        && objects_put (site->objects, kind, target, json_object_get (body, "spec"), expected);
 
   if (site->store_mode != SITE_STORE_LOST)
     reply_json_ (visit, done ? 200 : 409,
--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -9,27 +9,28 @@
 enum
 {
   US_PER_MS = 1000,
-  HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
-  LEFT_DIVISOR = 4,         /* of what is left of a scarce budget: what a crash may lose of it */
-  IDLE_US = 1500000,        /* after this time without demand loans go back */
-  DEMAND_TIME_US = 8000000, /* over which demand is averaged: a burst is covered while it lasts */
+  HOME_COVER_US = 12000000,  /* demand a home holds: the longest cut that is expected, and bursts */
+  LEFT_DIVISOR = 4,          /* of what is left of a scarce budget: what a crash may lose of it */
+  IDLE_US = 1500000,         /* after this time without demand loans go back */
+  DEMAND_TIME_US = 8000000,  /* over which demand is averaged: a burst is covered while it lasts */
   DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
-  FIRST_SHARE_DIVISOR = 5,  /* of an untouched budget: demand of ten seconds of a short day */
-  FLOOR_DIVISOR = 40,       /* of any budget, until demand is known: the largest of requests */
-  LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
-  FIRST_DRAW_DELAY_US = 1500000, /* all instances have announced themselves by then */
+  FIRST_SHARE_DIVISOR = 5,   /* of an untouched budget: demand of ten seconds of a short day */
+  FLOOR_DIVISOR = 40,        /* of any budget, until demand is known: the largest of requests */
+  LEAST_DRAW_DIVISOR = 200,  /* of the budget: less is not worth a write unless it is needed now */
+  FIRST_DRAW_DELAY_US = 1500000,  /* all instances have announced themselves by then */
   ASK_REPEAT_US = 25 * US_PER_MS, /* several round trips, and a processor that is taken up */
   ASK_TRIES = 3,                  /* doubling pauses: given up after 175 ms */
   SUSPECT_FIRST_US = 1000000,     /* a peer that did not answer is passed over; doubles */
   SUSPECT_MAX_US = 16000000,
   STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
   STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long */
-  STORE_RETRY_US = 50 * US_PER_MS,       /* after a conflict or a lost answer */
+  STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
   STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
-  WAIT_MAX_US = 600 * US_PER_MS, /* two calls to a slow store; then the caller hears when to return */
-  FRESH_US = 150 * US_PER_MS,    /* a record read this long ago still tells what remains */
+  WAIT_MAX_US
+  = 600 * US_PER_MS,          /* two calls to a slow store; then the caller hears when to return */
+  FRESH_US = 150 * US_PER_MS, /* a record read this long ago still tells what remains */
   DRY_MEMORY_US = 800 * US_PER_MS, /* a home that had nothing is not asked again at once */
-  TICK_US = 200 * US_PER_MS      /* between looks at demand to come */
+  TICK_US = 200 * US_PER_MS        /* between looks at demand to come */
 };
 
 enum store_step_
@@ -103,7 +104,7 @@
   GQueue asks;    /* struct pending_ask_ */
   /* The store. */
   enum store_step_ step;
-  int64_t step_us; /* when it began */
+  int64_t step_us;          /* when it began */
   struct sr_record *record; /* as last read or written; NULL: not known */
   int64_t revision;         /* of record; 0: there is none yet */
   int64_t record_us;
@@ -126,11 +127,11 @@
 struct allotment_book
 {
   struct allotment_book_options options;
-  GHashTable *teams; /* name: struct team_ */
-  GPtrArray *peers;  /* struct peer_, not this instance */
-  int64_t peers_since_us; /* when they were first known; 0: not yet */
+  GHashTable *teams;          /* name: struct team_ */
+  GPtrArray *peers;           /* struct peer_, not this instance */
+  int64_t peers_since_us;     /* when they were first known; 0: not yet */
   int64_t store_out_until_us; /* it could not be reached by any team's call; 0: it answers */
-  bool leaving; /* others are the homes from now on */
+  bool leaving;               /* others are the homes from now on */
   bool stopping;
 };
 
@@ -140,14 +141,15 @@
 static struct team_ *team_new_ (struct allotment_book *book, const char *name);
 static void team_free_ (void *data);
 static void pump_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
-static int64_t
-home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us);
-static void
-fetch_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t now_us);
+static int64_t home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us);
+static void fetch_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t now_us);
 static bool
 store_is_out_ (const struct allotment_book *book, const struct team_ *team, int64_t now_us);
-static enum source_ source_ (
-    struct allotment_book *book, struct team_ *team, bool down, struct peer_ **peer, int64_t now_us);
+static enum source_ source_ (struct allotment_book *book,
+                             struct team_ *team,
+                             bool down,
+                             struct peer_ **peer,
+                             int64_t now_us);
 static void serve_waiters_ (struct team_ *team, int64_t now_us);
 static void serve_asks_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
 static bool serve_ask_ (struct allotment_book *book,
@@ -169,13 +171,17 @@
                            struct team_ *team,
                            enum store_status status,
                            int64_t now_us);
-static void take_record_ (struct team_ *team, struct sr_record *record, int64_t revision, int64_t now_us);
+static void
+take_record_ (struct team_ *team, struct sr_record *record, int64_t revision, int64_t now_us);
 static struct sr_record *edit_record_ (struct allotment_book *book, struct team_ *team);
 static void
 answer_asks_ (struct allotment_book *book, struct team_ *team, enum supply_ supply, int64_t now_us);
 static int64_t left_at_most_ (const struct team_ *team);
-static void borrow_ (
-    struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us);
+static void borrow_ (struct allotment_book *book,
+                     struct team_ *team,
+                     struct peer_ *home,
+                     int64_t need,
+                     int64_t now_us);
 static void send_ask_ (struct allotment_book *book, struct team_ *team);
 static void return_idle_ (struct allotment_book *book, struct team_ *team, int64_t now_us);
 static int64_t needed_by_waiters_ (const struct team_ *team);
@@ -306,7 +312,8 @@
   pump_ (book, team, now_us);
 }
 
-/* Takes back a reservation of DATA that has not been told its end. Returns false when there is none.
+/* Takes back a reservation of DATA that has not been told its end. Returns false when there is
+ * none.
  */
 bool
 allotment_cancel (struct allotment_book *book, const char *name, void *data)
@@ -389,11 +396,12 @@
     {
       sr_ledger_written (team->ledger, edited);
       take_record_ (team, edited, revision, now_us);
-      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "team", name, "revision",
-                (json_int_t)revision, "available", (json_int_t)sr_ledger_available (team->ledger),
-                "remaining", (json_int_t)sr_record_remaining (edited), "settled",
-                (json_int_t)edited->settled, "written_off", (json_int_t)edited->written_off,
-                "prepaid", (json_int_t)edited->prepaid);
+      sr_event (SR_EVENT_INFO, "allotment_written", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I}", "team", name,
+                "revision", (json_int_t)revision, "available",
+                (json_int_t)sr_ledger_available (team->ledger), "remaining",
+                (json_int_t)sr_record_remaining (edited), "settled", (json_int_t)edited->settled,
+                "written_off", (json_int_t)edited->written_off, "prepaid",
+                (json_int_t)edited->prepaid);
     }
   else
     {
@@ -408,7 +416,8 @@
         {
           /* Whether it took effect only a read can tell. */
           team->record_us = 0;
-          g_clear_pointer (&team->record, sr_record_delete);
+          sr_record_delete (team->record);
+          team->record = NULL;
           if (status != STORE_CONFLICT && status != STORE_ABSENT)
             store_failed_ (book, team, status, now_us);
         }
@@ -484,7 +493,8 @@
     {
       int64_t until_us = now_us + DRY_MEMORY_US;
 
-      g_hash_table_replace (team->dry, g_strdup (peer_name), g_memdup2 (&until_us, sizeof until_us));
+      g_hash_table_replace (team->dry, g_strdup (peer_name),
+                            g_memdup2 (&until_us, sizeof until_us));
     }
   pump_ (book, team, now_us);
 }
@@ -675,8 +685,8 @@
   refuse_late_ (book, team, now_us);
 }
 
-/* Fetches NEED tokens for requests that wait: from the first instance in the order of homes that can
- * be expected to have or get them. */
+/* Fetches NEED tokens for requests that wait: from the first instance in the order of homes that
+ * can be expected to have or get them. */
 static void
 fetch_ (struct allotment_book *book, struct team_ *team, int64_t need, int64_t now_us)
 {
@@ -708,14 +718,15 @@
 }
 
 /* Chooses where tokens of TEAM come from, in the order of rendezvous hashing. Passed over are
- * instances that do not answer or had nothing a moment ago, and this one while the store is DOWN. */
+ * instances that do not answer or had nothing a moment ago, and this one while the store is DOWN.
+ */
 static enum source_
 source_ (
     struct allotment_book *book, struct team_ *team, bool down, struct peer_ **peer, int64_t now_us)
 {
   size_t length = strlen (team->name);
-  uint64_t own = book->leaving ? 0
-                               : sr_rendezvous_weight (team->name, length, book->options.instance);
+  uint64_t own
+      = book->leaving ? 0 : sr_rendezvous_weight (team->name, length, book->options.instance);
   enum source_ source = down ? SOURCE_NONE : SOURCE_STORE;
   uint64_t best = down ? 0 : own;
 
@@ -737,10 +748,10 @@
   return source;
 }
 
-/* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of a
- * cut. When all instances crash, what is held is lost. That is not missed while more is left than was
- * spent; of a scarcer budget only a part is held, since a request that is refused in a cut leaves its
- * tokens to a later one, and a crash does not. */
+/* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of
+ * a cut. When all instances crash, what is held is lost. That is not missed while more is left than
+ * was spent; of a scarcer budget only a part is held, since a request that is refused in a cut
+ * leaves its tokens to a later one, and a crash does not. */
 static int64_t
 home_target_ (const struct allotment_book *book, struct team_ *team, int64_t now_us)
 {
@@ -881,15 +892,14 @@
     }
 }
 
-/* Returns the instance that holds the allotment of TEAM, or NULL when it is this one. Instances that
- * did not answer lately are passed over. */
+/* Returns the instance that holds the allotment of TEAM, or NULL when it is this one. Instances
+ * that did not answer lately are passed over. */
 static struct peer_ *
 home_ (struct allotment_book *book, const struct team_ *team, int64_t now_us)
 {
   size_t length = strlen (team->name);
-  uint64_t best = book->leaving
-                      ? 0
-                      : sr_rendezvous_weight (team->name, length, book->options.instance);
+  uint64_t best
+      = book->leaving ? 0 : sr_rendezvous_weight (team->name, length, book->options.instance);
   struct peer_ *home = NULL;
 
   for (unsigned i = 0; i < book->peers->len; i++)
@@ -995,8 +1005,7 @@
   team->step = STEP_WRITING;
   team->step_us = now_us;
   team->edited = record;
-  link_ (book)->write (book->options.link, team->name, sr_record_to_json (record),
-                       team->revision);
+  link_ (book)->write (book->options.link, team->name, sr_record_to_json (record), team->revision);
 }
 
 static void
@@ -1067,8 +1076,8 @@
   return record;
 }
 
-/* Returns what can at most be left of the budget: what is paid for, less what holders said they have
- * spent. */
+/* Returns what can at most be left of the budget: what is paid for, less what holders said they
+ * have spent. */
 static int64_t
 left_at_most_ (const struct team_ *team)
 {
@@ -1082,11 +1091,14 @@
   return left;
 }
 
-/* Asks HOME for NEED tokens more than are available here. Not for more: a home is a round trip away,
- * and what lies elsewhere can't serve a large request. */
+/* Asks HOME for NEED tokens more than are available here. Not for more: a home is a round trip
+ * away, and what lies elsewhere can't serve a large request. */
 static void
-borrow_ (
-    struct allotment_book *book, struct team_ *team, struct peer_ *home, int64_t need, int64_t now_us)
+borrow_ (struct allotment_book *book,
+         struct team_ *team,
+         struct peer_ *home,
+         int64_t need,
+         int64_t now_us)
 {
   struct sr_source *loan = sr_ledger_loan_from (team->ledger, home->name);
   int64_t lent = loan == NULL ? 0 : loan->granted;
@@ -1095,7 +1107,9 @@
   team->tries = 0;
   team->number++;
   g_strlcpy (team->asked, home->name, sizeof team->asked);
-  team->asked_lender = loan == NULL ? (struct sr_holder_id){ 0 } : loan->id;
+  memset (&team->asked_lender, 0, sizeof team->asked_lender);
+  if (loan != NULL)
+    team->asked_lender = loan->id;
   team->asked_returned = loan == NULL ? 0 : loan->given;
   team->asked_need = lent + need;
   team->asked_want = lent + need;
@@ -1174,8 +1188,8 @@
   demand->at_us = now_us;
 }
 
-/* Returns the tokens that DEMAND asks for in SPAN_US. Soon after its first token the average has seen
- * only a part of its time. */
+/* Returns the tokens that DEMAND asks for in SPAN_US. Soon after its first token the average has
+ * seen only a part of its time. */
 static int64_t
 demand_in_ (struct demand_ *demand, int64_t span_us, int64_t now_us)
 {
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -42,10 +42,10 @@
   const char *team;
   uint32_t number;
   struct sr_loan_answer loan;
-  bool is_dry;     /* the lender can't get more now */
-  bool is_empty;   /* nobody can: the record of the budget has nothing left */
+  bool is_dry;          /* the lender can't get more now */
+  bool is_empty;        /* nobody can: the record of the budget has nothing left */
   int64_t left_at_most; /* then, of the whole budget */
-  bool is_leaving; /* the lender stops: ask another one from now on */
+  bool is_leaving;      /* the lender stops: ask another one from now on */
 };
 
 /* How the book reaches the store and other instances. Every implementation begins with a pointer to
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -88,9 +88,9 @@
   unsigned exhausted;
   int64_t longest_wait_us;
   GRand *random;
-  double loss;       /* of datagrams */
+  double loss;        /* of datagrams */
   double lost_writes; /* answers lost; half of those writes happen late */
-  int64_t call_us;   /* what the store takes */
+  int64_t call_us;    /* what the store takes */
 };
 
 static void read_ (void *link, const char *team);
@@ -211,8 +211,9 @@
 start_ (struct node_ *node)
 {
   struct world_ *world = node->world;
-  const struct allotment_book_options options
-      = { .link = node, .instance = node->name, .data_centre = "dc", .incarnation = ++node->incarnation };
+  const struct allotment_book_options options = {
+    .link = node, .instance = node->name, .data_centre = "dc", .incarnation = ++node->incarnation
+  };
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
 
   node->book = allotment_book_new (&options);
--- a/src/base/event-log.c
+++ b/src/base/event-log.c
@@ -33,7 +33,8 @@
 static unsigned lines_in_second_;
 static unsigned dropped_in_second_;
 
-static struct sr_counter lines_counter_ = { .name = "sapphirerun_log_lines_total", .help = "Log lines written." };
+static struct sr_counter lines_counter_
+    = { .name = "sapphirerun_log_lines_total", .help = "Log lines written." };
 static struct sr_counter dropped_counter_
     = { .name = "sapphirerun_log_lines_dropped_total", .help = "Log lines left out." };
 
@@ -146,8 +147,9 @@
   text = json_dumps (fields, JSON_COMPACT | JSON_PRESERVE_ORDER);
   if (text == NULL)
     return;
-  g_string_append_printf (buffer_, "{\"time\":\"%s\",\"level\":\"%s\",\"instance\":\"%s\",\"event\":\"%s\"", time,
-                          level, instance_, event);
+  g_string_append_printf (buffer_,
+                          "{\"time\":\"%s\",\"level\":\"%s\",\"instance\":\"%s\",\"event\":\"%s\"",
+                          time, level, instance_, event);
   if (text[1] != '}')
     g_string_append_c (buffer_, ',');
   g_string_append (buffer_, text + 1);
--- a/src/cli/command-serve.c
+++ b/src/cli/command-serve.c
@@ -17,8 +17,8 @@
 {
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_file *path = arg_file0 (NULL, "settings", "FILE", "settings of this instance");
-  struct arg_file *gateway
-      = arg_file0 (NULL, "gateway", "FILE", "settings of a gateway, as deploy/instance.ini has them");
+  struct arg_file *gateway = arg_file0 (NULL, "gateway", "FILE",
+                                        "settings of a gateway, as deploy/instance.ini has them");
   struct arg_end *end = arg_end (10);
   void *table[] = { help, path, gateway, end };
   struct sr_findings *findings = sr_findings_new ();
@@ -58,7 +58,9 @@
 
   if (path == NULL)
     {
-      fprintf (stderr, "serve: neither --settings nor --gateway is given, and the platform names no file\n");
+      fprintf (
+          stderr,
+          "serve: neither --settings nor --gateway is given, and the platform names no file\n");
       return CLI_EXIT_USAGE;
     }
   settings = gw_settings_load (path, findings);
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -32,8 +32,8 @@
 {
   struct gw_backends *backends = g_new0 (struct gw_backends, 1);
 
-  backends->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                           (GDestroyNotify)gw_backend_unref);
+  backends->by_id
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)gw_backend_unref);
   backends->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   return backends;
@@ -112,7 +112,8 @@
 void
 gw_backends_begin_list (struct gw_backends *backends)
 {
-  g_clear_pointer (&backends->listed, g_hash_table_unref);
+  if (backends->listed != NULL)
+    g_hash_table_unref (backends->listed);
   backends->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
@@ -130,7 +131,8 @@
       g_ptr_array_add (absent, g_strdup (id));
   for (unsigned i = 0; i < absent->len; i++)
     gw_backends_remove (backends, absent->pdata[i], doubtful);
-  g_clear_pointer (&backends->listed, g_hash_table_unref);
+  g_hash_table_unref (backends->listed);
+  backends->listed = NULL;
 }
 
 /* What was missing has had its time to return. */
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -26,10 +26,10 @@
 {
   int reference_count;
   struct gw_backend_facts facts;
-  bool is_gone;              /* no new work; it may still finish what it has */
-  bool is_missing;           /* not listed after an outage: gone unless it returns in time */
+  bool is_gone;                 /* no new work; it may still finish what it has */
+  bool is_missing;              /* not listed after an outage: gone unless it returns in time */
   struct gw_backend_load *load; /* of the placement */
-  GQueue idle_connections;   /* of the connection pool */
+  GQueue idle_connections;      /* of the connection pool */
   unsigned connections;
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -33,7 +33,7 @@
   struct net_text host;
   struct net_text key;
   bool has_key;
-  int64_t deadline_ms; /* how long the caller will wait; 0: not said */
+  int64_t deadline_ms;           /* how long the caller will wait; 0: not said */
   struct net_text last_event_id; /* where the caller goes on in a stream; empty: at its beginning */
   struct gw_prompt prompt;
   bool expects_continue;
--- a/src/gateway/event-scan.h
+++ b/src/gateway/event-scan.h
@@ -12,7 +12,7 @@
 
 struct gw_event_scan
 {
-  uint64_t events;                   /* complete ones */
+  uint64_t events;                     /* complete ones */
   char last_id[GW_EVENT_ID_MAX_BYTES]; /* of the last complete event; empty for none */
   char line[GW_EVENT_ID_MAX_BYTES + 8];
   size_t line_length; /* of the line that is not complete; may exceed what line holds */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -25,8 +25,8 @@
 static const double RETRY_AT_ONCE_S = 0.02; /* another instance has room */
 static const double RETRY_SOON_S = 0.25;
 static const double RETRY_BUDGET_S = 1.0;
-/* Tokens that are out of reach come back with the store, after seconds; a caller with less time left
- * returns sooner by itself. */
+/* Tokens that are out of reach come back with the store, after seconds; a caller with less time
+ * left returns sooner by itself. */
 static const double RETRY_OUTAGE_S = 4.0;
 
 enum gw_exchange_state
@@ -117,7 +117,8 @@
 static bool is_repeatable_ (const struct gw_exchange *exchange);
 static void begin_answer_ (struct gw_exchange *exchange);
 static void forward_ (struct gw_exchange *exchange, const char *data, size_t length);
-static void refuse_ (struct gw_exchange *exchange, unsigned status, double after_s, const char *why);
+static void
+refuse_ (struct gw_exchange *exchange, unsigned status, double after_s, const char *why);
 static void finish_ (struct gw_exchange *exchange, const char *outcome, bool whole);
 static void settle_ (struct gw_exchange *exchange);
 static const char *reason_of_ (unsigned status);
@@ -132,20 +133,21 @@
 
 static struct sr_counter requests_counter_
     = { .name = "sapphirerun_requests_total", .help = "Requests of callers." };
-static struct sr_counter answered_counter_
-    = { .name = "sapphirerun_requests_answered_total", .help = "Requests answered by a backend server." };
-static struct sr_counter refused_counter_
-    = { .name = "sapphirerun_requests_refused_total", .help = "Requests refused without running them." };
-static struct sr_counter failed_counter_
-    = { .name = "sapphirerun_requests_failed_total", .help = "Requests whose answer was lost or cut." };
+static struct sr_counter answered_counter_ = { .name = "sapphirerun_requests_answered_total",
+                                               .help = "Requests answered by a backend server." };
+static struct sr_counter refused_counter_ = { .name = "sapphirerun_requests_refused_total",
+                                              .help = "Requests refused without running them." };
+static struct sr_counter failed_counter_ = { .name = "sapphirerun_requests_failed_total",
+                                             .help = "Requests whose answer was lost or cut." };
 static struct sr_counter abandoned_counter_
     = { .name = "sapphirerun_requests_abandoned_total", .help = "Requests whose caller left." };
 static struct sr_counter attempts_counter_
     = { .name = "sapphirerun_attempts_total", .help = "Requests sent to backend servers." };
 static struct sr_histogram first_histogram_
-    = { .name = "sapphirerun_first_byte_microseconds", .help = "From a request's arrival to its answer's first byte." };
-static struct sr_histogram whole_histogram_
-    = { .name = "sapphirerun_request_microseconds", .help = "From a request's arrival to its end." };
+    = { .name = "sapphirerun_first_byte_microseconds",
+        .help = "From a request's arrival to its answer's first byte." };
+static struct sr_histogram whole_histogram_ = { .name = "sapphirerun_request_microseconds",
+                                                .help = "From a request's arrival to its end." };
 
 /* Makes the counters of requests known, once at start. */
 void
@@ -408,10 +410,9 @@
     }
   exchange->backend = gw_backend_ref (place.backend);
   exchange->unread_tokens = place.unread_tokens;
-  exchange->memory_tokens
-      = exchange->prompt.is_stated
-            ? exchange->prompt.input_tokens + exchange->prompt.output_tokens_max
-            : 0;
+  exchange->memory_tokens = exchange->prompt.is_stated
+                                ? exchange->prompt.input_tokens + exchange->prompt.output_tokens_max
+                                : 0;
   gw_place_begin (&place, &query, exchange->memory_tokens);
   exchange->state = EXCHANGE_CONNECTING;
   options.backend = place.backend;
@@ -438,8 +439,7 @@
     .headers = exchange->headers,
     .backend = exchange->backend->facts.id,
     .team = exchange->team == NULL ? NULL : exchange->team->name->str,
-    .left_ms = exchange->end_us == INT64_MAX ? 0
-                                             : MAX ((exchange->end_us - now_us) / US_PER_MS, 1),
+    .left_ms = exchange->end_us == INT64_MAX ? 0 : MAX ((exchange->end_us - now_us) / US_PER_MS, 1),
     .body_length = exchange->body->len,
     .has_body = exchange->has_body,
   };
@@ -458,11 +458,12 @@
   exchange->runs++;
   exchange->attempts++;
   sr_counter_add (&attempts_counter_, 1);
-  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I}", "request", exchange->id,
-            "team", exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
-            (json_int_t)exchange->reserved, "backend", exchange->backend->facts.id, "attempt", (int)exchange->attempts, "left_ms",
-            (json_int_t)send.left_ms, "unread_tokens", (json_int_t)exchange->unread_tokens,
-            "after_us", (json_int_t)(now_us - exchange->arrived_us));
+  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I}", "request",
+            exchange->id, "team", exchange->team == NULL ? "" : exchange->team->name->str,
+            "reserved", (json_int_t)exchange->reserved, "backend", exchange->backend->facts.id,
+            "attempt", (int)exchange->attempts, "left_ms", (json_int_t)send.left_ms,
+            "unread_tokens", (json_int_t)exchange->unread_tokens, "after_us",
+            (json_int_t)(now_us - exchange->arrived_us));
   gw_upstream_send (exchange->upstream, parts, exchange->body->len > 0 ? 2 : 1,
                     strcmp (exchange->method, "HEAD") == 0);
   g_string_free (head, TRUE);
@@ -613,8 +614,9 @@
 
   exchange->upstream = NULL;
   sr_event (SR_EVENT_FAILURE, "attempt_failed", "{s:s,s:s,s:s,s:s,s:i}", "request", exchange->id,
-            "backend", exchange->backend->facts.id, "state", state_names_[exchange->state], "reason",
-            gw_upstream_failure_to_string (failure), "events", (int)exchange->scan.events);
+            "backend", exchange->backend->facts.id, "state", state_names_[exchange->state],
+            "reason", gw_upstream_failure_to_string (failure), "events",
+            (int)exchange->scan.events);
   end_attempt_ (exchange, GW_PLACE_END_BROKEN);
   g_string_truncate (exchange->tail, 0);
   exchange->scan.line_length = 0;
@@ -748,9 +750,9 @@
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
     is_quiet = true;
   else if (exchange->backend != NULL && exchange->route->resumable)
-    is_quiet = gw_place_is_silent (exchange->backend, now_us)
-               && now_us - MAX (exchange->sent_us, exchange->first_us)
-                      >= STREAM_QUIET_MS * US_PER_MS;
+    is_quiet
+        = gw_place_is_silent (exchange->backend, now_us)
+          && now_us - MAX (exchange->sent_us, exchange->first_us) >= STREAM_QUIET_MS * US_PER_MS;
   if (is_quiet && may_try_again_ (exchange, true))
     {
       sr_event (SR_EVENT_FAILURE, "attempt_failed", "{s:s,s:s,s:s,s:s,s:i}", "request",
@@ -771,8 +773,8 @@
     set_timer_ (exchange);
 }
 
-/* Ends the request with an answer of our own. Where it may have run, STATUS must not promise that it
- * has not. AFTER_S: when the caller may return. */
+/* Ends the request with an answer of our own. Where it may have run, STATUS must not promise that
+ * it has not. AFTER_S: when the caller may return. */
 static void
 refuse_ (struct gw_exchange *exchange, unsigned status, double after_s, const char *why)
 {
@@ -823,7 +825,8 @@
   sr_event (whole ? SR_EVENT_INFO : SR_EVENT_FAILURE, "request_ended",
             "{s:s,s:s,s:s,s:I,s:I,s:s,s:i,s:i,s:I,s:I,s:I}", "request", exchange->id, "outcome",
             outcome, "team", exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
-            (json_int_t)exchange->reserved, "used", (json_int_t)exchange->used, "state", state_names_[exchange->state], "status", (int)exchange->status, "attempts",
+            (json_int_t)exchange->reserved, "used", (json_int_t)exchange->used, "state",
+            state_names_[exchange->state], "status", (int)exchange->status, "attempts",
             (int)exchange->attempts, "events", (json_int_t)exchange->scan.events, "first_us",
             (json_int_t)(exchange->first_us == 0 ? 0 : exchange->first_us - exchange->arrived_us),
             "took_us", (json_int_t)(now_us - exchange->arrived_us));
@@ -856,7 +859,7 @@
 {
   int64_t output = 0;
 
-  if (exchange->parts == NULL)
+  if (exchange->parts == NULL || exchange->team == NULL)
     return;
   if (exchange->service != NULL)
     output = (int64_t)exchange->scan.events * exchange->service->tokens_per_event;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,13 +15,13 @@
   struct net_text headers; /* lines */
   bool has_length;
   uint64_t length;
-  /* The backend server gave neither a length nor chunks: whether the body is whole is not known here,
-   * and the caller must not be told so. */
+  /* The backend server gave neither a length nor chunks: whether the body is whole is not known
+   * here, and the caller must not be told so. */
   bool ends_with_connection;
 };
 
-/* Whoever asks. It begins with a pointer to this table. The exchange ends with one call of finish or
- * break_off, after which it is gone. */
+/* Whoever asks. It begins with a pointer to this table. The exchange ends with one call of finish
+ * or break_off, after which it is gone. */
 struct gw_asker_vtable
 {
   void (*begin) (void *asker, const struct gw_reply *reply);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -8,9 +8,9 @@
 
 enum
 {
-  BACKLOG = 1024,              /* the burst of connections when another instance has gone */
-  HEAD_MAX_BYTES = 16384,      /* until a configuration says otherwise */
-  REQUEST_LINE_BYTES = 2048    /* what a head may hold besides its headers */
+  BACKLOG = 1024,           /* the burst of connections when another instance has gone */
+  HEAD_MAX_BYTES = 16384,   /* until a configuration says otherwise */
+  REQUEST_LINE_BYTES = 2048 /* what a head may hold besides its headers */
 };
 
 struct gw_ingress
@@ -32,7 +32,7 @@
   bool is_reading;  /* the request is not whole */
   bool is_answered; /* the answer to it is out */
   bool is_chunked;
-  bool closes; /* after this answer */
+  bool closes;  /* after this answer */
   bool stalled; /* a head was incomplete at the last look */
   bool is_closed;
 };
@@ -110,7 +110,8 @@
     {
       struct caller_ *caller = value;
 
-      if (caller->exchange != NULL || caller->is_reading || net_http_conn_has_received (caller->conn))
+      if (caller->exchange != NULL || caller->is_reading
+          || net_http_conn_has_received (caller->conn))
         continue;
       g_hash_table_iter_remove (&iter);
       net_http_conn_finish (caller->conn);
@@ -129,9 +130,8 @@
 on_connection_ (uv_stream_t *listener, int status)
 {
   struct gw_ingress *ingress = listener->data;
-  const struct net_http_conn_options options = { .loop = ingress->context->loop,
-                                                 .is_server = true,
-                                                 .head_max_bytes = HEAD_MAX_BYTES };
+  const struct net_http_conn_options options
+      = { .loop = ingress->context->loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
   struct caller_ *caller;
 
   if (status != 0)
@@ -389,8 +389,8 @@
 
   if (caller->idle_since_ms == 0)
     caller->idle_since_ms = uv_now (caller->ingress->context->loop);
-  uv_timer_start (&caller->timer, on_timer_, MIN (limits->header_timeout_ms, limits->idle_timeout_ms),
-                  0);
+  uv_timer_start (&caller->timer, on_timer_,
+                  MIN (limits->header_timeout_ms, limits->idle_timeout_ms), 0);
 }
 
 static void
--- a/src/gateway/link-load.h
+++ b/src/gateway/link-load.h
@@ -1,6 +1,6 @@
 /* How much of the instance's own network link is taken. Answers a load that the balancer spreads
- * unevenly: an instance whose link is full can't even connect to backend servers, while a caller who
- * is refused at once is served by another instance. No thread, socket or clock. */
+ * unevenly: an instance whose link is full can't even connect to backend servers, while a caller
+ * who is refused at once is served by another instance. No thread, socket or clock. */
 #pragma once
 
 #include <glib.h>
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -25,16 +25,16 @@
 
 enum
 {
-  ERROR_MEMORY_US = 4000000,    /* time constant of the failure rate: found bad for a few seconds */
-  REPORT_MEMORY_US = 600000,    /* a reported load is of little worth after this time */
-  SILENCE_US = 700000,          /* no byte from a server with work: ten times its longest step */
-  EJECT_FIRST_US = 500000,      /* after a broken connection; doubles */
-  EJECT_MAX_US = 8000000,       /* the time in which a crashed server commonly returns */
-  PART_MEMORY_US = 9000000,     /* a cached part is believed to be there for this long */
-  OTHERS_MAX = 16,              /* other instances remembered of one server */
-  OTHERS_MEMORY_US = 400000,    /* the time in which a middling prompt is read */
-  PARTS_MAX = 4096,             /* parts remembered of one server */
-  WAITING_MAX_PER_SLOT = 2      /* beyond this queue nobody is served in time */
+  ERROR_MEMORY_US = 4000000, /* time constant of the failure rate: found bad for a few seconds */
+  REPORT_MEMORY_US = 600000, /* a reported load is of little worth after this time */
+  SILENCE_US = 700000,       /* no byte from a server with work: ten times its longest step */
+  EJECT_FIRST_US = 500000,   /* after a broken connection; doubles */
+  EJECT_MAX_US = 8000000,    /* the time in which a crashed server commonly returns */
+  PART_MEMORY_US = 9000000,  /* a cached part is believed to be there for this long */
+  OTHERS_MAX = 16,           /* other instances remembered of one server */
+  OTHERS_MEMORY_US = 400000, /* the time in which a middling prompt is read */
+  PARTS_MAX = 4096,          /* parts remembered of one server */
+  WAITING_MAX_PER_SLOT = 2   /* beyond this queue nobody is served in time */
 };
 
 /* What another instance has sent to a backend server. */
@@ -48,8 +48,8 @@
 struct gw_backend_load
 {
   unsigned in_flight;
-  int64_t unread_tokens; /* of requests sent from here that have no first byte yet */
-  int64_t memory_tokens; /* that they may come to take */
+  int64_t unread_tokens;  /* of requests sent from here that have no first byte yet */
+  int64_t memory_tokens;  /* that they may come to take */
   unsigned reported_load; /* running and waiting, less what was in flight from here */
   unsigned reported_waiting;
   int64_t reported_us;
@@ -59,7 +59,7 @@
   int64_t ejected_until_us;
   int64_t quiet_since_us; /* the last byte, or when the first request in flight was sent */
   struct others_work_ others[OTHERS_MAX];
-  GHashTable *parts;      /* id (uint64_t): struct part_use_ */
+  GHashTable *parts; /* id (uint64_t): struct part_use_ */
 };
 
 struct part_use_
@@ -101,8 +101,8 @@
 }
 
 /* Picks the backend server with the earliest expected first byte; shared parts that would be read
- * once more count twice, as they take memory and time of others beside. Servers that were broken lately
- * are taken only when there is no other. */
+ * once more count twice, as they take memory and time of others beside. Servers that were broken
+ * lately are taken only when there is no other. */
 enum gw_place_verdict
 gw_place_pick (const struct gw_place_query *query, GRand *random, struct gw_place *place)
 {
@@ -319,10 +319,9 @@
   return ms + MAX (error_rate_ (load, query->now_us) - ERROR_RATE_USUAL, 0) * ERROR_MS;
 }
 
-/* Returns the tokens of the prompt that BACKEND would have to read, and in AGAIN those of shared parts
- * among them, which others have cached: parts count as cached up to the
- * first one that is not. Other instances send the same parts to their home, so they are believed
- * to be there. */
+/* Returns the tokens of the prompt that BACKEND would have to read, and in AGAIN those of shared
+ * parts among them, which others have cached: parts count as cached up to the first one that is
+ * not. Other instances send the same parts to their home, so they are believed to be there. */
 static int64_t
 unread_tokens_ (const struct gw_place_query *query,
                 const struct gw_backend *backend,
@@ -342,7 +341,8 @@
   cached = 0;
   for (unsigned i = 0; i + 1 < prompt->n_parts; i++)
     {
-      const struct part_use_ *use = g_hash_table_lookup (backend->load->parts, &prompt->parts[i].id);
+      const struct part_use_ *use
+          = g_hash_table_lookup (backend->load->parts, &prompt->parts[i].id);
 
       if ((use == NULL || query->now_us - use->used_us > PART_MEMORY_US) && backend != home)
         break;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,7 +1,7 @@
 /* Choice of the backend server for one request. Answers a load in which long prompts delay whatever
- * runs beside them: the expected time to the first byte decides, from the prompts that this instance
- * knows to be unread there, the parts believed cached and the load last reported. No thread, socket
- * or clock. */
+ * runs beside them: the expected time to the first byte decides, from the prompts that this
+ * instance knows to be unread there, the parts believed cached and the load last reported. No
+ * thread, socket or clock. */
 #pragma once
 
 #include "gateway/backends.h"
@@ -33,8 +33,8 @@
 struct gw_place
 {
   struct gw_backend *backend;
-  double expected_ms;     /* to the first byte */
-  int64_t unread_tokens;  /* of the prompt, believed not cached */
+  double expected_ms;    /* to the first byte */
+  int64_t unread_tokens; /* of the prompt, believed not cached */
 };
 
 enum gw_place_end
--- a/src/gateway/probe.h
+++ b/src/gateway/probe.h
@@ -1,5 +1,5 @@
-/* A small listener for the balancer's question whether this instance takes requests, and for whoever
- * reads its counters. */
+/* A small listener for the balancer's question whether this instance takes requests, and for
+ * whoever reads its counters. */
 #pragma once
 
 #include <glib.h>
--- a/src/gateway/retry-budget.h
+++ b/src/gateway/retry-budget.h
@@ -13,8 +13,8 @@
 
 struct gw_retry_budget_options
 {
-  double ratio;        /* of the requests in the window */
-  unsigned extra;      /* in the window, for the whole fleet */
+  double ratio;   /* of the requests in the window */
+  unsigned extra; /* in the window, for the whole fleet */
   int64_t window_us;
 };
 
--- a/src/gateway/routes.c
+++ b/src/gateway/routes.c
@@ -25,8 +25,8 @@
   routes->version = version;
   routes->limits = default_limits_;
   routes->routes = g_ptr_array_new_with_free_func (route_free_);
-  routes->by_host = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                           (GDestroyNotify)g_ptr_array_unref);
+  routes->by_host
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
   routes->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free_);
   routes->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
   routes->teams_by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -17,22 +17,23 @@
 enum
 {
   US_PER_MS = 1000,
-  /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and tells
-   * the others: in time for the two seconds in which a change must be in force. */
+  /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and
+   * tells the others: in time for the two seconds in which a change must be in force. */
   WATCH_FLEET_MS = 170,
-  ROUTES_PAUSE_MS = 50,      /* changes that come in quick succession are read together */
-  BACKENDS_PAUSE_MS = 150,   /* the same; small against the time in which a leaving one is dropped */
+  ROUTES_PAUSE_MS = 50,    /* changes that come in quick succession are read together */
+  BACKENDS_PAUSE_MS = 150, /* the same; small against the time in which a leaving one is dropped */
   INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
   WATCH_MIN_MS = 1200,
-  WATCH_MAX_MS = 10000, /* instances that reach nobody else find out by themselves after this time */
-  LEASE_RETURN_MS = 2200,      /* entries that lapsed in an outage are back two seconds after it */
-  WORK_INTERVAL_MS = 60,       /* the time in which 4,000 tokens are read */
-  WORK_LEAST_TOKENS = 3000,    /* shorter prompts delay nobody for long */
+  WATCH_MAX_MS
+  = 10000, /* instances that reach nobody else find out by themselves after this time */
+  LEASE_RETURN_MS = 2200,   /* entries that lapsed in an outage are back two seconds after it */
+  WORK_INTERVAL_MS = 60,    /* the time in which 4,000 tokens are read */
+  WORK_LEAST_TOKENS = 3000, /* shorter prompts delay nobody for long */
   ANNOUNCE_RETRY_MS = 100,
-  BALANCER_NOTICE_MS = 3200,   /* two questions of the balancer, a second each, go unanswered */
+  BALANCER_NOTICE_MS = 3200, /* two questions of the balancer, a second each, go unanswered */
   STOP_LOOK_MS = 50,
-  STOP_MARGIN_MS = 300,        /* before the process would be killed */
-  HAND_BACK_MS = 400           /* for giving tokens back at the end */
+  STOP_MARGIN_MS = 300, /* before the process would be killed */
+  HAND_BACK_MS = 400    /* for giving tokens back at the end */
 };
 
 #define KIND_INSTANCES "sapphirerun-instances"
@@ -65,7 +66,7 @@
   bool announced;
   bool handing_back;
   int64_t announced_revision;
-  GHashTable *leaving; /* names of instances that stop: they lend no more */
+  GHashTable *leaving;     /* names of instances that stop: they lend no more */
   int64_t outage_ended_us; /* of the store, as far as this instance has seen */
   int64_t stop_us;
 };
@@ -109,8 +110,7 @@
 static void on_told_ (const struct mesh_news *news, void *data);
 static void spread_news_ (struct gateway_ *gateway);
 static void on_work_timer_ (uv_timer_t *timer);
-static void
-on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
+static void on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
 static void on_book_timer_ (uv_timer_t *timer);
 static unsigned answer_ready_ (const char *path, GString *body, void *data);
 static unsigned answer_metrics_ (const char *path, GString *body, void *data);
@@ -132,16 +132,17 @@
           const char *settings_path,
           const struct gw_platform *platform)
 {
-  struct gateway_ *gateway = g_new0 (struct gateway_, 1);
+  struct gateway_ *gateway;
   int code = 1;
 
   signal (SIGPIPE, SIG_IGN);
+  if (!sr_event_log_start (settings->name->str))
+    return 1;
+  gateway = g_new0 (struct gateway_, 1); /* as long as the process: its loop has open handles */
   gateway->link_vtable = &link_vtable_;
   gateway->settings = settings;
   gateway->settings_path = settings_path;
   gateway->platform = platform;
-  if (!sr_event_log_start (settings->name->str))
-    return 1;
   uv_loop_init (&gateway->loop);
   if (start_ (gateway))
     {
@@ -177,7 +178,8 @@
 {
   const struct gw_settings *settings = gateway->settings;
   struct gw_context *context = &gateway->context;
-  struct watcher_options watch = { .loop = &gateway->loop, .wait_ms = WATCH_MIN_MS, .data = gateway };
+  struct watcher_options watch
+      = { .loop = &gateway->loop, .wait_ms = WATCH_MIN_MS, .data = gateway };
   const struct mesh_options mesh = {
     .loop = &gateway->loop,
     .address = settings->peer_address,
@@ -192,8 +194,8 @@
                                     .address = settings->ready_address,
                                     .data = gateway,
                                     .answer = answer_ready_ };
-  uv_timer_t *timers[] = { &gateway->book_timer, &gateway->work_timer, &gateway->lease_timer, &gateway->announce_timer,
-                           &gateway->stop_timer };
+  uv_timer_t *timers[] = { &gateway->book_timer, &gateway->work_timer, &gateway->lease_timer,
+                           &gateway->announce_timer, &gateway->stop_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
@@ -265,8 +267,8 @@
 static void
 announce_ (struct gateway_ *gateway)
 {
-  store_read (gateway->store, KIND_INSTANCES, gateway->settings->name->str,
-              on_announcement_read_, gateway);
+  store_read (gateway->store, KIND_INSTANCES, gateway->settings->name->str, on_announcement_read_,
+              gateway);
 }
 
 static void
@@ -765,8 +767,8 @@
   struct sr_findings *findings = sr_findings_new ();
   struct gw_settings *settings = gw_settings_load (gateway->settings_path, findings);
 
-  sr_event (settings == NULL ? SR_EVENT_FAILURE : SR_EVENT_INFO, "settings_looked_at",
-            "{s:i,s:s}", "findings", (int)sr_findings_count (findings), "first",
+  sr_event (settings == NULL ? SR_EVENT_FAILURE : SR_EVENT_INFO, "settings_looked_at", "{s:i,s:s}",
+            "findings", (int)sr_findings_count (findings), "first",
             sr_findings_count (findings) > 0 ? sr_findings_get (findings, 0)->message->str : "");
   gw_settings_delete (settings);
   sr_findings_delete (findings);
@@ -802,8 +804,8 @@
     {
       gateway->handing_back = true;
       if (gateway->announced)
-        store_remove (gateway->store, KIND_INSTANCES, gateway->settings->name->str,
-                      on_withdrawn_, NULL);
+        store_remove (gateway->store, KIND_INSTANCES, gateway->settings->name->str, on_withdrawn_,
+                      NULL);
       if (gateway->context.book != NULL)
         allotment_book_stop (gateway->context.book, now_us);
       return;
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -40,10 +40,17 @@
     .type = SR_INI_TEXT,
     .offset = MEMBER (retry_ratio_text),
     .fallback = "0.1" }, /* of the requests: what common retry budgets allow */
-  { .name = "extra", .type = SR_INI_UNSIGNED, .offset = MEMBER (retry_extra), .max = 1000000,
+  { .name = "extra",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (retry_extra),
+    .max = 1000000,
+    .fallback = "10" },
+  { .name = "window_s",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (retry_window_s),
+    .min = 1,
+    .max = 3600,
     .fallback = "10" },
-  { .name = "window_s", .type = SR_INI_UNSIGNED, .offset = MEMBER (retry_window_s), .min = 1,
-    .max = 3600, .fallback = "10" },
 };
 
 static const struct sr_ini_key limits_keys_[] = {
@@ -51,8 +58,12 @@
 };
 
 static const struct sr_ini_key stop_keys_[] = {
-  { .name = "limit_s", .type = SR_INI_UNSIGNED, .offset = MEMBER (stop_limit_s), .min = 1,
-    .max = 3600, .fallback = "30" },
+  { .name = "limit_s",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (stop_limit_s),
+    .min = 1,
+    .max = 3600,
+    .fallback = "30" },
 };
 
 #undef MEMBER
@@ -72,9 +83,8 @@
 };
 
 static void text_free_ (GString *text);
-static void resolve_ (struct gw_settings *settings,
-                      const char *file_name,
-                      struct sr_findings *findings);
+static void
+resolve_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings);
 static void resolve_address_ (const char *text,
                               struct sockaddr_in *address,
                               const char *file_name,
@@ -155,15 +165,17 @@
 {
   char *end;
 
+  g_assert (settings->entry_text != NULL && settings->ready_text != NULL
+            && settings->store_host != NULL);
   resolve_address_ (settings->entry_text->str, &settings->entry_address, file_name, "listen",
                     "entry", findings);
   resolve_address_ (settings->ready_text->str, &settings->ready_address, file_name, "listen",
                     "ready", findings);
   resolve_address_ (settings->store_host->str, &settings->store_address, file_name, "store",
                     "address", findings);
-  settings->peer_address = (struct sockaddr_in){
-    .sin_family = AF_INET, .sin_port = htons ((uint16_t)settings->peer_port)
-  };
+  settings->peer_address
+      = (struct sockaddr_in){ .sin_family = AF_INET,
+                              .sin_port = htons ((uint16_t)settings->peer_port) };
   inet_pton (AF_INET, settings->address->str, &settings->peer_address.sin_addr);
   settings->metrics_address = settings->peer_address;
   errno = 0;
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -19,8 +19,9 @@
   SECOND = 1000 * MS
 };
 
-static const char stream_[] = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
-                              "id: 4\ndata: cut";
+static const char stream_[]
+    = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\r\ndata: d\r\n\r\n"
+      "id: 4\ndata: cut";
 
 static void
 events_are_found_however_they_are_cut (void **state)
@@ -161,10 +162,9 @@
 {
   fleet->table = gw_backends_new ();
   fleet->random = g_rand_new_with_seed (3);
-  fleet->service = (struct gw_service){ .is_model = is_model,
-                                        .slots = 64,
-                                        .tokens_per_event = 6,
-                                        .memory_tokens = 460000 };
+  fleet->service = (struct gw_service){
+    .is_model = is_model, .slots = 64, .tokens_per_event = 6, .memory_tokens = 460000
+  };
   for (unsigned i = 0; i < count; i++)
     {
       struct gw_backend_facts facts = { .id = g_strdup_printf ("i-%u", i),
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -8,13 +8,13 @@
 enum
 {
   HEAD_MAX_BYTES = 32768,
-  CONNECT_TIMEOUT_MS = 300,     /* a hundred round trips inside a region; a lost first packet takes
-                                   a second, and another backend server serves sooner */
-  IDLE_MAX_MS = 4000,           /* servers announce seconds; below the shortest of them */
-  IDLE_MAX_ONCE_MS = 1500,      /* for what can't be repeated: well before the other side closes */
-  IDLE_MIN_ONCE_MS = 20,        /* and after a stray second answer would have arrived */
-  KEEP_ALIVE_MARGIN_MS = 1000,  /* before the time that a server announced */
-  IDLE_CONNECTIONS_MAX = 16     /* per backend server: the requests that end in one idle time */
+  CONNECT_TIMEOUT_MS = 300,    /* a hundred round trips inside a region; a lost first packet takes
+                                  a second, and another backend server serves sooner */
+  IDLE_MAX_MS = 4000,          /* servers announce seconds; below the shortest of them */
+  IDLE_MAX_ONCE_MS = 1500,     /* for what can't be repeated: well before the other side closes */
+  IDLE_MIN_ONCE_MS = 20,       /* and after a stray second answer would have arrived */
+  KEEP_ALIVE_MARGIN_MS = 1000, /* before the time that a server announced */
+  IDLE_CONNECTIONS_MAX = 16    /* per backend server: the requests that end in one idle time */
 };
 
 struct gw_upstream
@@ -24,7 +24,7 @@
   struct gw_backend *backend;
   const struct gw_dialect *dialect;
   uv_loop_t *loop;
-  uv_timer_t timer; /* connecting, then idle */
+  uv_timer_t timer;                            /* connecting, then idle */
   const struct gw_upstream_user_vtable **user; /* NULL while idle */
   char *request_id;
   GString *headers;
@@ -63,8 +63,8 @@
   [GW_UPSTREAM_MALFORMED] = "malformed",
 };
 
-static struct sr_counter opened_counter_
-    = { .name = "sapphirerun_backend_connections_opened_total", .help = "Connections opened to backend servers." };
+static struct sr_counter opened_counter_ = { .name = "sapphirerun_backend_connections_opened_total",
+                                             .help = "Connections opened to backend servers." };
 static struct sr_counter stray_counter_
     = { .name = "sapphirerun_backend_stray_answers_total",
         .help = "Answers of backend servers that belonged to no request in progress." };
@@ -86,7 +86,8 @@
 }
 
 /* Takes a connection to the backend server of OPTIONS for one request. A new one
- * tells its user when it is ready; see gw_upstream_is_ready. Returns NULL when none can be opened. */
+ * tells its user when it is ready; see gw_upstream_is_ready. Returns NULL when none can be opened.
+ */
 struct gw_upstream *
 gw_upstream_open (const struct gw_upstream_options *options)
 {
@@ -177,8 +178,8 @@
   (*upstream->user)->ready (upstream->user);
 }
 
-/* Matches the answer with the request by its id. One that belongs to another request is passed over:
- * the right one may follow. */
+/* Matches the answer with the request by its id. One that belongs to another request is passed
+ * over: the right one may follow. */
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
@@ -207,9 +208,10 @@
   upstream->keeps_alive = head->keeps_alive && !head->ends_with_connection;
   upstream->idle_max_ms = IDLE_MAX_MS;
   if (answer.keeps_idle_ms_known)
-    upstream->idle_max_ms = answer.keeps_idle_ms > KEEP_ALIVE_MARGIN_MS
-                                ? MIN (answer.keeps_idle_ms - KEEP_ALIVE_MARGIN_MS, (unsigned)IDLE_MAX_MS)
-                                : 0;
+    upstream->idle_max_ms
+        = answer.keeps_idle_ms > KEEP_ALIVE_MARGIN_MS
+              ? MIN (answer.keeps_idle_ms - KEEP_ALIVE_MARGIN_MS, (unsigned)IDLE_MAX_MS)
+              : 0;
   (*upstream->user)->head (upstream->user, head, &answer, upstream->headers);
 }
 
@@ -265,7 +267,7 @@
       free_ (upstream);
       return;
     }
-  fail_ (upstream, !upstream->is_open              ? GW_UPSTREAM_NOT_CONNECTED
+  fail_ (upstream, !upstream->is_open         ? GW_UPSTREAM_NOT_CONNECTED
                    : end == NET_END_MALFORMED ? GW_UPSTREAM_MALFORMED
                                               : GW_UPSTREAM_CLOSED);
 }
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -20,7 +20,9 @@
 {
   /* Bytes can be sent: gw_upstream_send. */
   void (*ready) (void *user);
-  void (*head) (void *user, const struct net_http_head *head, const struct gw_answer *answer,
+  void (*head) (void *user,
+                const struct net_http_head *head,
+                const struct gw_answer *answer,
                 const GString *headers);
   void (*body) (void *user, const char *data, size_t length);
   /* The answer is whole. The connection is not the user's any more. */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -16,6 +16,7 @@
 
 enum kind_
 {
+  KIND_NONE = 0, /* what can't be read */
   KIND_ASK = 1,
   KIND_ANSWER = 2,
   KIND_NEWS = 3,
@@ -39,12 +40,13 @@
   bool_t is_leaving;
 };
 
-static struct sr_counter sent_counter_
-    = { .name = "sapphirerun_mesh_datagrams_sent_total", .help = "Datagrams sent to other instances." };
-static struct sr_counter received_counter_
-    = { .name = "sapphirerun_mesh_datagrams_received_total", .help = "Datagrams of other instances." };
+static struct sr_counter sent_counter_ = { .name = "sapphirerun_mesh_datagrams_sent_total",
+                                           .help = "Datagrams sent to other instances." };
+static struct sr_counter received_counter_ = { .name = "sapphirerun_mesh_datagrams_received_total",
+                                               .help = "Datagrams of other instances." };
 static struct sr_counter malformed_counter_
-    = { .name = "sapphirerun_mesh_datagrams_malformed_total", .help = "Datagrams that could not be read." };
+    = { .name = "sapphirerun_mesh_datagrams_malformed_total",
+        .help = "Datagrams that could not be read." };
 
 static void on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_receive_ (uv_udp_t *socket,
@@ -56,17 +58,13 @@
 static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
 static bool xdr_work_ (XDR *xdr, struct mesh_work *work);
 static uint64_t from_key_ (const struct sockaddr_in *address);
-static void
-spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
-static void
-take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
+static void spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
+static void take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
 static void take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
-static void
-to_message_ (const struct sr_holder_id *id, struct sr_budget_holder_msg *message);
-static void
-from_message_ (const struct sr_budget_holder_msg *message, struct sr_holder_id *id);
+static void to_message_ (const struct sr_holder_id *id, struct sr_budget_holder_msg *message);
+static void from_message_ (const struct sr_budget_holder_msg *message, struct sr_holder_id *id);
 static bool is_name_ (const char *name);
 
 /* Opens the socket. Returns NULL, with a line in the log, when that fails. */
@@ -199,12 +197,10 @@
 /* Tells some instances, chosen by chance, the WORK sent from here; it replaces what they were told
  * before. */
 void
-mesh_spread_work (struct mesh *mesh,
-                  const struct mesh_work *work,
-                  unsigned n_work,
-                  GRand *random)
+mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random)
 {
-  struct head_ head = { .format = FORMAT, .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
+  struct head_ head
+      = { .format = FORMAT, .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
   char bytes[MESSAGE_MAX_BYTES];
   bool encoded;
   XDR xdr;
@@ -249,8 +245,8 @@
   sr_counter_add (&received_counter_, 1);
   xdrmem_create (&xdr, buffer->base, (u_int)length, XDR_DECODE);
   if (!xdr_head_ (&xdr, &head) || head.format != FORMAT || !is_name_ (head.sender))
-    sr_counter_add (&malformed_counter_, 1);
-  else if (head.kind == KIND_ASK)
+    head.kind = KIND_NONE;
+  if (head.kind == KIND_ASK)
     take_ask_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_ANSWER)
     take_answer_ (mesh, &xdr, &head);
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -13,7 +13,7 @@
   HEAD_LINES_MAX = 128,     /* far above what any message of the field carries */
   HELD_MAX_BYTES = 65536,   /* a pipelined request that waits for the one before it */
   LINGER_MS = 1000,         /* a round trip over any link, several times */
-  KEEPALIVE_IDLE_S = 1,     /* silence is found in about 3 s, the time after which rules hold again */
+  KEEPALIVE_IDLE_S = 1, /* silence is found in about 3 s, the time after which rules hold again */
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_PROBES = 2,
   UNACKNOWLEDGED_MAX_MS = 3000 /* the same for bytes that are on their way */
@@ -46,8 +46,8 @@
   size_t queued_bytes;
   unsigned open_requests; /* of libuv, on this handle */
   unsigned open_handles;
-  GByteArray *input;   /* bytes not parsed yet */
-  size_t scanned;      /* of input, without an end of head */
+  GByteArray *input; /* bytes not parsed yet */
+  size_t scanned;    /* of input, without an end of head */
   struct net_http_head head;
   http_parser parser;
   uv_connect_t connect_request;
@@ -501,8 +501,8 @@
             break;
           continue;
         }
-      used = http_parser_execute (&conn->parser, &parser_settings_,
-                                  (const char *)conn->input->data, conn->input->len);
+      used = http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data,
+                                  conn->input->len);
       if (conn->state != CONN_OPEN)
         break;
       if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -144,7 +144,8 @@
 server_ (void)
 {
   struct record_ *record = record_new_ (true);
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int length = sizeof address;
 
   uv_tcp_init (&record->loop, &record->listener);
@@ -162,7 +163,8 @@
 client_ (void)
 {
   struct record_ *record = record_new_ (false);
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t length = sizeof address;
   int listener = socket (AF_INET, SOCK_STREAM, 0);
 
@@ -244,10 +246,13 @@
 static void
 what_two_readers_could_part_differently_is_refused (void **state)
 {
+  /* clang-format off: one message a line */
   const char *const texts[] = {
     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n0\r\n\r\n",
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+    "3\r\n\r\n0\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n",
     "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n folded\r\n\r\n",
@@ -256,6 +261,7 @@
     "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
     "nonsense\r\n\r\n",
   };
+  /* clang-format on */
 
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     {
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -7,7 +7,8 @@
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 400,  /* a fifth of the time in which a change must be in force */
   LOOK_DELAY_MS = 300, /* in which the own watch is likely to show what others have seen */
-  RETURN_WAIT_MS = 20  /* of the first watch after a failure: its answer tells that the store is back */
+  RETURN_WAIT_MS
+  = 20 /* of the first watch after a failure: its answer tells that the store is back */
 };
 
 struct watcher
@@ -65,8 +66,8 @@
   watcher->options.wait_ms = wait_ms;
 }
 
-/* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more beside
- * it. */
+/* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more
+ * beside it. */
 void
 watcher_look_after (struct watcher *watcher, int64_t revision)
 {
@@ -104,8 +105,8 @@
     store_list (options->store, options->kind, on_listed_, watcher);
   else
     store_watch (options->store, options->kind, watcher->revision,
-                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : options->wait_ms, on_changed_,
-                 watcher);
+                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : options->wait_ms,
+                 on_changed_, watcher);
 }
 
 static void
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -83,7 +83,11 @@
       g_ptr_array_add (arguments, g_strdup_printf ("%s/%s.ini", fleet->directory, name));
       fleet->instances[i] = harness_process_new (fleet->directory, name, arguments);
       if (!write_settings_ (fleet, i) || !site_fleet_start_instance (fleet, i))
-        return NULL;
+        {
+          fprintf (stderr, "instance %u did not start\n", i);
+          site_fleet_stop (fleet);
+          return NULL;
+        }
     }
   for (unsigned i = 1; i <= options->instances; i++)
     if (!site_fleet_wait_ready (fleet, i, READY_LIMIT_MS))
@@ -146,8 +150,8 @@
   return status;
 }
 
-/* Puts a configuration in force with the next version: PREPAID tokens for the team, and a route more
- * when WITH_EXTRA_ROUTE is set. */
+/* Puts a configuration in force with the next version: PREPAID tokens for the team, and a route
+ * more when WITH_EXTRA_ROUTE is set. */
 bool
 site_fleet_configure (struct site_fleet *fleet, int64_t prepaid, bool with_extra_route)
 {
@@ -204,9 +208,8 @@
 bool
 site_fleet_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms)
 {
-  g_autofree char *path
-      = g_strdup_printf ("/control/rule?from=*&to=127.0.6.%u&mode=%s&delay_ms=%d",
-                         PROXIED + instance, mode, delay_ms);
+  g_autofree char *path = g_strdup_printf ("/control/rule?from=*&to=127.0.6.%u&mode=%s&delay_ms=%d",
+                                           PROXIED + instance, mode, delay_ms);
 
   return harness_post (site_address_, fleet->options.port_base + PROXY_CONTROL, path);
 }
@@ -230,9 +233,9 @@
 site_ask (struct site_fleet *fleet, const struct site_request *request)
 {
   g_autofree char *address = site_instance_address (request->instance);
-  g_autofree char *counts = g_strdup_printf ("%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT,
-                                             (gint64)request->input_tokens,
-                                             (gint64)request->output_tokens);
+  g_autofree char *counts
+      = g_strdup_printf ("%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT, (gint64)request->input_tokens,
+                         (gint64)request->output_tokens);
   g_autofree char *parts
       = g_strdup_printf ("5c1e:%" G_GINT64_FORMAT, (gint64)request->input_tokens);
   g_autofree char *deadline = g_strdup_printf (
@@ -297,13 +300,12 @@
 
   g_ptr_array_add (arguments, g_strdup_printf ("%s/standin-proxy", build));
   g_ptr_array_add (arguments, g_strdup_printf ("--control-address=%s", site_address_));
-  g_ptr_array_add (arguments, g_strdup_printf ("--control-port=%u",
-                                               fleet->options.port_base + PROXY_CONTROL));
+  g_ptr_array_add (arguments,
+                   g_strdup_printf ("--control-port=%u", fleet->options.port_base + PROXY_CONTROL));
   for (unsigned i = 1; i <= fleet->options.instances; i++)
-    g_ptr_array_add (arguments,
-                     g_strdup_printf ("--link=127.0.6.%u:%u=%s:%u", PROXIED + i,
-                                      fleet->options.port_base, site_address_,
-                                      fleet->options.port_base));
+    g_ptr_array_add (arguments, g_strdup_printf ("--link=127.0.6.%u:%u=%s:%u", PROXIED + i,
+                                                 fleet->options.port_base, site_address_,
+                                                 fleet->options.port_base));
   fleet->proxy = harness_process_new (fleet->directory, "proxy", arguments);
   return harness_process_start (fleet->proxy)
          && harness_process_wait_ready (fleet->proxy, READY_LIMIT_MS);
@@ -322,7 +324,8 @@
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
       "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
-      instance, address, address, base + ENTRY, address, base + READY, base + PEERS, store, base, fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+      instance, address, address, base + ENTRY, address, base + READY, base + PEERS, store, base,
+      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
 
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -50,7 +50,7 @@
 struct site_request
 {
   unsigned instance;
-  const char *path;      /* /stream/, /once/ or /safe/ and more */
+  const char *path; /* /stream/, /once/ or /safe/ and more */
   const char *id;
   int64_t input_tokens;  /* streams */
   int64_t output_tokens; /* streams: a multiple of what an event holds */
--- a/testing/process/test-gateway-log.c
+++ b/testing/process/test-gateway-log.c
@@ -76,8 +76,7 @@
 {
   g_autofree char *address = site_instance_address (1);
   const char request[] = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
-  struct raw_reply *reply
-      = raw_http_call (address, PORT_BASE + 20, request, strlen (request), 5);
+  struct raw_reply *reply = raw_http_call (address, PORT_BASE + 20, request, strlen (request), 5);
   g_autofree char *wanted = g_strdup_printf ("\n%s ", name);
   const char *found = strstr (reply->body->str, wanted);
   int64_t value = found == NULL ? -1 : g_ascii_strtoll (found + strlen (wanted), NULL, 10);
@@ -89,8 +88,9 @@
 static void
 a_refusal_for_the_budget_in_a_cut_is_explained (void **state)
 {
-  const struct site_request large
-      = { .instance = 1, .path = "/stream/a", .id = "cut-1", .input_tokens = 3000, .output_tokens = 600 };
+  const struct site_request large = {
+    .instance = 1, .path = "/stream/a", .id = "cut-1", .input_tokens = 3000, .output_tokens = 600
+  };
   int64_t refused = metric_ ("sapphirerun_requests_refused_total");
   struct site_answer answer;
   json_t *line;
@@ -121,8 +121,9 @@
 static void
 a_stream_that_was_cut_is_explained (void **state)
 {
-  const struct site_request request
-      = { .instance = 1, .path = "/stream/a", .id = "cut-2", .input_tokens = 100, .output_tokens = 120 };
+  const struct site_request request = {
+    .instance = 1, .path = "/stream/a", .id = "cut-2", .input_tokens = 100, .output_tokens = 120
+  };
   json_t *line;
 
   assert_true (site_fleet_control (fleet, "/backend?index=0&mode=cut"));
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -1,5 +1,6 @@
-/* Gateways as real processes before the stand-in of the users' platform: answers, refusals, budgets,
- * configuration and stops, with faults of the store, of backend servers and of the instances. */
+/* Gateways as real processes before the stand-in of the users' platform: answers, refusals,
+ * budgets, configuration and stops, with faults of the store, of backend servers and of the
+ * instances. */
 #include "testing/harness/harness.h"
 #include "testing/harness/raw-http.h"
 #include "testing/harness/site.h"
@@ -122,8 +123,7 @@
   for (unsigned i = 0; i < 60; i++)
     {
       g_autofree char *id = next_id_ ();
-      struct site_answer answer
-          = ask_ (1 + i % INSTANCES, paths[i % 4], i % 4 < 2 ? 60 : 0, id);
+      struct site_answer answer = ask_ (1 + i % INSTANCES, paths[i % 4], i % 4 < 2 ? 60 : 0, id);
 
       assert_int_equal (answer.verdict, SITE_ANSWERED);
       assert_int_equal (runs_ (id), 1);
@@ -147,9 +147,12 @@
   } cases[] = {
     { "/safe/a", "Host: site.test\r\nX-Request-Id: r1\r\n", "b", 401 },
     { "/safe/a", "Host: site.test\r\nX-Request-Id: r2\r\nAuthorization: Token no\r\n", "b", 401 },
-    { "/none/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", "b", 404 },
-    { "/safe/a", "Host: other.test\r\nX-Request-Id: r4\r\nAuthorization: Token key-1\r\n", "b", 404 },
-    { "/safe/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", large, 413 },
+    { "/none/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", "b",
+      404 },
+    { "/safe/a", "Host: other.test\r\nX-Request-Id: r4\r\nAuthorization: Token key-1\r\n", "b",
+      404 },
+    { "/safe/a", "Host: site.test\r\nX-Request-Id: r3\r\nAuthorization: Token key-1\r\n", large,
+      413 },
     { "/safe/a", "Host: site.test\r\nHost: site.test\r\nX-Request-Id: r1\r\n", "b", 400 },
     { "/safe/a", "Host: site.test\r\nX-Request-Id: r1\r\n folded: x\r\n", "b", 400 },
   };
@@ -159,8 +162,7 @@
       g_autofree char *bytes
           = g_strdup_printf ("POST %s HTTP/1.1\r\n%sContent-Length: %zu\r\n\r\n%s", cases[i].path,
                              cases[i].headers, strlen (cases[i].body), cases[i].body);
-      struct raw_reply *reply
-          = raw_http_call (address, PORT_BASE + 18, bytes, strlen (bytes), 10);
+      struct raw_reply *reply = raw_http_call (address, PORT_BASE + 18, bytes, strlen (bytes), 10);
 
       assert_int_equal (reply->status, cases[i].status);
       raw_reply_free (reply);
@@ -168,8 +170,8 @@
   assert_int_equal (runs_ ("r1") + runs_ ("r2") + runs_ ("r3") + runs_ ("r4"), 0);
 }
 
-/* Whatever a backend server does with an order: it runs once at most, and a refusal that says it has
- * not run is true. */
+/* Whatever a backend server does with an order: it runs once at most, and a refusal that says it
+ * has not run is true. */
 static void
 an_order_runs_once_at_most (void **state)
 {
@@ -337,9 +339,9 @@
       assert_int_equal (ask_ (1 + ids % INSTANCES, "/stream/a", 6, id).verdict, SITE_ANSWERED);
     }
   counts = site_fleet_counts (fleet);
-  assert_true (json_integer_value (
-                   json_array_get (json_object_get (counts, "latest_after_leaving_ms"), 0))
-               <= IN_FORCE_MAX_MS);
+  assert_true (
+      json_integer_value (json_array_get (json_object_get (counts, "latest_after_leaving_ms"), 0))
+      <= IN_FORCE_MAX_MS);
   json_decref (counts);
 }
 
@@ -360,8 +362,7 @@
   for (unsigned i = 0; i < caller->requests; i++)
     {
       g_autofree char *id = g_strdup_printf ("%s-%u", caller->name, i);
-      struct site_answer answer
-          = ask_ (caller->instance, "/stream/a", caller->output_tokens, id);
+      struct site_answer answer = ask_ (caller->instance, "/stream/a", caller->output_tokens, id);
 
       caller->verdicts[answer.verdict]++;
     }
@@ -456,10 +457,9 @@
   for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
     {
       names[i] = g_strdup_printf ("spend-%u", i);
-      callers[i] = (struct caller_){ .instance = 1 + i % INSTANCES,
-                                     .requests = 40,
-                                     .output_tokens = 1800,
-                                     .name = names[i] };
+      callers[i] = (struct caller_){
+        .instance = 1 + i % INSTANCES, .requests = 40, .output_tokens = 1800, .name = names[i]
+      };
       threads[i] = g_thread_new ("caller", call_often_, &callers[i]);
     }
   g_usleep (G_USEC_PER_SEC);
--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -1,5 +1,5 @@
-/* Fault soak: real gateways before the stand-in of the users' platform, with faults by a seed, while
- * callers go on asking. What callers and backend servers see is held against the promises:
+/* Fault soak: real gateways before the stand-in of the users' platform, with faults by a seed,
+ * while callers go on asking. What callers and backend servers see is held against the promises:
  *
  * - a whole answer is the caller's own;
  * - what is refused as not run has not run, and does not run later;
@@ -82,12 +82,18 @@
 static void reload_ (struct run_ *run);
 
 static const struct fault_ faults_[] = {
-  { "kill", kill_instance_ },           { "stop", stop_instance_ },
-  { "pause", pause_instance_ },         { "resume", resume_instance_ },
-  { "store", disturb_store_ },          { "way", disturb_way_ },
-  { "mend_ways", mend_ways_ },          { "backend", disturb_backend_ },
-  { "mend_backends", mend_backends_ },  { "drain", drain_backend_ },
-  { "configure", change_configuration_ }, { "reload", reload_ },
+  { "kill", kill_instance_ },
+  { "stop", stop_instance_ },
+  { "pause", pause_instance_ },
+  { "resume", resume_instance_ },
+  { "store", disturb_store_ },
+  { "way", disturb_way_ },
+  { "mend_ways", mend_ways_ },
+  { "backend", disturb_backend_ },
+  { "mend_backends", mend_backends_ },
+  { "drain", drain_backend_ },
+  { "configure", change_configuration_ },
+  { "reload", reload_ },
 };
 
 static void
@@ -326,8 +332,7 @@
           g_usleep (50000);
         }
       if (verdict != SITE_ANSWERED)
-        broken_ (run, "once all is mended, every instance answers",
-                 run->fleet->instances[i]->name);
+        broken_ (run, "once all is mended, every instance answers", run->fleet->instances[i]->name);
     }
 }
 
