--- /dev/null
+++ b/src/allotment/book-private.h
@@ -0,0 +1,115 @@
+/* What the parts of a book share: its teams, what waits in them, and the steps between them. */
+#pragma once
+
+#include "allotment/allotment.h"
+#include "allotment/demand.h"
+
+enum allotment_store_step
+{
+  STEP_IDLE,
+  STEP_READING,
+  STEP_WRITING
+};
+
+/* What the store may still give to who waits here. */
+enum allotment_supply
+{
+  SUPPLY_MAY_COME,
+  SUPPLY_OUT_OF_REACH,
+  SUPPLY_EMPTY /* nothing is left on the record */
+};
+
+struct allotment_peer
+{
+  char *name;
+  int64_t suspect_until_us;
+  unsigned failures; /* in a row */
+};
+
+struct allotment_waiter
+{
+  int64_t tokens;
+  int64_t since_us;
+  allotment_callback done;
+  void *data;
+};
+
+/* An ask of another instance that waits for a draw. */
+struct allotment_pending_ask
+{
+  uint64_t handle;
+  int64_t since_us;
+  uint32_t number;
+  char borrower[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t borrower_incarnation;
+  struct sr_holder_id lender;
+  int64_t returned;
+  int64_t need;
+  int64_t want;
+  int64_t missing; /* what has to be drawn before it can be met */
+};
+
+struct allotment_team
+{
+  char *name;
+  int64_t prepaid_tokens;
+  struct sr_ledger *ledger;
+  struct allotment_demand demand;
+  GQueue waiters; /* struct allotment_waiter */
+  GQueue asks;    /* struct allotment_pending_ask */
+  /* The store. */
+  enum allotment_store_step step;
+  int64_t step_us;          /* when it began */
+  struct sr_record *record; /* as last read or written; NULL: not known */
+  int64_t revision;         /* of record; 0: there is none yet */
+  int64_t record_us;
+  struct sr_record *edited; /* being written */
+  int64_t retry_us;
+  bool store_is_down;
+  /* Borrowing. */
+  bool asking;
+  uint32_t number;
+  unsigned tries;
+  int64_t asked_us;
+  char asked[SR_BUDGET_NAME_MAX_BYTES];
+  struct sr_holder_id asked_lender;
+  int64_t asked_returned;
+  int64_t asked_need;
+  int64_t asked_want;
+  GHashTable *dry; /* name of an instance that could get nothing: until when (int64_t) */
+};
+
+struct allotment_book
+{
+  struct allotment_book_options options;
+  GHashTable *teams;          /* name: struct allotment_team */
+  GPtrArray *peers;           /* struct allotment_peer, not this instance */
+  int64_t peers_since_us;     /* when they were first known; 0: not yet */
+  int64_t store_out_until_us; /* it could not be reached by any team's call; 0: it answers */
+  bool leaving;               /* others are the homes from now on */
+  bool stopping;
+};
+
+void allotment_pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+void
+allotment_return_idle_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+int64_t allotment_left_at_most_ (const struct allotment_team *team);
+void allotment_store_failed_ (struct allotment_book *book,
+                              struct allotment_team *team,
+                              enum store_status status,
+                              int64_t now_us);
+struct allotment_peer *allotment_peer_find_ (const struct allotment_book *book, const char *name);
+void allotment_send_ask_ (struct allotment_book *book, struct allotment_team *team);
+void allotment_serve_waiters_ (struct allotment_team *team, int64_t now_us);
+void
+allotment_serve_asks_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+void allotment_refuse_waiters_ (struct allotment_team *team, int64_t left_at_most, int64_t now_us);
+void
+allotment_refuse_late_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+void allotment_answer_asks_ (struct allotment_book *book,
+                             struct allotment_team *team,
+                             enum allotment_supply supply,
+                             int64_t now_us);
+int64_t allotment_needed_by_waiters_ (const struct allotment_team *team);
+int64_t allotment_needed_by_asks_ (struct allotment_team *team);
+const struct allotment_link_vtable *allotment_link_ (const struct allotment_book *book);
--- /dev/null
+++ b/src/allotment/demand.c
@@ -0,0 +1,34 @@
+#include "allotment/demand.h"
+
+#include <glib.h>
+#include <math.h>
+
+enum
+{
+  DEMAND_TIME_US = 8000000,  /* over which demand is averaged: a burst is covered while it lasts */
+  DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
+};
+
+void
+allotment_demand_count_ (struct allotment_demand *demand, int64_t tokens, int64_t now_us)
+{
+  if (demand->first_us == 0)
+    demand->first_us = demand->at_us = now_us;
+  demand->per_us *= exp (-(double)(now_us - demand->at_us) / DEMAND_TIME_US);
+  demand->per_us = MAX (demand->per_us + (double)tokens / DEMAND_TIME_US, 0);
+  demand->at_us = now_us;
+}
+
+/* Returns the tokens that DEMAND asks for in SPAN_US. Soon after its first token the average has
+ * seen only a part of its time. */
+int64_t
+allotment_demand_in_ (struct allotment_demand *demand, int64_t span_us, int64_t now_us)
+{
+  double seen;
+
+  if (demand->first_us == 0)
+    return 0;
+  allotment_demand_count_ (demand, 0, now_us);
+  seen = 1 - exp (-(double)MAX (now_us - demand->first_us, DEMAND_LEAST_US) / DEMAND_TIME_US);
+  return (int64_t)(demand->per_us / seen * (double)span_us);
+}
--- /dev/null
+++ b/src/allotment/supply.c
@@ -0,0 +1,453 @@
+#include "allotment/book-private.h"
+
+#include "base/event-log.h"
+#include "base/rendezvous.h"
+
+#include <string.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
+  LEFT_DIVISOR = 4,         /* of what is left of a scarce budget: what a crash may lose of it */
+  FIRST_SHARE_DIVISOR = 5,  /* of an untouched budget: demand of ten seconds of a short day */
+  FLOOR_DIVISOR = 40,       /* of any budget, until demand is known: the largest of requests */
+  LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
+  FIRST_DRAW_DELAY_US = 1500000,   /* all instances have announced themselves by then */
+  STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
+  STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long */
+  STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
+  STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
+  FRESH_US = 150 * US_PER_MS,            /* a record read this long ago still tells what remains */
+};
+
+/* Where tokens come from. */
+enum source_
+{
+  SOURCE_NONE,
+  SOURCE_STORE,
+  SOURCE_PEER
+};
+
+static bool store_is_out_ (const struct allotment_book *book,
+                           const struct allotment_team *team,
+                           int64_t now_us);
+static void
+fetch_ (struct allotment_book *book, struct allotment_team *team, int64_t need, int64_t now_us);
+static enum source_ source_ (struct allotment_book *book,
+                             struct allotment_team *team,
+                             bool down,
+                             struct allotment_peer **peer,
+                             int64_t now_us);
+static struct allotment_peer *
+home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us);
+static int64_t
+home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+static void draw_ (struct allotment_book *book,
+                   struct allotment_team *team,
+                   int64_t need,
+                   int64_t want,
+                   int64_t now_us);
+static void read_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+static void write_ (struct allotment_book *book,
+                    struct allotment_team *team,
+                    struct sr_record *record,
+                    int64_t now_us);
+static struct sr_record *edit_record_ (struct allotment_book *book, struct allotment_team *team);
+static void borrow_ (struct allotment_book *book,
+                     struct allotment_team *team,
+                     struct allotment_peer *home,
+                     int64_t need,
+                     int64_t now_us);
+static struct sr_source *any_open_loan_ (const struct allotment_team *team);
+
+/* Serves what can be served and fetches what is missing, from the home or from the store. */
+void
+allotment_pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  struct allotment_peer *home = home_ (book, team, now_us);
+  int64_t need;
+
+  allotment_serve_waiters_ (team, now_us);
+  allotment_serve_asks_ (book, team, now_us);
+  if (book->stopping)
+    {
+      allotment_refuse_waiters_ (team, INT64_MAX, now_us);
+      return;
+    }
+  need = allotment_needed_by_waiters_ (team) + allotment_needed_by_asks_ (team)
+         - sr_ledger_available (team->ledger);
+  if (home == NULL || (need > 0 && !g_queue_is_empty (&team->asks)))
+    {
+      /* Asks are met from the store; who asks knows others to turn to. */
+      int64_t target = home == NULL ? home_target_ (book, team, now_us) : 0;
+      int64_t available = sr_ledger_available (team->ledger);
+
+      if (need > 0 || available < target * 7 / 8)
+        draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
+    }
+  need = allotment_needed_by_waiters_ (team) - sr_ledger_available (team->ledger);
+  if (need > 0 && !g_queue_is_empty (&team->waiters))
+    fetch_ (book, team, need, now_us);
+  allotment_refuse_late_ (book, team, now_us);
+}
+
+/* Returns loans that nobody needs to their lender, and an own allotment to the store when this is
+ * not the home, or far more than the demand, or the instance stops. */
+void
+allotment_return_idle_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  bool is_home = home_ (book, team, now_us) == NULL;
+  bool idle = book->stopping || sr_ledger_is_idle (team->ledger, now_us);
+  struct sr_source *loan = any_open_loan_ (team);
+  int64_t keep;
+  struct sr_record *record;
+
+  if (loan != NULL && idle && !team->asking && sr_source_available (loan) > 0)
+    {
+      struct sr_holder_id lender = loan->id;
+
+      team->asking = true;
+      team->tries = 0;
+      team->number++;
+      g_strlcpy (team->asked, lender.instance, sizeof team->asked);
+      team->asked_lender = lender;
+      team->asked_returned = sr_ledger_return_loan (team->ledger, &lender, 0);
+      team->asked_need = 0;
+      team->asked_want = 0;
+      team->asked_us = now_us;
+      allotment_send_ask_ (book, team);
+    }
+  if (team->ledger->own == NULL || team->record == NULL || team->step != STEP_IDLE
+      || now_us < team->retry_us)
+    return;
+  if (!is_home && !book->leaving && !idle)
+    return;
+  keep = is_home && !book->stopping ? home_target_ (book, team, now_us) : 0;
+  if (!book->stopping
+      && sr_source_available (team->ledger->own)
+             <= keep * 3 / 2 + MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1))
+    return;
+  record = edit_record_ (book, team);
+  if (sr_ledger_give_back (team->ledger, record, team->revision, keep, book->stopping))
+    write_ (book, team, record, now_us);
+  else
+    sr_record_delete (record);
+}
+
+/* Returns what can at most be left of the budget: what is paid for, less what holders said they
+ * have spent. */
+int64_t
+allotment_left_at_most_ (const struct allotment_team *team)
+{
+  const struct sr_record *record = team->record;
+  /* Of what was written off nobody knows whether it was spent. */
+  int64_t left
+      = MAX (record->prepaid, team->prepaid_tokens) - record->settled + record->written_off;
+
+  for (unsigned i = 0; i < record->holders->len; i++)
+    left -= g_array_index (record->holders, struct sr_record_holder, i).spent;
+  return left;
+}
+
+void
+allotment_store_failed_ (struct allotment_book *book,
+                         struct allotment_team *team,
+                         enum store_status status,
+                         int64_t now_us)
+{
+  team->retry_us = now_us + (status == STORE_UNKNOWN ? STORE_RETRY_US : STORE_DOWN_RETRY_US);
+  team->store_is_down = true;
+  if (status == STORE_UNKNOWN || status == STORE_UNREACHABLE)
+    book->store_out_until_us = now_us + STORE_OUT_US;
+  sr_event (SR_EVENT_FAILURE, "allotment_store_failed", "{s:s,s:s,s:I}", "team", team->name,
+            "status", store_status_to_string (status), "available",
+            (json_int_t)sr_ledger_available (team->ledger));
+  allotment_answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
+}
+
+/* Tells whether the store is not to be counted on now. */
+static bool
+store_is_out_ (const struct allotment_book *book, const struct allotment_team *team, int64_t now_us)
+{
+  return now_us < book->store_out_until_us || (team->store_is_down && now_us < team->retry_us)
+         || (team->step != STEP_IDLE && now_us - team->step_us > STORE_LATE_US);
+}
+
+struct allotment_peer *
+allotment_peer_find_ (const struct allotment_book *book, const char *name)
+{
+  for (unsigned i = 0; i < book->peers->len; i++)
+    if (strcmp (((struct allotment_peer *)book->peers->pdata[i])->name, name) == 0)
+      return book->peers->pdata[i];
+  return NULL;
+}
+
+/* Fetches NEED tokens for requests that wait: from the first instance in the order of homes that
+ * can be expected to have or get them. */
+static void
+fetch_ (struct allotment_book *book, struct allotment_team *team, int64_t need, int64_t now_us)
+{
+  struct allotment_peer *peer = NULL;
+  bool down = store_is_out_ (book, team, now_us);
+
+  if (team->asking || (team->step != STEP_IDLE && !down))
+    return;
+  switch (source_ (book, team, down, &peer, now_us))
+    {
+    case SOURCE_STORE:
+      draw_ (book, team, need, 0, now_us);
+      return;
+    case SOURCE_PEER:
+      borrow_ (book, team, peer, need, now_us);
+      return;
+    case SOURCE_NONE:
+      allotment_refuse_waiters_ (team, INT64_MAX, now_us);
+      return;
+    }
+}
+
+/* Chooses where tokens of TEAM come from, in the order of rendezvous hashing. Passed over are
+ * instances that do not answer or had nothing a moment ago, and this one while the store is DOWN.
+ */
+static enum source_
+source_ (struct allotment_book *book,
+         struct allotment_team *team,
+         bool down,
+         struct allotment_peer **peer,
+         int64_t now_us)
+{
+  size_t length = strlen (team->name);
+  uint64_t own
+      = book->leaving ? 0 : sr_rendezvous_weight (team->name, length, book->options.instance);
+  enum source_ source = down ? SOURCE_NONE : SOURCE_STORE;
+  uint64_t best = down ? 0 : own;
+
+  for (unsigned i = 0; i < book->peers->len; i++)
+    {
+      struct allotment_peer *each = book->peers->pdata[i];
+      const int64_t *dry_until_us = g_hash_table_lookup (team->dry, each->name);
+      uint64_t weight;
+
+      if (each->suspect_until_us > now_us || (dry_until_us != NULL && *dry_until_us > now_us))
+        continue;
+      weight = sr_rendezvous_weight (team->name, length, each->name);
+      if (weight < best)
+        continue;
+      best = weight;
+      *peer = each;
+      source = SOURCE_PEER;
+    }
+  return source;
+}
+
+/* Returns the instance that holds the allotment of TEAM, or NULL when it is this one. Instances
+ * that did not answer lately are passed over. */
+static struct allotment_peer *
+home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us)
+{
+  size_t length = strlen (team->name);
+  uint64_t best
+      = book->leaving ? 0 : sr_rendezvous_weight (team->name, length, book->options.instance);
+  struct allotment_peer *home = NULL;
+
+  for (unsigned i = 0; i < book->peers->len; i++)
+    {
+      struct allotment_peer *peer = book->peers->pdata[i];
+      uint64_t weight;
+
+      if (peer->suspect_until_us > now_us)
+        continue;
+      weight = sr_rendezvous_weight (team->name, length, peer->name);
+      if (weight > best)
+        {
+          best = weight;
+          home = peer;
+        }
+    }
+  return home;
+}
+
+/* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of
+ * a cut. When all instances crash, what is held is lost. That is not missed while more is left than
+ * was spent; of a scarcer budget only a part is held, since a request that is refused in a cut
+ * leaves its tokens to a later one, and a crash does not. */
+static int64_t
+home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  int64_t target = allotment_demand_in_ (&team->demand, HOME_COVER_US, now_us);
+  const struct sr_record *record = team->record;
+  bool untouched = record == NULL || (record->holders->len == 0 && record->settled == 0);
+  int64_t left;
+
+  if (book->peers_since_us == 0 || now_us - book->peers_since_us < FIRST_DRAW_DELAY_US)
+    return 0;
+  target = MAX (target, team->prepaid_tokens / (untouched ? FIRST_SHARE_DIVISOR : FLOOR_DIVISOR));
+  if (record == NULL)
+    return target;
+  left = sr_ledger_available (team->ledger) + MAX (sr_record_remaining (record), 0)
+         + MAX (team->prepaid_tokens - record->prepaid, 0);
+  return MIN (target, MAX (left / LEFT_DIVISOR, 2 * left - team->prepaid_tokens));
+}
+
+/* Draws NEED and up to WANT more tokens from the store, unless a call is out or the store was down
+ * a moment ago. */
+static void
+draw_ (struct allotment_book *book,
+       struct allotment_team *team,
+       int64_t need,
+       int64_t want,
+       int64_t now_us)
+{
+  struct sr_record *record;
+  int64_t before;
+  int64_t after;
+
+  if (store_is_out_ (book, team, now_us))
+    allotment_answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
+  if (team->step != STEP_IDLE || now_us < team->retry_us || now_us < book->store_out_until_us)
+    return;
+  if (team->record == NULL)
+    {
+      read_ (book, team, now_us);
+      return;
+    }
+  record = edit_record_ (book, team);
+  before = sr_record_outstanding (record);
+  if (sr_record_remaining (record) <= 0
+      || (need == 0
+          && MIN (want, sr_record_remaining (record))
+                 < MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1)))
+    {
+      sr_record_delete (record);
+      if (need == 0)
+        return;
+      if (now_us - team->record_us > FRESH_US)
+        read_ (book, team, now_us);
+      else
+        {
+          allotment_answer_asks_ (book, team, SUPPLY_EMPTY, now_us);
+          allotment_refuse_waiters_ (team, allotment_left_at_most_ (team), now_us);
+        }
+      return;
+    }
+  if (need > sr_record_remaining (record) && now_us - team->record_us > FRESH_US)
+    {
+      sr_record_delete (record);
+      read_ (book, team, now_us);
+      return;
+    }
+  sr_ledger_draw (team->ledger, record, team->revision, need, want, NULL, 0);
+  after = sr_record_outstanding (record);
+  sr_event (SR_EVENT_INFO, "allotment_draw", "{s:s,s:I,s:I,s:I,s:I}", "team", team->name,
+            "revision", (json_int_t)team->revision, "need", (json_int_t)need, "want",
+            (json_int_t)want, "drawn", (json_int_t)(after - before));
+  write_ (book, team, record, now_us);
+}
+
+static void
+read_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  team->step = STEP_READING;
+  team->step_us = now_us;
+  allotment_link_ (book)->read (book->options.link, team->name);
+}
+
+static void
+write_ (struct allotment_book *book,
+        struct allotment_team *team,
+        struct sr_record *record,
+        int64_t now_us)
+{
+  if (record->written_off > team->record->written_off)
+    sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name, "tokens",
+              (json_int_t)(record->written_off - team->record->written_off));
+  team->step = STEP_WRITING;
+  team->step_us = now_us;
+  team->edited = record;
+  allotment_link_ (book)->write (book->options.link, team->name, sr_record_to_json (record),
+                                 team->revision);
+}
+
+/* Returns a copy of the record with what changes by itself: the total that was paid, and holders
+ * that are earlier starts of this instance. They are dead, and whatever they held may be spent. */
+static struct sr_record *
+edit_record_ (struct allotment_book *book, struct allotment_team *team)
+{
+  json_t *json = sr_record_to_json (team->record);
+  struct sr_record *record = sr_record_from_json (json);
+
+  json_decref (json);
+  g_assert (record != NULL);
+  record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
+  for (unsigned i = record->holders->len; i > 0; i--)
+    {
+      const struct sr_holder_id id
+          = g_array_index (record->holders, struct sr_record_holder, i - 1).id;
+
+      if (strcmp (id.instance, book->options.instance) == 0
+          && id.incarnation != book->options.incarnation)
+        {
+          sr_record_write_off (record, &id);
+        }
+    }
+  sr_ledger_close_left_over (team->ledger, record, book->stopping);
+  return record;
+}
+
+/* Asks HOME for NEED tokens more than are available here. Not for more: a home is a round trip
+ * away, and what lies elsewhere can't serve a large request. */
+static void
+borrow_ (struct allotment_book *book,
+         struct allotment_team *team,
+         struct allotment_peer *home,
+         int64_t need,
+         int64_t now_us)
+{
+  struct sr_source *loan = sr_ledger_loan_from (team->ledger, home->name);
+  int64_t lent = loan == NULL ? 0 : loan->granted;
+
+  team->asking = true;
+  team->tries = 0;
+  team->number++;
+  g_strlcpy (team->asked, home->name, sizeof team->asked);
+  memset (&team->asked_lender, 0, sizeof team->asked_lender);
+  if (loan != NULL)
+    team->asked_lender = loan->id;
+  team->asked_returned = loan == NULL ? 0 : loan->given;
+  team->asked_need = lent + need;
+  team->asked_want = lent + need;
+  team->asked_us = now_us;
+  allotment_send_ask_ (book, team);
+}
+
+void
+allotment_send_ask_ (struct allotment_book *book, struct allotment_team *team)
+{
+  const struct allotment_ask ask = {
+    .team = team->name,
+    .number = team->number,
+    .borrower = book->options.instance,
+    .borrower_incarnation = book->options.incarnation,
+    .lender = team->asked_lender,
+    .returned = team->asked_returned,
+    .need = team->asked_need,
+    .want = team->asked_want,
+  };
+
+  team->tries++;
+  allotment_link_ (book)->ask (book->options.link, team->asked, &ask);
+}
+
+static struct sr_source *
+any_open_loan_ (const struct allotment_team *team)
+{
+  for (unsigned i = 0; i < team->ledger->sources->len; i++)
+    {
+      struct sr_source *source = team->ledger->sources->pdata[i];
+
+      if (!source->own && source->open && sr_source_available (source) > 0)
+        return source;
+    }
+  return NULL;
+}
