--- /dev/null
+++ b/src/gateway/book-link.c
@@ -0,0 +1,146 @@
+#include "gateway/serve-private.h"
+
+enum
+{
+  WORK_LEAST_TOKENS = 3000, /* shorter prompts delay nobody for long */
+};
+
+#define KIND_BUDGETS "sapphirerun-budgets"
+
+/* One call for the record of a team. */
+struct record_call_
+{
+  struct gateway *gateway;
+  char *team;
+};
+
+static void on_record_read_ (const struct store_result *result, void *data);
+static void on_record_written_ (const struct store_result *result, void *data);
+
+void
+gateway_read_record_ (void *link, const char *team)
+{
+  struct gateway *gateway = link;
+  struct record_call_ *call = g_new0 (struct record_call_, 1);
+
+  call->gateway = gateway;
+  call->team = g_strdup (team);
+  store_read (gateway->store, KIND_BUDGETS, team, on_record_read_, call);
+}
+
+void
+gateway_write_record_ (void *link, const char *team, json_t *content, int64_t expected_revision)
+{
+  struct gateway *gateway = link;
+  struct record_call_ *call = g_new0 (struct record_call_, 1);
+
+  call->gateway = gateway;
+  call->team = g_strdup (team);
+  store_write (gateway->store, KIND_BUDGETS, team, content, expected_revision, on_record_written_,
+               call);
+  json_decref (content);
+}
+
+static void
+on_record_read_ (const struct store_result *result, void *data)
+{
+  struct record_call_ *call = data;
+
+  allotment_book_read_done (call->gateway->context.book, call->team, result->status,
+                            result->n_objects > 0 ? result->objects[0].content : NULL,
+                            result->n_objects > 0 ? result->objects[0].revision : 0,
+                            g_get_monotonic_time ());
+  g_free (call->team);
+  g_free (call);
+}
+
+static void
+on_record_written_ (const struct store_result *result, void *data)
+{
+  struct record_call_ *call = data;
+
+  allotment_book_write_done (call->gateway->context.book, call->team, result->status,
+                             result->n_objects > 0 ? result->objects[0].content : NULL,
+                             result->n_objects > 0 ? result->objects[0].revision : 0,
+                             g_get_monotonic_time ());
+  g_free (call->team);
+  g_free (call);
+}
+
+void
+gateway_send_ask_ (void *link, const char *peer, const struct allotment_ask *ask)
+{
+  struct gateway *gateway = link;
+
+  mesh_send_ask (gateway->mesh, peer, ask);
+}
+
+void
+gateway_send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer)
+{
+  struct gateway *gateway = link;
+
+  mesh_send_answer (gateway->mesh, handle, answer);
+}
+
+void
+gateway_on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data)
+{
+  struct gateway *gateway = data;
+
+  if (gateway->context.book != NULL)
+    allotment_book_asked (gateway->context.book, handle, ask, g_get_monotonic_time ());
+}
+
+void
+gateway_on_answered_ (const char *peer, const struct allotment_answer *answer, void *data)
+{
+  struct gateway *gateway = data;
+
+  if (gateway->context.book != NULL)
+    allotment_book_answered (gateway->context.book, peer, answer, g_get_monotonic_time ());
+}
+
+void
+gateway_on_book_timer_ (uv_timer_t *timer)
+{
+  struct gateway *gateway = timer->data;
+  int64_t now_us = g_get_monotonic_time ();
+  int64_t due_us = allotment_book_tick (gateway->context.book, now_us);
+
+  uv_timer_start (timer, gateway_on_book_timer_,
+                  (uint64_t)((due_us - now_us) / GATEWAY_US_PER_MS + 1), 0);
+}
+
+/* Tells others where long prompts of this instance are being read, and once that they are. */
+void
+gateway_on_work_timer_ (uv_timer_t *timer)
+{
+  struct gateway *gateway = timer->data;
+  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
+  struct mesh_work work[MESH_WORK_MAX];
+  unsigned n_work = 0;
+
+  for (unsigned i = 0; i < all->len && n_work < MESH_WORK_MAX; i++)
+    {
+      int64_t unread = gw_place_unread (all->pdata[i]);
+
+      if (unread >= WORK_LEAST_TOKENS)
+        work[n_work++] = (struct mesh_work){ gw_place_key (all->pdata[i]), unread };
+    }
+  if (n_work > 0)
+    mesh_spread_work (gateway->mesh, work, n_work, gateway->context.random);
+}
+
+void
+gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data)
+{
+  struct gateway *gateway = data;
+  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
+  int64_t now_us = g_get_monotonic_time ();
+
+  for (unsigned i = 0; i < all->len; i++)
+    for (unsigned k = 0; k < n_work; k++)
+      if (gw_place_key (all->pdata[i]) == work[k].backend)
+        gw_place_others (all->pdata[i], peer, work[k].unread_tokens, now_us);
+}
--- /dev/null
+++ b/src/gateway/follow.c
@@ -0,0 +1,235 @@
+#include "gateway/serve-private.h"
+
+#include "base/event-log.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+enum
+{
+  LEASE_RETURN_MS = 2200, /* entries that lapsed in an outage are back two seconds after it */
+};
+
+static void put_backend_ (struct gateway *gateway, const struct store_object *object);
+static bool leases_doubtful_ (const struct gateway *gateway);
+static void on_lease_timer_ (uv_timer_t *timer);
+static void put_instance_ (struct gateway *gateway, const struct store_object *object);
+static void forget_instance_ (struct gateway *gateway, const char *name);
+static void peers_changed_ (struct gateway *gateway);
+static void spread_news_ (struct gateway *gateway);
+
+/* A list or a change of the kind that holds the configuration. A lower version is never taken. */
+void
+gateway_on_routes_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+  struct gw_context *context = &gateway->context;
+
+  for (size_t i = 0; i < result->n_objects; i++)
+    {
+      struct gw_routes *routes;
+      GHashTableIter iter;
+      void *value;
+
+      if (result->objects[i].deleted || !gateway->platform->is_configuration (&result->objects[i]))
+        continue;
+      routes = gateway->platform->decode_routes (&result->objects[i]);
+      if (routes == NULL)
+        continue;
+      if (context->routes != NULL && routes->version <= context->routes->version)
+        {
+          gw_routes_unref (routes);
+          continue;
+        }
+      gw_routes_unref (context->routes);
+      context->routes = routes;
+      spread_news_ (gateway);
+      sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i}", "version",
+                (json_int_t)routes->version, "revision", (json_int_t)result->objects[i].revision,
+                "routes", (int)routes->routes->len, "teams",
+                (int)g_hash_table_size (routes->teams));
+      g_hash_table_iter_init (&iter, routes->teams);
+      while (context->book != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const struct gw_team *team = value;
+
+          if (team->is_prepaid)
+            allotment_book_set_team (context->book, team->name->str, team->prepaid_tokens,
+                                     g_get_monotonic_time ());
+        }
+    }
+}
+
+void
+gateway_on_backends_listed_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+
+  gw_backends_begin_list (gateway->context.backends);
+  for (size_t i = 0; i < result->n_objects; i++)
+    put_backend_ (gateway, &result->objects[i]);
+  gw_backends_end_list (gateway->context.backends, leases_doubtful_ (gateway));
+  gateway->backends_listed = true;
+  spread_news_ (gateway);
+}
+
+void
+gateway_on_backends_changed_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+
+  spread_news_ (gateway);
+  for (size_t i = 0; i < result->n_objects; i++)
+    if (result->objects[i].deleted)
+      gw_backends_remove (gateway->context.backends, result->objects[i].name,
+                          leases_doubtful_ (gateway));
+    else
+      put_backend_ (gateway, &result->objects[i]);
+}
+
+static void
+put_backend_ (struct gateway *gateway, const struct store_object *object)
+{
+  struct gw_backend_facts facts;
+
+  if (gateway->platform->decode_backend (object, &facts))
+    gw_backends_put (gateway->context.backends, &facts);
+}
+
+void
+gateway_on_backends_reachable_ (bool reachable, void *data)
+{
+  struct gateway *gateway = data;
+
+  if (!reachable)
+    {
+      uv_timer_stop (&gateway->lease_timer);
+      return;
+    }
+  gateway->outage_ended_us = g_get_monotonic_time ();
+  if (gateway->context.book != NULL)
+    allotment_book_store_returned (gateway->context.book, gateway->outage_ended_us);
+  uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RETURN_MS, 0);
+}
+
+/* Tells whether entries may be missing only because the store was away. */
+static bool
+leases_doubtful_ (const struct gateway *gateway)
+{
+  return gateway->outage_ended_us != 0
+         && g_get_monotonic_time () - gateway->outage_ended_us
+                < LEASE_RETURN_MS * GATEWAY_US_PER_MS;
+}
+
+static void
+on_lease_timer_ (uv_timer_t *timer)
+{
+  struct gateway *gateway = timer->data;
+
+  gw_backends_drop_missing (gateway->context.backends);
+}
+
+void
+gateway_on_instances_listed_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+  g_autoptr (GPtrArray) known = mesh_peer_names (gateway->mesh);
+
+  for (unsigned k = 0; k < known->len; k++)
+    {
+      bool listed = false;
+
+      for (size_t i = 0; i < result->n_objects && !listed; i++)
+        listed = strcmp (result->objects[i].name, known->pdata[k]) == 0;
+      if (!listed)
+        forget_instance_ (gateway, known->pdata[k]);
+    }
+  for (size_t i = 0; i < result->n_objects; i++)
+    put_instance_ (gateway, &result->objects[i]);
+  peers_changed_ (gateway);
+}
+
+void
+gateway_on_instances_changed_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+
+  for (size_t i = 0; i < result->n_objects; i++)
+    if (result->objects[i].deleted)
+      forget_instance_ (gateway, result->objects[i].name);
+    else
+      put_instance_ (gateway, &result->objects[i]);
+  peers_changed_ (gateway);
+}
+
+static void
+put_instance_ (struct gateway *gateway, const struct store_object *object)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  const char *ip = json_string_value (json_object_get (object->content, "address"));
+  json_int_t port = json_integer_value (json_object_get (object->content, "peer_port"));
+
+  if (strcmp (object->name, gateway->settings->name->str) == 0)
+    return;
+  if (ip == NULL || inet_pton (AF_INET, ip, &address.sin_addr) != 1 || port < 1 || port > 65535)
+    {
+      sr_event (SR_EVENT_FAILURE, "object_not_readable", "{s:s,s:s}", "object", object->name,
+                "reason", "is no entry of an instance");
+      return;
+    }
+  address.sin_port = htons ((uint16_t)port);
+  mesh_set_peer (gateway->mesh, object->name, &address);
+  if (json_is_true (json_object_get (object->content, "leaving")))
+    g_hash_table_add (gateway->leaving, g_strdup (object->name));
+  else
+    {
+      g_hash_table_remove (gateway->leaving, object->name);
+      allotment_book_peer_started (gateway->context.book, object->name);
+    }
+}
+
+static void
+forget_instance_ (struct gateway *gateway, const char *name)
+{
+  g_hash_table_remove (gateway->leaving, name);
+  mesh_remove_peer (gateway->mesh, name);
+}
+
+static void
+peers_changed_ (struct gateway *gateway)
+{
+  g_autoptr (GPtrArray) names = mesh_peer_names (gateway->mesh);
+  unsigned wait_ms;
+
+  for (unsigned i = names->len; i > 0; i--)
+    if (g_hash_table_contains (gateway->leaving, names->pdata[i - 1]))
+      g_ptr_array_remove_index (names, i - 1);
+  gateway->context.instances = names->len + 1;
+  wait_ms = CLAMP (gateway->context.instances * GATEWAY_WATCH_FLEET_MS,
+                   (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
+  watcher_set_wait (gateway->routes_watcher, wait_ms);
+  watcher_set_wait (gateway->backends_watcher, wait_ms);
+  allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
+  sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
+}
+
+void
+gateway_on_told_ (const struct mesh_news *news, void *data)
+{
+  struct gateway *gateway = data;
+
+  watcher_look_after (gateway->routes_watcher, news->configuration_revision);
+  watcher_look_after (gateway->backends_watcher, news->backends_revision);
+}
+
+/* Tells a few others what the own watches have shown, once. */
+static void
+spread_news_ (struct gateway *gateway)
+{
+  const struct mesh_news news = {
+    .configuration_revision = watcher_seen (gateway->routes_watcher),
+    .backends_revision = watcher_seen (gateway->backends_watcher),
+  };
+
+  mesh_spread_news (gateway->mesh, &news, gateway->context.random);
+}
--- /dev/null
+++ b/src/gateway/serve-private.h
@@ -0,0 +1,69 @@
+/* What the parts of a running gateway share: its start and stop, what it follows in the store, and
+ * the book's way to the store and to other instances. */
+#pragma once
+
+#include "gateway/gateway.h"
+#include "gateway/ingress.h"
+#include "gateway/serve.h"
+#include "mesh/mesh.h"
+#include "store/watcher.h"
+
+enum
+{
+  GATEWAY_US_PER_MS = 1000,
+  /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and
+   * tells the others: in time for the two seconds in which a change must be in force. */
+  GATEWAY_WATCH_FLEET_MS = 170,
+  GATEWAY_WATCH_MIN_MS = 1200,
+  GATEWAY_WATCH_MAX_MS = 10000 /* who reaches nobody else finds out by itself after this time */
+};
+
+struct gateway
+{
+  const struct allotment_link_vtable *link_vtable; /* first: the book's link */
+  const struct gw_settings *settings;
+  const char *settings_path;
+  const struct gw_platform *platform;
+  struct gw_context context;
+  uv_loop_t loop;
+  struct store *store;
+  struct watcher *routes_watcher;
+  struct watcher *backends_watcher;
+  struct watcher *instances_watcher;
+  struct mesh *mesh;
+  struct gw_ingress *ingress;
+  uv_timer_t book_timer;
+  uv_timer_t work_timer;
+  uv_timer_t lease_timer;
+  uv_timer_t announce_timer;
+  uv_timer_t stop_timer;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_signal_t hang_up;
+  char nonce[32]; /* tells this start's announcement from earlier ones */
+  bool backends_listed;
+  bool announced;
+  bool handing_back;
+  int64_t announced_revision;
+  GHashTable *leaving;     /* names of instances that stop: they lend no more */
+  int64_t outage_ended_us; /* of the store, as far as this instance has seen */
+  int64_t stop_us;
+};
+
+void gateway_on_routes_ (const struct store_result *result, void *data);
+void gateway_on_backends_listed_ (const struct store_result *result, void *data);
+void gateway_on_backends_changed_ (const struct store_result *result, void *data);
+void gateway_on_backends_reachable_ (bool reachable, void *data);
+void gateway_on_instances_listed_ (const struct store_result *result, void *data);
+void gateway_on_instances_changed_ (const struct store_result *result, void *data);
+void gateway_read_record_ (void *link, const char *team);
+void
+gateway_write_record_ (void *link, const char *team, json_t *content, int64_t expected_revision);
+void gateway_send_ask_ (void *link, const char *peer, const struct allotment_ask *ask);
+void gateway_send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
+void gateway_on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data);
+void gateway_on_answered_ (const char *peer, const struct allotment_answer *answer, void *data);
+void gateway_on_told_ (const struct mesh_news *news, void *data);
+void gateway_on_work_timer_ (uv_timer_t *timer);
+void gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
+void gateway_on_book_timer_ (uv_timer_t *timer);
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -24,6 +24,7 @@
   MODELS = 3,
   PLAINS = 2,
   PREPAID = 900000,
+  PAUSE_US = 20000, /* between requests of cases that watch for a while */
   IN_FORCE_MAX_MS = 2000, /* a configuration, and the leaving of a backend server */
   NOTICE_MS = 1000        /* for what the stand-in counts a little later */
 };
@@ -289,6 +290,7 @@
           assert_int_equal (ask_ (1 + ids % INSTANCES, "/stream/a", 60, id).verdict, SITE_ANSWERED);
           for (unsigned k = 1; k <= INSTANCES; k++)
             assert_int_equal (site_fleet_ready_status (fleet, k), 200);
+          g_usleep (PAUSE_US);
         }
       site_fleet_control (fleet, "/store?mode=up");
       g_usleep (G_USEC_PER_SEC);
@@ -337,6 +339,7 @@
       g_autofree char *id = next_id_ ();
 
       assert_int_equal (ask_ (1 + ids % INSTANCES, "/stream/a", 6, id).verdict, SITE_ANSWERED);
+      g_usleep (PAUSE_US);
     }
   counts = site_fleet_counts (fleet);
   assert_true (
