--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -6,6 +6,7 @@
 #include "gateway/probe.h"
 #include "gateway/upstream.h"
 
+#include <pthread.h>
 #include <signal.h>
 #include <string.h>
 
@@ -54,8 +55,15 @@
           const struct gw_platform *platform)
 {
   struct gateway *gateway;
+  sigset_t signals;
   int code = 1;
 
+  /* A stop that comes before the loop runs waits for it. */
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
   if (!sr_event_log_start (settings->name->str))
     return 1;
@@ -69,6 +77,7 @@
     {
       sr_event (SR_EVENT_INFO, "started", "{s:s,s:s}", "data_centre", settings->data_centre->str,
                 "store", settings->store_host->str);
+      pthread_sigmask (SIG_UNBLOCK, &signals, NULL);
       uv_run (&gateway->loop, UV_RUN_DEFAULT);
       sr_event (SR_EVENT_INFO, "stopped", "{s:i,s:b}", "unfinished",
                 (int)gateway->context.exchanges, "tokens_returned",
--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -142,7 +142,8 @@
 {
   unsigned i = any_instance_ (run);
 
-  if (run->stopping[i] || run->paused[i])
+  /* Before it runs, no program can end a stop well: it must have answered since its start. */
+  if (run->stopping[i] || run->paused[i] || site_fleet_ready_status (run->fleet, i) == 0)
     return;
   run->stopping[i] = true;
   harness_process_signal (run->fleet->instances[i], SIGTERM);
