--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -668,10 +668,15 @@
   load_ (&world, 5000, 20, 5 * SECOND);
   home = home_ (&world);
   borrower = home == &world.nodes[0] ? &world.nodes[1] : &world.nodes[0];
+  run_ (&world, SECOND);
   ask_for_ (borrower, 5000);
-  for (unsigned i = 0; i < world.events->len && ask == NULL; i++)
-    if (((struct event_ *)world.events->pdata[i])->kind == EVENT_ASK)
-      ask = world.events->pdata[i];
+  for (unsigned i = 0; i < world.events->len; i++)
+    {
+      struct event_ *event = world.events->pdata[i];
+
+      if (event->kind == EVENT_ASK && event->from == borrower && event->ask.need > 0)
+        ask = event;
+    }
   assert_non_null (ask);
   ask->at_us += 2 * SECOND;
   kill_ (borrower);
