--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -199,6 +199,7 @@
     return;
   event = event_new_ (node->world, EVENT_ASK, to, datagram_delay_ (node->world));
   event->ask = *ask;
+  event->ask.team = "team"; /* the book may be gone when it arrives */
   event->from = node;
 }
 
@@ -213,6 +214,7 @@
     return;
   event = event_new_ (node->world, EVENT_ANSWER, to, datagram_delay_ (node->world));
   event->answer = *answer;
+  event->answer.team = "team";
   event->from = node;
 }
 
