--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -24,6 +24,7 @@
   MODELS = 3,
   PLAINS = 2,
   PREPAID = 900000,
+  LATE_IN_STOP_US = 3300000, /* after the three seconds in which the balancer moves callers */
   PAUSE_US = 20000, /* between requests of cases that watch for a while */
   IN_FORCE_MAX_MS = 2000, /* a configuration, and the leaving of a backend server */
   NOTICE_MS = 1000        /* for what the stand-in counts a little later */
@@ -375,7 +376,7 @@
 static void
 a_planned_stop_finishes_what_runs (void **state)
 {
-  struct caller_ caller = { .instance = 1, .requests = 1, .output_tokens = 3000, .name = "stop" };
+  struct caller_ caller = { .instance = 1, .requests = 1, .output_tokens = 12000, .name = "stop" };
   GThread *thread = g_thread_new ("caller", call_often_, &caller);
   int code = -1;
 
@@ -383,6 +384,10 @@
   harness_process_signal (fleet->instances[1], SIGTERM);
   g_usleep (200000);
   assert_int_equal (site_fleet_ready_status (fleet, 1), 503);
+  /* The balancer may still send callers here: what would outlast the stop is refused at once. */
+  g_usleep (LATE_IN_STOP_US);
+  assert_int_equal (ask_ (1, "/stream/a", 60, "stop-late-stream").verdict, SITE_NOT_RUN);
+  assert_int_equal (ask_ (1, "/once/a", 0, "stop-late-order").verdict, SITE_ANSWERED);
   g_thread_join (thread);
   assert_int_equal (caller.verdicts[SITE_ANSWERED], 1);
   assert_true (harness_process_wait (fleet->instances[1], 9000, &code));
