--- a/bench/gateway.c
+++ b/bench/gateway.c
@@ -1,5 +1,5 @@
-/* What a gateway spends on forwarding: processor time for each event of a stream and memory for each
- * open stream, with many streams at once before the stand-in of the users' platform. */
+/* What a gateway spends on forwarding: processor time for each event of a stream and memory for
+ * each open stream, with many streams at once before the stand-in of the users' platform. */
 #include "testing/harness/harness.h"
 #include "testing/harness/site.h"
 
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -680,6 +680,8 @@
         ask = event;
     }
   assert_non_null (ask);
+  if (ask == NULL)
+    return; /* not reached: for the analyzer */
   ask->at_us += 2 * SECOND;
   kill_ (borrower);
   start_ (borrower);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -246,28 +246,30 @@
 static void
 what_two_readers_could_part_differently_is_refused (void **state)
 {
-  /* clang-format off: one message a line */
-  const char *const texts[] = {
-    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
-    "chunked\r\n\r\n0\r\n\r\n",
-    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: "
-    "3\r\n\r\n0\r\n\r\n",
-    "GET / HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
-    "GET / HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n",
-    "GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n folded\r\n\r\n",
-    "GET / HTTP/1.1\r\nHost: h\r\nX : a\r\n\r\n",
-    "GET / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
-    "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n",
-    "nonsense\r\n\r\n",
+  const struct
+  {
+    const char *headers;
+    const char *body;
+  } cases[] = {
+    { "Content-Length: 3\r\nContent-Length: 4\r\n", "abcd" },
+    { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" },
+    { "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "0\r\n\r\n" },
+    { "X: a\nY: b\r\n", "" },
+    { "X: a\rb\r\n", "" },
+    { "X: a\r\n folded\r\n", "" },
+    { "X : a\r\n", "" },
+    { "Content-Length: +3\r\n", "abc" },
+    { "no colon\r\n", "" },
   };
-  /* clang-format on */
 
-  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct record_ *record = server_ ();
 
-      say_ (record, texts[i]);
+      say_ (record, "POST / HTTP/1.1\r\nHost: h\r\n");
+      say_ (record, cases[i].headers);
+      say_ (record, "\r\n");
+      say_ (record, cases[i].body);
       RUN_UNTIL (record, record->refusable || record->ends > 0);
       assert_true (record->refusable);
       assert_int_equal (record->end, NET_END_MALFORMED);
@@ -276,6 +278,22 @@
     }
 }
 
+static void
+what_is_no_request_is_refused (void **state)
+{
+  const char *const texts[] = { "nonsense\r\n\r\n", "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      struct record_ *record = server_ ();
+
+      say_ (record, texts[i]);
+      RUN_UNTIL (record, record->refusable);
+      assert_int_equal (record->end, NET_END_MALFORMED);
+      free_ (record);
+    }
+}
+
 static void
 a_head_beyond_its_limit_is_refused (void **state)
 {
@@ -387,6 +405,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_request_in_pieces_is_read),
     cmocka_unit_test (what_two_readers_could_part_differently_is_refused),
+    cmocka_unit_test (what_is_no_request_is_refused),
     cmocka_unit_test (a_head_beyond_its_limit_is_refused),
     cmocka_unit_test (a_held_request_waits_and_a_departure_is_seen),
     cmocka_unit_test (a_cut_answer_is_not_complete),
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -25,9 +25,9 @@
   PLAINS = 2,
   PREPAID = 900000,
   LATE_IN_STOP_US = 3300000, /* after the three seconds in which the balancer moves callers */
-  PAUSE_US = 20000, /* between requests of cases that watch for a while */
-  IN_FORCE_MAX_MS = 2000, /* a configuration, and the leaving of a backend server */
-  NOTICE_MS = 1000        /* for what the stand-in counts a little later */
+  PAUSE_US = 20000,          /* between requests of cases that watch for a while */
+  IN_FORCE_MAX_MS = 2000,    /* a configuration, and the leaving of a backend server */
+  NOTICE_MS = 1000           /* for what the stand-in counts a little later */
 };
 
 static struct site_fleet *fleet;
