--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -17,6 +17,7 @@
 };
 
 static struct allotment_team *team_new_ (struct allotment_book *book, const char *name);
+static void store_answers_ (struct allotment_book *book);
 static void team_free_ (void *data);
 static void take_record_ (struct allotment_team *team,
                           struct sr_record *record,
@@ -198,7 +199,7 @@
   g_assert (team != NULL && team->step == STEP_READING);
   team->step = STEP_IDLE;
   if (status == STORE_OK || status == STORE_ABSENT)
-    book->store_out_until_us = 0;
+    store_answers_ (book);
   if (status == STORE_ABSENT)
     take_record_ (team, sr_record_new (), 0, now_us);
   else if (status != STORE_OK)
@@ -227,7 +228,7 @@
   team->step = STEP_IDLE;
   team->edited = NULL;
   if (status == STORE_OK || status == STORE_CONFLICT)
-    book->store_out_until_us = 0;
+    store_answers_ (book);
   if (status == STORE_OK)
     {
       sr_ledger_written (team->ledger, edited);
@@ -393,7 +394,7 @@
   GHashTableIter iter;
   void *value;
 
-  book->store_out_until_us = 0;
+  store_answers_ (book);
   g_hash_table_iter_init (&iter, book->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -517,3 +518,10 @@
 {
   return *(const struct allotment_link_vtable **)book->options.link;
 }
+
+static void
+store_answers_ (struct allotment_book *book)
+{
+  book->store_out_until_us = 0;
+  book->store_failures = 0;
+}
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -86,6 +86,7 @@
   GPtrArray *peers;           /* struct allotment_peer, not this instance */
   int64_t peers_since_us;     /* when they were first known; 0: not yet */
   int64_t store_out_until_us; /* it could not be reached by any team's call; 0: it answers */
+  unsigned store_failures;    /* in a row, of all teams */
   bool leaving;               /* others are the homes from now on */
   bool stopping;
 };
--- a/src/allotment/service.c
+++ b/src/allotment/service.c
@@ -158,7 +158,8 @@
       && (sr_holder_id_equal (&ask->lender, &answer.loan.lender)
           || (is_first && answer.loan.lent == 0)))
     ask->missing = MAX (ask->need - answer.loan.lent, 0);
-  if (ask->missing > (ledger->own == NULL ? 0 : sr_source_available (ledger->own)))
+  if (ask->missing > (ledger->own == NULL ? 0 : sr_source_available (ledger->own))
+      || (!answer.loan.has_record && ask->need > 0))
     {
       if (supply == SUPPLY_MAY_COME)
         return false;
@@ -170,7 +171,6 @@
     sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
                     ask->returned, ask->need, ask->want, now_us, &answer.loan);
   allotment_demand_count_ (&team->demand, sr_ledger_committed (ledger) - before, now_us);
-  answer.is_dry = answer.is_dry || (!answer.loan.has_record && ask->need > 0);
   allotment_link_ (book)->answer (book->options.link, ask->handle, &answer);
   return true;
 }
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -15,7 +15,8 @@
   LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
   FIRST_DRAW_DELAY_US = 1500000,   /* all instances have announced themselves by then */
   STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
-  STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long */
+  STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long; doubles */
+  STORE_OUT_MAX_US = 4000000,      /* the watches tell sooner that the store is back */
   STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
   STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
   FRESH_US = 150 * US_PER_MS,            /* a record read this long ago still tells what remains */
@@ -83,7 +84,7 @@
       int64_t target = home == NULL ? home_target_ (book, team, now_us) : 0;
       int64_t available = sr_ledger_available (team->ledger);
 
-      if (need > 0 || available < target * 7 / 8)
+      if (need > 0 || available < target * 3 / 4)
         draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
     }
   need = allotment_needed_by_waiters_ (team) - sr_ledger_available (team->ledger);
@@ -158,8 +159,11 @@
 {
   team->retry_us = now_us + (status == STORE_UNKNOWN ? STORE_RETRY_US : STORE_DOWN_RETRY_US);
   team->store_is_down = true;
-  if (status == STORE_UNKNOWN || status == STORE_UNREACHABLE)
-    book->store_out_until_us = now_us + STORE_OUT_US;
+  if (status != STORE_INVALID)
+    book->store_out_until_us = now_us
+                               + MIN ((int64_t)STORE_OUT_US << MIN (book->store_failures, 8U),
+                                      (int64_t)STORE_OUT_MAX_US);
+  book->store_failures++;
   sr_event (SR_EVENT_FAILURE, "allotment_store_failed", "{s:s,s:s,s:I}", "team", team->name,
             "status", store_status_to_string (status), "available",
             (json_int_t)sr_ledger_available (team->ledger));
@@ -348,6 +352,8 @@
 static void
 read_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
+  sr_event (SR_EVENT_INFO, "allotment_read", "{s:s,s:I}", "team", team->name, "revision",
+            (json_int_t)team->revision);
   team->step = STEP_READING;
   team->step_us = now_us;
   allotment_link_ (book)->read (book->options.link, team->name);
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -40,6 +40,7 @@
   bool cut_from_store;
   bool cut_from_peers;
   int64_t next_tick_us;
+  unsigned reads;     /* of the store */
   GPtrArray *running; /* struct request_ */
 };
 
@@ -123,6 +124,7 @@
   struct world_ *world = node->world;
   struct event_ *event;
 
+  node->reads++;
   if (node->cut_from_store)
     {
       event = event_new_ (world, EVENT_READ_DONE, node, CALL_TIMEOUT_US);
@@ -622,6 +624,35 @@
   tear_down_ (&world);
 }
 
+/* Nothing is left, and all have started anew: the home finds out and tells; the others do not ask
+ * the store each for itself, with every request. */
+static void
+an_empty_record_is_read_by_its_home (void **state)
+{
+  struct world_ world;
+  unsigned most = 0;
+  unsigned sum = 0;
+
+  set_up_ (&world, 100000, 11);
+  run_ (&world, 3 * SECOND);
+  load_ (&world, 5000, 20, 3 * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    kill_ (&world.nodes[i]);
+  for (unsigned i = 0; i < BOOKS; i++)
+    start_ (&world.nodes[i]);
+  run_ (&world, 3 * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    world.nodes[i].reads = 0;
+  load_ (&world, 5000, 20, 10 * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    {
+      most = MAX (most, world.nodes[i].reads);
+      sum += world.nodes[i].reads;
+    }
+  assert_true (sum - most <= BOOKS);
+  tear_down_ (&world);
+}
+
 static void
 a_raised_total_is_available_at_once (void **state)
 {
@@ -755,6 +786,7 @@
     cmocka_unit_test (a_crash_of_all_keeps_half_of_what_is_left),
     cmocka_unit_test (an_instance_that_leaves_gives_its_tokens_back),
     cmocka_unit_test (an_exhausted_budget_is_told_so),
+    cmocka_unit_test (an_empty_record_is_read_by_its_home),
     cmocka_unit_test (a_raised_total_is_available_at_once),
     cmocka_unit_test (a_slow_store_delays_but_does_not_refuse),
     cmocka_unit_test (a_loan_to_an_earlier_start_is_not_taken),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -5,7 +5,7 @@
 enum
 {
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
-  RETRY_MAX_MS = 400,  /* a fifth of the time in which a change must be in force */
+  RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
   LOOK_DELAY_MS = 300, /* in which the own watch is likely to show what others have seen */
   RETURN_WAIT_MS
   = 20 /* of the first watch after a failure: its answer tells that the store is back */
