--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -119,11 +119,16 @@
       team->asked_us = now_us;
       allotment_send_ask_ (book, team);
     }
-  if (team->ledger->own == NULL || team->record == NULL || team->step != STEP_IDLE
-      || now_us < team->retry_us)
-    return;
-  if (!is_home && !book->leaving && !idle)
+  if (team->ledger->own == NULL || team->step != STEP_IDLE || now_us < team->retry_us
+      || now_us < book->store_out_until_us)
     return;
+  /* A write whose answer was lost: what can be given back is known after a read. */
+  if (team->record == NULL)
+    {
+      if (!is_home || book->stopping)
+        read_ (book, team, now_us);
+      return;
+    }
   keep = is_home && !book->stopping ? home_target_ (book, team, now_us) : 0;
   if (!book->stopping
       && sr_source_available (team->ledger->own)
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -608,6 +608,33 @@
   tear_down_ (&world);
 }
 
+/* The home was cut off while it drew, so that it does not know its record, and leaves soon after.
+ */
+static void
+an_instance_that_lost_sight_of_its_record_gives_its_tokens_back (void **state)
+{
+  struct world_ world;
+  struct node_ *home;
+
+  set_up_ (&world, 2000000, 12);
+  run_ (&world, 3 * SECOND);
+  load_ (&world, 5000, 10, 4 * SECOND);
+  home = home_ (&world);
+  home->cut_from_store = true;
+  load_ (&world, 5000, 10, 8 * SECOND);
+  home->cut_from_store = false;
+  allotment_book_leave (home->book, world.now_us);
+  run_ (&world, 5 * SECOND);
+  allotment_book_stop (home->book, world.now_us);
+  run_ (&world, SECOND);
+  assert_true (allotment_book_is_empty (home->book));
+  kill_ (home);
+  load_ (&world, 5000, 10, 30 * SECOND);
+  load_ (&world, 1000, 100, 10 * SECOND);
+  assert_true (world.consumed >= world.prepaid * 97 / 100);
+  tear_down_ (&world);
+}
+
 static void
 an_exhausted_budget_is_told_so (void **state)
 {
@@ -785,6 +812,7 @@
     cmocka_unit_test (a_home_that_is_cut_off_stops_nobody_else),
     cmocka_unit_test (a_crash_of_all_keeps_half_of_what_is_left),
     cmocka_unit_test (an_instance_that_leaves_gives_its_tokens_back),
+    cmocka_unit_test (an_instance_that_lost_sight_of_its_record_gives_its_tokens_back),
     cmocka_unit_test (an_exhausted_budget_is_told_so),
     cmocka_unit_test (an_empty_record_is_read_by_its_home),
     cmocka_unit_test (a_raised_total_is_available_at_once),
