--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -55,6 +55,12 @@
                     struct sr_record *record,
                     int64_t now_us);
 static struct sr_record *edit_record_ (struct allotment_book *book, struct allotment_team *team);
+static void begin_ask_ (struct allotment_book *book,
+                        struct allotment_team *team,
+                        const char *peer,
+                        const struct sr_source *loan,
+                        int64_t need,
+                        int64_t now_us);
 static void borrow_ (struct allotment_book *book,
                      struct allotment_team *team,
                      struct allotment_peer *home,
@@ -106,18 +112,10 @@
 
   if (loan != NULL && idle && !team->asking && sr_source_available (loan) > 0)
     {
-      struct sr_holder_id lender = loan->id;
-
-      team->asking = true;
-      team->tries = 0;
-      team->number++;
-      g_strlcpy (team->asked, lender.instance, sizeof team->asked);
-      team->asked_lender = lender;
-      team->asked_returned = sr_ledger_return_loan (team->ledger, &lender, 0);
-      team->asked_need = 0;
-      team->asked_want = 0;
-      team->asked_us = now_us;
-      allotment_send_ask_ (book, team);
+      const struct sr_holder_id lender = loan->id;
+
+      sr_ledger_return_loan (team->ledger, &lender, 0);
+      begin_ask_ (book, team, lender.instance, loan, 0, now_us);
     }
   if (team->ledger->own == NULL || team->step != STEP_IDLE || now_us < team->retry_us
       || now_us < book->store_out_until_us)
@@ -418,16 +416,29 @@
   struct sr_source *loan = sr_ledger_loan_from (team->ledger, home->name);
   int64_t lent = loan == NULL ? 0 : loan->granted;
 
+  begin_ask_ (book, team, home->name, loan, lent + need, now_us);
+}
+
+/* Asks PEER for NEED tokens in all since the beginning of LOAN (NULL: there is none yet), and tells
+ * what of it has been returned. */
+static void
+begin_ask_ (struct allotment_book *book,
+            struct allotment_team *team,
+            const char *peer,
+            const struct sr_source *loan,
+            int64_t need,
+            int64_t now_us)
+{
   team->asking = true;
   team->tries = 0;
   team->number++;
-  g_strlcpy (team->asked, home->name, sizeof team->asked);
+  g_strlcpy (team->asked, peer, sizeof team->asked);
   memset (&team->asked_lender, 0, sizeof team->asked_lender);
   if (loan != NULL)
     team->asked_lender = loan->id;
   team->asked_returned = loan == NULL ? 0 : loan->given;
-  team->asked_need = lent + need;
-  team->asked_want = lent + need;
+  team->asked_need = need;
+  team->asked_want = need;
   team->asked_us = now_us;
   allotment_send_ask_ (book, team);
 }
--- a/src/cli/command-check.c
+++ b/src/cli/command-check.c
@@ -43,13 +43,12 @@
 static void
 check_file_ (const char *path, struct sr_findings *findings)
 {
-  g_autofree char *text = NULL;
-  g_autoptr (GError) error = NULL;
-  gsize length;
+  size_t length;
+  g_autofree char *text = sr_ini_load (path, &length, findings);
 
-  if (!g_file_get_contents (path, &text, &length, &error))
-    sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
-  else if (has_section_ (text, length, "store"))
+  if (text == NULL)
+    return;
+  if (has_section_ (text, length, "store"))
     gw_settings_delete (gw_settings_parse (path, text, length, findings));
   else if (has_section_ (text, length, "instance") || has_section_ (text, length, "platform"))
     sr_settings_delete (sr_settings_parse (path, text, length, findings));
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -97,16 +97,10 @@
 struct gw_settings *
 gw_settings_load (const char *path, struct sr_findings *findings)
 {
-  g_autofree char *text = NULL;
-  g_autoptr (GError) error = NULL;
-  gsize length;
+  size_t length;
+  g_autofree char *text = sr_ini_load (path, &length, findings);
 
-  if (!g_file_get_contents (path, &text, &length, &error))
-    {
-      sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
-      return NULL;
-    }
-  return gw_settings_parse (path, text, length, findings);
+  return text == NULL ? NULL : gw_settings_parse (path, text, length, findings);
 }
 
 /* As gw_settings_load, from LENGTH bytes of TEXT; FILE_NAME is only for the findings. */
--- a/src/settings/ini-reader.c
+++ b/src/settings/ini-reader.c
@@ -50,6 +50,21 @@
 static void section_free_ (void *data);
 static void string_free_ (void *data);
 
+/* Returns the text of the file at PATH, the caller's, or NULL after adding the reason to FINDINGS.
+ */
+char *
+sr_ini_load (const char *path, size_t *length, struct sr_findings *findings)
+{
+  g_autoptr (GError) error = NULL;
+  char *text = NULL;
+  gsize bytes = 0;
+
+  if (!g_file_get_contents (path, &text, &bytes, &error))
+    sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
+  *length = bytes;
+  return text;
+}
+
 /* Reads LENGTH bytes of TEXT as an INI file; FILE_NAME is only for the findings. Every line that is
  * no header, entry, comment or blank, every section or key that stands twice and every line that is
  * too long becomes one of FINDINGS; what could be read is in the document all the same. The caller
--- a/src/settings/ini-reader.h
+++ b/src/settings/ini-reader.h
@@ -58,6 +58,7 @@
   sr_ini_item_check check_item;
 };
 
+char *sr_ini_load (const char *path, size_t *length, struct sr_findings *findings);
 struct sr_ini_document *
 sr_ini_read (const char *file_name, const char *text, size_t length, struct sr_findings *findings);
 void sr_ini_document_delete (struct sr_ini_document *document);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -104,16 +104,10 @@
 struct sr_settings *
 sr_settings_load (const char *path, struct sr_findings *findings)
 {
-  g_autofree char *text = NULL;
-  g_autoptr (GError) error = NULL;
-  gsize length;
+  size_t length;
+  g_autofree char *text = sr_ini_load (path, &length, findings);
 
-  if (!g_file_get_contents (path, &text, &length, &error))
-    {
-      sr_findings_add (findings, path, 0, NULL, NULL, "%s", error->message);
-      return NULL;
-    }
-  return sr_settings_parse (path, text, length, findings);
+  return text == NULL ? NULL : sr_settings_parse (path, text, length, findings);
 }
 
 /* As sr_settings_load, from LENGTH bytes of TEXT; FILE_NAME is only for the findings. */
