--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -207,8 +207,8 @@
   gateway->context.instances = names->len + 1;
   wait_ms = CLAMP (gateway->context.instances * GATEWAY_WATCH_FLEET_MS,
                    (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
-  watcher_set_wait (gateway->routes_watcher, wait_ms);
-  watcher_set_wait (gateway->backends_watcher, wait_ms);
+  watcher_set_wait (gateway->routes_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
+  watcher_set_wait (gateway->backends_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -11,8 +11,9 @@
 enum
 {
   GATEWAY_US_PER_MS = 1000,
-  /* A watch can be deaf to a change. One of the fleet's ends at least this often, finds out, and
-   * tells the others: in time for the two seconds in which a change must be in force. */
+  /* A watch can be deaf to a change. They are open for a time by chance, so that one of the fleet's
+   * ends about this often, finds out, and tells the others: in time for the two seconds in which a
+   * change must be in force. */
   GATEWAY_WATCH_FLEET_MS = 170,
   GATEWAY_WATCH_MIN_MS = 1200,
   GATEWAY_WATCH_MAX_MS = 10000 /* who reaches nobody else finds out by itself after this time */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -9,7 +9,7 @@
 enum
 {
   WORK_FANOUT = 8, /* of a small fleet all are told, of a large one as many as a link carries */
-  NEWS_FANOUT = 3, /* a fleet of a thousand is told in seven rounds */
+  NEWS_FANOUT = 6, /* one in four hundred is not told; a thousand are in four rounds */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
   FORMAT = 1
 };
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -1,6 +1,7 @@
 /* The watcher on a store whose answers the test gives. */
 #include "store/watcher.h"
 
+#include <limits.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -203,6 +204,27 @@
   assert_int_equal (fake->wait_ms, 1200);
 }
 
+/* A whole fleet opens its watches after the same change: they end at different times. */
+static void
+watches_of_a_fleet_do_not_end_together (void **state)
+{
+  unsigned shortest = UINT_MAX;
+  unsigned longest = 0;
+
+  for (unsigned i = 0; i < 83; i++)
+    {
+      struct fake_ *fake = fake_new_ ();
+
+      watcher_set_wait (fake->watcher, 1200, 10000);
+      answer_ (fake, STORE_OK, 10, 1);
+      assert_true (fake->wait_ms >= 1200 && fake->wait_ms <= 10000);
+      shortest = MIN (shortest, fake->wait_ms);
+      longest = MAX (longest, fake->wait_ms);
+    }
+  assert_true (shortest < 1200 + 8800 / 8);
+  assert_true (longest > 10000 - 8800 / 8);
+}
+
 /* A watch that hears nothing while others have seen a change. */
 static void
 a_deaf_watch_is_found_out_by_what_others_have_seen (void **state)
@@ -230,6 +252,7 @@
     cmocka_unit_test (a_list_is_followed_by_watches_from_there),
     cmocka_unit_test (a_pause_after_a_change_gathers_what_follows),
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
+    cmocka_unit_test (watches_of_a_fleet_do_not_end_together),
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
   };
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -6,7 +6,7 @@
 {
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
-  LOOK_DELAY_MS = 300, /* in which the own watch is likely to show what others have seen */
+  LOOK_DELAY_MS = 120, /* in which the own watch is likely to show what others have seen */
   RETURN_WAIT_MS
   = 20 /* of the first watch after a failure: its answer tells that the store is back */
 };
@@ -26,6 +26,7 @@
 };
 
 static void ask_ (struct watcher *watcher);
+static unsigned wait_of_ (const struct watcher_options *options);
 static void on_timer_ (uv_timer_t *timer);
 static void on_look_timer_ (uv_timer_t *timer);
 static void on_looked_ (const struct store_result *result, void *data);
@@ -59,10 +60,12 @@
   ask_ (watcher);
 }
 
-/* Sets how long watches are open from the next one on. */
+/* Sets how long watches are open from the next one on: a time between the two, by chance. All
+ * instances open theirs after the same change, and must not all end them at the same moment. */
 void
-watcher_set_wait (struct watcher *watcher, unsigned wait_ms)
+watcher_set_wait (struct watcher *watcher, unsigned wait_min_ms, unsigned wait_ms)
 {
+  watcher->options.wait_min_ms = wait_min_ms;
   watcher->options.wait_ms = wait_ms;
 }
 
@@ -105,10 +108,18 @@
     store_list (options->store, options->kind, on_listed_, watcher);
   else
     store_watch (options->store, options->kind, watcher->revision,
-                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : options->wait_ms,
+                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : wait_of_ (options),
                  on_changed_, watcher);
 }
 
+static unsigned
+wait_of_ (const struct watcher_options *options)
+{
+  if (options->wait_min_ms == 0 || options->wait_min_ms >= options->wait_ms)
+    return options->wait_ms;
+  return (unsigned)g_random_int_range ((gint32)options->wait_min_ms, (gint32)options->wait_ms);
+}
+
 static void
 on_timer_ (uv_timer_t *timer)
 {
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -13,8 +13,9 @@
   uv_loop_t *loop;
   struct store *store;
   const char *kind;
-  unsigned wait_ms;  /* longest time that one watch is open */
-  unsigned pause_ms; /* between a change and the next watch: changes in a row cost one call */
+  unsigned wait_ms;     /* longest time that one watch is open */
+  unsigned wait_min_ms; /* shortest; 0: all are equally long */
+  unsigned pause_ms;    /* between a change and the next watch: changes in a row cost one call */
   void *data;
   /* All objects there are, in place of all that was known. */
   void (*listed) (const struct store_result *result, void *data);
@@ -26,7 +27,7 @@
 
 struct watcher *watcher_new (const struct watcher_options *options);
 void watcher_start (struct watcher *watcher);
-void watcher_set_wait (struct watcher *watcher, unsigned wait_ms);
+void watcher_set_wait (struct watcher *watcher, unsigned wait_min_ms, unsigned wait_ms);
 void watcher_look_after (struct watcher *watcher, int64_t revision);
 int64_t watcher_seen (const struct watcher *watcher);
 void watcher_stop (struct watcher *watcher);
