Budgets: loans of records that were given up are returned; an outage's end is seen in any call

Besides, a loan made between the look at the loans and the write of the end was counted as spent. Ruled out: rounding in settlement; the sums of the ledger are exact.

--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -133,7 +133,8 @@
              <= keep * 3 / 2 + MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1))
     return;
   record = edit_record_ (book, team);
-  if (sr_ledger_give_back (team->ledger, record, team->revision, keep, book->stopping))
+  if (sr_ledger_give_back (team->ledger, record, team->revision, keep,
+                           book->stopping ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN))
     write_ (book, team, record, now_us);
   else
     sr_record_delete (record);
@@ -400,7 +401,8 @@
           sr_record_write_off (record, &id);
         }
     }
-  sr_ledger_close_left_over (team->ledger, record, book->stopping);
+  sr_ledger_close_left_over (team->ledger, record,
+                             book->stopping ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN);
   return record;
 }
 
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -50,6 +50,7 @@
   int64_t bad_witness_until_us;
   int64_t no_witness_until_us; /* none answers: records are opened without one */
   int64_t started_us;
+  int64_t platform_failed_us; /* when a call for a budget last failed */
   int64_t platform_out_until_us;
   bool leaving; /* everything is being given back: nothing is lent or fetched ahead */
   bool stopping;
@@ -89,7 +90,9 @@
 bool sr_budget_platform_is_out (struct sr_budgets *budgets, int64_t now_us);
 enum sr_draw_result
 sr_budget_draw (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need);
-bool sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close);
+bool sr_budget_give_back (struct sr_budgets *budgets,
+                          struct sr_budget_entry *entry,
+                          enum sr_ledger_ending ending);
 
 /* recover.c */
 bool sr_budget_recover (struct sr_budgets *budgets,
@@ -107,8 +110,9 @@
                                      const char *lender,
                                      int64_t need,
                                      bool last_resort);
-bool
-sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t keep);
+bool sr_budget_return_loans (struct sr_budgets *budgets,
+                             struct sr_budget_entry *entry,
+                             bool with_closed);
 void sr_budget_recall (struct sr_budgets *budgets, struct sr_budget_entry *entry);
 bool sr_budget_seal (struct sr_budgets *budgets,
                      const char *name,
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -300,17 +300,19 @@
       entry->busy = true;
       pthread_mutex_unlock (&budgets->mutex);
       sr_budget_recall (budgets, entry);
-      sr_budget_return_loans (budgets, entry, 0);
+      sr_budget_return_loans (budgets, entry, true);
       pthread_mutex_lock (&budgets->mutex);
       has_loans = sr_ledger_has_open_loans (entry->ledger);
       pthread_mutex_unlock (&budgets->mutex);
       if (!has_loans || now_us >= loans_until_us)
-        told = sr_budget_give_back (budgets, entry, true);
+        told = sr_budget_give_back (
+            budgets, entry, now_us >= loans_until_us ? SR_LEDGER_CLOSE : SR_LEDGER_CLOSE_RETURNED);
       if (!told && now_us >= loans_until_us)
         sr_budget_finish (budgets, entry);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
-      done = entry->ledger->own == NULL && !sr_ledger_has_left_over (entry->ledger);
+      has_loans = now_us < loans_until_us && sr_ledger_has_open_loans (entry->ledger);
+      done = entry->ledger->own == NULL && !sr_ledger_has_left_over (entry->ledger) && !has_loans;
     }
   pthread_mutex_unlock (&budgets->mutex);
   return done;
--- a/src/budget/draw.c
+++ b/src/budget/draw.c
@@ -21,15 +21,19 @@
   enum sr_draw_result result;
 };
 
-typedef void (*edit_function) (struct sr_budgets *budgets,
-                               struct sr_budget_entry *entry,
-                               int64_t need,
-                               struct update *update);
-
-static enum sr_draw_result update_ (struct sr_budgets *budgets,
-                                    struct sr_budget_entry *entry,
-                                    edit_function edit,
-                                    int64_t need);
+/* What an update does to the own records. */
+struct edit
+{
+  void (*function) (struct sr_budgets *budgets,
+                    struct sr_budget_entry *entry,
+                    const struct edit *edit,
+                    struct update *update);
+  int64_t need; /* of a draw */
+  enum sr_ledger_ending ending;
+};
+
+static enum sr_draw_result
+update_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, const struct edit *edit);
 static enum sr_platform_status
 read_ (struct sr_budgets *budgets, const char *name, struct update *update);
 static enum sr_platform_status
@@ -38,23 +42,24 @@
 note_reachable_ (struct sr_budgets *budgets, enum sr_platform_status status, int64_t begin_us);
 static void edit_draw_ (struct sr_budgets *budgets,
                         struct sr_budget_entry *entry,
-                        int64_t need,
+                        const struct edit *edit,
                         struct update *update);
 static void edit_keep_ (struct sr_budgets *budgets,
                         struct sr_budget_entry *entry,
-                        int64_t need,
+                        const struct edit *edit,
                         struct update *update);
 static void edit_close_ (struct sr_budgets *budgets,
                          struct sr_budget_entry *entry,
-                         int64_t need,
+                         const struct edit *edit,
                          struct update *update);
 
-/* Tells whether the platform failed so recently that it is not asked again yet. Called with the
- * mutex held. */
+/* Tells whether the platform failed so recently that it is not asked again yet. An answer to any
+ * other call since then says that it is back. Called with the mutex held. */
 bool
 sr_budget_platform_is_out (struct sr_budgets *budgets, int64_t now_us)
 {
-  return now_us < budgets->platform_out_until_us;
+  return now_us < budgets->platform_out_until_us
+         && sr_platform_answered_us (budgets->options.platform) <= budgets->platform_failed_us;
 }
 
 /* Draws on the platform so that NEED tokens, and those of the demand to come, can be reserved.
@@ -62,27 +67,33 @@
 enum sr_draw_result
 sr_budget_draw (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t need)
 {
-  return update_ (budgets, entry, edit_draw_, need);
+  const struct edit edit = { .function = edit_draw_, .need = need, .ending = SR_LEDGER_KEEP_OPEN };
+
+  return update_ (budgets, entry, &edit);
 }
 
 /* Writes to the platform what was spent, and gives back what demand does not ask for; closes the
- * own record when CLOSE is set and no reservation is open. Returns false when the platform could
- * not be asked. */
+ * own records, as far as no reservation is open, when ENDING says so. Returns false when the
+ * platform could not be asked. */
 bool
-sr_budget_give_back (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool close)
+sr_budget_give_back (struct sr_budgets *budgets,
+                     struct sr_budget_entry *entry,
+                     enum sr_ledger_ending ending)
 {
+  const struct edit edit
+      = { .function = ending == SR_LEDGER_KEEP_OPEN ? edit_keep_ : edit_close_, .ending = ending };
   struct sr_record_holder closed = { 0 };
   bool reached;
 
   pthread_mutex_lock (&budgets->mutex);
-  if (close && entry->ledger->own != NULL)
+  if (ending != SR_LEDGER_KEEP_OPEN && entry->ledger->own != NULL)
     {
       closed.id = entry->ledger->own->id;
       closed.witness_incarnation = entry->ledger->own->witness_incarnation;
       g_strlcpy (closed.witness, entry->ledger->own->witness, sizeof closed.witness);
     }
   pthread_mutex_unlock (&budgets->mutex);
-  reached = update_ (budgets, entry, close ? edit_close_ : edit_keep_, 0) != SR_DRAW_OUT;
+  reached = update_ (budgets, entry, &edit) != SR_DRAW_OUT;
   pthread_mutex_lock (&budgets->mutex);
   if (entry->ledger->own != NULL)
     closed.witness[0] = '\0';
@@ -95,10 +106,7 @@
 /* A write whose answer was lost, or that another one has overtaken, is resolved by the next read.
  */
 static enum sr_draw_result
-update_ (struct sr_budgets *budgets,
-         struct sr_budget_entry *entry,
-         edit_function edit,
-         int64_t need)
+update_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, const struct edit *edit)
 {
   enum sr_platform_status status = SR_PLATFORM_OUT;
   struct update update = { 0 };
@@ -117,8 +125,8 @@
       pthread_mutex_lock (&budgets->mutex);
       sr_ledger_read (entry->ledger, update.record, update.version);
       sr_budget_entry_note_holders (budgets, entry, update.record);
-      update.write |= sr_ledger_close_left_over (entry->ledger, update.record, edit == edit_close_);
-      edit (budgets, entry, need, &update);
+      update.write |= sr_ledger_close_left_over (entry->ledger, update.record, edit->ending);
+      edit->function (budgets, entry, edit, &update);
       pthread_mutex_unlock (&budgets->mutex);
       if (!update.write)
         break;
@@ -195,22 +203,25 @@
   if (status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT)
     budgets->platform_out_until_us = 0;
   else
-    budgets->platform_out_until_us
-        = now_us + CLAMP (2 * (now_us - begin_us), OUT_BACKOFF_MIN_US, OUT_BACKOFF_MAX_US);
+    {
+      budgets->platform_failed_us = now_us;
+      budgets->platform_out_until_us
+          = now_us + CLAMP (2 * (now_us - begin_us), OUT_BACKOFF_MIN_US, OUT_BACKOFF_MAX_US);
+    }
 }
 
 static void
 edit_draw_ (struct sr_budgets *budgets,
             struct sr_budget_entry *entry,
-            int64_t need,
+            const struct edit *edit,
             struct update *update)
 {
   struct sr_ledger *ledger = entry->ledger;
   int64_t available = sr_ledger_held (ledger);
+  int64_t need = edit->need - available;
   int64_t want = sr_ledger_demand (ledger, g_get_monotonic_time (), ledger->options.cover_us);
   struct sr_member witness;
 
-  need -= available;
   want -= available;
   if (MAX (need, want) <= 0)
     return;
@@ -229,7 +240,7 @@
 static void
 edit_keep_ (struct sr_budgets *budgets,
             struct sr_budget_entry *entry,
-            int64_t need,
+            const struct edit *edit,
             struct update *update)
 {
   struct sr_ledger *ledger = entry->ledger;
@@ -238,16 +249,16 @@
 
   if (sr_record_remaining (update->record) >= 0 && !sr_ledger_is_idle (ledger, now_us))
     keep = sr_ledger_demand (ledger, now_us, KEEP_COVERS * ledger->options.cover_us);
-  if (sr_ledger_give_back (ledger, update->record, update->version, keep, false))
+  if (sr_ledger_give_back (ledger, update->record, update->version, keep, edit->ending))
     update->write = true;
 }
 
 static void
 edit_close_ (struct sr_budgets *budgets,
              struct sr_budget_entry *entry,
-             int64_t need,
+             const struct edit *edit,
              struct update *update)
 {
-  if (sr_ledger_give_back (entry->ledger, update->record, update->version, 0, true))
+  if (sr_ledger_give_back (entry->ledger, update->record, update->version, 0, edit->ending))
     update->write = true;
 }
--- a/src/budget/ledger-loans.c
+++ b/src/budget/ledger-loans.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-static bool has_open_loans_ (const struct sr_source *source);
 static struct sr_source *source_by_id_ (const struct sr_ledger *ledger,
                                         const struct sr_holder_id *id);
 static struct sr_loan *
@@ -134,13 +133,27 @@
     }
 }
 
+/* Tells whether some borrower may still return tokens of SOURCE, an own record. */
+bool
+sr_source_has_open_loans (const struct sr_source *source)
+{
+  for (unsigned i = 0; source->own && !source->gone && i < source->loans->len; i++)
+    {
+      const struct sr_loan *loan = &g_array_index (source->loans, struct sr_loan, i);
+
+      if (loan->open > 0 && loan->lent > loan->returned)
+        return true;
+    }
+  return false;
+}
+
 /* Tells whether some borrower may still return tokens of an own record. */
 bool
 sr_ledger_has_open_loans (const struct sr_ledger *ledger)
 {
   for (unsigned i = 0; i < ledger->sources->len; i++)
     {
-      if (has_open_loans_ (ledger->sources->pdata[i]))
+      if (sr_source_has_open_loans (ledger->sources->pdata[i]))
         return true;
     }
   return false;
@@ -206,19 +219,6 @@
   return source->given;
 }
 
-static bool
-has_open_loans_ (const struct sr_source *source)
-{
-  for (unsigned i = 0; source->own && !source->gone && i < source->loans->len; i++)
-    {
-      const struct sr_loan *loan = &g_array_index (source->loans, struct sr_loan, i);
-
-      if (loan->open > 0 && loan->lent > loan->returned)
-        return true;
-    }
-  return false;
-}
-
 static struct sr_source *
 source_by_id_ (const struct sr_ledger *ledger, const struct sr_holder_id *id)
 {
--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -39,11 +39,13 @@
 }
 
 /* Edits in RECORD the own records that are not drawn on any more and that nobody has closed yet.
- * Such a record shrinks to what may still be used of it, and is closed as having spent what was
- * used once that is used up, or, when it is the FINAL update, with what is left given back: that
- * may then not be used any more. Returns whether there was something to change. */
+ * Such a record shrinks to what may still be used of it. It is closed as having spent what was used
+ * once that is used up and its loans are returned; with an ENDING that closes, what is left is
+ * given back and may not be used any more. Returns whether there was something to change. */
 bool
-sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final)
+sr_ledger_close_left_over (struct sr_ledger *ledger,
+                           struct sr_record *record,
+                           enum sr_ledger_ending ending)
 {
   bool changed = false;
 
@@ -55,7 +57,9 @@
 
       if (!source->own || source->open || holder == NULL)
         continue;
-      if (source->reserved == 0 && (final || sr_source_available (source) == 0))
+      if (source->reserved == 0
+          && (ending != SR_LEDGER_KEEP_OPEN || sr_source_available (source) == 0)
+          && (ending == SR_LEDGER_CLOSE || !sr_source_has_open_loans (source)))
         {
           source->granted = MIN (source->granted, committed);
           sr_record_close (record, &source->id, committed);
@@ -99,11 +103,14 @@
 }
 
 /* Edits RECORD, see sr_ledger_draw, so that the own record keeps no more than KEEP tokens that are
- * not in use, or is closed when CLOSE is set and none of it is reserved (tokens out on loan count
- * as spent). Returns false when there is nothing to write. */
+ * not in use, or is closed when ENDING says so and none of it is reserved. Returns false when there
+ * is nothing to write. */
 bool
-sr_ledger_give_back (
-    struct sr_ledger *ledger, struct sr_record *record, int64_t version, int64_t keep, bool close)
+sr_ledger_give_back (struct sr_ledger *ledger,
+                     struct sr_record *record,
+                     int64_t version,
+                     int64_t keep,
+                     enum sr_ledger_ending ending)
 {
   struct sr_source *own = ledger->own;
   struct sr_record_holder *holder = own == NULL ? NULL : sr_record_find (record, &own->id);
@@ -114,7 +121,9 @@
     return false;
   holder->spent = MIN (own->used, holder->granted);
   granted = MIN (holder->granted, committed + keep);
-  if (close && own->reserved == 0)
+  if (own->reserved == 0
+      && (ending == SR_LEDGER_CLOSE
+          || (ending == SR_LEDGER_CLOSE_RETURNED && !sr_source_has_open_loans (own))))
     {
       sr_record_close (record, &own->id, committed);
       granted = committed;
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -48,6 +48,14 @@
   int64_t doubt_granted;
 };
 
+/* What becomes of a record when tokens are given back. */
+enum sr_ledger_ending
+{
+  SR_LEDGER_KEEP_OPEN,
+  SR_LEDGER_CLOSE_RETURNED, /* closed unless tokens on loan may still come back */
+  SR_LEDGER_CLOSE           /* closed; tokens on loan count as spent */
+};
+
 struct sr_part
 {
   struct sr_source *source;
@@ -81,7 +89,9 @@
 /* The own record on the platform. */
 void sr_ledger_read (struct sr_ledger *ledger, const struct sr_record *record, int64_t version);
 bool sr_ledger_has_left_over (const struct sr_ledger *ledger);
-bool sr_ledger_close_left_over (struct sr_ledger *ledger, struct sr_record *record, bool final);
+bool sr_ledger_close_left_over (struct sr_ledger *ledger,
+                                struct sr_record *record,
+                                enum sr_ledger_ending ending);
 void sr_ledger_draw (struct sr_ledger *ledger,
                      struct sr_record *record,
                      int64_t version,
@@ -89,8 +99,11 @@
                      int64_t want,
                      const char *witness,
                      uint64_t witness_incarnation);
-bool sr_ledger_give_back (
-    struct sr_ledger *ledger, struct sr_record *record, int64_t version, int64_t keep, bool close);
+bool sr_ledger_give_back (struct sr_ledger *ledger,
+                          struct sr_record *record,
+                          int64_t version,
+                          int64_t keep,
+                          enum sr_ledger_ending ending);
 void sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record);
 
 /* The witness of the own record. */
@@ -141,6 +154,7 @@
                           int64_t open);
 bool sr_ledger_has_open_loans (const struct sr_ledger *ledger);
 bool sr_ledger_loans_left (const struct sr_ledger *ledger);
+bool sr_source_has_open_loans (const struct sr_source *source);
 int64_t sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
 int64_t
 sr_ledger_return_loan (struct sr_ledger *ledger, const struct sr_holder_id *lender, int64_t keep);
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -17,8 +17,22 @@
   struct sr_holder_id id;
 };
 
+/* What a lender is asked for; the counters are those of the loan as a whole. */
+struct ask
+{
+  struct sr_holder_id loan; /* its instance is empty for a borrower that knows of none */
+  int64_t returned;
+  int64_t need;
+  int64_t want;
+  bool last_resort;
+};
+
 static bool
 address_of_ (struct sr_budgets *budgets, const char *name, struct sr_peer_address *address);
+static enum sr_ask_result ask_ (struct sr_budgets *budgets,
+                                struct sr_budget_entry *entry,
+                                const char *lender,
+                                const struct ask *ask);
 static void add_recalls_ (const struct sr_source *own, GArray *recalls);
 static void recall_from_ (struct sr_budgets *budgets,
                           struct sr_budget_entry *entry,
@@ -81,80 +95,53 @@
                   int64_t need,
                   bool last_resort)
 {
-  sr_budget_borrow_msg request = { 0 };
-  sr_budget_borrowed_msg reply = { 0 };
-  struct sr_holder_id id = { 0 };
-  struct sr_loan_answer answer = { 0 };
-  struct sr_peer_address address;
+  struct ask ask = { .last_resort = last_resort };
   const struct sr_source *source;
-  enum sr_peer_status status;
   int64_t ahead;
-  bool gained;
 
-  if (!address_of_ (budgets, lender, &address))
-    return SR_ASK_UNREACHABLE;
   pthread_mutex_lock (&budgets->mutex);
   source = sr_ledger_loan_from (entry->ledger, lender);
   ahead = last_resort ? 0 : sr_ledger_missing_ahead (entry->ledger, g_get_monotonic_time ());
   if (source != NULL)
     {
-      id = source->id;
-      request.returned = source->given;
-      request.need = source->granted;
+      ask.loan = source->id;
+      ask.returned = source->given;
+      ask.need = source->granted;
     }
   pthread_mutex_unlock (&budgets->mutex);
-  g_strlcpy (request.budget, entry->name, sizeof request.budget);
-  g_strlcpy (request.borrower, budgets->instance, sizeof request.borrower);
-  request.borrower_incarnation = budgets->options.incarnation;
-  request.lender = sr_holder_to_message (&id);
-  request.want = request.need + MAX (need, ahead);
-  request.need += need;
-  request.last_resort = last_resort;
-  status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
-                         SR_BUDGET_PROCEDURE_BORROW, (xdrproc_t)xdr_sr_budget_borrow_msg, &request,
-                         (xdrproc_t)xdr_sr_budget_borrowed_msg, &reply, CALL_TIMEOUT_MS);
-  if (status != SR_PEER_OK)
-    return SR_ASK_UNREACHABLE;
-  answer.has_record = reply.has_record;
-  answer.lent = reply.lent;
-  sr_holder_from_message (&reply.lender, &answer.lender);
-  pthread_mutex_lock (&budgets->mutex);
-  gained = sr_ledger_borrowed (entry->ledger, &answer) > 0;
-  if (gained)
-    pthread_cond_broadcast (&budgets->changed);
-  pthread_mutex_unlock (&budgets->mutex);
-  if (gained && !reply.pending)
-    return SR_ASK_GAINED;
-  if (answer.has_record && !sr_holder_id_equal (&answer.lender, &id))
-    return SR_ASK_PENDING; /* the lender's record is a new one: ask again under its name */
-  if (reply.pending)
-    return SR_ASK_PENDING;
-  return reply.exhausted ? SR_ASK_EXHAUSTED : SR_ASK_NOTHING;
+  ask.want = ask.need + MAX (need, ahead);
+  ask.need += need;
+  return ask_ (budgets, entry, lender, &ask);
 }
 
-/* Returns to each lender what is available of its loan, except KEEP tokens. Returns false when one
- * could not be told. */
+/* Returns to each lender what is available of its loan; WITH_CLOSED of those loans too that are
+ * not added to any more, which the lender may not take back. Returns false when one could not be
+ * told. */
 bool
-sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t keep)
+sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool with_closed)
 {
-  GPtrArray *lenders = g_ptr_array_new_with_free_func (g_free);
+  GArray *returns = g_array_new (FALSE, FALSE, sizeof (struct ask));
   bool told = true;
 
   pthread_mutex_lock (&budgets->mutex);
   for (unsigned i = 0; i < entry->ledger->sources->len; i++)
     {
       const struct sr_source *source = entry->ledger->sources->pdata[i];
+      struct ask ask = { .loan = source->id, .last_resort = true };
 
-      if (source->own || !source->open || sr_source_available (source) <= keep)
+      if (source->own || !(source->open || with_closed) || sr_source_available (source) <= 0)
         continue;
-      sr_ledger_return_loan (entry->ledger, &source->id, keep);
-      g_ptr_array_add (lenders, g_strdup (source->id.instance));
+      ask.returned = sr_ledger_return_loan (entry->ledger, &source->id, 0);
+      g_array_append_val (returns, ask);
     }
   pthread_mutex_unlock (&budgets->mutex);
-  for (unsigned i = 0; i < lenders->len; i++)
-    told = sr_budget_borrow (budgets, entry, lenders->pdata[i], 0, true) != SR_ASK_UNREACHABLE
-           && told;
-  g_ptr_array_unref (lenders);
+  for (unsigned i = 0; i < returns->len; i++)
+    {
+      const struct ask *ask = &g_array_index (returns, struct ask, i);
+
+      told = ask_ (budgets, entry, ask->loan.instance, ask) != SR_ASK_UNREACHABLE && told;
+    }
+  g_array_unref (returns);
   return told;
 }
 
@@ -178,6 +165,51 @@
   g_array_unref (recalls);
 }
 
+/* Sends ASK to instance LENDER and takes over its answer. */
+static enum sr_ask_result
+ask_ (struct sr_budgets *budgets,
+      struct sr_budget_entry *entry,
+      const char *lender,
+      const struct ask *ask)
+{
+  sr_budget_borrow_msg request = { .borrower_incarnation = budgets->options.incarnation,
+                                   .lender = sr_holder_to_message (&ask->loan),
+                                   .returned = ask->returned,
+                                   .need = ask->need,
+                                   .want = ask->want,
+                                   .last_resort = ask->last_resort };
+  sr_budget_borrowed_msg reply = { 0 };
+  struct sr_loan_answer answer = { 0 };
+  struct sr_peer_address address;
+  enum sr_peer_status status;
+  bool gained;
+
+  if (!address_of_ (budgets, lender, &address))
+    return SR_ASK_UNREACHABLE;
+  g_strlcpy (request.budget, entry->name, sizeof request.budget);
+  g_strlcpy (request.borrower, budgets->instance, sizeof request.borrower);
+  status = sr_peer_call (budgets->options.peers, &address, SR_PEER_PROGRAM_BUDGET,
+                         SR_BUDGET_PROCEDURE_BORROW, (xdrproc_t)xdr_sr_budget_borrow_msg, &request,
+                         (xdrproc_t)xdr_sr_budget_borrowed_msg, &reply, CALL_TIMEOUT_MS);
+  if (status != SR_PEER_OK)
+    return SR_ASK_UNREACHABLE;
+  answer.has_record = reply.has_record;
+  answer.lent = reply.lent;
+  sr_holder_from_message (&reply.lender, &answer.lender);
+  pthread_mutex_lock (&budgets->mutex);
+  gained = sr_ledger_borrowed (entry->ledger, &answer) > 0;
+  if (gained)
+    pthread_cond_broadcast (&budgets->changed);
+  pthread_mutex_unlock (&budgets->mutex);
+  if (gained && !reply.pending)
+    return SR_ASK_GAINED;
+  if (answer.has_record && !sr_holder_id_equal (&answer.lender, &ask->loan))
+    return SR_ASK_PENDING; /* the lender's record is a new one: ask again under its name */
+  if (reply.pending)
+    return SR_ASK_PENDING;
+  return reply.exhausted ? SR_ASK_EXHAUSTED : SR_ASK_NOTHING;
+}
+
 /* Adds the borrowers of an own record that have not returned all of their loan. */
 static void
 add_recalls_ (const struct sr_source *own, GArray *recalls)
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -278,6 +278,48 @@
   sr_record_delete (record);
 }
 
+/* A loan whose record the lender gave up for its witness is returned when the borrower stops. */
+static void
+test_loan_of_a_record_given_up_is_returned (void **state)
+{
+  struct sr_reservation *reservation;
+  struct sr_record *record;
+  const struct sr_record_holder *holder;
+  unsigned lender;
+  unsigned witness;
+  unsigned borrower;
+  int64_t retry_after_ms;
+  int64_t spent = 0;
+
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 1);
+  holder = &g_array_index (record->holders, struct sr_record_holder, 0);
+  lender = (unsigned)(holder->id.instance[1] - '0');
+  witness = (unsigned)(holder->witness[1] - '0');
+  borrower = 3 - lender - witness; /* the third of makole */
+  sr_record_delete (record);
+  assert_int_equal (sr_budgets_reserve (instances[borrower].budgets, "b", SIZE,
+                                        g_get_monotonic_time () + WAIT_US, &reservation,
+                                        &retry_after_ms),
+                    SR_BUDGET_RESERVED);
+  stop_ (witness);
+  start_ (witness);
+  for (spent = SIZE; spent < PREPAID / 4; spent += SIZE)
+    assert_true (spend_ (lender, SIZE));
+  for (unsigned i = 0; i < 20; i++, spent += SIZE)
+    assert_true (spend_ (borrower, SIZE));
+  sr_budgets_settle (instances[borrower].budgets, reservation, 1);
+  assert_true (
+      sr_budgets_hand_over (instances[borrower].budgets, g_get_monotonic_time () + WAIT_US));
+  for (unsigned i = 0; i < INSTANCES; i++)
+    assert_true (sr_budgets_hand_over (instances[i].budgets, g_get_monotonic_time () + WAIT_US));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 0);
+  assert_int_equal (record->settled, spent + 1);
+  sr_record_delete (record);
+}
+
 /* A planned stop while the platform is out: the witness knows how much was used, so that the others
  * can spend all the rest. */
 static void
@@ -334,6 +376,8 @@
     cmocka_unit_test_setup_teardown (test_sealed_holder_lives_on, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_loan_of_a_record_given_up_is_returned, set_up_,
+                                     tear_down_),
     cmocka_unit_test_setup_teardown (test_stop_in_an_outage_strands_nothing, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_cut_off_instance_does_without_witness, set_up_,
                                      tear_down_),
--- a/src/budget/test-budget.c
+++ b/src/budget/test-budget.c
@@ -147,6 +147,28 @@
   sr_platform_unref (platform);
 }
 
+/* A call of somebody else was answered after the outage: a budget is drawn on at once. */
+static void
+test_end_of_an_outage_is_seen_in_other_calls (void **state)
+{
+  struct sr_platform *platform = sr_platform_memory_new ();
+  struct sr_budgets *budgets = budgets_ (platform, "one");
+  struct sr_reservation *reservation;
+  int64_t retry_after_ms;
+
+  top_up_ (platform, "t1", 1000);
+  sr_platform_memory_set_out (platform, true);
+  assert_int_equal (sr_budgets_reserve (budgets, "other", 100, g_get_monotonic_time () + WAIT_US,
+                                        &reservation, &retry_after_ms),
+                    SR_BUDGET_UNREACHABLE);
+  sr_platform_memory_set_out (platform, false);
+  sr_record_delete (record_ (platform));
+  assert_int_equal (reserve_ (budgets, 100, &reservation), SR_BUDGET_RESERVED);
+  sr_budgets_settle (budgets, reservation, 100);
+  finish_ (budgets);
+  sr_platform_unref (platform);
+}
+
 /* A top-up is applied once; another number under the same id is refused; a correction counts what
  * is out beyond the prepaid tokens. */
 static void
@@ -178,6 +200,7 @@
     cmocka_unit_test (test_two_instances_never_overspend),
     cmocka_unit_test (test_lost_answers_are_read_back),
     cmocka_unit_test (test_outage_is_no_empty_budget),
+    cmocka_unit_test (test_end_of_an_outage_is_seen_in_other_calls),
     cmocka_unit_test (test_top_up_is_idempotent),
   };
 
--- a/src/budget/test-schedules.c
+++ b/src/budget/test-schedules.c
@@ -173,6 +173,15 @@
   message->operation = world->nodes[from].operation = ++world->operations;
 }
 
+/* Every ODDS-th update closes, half of these only what is returned. */
+static enum sr_ledger_ending
+pick_ending_ (struct world *world, int odds)
+{
+  if (pick_ (world, odds) != 0)
+    return SR_LEDGER_KEEP_OPEN;
+  return pick_ (world, 2) == 0 ? SR_LEDGER_CLOSE : SR_LEDGER_CLOSE_RETURNED;
+}
+
 static void
 update_ (struct world *world, unsigned from)
 {
@@ -183,12 +192,12 @@
   bool changed;
 
   sr_ledger_read (ledger, record, world->version);
-  changed = sr_ledger_close_left_over (ledger, record, pick_ (world, 8) == 0);
+  changed = sr_ledger_close_left_over (ledger, record, pick_ending_ (world, 8));
   switch (pick_ (world, 4))
     {
     case 0:
       changed = sr_ledger_give_back (ledger, record, world->version, pick_ (world, 50),
-                                     pick_ (world, 2) == 0)
+                                     pick_ending_ (world, 2))
                 || changed;
       break;
     default:
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -53,7 +53,7 @@
       if (entry != NULL)
         {
           pthread_mutex_unlock (&budgets->mutex);
-          sr_budget_return_loans (budgets, entry, 0);
+          sr_budget_return_loans (budgets, entry, false);
           pthread_mutex_lock (&budgets->mutex);
           continue;
         }
@@ -69,7 +69,7 @@
       entry->busy = true;
       close = sr_ledger_is_idle (entry->ledger, now_us);
       pthread_mutex_unlock (&budgets->mutex);
-      sr_budget_give_back (budgets, entry, close);
+      sr_budget_give_back (budgets, entry, close ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
       entry->synced_us = now_us;
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -3,6 +3,9 @@
 static const char *const status_strings[]
     = { "ok", "absent", "conflict", "unchanged", "limited", "too large", "out", "unknown" };
 
+static enum sr_platform_status note_answer_ (struct sr_platform *platform,
+                                             enum sr_platform_status status);
+
 /* Takes a reference to PLATFORM and returns it. */
 struct sr_platform *
 sr_platform_ref (struct sr_platform *platform)
@@ -28,7 +31,7 @@
                  GString *body,
                  int64_t *version)
 {
-  return platform->vtable->get (platform, kind, name, body, version);
+  return note_answer_ (platform, platform->vtable->get (platform, kind, name, body, version));
 }
 
 /* Writes KIND/NAME if its version is EXPECTED_VERSION (0: if it is absent). OK sets *VERSION to the
@@ -43,7 +46,8 @@
                  int64_t expected_version,
                  int64_t *version)
 {
-  return platform->vtable->put (platform, kind, name, body, length, expected_version, version);
+  return note_answer_ (platform, platform->vtable->put (platform, kind, name, body, length,
+                                                        expected_version, version));
 }
 
 /* Appends to NAMES (strings freed by the array) up to LIMIT names of KIND that begin with PREFIX
@@ -57,7 +61,8 @@
                   GPtrArray *names,
                   bool *more)
 {
-  return platform->vtable->list (platform, kind, prefix, after, limit, names, more);
+  return note_answer_ (platform,
+                       platform->vtable->list (platform, kind, prefix, after, limit, names, more));
 }
 
 /* Waits up to WAIT_MS for a version of KIND/NAME above AFTER_VERSION, and gives it like a get.
@@ -71,14 +76,15 @@
                    GString *body,
                    int64_t *version)
 {
-  return platform->vtable->watch (platform, kind, name, after_version, wait_ms, body, version);
+  return note_answer_ (platform, platform->vtable->watch (platform, kind, name, after_version,
+                                                          wait_ms, body, version));
 }
 
 /* Replaces BODY by the platform's (lagging) JSON list of instances. */
 enum sr_platform_status
 sr_platform_instances (struct sr_platform *platform, GString *body)
 {
-  return platform->vtable->instances (platform, body);
+  return note_answer_ (platform, platform->vtable->instances (platform, body));
 }
 
 /* Deletes KIND/NAME if its version is EXPECTED_VERSION. */
@@ -88,7 +94,15 @@
                     const char *name,
                     int64_t expected_version)
 {
-  return platform->vtable->remove (platform, kind, name, expected_version);
+  return note_answer_ (platform, platform->vtable->remove (platform, kind, name, expected_version));
+}
+
+/* Returns when the platform last answered a call of this process (monotonic, microseconds), 0 for
+ * never. */
+int64_t
+sr_platform_answered_us (struct sr_platform *platform)
+{
+  return atomic_load (&platform->answered_us);
 }
 
 /* Returns the name of STATUS. */
@@ -98,3 +112,12 @@
   g_assert ((size_t)status < G_N_ELEMENTS (status_strings));
   return status_strings[status];
 }
+
+static enum sr_platform_status
+note_answer_ (struct sr_platform *platform, enum sr_platform_status status)
+{
+  if (status == SR_PLATFORM_OK || status == SR_PLATFORM_ABSENT || status == SR_PLATFORM_CONFLICT
+      || status == SR_PLATFORM_UNCHANGED)
+    atomic_store (&platform->answered_us, g_get_monotonic_time ());
+  return status;
+}
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -61,6 +62,7 @@
 {
   const struct sr_platform_vtable *vtable;
   int reference_count;
+  _Atomic int64_t answered_us; /* see sr_platform_answered_us */
 };
 
 struct sr_platform *sr_platform_ref (struct sr_platform *platform);
@@ -96,4 +98,5 @@
                                             const char *kind,
                                             const char *name,
                                             int64_t expected_version);
+int64_t sr_platform_answered_us (struct sr_platform *platform);
 const char *sr_platform_status_to_string (enum sr_platform_status status);
