Fewer calls to the store in large fleets; news are repeated, so that nobody stays behind

Now each instance repeats what it knows to two others every 0.5 s. Now the pause grows with the fleet, no look is made in a pause, and a stand-in draws the demand of two seconds.

--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -66,6 +66,7 @@
   struct sr_record *edited; /* being written */
   int64_t retry_us;
   bool store_is_down;
+  int64_t stood_in_us; /* when this instance last drew in place of the home; 0: never */
   /* Borrowing. */
   bool asking;
   uint32_t number;
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -9,9 +9,11 @@
 {
   US_PER_MS = 1000,
   HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
-  LEFT_DIVISOR = 4,         /* of what is left of a scarce budget: what a crash may lose of it */
-  FIRST_SHARE_DIVISOR = 5,  /* of an untouched budget: demand of ten seconds of a short day */
-  FLOOR_DIVISOR = 40,       /* of any budget, until demand is known: the largest of requests */
+  STAND_IN_COVER_US = 2000000, /* demand of a draw in place of the home: a write a second */
+  STAND_IN_US = 3000000,       /* what was drawn so is kept, as the home may stay away */
+  LEFT_DIVISOR = 4,            /* of what is left of a scarce budget: what a crash may lose of it */
+  FIRST_SHARE_DIVISOR = 5,     /* of an untouched budget: demand of ten seconds of a short day */
+  FLOOR_DIVISOR = 40,          /* of any budget, until demand is known: the largest of requests */
   LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
   FIRST_DRAW_DELAY_US = 1500000,   /* all instances have announced themselves by then */
   STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
@@ -44,6 +46,8 @@
 home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us);
 static int64_t
 home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+static int64_t
+stand_in_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static void draw_ (struct allotment_book *book,
                    struct allotment_team *team,
                    int64_t need,
@@ -87,9 +91,12 @@
   if (home == NULL || (need > 0 && !g_queue_is_empty (&team->asks)))
     {
       /* Asks are met from the store; who asks knows others to turn to. */
-      int64_t target = home == NULL ? home_target_ (book, team, now_us) : 0;
+      int64_t target = home == NULL ? home_target_ (book, team, now_us)
+                                    : stand_in_target_ (book, team, now_us);
       int64_t available = sr_ledger_available (team->ledger);
 
+      if (home != NULL)
+        team->stood_in_us = now_us;
       if (need > 0 || available < target * 3 / 4)
         draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
     }
@@ -107,7 +114,7 @@
   bool is_home = home_ (book, team, now_us) == NULL;
   bool idle = book->stopping || sr_ledger_is_idle (team->ledger, now_us);
   struct sr_source *loan = any_open_loan_ (team);
-  int64_t keep;
+  int64_t keep = 0;
   struct sr_record *record;
 
   if (loan != NULL && idle && !team->asking && sr_source_available (loan) > 0)
@@ -127,7 +134,10 @@
         read_ (book, team, now_us);
       return;
     }
-  keep = is_home && !book->stopping ? home_target_ (book, team, now_us) : 0;
+  if (is_home && !book->stopping)
+    keep = home_target_ (book, team, now_us);
+  else if (!book->leaving && team->stood_in_us != 0 && now_us - team->stood_in_us < STAND_IN_US)
+    keep = stand_in_target_ (book, team, now_us);
   if (!book->stopping
       && sr_source_available (team->ledger->own)
              <= keep * 3 / 2 + MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1))
@@ -198,13 +208,16 @@
 {
   struct allotment_peer *peer = NULL;
   bool down = store_is_out_ (book, team, now_us);
+  int64_t ahead;
 
   if (team->asking || (team->step != STEP_IDLE && !down))
     return;
   switch (source_ (book, team, down, &peer, now_us))
     {
     case SOURCE_STORE:
-      draw_ (book, team, need, 0, now_us);
+      ahead = stand_in_target_ (book, team, now_us) - sr_ledger_available (team->ledger);
+      team->stood_in_us = now_us;
+      draw_ (book, team, need, MAX (ahead, 0), now_us);
       return;
     case SOURCE_PEER:
       borrow_ (book, team, peer, need, now_us);
@@ -298,6 +311,15 @@
   return MIN (target, MAX (left / LEFT_DIVISOR, 2 * left - team->prepaid_tokens));
 }
 
+/* Returns the tokens that this instance should have available while it serves TEAM in place of a
+ * home that can't: enough that not each request costs a write. */
+static int64_t
+stand_in_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  return MIN (allotment_demand_in_ (&team->demand, STAND_IN_COVER_US, now_us),
+              home_target_ (book, team, now_us));
+}
+
 /* Draws NEED and up to WANT more tokens from the store, unless a call is out or the store was down
  * a moment ago. */
 static void
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -40,7 +40,8 @@
   bool cut_from_store;
   bool cut_from_peers;
   int64_t next_tick_us;
-  unsigned reads;     /* of the store */
+  unsigned reads; /* of the store */
+  unsigned writes;
   GPtrArray *running; /* struct request_ */
 };
 
@@ -144,6 +145,7 @@
   struct world_ *world = node->world;
   struct event_ *event;
 
+  node->writes++;
   if (node->cut_from_store)
     {
       event = event_new_ (world, EVENT_WRITE_DONE, node, CALL_TIMEOUT_US);
@@ -562,6 +564,35 @@
   tear_down_ (&world);
 }
 
+/* The home is cut off from the store and has nothing left. Who draws in its place does so ahead of
+ * demand: a write a second, not one for each request. */
+static void
+a_stand_in_does_not_write_for_each_request (void **state)
+{
+  enum
+  {
+    SPAN_S = 20
+  };
+  struct world_ world;
+  unsigned writes = 0;
+  unsigned refused;
+
+  set_up_ (&world, 8000000, 13);
+  run_ (&world, 3 * SECOND);
+  load_ (&world, 5000, 20, 4 * SECOND);
+  home_ (&world)->cut_from_store = true;
+  load_ (&world, 5000, 20, 20 * SECOND);
+  refused = world.refused;
+  for (unsigned i = 0; i < BOOKS; i++)
+    world.nodes[i].writes = 0;
+  load_ (&world, 5000, 20, SPAN_S * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    writes += world.nodes[i].writes;
+  assert_int_equal (world.refused, refused);
+  assert_true (writes <= SPAN_S + BOOKS);
+  tear_down_ (&world);
+}
+
 static void
 a_crash_of_all_keeps_half_of_what_is_left (void **state)
 {
@@ -811,6 +842,7 @@
     cmocka_unit_test (a_cut_of_all_instances_from_the_store_refuses_nobody),
     cmocka_unit_test (a_large_request_of_a_small_budget_is_served_anywhere),
     cmocka_unit_test (a_home_that_is_cut_off_stops_nobody_else),
+    cmocka_unit_test (a_stand_in_does_not_write_for_each_request),
     cmocka_unit_test (a_crash_of_all_keeps_half_of_what_is_left),
     cmocka_unit_test (an_instance_that_leaves_gives_its_tokens_back),
     cmocka_unit_test (an_instance_that_lost_sight_of_its_record_gives_its_tokens_back),
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -16,6 +16,7 @@
 static void put_instance_ (struct gateway *gateway, const struct store_object *object);
 static void forget_instance_ (struct gateway *gateway, const char *name);
 static void peers_changed_ (struct gateway *gateway);
+static struct mesh_news news_ (const struct gateway *gateway);
 static void spread_news_ (struct gateway *gateway);
 
 /* A list or a change of the kind that holds the configuration. A lower version is never taken. */
@@ -209,6 +210,10 @@
                    (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
   watcher_set_wait (gateway->routes_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
   watcher_set_wait (gateway->backends_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
+  watcher_set_pause (gateway->backends_watcher,
+                     CLAMP (gateway->context.instances * GATEWAY_BACKENDS_PAUSE_FLEET_MS,
+                            (unsigned)GATEWAY_BACKENDS_PAUSE_MIN_MS,
+                            (unsigned)GATEWAY_BACKENDS_PAUSE_MAX_MS));
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
@@ -226,10 +231,27 @@
 static void
 spread_news_ (struct gateway *gateway)
 {
-  const struct mesh_news news = {
+  const struct mesh_news news = news_ (gateway);
+
+  mesh_spread_news (gateway->mesh, &news, gateway->context.random);
+}
+
+/* Tells the same now and then: those whose watch is deaf, and whom the spreading missed, must not
+ * depend on the end of their watch. */
+void
+gateway_on_news_timer_ (uv_timer_t *timer)
+{
+  struct gateway *gateway = timer->data;
+  const struct mesh_news news = news_ (gateway);
+
+  mesh_repeat_news (gateway->mesh, &news, gateway->context.random);
+}
+
+static struct mesh_news
+news_ (const struct gateway *gateway)
+{
+  return (struct mesh_news){
     .configuration_revision = watcher_seen (gateway->routes_watcher),
     .backends_revision = watcher_seen (gateway->backends_watcher),
   };
-
-  mesh_spread_news (gateway->mesh, &news, gateway->context.random);
 }
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -16,7 +16,12 @@
    * change must be in force. */
   GATEWAY_WATCH_FLEET_MS = 170,
   GATEWAY_WATCH_MIN_MS = 1200,
-  GATEWAY_WATCH_MAX_MS = 10000 /* who reaches nobody else finds out by itself after this time */
+  GATEWAY_WATCH_MAX_MS = 15000, /* who reaches nobody else finds out by itself after this time */
+  /* Between changes of backend servers, which are read together: each change costs a call of every
+   * instance. At most a third of the time in which a leaving one must be dropped. */
+  GATEWAY_BACKENDS_PAUSE_FLEET_MS = 8, /* times the instances */
+  GATEWAY_BACKENDS_PAUSE_MIN_MS = 150,
+  GATEWAY_BACKENDS_PAUSE_MAX_MS = 600
 };
 
 struct gateway
@@ -35,6 +40,7 @@
   struct gw_ingress *ingress;
   uv_timer_t book_timer;
   uv_timer_t work_timer;
+  uv_timer_t news_timer;
   uv_timer_t lease_timer;
   uv_timer_t announce_timer;
   uv_timer_t stop_timer;
@@ -64,6 +70,7 @@
 void gateway_send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
 void gateway_on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data);
 void gateway_on_answered_ (const char *peer, const struct allotment_answer *answer, void *data);
+void gateway_on_news_timer_ (uv_timer_t *timer);
 void gateway_on_told_ (const struct mesh_news *news, void *data);
 void gateway_on_work_timer_ (uv_timer_t *timer);
 void gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -12,8 +12,8 @@
 
 enum
 {
-  ROUTES_PAUSE_MS = 50,    /* changes that come in quick succession are read together */
-  BACKENDS_PAUSE_MS = 150, /* the same; small against the time in which a leaving one is dropped */
+  ROUTES_PAUSE_MS = 50,   /* changes that come in quick succession are read together */
+  NEWS_INTERVAL_MS = 500, /* several repetitions in the time in which a change must be in force */
   INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
   WORK_INTERVAL_MS = 60,     /* the time in which 4,000 tokens are read */
   ANNOUNCE_RETRY_MS = 100,
@@ -124,8 +124,8 @@
                                     .address = settings->ready_address,
                                     .data = gateway,
                                     .answer = answer_ready_ };
-  uv_timer_t *timers[] = { &gateway->book_timer, &gateway->work_timer, &gateway->lease_timer,
-                           &gateway->announce_timer, &gateway->stop_timer };
+  uv_timer_t *timers[] = { &gateway->book_timer,  &gateway->work_timer,     &gateway->news_timer,
+                           &gateway->lease_timer, &gateway->announce_timer, &gateway->stop_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
@@ -168,7 +168,7 @@
   gateway->routes_watcher = watcher_new (&watch);
   watch.kind = gateway->platform->kind_of_backends;
   watch.listed = gateway_on_backends_listed_;
-  watch.pause_ms = BACKENDS_PAUSE_MS;
+  watch.pause_ms = GATEWAY_BACKENDS_PAUSE_MIN_MS;
   watch.changed = gateway_on_backends_changed_;
   watch.reachable = gateway_on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
@@ -185,6 +185,7 @@
               g_rand_int (context->random));
   announce_ (gateway);
   uv_timer_start (&gateway->work_timer, gateway_on_work_timer_, WORK_INTERVAL_MS, WORK_INTERVAL_MS);
+  uv_timer_start (&gateway->news_timer, gateway_on_news_timer_, NEWS_INTERVAL_MS, NEWS_INTERVAL_MS);
   return true;
 }
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -10,6 +10,7 @@
 {
   WORK_FANOUT = 8, /* of a small fleet all are told, of a large one as many as a link carries */
   NEWS_FANOUT = 6, /* one in four hundred is not told; a thousand are in four rounds */
+  NEWS_REPEAT_FANOUT = 2,   /* who was not told is within a few repetitions, also after a cut */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
   FORMAT = 1
 };
@@ -42,12 +43,16 @@
 
 static struct sr_counter sent_counter_ = { .name = "sapphirerun_mesh_datagrams_sent_total",
                                            .help = "Datagrams sent to other instances." };
+static struct sr_counter unsent_counter_
+    = { .name = "sapphirerun_mesh_datagrams_unsent_total",
+        .help = "Datagrams to other instances that the system did not take." };
 static struct sr_counter received_counter_ = { .name = "sapphirerun_mesh_datagrams_received_total",
                                                .help = "Datagrams of other instances." };
 static struct sr_counter malformed_counter_
     = { .name = "sapphirerun_mesh_datagrams_malformed_total",
         .help = "Datagrams that could not be read." };
 
+static void on_closed_ (uv_handle_t *handle);
 static void on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_receive_ (uv_udp_t *socket,
                          ssize_t length,
@@ -58,6 +63,8 @@
 static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
 static bool xdr_work_ (XDR *xdr, struct mesh_work *work);
 static uint64_t from_key_ (const struct sockaddr_in *address);
+static void
+tell_news_ (struct mesh *mesh, const struct mesh_news *news, unsigned fanout, GRand *random);
 static void spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
 static void take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
@@ -87,11 +94,19 @@
       return NULL;
     }
   sr_counter_register (&sent_counter_);
+  sr_counter_register (&unsent_counter_);
   sr_counter_register (&received_counter_);
   sr_counter_register (&malformed_counter_);
   return mesh;
 }
 
+/* Closes the socket; MESH is freed by the next run of the loop. */
+void
+mesh_delete (struct mesh *mesh)
+{
+  uv_close ((uv_handle_t *)&mesh->socket, on_closed_);
+}
+
 /* Says where instance NAME is. */
 void
 mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address)
@@ -184,16 +199,14 @@
 void
 mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random)
 {
-  struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
-  struct mesh_news copy = *news;
-  char bytes[MESSAGE_MAX_BYTES];
-  XDR xdr;
+  tell_news_ (mesh, news, NEWS_FANOUT, random);
+}
 
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
-    spread_ (mesh, NEWS_FANOUT, &xdr, bytes, random);
-  xdr_destroy (&xdr);
+/* Tells what is known for those whom the spreading has missed; to be called now and then. */
+void
+mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random)
+{
+  tell_news_ (mesh, news, NEWS_REPEAT_FANOUT, random);
 }
 
 /* Tells some instances, chosen by chance, the WORK sent from here; it replaces what they were told
@@ -221,6 +234,15 @@
   xdr_destroy (&xdr);
 }
 
+static void
+on_closed_ (uv_handle_t *handle)
+{
+  struct mesh *mesh = handle->data;
+
+  g_hash_table_unref (mesh->peers);
+  g_free (mesh);
+}
+
 static void
 on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -269,6 +291,21 @@
          && xdr_bool (xdr, &head->is_leaving);
 }
 
+static void
+tell_news_ (struct mesh *mesh, const struct mesh_news *news, unsigned fanout, GRand *random)
+{
+  struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
+  struct mesh_news copy = *news;
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
+    spread_ (mesh, fanout, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
 /* Sends what XDR has encoded to FANOUT instances. */
 static void
 spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random)
@@ -325,6 +362,8 @@
 
   if (uv_udp_try_send (&mesh->socket, &buffer, 1, (const struct sockaddr *)to) >= 0)
     sr_counter_add (&sent_counter_, 1);
+  else
+    sr_counter_add (&unsent_counter_, 1);
 }
 
 static void
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -42,11 +42,13 @@
 };
 
 struct mesh *mesh_new (const struct mesh_options *options);
+void mesh_delete (struct mesh *mesh);
 void mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address);
 void mesh_remove_peer (struct mesh *mesh, const char *name);
 GPtrArray *mesh_peer_names (const struct mesh *mesh);
 void mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask);
 void mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
+void mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
 void
 mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -22,6 +22,7 @@
   enum call_ call; /* the one that is out */
   int64_t after_revision;
   unsigned wait_ms;
+  unsigned calls;
   store_callback done;
   void *data;
   unsigned listed;
@@ -37,6 +38,7 @@
 {
   struct fake_ *fake = (struct fake_ *)store;
 
+  fake->calls++;
   fake->call = CALL_LIST;
   fake->done = done;
   fake->data = data;
@@ -52,6 +54,7 @@
 {
   struct fake_ *fake = (struct fake_ *)store;
 
+  fake->calls++;
   fake->call = CALL_WATCH;
   fake->after_revision = after_revision;
   fake->wait_ms = wait_ms;
@@ -180,6 +183,25 @@
   fake_delete_ (fake);
 }
 
+/* In a pause others tell of a change: the watch after it shows that, a call beside it would be one
+ * too many. */
+static void
+news_during_a_pause_cost_no_call (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  watcher_set_pause (fake->watcher, 400);
+  answer_ (fake, STORE_OK, 10, 1);
+  watcher_look_after (fake->watcher, 15);
+  run_until_call_ (fake);
+  assert_int_equal (fake->calls, 2);
+  assert_int_equal (fake->wait_ms, 1200);
+  assert_int_equal (fake->after_revision, 10);
+  answer_ (fake, STORE_OK, 15, 1);
+  assert_int_equal (watcher_seen (fake->watcher), 15);
+  fake_delete_ (fake);
+}
+
 static void
 a_history_that_is_gone_is_listed_again (void **state)
 {
@@ -265,6 +287,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_list_is_followed_by_watches_from_there),
     cmocka_unit_test (a_pause_after_a_change_gathers_what_follows),
+    cmocka_unit_test (news_during_a_pause_cost_no_call),
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
     cmocka_unit_test (watches_of_a_fleet_do_not_end_together),
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -17,6 +17,7 @@
   uv_timer_t timer;
   uv_timer_t look_timer;
   bool looking;
+  bool pausing;     /* the next watch begins when the timer ends */
   int64_t wanted;   /* a revision that others have seen */
   int64_t seen;     /* of the latest change that was told */
   int64_t revision; /* 0: list first */
@@ -26,6 +27,7 @@
 };
 
 static void ask_ (struct watcher *watcher);
+static void ask_after_change_ (struct watcher *watcher);
 static unsigned wait_of_ (const struct watcher_options *options);
 static void on_timer_ (uv_timer_t *timer);
 static void on_look_timer_ (uv_timer_t *timer);
@@ -69,6 +71,13 @@
   watcher->options.wait_ms = wait_ms;
 }
 
+/* Sets the pause between a change and the next watch, see watcher_options. */
+void
+watcher_set_pause (struct watcher *watcher, unsigned pause_ms)
+{
+  watcher->options.pause_ms = pause_ms;
+}
+
 /* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more
  * beside it. */
 void
@@ -116,6 +125,7 @@
 {
   const struct watcher_options *options = &watcher->options;
 
+  watcher->pausing = false;
   if (watcher->stopped)
     return;
   if (watcher->revision == 0)
@@ -126,6 +136,19 @@
                  on_changed_, watcher);
 }
 
+/* Goes on after a pause, in which further changes gather. */
+static void
+ask_after_change_ (struct watcher *watcher)
+{
+  if (watcher->options.pause_ms == 0)
+    {
+      ask_ (watcher);
+      return;
+    }
+  watcher->pausing = true;
+  uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
+}
+
 static unsigned
 wait_of_ (const struct watcher_options *options)
 {
@@ -145,7 +168,8 @@
 {
   struct watcher *watcher = timer->data;
 
-  if (watcher->stopped || watcher->looking || watcher->revision == 0
+  /* After a pause the next watch shows what is wanted. */
+  if (watcher->stopped || watcher->looking || watcher->pausing || watcher->revision == 0
       || watcher->wanted <= watcher->revision)
     return;
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
@@ -217,10 +241,7 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   take_list_ (watcher, result);
-  if (watcher->options.pause_ms > 0)
-    uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
-  else
-    ask_ (watcher);
+  ask_after_change_ (watcher);
 }
 
 static void
@@ -246,8 +267,8 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   take_changes_ (watcher, result);
-  if (result->n_objects > 0 && watcher->options.pause_ms > 0)
-    uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
+  if (result->n_objects > 0)
+    ask_after_change_ (watcher);
   else
     ask_ (watcher);
 }
