Retry budget: the fixed part from the process' age; a server whose address is taken is passed over

And an answer of 421 counted as a full server, so the same dead entry was picked again. Ruled out: the ratio; answers of 500 to both attempts belong to the request, not to the server. Reading the settings again now sets all of a budget's options, not only the ratio.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -6,6 +6,7 @@
 
 enum
 {
+  HTTP_MISDIRECTED = 421,
   PLAIN_BUFFER_MAX_BYTES = 262144, /* a plain answer is kept back until it is whole up to this */
   CALLER_QUEUE_MAX_BYTES = 131072, /* a slow reader stops the backend server beyond this */
   LEFT_MIN_MS = 5,                 /* with less time left nothing can be answered */
@@ -179,7 +180,9 @@
       sr_event (SR_EVENT_FAILURE, "request_not_executed", "{s:s,s:s,s:i}", "request", exchange->id,
                 "backend", exchange->backend->facts.id, "status", (int)head->status);
       exchange->runs--;
-      gw_exchange_end_attempt_ (exchange, GW_PLACE_END_NOT_EXECUTED);
+      gw_exchange_end_attempt_ (exchange, head->status == HTTP_MISDIRECTED
+                                              ? GW_PLACE_END_MISDIRECTED
+                                              : GW_PLACE_END_NOT_EXECUTED);
       if (may_try_again_ (exchange, false))
         gw_exchange_place_ (exchange);
       else if (exchange->began)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
   struct gw_retry_budget_options retry_options;
   struct gw_link_load link;
   unsigned instances; /* this one included */
+  int64_t started_us;
   GRand *random;
   bool stopping;
   int64_t stopping_since_us;
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -227,6 +227,7 @@
       count_error_ (load, true, now_us);
       break;
     case GW_PLACE_END_BROKEN:
+    case GW_PLACE_END_MISDIRECTED:
       count_error_ (load, true, now_us);
       load->ejected_until_us
           = now_us + MIN ((int64_t)EJECT_FIRST_US << MIN (load->breaks, 8U), (int64_t)EJECT_MAX_US);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -40,7 +40,8 @@
 enum gw_place_end
 {
   GW_PLACE_END_OK,
-  GW_PLACE_END_NOT_EXECUTED, /* it vouched for that: full, or not the expected one */
+  GW_PLACE_END_NOT_EXECUTED, /* it vouched for that: full */
+  GW_PLACE_END_MISDIRECTED,  /* another one is at its address */
   GW_PLACE_END_ERROR,        /* it answered with a failure */
   GW_PLACE_END_BROKEN,       /* no connection, cut, silent or malformed */
   GW_PLACE_END_ABANDONED     /* the caller left */
--- a/src/gateway/retry-budget.c
+++ b/src/gateway/retry-budget.c
@@ -9,15 +9,16 @@
 static int64_t step_at_ (const struct gw_retry_budget *budget, int64_t now_us);
 static void advance_ (struct gw_retry_budget *budget, int64_t now_us);
 
-/* Starts an empty window at NOW_US. */
+/* Starts an empty window at NOW_US, in a process that started at STARTED_US. */
 void
 gw_retry_budget_init (struct gw_retry_budget *budget,
                       const struct gw_retry_budget_options *options,
+                      int64_t started_us,
                       int64_t now_us)
 {
   memset (budget, 0, sizeof *budget);
   budget->options = *options;
-  budget->started_us = now_us;
+  budget->started_us = started_us;
   budget->step = step_at_ (budget, now_us);
 }
 
--- a/src/gateway/retry-budget.h
+++ b/src/gateway/retry-budget.h
@@ -21,14 +21,15 @@
 struct gw_retry_budget
 {
   struct gw_retry_budget_options options;
-  int64_t started_us;
-  int64_t step; /* the current one */
+  int64_t started_us; /* the process */
+  int64_t step;       /* the current one */
   unsigned requests[GW_RETRY_SLOTS];
   unsigned repeats[GW_RETRY_SLOTS];
 };
 
 void gw_retry_budget_init (struct gw_retry_budget *budget,
                            const struct gw_retry_budget_options *options,
+                           int64_t started_us,
                            int64_t now_us);
 void gw_retry_budget_count_request (struct gw_retry_budget *budget, int64_t now_us);
 bool gw_retry_budget_take (struct gw_retry_budget *budget, unsigned instances, int64_t now_us);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -97,7 +97,8 @@
   if (budget == NULL)
     {
       budget = g_new0 (struct gw_retry_budget, 1);
-      gw_retry_budget_init (budget, &context->retry_options, g_get_monotonic_time ());
+      gw_retry_budget_init (budget, &context->retry_options, context->started_us,
+                            g_get_monotonic_time ());
       g_hash_table_insert (context->retry_budgets, g_strdup (service), budget);
     }
   return budget;
@@ -129,6 +130,7 @@
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
+  context->started_us = g_get_monotonic_time ();
   context->loop = &gateway->loop;
   context->dialect = gateway->platform->dialect;
   context->data_centre = settings->data_centre->str;
@@ -367,7 +369,7 @@
       context->retry_options = retry_options_of_ (settings);
       g_hash_table_iter_init (&iter, context->retry_budgets);
       while (g_hash_table_iter_next (&iter, NULL, &budget))
-        ((struct gw_retry_budget *)budget)->options.ratio = settings->retry_ratio;
+        ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
                 settings->retry_ratio, "retry_extra", (int)settings->retry_extra, "link_mbps",
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -109,7 +109,7 @@
   GArray *requests = g_array_new (FALSE, FALSE, sizeof (int64_t));
   int64_t now_us = 5 * SECOND;
 
-  gw_retry_budget_init (&budget, &options, now_us);
+  gw_retry_budget_init (&budget, &options, now_us, now_us);
   for (unsigned i = 0; i < 20000; i++)
     {
       now_us += g_rand_int_range (random, 0, i % 4000 < 2000 ? 4 * MS : 60 * MS);
@@ -145,11 +145,25 @@
       = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
   struct gw_retry_budget budget;
 
-  gw_retry_budget_init (&budget, &options, SECOND);
+  gw_retry_budget_init (&budget, &options, SECOND, SECOND);
   assert_false (gw_retry_budget_take (&budget, 1, SECOND));
   assert_true (gw_retry_budget_take (&budget, 1, 12 * SECOND));
 }
 
+/* A service that gets its first request from here long after the start: nothing of the fixed part
+ * can have been used up. */
+static void
+a_service_new_to_an_old_process_has_the_fixed_part (void **state)
+{
+  const struct gw_retry_budget_options options
+      = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
+  struct gw_retry_budget budget;
+
+  gw_retry_budget_init (&budget, &options, SECOND, 15 * SECOND);
+  gw_retry_budget_count_request (&budget, 15 * SECOND);
+  assert_true (gw_retry_budget_take (&budget, 7, 15 * SECOND));
+}
+
 struct fleet_
 {
   struct gw_backends *table;
@@ -354,6 +368,18 @@
   fleet_tear_down_ (&fleet);
 }
 
+/* A server that has ended may stay listed for seconds; another one at its address says so. */
+static void
+a_server_whose_address_is_taken_is_passed_over (void **state)
+{
+  struct fleet_ fleet;
+
+  fleet_set_up_ (&fleet, 3, false);
+  take_ (&fleet, 1, GW_PLACE_END_MISDIRECTED, 10 * SECOND);
+  assert_int_equal (picks_of_ (&fleet, "i-1", 10 * SECOND + MS), 0);
+  fleet_tear_down_ (&fleet);
+}
+
 static void
 nobody_is_picked_who_leaves_or_was_tried (void **state)
 {
@@ -451,12 +477,14 @@
     cmocka_unit_test (weights_split_the_traffic),
     cmocka_unit_test (the_retry_budget_holds_in_every_window),
     cmocka_unit_test (a_fresh_process_goes_without_the_fixed_part),
+    cmocka_unit_test (a_service_new_to_an_old_process_has_the_fixed_part),
     cmocka_unit_test (long_prompts_are_spread),
     cmocka_unit_test (sessions_stay_where_they_are_cached),
     cmocka_unit_test (what_others_sent_counts_for_a_while),
     cmocka_unit_test (a_server_that_fails_often_is_avoided_for_a_while),
     cmocka_unit_test (a_few_failures_do_not_count),
     cmocka_unit_test (a_broken_server_is_passed_over_but_never_the_last_one),
+    cmocka_unit_test (a_server_whose_address_is_taken_is_passed_over),
     cmocka_unit_test (nobody_is_picked_who_leaves_or_was_tried),
     cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
     cmocka_unit_test (a_full_link_refuses_and_a_half_full_one_does_not),
