One watcher asks for all of its instance in an outage; changes of the configuration gather in large fleets

Now the watcher of backend servers leads: while neither reaches the store, only that one asks, and its success wakes the others at once. The pause after a configuration grows with the fleet from 50 to 300 ms. Ruled out: a longer pause between the leader's tries, as it decides how soon an outage's end is seen.

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -226,6 +226,10 @@
                    (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
   watcher_set_wait (gateway->routes_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
   watcher_set_wait (gateway->backends_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
+  watcher_set_pause (gateway->routes_watcher,
+                     CLAMP (gateway->context.instances * GATEWAY_ROUTES_PAUSE_FLEET_MS,
+                            (unsigned)GATEWAY_ROUTES_PAUSE_MIN_MS,
+                            (unsigned)GATEWAY_ROUTES_PAUSE_MAX_MS));
   watcher_set_pause (gateway->backends_watcher,
                      CLAMP (gateway->context.instances * GATEWAY_BACKENDS_PAUSE_FLEET_MS,
                             (unsigned)GATEWAY_BACKENDS_PAUSE_MIN_MS,
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -17,8 +17,12 @@
   GATEWAY_WATCH_FLEET_MS = 170,
   GATEWAY_WATCH_MIN_MS = 1200,
   GATEWAY_WATCH_MAX_MS = 15000, /* who reaches nobody else finds out by itself after this time */
-  /* Between changes of backend servers, which are read together: each change costs a call of every
-   * instance. At most a third of the time in which a leaving one must be dropped. */
+  /* Between changes, which are read together: each change costs a call of every instance. At most a
+   * third of the time in which a leaving server must be dropped, a sixth of that in which a
+   * configuration must be in force. */
+  GATEWAY_ROUTES_PAUSE_FLEET_MS = 4, /* times the instances */
+  GATEWAY_ROUTES_PAUSE_MIN_MS = 50,
+  GATEWAY_ROUTES_PAUSE_MAX_MS = 300,
   GATEWAY_BACKENDS_PAUSE_FLEET_MS = 8, /* times the instances */
   GATEWAY_BACKENDS_PAUSE_MIN_MS = 150,
   GATEWAY_BACKENDS_PAUSE_MAX_MS = 600
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -12,7 +12,6 @@
 
 enum
 {
-  ROUTES_PAUSE_MS = 50,   /* changes that come in quick succession are read together */
   NEWS_INTERVAL_MS = 500, /* several repetitions in the time in which a change must be in force */
   INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
   WORK_INTERVAL_MS = 60,     /* the time in which 4,000 tokens are read */
@@ -164,22 +163,23 @@
 
   gateway->store = gateway->platform->open_store (&gateway->loop, settings);
   watch.store = gateway->store;
-  watch.kind = gateway->platform->kind_of_configuration;
-  watch.listed = watch.changed = gateway_on_routes_;
-  watch.pause_ms = ROUTES_PAUSE_MS;
-  gateway->routes_watcher = watcher_new (&watch);
   watch.kind = gateway->platform->kind_of_backends;
   watch.listed = gateway_on_backends_listed_;
   watch.pause_ms = GATEWAY_BACKENDS_PAUSE_MIN_MS;
   watch.changed = gateway_on_backends_changed_;
   watch.reachable = gateway_on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
+  watch.leader = gateway->backends_watcher;
+  watch.reachable = NULL;
+  watch.kind = gateway->platform->kind_of_configuration;
+  watch.listed = watch.changed = gateway_on_routes_;
+  watch.pause_ms = GATEWAY_ROUTES_PAUSE_MIN_MS;
+  gateway->routes_watcher = watcher_new (&watch);
   watch.kind = KIND_INSTANCES;
   watch.wait_ms = GATEWAY_WATCH_MAX_MS;
   watch.pause_ms = INSTANCES_PAUSE_MS;
   watch.listed = gateway_on_instances_listed_;
   watch.changed = gateway_on_instances_changed_;
-  watch.reachable = NULL;
   gateway->instances_watcher = watcher_new (&watch);
   watcher_start (gateway->routes_watcher);
   watcher_start (gateway->backends_watcher);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -87,11 +87,13 @@
     fake->lost++;
 }
 
+/* A fake with a watcher on LOOP (NULL: on a loop of its own) that LEADER (NULL: nobody) leads. */
 static struct fake_ *
-fake_new_ (void)
+fake_on_ (uv_loop_t *loop, struct watcher *leader)
 {
   struct fake_ *fake = g_new0 (struct fake_, 1);
-  struct watcher_options options = { .loop = &fake->loop,
+  struct watcher_options options = { .loop = loop != NULL ? loop : &fake->loop,
+                                     .leader = leader,
                                      .store = &fake->base,
                                      .kind = "k",
                                      .wait_ms = 1200,
@@ -107,6 +109,12 @@
   return fake;
 }
 
+static struct fake_ *
+fake_new_ (void)
+{
+  return fake_on_ (NULL, NULL);
+}
+
 static void
 fake_delete_ (struct fake_ *fake)
 {
@@ -238,6 +246,40 @@
   fake_delete_ (fake);
 }
 
+/* In an outage one watcher asks for all of its instance. */
+static void
+a_led_watcher_waits_for_its_leader_in_an_outage (void **state)
+{
+  struct fake_ *leader = fake_new_ ();
+  struct fake_ *led = fake_on_ (&leader->loop, leader->watcher);
+
+  answer_ (leader, STORE_OK, 10, 1);
+  answer_ (led, STORE_OK, 10, 1);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      answer_ (leader, STORE_UNREACHABLE, 0, 0);
+      run_until_call_ (leader);
+    }
+  answer_ (led, STORE_UNREACHABLE, 0, 0);
+  while (led->call == CALL_NONE)
+    uv_run (&leader->loop, UV_RUN_ONCE);
+  answer_ (led, STORE_UNREACHABLE, 0, 0);
+  assert_int_equal (led->lost, 1);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      answer_ (leader, STORE_UNREACHABLE, 0, 0);
+      run_until_call_ (leader);
+    }
+  assert_int_equal (led->call, CALL_NONE);
+  answer_ (leader, STORE_OK, 10, 0);
+  assert_int_equal (led->call, CALL_WATCH);
+  answer_ (led, STORE_OK, 12, 1);
+  assert_int_equal (led->regained, 1);
+  assert_int_equal (led->changed, 1);
+  fake_delete_ (led);
+  fake_delete_ (leader);
+}
+
 /* A whole fleet opens its watches after the same change: they end at different times. */
 static void
 watches_of_a_fleet_do_not_end_together (void **state)
@@ -291,6 +333,7 @@
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
     cmocka_unit_test (watches_of_a_fleet_do_not_end_together),
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
+    cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
   };
 
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -7,6 +7,7 @@
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
   LOOK_DELAY_MS = 120, /* in which the own watch is likely to show what others have seen */
+  LED_RETRY_MS = 5000, /* while the leader asks; for a failure that is not the leader's */
   RETURN_WAIT_MS
   = 20 /* of the first watch after a failure: its answer tells that the store is back */
 };
@@ -22,6 +23,7 @@
   int64_t seen;     /* of the latest change that was told */
   int64_t revision; /* 0: list first */
   unsigned retry_ms;
+  GPtrArray *led; /* watchers that this one leads */
   bool reachable;
   bool stopped;
 };
@@ -49,6 +51,9 @@
   watcher->options = *options;
   watcher->retry_ms = RETRY_FIRST_MS;
   watcher->reachable = true;
+  watcher->led = g_ptr_array_new ();
+  if (options->leader != NULL)
+    g_ptr_array_add (options->leader->led, watcher);
   uv_timer_init (options->loop, &watcher->timer);
   uv_timer_init (options->loop, &watcher->look_timer);
   watcher->timer.data = watcher->look_timer.data = watcher;
@@ -114,6 +119,10 @@
   uv_loop_t *loop = watcher->options.loop;
 
   watcher_stop (watcher);
+  g_assert (watcher->led->len == 0);
+  g_ptr_array_unref (watcher->led);
+  if (watcher->options.leader != NULL)
+    g_ptr_array_remove (watcher->options.leader->led, watcher);
   uv_close ((uv_handle_t *)&watcher->timer, NULL);
   uv_close ((uv_handle_t *)&watcher->look_timer, NULL);
   uv_run (loop, UV_RUN_NOWAIT);
@@ -273,13 +282,19 @@
     ask_ (watcher);
 }
 
-/* Asks again a little later; the pause doubles up to its limit. */
+/* Asks again a little later; the pause doubles up to its limit. While the leader does not reach the
+ * store either, its end of the outage is waited for. */
 static void
 retry_ (struct watcher *watcher, enum store_status status)
 {
+  const struct watcher *leader = watcher->options.leader;
+
   if (watcher->retry_ms > RETRY_FIRST_MS)
     set_reachable_ (watcher, false, status);
-  uv_timer_start (&watcher->timer, on_timer_, watcher->retry_ms, 0);
+  if (!watcher->reachable && leader != NULL && !leader->reachable)
+    uv_timer_start (&watcher->timer, on_timer_, LED_RETRY_MS, 0);
+  else
+    uv_timer_start (&watcher->timer, on_timer_, watcher->retry_ms, 0);
   watcher->retry_ms = MIN (watcher->retry_ms * 2, (unsigned)RETRY_MAX_MS);
 }
 
@@ -295,4 +310,14 @@
             (json_int_t)watcher->revision);
   if (watcher->options.reachable != NULL)
     watcher->options.reachable (reachable, watcher->options.data);
+  for (unsigned i = 0; reachable && i < watcher->led->len; i++)
+    {
+      struct watcher *led = watcher->led->pdata[i];
+
+      if (!led->reachable && uv_is_active ((uv_handle_t *)&led->timer))
+        {
+          uv_timer_stop (&led->timer);
+          ask_ (led);
+        }
+    }
 }
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -23,6 +23,9 @@
   void (*changed) (const struct store_result *result, void *data);
   /* The store could not be asked (false), or answers again (true). */
   void (*reachable) (bool reachable, void *data);
+  /* Another watcher of the same store, or NULL. While neither reaches it, only that one asks. It
+   * must outlive this one. */
+  struct watcher *leader;
 };
 
 struct watcher *watcher_new (const struct watcher_options *options);
