--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -323,6 +323,45 @@
   fake_delete_ (fake);
 }
 
+/* The call beside a deaf watch fails as well: it is made again when others say the same again. */
+static void
+a_look_that_failed_is_made_again (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      fake->call = CALL_NONE; /* the watch stays open and says nothing */
+      watcher_look_after (fake->watcher, 15);
+      run_until_call_ (fake);
+      answer_ (fake, i < 2 ? STORE_BUSY : STORE_OK, 15, i < 2 ? 0 : 1);
+    }
+  assert_int_equal (watcher_seen (fake->watcher), 15);
+  fake->call = CALL_NONE;
+  watcher_look_after (fake->watcher, 15);
+  uv_run (&fake->loop, UV_RUN_NOWAIT);
+  assert_int_equal (fake->call, CALL_NONE);
+  fake_delete_ (fake);
+}
+
+/* A watch that was deaf to a change has ended and the next one begins behind it. */
+static void
+a_change_behind_the_position_is_listed (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  answer_ (fake, STORE_OK, 20, 0); /* without the change at 15 */
+  fake->call = CALL_NONE;
+  watcher_look_after (fake->watcher, 15);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 21, 1);
+  assert_int_equal (fake->listed, 2);
+  fake_delete_ (fake);
+}
+
 int
 main (void)
 {
@@ -333,6 +372,8 @@
     cmocka_unit_test (a_history_that_is_gone_is_listed_again),
     cmocka_unit_test (watches_of_a_fleet_do_not_end_together),
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
+    cmocka_unit_test (a_look_that_failed_is_made_again),
+    cmocka_unit_test (a_change_behind_the_position_is_listed),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
   };
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -21,6 +21,7 @@
   bool pausing;     /* the next watch begins when the timer ends */
   int64_t wanted;   /* a revision that others have seen */
   int64_t seen;     /* of the latest change that was told */
+  int64_t complete; /* of the last whole list: nothing up to it can have been missed */
   int64_t revision; /* 0: list first */
   unsigned retry_ms;
   GPtrArray *led; /* watchers that this one leads */
@@ -33,6 +34,7 @@
 static unsigned wait_of_ (const struct watcher_options *options);
 static void on_timer_ (uv_timer_t *timer);
 static void on_look_timer_ (uv_timer_t *timer);
+static bool is_behind_ (const struct watcher *watcher);
 static void on_looked_ (const struct store_result *result, void *data);
 static void on_looked_list_ (const struct store_result *result, void *data);
 static void take_list_ (struct watcher *watcher, const struct store_result *result);
@@ -84,15 +86,16 @@
 }
 
 /* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more
- * beside it. */
+ * beside it. To be told again as long as they say so, as the call may fail. */
 void
 watcher_look_after (struct watcher *watcher, int64_t revision)
 {
-  if (watcher->stopped || !watcher->reachable || watcher->revision == 0
-      || revision <= MAX (watcher->revision, watcher->wanted))
+  if (watcher->stopped || !watcher->reachable || watcher->revision == 0)
     return;
-  watcher->wanted = revision;
-  uv_timer_start (&watcher->look_timer, on_look_timer_, LOOK_DELAY_MS, 0);
+  watcher->wanted = MAX (watcher->wanted, revision);
+  if (is_behind_ (watcher) && !watcher->looking
+      && !uv_is_active ((uv_handle_t *)&watcher->look_timer))
+    uv_timer_start (&watcher->look_timer, on_look_timer_, LOOK_DELAY_MS, 0);
 }
 
 /* Returns the revision of the latest change that was told. */
@@ -179,13 +182,24 @@
 
   /* After a pause the next watch shows what is wanted. */
   if (watcher->stopped || watcher->looking || watcher->pausing || watcher->revision == 0
-      || watcher->wanted <= watcher->revision)
+      || !is_behind_ (watcher))
     return;
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
             "revision", (json_int_t)watcher->revision, "others", (json_int_t)watcher->wanted);
   watcher->looking = true;
-  store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
-               watcher);
+  if (watcher->wanted > watcher->revision)
+    store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
+                 watcher);
+  else
+    store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+}
+
+/* Tells whether others have seen a change that may have been missed here. The position of the watch
+ * says nothing of that: one that was deaf to a change goes on behind it. */
+static bool
+is_behind_ (const struct watcher *watcher)
+{
+  return watcher->wanted > MAX (watcher->seen, watcher->complete);
 }
 
 /* The call beside the watch has ended. What it tells is told once more when the watch returns. */
@@ -197,13 +211,13 @@
   watcher->looking = false;
   if (watcher->stopped)
     return;
-  if (result->status == STORE_HISTORY_GONE)
+  if (result->status == STORE_OK)
+    take_changes_ (watcher, result);
+  if (result->status == STORE_HISTORY_GONE || (result->status == STORE_OK && is_behind_ (watcher)))
     {
       watcher->looking = true;
       store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
     }
-  else if (result->status == STORE_OK)
-    take_changes_ (watcher, result);
 }
 
 static void
@@ -220,6 +234,7 @@
 take_list_ (struct watcher *watcher, const struct store_result *result)
 {
   watcher->revision = MAX (watcher->revision, result->revision);
+  watcher->complete = MAX (watcher->complete, result->revision);
   for (size_t i = 0; i < result->n_objects; i++)
     watcher->seen = MAX (watcher->seen, result->objects[i].revision);
   watcher->options.listed (result, watcher->options.data);
