An instance whose link is full tells the balancer and stops reading what it refuses

Now the instance says it is not ready from seven tenths of its link on until half, closes connections after their answers meanwhile, and does not read the rest of a long request that it refuses. Load answered: one caller that the balancer can't split. test-gateway/an_instance_whose_link_fills_up_is_ left_alone, test-http-conn/the_body_of_a_refused_request_is_not_read (fails when the rest is read).

--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -68,7 +68,8 @@
   uint64_t answer_length;
   GByteArray *answer_body; /* a plain answer that is kept back */
   bool is_events;
-  bool began; /* the caller has the head of the answer */
+  bool began;        /* the caller has the head of the answer */
+  bool refuses_body; /* refused because of the link: see struct gw_reply */
   bool paused;
   struct gw_event_scan scan;
   GString *tail; /* the beginning of an event that is not complete */
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -222,6 +222,7 @@
                      exchange->arrived_us);
   if (gw_link_load_refuses (&context->link, context->random))
     {
+      exchange->refuses_body = true;
       gw_exchange_refuse_ (exchange, 503, RETRY_AT_ONCE_S, "link_full");
       return false;
     }
@@ -276,7 +277,10 @@
   g_autofree char *body = g_strdup_printf ("{\"error\":\"%s\"}", why);
   GString *headers = g_string_new ("Content-Type: application/json\r\n");
   struct net_text part = net_text_of (body);
-  struct gw_reply reply = { .status = status, .has_length = true, .length = part.length };
+  struct gw_reply reply = { .status = status,
+                            .has_length = true,
+                            .length = part.length,
+                            .refuses_body = exchange->refuses_body };
   bool promises = status == 503;
 
   g_assert (!exchange->began && !(promises && exchange->runs > 0));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -18,6 +18,7 @@
   /* The backend server gave neither a length nor chunks: whether the body is whole is not known
    * here, and the caller must not be told so. */
   bool ends_with_connection;
+  bool refuses_body; /* the rest of a long request is not wanted either */
 };
 
 /* Whoever asks. It begins with a pointer to this table. The exchange ends with one call of finish
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -10,6 +10,7 @@
 {
   BACKLOG = 1024,           /* the burst of connections when another instance has gone */
   HEAD_MAX_BYTES = 16384,   /* until a configuration says otherwise */
+  LONG_BODY_BYTES = 2048,   /* a shorter one comes with its head */
   REQUEST_LINE_BYTES = 2048 /* what a head may hold besides its headers */
 };
 
@@ -32,7 +33,9 @@
   bool is_reading;  /* the request is not whole */
   bool is_answered; /* the answer to it is out */
   bool is_chunked;
-  bool closes;  /* after this answer */
+  bool closes; /* after this answer */
+  bool has_long_body;
+  bool refuses_body;
   bool stalled; /* a head was incomplete at the last look */
   bool is_closed;
 };
@@ -174,10 +177,20 @@
   caller->is_answered = false;
   caller->stalled = false;
   caller->closes = !head->keeps_alive || context->stopping;
+  caller->has_long_body = head->is_chunked || head->length > LONG_BODY_BYTES;
+  caller->refuses_body = false;
   context->dialect->decode_ask (head, &ask, headers);
   exchange = gw_exchange_new (context, &caller->asker_vtable, head, &ask, headers);
   if (exchange == NULL)
-    return;
+    {
+      if (caller->refuses_body)
+        {
+          net_http_conn_finish_unread (caller->conn);
+          caller->conn = NULL;
+          free_ (caller);
+        }
+      return;
+    }
   caller->exchange = exchange;
   if (head->has_length && head->length > limits_ (caller)->body_max_bytes)
     {
@@ -294,8 +307,10 @@
     g_string_append_printf (head, "Content-Length: %" G_GUINT64_FORMAT "\r\n", reply->length);
   else if (caller->is_chunked)
     g_string_append (head, "Transfer-Encoding: chunked\r\n");
-  caller->closes
-      = caller->closes || reply->ends_with_connection || caller->ingress->context->stopping;
+  caller->refuses_body = reply->refuses_body && caller->is_reading && caller->has_long_body;
+  caller->closes = caller->closes || reply->ends_with_connection || caller->refuses_body
+                   || caller->ingress->context->link.overloaded
+                   || caller->ingress->context->stopping;
   if (caller->closes)
     g_string_append (head, "Connection: close\r\n");
   g_string_append (head, "\r\n");
--- a/src/gateway/link-load.c
+++ b/src/gateway/link-load.c
@@ -6,6 +6,10 @@
  * runs needs the rest. */
 static const double REFUSES_SOME = 0.75;
 static const double REFUSES_ALL = 0.95;
+/* Above the first the balancer is told to send callers elsewhere, before any has to be refused;
+ * below the second it is told that they may return. What went elsewhere comes back at once. */
+static const double OVERLOADED = 0.7;
+static const double RETURNS = 0.5;
 
 enum
 {
@@ -49,6 +53,15 @@
              : 0;
 }
 
+/* Tells whether the link is so full that new connections are better made elsewhere. Once it is, it
+ * stays so until there is room for them again. */
+bool
+gw_link_load_is_overloaded (struct gw_link_load *load)
+{
+  load->overloaded = gw_link_load_share (load) > (load->overloaded ? RETURNS : OVERLOADED);
+  return load->overloaded;
+}
+
 /* Tells whether the next request is better served elsewhere. */
 bool
 gw_link_load_refuses (const struct gw_link_load *load, GRand *random)
--- a/src/gateway/link-load.h
+++ b/src/gateway/link-load.h
@@ -18,9 +18,11 @@
   int64_t step;
   uint64_t total; /* of the direction with more, as last told */
   uint64_t bytes[GW_LINK_STEPS];
+  bool overloaded;
 };
 
 void gw_link_load_init (struct gw_link_load *load, double megabits_per_s);
 void gw_link_load_note (struct gw_link_load *load, uint64_t total_bytes, int64_t now_us);
 double gw_link_load_share (const struct gw_link_load *load);
+bool gw_link_load_is_overloaded (struct gw_link_load *load);
 bool gw_link_load_refuses (const struct gw_link_load *load, GRand *random);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -33,6 +33,7 @@
 static void open_book_ (struct gateway *gateway, uint64_t incarnation);
 static unsigned answer_ready_ (const char *path, GString *body, void *data);
 static unsigned answer_metrics_ (const char *path, GString *body, void *data);
+static bool link_is_overloaded_ (struct gw_link_load *link);
 static bool is_ready_ (const struct gateway *gateway);
 static void on_stop_signal_ (uv_signal_t *handle, int number);
 static void on_hang_up_ (uv_signal_t *handle, int number);
@@ -295,7 +296,8 @@
 static unsigned
 answer_ready_ (const char *path, GString *body, void *data)
 {
-  bool ready = is_ready_ (data);
+  struct gateway *gateway = data;
+  bool ready = is_ready_ (gateway) && !link_is_overloaded_ (&gateway->context.link);
 
   g_string_append (body, ready ? "ready\n" : "not ready\n");
   return ready ? 200 : 503;
@@ -310,6 +312,21 @@
   return 200;
 }
 
+/* Callers that come anew are better served elsewhere while the own link is full. */
+static bool
+link_is_overloaded_ (struct gw_link_load *link)
+{
+  bool before = link->overloaded;
+
+  gw_link_load_note (link, MAX (net_traffic ()->received, net_traffic ()->sent),
+                     g_get_monotonic_time ());
+  if (gw_link_load_is_overloaded (link) != before)
+    sr_event (before ? SR_EVENT_INFO : SR_EVENT_FAILURE,
+              before ? "link_recovered" : "link_overloaded", "{s:f}", "share",
+              gw_link_load_share (link));
+  return link->overloaded;
+}
+
 /* Not ready only for reasons of its own: without the store all instances would leave at once. */
 static bool
 is_ready_ (const struct gateway *gateway)
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -445,6 +445,33 @@
   g_rand_free (random);
 }
 
+/* One caller brings more than the link of an instance carries, then the same in two halves: the
+ * balancer hears so before requests are refused, and the state does not flap at the limit. */
+static void
+an_instance_whose_link_fills_up_is_left_alone (void **state)
+{
+  static const unsigned percent[] = { 50, 60, 65, 72, 66, 72, 66, 60, 45, 60, 69 };
+  static const bool overloaded[]
+      = { false, false, false, true, true, true, true, true, false, false, false };
+  struct gw_link_load load;
+  GRand *random = g_rand_new_with_seed (1);
+  uint64_t total = 0;
+  int64_t now_us = 10 * SECOND;
+
+  gw_link_load_init (&load, 8);
+  for (unsigned s = 0; s < G_N_ELEMENTS (percent); s++)
+    {
+      for (unsigned i = 0; i < 100; i++, now_us += 10 * MS)
+        {
+          total += percent[s] * 100;
+          gw_link_load_note (&load, total, now_us);
+          assert_false (gw_link_load_refuses (&load, random));
+        }
+      assert_int_equal (gw_link_load_is_overloaded (&load), overloaded[s]);
+    }
+  g_rand_free (random);
+}
+
 static void
 settings_are_checked_whole (void **state)
 {
@@ -488,6 +515,7 @@
     cmocka_unit_test (nobody_is_picked_who_leaves_or_was_tried),
     cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
     cmocka_unit_test (a_full_link_refuses_and_a_half_full_one_does_not),
+    cmocka_unit_test (an_instance_whose_link_fills_up_is_left_alone),
     cmocka_unit_test (settings_are_checked_whole),
   };
 
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -13,6 +13,7 @@
   HEAD_LINES_MAX = 128,     /* far above what any message of the field carries */
   HELD_MAX_BYTES = 65536,   /* a pipelined request that waits for the one before it */
   LINGER_MS = 1000,         /* a round trip over any link, several times */
+  LINGER_UNREAD_MS = 300,   /* the same, while the peer may wait for us to read */
   KEEPALIVE_IDLE_S = 1, /* silence is found in about 3 s, the time after which rules hold again */
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_PROBES = 2,
@@ -68,6 +69,7 @@
 static void on_connect_ (uv_connect_t *request, int status);
 static void on_write_ (uv_write_t *request, int status);
 static void on_shutdown_ (uv_shutdown_t *request, int status);
+static void finish_ (struct net_http_conn *conn, bool reads);
 static void on_linger_ (uv_timer_t *timer);
 static void on_handle_closed_ (uv_handle_t *handle);
 static void end_ (struct net_http_conn *conn, enum net_end end);
@@ -284,20 +286,15 @@
 void
 net_http_conn_finish (struct net_http_conn *conn)
 {
-  if (conn->state != CONN_OPEN)
-    {
-      net_http_conn_close (conn);
-      return;
-    }
-  conn->state = CONN_LINGERING;
-  conn->owner = NULL;
-  conn->paused = false;
-  update_reading_ (conn);
-  uv_timer_start (&conn->linger, on_linger_, LINGER_MS, 0);
-  if (uv_shutdown (&conn->shutdown_request, (uv_stream_t *)&conn->tcp, on_shutdown_) == 0)
-    conn->open_requests++;
-  else
-    net_http_conn_close (conn);
+  finish_ (conn, true);
+}
+
+/* The same for an answer that comes before the whole request: what is still due of that is not
+ * read, so that it does not take up the link. */
+void
+net_http_conn_finish_unread (struct net_http_conn *conn)
+{
+  finish_ (conn, false);
 }
 
 /* Closes CONN at once with a reset, so that an unfinished answer can't look complete. */
@@ -364,6 +361,25 @@
   return true;
 }
 
+static void
+finish_ (struct net_http_conn *conn, bool reads)
+{
+  if (conn->state != CONN_OPEN)
+    {
+      net_http_conn_close (conn);
+      return;
+    }
+  conn->state = CONN_LINGERING;
+  conn->owner = NULL;
+  conn->paused = !reads;
+  update_reading_ (conn);
+  uv_timer_start (&conn->linger, on_linger_, reads ? LINGER_MS : LINGER_UNREAD_MS, 0);
+  if (uv_shutdown (&conn->shutdown_request, (uv_stream_t *)&conn->tcp, on_shutdown_) == 0)
+    conn->open_requests++;
+  else
+    net_http_conn_close (conn);
+}
+
 static void
 on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -381,6 +397,8 @@
     {
       if (length < 0)
         net_http_conn_close (conn);
+      else
+        traffic_.received += (uint64_t)length;
       return;
     }
   if (length < 0)
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -92,6 +92,7 @@
 void net_http_conn_pause (struct net_http_conn *conn, bool pause);
 void net_http_conn_close (struct net_http_conn *conn);
 void net_http_conn_finish (struct net_http_conn *conn);
+void net_http_conn_finish_unread (struct net_http_conn *conn);
 void net_http_conn_reset (struct net_http_conn *conn);
 
 bool net_text_equal (struct net_text left, struct net_text right);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -37,6 +37,7 @@
   GString *target;
   GString *body;
   bool holds_after_message;
+  const char *early_answer; /* given on the head, and the rest is not read */
   bool timed_out;
 };
 
@@ -56,6 +57,14 @@
   record->ends_with_connection = head->ends_with_connection;
   g_string_truncate (record->target, 0);
   g_string_append_len (record->target, head->target.data, (gssize)head->target.length);
+  if (record->early_answer != NULL)
+    {
+      const struct net_text part = net_text_of (record->early_answer);
+
+      net_http_conn_write (record->conn, &part, 1);
+      net_http_conn_finish_unread (record->conn);
+      record->conn = NULL;
+    }
 }
 
 static void
@@ -399,6 +408,37 @@
   free_ (record);
 }
 
+/* A request that is refused while its body arrives: the answer is whole, and the body stays with
+ * the sender instead of taking up the link. */
+static void
+the_body_of_a_refused_request_is_not_read (void **state)
+{
+  struct record_ *record = server_ ();
+  g_autofree char *block = g_strnfill (1 << 20, 'x');
+  const char answer[] = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n"
+                        "Connection: close\r\n\r\nno";
+  const uint64_t before = net_traffic ()->received;
+  char heard[256] = "";
+  ssize_t sent = 0;
+  ssize_t length;
+
+  record->early_answer = answer;
+  say_ (record, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n");
+  RUN_UNTIL (record, record->heads == 1);
+  for (unsigned i = 0; i < 16; i++)
+    {
+      length = send (record->peer, block, 1 << 20, MSG_DONTWAIT | MSG_NOSIGNAL);
+      sent += MAX (length, 0);
+      uv_run (&record->loop, UV_RUN_NOWAIT);
+    }
+  length = recv (record->peer, heard, sizeof heard - 1, 0);
+  assert_int_equal (length, sizeof answer - 1);
+  assert_string_equal (heard, answer);
+  assert_true (sent < 16 << 20);
+  assert_true (net_traffic ()->received - before < 1024);
+  free_ (record);
+}
+
 int
 main (void)
 {
@@ -411,6 +451,7 @@
     cmocka_unit_test (a_cut_answer_is_not_complete),
     cmocka_unit_test (an_answer_without_length_ends_with_its_connection_unless_reset),
     cmocka_unit_test (bytes_that_are_no_answer_end_the_connection),
+    cmocka_unit_test (the_body_of_a_refused_request_is_not_read),
     cmocka_unit_test (a_slow_reader_is_counted_and_stops_nothing),
   };
 
