--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -398,6 +398,14 @@
   peer->suspect_until_us = 0;
 }
 
+/* The store is away, as its watcher has found: it is not asked until allotment_book_store_returned.
+ */
+void
+allotment_book_store_lost (struct allotment_book *book)
+{
+  book->store_out_until_us = INT64_MAX;
+}
+
 /* The store answers again: it is asked at once, whatever failed before. */
 void
 allotment_book_store_returned (struct allotment_book *book, int64_t now_us)
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -118,6 +118,7 @@
 int64_t allotment_book_tick (struct allotment_book *book, int64_t now_us);
 void
 allotment_book_peer_started (struct allotment_book *book, const char *name, uint64_t incarnation);
+void allotment_book_store_lost (struct allotment_book *book);
 void allotment_book_store_returned (struct allotment_book *book, int64_t now_us);
 void allotment_book_leave (struct allotment_book *book, int64_t now_us);
 void allotment_book_stop (struct allotment_book *book, int64_t now_us);
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -87,12 +87,13 @@
 struct allotment_book
 {
   struct allotment_book_options options;
-  GHashTable *teams;          /* name: struct allotment_team */
-  GPtrArray *peers;           /* struct allotment_peer, not this instance */
-  int64_t peers_since_us;     /* when they were first known; 0: not yet */
-  int64_t store_out_until_us; /* it could not be reached by any team's call; 0: it answers */
-  unsigned store_failures;    /* in a row, of all teams */
-  bool leaving;               /* others are the homes from now on */
+  GHashTable *teams;      /* name: struct allotment_team */
+  GPtrArray *peers;       /* struct allotment_peer, not this instance */
+  int64_t peers_since_us; /* when they were first known; 0: not yet */
+  /* It could not be reached by any team's call; 0: it answers, INT64_MAX: until it returns. */
+  int64_t store_out_until_us;
+  unsigned store_failures; /* in a row, of all teams */
+  bool leaving;            /* others are the homes from now on */
   bool stopping;
 };
 
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -186,7 +186,7 @@
 {
   team->retry_us = now_us + (status == STORE_UNKNOWN ? STORE_RETRY_US : STORE_DOWN_RETRY_US);
   team->store_is_down = true;
-  if (status != STORE_INVALID)
+  if (status != STORE_INVALID && book->store_out_until_us != INT64_MAX)
     book->store_out_until_us = now_us
                                + MIN ((int64_t)STORE_OUT_US << MIN (book->store_failures, 8U),
                                       (int64_t)STORE_OUT_MAX_US);
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -535,6 +535,44 @@
   tear_down_ (&world);
 }
 
+/* Everybody knows that the store is away, and the home has lent all it had: nobody asks the store,
+ * and what can't be served is refused before a call to the store would have ended. */
+static void
+a_store_known_to_be_away_is_not_asked (void **state)
+{
+  struct world_ world;
+  unsigned reads = 0;
+
+  set_up_ (&world, 2000000, 15);
+  run_ (&world, 3 * SECOND);
+  load_ (&world, 5000, 20, 6 * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    {
+      world.nodes[i].cut_from_store = true;
+      allotment_book_store_lost (world.nodes[i].book);
+    }
+  run_ (&world, SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    world.nodes[i].reads = world.nodes[i].writes = 0;
+  world.longest_wait_us = 0;
+  load_ (&world, 5000, 40, 20 * SECOND);
+  for (unsigned i = 0; i < BOOKS; i++)
+    reads += world.nodes[i].reads + world.nodes[i].writes;
+  assert_true (world.refused > 0);
+  assert_int_equal (reads, 0);
+  assert_true (world.longest_wait_us < CALL_TIMEOUT_US / 4);
+  for (unsigned i = 0; i < BOOKS; i++)
+    {
+      world.nodes[i].cut_from_store = false;
+      allotment_book_store_returned (world.nodes[i].book, world.now_us);
+    }
+  run_ (&world, SECOND);
+  world.refused = 0;
+  load_ (&world, 5000, 10, 3 * SECOND);
+  assert_int_equal (world.refused, 0);
+  tear_down_ (&world);
+}
+
 static void
 a_large_request_of_a_small_budget_is_served_anywhere (void **state)
 {
@@ -962,6 +1000,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_calm_day_refuses_nobody),
     cmocka_unit_test (a_cut_of_all_instances_from_the_store_refuses_nobody),
+    cmocka_unit_test (a_store_known_to_be_away_is_not_asked),
     cmocka_unit_test (a_large_request_of_a_small_budget_is_served_anywhere),
     cmocka_unit_test (a_home_that_is_cut_off_stops_nobody_else),
     cmocka_unit_test (a_stand_in_does_not_write_for_each_request),
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -105,6 +105,8 @@
 
   if (!reachable)
     {
+      if (gateway->context.book != NULL)
+        allotment_book_store_lost (gateway->context.book);
       uv_timer_stop (&gateway->lease_timer);
       return;
     }
