Instances tell each other of servers whose address another one has taken

Now the first answer of 421 takes the server out for ten seconds at all instances, by word of mouth. Ruled out: taking out a server that is sound; none of those told answered anything afterwards. Load answered: many servers replaced while the store is away.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -23,6 +23,7 @@
                       const struct net_http_head *head,
                       const struct gw_answer *answer,
                       const GString *headers);
+static void note_replaced_ (struct gw_exchange *exchange, int64_t now_us);
 static void on_body_ (void *user, const char *data, size_t length);
 static void on_complete_ (void *user);
 static void on_failed_ (void *user, enum gw_upstream_failure failure);
@@ -180,6 +181,8 @@
       sr_event (SR_EVENT_FAILURE, "request_not_executed", "{s:s,s:s,s:i}", "request", exchange->id,
                 "backend", exchange->backend->facts.id, "status", (int)head->status);
       exchange->runs--;
+      if (head->status == HTTP_MISDIRECTED)
+        note_replaced_ (exchange, now_us);
       gw_exchange_end_attempt_ (exchange, head->status == HTTP_MISDIRECTED
                                               ? GW_PLACE_END_MISDIRECTED
                                               : GW_PLACE_END_NOT_EXECUTED);
@@ -237,6 +240,20 @@
     }
 }
 
+/* The entry of the backend server may stay for as long as the store is away, and each instance
+ * would find out for itself. */
+static void
+note_replaced_ (struct gw_exchange *exchange, int64_t now_us)
+{
+  struct gw_context *context = exchange->context;
+
+  if (!gw_place_set_replaced (exchange->backend, now_us))
+    return;
+  sr_event (SR_EVENT_INFO, "backend_replaced", "{s:s,s:s}", "backend", exchange->backend->facts.id,
+            "request", exchange->id);
+  context->tell_replaced (context, exchange->backend);
+}
+
 static void
 on_body_ (void *user, const char *data, size_t length)
 {
--- a/src/gateway/book-link.c
+++ b/src/gateway/book-link.c
@@ -144,3 +144,26 @@
       if (gw_place_key (all->pdata[i]) == work[k].backend)
         gw_place_others (all->pdata[i], peer, work[k].unread_tokens, now_us);
 }
+
+/* See struct gw_context. */
+void
+gateway_tell_replaced_ (struct gw_context *context, const struct gw_backend *backend)
+{
+  struct gateway *gateway
+      = (struct gateway *)((char *)context - offsetof (struct gateway, context));
+
+  mesh_spread_replaced (gateway->mesh, gw_place_key (backend), context->random);
+}
+
+/* Another instance has found that a backend server is gone; this one tells others, once. */
+void
+gateway_on_replaced_ (uint64_t key, void *data)
+{
+  struct gateway *gateway = data;
+  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
+
+  for (unsigned i = 0; i < all->len; i++)
+    if (gw_place_key (all->pdata[i]) == key
+        && gw_place_set_replaced (all->pdata[i], g_get_monotonic_time ()))
+      mesh_spread_replaced (gateway->mesh, key, gateway->context.random);
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,6 +31,8 @@
   int64_t stopping_since_us;
   int64_t stop_by_us; /* when what still runs is cut off */
   unsigned exchanges; /* in progress */
+  /* Tells other instances that another one answers at the address of BACKEND. */
+  void (*tell_replaced) (struct gw_context *context, const struct gw_backend *backend);
 };
 
 struct gw_retry_budget *gw_context_retry_budget (struct gw_context *context, const char *service);
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -30,6 +30,7 @@
   SILENCE_US = 700000,       /* no byte from a server with work: ten times its longest step */
   EJECT_FIRST_US = 500000,   /* after a broken connection; doubles */
   EJECT_MAX_US = 8000000,    /* the time in which a crashed server commonly returns */
+  REPLACED_US = 10000000,    /* as long as the store may be away and its entries stay as they are */
   PART_MEMORY_US = 9000000,  /* a cached part is believed to be there for this long */
   OTHERS_MAX = 16,           /* other instances remembered of one server */
   OTHERS_MEMORY_US = 400000, /* the time in which a middling prompt is read */
@@ -57,6 +58,7 @@
   int64_t error_us;
   unsigned breaks; /* in a row */
   int64_t ejected_until_us;
+  int64_t replaced_until_us;
   int64_t quiet_since_us; /* the last byte, or when the first request in flight was sent */
   struct others_work_ others[OTHERS_MAX];
   GHashTable *parts; /* id (uint64_t): struct part_use_ */
@@ -80,6 +82,7 @@
 static double others_unread_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
+static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
 static bool is_excluded_ (const struct gw_place_query *query, const struct gw_backend *backend);
 
 /* Creates what is known of the load of one backend server. */
@@ -116,7 +119,7 @@
     {
       struct gw_backend *backend = query->backends->pdata[i];
       const struct gw_backend_load *load = backend->load;
-      bool ejected = load->ejected_until_us > query->now_us;
+      bool ejected = is_ejected_ (load, query->now_us);
       unsigned slots = MAX (backend->facts.slots, 1U);
       int64_t unread;
       int64_t again;
@@ -227,7 +230,6 @@
       count_error_ (load, true, now_us);
       break;
     case GW_PLACE_END_BROKEN:
-    case GW_PLACE_END_MISDIRECTED:
       count_error_ (load, true, now_us);
       load->ejected_until_us
           = now_us + MIN ((int64_t)EJECT_FIRST_US << MIN (load->breaks, 8U), (int64_t)EJECT_MAX_US);
@@ -237,11 +239,24 @@
       load->reported_load = MAX (load->reported_load, backend->facts.slots);
       load->reported_us = now_us;
       break;
+    case GW_PLACE_END_MISDIRECTED:
     case GW_PLACE_END_ABANDONED:
       break;
     }
 }
 
+/* Another backend server answers at the address of BACKEND, whose entry has not been removed yet.
+ * Returns false when that was known. */
+bool
+gw_place_set_replaced (struct gw_backend *backend, int64_t now_us)
+{
+  struct gw_backend_load *load = backend->load;
+  bool is_new = now_us >= load->replaced_until_us;
+
+  load->replaced_until_us = now_us + REPLACED_US;
+  return is_new;
+}
+
 /* Returns the number by which instances speak of BACKEND. */
 uint64_t
 gw_place_key (const struct gw_backend *backend)
@@ -369,7 +384,7 @@
       const struct gw_backend *backend = query->backends->pdata[i];
       uint64_t weight;
 
-      if (backend->facts.is_leaving || backend->load->ejected_until_us > query->now_us)
+      if (backend->facts.is_leaving || is_ejected_ (backend->load, query->now_us))
         continue;
       weight = XXH3_64bits_withSeed (backend->facts.id, strlen (backend->facts.id),
                                      prompt->parts[prompt->n_parts - 2].id);
@@ -424,6 +439,12 @@
   load->error_us = now_us;
 }
 
+static bool
+is_ejected_ (const struct gw_backend_load *load, int64_t now_us)
+{
+  return MAX (load->ejected_until_us, load->replaced_until_us) > now_us;
+}
+
 static bool
 is_excluded_ (const struct gw_place_query *query, const struct gw_backend *backend)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -62,6 +62,7 @@
                       int64_t memory_tokens,
                       enum gw_place_end end,
                       int64_t now_us);
+bool gw_place_set_replaced (struct gw_backend *backend, int64_t now_us);
 uint64_t gw_place_key (const struct gw_backend *backend);
 int64_t gw_place_unread (const struct gw_backend *backend);
 void
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -120,6 +120,7 @@
     .answered = gateway_on_answered_,
     .told = gateway_on_told_,
     .works = gateway_on_works_,
+    .replaced = gateway_on_replaced_,
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
@@ -132,6 +133,7 @@
   gw_upstream_register_metrics ();
   context->started_us = g_get_monotonic_time ();
   context->loop = &gateway->loop;
+  context->tell_replaced = gateway_tell_replaced_;
   context->dialect = gateway->platform->dialect;
   context->data_centre = settings->data_centre->str;
   context->backends = gw_backends_new ();
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -375,8 +375,12 @@
   struct fleet_ fleet;
 
   fleet_set_up_ (&fleet, 3, false);
+  assert_true (gw_place_set_replaced (backend_ (&fleet, 1), 10 * SECOND));
   take_ (&fleet, 1, GW_PLACE_END_MISDIRECTED, 10 * SECOND);
   assert_int_equal (picks_of_ (&fleet, "i-1", 10 * SECOND + MS), 0);
+  assert_int_equal (picks_of_ (&fleet, "i-1", 19 * SECOND), 0);
+  assert_false (gw_place_set_replaced (backend_ (&fleet, 1), 11 * SECOND)); /* told once */
+  assert_true (picks_of_ (&fleet, "i-1", 25 * SECOND) > 0);
   fleet_tear_down_ (&fleet);
 }
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -21,7 +21,8 @@
   KIND_ASK = 1,
   KIND_ANSWER = 2,
   KIND_NEWS = 3,
-  KIND_WORK = 4
+  KIND_WORK = 4,
+  KIND_REPLACED = 5
 };
 
 struct mesh
@@ -214,6 +215,23 @@
   tell_news_ (mesh, news, NEWS_REPEAT_FANOUT, random);
 }
 
+/* Tells a few instances, chosen by chance, that BACKEND is gone; those to whom it is new tell
+ * others.
+ */
+void
+mesh_spread_replaced (struct mesh *mesh, uint64_t backend, GRand *random)
+{
+  struct head_ head = { .format = FORMAT, .kind = KIND_REPLACED };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
+  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
+  if (xdr_head_ (&xdr, &head) && xdr_uint64_t (&xdr, &backend))
+    spread_ (mesh, NEWS_FANOUT, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
 /* Tells some instances, chosen by chance, the WORK sent from here; it replaces what they were told
  * before. */
 void
@@ -267,6 +285,7 @@
   const struct sockaddr_in *address = (const struct sockaddr_in *)from;
   struct head_ head = { 0 };
   struct mesh_news news;
+  uint64_t backend;
   XDR xdr;
 
   if (length <= 0 || from == NULL)
@@ -283,6 +302,8 @@
     take_work_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_NEWS && xdr_news_ (&xdr, &news))
     mesh->options.told (&news, mesh->options.data);
+  else if (head.kind == KIND_REPLACED && xdr_uint64_t (&xdr, &backend))
+    mesh->options.replaced (backend, mesh->options.data);
   else
     sr_counter_add (&malformed_counter_, 1);
   xdr_destroy (&xdr);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -39,6 +39,8 @@
   void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
   void (*works) (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
   void (*told) (const struct mesh_news *news, void *data);
+  /* BACKEND (hash of its id) is gone: another one answers at its address. */
+  void (*replaced) (uint64_t backend, void *data);
 };
 
 struct mesh *mesh_new (const struct mesh_options *options);
@@ -48,6 +50,7 @@
 GPtrArray *mesh_peer_names (const struct mesh *mesh);
 void mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask);
 void mesh_spread_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
+void mesh_spread_replaced (struct mesh *mesh, uint64_t backend, GRand *random);
 void mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
 void
 mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random);
--- a/src/mesh/test-mesh.c
+++ b/src/mesh/test-mesh.c
@@ -25,6 +25,7 @@
   bool cut_off;
   int64_t revision;
   unsigned told;
+  uint64_t replaced;
 };
 
 static struct node nodes[FLEET];
@@ -50,6 +51,17 @@
   mesh_spread_news (node->mesh, &own, node->random);
 }
 
+static void
+on_replaced (uint64_t backend, void *data)
+{
+  struct node *node = data;
+
+  if (node->cut_off || node->replaced == backend)
+    return;
+  node->replaced = backend;
+  mesh_spread_replaced (node->mesh, backend, node->random);
+}
+
 static struct sockaddr_in
 address_of (unsigned index)
 {
@@ -73,7 +85,8 @@
                                             .address = address_of (i),
                                             .instance = name,
                                             .data = &nodes[i],
-                                            .told = on_told };
+                                            .told = on_told,
+                                            .replaced = on_replaced };
 
       nodes[i].mesh = mesh_new (&options);
       nodes[i].random = random;
@@ -167,11 +180,27 @@
   assert_in_range (told, FLEET, 4 * FLEET);
 }
 
+/* What one instance has found of a backend server nearly all know a moment later: nine in ten of
+ * those that can be reached. */
+static void
+a_server_that_is_gone_is_known_to_the_fleet (void **state)
+{
+  unsigned know = 0;
+
+  g_rand_set_seed (nodes[0].random, 1);
+  on_replaced (7, &nodes[0]);
+  deliver ();
+  for (unsigned i = 0; i < FLEET - CUT_OFF; i++)
+    know += nodes[i].replaced == 7;
+  assert_true (know >= (FLEET - CUT_OFF) * 9 / 10);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (everybody_hears_of_a_change_in_time),
+    cmocka_unit_test (a_server_that_is_gone_is_known_to_the_fleet),
     cmocka_unit_test (a_repetition_costs_each_instance_a_few_datagrams),
   };
 
