--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -60,6 +60,7 @@
                          const uv_buf_t *buffer,
                          const struct sockaddr *from,
                          unsigned flags);
+static bool begin_ (const struct mesh *mesh, XDR *xdr, char *bytes, struct head_ *head);
 static bool xdr_head_ (XDR *xdr, struct head_ *head);
 static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
 static bool xdr_work_ (XDR *xdr, struct mesh_work *work);
@@ -142,7 +143,7 @@
 mesh_send_ask (struct mesh *mesh, const char *peer, const struct allotment_ask *ask)
 {
   const struct sockaddr_in *address = g_hash_table_lookup (mesh->peers, peer);
-  struct head_ head = { .format = FORMAT, .kind = KIND_ASK, .number = ask->number };
+  struct head_ head = { .kind = KIND_ASK, .number = ask->number };
   struct sr_budget_borrow_msg message = { 0 };
   int64_t arrived = ask->arrived;
   int64_t open = ask->open;
@@ -152,7 +153,6 @@
 
   if (address == NULL)
     return;
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
   g_strlcpy (message.budget, ask->team, sizeof message.budget);
   g_strlcpy (message.borrower, ask->borrower, sizeof message.borrower);
   message.borrower_incarnation = ask->borrower_incarnation;
@@ -160,8 +160,7 @@
   message.returned = ask->returned;
   message.need = ask->need;
   message.want = ask->want;
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  if (xdr_head_ (&xdr, &head) && xdr_sr_budget_borrow_msg (&xdr, &message)
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_sr_budget_borrow_msg (&xdr, &message)
       && xdr_int64_t (&xdr, &arrived) && xdr_int64_t (&xdr, &open)
       && xdr_int64_t (&xdr, &prepaid_tokens))
     send_ (mesh, address, &xdr, bytes);
@@ -175,10 +174,8 @@
   const struct sockaddr_in address = { .sin_family = AF_INET,
                                        .sin_addr.s_addr = (in_addr_t)(handle >> 16),
                                        .sin_port = (in_port_t)(handle & 0xffff) };
-  struct head_ head = { .format = FORMAT,
-                        .kind = KIND_ANSWER,
-                        .number = answer->number,
-                        .is_leaving = answer->is_leaving };
+  struct head_ head
+      = { .kind = KIND_ANSWER, .number = answer->number, .is_leaving = answer->is_leaving };
   struct sr_budget_borrowed_msg message = { 0 };
   char team[SR_BUDGET_NAME_BYTES] = { 0 };
   int64_t left = answer->left_at_most;
@@ -186,15 +183,13 @@
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
   g_strlcpy (team, answer->team, sizeof team);
   message.has_record = answer->loan.has_record;
   to_message_ (&answer->loan.lender, &message.lender);
   message.lent = answer->loan.lent;
   message.pending = answer->is_dry && !answer->is_empty;
   message.exhausted = answer->is_empty;
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  if (xdr_head_ (&xdr, &head) && xdr_opaque (&xdr, team, sizeof team)
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_opaque (&xdr, team, sizeof team)
       && xdr_sr_budget_borrowed_msg (&xdr, &message) && xdr_int64_t (&xdr, &left)
       && xdr_uint64_t (&xdr, &incarnation))
     send_ (mesh, &address, &xdr, bytes);
@@ -221,13 +216,11 @@
 void
 mesh_spread_replaced (struct mesh *mesh, uint64_t backend, GRand *random)
 {
-  struct head_ head = { .format = FORMAT, .kind = KIND_REPLACED };
+  struct head_ head = { .kind = KIND_REPLACED };
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  if (xdr_head_ (&xdr, &head) && xdr_uint64_t (&xdr, &backend))
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_uint64_t (&xdr, &backend))
     spread_ (mesh, NEWS_FANOUT, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
@@ -237,15 +230,12 @@
 void
 mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random)
 {
-  struct head_ head
-      = { .format = FORMAT, .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
+  struct head_ head = { .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
   char bytes[MESSAGE_MAX_BYTES];
   bool encoded;
   XDR xdr;
 
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  encoded = xdr_head_ (&xdr, &head);
+  encoded = begin_ (mesh, &xdr, bytes, &head);
   for (u_int i = 0; encoded && i < head.number; i++)
     {
       struct mesh_work copy = work[i];
@@ -320,18 +310,26 @@
 static void
 tell_news_ (struct mesh *mesh, const struct mesh_news *news, unsigned fanout, GRand *random)
 {
-  struct head_ head = { .format = FORMAT, .kind = KIND_NEWS };
+  struct head_ head = { .kind = KIND_NEWS };
   struct mesh_news copy = *news;
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
-  g_strlcpy (head.sender, mesh->options.instance, sizeof head.sender);
-  xdrmem_create (&xdr, bytes, sizeof bytes, XDR_ENCODE);
-  if (xdr_head_ (&xdr, &head) && xdr_news_ (&xdr, &copy))
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_news_ (&xdr, &copy))
     spread_ (mesh, fanout, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
+/* Begins a message of MESSAGE_MAX_BYTES at BYTES with HEAD. */
+static bool
+begin_ (const struct mesh *mesh, XDR *xdr, char *bytes, struct head_ *head)
+{
+  head->format = FORMAT;
+  g_strlcpy (head->sender, mesh->options.instance, sizeof head->sender);
+  xdrmem_create (xdr, bytes, MESSAGE_MAX_BYTES, XDR_ENCODE);
+  return xdr_head_ (xdr, head);
+}
+
 /* Sends what XDR has encoded to FANOUT instances. */
 static void
 spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random)
