A borrower does not wait for a home that hangs

Cause, test-fleet/a_leaving_engine_gets_no_new_work_from_an_instance_without_platform (known red, once in nine runs): the home of the budget is the instance that is cut off from the platform; as long as its call hangs it answers 'pending', and who asked it went on asking for 1.5 s instead of drawing itself, until its own caller was refused as platform_out. Now it asks for 250 ms. Ruled out as the only cause: the back-off after an outage, mended before; the red run was after that. test-budget-peers/test_home_that_hangs_is_not_waited_for fails before.

--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -7,7 +7,8 @@
   ATTEMPT_MAX_US = 1500000,
   POLL_MIN_US = 4000, /* between questions to a peer that is fetching tokens */
   POLL_MAX_US = 64000,
-  HOMES_MAX = 2, /* instances tried before drawing on the platform oneself */
+  PENDING_MAX_US = 250000, /* longer than a platform that answers takes: the home may be cut off */
+  HOMES_MAX = 2,           /* instances tried before drawing on the platform oneself */
   DRAWS_MAX = 3,
   LAST_RESORT_ROUNDS = 2,
   LAST_RESORT_PAUSE_US = 30000,
@@ -113,9 +114,10 @@
 static void
 ask_one_home_ (struct attempt *attempt, const char *home, bool *unreachable)
 {
+  int64_t end_us = MIN (attempt->end_us, g_get_monotonic_time () + PENDING_MAX_US);
   int64_t pause_us = POLL_MIN_US;
 
-  while (g_get_monotonic_time () < attempt->end_us)
+  while (g_get_monotonic_time () < end_us)
     {
       int64_t missing = missing_ (attempt, false);
       enum sr_ask_result result
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -17,6 +17,7 @@
   INSTANCES = 4,
   WAIT_US = 8000000,
   SHORT_WAIT_US = 1000000,
+  HANG_US = 2000000,
   OUT_BACKOFF_US = 600000, /* an unreachable platform is asked again after less */
   PREPAID = 10000,
   SIZE = 50
@@ -58,12 +59,12 @@
 }
 
 static void
-start_ (unsigned index)
+start_on_ (unsigned index, struct sr_platform *its_platform)
 {
   struct instance *instance = &instances[index];
   struct sr_peer_server_options server = { .address = "127.0.0.1", .port = FIRST_PORT + index };
   struct sr_peer_client_options client = { .source_address = NULL };
-  struct sr_budgets_options options = { .platform = platform,
+  struct sr_budgets_options options = { .platform = its_platform,
                                         .view = view_,
                                         .view_data = instance->name,
                                         .instance = instance->name,
@@ -87,6 +88,12 @@
   assert_true (sr_budgets_start (instance->budgets));
 }
 
+static void
+start_ (unsigned index)
+{
+  start_on_ (index, platform);
+}
+
 static void
 stop_ (unsigned index)
 {
@@ -99,6 +106,23 @@
   sr_peer_client_delete (instance->client);
 }
 
+/* A platform that takes calls and does not answer them in time. */
+static enum sr_platform_status
+hang_ (
+    struct sr_platform *self, const char *kind, const char *name, GString *body, int64_t *version)
+{
+  g_usleep (HANG_US);
+  return SR_PLATFORM_OUT;
+}
+
+static void
+ignore_ (struct sr_platform *self)
+{
+}
+
+static const struct sr_platform_vtable hanging_vtable = { .get = hang_, .finish = ignore_ };
+static struct sr_platform hanging = { .vtable = &hanging_vtable, .reference_count = 1 };
+
 static int
 set_up_ (void **state)
 {
@@ -247,6 +271,30 @@
   set_state_ (paused, SR_MEMBER_ALIVE);
 }
 
+/* The home is cut off from the platform and does not know it yet: who asks it for tokens draws for
+ * itself before its own caller's patience ends. */
+static void
+test_home_that_hangs_is_not_waited_for (void **state)
+{
+  struct sr_reservation *reservation;
+  struct sr_record *record;
+  unsigned home;
+  int64_t retry_after_ms;
+
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  home = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                    - '0');
+  sr_record_delete (record);
+  stop_ (home);
+  start_on_ (home, &hanging);
+  assert_int_equal (sr_budgets_reserve (instances[(home + 1) % 3].budgets, "b", SIZE,
+                                        g_get_monotonic_time () + SHORT_WAIT_US, &reservation,
+                                        &retry_after_ms),
+                    SR_BUDGET_RESERVED);
+  sr_budgets_settle (instances[(home + 1) % 3].budgets, reservation, SIZE);
+}
+
 /* With the platform out, instances that hold nothing borrow from those that do. */
 static void
 test_outage_is_bridged_by_loans (void **state)
@@ -374,6 +422,7 @@
     cmocka_unit_test_setup_teardown (test_runs_down_to_the_last_token, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_crashed_holder_is_taken_back, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_sealed_holder_lives_on, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_home_that_hangs_is_not_waited_for, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_loan_of_a_record_given_up_is_returned, set_up_,
