--- a/src/config/test-config-store.c
+++ b/src/config/test-config-store.c
@@ -231,7 +231,8 @@
   for (int calls = 0; calls < 40; calls++)
     {
       struct sr_platform *platform = sr_platform_memory_new ();
-      struct frail_platform frail = { .base = { &frail_vtable, 1 }, .inner = platform };
+      struct frail_platform frail
+          = { .base = { .vtable = &frail_vtable, .reference_count = 1 }, .inner = platform };
       g_autoptr (GString) last = make_text (3, 500);
       uint64_t id = 1;
 
@@ -300,11 +301,12 @@
 
   for (unsigned i = 0; i < RACERS; i++)
     {
-      racers[i] = (struct racer){ .frail = { .base = { &frail_vtable, 1 },
-                                             .inner = platform,
-                                             .calls_left = -1,
-                                             .random = g_rand_new_with_seed (i + 1) },
-                                  .number = i };
+      racers[i]
+          = (struct racer){ .frail = { .base = { .vtable = &frail_vtable, .reference_count = 1 },
+                                       .inner = platform,
+                                       .calls_left = -1,
+                                       .random = g_rand_new_with_seed (i + 1) },
+                            .number = i };
       assert_true (sr_thread_start (&threads[i], 0, race, &racers[i]));
     }
   for (unsigned i = 0; i < RACERS; i++)
