--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -11,7 +11,7 @@
   HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
   STAND_IN_COVER_US = 2000000, /* demand of a draw in place of the home: a write a second */
   STAND_IN_US = 3000000,       /* what was drawn so is kept, as the home may stay away */
-  LEFT_DIVISOR = 4,            /* of what is left of a scarce budget: what a crash may lose of it */
+  LEFT_DIVISOR = 5,            /* of what is left of a scarce budget: what a crash may lose of it */
   FIRST_SHARE_DIVISOR = 5,     /* of an untouched budget: demand of ten seconds of a short day */
   FLOOR_DIVISOR = 40,          /* of any budget, until demand is known: the largest of requests */
   LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
--- a/src/budget/ledger-loans.c
+++ b/src/budget/ledger-loans.c
@@ -110,7 +110,7 @@
 
 /* Takes over what BORROWER says of its loan from record LENDER: LENT tokens have arrived, and of
  * these OPEN may still come back. What is on its way counts as open too. Nothing can come back from
- * an earlier incarnation of the borrower. */
+ * an earlier incarnation of the borrower, and what such a one has said late changes nothing. */
 void
 sr_ledger_note_open (struct sr_ledger *ledger,
                      const struct sr_holder_id *lender,
@@ -127,7 +127,7 @@
     {
       struct sr_loan *loan = &g_array_index (own->loans, struct sr_loan, i);
 
-      if (strcmp (loan->borrower, borrower) != 0)
+      if (strcmp (loan->borrower, borrower) != 0 || loan->incarnation > incarnation)
         continue;
       loan->open = loan->incarnation == incarnation ? open + MAX (loan->lent - lent, 0) : 0;
     }
--- a/src/budget/test-ledger.c
+++ b/src/budget/test-ledger.c
@@ -101,6 +101,20 @@
   assert_int_equal (lender->record->settled, GRANTED - LENT + 10);
 }
 
+/* A message of the borrower's earlier start arrives late. */
+static void
+a_late_message_of_an_earlier_start_closes_nothing (void **state)
+{
+  struct lender *lender = *state;
+
+  sr_ledger_note_open (lender->ledger, &lender->id, "borrower", BORROWER_INCARNATION - 1, 0, 0);
+  assert_int_equal (sr_ledger_spent_of (lender->ledger, &lender->id), 0);
+  assert_true (sr_ledger_has_open_loans (lender->ledger));
+  sr_ledger_note_open (lender->ledger, &lender->id, "borrower", BORROWER_INCARNATION + 1, 0, 0);
+  assert_int_equal (sr_ledger_spent_of (lender->ledger, &lender->id), LENT);
+  assert_false (sr_ledger_has_open_loans (lender->ledger));
+}
+
 /* Nobody waits for ever: what has not come back by then counts as spent. */
 static void
 a_forced_end_counts_loans_as_spent (void **state)
@@ -121,6 +135,8 @@
                                      tear_down_),
     cmocka_unit_test_setup_teardown (a_record_that_was_given_up_waits_for_its_loans, set_up_,
                                      tear_down_),
+    cmocka_unit_test_setup_teardown (a_late_message_of_an_earlier_start_closes_nothing, set_up_,
+                                     tear_down_),
     cmocka_unit_test_setup_teardown (a_forced_end_counts_loans_as_spent, set_up_, tear_down_),
   };
 
