Soak: signals wait until an instance has answered since its start

Cause, about one play in three: SIGHUP was sent to a process that did not run its program yet (traced: code -1, no line in its log, ready port silent), and the system's default ends it. A stop had that guard before; now a reload has it too, and an instance that is paused is looked at before. Ruled out: the program; its signals are blocked from main on.

--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -58,7 +58,8 @@
   struct caller_ callers[CALLERS];
   bool paused[SITE_INSTANCES_MAX + 1];
   bool stopping[SITE_INSTANCES_MAX + 1];
-  unsigned broken; /* promises */
+  bool has_run[SITE_INSTANCES_MAX + 1]; /* since its start: see has_run_ */
+  unsigned broken;                      /* promises */
 };
 
 /* One kind of fault. */
@@ -124,16 +125,27 @@
     broken_ (run, "a stop ends without a failure", instance->name);
   run->stopping[i] = false;
   run->paused[i] = false;
+  run->has_run[i] = false;
   site_fleet_start_instance (run->fleet, i);
 }
 
+/* Tells whether instance I has answered since its start. Before it runs no program can take a
+ * signal: the system ends it. */
+static bool
+has_run_ (struct run_ *run, unsigned i)
+{
+  if (!run->has_run[i] && !run->paused[i])
+    run->has_run[i] = site_fleet_ready_status (run->fleet, i) != 0;
+  return run->has_run[i];
+}
+
 static void
 kill_instance_ (struct run_ *run)
 {
   unsigned i = any_instance_ (run);
 
   harness_process_kill (run->fleet->instances[i]);
-  run->paused[i] = run->stopping[i] = false;
+  run->paused[i] = run->stopping[i] = run->has_run[i] = false;
   site_fleet_start_instance (run->fleet, i);
 }
 
@@ -142,8 +154,7 @@
 {
   unsigned i = any_instance_ (run);
 
-  /* Before it runs, no program can end a stop well: it must have answered since its start. */
-  if (run->stopping[i] || run->paused[i] || site_fleet_ready_status (run->fleet, i) == 0)
+  if (run->stopping[i] || run->paused[i] || !has_run_ (run, i))
     return;
   run->stopping[i] = true;
   harness_process_signal (run->fleet->instances[i], SIGTERM);
@@ -154,6 +165,7 @@
 {
   unsigned i = any_instance_ (run);
 
+  has_run_ (run, i); /* looked at while it can still answer */
   run->paused[i] = true;
   harness_process_signal (run->fleet->instances[i], SIGSTOP);
 }
@@ -238,7 +250,7 @@
 {
   unsigned i = any_instance_ (run);
 
-  if (!run->stopping[i])
+  if (!run->stopping[i] && has_run_ (run, i))
     harness_process_signal (run->fleet->instances[i], SIGHUP);
 }
 
