What a look has told is not undone by the watch that it overtook

A look beside the watch tells 'leaving'; the answer of the watch, under way since before, then tells the older state of the entry, and the next watch begins behind both. Now a change is told only if no later one of its object was, and a list that the watch has overtaken is passed over. test-watcher/a_late_watch_does_not_undo_what_a_look_has_told fails before.

--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -362,6 +362,33 @@
   fake_delete_ (fake);
 }
 
+/* A look has told a change when the answer of the watch, which left the store before it, arrives.
+ */
+static void
+a_late_watch_does_not_undo_what_a_look_has_told (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  store_callback watch_done;
+  void *watch_data;
+  const struct store_object object = { .name = "o", .revision = 12 };
+  const struct store_result late
+      = { .status = STORE_OK, .revision = 12, .objects = &object, .n_objects = 1 };
+
+  answer_ (fake, STORE_OK, 10, 1);
+  watch_done = fake->done;
+  watch_data = fake->data;
+  fake->call = CALL_NONE;
+  watcher_look_after (fake->watcher, 15);
+  run_until_call_ (fake);
+  answer_ (fake, STORE_OK, 15, 1);
+  assert_int_equal (fake->changed, 1);
+  watch_done (&late, watch_data);
+  assert_int_equal (fake->changed, 1);
+  answer_ (fake, STORE_OK, 16, 1);
+  assert_int_equal (fake->changed, 2);
+  fake_delete_ (fake);
+}
+
 int
 main (void)
 {
@@ -374,6 +401,7 @@
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
     cmocka_unit_test (a_look_that_failed_is_made_again),
     cmocka_unit_test (a_change_behind_the_position_is_listed),
+    cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
   };
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -7,6 +7,7 @@
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
   LOOK_DELAY_MS = 120, /* in which the own watch is likely to show what others have seen */
+  TOLD_MAX = 20000,    /* objects remembered, several times those of a large deployment */
   LED_RETRY_MS = 5000, /* while the leader asks; for a failure that is not the leader's */
   RETURN_WAIT_MS
   = 20 /* of the first watch after a failure: its answer tells that the store is back */
@@ -24,7 +25,8 @@
   int64_t complete; /* of the last whole list: nothing up to it can have been missed */
   int64_t revision; /* 0: list first */
   unsigned retry_ms;
-  GPtrArray *led; /* watchers that this one leads */
+  GPtrArray *led;   /* watchers that this one leads */
+  GHashTable *told; /* name of an object: revision (int64_t) of its latest change that was told */
   bool reachable;
   bool stopped;
 };
@@ -38,6 +40,7 @@
 static void on_looked_ (const struct store_result *result, void *data);
 static void on_looked_list_ (const struct store_result *result, void *data);
 static void take_list_ (struct watcher *watcher, const struct store_result *result);
+static bool note_told_ (struct watcher *watcher, const struct store_object *object);
 static void take_changes_ (struct watcher *watcher, const struct store_result *result);
 static void on_listed_ (const struct store_result *result, void *data);
 static void on_changed_ (const struct store_result *result, void *data);
@@ -54,6 +57,7 @@
   watcher->retry_ms = RETRY_FIRST_MS;
   watcher->reachable = true;
   watcher->led = g_ptr_array_new ();
+  watcher->told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (options->leader != NULL)
     g_ptr_array_add (options->leader->led, watcher);
   uv_timer_init (options->loop, &watcher->timer);
@@ -124,6 +128,7 @@
   watcher_stop (watcher);
   g_assert (watcher->led->len == 0);
   g_ptr_array_unref (watcher->led);
+  g_hash_table_unref (watcher->told);
   if (watcher->options.leader != NULL)
     g_ptr_array_remove (watcher->options.leader->led, watcher);
   uv_close ((uv_handle_t *)&watcher->timer, NULL);
@@ -226,7 +231,8 @@
   struct watcher *watcher = data;
 
   watcher->looking = false;
-  if (!watcher->stopped && result->status == STORE_OK)
+  /* One that the watch has overtaken would undo what that has told. */
+  if (!watcher->stopped && result->status == STORE_OK && result->revision >= watcher->seen)
     take_list_ (watcher, result);
 }
 
@@ -236,18 +242,48 @@
   watcher->revision = MAX (watcher->revision, result->revision);
   watcher->complete = MAX (watcher->complete, result->revision);
   for (size_t i = 0; i < result->n_objects; i++)
-    watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+    {
+      watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+      note_told_ (watcher, &result->objects[i]);
+    }
   watcher->options.listed (result, watcher->options.data);
 }
 
+/* Tells changes, but for those of objects of which a later one was told: the watch and a look
+ * beside it may overtake each other. */
 static void
 take_changes_ (struct watcher *watcher, const struct store_result *result)
 {
+  GArray *news = g_array_new (FALSE, FALSE, sizeof (struct store_object));
+  struct store_result told = *result;
+
   watcher->revision = MAX (watcher->revision, result->revision);
   for (size_t i = 0; i < result->n_objects; i++)
-    watcher->seen = MAX (watcher->seen, result->objects[i].revision);
-  if (result->n_objects > 0)
-    watcher->options.changed (result, watcher->options.data);
+    {
+      watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+      if (note_told_ (watcher, &result->objects[i]))
+        g_array_append_val (news, result->objects[i]);
+    }
+  told.objects = (const struct store_object *)news->data;
+  told.n_objects = news->len;
+  if (news->len > 0)
+    watcher->options.changed (&told, watcher->options.data);
+  g_array_unref (news);
+}
+
+/* Remembers the revision of OBJECT as told. Returns false when a later one was told before. */
+static bool
+note_told_ (struct watcher *watcher, const struct store_object *object)
+{
+  const int64_t *known = g_hash_table_lookup (watcher->told, object->name);
+
+  if (known != NULL && object->revision < *known)
+    return false;
+  if (g_hash_table_size (watcher->told) >= TOLD_MAX)
+    g_hash_table_remove_all (watcher->told);
+  g_hash_table_replace (watcher->told, g_strdup (object->name),
+                        g_memdup2 (&object->revision, sizeof object->revision));
+  return true;
 }
 
 static void
