--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -7,7 +7,7 @@
   ATTEMPT_MAX_US = 1500000,
   POLL_MIN_US = 4000, /* between questions to a peer that is fetching tokens */
   POLL_MAX_US = 64000,
-  PENDING_MAX_US = 250000, /* longer than a platform that answers takes: the home may be cut off */
+  PENDING_MAX_US = 600000, /* a lender that finds its witness dead takes 400 ms; then it hangs */
   HOMES_MAX = 2,           /* instances tried before drawing on the platform oneself */
   DRAWS_MAX = 3,
   LAST_RESORT_ROUNDS = 2,
