A bill line stands in one object: keepers write under the owner's numbers

Every keeper that was sent a line is owed the word now, and a late copy of a written line is not kept. What still goes wrong does no harm: a line keeps its origin, whoever writes it does so under the origin's next number, and the object that is there already says what to leave out.

The check of test-fleet stands as it was and names both objects.

--- a/src/bill/bill-read.c
+++ b/src/bill/bill-read.c
@@ -33,8 +33,7 @@
 
 /* Calls CALLBACK for each bill on the platform that FILTER (NULL: every one) lets through, until it
  * returns false. A request that was billed more than once, because it ran on both sides of a
- * partition or because an instance and its witness both wrote it, is given once: as in the batch
- * that was written first. */
+ * partition, is given once: as in the batch that was written first. */
 enum sr_platform_status
 sr_bills_read (struct sr_platform *platform,
                const struct sr_bill_filter *filter,
--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 #include <pthread.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
@@ -26,7 +27,7 @@
 struct sr_bills
 {
   struct sr_bills_options options;
-  char *instance;
+  struct sr_bill_instance self;
   char *data_centre;
   pthread_mutex_t mutex;
   pthread_cond_t changed;
@@ -48,17 +49,16 @@
 static bool wait_for_platform_ (struct sr_bills *bills, uint64_t number, int64_t deadline_us);
 static void note_taken_ (struct sr_bills *bills);
 static bool write_batch_ (struct sr_bills *bills);
+static GHashTable *read_taken_ (struct sr_bills *bills, const char *name);
 static void copy_again_ (struct sr_bills *bills);
 static void adopt_ (struct sr_bills *bills);
 static void tell_written_ (struct sr_bills *bills);
-static bool copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line);
-static bool keep_at_ (struct sr_bills *bills,
-                      const struct sr_member *member,
-                      uint64_t number,
-                      const char *line);
+static bool copy_to_a_peer_ (struct sr_bills *bills, uint64_t number);
+static bool keep_at_ (struct sr_bills *bills, const struct sr_member *member, uint64_t number);
 static GPtrArray *keepers_ (struct sr_bills *bills, const struct sr_member_view *view);
 static struct sr_member_view *view_ (struct sr_bills *bills);
 static bool handle_keep_ (void *in, void *out, void *data);
+static void read_name_ (char *name, const char *field);
 
 static const struct sr_peer_procedure procedures[] = {
   { PROCEDURE_KEEP, (xdrproc_t)xdr_sr_bill_keep_msg, sizeof (sr_bill_keep_msg),
@@ -74,11 +74,12 @@
   bills->options = *options;
   if (options->write_interval_ms == 0)
     bills->options.write_interval_ms = WRITE_INTERVAL_DEFAULT_MS;
-  bills->instance = g_strdup (options->instance);
+  g_strlcpy (bills->self.name, options->instance, sizeof bills->self.name);
+  bills->self.incarnation = options->incarnation;
   bills->data_centre = g_strdup (options->data_centre);
   pthread_mutex_init (&bills->mutex, NULL);
   sr_cond_init (&bills->changed);
-  bills->book = sr_book_new ();
+  bills->book = sr_book_new (&bills->self);
   sr_counter_register (&recorded_total);
   sr_counter_register (&waiting_bills);
   sr_counter_register (&adopted_total);
@@ -116,7 +117,6 @@
   sr_book_delete (bills->book);
   pthread_cond_destroy (&bills->changed);
   pthread_mutex_destroy (&bills->mutex);
-  g_free (bills->instance);
   g_free (bills->data_centre);
   g_free (bills);
 }
@@ -148,7 +148,7 @@
   sr_counter_set (&waiting_bills, sr_book_length (bills->book));
   pthread_mutex_unlock (&bills->mutex);
   sr_counter_add (&recorded_total, 1);
-  kept = number > 0 && copy_to_a_peer_ (bills, number, line);
+  kept = number > 0 && copy_to_a_peer_ (bills, number);
   if (kept)
     note_taken_ (bills);
   else if (number > 0)
@@ -185,11 +185,10 @@
       pthread_mutex_lock (&bills->mutex);
       written = sr_book_length (bills->book) == 0;
       pthread_mutex_unlock (&bills->mutex);
-      if (written)
-        tell_written_ (bills);
-      else
+      if (!written)
         g_usleep (HAND_OVER_POLL_US);
     }
+  tell_written_ (bills);
   pthread_mutex_lock (&bills->mutex);
   copied = sr_book_without_copy (bills->book) == 0;
   pthread_mutex_unlock (&bills->mutex);
@@ -241,7 +240,6 @@
 {
   struct sr_bills *bills = data;
   int64_t interval_us = (int64_t)bills->options.write_interval_ms * US_PER_MS;
-  bool written;
 
   pthread_mutex_lock (&bills->mutex);
   while (!bills->stopping)
@@ -254,11 +252,9 @@
         break;
       pthread_mutex_unlock (&bills->mutex);
       adopt_ (bills);
-      written = false;
       while (write_batch_ (bills))
-        written = true;
-      if (written)
-        tell_written_ (bills);
+        continue;
+      tell_written_ (bills);
       copy_again_ (bills);
       pthread_mutex_lock (&bills->mutex);
     }
@@ -266,54 +262,87 @@
   return NULL;
 }
 
-/* Writes one batch as an object of its own, created once. When the object is there already, an
- * earlier answer was lost: the batch has not changed since. Returns whether the platform has it. */
+/* Writes one batch as an object of its own, created once. Who takes the origin of its lines for
+ * dead writes them under the same numbers, so that whoever comes second finds the object and leaves
+ * out what stands in it: no line is written twice. Returns whether there may be more to write. */
 static bool
 write_batch_ (struct sr_bills *bills)
 {
   GString *body = g_string_new (NULL);
-  enum sr_platform_status status = SR_PLATFORM_OUT;
-  uint64_t batch_number;
+  struct sr_bill_batch batch = { .length = 0 };
+  enum sr_platform_status status;
+  GHashTable *taken = NULL;
   char *name = NULL;
   int64_t version;
   bool written = false;
-  unsigned length = 0;
 
   pthread_mutex_lock (&bills->mutex);
   if (!bills->writing)
-    length = sr_book_batch (bills->book, body, &batch_number);
-  if (length > 0)
+    sr_book_batch (bills->book, body, &batch);
+  if (batch.length > 0)
     bills->writing = true;
   pthread_mutex_unlock (&bills->mutex);
-  if (length > 0)
+  if (batch.length > 0)
     {
-      name = g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT, bills->instance,
-                              bills->options.incarnation, batch_number);
+      name = g_strdup_printf ("%s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT, batch.origin.name,
+                              batch.origin.incarnation, batch.number);
       status = sr_platform_put (bills->options.platform, "bills", name, body->str, body->len, 0,
                                 &version);
-      written = status == SR_PLATFORM_OK || status == SR_PLATFORM_CONFLICT;
+      if (status == SR_PLATFORM_CONFLICT)
+        taken = read_taken_ (bills, name);
       pthread_mutex_lock (&bills->mutex);
       bills->writing = false;
+      written = status == SR_PLATFORM_OK || taken != NULL;
+      if (status == SR_PLATFORM_OK)
+        sr_book_batch_written (bills->book);
+      else if (taken != NULL)
+        sr_log (G_LOG_LEVEL_MESSAGE, "bills", "%s was there already, with %u lines kept here", name,
+                sr_book_batch_taken (bills->book, taken));
       if (written)
-        {
-          sr_book_batch_written (bills->book);
-          bills->stuck_since_us = 0;
-        }
+        bills->stuck_since_us = 0;
       pthread_cond_broadcast (&bills->changed);
       sr_counter_set (&waiting_bills, sr_book_length (bills->book));
       pthread_mutex_unlock (&bills->mutex);
     }
+  if (taken != NULL)
+    g_hash_table_unref (taken);
   g_free (name);
   g_string_free (body, TRUE);
   return written;
 }
 
+/* Returns the lines of the batch NAME as they were written (char *, a set that the caller frees),
+ * or NULL when it can't be read now. */
+static GHashTable *
+read_taken_ (struct sr_bills *bills, const char *name)
+{
+  GString *body = g_string_new (NULL);
+  GHashTable *texts = NULL;
+  json_t *lines = NULL;
+  json_t *line;
+  int64_t version;
+  size_t i;
+
+  if (sr_platform_get (bills->options.platform, "bills", name, body, &version) != SR_PLATFORM_OK)
+    goto out;
+  lines = json_loadb (body->str, body->len, 0, NULL);
+  if (!json_is_array (lines))
+    g_warning ("bills %s: the platform's object is malformed", name);
+  texts = g_hash_table_new_full (g_str_hash, g_str_equal, free, NULL);
+  json_array_foreach (lines, i, line) g_hash_table_add (texts, json_dumps (line, JSON_COMPACT));
+
+out:
+  json_decref (lines);
+  g_string_free (body, TRUE);
+  return texts;
+}
+
 /* Copies to another peer what the first keeper lost, as long as the platform does not have it. */
 static void
 copy_again_ (struct sr_bills *bills)
 {
   struct sr_member_view *view = view_ (bills);
-  struct sr_bill_keeper keeper = { 0 };
+  struct sr_bill_instance keeper = { 0 };
   const struct sr_member *member;
   GPtrArray *keepers;
   uint64_t after = 0;
@@ -326,21 +355,18 @@
   while (member != NULL && kept)
     {
       const struct sr_bill_line *line;
-      char *text;
 
-      g_strlcpy (keeper.instance, member->name, sizeof keeper.instance);
+      g_strlcpy (keeper.name, member->name, sizeof keeper.name);
       keeper.incarnation = member->incarnation;
       pthread_mutex_lock (&bills->mutex);
       line = sr_book_next_without (bills->book, &keeper, after);
-      text = line == NULL ? NULL : g_strdup (line->text);
       after = line == NULL ? 0 : line->number;
       pthread_mutex_unlock (&bills->mutex);
-      if (text == NULL)
+      if (after == 0)
         break;
-      kept = keep_at_ (bills, member, after, text);
+      kept = keep_at_ (bills, member, after);
       if (kept)
         note_taken_ (bills);
-      g_free (text);
     }
   g_ptr_array_unref (keepers);
   sr_member_view_unref (view);
@@ -359,13 +385,13 @@
   owners = sr_book_owners (bills->book);
   for (unsigned i = 0; i < owners->len; i++)
     {
-      const struct sr_bill_keeper *owner = owners->pdata[i];
-      const struct sr_member *member = sr_member_view_find (view, owner->instance);
+      const struct sr_bill_instance *owner = owners->pdata[i];
+      const struct sr_member *member = sr_member_view_find (view, owner->name);
 
       if (member != NULL && member->state != SR_MEMBER_DEAD
           && member->incarnation <= owner->incarnation)
         continue;
-      sr_log (G_LOG_LEVEL_MESSAGE, "bills", "writing the bills of %s", owner->instance);
+      sr_log (G_LOG_LEVEL_MESSAGE, "bills", "writing the bills of %s", owner->name);
       sr_counter_add (&adopted_total, sr_book_adopt (bills->book, owner));
     }
   pthread_mutex_unlock (&bills->mutex);
@@ -373,24 +399,32 @@
   sr_member_view_unref (view);
 }
 
-/* Lets the peers that keep copies forget what the platform has. */
+/* Lets the peers that keep copies forget what the platform has. Who can't be told now is told when
+ * more has been written. */
 static void
 tell_written_ (struct sr_bills *bills)
 {
   struct sr_member_view *view = view_ (bills);
-  GPtrArray *keepers;
+  GPtrArray *owed;
 
   if (view == NULL)
     return;
-  keepers = keepers_ (bills, view);
-  for (unsigned i = 0; i < keepers->len && i < KEEPERS_MAX; i++)
-    keep_at_ (bills, sr_member_view_find (view, keepers->pdata[i]), 0, "");
-  g_ptr_array_unref (keepers);
+  pthread_mutex_lock (&bills->mutex);
+  owed = sr_book_owed (bills->book);
+  pthread_mutex_unlock (&bills->mutex);
+  for (unsigned i = 0; i < owed->len; i++)
+    {
+      const struct sr_member *member = sr_member_view_find (view, owed->pdata[i]);
+
+      if (member != NULL && member->state != SR_MEMBER_DEAD)
+        keep_at_ (bills, member, 0);
+    }
+  g_ptr_array_unref (owed);
   sr_member_view_unref (view);
 }
 
 static bool
-copy_to_a_peer_ (struct sr_bills *bills, uint64_t number, const char *line)
+copy_to_a_peer_ (struct sr_bills *bills, uint64_t number)
 {
   struct sr_member_view *view = view_ (bills);
   GPtrArray *keepers;
@@ -400,44 +434,66 @@
     return false;
   keepers = keepers_ (bills, view);
   for (unsigned i = 0; i < keepers->len && i < KEEPERS_MAX && !kept; i++)
-    kept = keep_at_ (bills, sr_member_view_find (view, keepers->pdata[i]), number, line);
+    kept = keep_at_ (bills, sr_member_view_find (view, keepers->pdata[i]), number);
   g_ptr_array_unref (keepers);
   sr_member_view_unref (view);
   return kept;
 }
 
+/* Sends the own line NUMBER (0: none) to MEMBER to be kept, and up to where lines are written.
+ * Returns whether MEMBER has it, or it is written meanwhile. */
 static bool
-keep_at_ (struct sr_bills *bills, const struct sr_member *member, uint64_t number, const char *line)
+keep_at_ (struct sr_bills *bills, const struct sr_member *member, uint64_t number)
 {
-  size_t length = strlen (line);
-  g_autofree char *padded = NULL;
-  sr_bill_keep_msg request = { .incarnation = bills->options.incarnation, .number = number };
+  sr_bill_keep_msg request = { .incarnation = bills->self.incarnation, .number = number };
   sr_bill_kept_msg reply = { 0 };
-  struct sr_bill_keeper keeper = { 0 };
+  struct sr_bill_instance keeper = { 0 };
+  const struct sr_bill_line *line = NULL;
+  char *padded = NULL;
+  bool kept = false;
+  size_t length = 0;
 
-  if (length > SR_BILL_LINE_BYTES - XDR_UNIT_BYTES)
-    return false;
-  length = (length + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES;
-  padded = g_strdup_printf ("%-*s", (int)length, line);
-  request.line.line_val = padded;
-  request.line.line_len = (u_int)length;
-  g_strlcpy (request.owner, bills->instance, sizeof request.owner);
   pthread_mutex_lock (&bills->mutex);
   request.written_up_to = sr_book_written_up_to (bills->book);
+  if (number > 0)
+    line = sr_book_find (bills->book, number);
+  if (line != NULL)
+    {
+      length = strlen (line->text);
+      length = (length + XDR_UNIT_BYTES - 1) / XDR_UNIT_BYTES * XDR_UNIT_BYTES;
+      padded = g_strdup_printf ("%-*s", (int)length, line->text);
+      g_strlcpy (request.origin, line->origin.name, sizeof request.origin);
+      request.origin_incarnation = line->origin.incarnation;
+      request.first_batch = line->first_batch;
+      if (length <= SR_BILL_LINE_BYTES)
+        sr_book_owe (bills->book, member->name, number);
+    }
   pthread_mutex_unlock (&bills->mutex);
+  if (number > 0 && line == NULL)
+    return true;
+  if (length > SR_BILL_LINE_BYTES)
+    goto out;
+  request.line.line_val = padded;
+  request.line.line_len = (u_int)length;
+  g_strlcpy (request.owner, bills->self.name, sizeof request.owner);
   if (sr_peer_call (bills->options.peers, &member->peer, SR_PEER_PROGRAM_BILL, PROCEDURE_KEEP,
                     (xdrproc_t)xdr_sr_bill_keep_msg, &request, (xdrproc_t)xdr_sr_bill_kept_msg,
                     &reply, KEEP_TIMEOUT_MS)
           != SR_PEER_OK
       || !reply.kept)
-    return false;
-  g_strlcpy (keeper.instance, member->name, sizeof keeper.instance);
+    goto out;
+  g_strlcpy (keeper.name, member->name, sizeof keeper.name);
   keeper.incarnation = reply.incarnation;
   pthread_mutex_lock (&bills->mutex);
   if (number > 0)
     sr_book_set_keeper (bills->book, number, &keeper);
+  sr_book_told (bills->book, member->name, request.written_up_to);
   pthread_mutex_unlock (&bills->mutex);
-  return true;
+  kept = true;
+
+out:
+  g_free (padded);
+  return kept;
 }
 
 /* Returns the names of the alive peers in the order in which they are asked to keep copies: those
@@ -445,14 +501,14 @@
 static GPtrArray *
 keepers_ (struct sr_bills *bills, const struct sr_member_view *view)
 {
-  GPtrArray *near = sr_member_view_order (view, bills->instance, bills->data_centre);
-  GPtrArray *all = sr_member_view_order (view, bills->instance, NULL);
+  GPtrArray *near = sr_member_view_order (view, bills->self.name, bills->data_centre);
+  GPtrArray *all = sr_member_view_order (view, bills->self.name, NULL);
 
   for (unsigned i = 0; i < all->len; i++)
     if (!g_ptr_array_find_with_equal_func (near, all->pdata[i], g_str_equal, NULL))
       g_ptr_array_add (near, all->pdata[i]);
   for (unsigned i = near->len; i > 0; i--)
-    if (strcmp (near->pdata[i - 1], bills->instance) == 0)
+    if (strcmp (near->pdata[i - 1], bills->self.name) == 0)
       g_ptr_array_remove_index (near, i - 1);
   g_ptr_array_unref (all);
   return near;
@@ -474,19 +530,29 @@
   const sr_bill_keep_msg *request = in;
   sr_bill_kept_msg *reply = out;
   struct sr_bills *bills = data;
-  char *line = NULL;
-  char owner[SR_BILL_NAME_MAX_BYTES];
+  struct sr_bill_instance owner = { .incarnation = request->incarnation };
+  struct sr_bill_line line = { .number = request->number,
+                               .origin.incarnation = request->origin_incarnation,
+                               .first_batch = request->first_batch };
 
-  memcpy (owner, request->owner, sizeof owner);
-  owner[sizeof owner - 1] = '\0';
+  read_name_ (owner.name, request->owner);
+  read_name_ (line.origin.name, request->origin);
   if (request->line.line_len > 0)
-    line = g_strndup (request->line.line_val, request->line.line_len);
+    line.text = g_strchomp (g_strndup (request->line.line_val, request->line.line_len));
   pthread_mutex_lock (&bills->mutex);
   reply->kept = !bills->stopping
-                && sr_book_keep (bills->book, owner, request->incarnation, request->number, line,
+                && sr_book_keep (bills->book, &owner, line.text == NULL ? NULL : &line,
                                  request->written_up_to);
   pthread_mutex_unlock (&bills->mutex);
-  g_free (line);
-  reply->incarnation = bills->options.incarnation;
+  g_free (line.text);
+  reply->incarnation = bills->self.incarnation;
   return true;
 }
+
+/* The name on the wire fills its field and need not end in a NUL. */
+static void
+read_name_ (char *name, const char *field)
+{
+  memcpy (name, field, SR_BILL_NAME_MAX_BYTES);
+  name[SR_BILL_NAME_MAX_BYTES - 1] = '\0';
+}
--- a/src/bill/bill_xdr.c
+++ b/src/bill/bill_xdr.c
@@ -8,30 +8,37 @@
 bool_t
 xdr_sr_bill_keep_msg (XDR *xdrs, sr_bill_keep_msg *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	int i;
-	 if (!xdr_opaque (xdrs, objp->owner, SR_BILL_NAME_BYTES))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->number))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->written_up_to))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->line.line_val, (u_int *) &objp->line.line_len, SR_BILL_LINE_BYTES))
-		 return FALSE;
-	return TRUE;
+  int i;
+  if (!xdr_opaque (xdrs, objp->owner, SR_BILL_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  if (!xdr_opaque (xdrs, objp->origin, SR_BILL_NAME_BYTES))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->origin_incarnation))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->first_batch))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->number))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->written_up_to))
+    return FALSE;
+  if (!xdr_bytes (xdrs, (char **)&objp->line.line_val, (u_int *)&objp->line.line_len,
+                  SR_BILL_LINE_BYTES))
+    return FALSE;
+  return TRUE;
 }
 
 bool_t
 xdr_sr_bill_kept_msg (XDR *xdrs, sr_bill_kept_msg *objp)
 {
-	register int32_t *buf;
+  register int32_t *buf;
 
-	 if (!xdr_bool (xdrs, &objp->kept))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	return TRUE;
+  if (!xdr_bool (xdrs, &objp->kept))
+    return FALSE;
+  if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+    return FALSE;
+  return TRUE;
 }
--- a/src/bill/bill_xdr.h
+++ b/src/bill/bill_xdr.h
@@ -19,6 +19,9 @@
 struct sr_bill_keep_msg {
 	char owner[SR_BILL_NAME_BYTES];
 	u_quad_t incarnation;
+	char origin[SR_BILL_NAME_BYTES];
+	u_quad_t origin_incarnation;
+	u_quad_t first_batch;
 	u_quad_t number;
 	u_quad_t written_up_to;
 	struct {
--- a/src/bill/test-bill.c
+++ b/src/bill/test-bill.c
@@ -1,11 +1,14 @@
 /* Bills on a platform in memory, with copies at peers over their messages. */
+#include "base/counters.h"
 #include "bill/bill.h"
 #include "platform/platform-memory.h"
 
+#include <jansson.h>
 #include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -17,7 +20,8 @@
   SHORT_WAIT_US = 300000,
   POLL_US = 20000,
   NEVER_MS = 3600000,
-  OFTEN_MS = 20
+  OFTEN_MS = 20,
+  LIST_LIMIT = 500
 };
 
 struct instance
@@ -52,6 +56,14 @@
   pthread_mutex_unlock (&view_mutex);
 }
 
+static void
+set_port_ (unsigned index, unsigned port)
+{
+  pthread_mutex_lock (&view_mutex);
+  members[index].peer.port = port;
+  pthread_mutex_unlock (&view_mutex);
+}
+
 static void
 start_ (unsigned index, unsigned write_interval_ms)
 {
@@ -156,6 +168,56 @@
   assert_int_equal (billed_ (&tokens), count);
 }
 
+/* Asserts that COUNT lines stand in the objects of the platform, each once. */
+static void
+assert_lines_ (unsigned count)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GHashTable) seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  bool more;
+
+  assert_int_equal (sr_platform_list (platform, "bills", "", "", LIST_LIMIT, names, &more),
+                    SR_PLATFORM_OK);
+  for (unsigned i = 0; i < names->len; i++)
+    {
+      g_autoptr (GString) body = g_string_new (NULL);
+      json_t *lines;
+      json_t *line;
+      int64_t version;
+      size_t j;
+
+      assert_int_equal (sr_platform_get (platform, "bills", names->pdata[i], body, &version),
+                        SR_PLATFORM_OK);
+      lines = json_loadb (body->str, body->len, 0, NULL);
+      json_array_foreach (lines, j, line)
+          assert_true (g_hash_table_add (seen, json_dumps (line, JSON_COMPACT)));
+      json_decref (lines);
+    }
+  assert_int_equal (g_hash_table_size (seen), count);
+}
+
+/* How many bills were taken over from others, in this process. */
+static int64_t
+adopted_ (void)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  const char *found;
+
+  sr_counters_print (text);
+  found = strstr (text->str, "\nbills_adopted_total ");
+  assert_non_null (found);
+  return g_ascii_strtoll (found + strlen ("\nbills_adopted_total "), NULL, 10);
+}
+
+static void
+wait_for_lines_ (unsigned instance)
+{
+  int64_t end_us = g_get_monotonic_time () + WAIT_US;
+
+  while (!sr_bills_hand_over (instances[instance].bills, g_get_monotonic_time () + SHORT_WAIT_US))
+    assert_true (g_get_monotonic_time () < end_us);
+}
+
 /* The owner crashes in an outage of the platform, before it wrote anything: the peer that keeps the
  * copies writes them once the platform is back. */
 static void
@@ -176,7 +238,8 @@
   assert_int_equal (tokens, 30);
 }
 
-/* The peer is wrong about the owner's death: both write the same bill, which reads as one. */
+/* The peer is wrong about the owner's death, and the request ran there too: its bills read as one.
+ */
 static void
 test_bill_written_twice_reads_once (void **state)
 {
@@ -194,6 +257,47 @@
   assert_int_equal (tokens, 10);
 }
 
+/* The peer is wrong about the owner's death and writes what it keeps; the owner goes on, and writes
+ * only what the peer did not. */
+static void
+test_owner_taken_for_dead_writes_no_line_again (void **state)
+{
+  int64_t tokens;
+
+  start_ (0, NEVER_MS);
+  start_ (1, OFTEN_MS);
+  assert_true (record_ (0, "r1", 10, WAIT_US));
+  assert_true (record_ (0, "r2", 20, WAIT_US));
+  set_state_ (0, SR_MEMBER_DEAD);
+  wait_for_bills_ (2);
+  set_state_ (1, SR_MEMBER_SUSPECT);
+  assert_true (record_ (0, "r3", 30, WAIT_US));
+  wait_for_lines_ (0);
+  assert_lines_ (3);
+  assert_int_equal (billed_ (&tokens), 3);
+  assert_int_equal (tokens, 60);
+}
+
+/* The owner's last word, that all is written, does not reach the keeper. */
+static void
+test_keeper_not_told_writes_no_line_again (void **state)
+{
+  int64_t adopted;
+
+  start_ (0, NEVER_MS);
+  start_ (1, OFTEN_MS);
+  assert_true (record_ (0, "r1", 10, WAIT_US));
+  adopted = adopted_ ();
+  set_port_ (1, FIRST_PORT + INSTANCES);
+  assert_true (sr_bills_hand_over (instances[0].bills, g_get_monotonic_time () + WAIT_US));
+  stop_ (0);
+  set_state_ (0, SR_MEMBER_DEAD);
+  while (adopted_ () == adopted)
+    g_usleep (POLL_US);
+  wait_for_lines_ (1);
+  assert_lines_ (1);
+}
+
 /* Without a peer the platform is the second place; a lost answer does not write the batch twice. */
 static void
 test_platform_is_the_second_place (void **state)
@@ -241,6 +345,10 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (test_bills_survive_outage_and_crash, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_bill_written_twice_reads_once, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_owner_taken_for_dead_writes_no_line_again, set_up_,
+                                     tear_down_),
+    cmocka_unit_test_setup_teardown (test_keeper_not_told_writes_no_line_again, set_up_,
+                                     tear_down_),
     cmocka_unit_test_setup_teardown (test_platform_is_the_second_place, set_up_, tear_down_),
     cmocka_unit_test (alone_without_a_platform_no_bill_is_placed),
   };
--- a/testing/process/test-fleet.c
+++ b/testing/process/test-fleet.c
@@ -198,7 +198,7 @@
 static int64_t
 count_bills (int64_t *tokens)
 {
-  g_autoptr (GHashTable) seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autoptr (GHashTable) seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_autofree char *after = g_strdup ("");
   bool more = true;
 
@@ -229,7 +229,12 @@
           g_autofree char *key = g_strdup_printf ("%s/%s", harness_json_text (bill, "team"),
                                                   harness_json_text (bill, "request"));
 
-          assert_true (g_hash_table_add (seen, g_steal_pointer (&key)));
+          const char *first = g_hash_table_lookup (seen, key);
+
+          if (first != NULL)
+            print_message ("%s stands in %s and in %s\n", key, first, name);
+          assert_null (first);
+          g_hash_table_insert (seen, g_steal_pointer (&key), g_strdup (name));
           *tokens += harness_json_number (bill, "billed_tokens");
         }
         json_decref (bills);
