Refusals log what decided them; sapphirerun explain counts what the lines tell

request_refused has inputs: the link's share, the record and its age, who told that a budget is used up, servers tried; request_sent has the load that had the server chosen and the report's age. explain reads logs and names the cause of each failed request.

The link's share is the fuller direction's now: the totals of both were taken together, so a full direction with the smaller total went unseen (test-gateway/each_direction_of_a_link_counts_by_itself).

--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -335,7 +335,7 @@
   if (answer->is_empty)
     {
       allotment_serve_waiters_ (team, now_us);
-      allotment_refuse_waiters_ (team, answer->left_at_most, now_us);
+      allotment_refuse_exhausted_ (team, peer_name, answer->left_at_most, now_us);
     }
   else if (answer->is_dry)
     {
@@ -471,6 +471,37 @@
   return team == NULL ? 0 : sr_ledger_available (team->ledger);
 }
 
+/* Sets *KNOWN to what is known of the budget of the team NAME. */
+void
+allotment_book_known (const struct allotment_book *book,
+                      const char *name,
+                      int64_t now_us,
+                      struct allotment_known *known)
+{
+  const struct allotment_team *team = g_hash_table_lookup (book->teams, name);
+
+  *known = (struct allotment_known){ .record_left = -1,
+                                     .record_age_ms = -1,
+                                     .left_at_most = -1,
+                                     .left_age_ms = -1,
+                                     .left_told_by = "" };
+  if (team == NULL)
+    return;
+  known->prepaid_tokens = team->prepaid_tokens;
+  known->available = sr_ledger_available (team->ledger);
+  known->store_is_down = team->store_is_down;
+  if (team->left_us != 0)
+    {
+      known->left_at_most = team->left_at_most;
+      known->left_age_ms = (now_us - team->left_us) / 1000;
+      known->left_told_by = team->left_told_by;
+    }
+  if (team->record == NULL)
+    return;
+  known->record_left = sr_record_remaining (team->record);
+  known->record_age_ms = (now_us - team->record_us) / 1000;
+}
+
 static struct allotment_team *
 team_new_ (struct allotment_book *book, const char *name)
 {
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -124,3 +124,22 @@
 void allotment_book_stop (struct allotment_book *book, int64_t now_us);
 bool allotment_book_is_empty (const struct allotment_book *book);
 int64_t allotment_book_available (const struct allotment_book *book, const char *team);
+
+/* What an instance knows of one budget, for those who look for the reason of a refusal. */
+struct allotment_known
+{
+  int64_t prepaid_tokens;
+  int64_t available;     /* here, without asking anybody */
+  int64_t record_left;   /* on the record when it was last seen; -1: never */
+  int64_t record_age_ms; /* since then; -1: never */
+  bool store_is_down;    /* the last call for the record failed */
+  /* What was last heard to be left of the whole budget at most. */
+  int64_t left_at_most; /* -1: nothing was */
+  int64_t left_age_ms;  /* -1: nothing was */
+  const char *left_told_by;
+};
+
+void allotment_book_known (const struct allotment_book *book,
+                           const char *team,
+                           int64_t now_us,
+                           struct allotment_known *known);
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -81,6 +81,10 @@
   int64_t asked_returned;
   int64_t asked_need;
   int64_t asked_want;
+  /* What was last heard to be left of the whole budget at most. */
+  int64_t left_at_most;
+  int64_t left_us; /* 0: never */
+  char left_told_by[SR_BUDGET_NAME_MAX_BYTES];
   GHashTable *dry; /* name of an instance that could get nothing: until when (int64_t) */
 };
 
@@ -112,6 +116,10 @@
 void
 allotment_serve_asks_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 void allotment_refuse_waiters_ (struct allotment_team *team, int64_t left_at_most, int64_t now_us);
+void allotment_refuse_exhausted_ (struct allotment_team *team,
+                                  const char *told_by,
+                                  int64_t left_at_most,
+                                  int64_t now_us);
 void
 allotment_refuse_late_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 void allotment_answer_asks_ (struct allotment_book *book,
--- a/src/allotment/service.c
+++ b/src/allotment/service.c
@@ -68,6 +68,19 @@
     }
 }
 
+/* The same, and notes that TOLD_BY knows so. */
+void
+allotment_refuse_exhausted_ (struct allotment_team *team,
+                             const char *told_by,
+                             int64_t left_at_most,
+                             int64_t now_us)
+{
+  team->left_at_most = left_at_most;
+  team->left_us = now_us;
+  g_strlcpy (team->left_told_by, told_by, sizeof team->left_told_by);
+  allotment_refuse_waiters_ (team, left_at_most, now_us);
+}
+
 /* Refuses reservations that have waited too long, and asks of others too. */
 void
 allotment_refuse_late_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -369,7 +369,8 @@
       else
         {
           allotment_answer_asks_ (book, team, SUPPLY_EMPTY, now_us);
-          allotment_refuse_waiters_ (team, allotment_left_at_most_ (book, team), now_us);
+          allotment_refuse_exhausted_ (team, book->options.instance,
+                                       allotment_left_at_most_ (book, team), now_us);
         }
       return;
     }
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -40,6 +40,7 @@
 
 int cli_command_audit (int argc, char **argv);
 int cli_command_check (int argc, char **argv);
+int cli_command_explain (int argc, char **argv);
 int cli_command_serve (int argc, char **argv);
 int cli_command_show (int argc, char **argv);
 int cli_command_submit (int argc, char **argv);
--- /dev/null
+++ b/src/cli/failure-report.c
@@ -0,0 +1,244 @@
+#include "cli/failure-report.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  STATUS_FAILED = 400 /* and above */
+};
+
+struct failure_report
+{
+  GHashTable *requests; /* "INSTANCE/REQUEST": struct request */
+  GPtrArray *order;     /* struct request, as they came */
+  GHashTable *starts;   /* instance: number of its starts so far (GINT) */
+};
+
+struct request
+{
+  char *key;
+  unsigned start; /* of the instance, when the request came */
+  GPtrArray *lines;
+};
+
+/* Reasons that say all there is to say: the request alone decides. */
+static const char *const complete_reasons[] = { "malformed", "no_key", "body_too_large" };
+/* Reasons of which the backend server that was chosen is the cause. */
+static const char *const attempt_reasons[]
+    = { "not_executed", "not_connected",  "closed",         "silent",
+        "timeout",      "encoded_answer", "unclear_answer", "malformed" };
+
+static void request_free_ (void *data);
+static const char *text_ (const json_t *line, const char *key);
+static struct request *request_of_ (struct failure_report *report, const json_t *line);
+static const json_t *last_ (const struct request *request, const char *event);
+static bool has_failed_ (const struct request *request);
+static char *cause_ (const struct failure_report *report, const struct request *request);
+static char *cause_of_refusal_ (const struct request *request, const json_t *refused);
+static char *cause_at_backend_ (const struct request *request, const char *what);
+static bool is_among_ (const char *word, const char *const *words, size_t n_words);
+
+/* Creates an empty report, to be freed with failure_report_delete. */
+struct failure_report *
+failure_report_new (void)
+{
+  struct failure_report *report = g_new0 (struct failure_report, 1);
+
+  report->requests = g_hash_table_new (g_str_hash, g_str_equal);
+  report->order = g_ptr_array_new_with_free_func (request_free_);
+  report->starts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return report;
+}
+
+/* Frees REPORT. NULL is allowed. */
+void
+failure_report_delete (struct failure_report *report)
+{
+  if (report == NULL)
+    return;
+  g_hash_table_unref (report->requests);
+  g_ptr_array_unref (report->order);
+  g_hash_table_unref (report->starts);
+  g_free (report);
+}
+
+/* Takes a LINE of a log in; what stands before its JSON object is passed over. Returns false when
+ * there is none. Lines of one instance must come in their order. */
+bool
+failure_report_add (struct failure_report *report, const char *line)
+{
+  const char *object = strchr (line, '{');
+  json_t *root = object == NULL ? NULL : json_loads (object, JSON_DISABLE_EOF_CHECK, NULL);
+  const char *event = root == NULL ? NULL : text_ (root, "event");
+  const char *instance = root == NULL ? NULL : text_ (root, "instance");
+  bool is_line = event != NULL && instance != NULL;
+
+  if (is_line && strcmp (event, "started") == 0)
+    {
+      unsigned starts = GPOINTER_TO_UINT (g_hash_table_lookup (report->starts, instance));
+
+      g_hash_table_replace (report->starts, g_strdup (instance), GUINT_TO_POINTER (starts + 1));
+    }
+  if (is_line && text_ (root, "request") != NULL)
+    g_ptr_array_add (request_of_ (report, root)->lines, json_incref (root));
+  json_decref (root);
+  return is_line;
+}
+
+/* Calls CALLBACK for each request that failed, in the order of their first lines. Returns how many
+ * there are. */
+unsigned
+failure_report_each (struct failure_report *report, failure_callback callback, void *data)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < report->order->len; i++)
+    {
+      const struct request *request = report->order->pdata[i];
+      struct failure failure = { .lines = request->lines };
+
+      if (!has_failed_ (request))
+        continue;
+      failure.request = text_ (request->lines->pdata[0], "request");
+      failure.instance = text_ (request->lines->pdata[0], "instance");
+      failure.cause = cause_ (report, request);
+      callback (&failure, data);
+      g_free (failure.cause);
+      count++;
+    }
+  return count;
+}
+
+static void
+request_free_ (void *data)
+{
+  struct request *request = data;
+
+  g_ptr_array_unref (request->lines);
+  g_free (request->key);
+  g_free (request);
+}
+
+static const char *
+text_ (const json_t *line, const char *key)
+{
+  return json_string_value (json_object_get (line, key));
+}
+
+static struct request *
+request_of_ (struct failure_report *report, const json_t *line)
+{
+  const char *instance = text_ (line, "instance");
+  g_autofree char *key = g_strdup_printf ("%s/%s", instance, text_ (line, "request"));
+  struct request *request = g_hash_table_lookup (report->requests, key);
+
+  if (request != NULL)
+    return request;
+  request = g_new0 (struct request, 1);
+  request->key = g_steal_pointer (&key);
+  request->start = GPOINTER_TO_UINT (g_hash_table_lookup (report->starts, instance));
+  request->lines = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
+  g_hash_table_insert (report->requests, request->key, request);
+  g_ptr_array_add (report->order, request);
+  return request;
+}
+
+static const json_t *
+last_ (const struct request *request, const char *event)
+{
+  for (unsigned i = request->lines->len; i > 0; i--)
+    if (strcmp (text_ (request->lines->pdata[i - 1], "event"), event) == 0)
+      return request->lines->pdata[i - 1];
+  return NULL;
+}
+
+static bool
+has_failed_ (const struct request *request)
+{
+  const json_t *ended = last_ (request, "request_ended");
+
+  if (ended == NULL)
+    return true;
+  return strcmp (text_ (ended, "outcome"), "answered") != 0
+         || json_integer_value (json_object_get (ended, "status")) >= STATUS_FAILED;
+}
+
+static char *
+cause_ (const struct failure_report *report, const struct request *request)
+{
+  const json_t *ended = last_ (request, "request_ended");
+  const json_t *refused = last_ (request, "request_refused");
+  const char *instance = text_ (request->lines->pdata[0], "instance");
+  const char *outcome;
+
+  if (ended == NULL)
+    {
+      unsigned starts = GPOINTER_TO_UINT (g_hash_table_lookup (report->starts, instance));
+
+      return starts > request->start
+                 ? g_strdup_printf ("%s was killed while it ran and started again", instance)
+                 : NULL;
+    }
+  outcome = text_ (ended, "outcome");
+  if (strcmp (outcome, "caller_left") == 0)
+    return g_strdup ("the caller left");
+  if (refused != NULL)
+    return cause_of_refusal_ (request, refused);
+  if (strcmp (outcome, "answered") == 0)
+    {
+      g_autofree char *what = g_strdup_printf (
+          "answered %d", (int)json_integer_value (json_object_get (ended, "status")));
+
+      return cause_at_backend_ (request, what);
+    }
+  return cause_at_backend_ (request, outcome);
+}
+
+/* A refusal is explained when its line has what decided it. */
+static char *
+cause_of_refusal_ (const struct request *request, const json_t *refused)
+{
+  const char *reason = text_ (refused, "reason");
+  const json_t *inputs = json_object_get (refused, "inputs");
+  const char *state = text_ (refused, "state");
+  char *printed;
+  char *cause;
+
+  if (reason == NULL)
+    return NULL;
+  if (inputs == NULL && state != NULL && strcmp (state, "reading") != 0
+      && is_among_ (reason, attempt_reasons, G_N_ELEMENTS (attempt_reasons)))
+    return cause_at_backend_ (request, reason);
+  if (inputs == NULL)
+    return is_among_ (reason, complete_reasons, G_N_ELEMENTS (complete_reasons)) ? g_strdup (reason)
+                                                                                 : NULL;
+  printed = json_dumps (inputs, JSON_COMPACT | JSON_REAL_PRECISION (3));
+  cause = g_strdup_printf ("%s: %s", reason, printed);
+  free (printed);
+  return cause;
+}
+
+/* WHAT happened at the backend server of the last attempt, with the load that had it chosen. */
+static char *
+cause_at_backend_ (const struct request *request, const char *what)
+{
+  const json_t *sent = last_ (request, "request_sent");
+  const json_t *failed = last_ (request, "attempt_failed");
+  const json_t *attempt = sent != NULL ? sent : failed;
+
+  if (attempt == NULL || text_ (attempt, "backend") == NULL)
+    return NULL;
+  return g_strdup_printf ("%s: backend server %s%s%s", what, text_ (attempt, "backend"),
+                          failed != NULL ? ", last attempt " : "",
+                          failed != NULL ? text_ (failed, "reason") : "");
+}
+
+static bool
+is_among_ (const char *word, const char *const *words, size_t n_words)
+{
+  for (size_t i = 0; i < n_words; i++)
+    if (strcmp (word, words[i]) == 0)
+      return true;
+  return false;
+}
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -8,6 +8,7 @@
 static const struct cli_command commands_[] = {
   { "audit", "print the trail of accepted changes", cli_command_audit },
   { "check", "check files of settings or of configuration", cli_command_check },
+  { "explain", "tell the cause of failed requests from a log", cli_command_explain },
   { "serve", "run one instance", cli_command_serve },
   { "show", "print what an instance or the platform knows", cli_command_show },
   { "submit", "put a configuration in force", cli_command_submit },
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -85,30 +85,35 @@
     .prefers_new = !is_repeatable_ (exchange),
     .user = exchange,
   };
-  struct gw_place place;
+  struct gw_place *place = &exchange->place;
   enum gw_place_verdict verdict;
 
   if (exchange->end_us != INT64_MAX && exchange->end_us - now_us < LEFT_MIN_MS * GW_US_PER_MS)
     {
-      gw_exchange_refuse_ (exchange, exchange->runs > 0 ? 504 : 503, GW_RETRY_SOON_S,
-                           "no_time_left");
+      gw_exchange_refuse_for_ (
+          exchange, exchange->runs > 0 ? 504 : 503, GW_RETRY_SOON_S, "no_time_left",
+          json_pack ("{s:I}", "left_ms", (json_int_t)((exchange->end_us - now_us) / GW_US_PER_MS)));
       return;
     }
-  verdict = gw_place_pick (&query, context->random, &place);
+  verdict = gw_place_pick (&query, context->random, place);
   if (verdict == GW_PLACE_NONE || verdict == GW_PLACE_FULL)
     {
-      gw_exchange_refuse_ (exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_SOON_S,
-                           verdict == GW_PLACE_NONE ? "no_backend" : "all_full");
+      gw_exchange_refuse_for_ (exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_SOON_S,
+                               verdict == GW_PLACE_NONE ? "no_backend" : "all_full",
+                               json_pack ("{s:i,s:i,s:f}", "backends",
+                                          query.backends == NULL ? 0 : (int)query.backends->len,
+                                          "tried", (int)exchange->tried->len, "expected_ms",
+                                          place->expected_ms));
       return;
     }
-  exchange->backend = gw_backend_ref (place.backend);
-  exchange->unread_tokens = place.unread_tokens;
+  exchange->backend = gw_backend_ref (place->backend);
+  exchange->unread_tokens = place->unread_tokens;
   exchange->memory_tokens = exchange->prompt.is_stated
                                 ? exchange->prompt.input_tokens + exchange->prompt.output_tokens_max
                                 : 0;
-  gw_place_begin (&place, &query, exchange->memory_tokens);
+  gw_place_begin (place, &query, exchange->memory_tokens);
   exchange->state = EXCHANGE_CONNECTING;
-  options.backend = place.backend;
+  options.backend = place->backend;
   exchange->upstream = gw_upstream_open (&options);
   if (exchange->upstream == NULL)
     on_failed_ (exchange, GW_UPSTREAM_NOT_CONNECTED);
@@ -146,12 +151,15 @@
   exchange->runs++;
   exchange->attempts++;
   sr_counter_add (&attempts_counter_, 1);
-  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I}", "request",
-            exchange->id, "team", exchange->team == NULL ? "" : exchange->team->name->str,
-            "reserved", (json_int_t)exchange->reserved, "backend", exchange->backend->facts.id,
-            "attempt", (int)exchange->attempts, "left_ms", (json_int_t)send.left_ms,
-            "unread_tokens", (json_int_t)exchange->unread_tokens, "after_us",
-            (json_int_t)(now_us - exchange->arrived_us));
+  sr_event (SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I,s:f,s:i,s:i,s:I}",
+            "request", exchange->id, "team",
+            exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
+            (json_int_t)exchange->reserved, "backend", exchange->backend->facts.id, "attempt",
+            (int)exchange->attempts, "left_ms", (json_int_t)send.left_ms, "unread_tokens",
+            (json_int_t)exchange->unread_tokens, "after_us",
+            (json_int_t)(now_us - exchange->arrived_us), "expected_ms", exchange->place.expected_ms,
+            "in_flight", (int)exchange->place.in_flight, "reported", (int)exchange->place.reported,
+            "report_age_ms", (json_int_t)exchange->place.report_age_ms);
   gw_upstream_send (exchange->upstream, parts, exchange->body->len > 0 ? 2 : 1,
                     strcmp (exchange->method, "HEAD") == 0);
   g_string_free (head, TRUE);
--- a/src/gateway/book-link.c
+++ b/src/gateway/book-link.c
@@ -16,6 +16,7 @@
 
 static void on_record_read_ (const struct store_result *result, void *data);
 static void on_record_written_ (const struct store_result *result, void *data);
+static struct gw_backend *backend_of_key_ (const struct gateway *gateway, uint64_t key);
 
 void
 gateway_read_record_ (void *link, const char *team)
@@ -136,13 +137,15 @@
 gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data)
 {
   struct gateway *gateway = data;
-  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
   int64_t now_us = g_get_monotonic_time ();
 
-  for (unsigned i = 0; i < all->len; i++)
-    for (unsigned k = 0; k < n_work; k++)
-      if (gw_place_key (all->pdata[i]) == work[k].backend)
-        gw_place_others (all->pdata[i], peer, work[k].unread_tokens, now_us);
+  for (unsigned i = 0; i < n_work; i++)
+    {
+      struct gw_backend *backend = backend_of_key_ (gateway, work[i].backend);
+
+      if (backend != NULL)
+        gw_place_others (backend, peer, work[i].unread_tokens, now_us);
+    }
 }
 
 /* See struct gw_context. */
@@ -160,10 +163,19 @@
 gateway_on_replaced_ (uint64_t key, void *data)
 {
   struct gateway *gateway = data;
+  struct gw_backend *backend = backend_of_key_ (gateway, key);
+
+  if (backend != NULL && gw_place_set_replaced (backend, g_get_monotonic_time ()))
+    mesh_spread_replaced (gateway->mesh, key, gateway->context.random);
+}
+
+static struct gw_backend *
+backend_of_key_ (const struct gateway *gateway, uint64_t key)
+{
   g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
 
   for (unsigned i = 0; i < all->len; i++)
-    if (gw_place_key (all->pdata[i]) == key
-        && gw_place_set_replaced (all->pdata[i], g_get_monotonic_time ()))
-      mesh_spread_replaced (gateway->mesh, key, gateway->context.random);
+    if (gw_place_key (all->pdata[i]) == key)
+      return all->pdata[i];
+  return NULL;
 }
--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -4,8 +4,11 @@
 #include "base/counters.h"
 #include "gateway/event-scan.h"
 #include "gateway/exchange.h"
+#include "gateway/placement.h"
 #include "gateway/upstream.h"
 
+#include <jansson.h>
+
 enum
 {
   GW_US_PER_MS = 1000
@@ -55,6 +58,7 @@
   unsigned attempts;
   struct gw_upstream *upstream;
   struct gw_backend *backend;
+  struct gw_place place; /* as it was chosen; its backend is no reference */
   int64_t unread_tokens;
   int64_t memory_tokens;
   int64_t sent_us;
@@ -84,6 +88,8 @@
                           unsigned status,
                           double after_s,
                           const char *why);
+void gw_exchange_refuse_for_ (
+    struct gw_exchange *exchange, unsigned status, double after_s, const char *why, json_t *inputs);
 void gw_exchange_register_attempt_metrics_ (void);
 const struct gw_upstream_user_vtable *gw_exchange_upstream_vtable_ (void);
 const char *gw_exchange_state_to_string_ (enum gw_exchange_state state);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -12,11 +12,15 @@
 enum
 {
   STOPPING_STREAMS_MS = 3000, /* a stream that begins later would outlast a planned stop */
+  LOGGED_PATH_BYTES = 64      /* of a path that no route has; the event log has room for 256 KiB */
 };
 
 static bool admit_ (struct gw_exchange *exchange, const struct gw_ask *ask);
 static bool outlasts_stop_ (const struct gw_exchange *exchange);
 static void on_reserved_ (enum allotment_verdict verdict, GArray *parts, void *data);
+static json_t *budget_known_ (const struct gw_exchange *exchange);
+static json_t *age_of_process_ (const struct gw_context *context);
+static json_t *logged_path_ (const char *target);
 static void settle_ (struct gw_exchange *exchange);
 static void on_timer_closed_ (uv_handle_t *handle);
 static const char *reason_of_ (unsigned status);
@@ -140,7 +144,8 @@
     }
   if (context->book == NULL)
     {
-      gw_exchange_refuse_ (exchange, 503, RETRY_BUDGET_S, "budgets_not_ready");
+      gw_exchange_refuse_for_ (exchange, 503, RETRY_BUDGET_S, "budgets_not_ready",
+                               age_of_process_ (context));
       return;
     }
   allotment_reserve (context->book, exchange->team->name->str, exchange->reserved, on_reserved_,
@@ -182,7 +187,8 @@
 
   if (context->routes == NULL)
     {
-      gw_exchange_refuse_ (exchange, 503, RETRY_BUDGET_S, "no_configuration");
+      gw_exchange_refuse_for_ (exchange, 503, RETRY_BUDGET_S, "no_configuration",
+                               age_of_process_ (context));
       return false;
     }
   exchange->routes = gw_routes_ref (context->routes);
@@ -194,7 +200,8 @@
   exchange->route = gw_routes_match (exchange->routes, ask->host, target);
   if (exchange->route == NULL)
     {
-      gw_exchange_refuse_ (exchange, 404, 0, "no_route");
+      gw_exchange_refuse_for_ (exchange, 404, 0, "no_route",
+                               json_pack ("{s:o}", "path", logged_path_ (exchange->target)));
       return false;
     }
   if (!exchange->route->is_public && g_hash_table_size (exchange->routes->teams) > 0)
@@ -202,14 +209,18 @@
       exchange->team = gw_routes_team (exchange->routes, ask->key);
       if (exchange->team == NULL)
         {
-          gw_exchange_refuse_ (exchange, 401, 0, ask->has_key ? "unknown_key" : "no_key");
+          gw_exchange_refuse_for_ (
+              exchange, 401, 0, ask->has_key ? "unknown_key" : "no_key",
+              json_pack ("{s:s,s:I}", "route", exchange->route->name->str, "keys",
+                         (json_int_t)g_hash_table_size (exchange->routes->teams_by_key)));
           return false;
         }
     }
   service = gw_route_pick_service (exchange->route, g_rand_int (context->random));
   if (service == NULL)
     {
-      gw_exchange_refuse_ (exchange, 503, RETRY_BUDGET_S, "no_service");
+      gw_exchange_refuse_for_ (exchange, 503, RETRY_BUDGET_S, "no_service",
+                               json_pack ("{s:s}", "route", exchange->route->name->str));
       return false;
     }
   exchange->service_name = g_strdup (service->str);
@@ -218,17 +229,22 @@
   if (ask->deadline_ms > 0 && (limit_ms == 0 || ask->deadline_ms < limit_ms))
     limit_ms = ask->deadline_ms;
   exchange->end_us = limit_ms == 0 ? INT64_MAX : exchange->arrived_us + limit_ms * GW_US_PER_MS;
-  gw_link_load_note (&context->link, MAX (net_traffic ()->received, net_traffic ()->sent),
-                     exchange->arrived_us);
+  gw_link_load_note (&context->link, net_traffic (), exchange->arrived_us);
   if (gw_link_load_refuses (&context->link, context->random))
     {
       exchange->refuses_body = true;
-      gw_exchange_refuse_ (exchange, 503, RETRY_AT_ONCE_S, "link_full");
+      gw_exchange_refuse_for_ (
+          exchange, 503, RETRY_AT_ONCE_S, "link_full",
+          json_pack ("{s:f}", "link_share", gw_link_load_share (&context->link)));
       return false;
     }
   if (outlasts_stop_ (exchange))
     {
-      gw_exchange_refuse_ (exchange, 503, GW_RETRY_SOON_S, "stopping");
+      gw_exchange_refuse_for_ (
+          exchange, 503, GW_RETRY_SOON_S, "stopping",
+          json_pack (
+              "{s:I}", "stopping_ms",
+              (json_int_t)((exchange->arrived_us - context->stopping_since_us) / GW_US_PER_MS)));
       return false;
     }
   return true;
@@ -248,6 +264,40 @@
   return exchange->end_us > context->stop_by_us;
 }
 
+/* What this instance knows of the budget of EXCHANGE's team; the record's age is -1 where none has
+ * been read. */
+static json_t *
+budget_known_ (const struct gw_exchange *exchange)
+{
+  struct allotment_known known;
+
+  allotment_book_known (exchange->context->book, exchange->team->name->str, g_get_monotonic_time (),
+                        &known);
+  return json_pack ("{s:I,s:I,s:I,s:I,s:b,s:I,s:I,s:s}", "prepaid",
+                    (json_int_t)known.prepaid_tokens, "held", (json_int_t)known.available,
+                    "record_left", (json_int_t)known.record_left, "record_age_ms",
+                    (json_int_t)known.record_age_ms, "store_failed", (int)known.store_is_down,
+                    "left_at_most", (json_int_t)known.left_at_most, "left_age_ms",
+                    (json_int_t)known.left_age_ms, "left_told_by", known.left_told_by);
+}
+
+static json_t *
+age_of_process_ (const struct gw_context *context)
+{
+  return json_pack ("{s:I}", "up_ms",
+                    (json_int_t)((g_get_monotonic_time () - context->started_us) / GW_US_PER_MS));
+}
+
+/* The path of TARGET, for the log: without its query, of bounded length. */
+static json_t *
+logged_path_ (const char *target)
+{
+  g_autofree char *path = g_strndup (target, MIN (strcspn (target, "?"), LOGGED_PATH_BYTES));
+  g_autofree char *valid = g_utf8_make_valid (path, -1);
+
+  return json_string (valid);
+}
+
 static void
 on_reserved_ (enum allotment_verdict verdict, GArray *parts, void *data)
 {
@@ -260,10 +310,11 @@
       gw_exchange_place_ (exchange);
       return;
     case ALLOTMENT_EXHAUSTED:
-      gw_exchange_refuse_ (exchange, 402, 0, "budget_exhausted");
+      gw_exchange_refuse_for_ (exchange, 402, 0, "budget_exhausted", budget_known_ (exchange));
       return;
     case ALLOTMENT_LATER:
-      gw_exchange_refuse_ (exchange, 503, RETRY_OUTAGE_S, "budget_out_of_reach");
+      gw_exchange_refuse_for_ (exchange, 503, RETRY_OUTAGE_S, "budget_out_of_reach",
+                               budget_known_ (exchange));
       return;
     }
 }
@@ -272,6 +323,15 @@
  * it has not. AFTER_S: when the caller may return. */
 void
 gw_exchange_refuse_ (struct gw_exchange *exchange, unsigned status, double after_s, const char *why)
+{
+  gw_exchange_refuse_for_ (exchange, status, after_s, why, NULL);
+}
+
+/* The same, with what decided it for the log. INPUTS becomes the log's; NULL: the reason says all.
+ */
+void
+gw_exchange_refuse_for_ (
+    struct gw_exchange *exchange, unsigned status, double after_s, const char *why, json_t *inputs)
 {
   struct gw_context *context = exchange->context;
   g_autofree char *body = g_strdup_printf ("{\"error\":\"%s\"}", why);
@@ -295,12 +355,13 @@
   reply.reason = net_text_of (reason_of_ (status));
   reply.headers = (struct net_text){ headers->str, headers->len };
   sr_counter_add (exchange->runs > 0 ? &failed_counter_ : &refused_counter_, 1);
-  sr_event (SR_EVENT_FAILURE, "request_refused", "{s:s,s:i,s:s,s:s,s:s,s:I,s:I}", "request",
+  sr_event (SR_EVENT_FAILURE, "request_refused", "{s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:o*}", "request",
             exchange->id, "status", (int)status, "reason", why, "state",
             gw_exchange_state_to_string_ (exchange->state), "team",
             exchange->team == NULL ? "" : exchange->team->name->str, "tokens",
             (json_int_t)exchange->reserved, "configuration",
-            (json_int_t)(exchange->routes == NULL ? 0 : exchange->routes->version));
+            (json_int_t)(exchange->routes == NULL ? 0 : exchange->routes->version), "inputs",
+            inputs);
   (*exchange->asker)->begin (exchange->asker, &reply);
   if (strcmp (exchange->method, "HEAD") != 0)
     (*exchange->asker)->body (exchange->asker, &part, 1);
--- a/src/gateway/link-load.c
+++ b/src/gateway/link-load.c
@@ -24,33 +24,39 @@
   load->bytes_per_s = megabits_per_s * 1e6 / 8;
 }
 
-/* TOTAL_BYTES have passed since the start, in the direction with more. */
+/* TOTAL has passed since the start. */
 void
-gw_link_load_note (struct gw_link_load *load, uint64_t total_bytes, int64_t now_us)
+gw_link_load_note (struct gw_link_load *load, const struct net_traffic *total, int64_t now_us)
 {
   int64_t step = now_us / STEP_US;
+  struct net_traffic *now;
 
   if (step - load->step >= GW_LINK_STEPS)
-    memset (load->bytes, 0, sizeof load->bytes);
+    memset (load->steps, 0, sizeof load->steps);
   else
     for (int64_t at = load->step + 1; at <= step; at++)
-      load->bytes[at % GW_LINK_STEPS] = 0;
+      load->steps[at % GW_LINK_STEPS] = (struct net_traffic){ 0 };
   load->step = step;
-  load->bytes[step % GW_LINK_STEPS] += total_bytes - load->total;
-  load->total = total_bytes;
+  now = &load->steps[step % GW_LINK_STEPS];
+  now->received += total->received - load->total.received;
+  now->sent += total->sent - load->total.sent;
+  load->total = *total;
 }
 
-/* Returns the share of the link that was taken in the last second. */
+/* Returns the share of the link that was taken in the last second, of the fuller direction. */
 double
 gw_link_load_share (const struct gw_link_load *load)
 {
-  uint64_t sum = 0;
+  struct net_traffic sum = { 0 };
 
   for (unsigned i = 0; i < GW_LINK_STEPS; i++)
-    sum += load->bytes[i];
-  return load->bytes_per_s > 0
-             ? (double)sum / (load->bytes_per_s * GW_LINK_STEPS * STEP_US / 1000000)
-             : 0;
+    {
+      sum.received += load->steps[i].received;
+      sum.sent += load->steps[i].sent;
+    }
+  return load->bytes_per_s > 0 ? (double)MAX (sum.received, sum.sent)
+                                     / (load->bytes_per_s * GW_LINK_STEPS * STEP_US / 1000000)
+                               : 0;
 }
 
 /* Tells whether the link is so full that new connections are better made elsewhere. Once it is, it
--- a/src/gateway/link-load.h
+++ b/src/gateway/link-load.h
@@ -3,6 +3,8 @@
  * who is refused at once is served by another instance. No thread, socket or clock. */
 #pragma once
 
+#include "net/http-conn.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -16,13 +18,13 @@
 {
   double bytes_per_s; /* of one direction; 0: not known, never full */
   int64_t step;
-  uint64_t total; /* of the direction with more, as last told */
-  uint64_t bytes[GW_LINK_STEPS];
+  struct net_traffic total; /* as last told */
+  struct net_traffic steps[GW_LINK_STEPS];
   bool overloaded;
 };
 
 void gw_link_load_init (struct gw_link_load *load, double megabits_per_s);
-void gw_link_load_note (struct gw_link_load *load, uint64_t total_bytes, int64_t now_us);
+void gw_link_load_note (struct gw_link_load *load, const struct net_traffic *total, int64_t now_us);
 double gw_link_load_share (const struct gw_link_load *load);
 bool gw_link_load_is_overloaded (struct gw_link_load *load);
 bool gw_link_load_refuses (const struct gw_link_load *load, GRand *random);
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -78,6 +78,7 @@
                                const struct gw_backend *home,
                                int64_t *again);
 static const struct gw_backend *home_of_prompt_ (const struct gw_place_query *query);
+static void describe_load_ (struct gw_place *place, int64_t now_us);
 static double others_ (const struct gw_backend_load *load, int64_t now_us);
 static double others_unread_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
@@ -144,6 +145,7 @@
     }
   if (place->backend == NULL)
     return GW_PLACE_NONE;
+  describe_load_ (place, query->now_us);
   return all_full ? GW_PLACE_FULL : GW_PLACE_PICKED;
 }
 
@@ -398,6 +400,17 @@
 }
 
 /* Returns the requests of other instances that are believed to be there. */
+/* What is known of the load of the chosen backend server, for the log. */
+static void
+describe_load_ (struct gw_place *place, int64_t now_us)
+{
+  const struct gw_backend_load *load = place->backend->load;
+
+  place->in_flight = load->in_flight;
+  place->reported = load->reported_load;
+  place->report_age_ms = load->reported_us == 0 ? -1 : (now_us - load->reported_us) / 1000;
+}
+
 static double
 others_ (const struct gw_backend_load *load, int64_t now_us)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -35,6 +35,9 @@
   struct gw_backend *backend;
   double expected_ms;    /* to the first byte */
   int64_t unread_tokens; /* of the prompt, believed not cached */
+  unsigned in_flight;    /* from here, before this request */
+  unsigned reported;     /* requests there, as it last said */
+  int64_t report_age_ms; /* -1: it has said nothing */
 };
 
 enum gw_place_end
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -428,23 +428,24 @@
 {
   struct gw_link_load load;
   GRand *random = g_rand_new_with_seed (1);
-  uint64_t total = 0;
+  struct net_traffic total = { 0 };
   unsigned refused = 0;
 
   gw_link_load_init (&load, 8);
   for (unsigned i = 0; i < 500; i++)
     {
-      total += i < 250 ? 5000 : 10000;
-      gw_link_load_note (&load, total, 10 * SECOND + i * 10 * MS);
+      total.received += i < 250 ? 5000 : 10000;
+      gw_link_load_note (&load, &total, 10 * SECOND + i * 10 * MS);
       refused = i == 250 ? 0 : refused + gw_link_load_refuses (&load, random);
       if (i == 249)
         assert_int_equal (refused, 0);
     }
   assert_true (refused > 100);
-  gw_link_load_note (&load, total, 30 * SECOND);
+  gw_link_load_note (&load, &total, 30 * SECOND);
   assert_false (gw_link_load_refuses (&load, random));
   gw_link_load_init (&load, 0);
-  gw_link_load_note (&load, 1 << 30, SECOND);
+  total.received = 1 << 30;
+  gw_link_load_note (&load, &total, SECOND);
   assert_false (gw_link_load_refuses (&load, random));
   g_rand_free (random);
 }
@@ -459,7 +460,7 @@
       = { false, false, false, true, true, true, true, true, false, false, false };
   struct gw_link_load load;
   GRand *random = g_rand_new_with_seed (1);
-  uint64_t total = 0;
+  struct net_traffic total = { 0 };
   int64_t now_us = 10 * SECOND;
 
   gw_link_load_init (&load, 8);
@@ -467,8 +468,8 @@
     {
       for (unsigned i = 0; i < 100; i++, now_us += 10 * MS)
         {
-          total += percent[s] * 100;
-          gw_link_load_note (&load, total, now_us);
+          total.sent += percent[s] * 100;
+          gw_link_load_note (&load, &total, now_us);
           assert_false (gw_link_load_refuses (&load, random));
         }
       assert_int_equal (gw_link_load_is_overloaded (&load), overloaded[s]);
@@ -476,6 +477,23 @@
   g_rand_free (random);
 }
 
+/* One direction fills up while the other has carried more since the start. */
+static void
+each_direction_of_a_link_counts_by_itself (void **state)
+{
+  struct gw_link_load load;
+  struct net_traffic total = { .received = 100000000 };
+
+  gw_link_load_init (&load, 8);
+  gw_link_load_note (&load, &total, SECOND);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      total.sent += 9000;
+      gw_link_load_note (&load, &total, 10 * SECOND + i * 10 * MS);
+    }
+  assert_true (gw_link_load_share (&load) > 0.85);
+}
+
 static void
 settings_are_checked_whole (void **state)
 {
@@ -520,6 +538,7 @@
     cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
     cmocka_unit_test (a_full_link_refuses_and_a_half_full_one_does_not),
     cmocka_unit_test (an_instance_whose_link_fills_up_is_left_alone),
+    cmocka_unit_test (each_direction_of_a_link_counts_by_itself),
     cmocka_unit_test (settings_are_checked_whole),
   };
 
