--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -399,7 +399,6 @@
   return home;
 }
 
-/* Returns the requests of other instances that are believed to be there. */
 /* What is known of the load of the chosen backend server, for the log. */
 static void
 describe_load_ (struct gw_place *place, int64_t now_us)
@@ -411,6 +410,7 @@
   place->report_age_ms = load->reported_us == 0 ? -1 : (now_us - load->reported_us) / 1000;
 }
 
+/* Returns the requests of other instances that are believed to be there. */
 static double
 others_ (const struct gw_backend_load *load, int64_t now_us)
 {
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -106,11 +106,11 @@
   [NET_END_HEAD_TOO_LARGE] = "head_too_large",
 };
 
-static struct net_traffic traffic_;
-/* Read by one connection at a time: the loop has one thread. */
-static char read_buffer_[READ_CHUNK_BYTES];
+/* A loop has one thread, and its connections count and read one at a time. */
+static _Thread_local struct net_traffic traffic_;
+static _Thread_local char read_buffer_[READ_CHUNK_BYTES];
 
-/* Returns what has passed so far; the loop has one thread. */
+/* Returns what has passed on this thread so far. */
 const struct net_traffic *
 net_traffic (void)
 {
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -47,7 +47,7 @@
   NET_END_HEAD_TOO_LARGE
 };
 
-/* Bytes of all connections of this process, since its start. */
+/* Bytes of all connections of this thread, since its start. */
 struct net_traffic
 {
   uint64_t received;
