--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -496,7 +496,7 @@
       known->left_age_ms = (now_us - team->left_us) / 1000;
       known->left_told_by = team->left_told_by;
     }
-  if (team->record == NULL)
+  if (team->record == NULL || team->record_us == 0)
     return;
   known->record_left = sr_record_remaining (team->record);
   known->record_age_ms = (now_us - team->record_us) / 1000;
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -130,8 +130,8 @@
 {
   int64_t prepaid_tokens;
   int64_t available;     /* here, without asking anybody */
-  int64_t record_left;   /* on the record when it was last seen; -1: never */
-  int64_t record_age_ms; /* since then; -1: never */
+  int64_t record_left;   /* on the record as last seen; -1: not known, or topped up since */
+  int64_t record_age_ms; /* since then; -1 as above */
   bool store_is_down;    /* the last call for the record failed */
   /* What was last heard to be left of the whole budget at most. */
   int64_t left_at_most; /* -1: nothing was */
