--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # bench/<name>.c one measurement program each.
 BUILD ?= build
 CC = gcc
-PKGS = glib-2.0 liburcu libtirpc libmicrohttpd neon jansson libuv
+PKGS = glib-2.0 liburcu libtirpc jansson libuv
 # pkg-config is asked lazily, because `make setup` may have to install it first.
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null)
@@ -14,6 +14,9 @@
 OPT ?= -O2 -g
 CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -I. -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
 LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lhttp_parser -lpthread -lm
+# The stand-ins speak HTTP by another library than the product, so that no mistake goes unseen on both
+# sides.
+STANDIN_LIBS = $(shell pkg-config --libs libmicrohttpd 2>/dev/null) $(LIBS)
 
 LIB_SRC := $(filter-out src/cli/main.c $(wildcard src/*/test-*.c platform/test-*.c),$(wildcard src/*/*.c platform/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
@@ -68,18 +71,18 @@
 
 define STANDIN_RULE
 $(BUILD)/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/$(1)/*.c)) $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/common/*.c)) $(LIB)
-	$$(CC) $$^ -o $$@ $$(LIBS)
+	$$(CC) $$^ -o $$@ $$(STANDIN_LIBS)
 endef
 $(foreach s,$(STANDINS),$(eval $(call STANDIN_RULE,$(s))))
 
 $(PROCESS): $(BUILD)/testing/process/%: $(BUILD)/testing/process/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
-	$(CC) $^ -o $@ $(LIBS) -lcmocka
+	$(CC) $^ -o $@ $(STANDIN_LIBS) -lcmocka
 
 $(SOAK): $(BUILD)/testing/soak/soak.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
-	$(CC) $^ -o $@ $(LIBS)
+	$(CC) $^ -o $@ $(STANDIN_LIBS)
 
 $(BENCH): $(BUILD)/bench/%: $(BUILD)/bench/%.o $(HARNESS_OBJ) $(COMMON_OBJ) $(LIB)
-	$(CC) $^ -o $@ $(LIBS)
+	$(CC) $^ -o $@ $(STANDIN_LIBS)
 
 $(CONFIG_LIB): $(CONFIG_OBJ)
 	@rm -f $@
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -2,43 +2,60 @@
 
 #include "entry/reply.h"
 
-#include <errno.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 enum
 {
-  STREAM_BLOCK_BYTES = 4096,
-  MS_PER_S = 1000,
-  HEADER_NUMBER_BYTES = 24
+  QUEUED_MAX_BYTES = 65536, /* of a streamed reply: a slow caller's share of memory */
+  LINE_MAX_BYTES = 16384    /* of text in one line: a part of that share */
+};
+
+static const char *const header_names[SR_HEADERS] = {
+  [SR_HEADER_AUTHORIZATION] = "Authorization",
+  [SR_HEADER_IDEMPOTENCY_KEY] = "Idempotency-Key",
+  [SR_HEADER_DEADLINE_MS] = "X-Deadline-Ms",
+  [SR_HEADER_PRIORITY] = "X-Priority",
+  [SR_HEADER_BUDGET] = "X-Budget",
+  [SR_HEADER_ATTEMPT] = "X-Attempt",
 };
 
 static void resume_ (void *data);
-static void suspend_until_more_ (struct sr_caller *caller, bool whole);
-static enum MHD_Result reply_end_ (struct sr_caller *caller);
-static enum MHD_Result reply_stream_ (struct sr_caller *caller);
-static ssize_t read_stream_ (void *data, uint64_t position, char *buffer, size_t size);
+static bool step_ (struct sr_caller *caller);
+static bool reply_end_ (struct sr_caller *caller);
+static bool stream_ (struct sr_caller *caller);
+static void begin_stream_ (struct sr_caller *caller);
 static void make_lines_ (struct sr_caller *caller);
-static ssize_t take_lines_ (struct sr_caller *caller, char *buffer, size_t size);
-static enum MHD_Result queue_ (struct sr_caller *caller,
-                               int status,
-                               const char *type,
-                               struct MHD_Response *response,
-                               int64_t retry_after_ms);
-
-/* Creates the state of a request on CONNECTION. The caller owns it. */
+static void reply_ (struct sr_caller *caller,
+                    unsigned status,
+                    const char *type,
+                    const char *text,
+                    int64_t retry_after_ms);
+static char *decoded_path_ (struct net_text target);
+
+/* Creates the state of the request HEAD on CONNECTION. The connection owns it. */
 struct sr_caller *
-sr_caller_new (struct sr_entry *entry, struct MHD_Connection *connection)
+sr_caller_new (struct sr_entry *entry,
+               struct sr_connection *connection,
+               const struct net_http_head *head)
 {
   struct sr_caller *caller = g_new0 (struct sr_caller, 1);
 
   caller->entry = entry;
   caller->connection = connection;
-  caller->link.data = caller;
+  caller->method = g_strndup (head->method.data, head->method.length);
+  caller->path = decoded_path_ (head->target);
+  for (unsigned i = 0; i < head->headers->len; i++)
+    {
+      const struct net_header *header = &g_array_index (head->headers, struct net_header, i);
+
+      for (unsigned k = 0; k < SR_HEADERS; k++)
+        if (caller->headers[k] == NULL && net_text_is_nocase (header->name, header_names[k]))
+          caller->headers[k] = g_strndup (header->value.data, header->value.length);
+    }
+  caller->woken_link.data = caller;
   caller->body = g_string_new (NULL);
   caller->lines = g_string_new (NULL);
-  pthread_mutex_init (&caller->mutex, NULL);
   return caller;
 }
 
@@ -48,15 +65,32 @@
 {
   if (caller->run != NULL)
     sr_run_drop_listener (caller->run, caller);
+  pthread_mutex_lock (&caller->entry->mutex);
+  if (caller->woken)
+    g_queue_unlink (&caller->entry->woken, &caller->woken_link);
+  pthread_mutex_unlock (&caller->entry->mutex);
   sr_run_unref (caller->run);
+  for (unsigned i = 0; i < SR_HEADERS; i++)
+    g_free (caller->headers[i]);
   g_string_free (caller->body, TRUE);
   g_string_free (caller->lines, TRUE);
   if (caller->request != NULL)
     g_string_free (caller->request, TRUE);
-  pthread_mutex_destroy (&caller->mutex);
+  g_free (caller->method);
+  g_free (caller->path);
   g_free (caller);
 }
 
+/* Takes a piece of the body. A body that is too large is passed over to its end. */
+void
+sr_caller_take_body (struct sr_caller *caller, const char *data, size_t length)
+{
+  if (caller->body->len + length > caller->entry->options.settings->body_max_bytes)
+    caller->body_too_large = true;
+  else
+    g_string_append_len (caller->body, data, (gssize)length);
+}
+
 /* Sets the request id that every reply carries. */
 void
 sr_caller_set_request (struct sr_caller *caller, const char *request)
@@ -74,58 +108,34 @@
   sr_run_add_listener (run);
 }
 
-/* Replies when there is something to say, else suspends the connection until there is. */
-enum MHD_Result
+/* Replies as far as there is something to say, else waits for the run. CALLER may be gone then. */
+void
 sr_caller_go_on (struct sr_caller *caller)
 {
-  bool done = sr_run_state (caller->run) == SR_RUN_DONE;
-
-  if (atomic_load (&caller->gone))
-    return MHD_NO;
-  if (caller->stream && sr_run_text_length (caller->run) > 0)
-    return reply_stream_ (caller);
-  if (done)
-    return reply_end_ (caller);
-  suspend_until_more_ (caller, !caller->stream);
-  return MHD_YES;
+  while (step_ (caller))
+    continue;
 }
 
-/* Looks whether CALLER, when its connection is suspended, has closed it; if so, wakes the
- * connection up to be ended. Called by the entry's sweeper. */
+/* All bytes sent so far are with the kernel. */
 void
-sr_caller_check_gone (struct sr_caller *caller)
+sr_caller_drained (struct sr_caller *caller)
 {
-  const union MHD_ConnectionInfo *info;
-  bool wake = false;
-  ssize_t got;
-  char byte;
-
-  pthread_mutex_lock (&caller->mutex);
-  if (caller->suspended && !atomic_load (&caller->gone))
-    {
-      info = MHD_get_connection_info (caller->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-      got = recv (info->connect_fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-      wake = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-    }
-  if (wake)
-    atomic_store (&caller->gone, true);
-  pthread_mutex_unlock (&caller->mutex);
-  if (wake)
-    resume_ (caller);
+  if (!caller->waits_for_drain)
+    return;
+  caller->waits_for_drain = false;
+  sr_caller_go_on (caller);
 }
 
-/* Replies with STATUS and TEXT of the media type TYPE. */
-enum MHD_Result
-sr_caller_reply_text (struct sr_caller *caller, int status, const char *type, const char *text)
+/* Replies with STATUS and TEXT of the media type TYPE. CALLER is gone then. */
+void
+sr_caller_reply_text (struct sr_caller *caller, unsigned status, const char *type, const char *text)
 {
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
-
-  return queue_ (caller, status, type, response, 0);
+  reply_ (caller, status, type, text, 0);
 }
 
-/* Replies that the request was not answered. RETRY_AFTER_MS is 0 when coming back does not help. */
-enum MHD_Result
+/* Replies that the request was not answered. RETRY_AFTER_MS is 0 when coming back does not help.
+ * CALLER is gone then. */
+void
 sr_caller_reply_error (struct sr_caller *caller,
                        enum sr_outcome outcome,
                        enum sr_error error,
@@ -133,94 +143,115 @@
 {
   const char *request = caller->request != NULL ? caller->request->str : NULL;
   char *text = sr_reply_error (request, outcome, error, retry_after_ms);
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
 
-  return queue_ (caller, sr_error_http_status (error), "application/json", response,
-                 retry_after_ms);
+  reply_ (caller, (unsigned)sr_error_http_status (error), "application/json", text, retry_after_ms);
+  free (text);
 }
 
-/* Replies that RUN has not ended. */
-enum MHD_Result
+/* Replies that RUN has not ended. CALLER is gone then. */
+void
 sr_caller_reply_in_progress (struct sr_caller *caller, struct sr_run *run)
 {
   char *text = sr_reply_in_progress (run);
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
 
-  return queue_ (caller, SR_HTTP_ACCEPTED, "application/json", response, 0);
+  reply_ (caller, SR_HTTP_ACCEPTED, "application/json", text, 0);
+  free (text);
 }
 
-/* Wakes CALLER's connection, if it sleeps. Called by the run and by the sweeper. */
+/* Has the entry's thread look after CALLER. Called by the run, on any thread. */
 static void
 resume_ (void *data)
 {
   struct sr_caller *caller = data;
-  bool was_suspended;
-
-  pthread_mutex_lock (&caller->mutex);
-  was_suspended = caller->suspended;
-  caller->suspended = false;
-  if (was_suspended)
-    MHD_resume_connection (caller->connection);
-  pthread_mutex_unlock (&caller->mutex);
+  struct sr_entry *entry = caller->entry;
+
+  pthread_mutex_lock (&entry->mutex);
+  if (!caller->woken)
+    g_queue_push_tail_link (&entry->woken, &caller->woken_link);
+  caller->woken = true;
+  pthread_mutex_unlock (&entry->mutex);
+  uv_async_send (&entry->wake);
 }
 
-static void
-suspend_until_more_ (struct sr_caller *caller, bool whole)
+/* Returns whether to look again; when not, CALLER waits or is gone. */
+static bool
+step_ (struct sr_caller *caller)
 {
-  pthread_mutex_lock (&caller->mutex);
-  MHD_suspend_connection (caller->connection);
-  caller->suspended = true;
-  pthread_mutex_unlock (&caller->mutex);
-  if (sr_run_wait_for_more (caller->run, caller->sent, whole, resume_, caller))
-    resume_ (caller);
+  if (caller->is_streaming)
+    return stream_ (caller);
+  if (caller->stream && sr_run_text_length (caller->run) > 0)
+    {
+      begin_stream_ (caller);
+      return true;
+    }
+  if (sr_run_state (caller->run) == SR_RUN_DONE)
+    return reply_end_ (caller);
+  return sr_run_wait_for_more (caller->run, caller->sent, !caller->stream, resume_, caller);
 }
 
-static enum MHD_Result
+static bool
 reply_end_ (struct sr_caller *caller)
 {
   const struct sr_run_result *result = sr_run_result (caller->run);
-  struct MHD_Response *response;
   char *text;
 
   if (result->outcome != SR_OUTCOME_ANSWERED)
-    return sr_caller_reply_error (caller, result->outcome, result->error, result->retry_after_ms);
+    {
+      sr_caller_reply_error (caller, result->outcome, result->error, result->retry_after_ms);
+      return false;
+    }
   if (caller->stream)
-    return reply_stream_ (caller);
+    {
+      begin_stream_ (caller);
+      return true;
+    }
   text = sr_reply_answer (caller->run);
-  response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
-  return queue_ (caller, SR_HTTP_OK, "application/json", response, 0);
+  reply_ (caller, SR_HTTP_OK, "application/json", text, 0);
+  free (text);
+  return false;
 }
 
-static enum MHD_Result
-reply_stream_ (struct sr_caller *caller)
+/* Sends the next lines of a streamed reply. A run that failed breaks the connection off, so that
+ * the reply does not look whole. */
+static bool
+stream_ (struct sr_caller *caller)
 {
-  struct MHD_Response *response = MHD_create_response_from_callback (
-      MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream_, caller, NULL);
-
-  return queue_ (caller, SR_HTTP_OK, "application/x-ndjson", response, 0);
-}
-
-/* Gives libmicrohttpd the next bytes of a streamed reply. A run that failed ends with an error,
- * which aborts the connection, so that the reply does not look whole. */
-static ssize_t
-read_stream_ (void *data, uint64_t position, char *buffer, size_t size)
-{
-  struct sr_caller *caller = data;
-
-  if (atomic_load (&caller->gone))
-    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (sr_connection_queued (caller->connection) > QUEUED_MAX_BYTES)
+    {
+      caller->waits_for_drain = true;
+      return false;
+    }
   make_lines_ (caller);
-  if (caller->lines_taken < caller->lines->len)
-    return take_lines_ (caller, buffer, size);
+  if (caller->lines->len > 0)
+    {
+      sr_connection_body (caller->connection, caller->lines->str, caller->lines->len);
+      g_string_truncate (caller->lines, 0);
+      return true;
+    }
   if (caller->last_line_made)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      sr_connection_end (caller->connection);
+      return false;
+    }
   if (sr_run_state (caller->run) == SR_RUN_DONE
       && sr_run_result (caller->run)->outcome != SR_OUTCOME_ANSWERED)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  suspend_until_more_ (caller, false);
-  return 0;
+    {
+      sr_connection_break_off (caller->connection);
+      return false;
+    }
+  return sr_run_wait_for_more (caller->run, caller->sent, false, resume_, caller);
+}
+
+static void
+begin_stream_ (struct sr_caller *caller)
+{
+  const struct sr_reply_head head = { .status = SR_HTTP_OK,
+                                      .type = "application/x-ndjson",
+                                      .request = caller->request->str,
+                                      .is_streamed = true };
+
+  sr_connection_begin (caller->connection, &head);
+  caller->is_streaming = true;
 }
 
 static void
@@ -232,54 +263,44 @@
   if (caller->last_line_made)
     return;
   text = g_string_new (NULL);
-  sr_run_copy_text (caller->run, caller->sent, text);
+  sr_run_copy_piece (caller->run, caller->sent, LINE_MAX_BYTES, text);
   if (text->len > 0)
     sr_reply_stream_text (text, caller->lines);
   caller->sent += text->len;
-  if (done && sr_run_result (caller->run)->outcome == SR_OUTCOME_ANSWERED)
+  if (done && caller->sent == sr_run_text_length (caller->run)
+      && sr_run_result (caller->run)->outcome == SR_OUTCOME_ANSWERED)
     {
       sr_reply_stream_end (caller->run, caller->lines);
       caller->last_line_made = true;
     }
 }
 
-static ssize_t
-take_lines_ (struct sr_caller *caller, char *buffer, size_t size)
+static void
+reply_ (struct sr_caller *caller,
+        unsigned status,
+        const char *type,
+        const char *text,
+        int64_t retry_after_ms)
 {
-  size_t length = MIN (size, caller->lines->len - caller->lines_taken);
-
-  memcpy (buffer, caller->lines->str + caller->lines_taken, length);
-  caller->lines_taken += length;
-  if (caller->lines_taken == caller->lines->len)
-    {
-      g_string_truncate (caller->lines, 0);
-      caller->lines_taken = 0;
-    }
-  return (ssize_t)length;
+  const struct sr_reply_head head
+      = { .status = status,
+          .type = type,
+          .request = caller->request != NULL ? caller->request->str : NULL,
+          .retry_after_ms = retry_after_ms,
+          .length = strlen (text) };
+
+  sr_connection_begin (caller->connection, &head);
+  sr_connection_body (caller->connection, text, head.length);
+  sr_connection_end (caller->connection);
 }
 
-static enum MHD_Result
-queue_ (struct sr_caller *caller,
-        int status,
-        const char *type,
-        struct MHD_Response *response,
-        int64_t retry_after_ms)
+static char *
+decoded_path_ (struct net_text target)
 {
-  char seconds[HEADER_NUMBER_BYTES];
-  enum MHD_Result queued;
+  g_autofree char *text = g_strndup (target.data, target.length);
+  char *path;
 
-  MHD_add_response_header (response, "Content-Type", type);
-  if (caller->request != NULL)
-    MHD_add_response_header (response, "X-Request-Id", caller->request->str);
-  if (retry_after_ms > 0)
-    {
-      snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT,
-                (retry_after_ms + MS_PER_S - 1) / MS_PER_S);
-      MHD_add_response_header (response, "Retry-After", seconds);
-    }
-  if (atomic_load (&caller->entry->closed) || !atomic_load (&caller->entry->ready))
-    MHD_add_response_header (response, "Connection", "close");
-  queued = MHD_queue_response (caller->connection, (unsigned)status, response);
-  MHD_destroy_response (response);
-  return queued;
+  text[strcspn (text, "?")] = '\0';
+  path = g_uri_unescape_string (text, NULL);
+  return path != NULL ? path : g_steal_pointer (&text);
 }
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -1,37 +1,58 @@
-/* One request of a caller on its connection, from its head to the last byte of its reply. */
+/* One request of a caller, from its head to the last byte of its reply. Only the entry's thread
+ * touches it. */
 #pragma once
 
-#include "entry/entry-private.h"
+#include "entry/connection.h"
+#include "net/http-conn.h"
+
+/* Headers of a request that the interface knows. */
+enum sr_caller_header
+{
+  SR_HEADER_AUTHORIZATION,
+  SR_HEADER_IDEMPOTENCY_KEY,
+  SR_HEADER_DEADLINE_MS,
+  SR_HEADER_PRIORITY,
+  SR_HEADER_BUDGET,
+  SR_HEADER_ATTEMPT,
+  SR_HEADERS
+};
 
 struct sr_caller
 {
   struct sr_entry *entry;
-  struct MHD_Connection *connection;
-  GList link; /* in the entry's list */
+  struct sr_connection *connection;
+  char *method;
+  char *path;                /* decoded, without its query */
+  char *headers[SR_HEADERS]; /* NULL: not given */
   GString *body;
   bool body_too_large;
   GString *request; /* id, once known */
   struct sr_run *run;
-  bool stream;
-  size_t sent;    /* bytes of the run's text already in lines */
-  GString *lines; /* of a streamed reply, not yet taken by libmicrohttpd */
-  size_t lines_taken;
+  bool stream;          /* wanted */
+  bool is_streaming;    /* begun */
+  bool waits_for_drain; /* the caller reads slowly */
   bool last_line_made;
-  pthread_mutex_t mutex;
-  bool suspended; /* under mutex */
-  atomic_bool gone;
+  size_t sent;    /* bytes of the run's text already in lines */
+  GString *lines; /* of a streamed reply, not yet sent */
+  GList woken_link;
+  bool woken; /* under the entry's mutex */
 };
 
-struct sr_caller *sr_caller_new (struct sr_entry *entry, struct MHD_Connection *connection);
+struct sr_caller *sr_caller_new (struct sr_entry *entry,
+                                 struct sr_connection *connection,
+                                 const struct net_http_head *head);
 void sr_caller_delete (struct sr_caller *caller);
+void sr_caller_take_body (struct sr_caller *caller, const char *data, size_t length);
 void sr_caller_set_request (struct sr_caller *caller, const char *request);
 void sr_caller_listen (struct sr_caller *caller, struct sr_run *run);
-enum MHD_Result sr_caller_go_on (struct sr_caller *caller);
-void sr_caller_check_gone (struct sr_caller *caller);
-enum MHD_Result
-sr_caller_reply_text (struct sr_caller *caller, int status, const char *type, const char *text);
-enum MHD_Result sr_caller_reply_error (struct sr_caller *caller,
-                                       enum sr_outcome outcome,
-                                       enum sr_error error,
-                                       int64_t retry_after_ms);
-enum MHD_Result sr_caller_reply_in_progress (struct sr_caller *caller, struct sr_run *run);
+void sr_caller_go_on (struct sr_caller *caller);
+void sr_caller_drained (struct sr_caller *caller);
+void sr_caller_reply_text (struct sr_caller *caller,
+                           unsigned status,
+                           const char *type,
+                           const char *text);
+void sr_caller_reply_error (struct sr_caller *caller,
+                            enum sr_outcome outcome,
+                            enum sr_error error,
+                            int64_t retry_after_ms);
+void sr_caller_reply_in_progress (struct sr_caller *caller, struct sr_run *run);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -1,27 +1,40 @@
-/* The state of an entry, for its callers. */
+/* The state of an entry, for its connections and callers. */
 #pragma once
 
 #include "entry/entry.h"
 
-#include <microhttpd.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <uv.h>
 
 enum
 {
   SR_ENTRY_RETRY_MS = 1000
 };
 
+struct sr_caller;
+
 struct sr_entry
 {
   struct sr_entry_options options;
-  struct MHD_Daemon *daemon;
-  pthread_t sweeper;
+  /* Of the thread alone. */
+  uv_loop_t loop;
+  uv_tcp_t listener;
+  uv_timer_t sweep;
+  GQueue connections; /* struct sr_connection */
+  /* Of all threads. */
+  pthread_t thread;
+  uv_async_t wake;
   pthread_mutex_t mutex;
-  GQueue callers; /* struct sr_caller, under mutex */
+  pthread_cond_t changed;
+  GQueue woken;         /* struct sr_caller with something new to say, under mutex */
+  bool listener_closed; /* under mutex */
   bool started;
   atomic_bool ready;
-  atomic_bool closed; /* the listener is closed: replies end their connection */
+  atomic_bool closed; /* no new connections: replies end their connection */
   atomic_bool stopping;
+  atomic_uint open_requests;
   _Atomic uint64_t next_id;
 };
+
+void sr_entry_handle_ (struct sr_caller *caller);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -1,6 +1,7 @@
 #include "entry/entry.h"
 
 #include "base/counters.h"
+#include "base/log.h"
 #include "base/thread.h"
 #include "entry/caller.h"
 #include "entry/entry-private.h"
@@ -10,60 +11,37 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <string.h>
-#include <unistd.h>
 
 enum
 {
-  HTTP_THREADS = 2,
-  CONNECTION_TIMEOUT_S = 120,
-  CONNECTION_MEMORY_BYTES = 16384,
   PREFIX_ID_BYTES = 160,
-  SWEEP_INTERVAL_US = 250000
+  BACKLOG = 1024, /* the burst of connections when another instance has gone */
+  SWEEP_INTERVAL_MS = 1000
 };
 
 static const char services_prefix[] = "/v1/services/";
 static const char requests_prefix[] = "/v1/requests/";
 
-static struct sr_counter open_requests
-    = { .name = "entry_open_requests", .help = "Requests of callers without a complete reply." };
-static struct sr_counter gone_total
-    = { .name = "entry_callers_gone_total", .help = "Callers that left before their reply." };
-
-static enum MHD_Result access_ (void *data,
-                                struct MHD_Connection *connection,
-                                const char *url,
-                                const char *method,
-                                const char *version,
-                                const char *upload,
-                                size_t *upload_length,
-                                void **state);
-static enum MHD_Result
-take_upload_ (struct sr_entry *entry, struct sr_caller *caller, const char *upload, size_t *length);
-static enum MHD_Result
-handle_ (struct sr_entry *entry, struct sr_caller *caller, const char *url, const char *method);
-static enum MHD_Result
-handle_get_ (struct sr_entry *entry, struct sr_caller *caller, const char *url);
-static enum MHD_Result
-handle_service_ (struct sr_entry *entry, struct sr_caller *caller, const char *service);
-static enum MHD_Result
-handle_request_ (struct sr_entry *entry, struct sr_caller *caller, const char *id);
-static enum MHD_Result look_up_order_ (struct sr_entry *entry,
-                                       struct sr_caller *caller,
-                                       struct sr_config *config,
-                                       const struct sr_config_team *team,
-                                       const char *id);
+static void *run_ (void *data);
+static void on_connection_ (uv_stream_t *listener, int status);
+static void on_wake_ (uv_async_t *wake);
+static void on_sweep_ (uv_timer_t *timer);
+static void on_listener_closed_ (uv_handle_t *handle);
+static struct sr_caller *next_woken_ (struct sr_entry *entry);
+static void handle_get_ (struct sr_entry *entry, struct sr_caller *caller);
+static void handle_service_ (struct sr_entry *entry, struct sr_caller *caller, const char *service);
+static void handle_request_ (struct sr_entry *entry, struct sr_caller *caller, const char *id);
+static void look_up_order_ (struct sr_entry *entry,
+                            struct sr_caller *caller,
+                            struct sr_config *config,
+                            const struct sr_config_team *team,
+                            const char *id);
 static void begin_run_ (struct sr_entry *entry,
                         struct sr_caller *caller,
                         struct sr_config *config,
                         struct sr_run_order *order);
-static void completed_ (void *data,
-                        struct MHD_Connection *connection,
-                        void **state,
-                        enum MHD_RequestTerminationCode code);
-static const char *header_ (struct sr_caller *caller, const char *name);
-static enum MHD_Result reply_metrics_ (struct sr_caller *caller);
-static enum MHD_Result reply_status_ (struct sr_entry *entry, struct sr_caller *caller);
-static void *sweep_ (void *data);
+static void reply_metrics_ (struct sr_caller *caller);
+static void reply_status_ (struct sr_entry *entry, struct sr_caller *caller);
 
 /* Creates an entry that does not listen yet. The caller owns it. */
 struct sr_entry *
@@ -73,9 +51,8 @@
 
   entry->options = *options;
   pthread_mutex_init (&entry->mutex, NULL);
-  g_queue_init (&entry->callers);
-  sr_counter_register (&open_requests);
-  sr_counter_register (&gone_total);
+  sr_cond_init (&entry->changed);
+  sr_connection_register_metrics ();
   return entry;
 }
 
@@ -87,11 +64,12 @@
     return;
   if (entry->started)
     {
-      sr_entry_close_listener (entry);
       atomic_store (&entry->stopping, true);
-      pthread_join (entry->sweeper, NULL);
-      MHD_stop_daemon (entry->daemon);
+      uv_async_send (&entry->wake);
+      pthread_join (entry->thread, NULL);
+      uv_loop_close (&entry->loop);
     }
+  pthread_cond_destroy (&entry->changed);
   pthread_mutex_destroy (&entry->mutex);
   g_free (entry);
 }
@@ -103,19 +81,32 @@
   const struct sr_settings *settings = entry->options.settings;
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)settings->entry_port) };
+  int error;
 
   if (inet_pton (AF_INET, settings->listen_address->str, &address.sin_addr) != 1)
     return false;
-  entry->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0, NULL, NULL,
-      access_, entry, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_THREAD_POOL_SIZE,
-      (unsigned)HTTP_THREADS, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_TIMEOUT_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_COMPLETED, completed_, entry,
-      MHD_OPTION_END);
-  if (entry->daemon == NULL)
-    return false;
-  entry->started = sr_thread_start (&entry->sweeper, 0, sweep_, entry);
+  uv_loop_init (&entry->loop);
+  uv_tcp_init (&entry->loop, &entry->listener);
+  uv_async_init (&entry->loop, &entry->wake, on_wake_);
+  uv_timer_init (&entry->loop, &entry->sweep);
+  entry->listener.data = entry->wake.data = entry->sweep.data = entry;
+  error = uv_tcp_bind (&entry->listener, (const struct sockaddr *)&address, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)&entry->listener, BACKLOG, on_connection_);
+  if (error == 0)
+    error = uv_timer_start (&entry->sweep, on_sweep_, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS);
+  if (error == 0)
+    entry->started = sr_thread_start (&entry->thread, 0, run_, entry);
+  else
+    sr_log (G_LOG_LEVEL_CRITICAL, "entry", "can't listen: %s", uv_strerror (error));
+  if (!entry->started)
+    {
+      uv_close ((uv_handle_t *)&entry->listener, NULL);
+      uv_close ((uv_handle_t *)&entry->wake, NULL);
+      uv_close ((uv_handle_t *)&entry->sweep, NULL);
+      uv_run (&entry->loop, UV_RUN_DEFAULT);
+      uv_loop_close (&entry->loop);
+    }
   return entry->started;
 }
 
@@ -130,110 +121,142 @@
 void
 sr_entry_close_listener (struct sr_entry *entry)
 {
-  MHD_socket listener;
-
-  if (entry->daemon == NULL || atomic_exchange (&entry->closed, true))
+  if (!entry->started)
     return;
-  listener = MHD_quiesce_daemon (entry->daemon);
-  if (listener != MHD_INVALID_SOCKET)
-    close (listener);
+  atomic_store (&entry->closed, true);
+  uv_async_send (&entry->wake);
+  pthread_mutex_lock (&entry->mutex);
+  while (!entry->listener_closed)
+    pthread_cond_wait (&entry->changed, &entry->mutex);
+  pthread_mutex_unlock (&entry->mutex);
 }
 
 /* Returns how many requests have not had their complete reply. */
 unsigned
 sr_entry_open_requests (struct sr_entry *entry)
 {
-  unsigned length;
+  return atomic_load (&entry->open_requests);
+}
 
-  pthread_mutex_lock (&entry->mutex);
-  length = entry->callers.length;
-  pthread_mutex_unlock (&entry->mutex);
-  return length;
+/* Handles the request of CALLER, which is whole. CALLER may be gone then. */
+void
+sr_entry_handle_ (struct sr_caller *caller)
+{
+  struct sr_entry *entry = caller->entry;
+
+  if (strcmp (caller->method, "POST") == 0 && g_str_has_prefix (caller->path, services_prefix))
+    handle_service_ (entry, caller, caller->path + strlen (services_prefix));
+  else if (strcmp (caller->method, "GET") == 0)
+    handle_get_ (entry, caller);
+  else
+    sr_caller_reply_text (caller, SR_HTTP_METHOD_NOT_ALLOWED, "text/plain", "method not allowed\n");
 }
 
-static enum MHD_Result
-access_ (void *data,
-         struct MHD_Connection *connection,
-         const char *url,
-         const char *method,
-         const char *version,
-         const char *upload,
-         size_t *upload_length,
-         void **state)
+static void *
+run_ (void *data)
 {
   struct sr_entry *entry = data;
-  struct sr_caller *caller = *state;
 
-  if (caller == NULL)
+  uv_run (&entry->loop, UV_RUN_DEFAULT);
+  return NULL;
+}
+
+static void
+on_connection_ (uv_stream_t *listener, int status)
+{
+  if (status == 0)
+    sr_connection_accept (listener->data);
+  else
+    sr_log (G_LOG_LEVEL_WARNING, "entry", "a connection was not taken: %s", uv_strerror (status));
+}
+
+/* Another thread has something for this one: runs with news, a closed listener, or the end. */
+static void
+on_wake_ (uv_async_t *wake)
+{
+  struct sr_entry *entry = wake->data;
+  struct sr_caller *caller;
+
+  while ((caller = next_woken_ (entry)) != NULL)
+    sr_caller_go_on (caller);
+  if ((atomic_load (&entry->closed) || atomic_load (&entry->stopping))
+      && !uv_is_closing ((uv_handle_t *)&entry->listener))
+    uv_close ((uv_handle_t *)&entry->listener, on_listener_closed_);
+  if (atomic_load (&entry->stopping) && !uv_is_closing ((uv_handle_t *)&entry->wake))
     {
-      caller = sr_caller_new (entry, connection);
-      *state = caller;
-      pthread_mutex_lock (&entry->mutex);
-      g_queue_push_tail_link (&entry->callers, &caller->link);
-      pthread_mutex_unlock (&entry->mutex);
-      sr_counter_add (&open_requests, 1);
-      return MHD_YES;
+      sr_connection_close_all (entry);
+      uv_close ((uv_handle_t *)&entry->sweep, NULL);
+      uv_close ((uv_handle_t *)&entry->wake, NULL);
     }
-  if (*upload_length > 0)
-    return take_upload_ (entry, caller, upload, upload_length);
-  if (caller->run != NULL)
-    return sr_caller_go_on (caller);
-  return handle_ (entry, caller, url, method);
 }
 
-static enum MHD_Result
-take_upload_ (struct sr_entry *entry, struct sr_caller *caller, const char *upload, size_t *length)
+static void
+on_sweep_ (uv_timer_t *timer)
 {
-  if (caller->body->len + *length > entry->options.settings->body_max_bytes)
-    caller->body_too_large = true;
-  else
-    g_string_append_len (caller->body, upload, (gssize)*length);
-  *length = 0;
-  return MHD_YES;
+  sr_connection_close_idle (timer->data);
 }
 
-static enum MHD_Result
-handle_ (struct sr_entry *entry, struct sr_caller *caller, const char *url, const char *method)
+static void
+on_listener_closed_ (uv_handle_t *handle)
+{
+  struct sr_entry *entry = handle->data;
+
+  pthread_mutex_lock (&entry->mutex);
+  entry->listener_closed = true;
+  pthread_cond_broadcast (&entry->changed);
+  pthread_mutex_unlock (&entry->mutex);
+}
+
+static struct sr_caller *
+next_woken_ (struct sr_entry *entry)
 {
-  if (strcmp (method, "POST") == 0 && g_str_has_prefix (url, services_prefix))
-    return handle_service_ (entry, caller, url + strlen (services_prefix));
-  if (strcmp (method, "GET") == 0)
-    return handle_get_ (entry, caller, url);
-  return sr_caller_reply_text (caller, SR_HTTP_METHOD_NOT_ALLOWED, "text/plain",
-                               "method not allowed\n");
+  struct sr_caller *caller = NULL;
+  GList *link;
+
+  pthread_mutex_lock (&entry->mutex);
+  link = g_queue_pop_head_link (&entry->woken);
+  if (link != NULL)
+    {
+      caller = link->data;
+      caller->woken = false;
+    }
+  pthread_mutex_unlock (&entry->mutex);
+  return caller;
 }
 
-static enum MHD_Result
-handle_get_ (struct sr_entry *entry, struct sr_caller *caller, const char *url)
+static void
+handle_get_ (struct sr_entry *entry, struct sr_caller *caller)
 {
+  const char *url = caller->path;
   bool ready = atomic_load (&entry->ready);
 
   if (g_str_has_prefix (url, requests_prefix))
-    return handle_request_ (entry, caller, url + strlen (requests_prefix));
-  if (strcmp (url, "/healthz") == 0)
-    return sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain", "ok\n");
-  if (strcmp (url, "/readyz") == 0)
-    return sr_caller_reply_text (caller, ready ? SR_HTTP_OK : SR_HTTP_UNAVAILABLE, "text/plain",
-                                 ready ? "ready\n" : "not ready\n");
-  if (strcmp (url, "/metrics") == 0)
-    return reply_metrics_ (caller);
-  if (strcmp (url, "/status") == 0)
-    return reply_status_ (entry, caller);
-  return sr_caller_reply_text (caller, SR_HTTP_NOT_FOUND, "text/plain", "not found\n");
+    handle_request_ (entry, caller, url + strlen (requests_prefix));
+  else if (strcmp (url, "/healthz") == 0)
+    sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain", "ok\n");
+  else if (strcmp (url, "/readyz") == 0)
+    sr_caller_reply_text (caller, ready ? SR_HTTP_OK : SR_HTTP_UNAVAILABLE, "text/plain",
+                          ready ? "ready\n" : "not ready\n");
+  else if (strcmp (url, "/metrics") == 0)
+    reply_metrics_ (caller);
+  else if (strcmp (url, "/status") == 0)
+    reply_status_ (entry, caller);
+  else
+    sr_caller_reply_text (caller, SR_HTTP_NOT_FOUND, "text/plain", "not found\n");
 }
 
-static enum MHD_Result
+static void
 handle_service_ (struct sr_entry *entry, struct sr_caller *caller, const char *service)
 {
   struct sr_config *config = sr_config_current_get (entry->options.current);
   char made_id[PREFIX_ID_BYTES];
   struct sr_intake intake = { .service = service,
-                              .authorization = header_ (caller, "Authorization"),
-                              .idempotency_key = header_ (caller, "Idempotency-Key"),
-                              .deadline_ms = header_ (caller, "X-Deadline-Ms"),
-                              .priority = header_ (caller, "X-Priority"),
-                              .budget = header_ (caller, "X-Budget"),
-                              .attempt = header_ (caller, "X-Attempt"),
+                              .authorization = caller->headers[SR_HEADER_AUTHORIZATION],
+                              .idempotency_key = caller->headers[SR_HEADER_IDEMPOTENCY_KEY],
+                              .deadline_ms = caller->headers[SR_HEADER_DEADLINE_MS],
+                              .priority = caller->headers[SR_HEADER_PRIORITY],
+                              .budget = caller->headers[SR_HEADER_BUDGET],
+                              .attempt = caller->headers[SR_HEADER_ATTEMPT],
                               .body = caller->body };
   struct sr_intake_options options
       = { .config = config,
@@ -245,7 +268,10 @@
   bool stream;
 
   if (config == NULL)
-    return sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING, SR_ENTRY_RETRY_MS);
+    {
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING, SR_ENTRY_RETRY_MS);
+      return;
+    }
   g_snprintf (made_id, sizeof made_id, "%s-%" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "u",
               entry->options.settings->name->str, entry->options.incarnation,
               (guint64)atomic_fetch_add (&entry->next_id, 1));
@@ -256,14 +282,16 @@
   if (error != SR_ERROR_NONE)
     {
       sr_config_unref (config);
-      return sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, error, 0);
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, error, 0);
+      return;
     }
   caller->stream = stream;
   begin_run_ (entry, caller, config, order);
   sr_config_unref (config);
   if (caller->run == NULL)
-    return sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_KEY_REUSED, 0);
-  return sr_caller_go_on (caller);
+    sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_KEY_REUSED, 0);
+  else
+    sr_caller_go_on (caller);
 }
 
 /* Starts or joins the run of ORDER, which it takes over. CALLER has no run after it when the key
@@ -288,42 +316,44 @@
   sr_run_unref (run);
 }
 
-static enum MHD_Result
+static void
 handle_request_ (struct sr_entry *entry, struct sr_caller *caller, const char *id)
 {
   struct sr_config *config = sr_config_current_get (entry->options.current);
   const struct sr_config_team *team = NULL;
-  enum MHD_Result sent;
   enum sr_error error;
   struct sr_run *run;
 
   if (config == NULL)
-    return sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING, SR_ENTRY_RETRY_MS);
-  error = sr_intake_team (config, header_ (caller, "Authorization"), &team);
+    {
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING, SR_ENTRY_RETRY_MS);
+      return;
+    }
+  error = sr_intake_team (config, caller->headers[SR_HEADER_AUTHORIZATION], &team);
   if (error == SR_ERROR_NONE && !sr_intake_id_is_valid (id))
     error = SR_ERROR_UNKNOWN_REQUEST;
   if (error != SR_ERROR_NONE)
     {
       sr_config_unref (config);
-      return sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, error, 0);
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, error, 0);
+      return;
     }
   sr_caller_set_request (caller, id);
   run = sr_run_table_find (entry->options.table, team->name->str, id);
   if (run == NULL)
-    sent = look_up_order_ (entry, caller, config, team, id);
+    look_up_order_ (entry, caller, config, team, id);
   else if (sr_run_state (run) != SR_RUN_DONE)
-    sent = sr_caller_reply_in_progress (caller, run);
+    sr_caller_reply_in_progress (caller, run);
   else
     {
       sr_caller_listen (caller, run);
-      sent = sr_caller_go_on (caller);
+      sr_caller_go_on (caller);
     }
   sr_run_unref (run);
   sr_config_unref (config);
-  return sent;
 }
 
-static enum MHD_Result
+static void
 look_up_order_ (struct sr_entry *entry,
                 struct sr_caller *caller,
                 struct sr_config *config,
@@ -340,67 +370,23 @@
   sr_caller_listen (caller, run);
   sr_dispatch_look_up (entry->options.dispatch, run);
   sr_run_unref (run);
-  return sr_caller_go_on (caller);
+  sr_caller_go_on (caller);
 }
 
 static void
-completed_ (void *data,
-            struct MHD_Connection *connection,
-            void **state,
-            enum MHD_RequestTerminationCode code)
-{
-  struct sr_entry *entry = data;
-  struct sr_caller *caller = *state;
-
-  if (caller == NULL)
-    return;
-  pthread_mutex_lock (&entry->mutex);
-  g_queue_unlink (&entry->callers, &caller->link);
-  pthread_mutex_unlock (&entry->mutex);
-  sr_counter_add (&open_requests, -1);
-  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
-    sr_counter_add (&gone_total, 1);
-  sr_caller_delete (caller);
-  *state = NULL;
-}
-
-static const char *
-header_ (struct sr_caller *caller, const char *name)
-{
-  return MHD_lookup_connection_value (caller->connection, MHD_HEADER_KIND, name);
-}
-
-static enum MHD_Result
 reply_metrics_ (struct sr_caller *caller)
 {
   g_autoptr (GString) out = g_string_new (NULL);
 
   sr_counters_print (out);
-  return sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain; version=0.0.4", out->str);
+  sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain; version=0.0.4", out->str);
 }
 
-static enum MHD_Result
+static void
 reply_status_ (struct sr_entry *entry, struct sr_caller *caller)
 {
   g_autoptr (GString) out = g_string_new (NULL);
 
   entry->options.print_status (out, entry->options.data);
-  return sr_caller_reply_text (caller, SR_HTTP_OK, "application/json", out->str);
-}
-
-/* libmicrohttpd does not look at suspended connections, so callers that left are found here. */
-static void *
-sweep_ (void *data)
-{
-  struct sr_entry *entry = data;
-
-  while (!atomic_load (&entry->stopping))
-    {
-      pthread_mutex_lock (&entry->mutex);
-      for (GList *link = entry->callers.head; link != NULL; link = link->next)
-        sr_caller_check_gone (link->data);
-      pthread_mutex_unlock (&entry->mutex);
-      g_usleep (SWEEP_INTERVAL_US);
-    }
-  return NULL;
+  sr_caller_reply_text (caller, SR_HTTP_OK, "application/json", out->str);
 }
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -1,4 +1,4 @@
-/* The callers' side of an instance, through libmicrohttpd. */
+/* The callers' side of an instance: HTTP on a loop of its own thread. */
 #pragma once
 
 #include "config/config.h"
--- /dev/null
+++ b/src/entry/test-entry.c
@@ -0,0 +1,417 @@
+/* The entry before callers that are plain sockets: connections, framing, streams and departures. */
+#include "entry/entry.h"
+
+#include "entry/intake.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT = 20381,
+  WAIT_S = 5,
+  POLL_US = 10000,
+  BODY_MAX_BYTES = 4096,
+  DEADLINE_MS = 10000,
+  LONG_BYTES = 16000000, /* more than the kernel's buffers take */
+  PIECE_BYTES = 4000
+};
+
+static const char configuration[]
+    = "[team t]\n"
+      "key_digest = 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae\n"
+      "budgets = b\n"
+      "[budget b]\n"
+      "team = t\n"
+      "[service s]\n"
+      "kind = model\n"
+      "repeatable = yes\n"
+      "model = m\n"
+      "bytes_per_token_min = 2\n"
+      "max_output_tokens = 100\n"
+      "[backend e]\n"
+      "service = s\n"
+      "address = 127.0.0.1\n"
+      "port = 9\n"
+      "data_centre = d\n"
+      "slots = 1\n";
+static const char body[] = "{\"prompt\":\"p\",\"max_tokens\":9,\"stream\":true}";
+
+static struct sr_settings settings
+    = { .entry_port = PORT, .body_max_bytes = BODY_MAX_BYTES, .default_deadline_ms = DEADLINE_MS };
+static struct sr_config_current *current;
+static struct sr_run_table *table;
+static struct sr_entry *entry;
+static unsigned requests;
+
+static void
+print_status_ (GString *out, void *data)
+{
+  g_string_append (out, "{}");
+}
+
+static int
+set_up_ (void **state)
+{
+  const struct sr_run_table_options kept = { .answers_kept_max = 2, .answer_kept_us = 1000000 };
+  struct sr_findings *findings = sr_findings_new ();
+  struct sr_entry_options options = { .settings = &settings, .print_status = print_status_ };
+
+  settings.name = g_string_new ("i1");
+  settings.listen_address = g_string_new ("127.0.0.1");
+  current = sr_config_current_new ();
+  assert_true (sr_config_current_apply (
+      current, sr_config_parse ("test", configuration, strlen (configuration), 1, findings)));
+  sr_findings_delete (findings);
+  table = sr_run_table_new (&kept);
+  options.current = current;
+  options.table = table;
+  entry = sr_entry_new (&options);
+  assert_true (sr_entry_start (entry));
+  sr_entry_set_ready (entry, true);
+  return 0;
+}
+
+static int
+tear_down_ (void **state)
+{
+  sr_entry_delete (entry);
+  sr_run_table_delete (table);
+  sr_config_current_delete (current);
+  g_string_free (settings.name, TRUE);
+  g_string_free (settings.listen_address, TRUE);
+  return 0;
+}
+
+static int
+connect_ (void)
+{
+  const struct sockaddr_in address = { .sin_family = AF_INET,
+                                       .sin_port = htons (PORT),
+                                       .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const struct timeval limit = { .tv_sec = WAIT_S };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (connect (fd, (const struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static void
+send_ (int fd, const char *text)
+{
+  assert_int_equal (send (fd, text, strlen (text), MSG_NOSIGNAL), strlen (text));
+}
+
+/* Appends what comes to GOT until it ends with END (NULL: until the connection does). Returns false
+ * when the connection has broken, or nothing comes. */
+static bool
+read_until_ (int fd, GString *got, const char *end)
+{
+  char buffer[65536];
+
+  while (end == NULL || !g_str_has_suffix (got->str, end))
+    {
+      ssize_t length = read (fd, buffer, sizeof buffer);
+
+      if (length <= 0)
+        return length == 0 && end == NULL;
+      g_string_append_len (got, buffer, length);
+    }
+  return true;
+}
+
+static void
+assert_reply_ (int fd, const char *request, const char *begin, const char *end)
+{
+  g_autoptr (GString) got = g_string_new (NULL);
+
+  send_ (fd, request);
+  assert_true (read_until_ (fd, got, end));
+  assert_true (g_str_has_prefix (got->str, begin));
+}
+
+/* Starts a run that the next request of ask_ joins. */
+static struct sr_run *
+begin_run_ (char *key, size_t size)
+{
+  g_autoptr (GString) text = g_string_new (body);
+  struct sr_config *config = sr_config_current_get (current);
+  const struct sr_intake intake
+      = { .service = "s", .authorization = "Bearer foo", .idempotency_key = key, .body = text };
+  const struct sr_intake_options options
+      = { .config = config, .made_id = "m", .default_deadline_ms = DEADLINE_MS };
+  struct sr_run_order *order;
+  struct sr_run *candidate;
+  struct sr_run *run;
+  bool stream;
+
+  g_snprintf (key, size, "r%u", ++requests);
+  assert_int_equal (sr_intake_read (&intake, &options, &order, &stream), SR_ERROR_NONE);
+  candidate = sr_run_new (order, config);
+  assert_int_equal (sr_run_table_begin (table, candidate, &run), SR_RUN_FOUND_NEW);
+  sr_run_unref (candidate);
+  sr_config_unref (config);
+  sr_run_set_running (run);
+  return run;
+}
+
+static void
+end_run_ (struct sr_run *run, enum sr_outcome outcome)
+{
+  const struct sr_run_result result = { .outcome = outcome, .error = SR_ERROR_TIMEOUT };
+
+  sr_run_finish (run, &result);
+  sr_run_table_ended (table, run);
+  sr_run_unref (run);
+}
+
+static void
+ask_ (int fd, const char *key, const char *version)
+{
+  g_autofree char *request
+      = g_strdup_printf ("POST /v1/services/s HTTP/%s\r\nHost: h\r\nAuthorization: Bearer foo\r\n"
+                         "Idempotency-Key: %s\r\nContent-Length: %zu\r\n\r\n%s",
+                         version, key, strlen (body), body);
+
+  send_ (fd, request);
+}
+
+static void
+requests_on_one_connection_are_answered_in_order (void **state)
+{
+  int fd = connect_ ();
+  g_autoptr (GString) got = g_string_new (NULL);
+
+  send_ (fd, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\nGET /readyz HTTP/1.1\r\nHost: h\r\n\r\n"
+             "GET /none HTTP/1.1\r\nHost: h\r\n\r\n");
+  assert_true (read_until_ (fd, got, "not found\n"));
+  assert_true (strstr (got->str, "\r\n\r\nok\nHTTP/1.1 200 OK\r\n") != NULL);
+  assert_true (strstr (got->str, "\r\n\r\nready\nHTTP/1.1 404 Not Found\r\n") != NULL);
+  assert_null (strstr (got->str, "Connection: close"));
+  assert_reply_ (fd, "GET /status?x=1 HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK\r\n",
+                 "\r\n\r\n{}");
+  assert_reply_ (fd, "HEAD /healthz HTTP/1.1\r\nHost: h\r\n\r\n",
+                 "HTTP/1.1 405 Method Not Allowed\r\n", "\r\n\r\n");
+  assert_reply_ (fd, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK\r\n", "\nok\n");
+  close (fd);
+}
+
+static void
+a_connection_ends_when_its_reply_says_so (void **state)
+{
+  static const char *const requests_that_close[]
+      = { "GET /healthz HTTP/1.0\r\n\r\n",
+          "GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (requests_that_close); i++)
+    {
+      g_autoptr (GString) got = g_string_new (NULL);
+      int fd = connect_ ();
+
+      send_ (fd, requests_that_close[i]);
+      assert_true (read_until_ (fd, got, NULL));
+      assert_true (g_str_has_suffix (got->str, "\r\n\r\nok\n"));
+      assert_true (strstr (got->str, "\r\nConnection: close\r\n") != NULL);
+      close (fd);
+    }
+}
+
+static void
+what_is_no_request_is_refused (void **state)
+{
+  g_autofree char *long_value = g_strnfill (20000, 'x');
+  g_autofree char *long_head
+      = g_strdup_printf ("GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", long_value);
+  const char *const bytes[] = { "nothing\r\n\r\n", long_head };
+  const char *const replies[] = { "HTTP/1.1 400 ", "HTTP/1.1 431 " };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (bytes); i++)
+    {
+      int fd = connect_ ();
+
+      assert_reply_ (fd, bytes[i], replies[i], NULL);
+      close (fd);
+    }
+}
+
+static void
+a_body_is_asked_for_and_bounded (void **state)
+{
+  g_autofree char *long_body = g_strnfill (BODY_MAX_BYTES + 1, 'x');
+  g_autofree char *request
+      = g_strdup_printf ("POST /v1/services/s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer foo\r\n"
+                         "Content-Length: %d\r\n\r\n%s",
+                         BODY_MAX_BYTES + 1, long_body);
+  int fd = connect_ ();
+
+  assert_reply_ (fd,
+                 "POST /v1/services/s HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+                 "Content-Length: 2\r\n\r\n",
+                 "HTTP/1.1 100 Continue\r\n", "\r\n\r\n");
+  assert_reply_ (fd, "{}", "HTTP/1.1 401 Unauthorized\r\n", "}");
+  assert_reply_ (fd, request, "HTTP/1.1 413 ", "}");
+  assert_reply_ (fd, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK\r\n", "\nok\n");
+  close (fd);
+}
+
+static void
+a_streamed_reply_comes_as_the_run_goes_on (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  g_autoptr (GString) got = g_string_new (NULL);
+  int fd = connect_ ();
+
+  ask_ (fd, key, "1.1");
+  sr_run_append (run, "one", 3, 1);
+  assert_true (read_until_ (fd, got, "{\"t\":\"one\"}\n\r\n"));
+  assert_true (g_str_has_prefix (got->str, "HTTP/1.1 200 OK\r\n"));
+  assert_true (strstr (got->str, "\r\nX-Request-Id: r") != NULL);
+  assert_int_equal (sr_entry_open_requests (entry), 1);
+  sr_run_append (run, "two", 3, 1);
+  assert_true (read_until_ (fd, got, "{\"t\":\"two\"}\n\r\n"));
+  end_run_ (run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (fd, got, "\r\n0\r\n\r\n"));
+  assert_true (strstr (got->str, "\"outcome\":\"answered\"") != NULL);
+  close (fd);
+}
+
+/* A caller of HTTP/1.0 knows no chunks: the end of the connection is the end of the stream. */
+static void
+an_old_caller_gets_its_stream_without_chunks (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  g_autoptr (GString) got = g_string_new (NULL);
+  int fd = connect_ ();
+
+  ask_ (fd, key, "1.0");
+  sr_run_append (run, "one", 3, 1);
+  end_run_ (run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (fd, got, NULL));
+  assert_null (strstr (got->str, "chunked"));
+  assert_true (strstr (got->str, "\r\n\r\n{\"t\":\"one\"}\n{") != NULL);
+  close (fd);
+}
+
+static void
+a_stream_whose_run_fails_looks_cut (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  g_autoptr (GString) got = g_string_new (NULL);
+  int fd = connect_ ();
+
+  ask_ (fd, key, "1.1");
+  sr_run_append (run, "one", 3, 1);
+  assert_true (read_until_ (fd, got, "{\"t\":\"one\"}\n\r\n"));
+  end_run_ (run, SR_OUTCOME_UNKNOWN);
+  assert_false (read_until_ (fd, got, "\r\n0\r\n\r\n"));
+  close (fd);
+}
+
+/* A caller that does not read for a while loses nothing, and others are served meanwhile. */
+static void
+a_slow_caller_gets_its_whole_stream (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  g_autoptr (GString) got = g_string_new (NULL);
+  g_autofree char *piece = g_strnfill (PIECE_BYTES, 'x'); /* and a character of two bytes */
+  int other = connect_ ();
+  int fd = connect_ ();
+  size_t received = 0;
+
+  memcpy (piece + PIECE_BYTES - 2, "\xc3\xa9", 2);
+  ask_ (fd, key, "1.1");
+  while (sr_entry_open_requests (entry) == 0)
+    g_usleep (POLL_US);
+  for (unsigned i = 0; i < LONG_BYTES / PIECE_BYTES; i++)
+    sr_run_append (run, piece, PIECE_BYTES, 1);
+  end_run_ (run, SR_OUTCOME_ANSWERED);
+  assert_reply_ (other, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK\r\n",
+                 "\nok\n");
+  assert_int_equal (sr_entry_open_requests (entry), 1);
+  assert_true (read_until_ (fd, got, "\r\n0\r\n\r\n"));
+  for (const char *at = strstr (got->str, "\r\n\r\n"); *at != '\0'; at++)
+    received += *at == 'x' || *at == '\xc3' || *at == '\xa9';
+  assert_int_equal (received, LONG_BYTES);
+  close (fd);
+  close (other);
+}
+
+static void
+a_caller_that_leaves_is_noticed (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  int64_t end_us = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
+  int64_t later_us = end_us + 1000 * G_USEC_PER_SEC;
+  int fd = connect_ ();
+
+  ask_ (fd, key, "1.1");
+  while (sr_entry_open_requests (entry) == 0)
+    g_usleep (POLL_US);
+  assert_false (sr_run_is_abandoned (run, later_us));
+  close (fd);
+  while (sr_entry_open_requests (entry) > 0 && g_get_monotonic_time () < end_us)
+    g_usleep (POLL_US);
+  assert_true (sr_run_is_abandoned (run, later_us));
+  end_run_ (run, SR_OUTCOME_ANSWERED);
+}
+
+static void
+after_the_listener_has_closed_open_connections_end_with_their_reply (void **state)
+{
+  char key[16];
+  struct sr_run *run = begin_run_ (key, sizeof key);
+  g_autoptr (GString) got = g_string_new (NULL);
+  int fd = connect_ ();
+
+  ask_ (fd, key, "1.1");
+  while (sr_entry_open_requests (entry) == 0)
+    g_usleep (POLL_US);
+  sr_entry_close_listener (entry);
+  assert_int_equal (connect_ (), -1);
+  sr_run_append (run, "one", 3, 1);
+  end_run_ (run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (fd, got, NULL));
+  assert_true (strstr (got->str, "\r\nConnection: close\r\n") != NULL);
+  assert_true (g_str_has_suffix (got->str, "\r\n0\r\n\r\n"));
+  close (fd);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (requests_on_one_connection_are_answered_in_order, set_up_,
+                                     tear_down_),
+    cmocka_unit_test_setup_teardown (a_connection_ends_when_its_reply_says_so, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (what_is_no_request_is_refused, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (a_body_is_asked_for_and_bounded, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (a_streamed_reply_comes_as_the_run_goes_on, set_up_,
+                                     tear_down_),
+    cmocka_unit_test_setup_teardown (an_old_caller_gets_its_stream_without_chunks, set_up_,
+                                     tear_down_),
+    cmocka_unit_test_setup_teardown (a_stream_whose_run_fails_looks_cut, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (a_slow_caller_gets_its_whole_stream, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (a_caller_that_leaves_is_noticed, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (
+        after_the_listener_has_closed_open_connections_end_with_their_reply, set_up_, tear_down_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -23,7 +23,6 @@
 static json_t *logged_path_ (const char *target);
 static void settle_ (struct gw_exchange *exchange);
 static void on_timer_closed_ (uv_handle_t *handle);
-static const char *reason_of_ (unsigned status);
 
 static const char *const state_names_[] = {
   [EXCHANGE_READING] = "reading",       [EXCHANGE_RESERVING] = "reserving",
@@ -352,7 +351,7 @@
       g_string_append_printf (headers, "Retry-After: %s\r\n",
                               g_ascii_formatd (seconds, sizeof seconds, "%.2f", after_s));
     }
-  reply.reason = net_text_of (reason_of_ (status));
+  reply.reason = net_text_of (net_http_reason (status));
   reply.headers = (struct net_text){ headers->str, headers->len };
   sr_counter_add (exchange->runs > 0 ? &failed_counter_ : &refused_counter_, 1);
   sr_event (SR_EVENT_FAILURE, "request_refused", "{s:s,s:i,s:s,s:s,s:s,s:I,s:I,s:o*}", "request",
@@ -438,29 +437,3 @@
 {
   g_free (handle->data);
 }
-
-static const char *
-reason_of_ (unsigned status)
-{
-  switch (status)
-    {
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 402:
-      return "Payment Required";
-    case 404:
-      return "Not Found";
-    case 413:
-      return "Content Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Error";
-    }
-}
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -1,4 +1,5 @@
-/* One HTTP/1.1 request and its answer over a connection of its own, through neon. */
+/* One HTTP/1.1 request and its answer over a connection of its own, for threads that wait for it.
+ */
 #pragma once
 
 #include <glib.h>
--- /dev/null
+++ b/src/http/test-exchange.c
@@ -0,0 +1,255 @@
+/* Exchanges with a server that is a plain socket: what it says, byte by byte, decides. */
+#include "http/exchange.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+enum
+{
+  REQUEST_MAX_BYTES = 8192,
+  BODY_MAX_BYTES = 4096,
+  IDLE_S = 1
+};
+
+/* Answers one connection with fixed bytes. */
+struct server
+{
+  int listener;
+  unsigned port;
+  pthread_t thread;
+  const char *answer;
+  bool resets;  /* instead of closing */
+  bool is_mute; /* keeps the connection open without a word */
+  char request[REQUEST_MAX_BYTES];
+  char peer[INET_ADDRSTRLEN];
+};
+
+static void *
+serve_ (void *data)
+{
+  struct server *server = data;
+  struct sockaddr_in peer;
+  socklen_t length = sizeof peer;
+  int fd = accept (server->listener, (struct sockaddr *)&peer, &length);
+  const struct linger linger = { .l_onoff = 1 };
+  size_t got = 0;
+
+  if (fd < 0)
+    return NULL;
+  inet_ntop (AF_INET, &peer.sin_addr, server->peer, sizeof server->peer);
+  while (strstr (server->request, "\r\n\r\n") == NULL)
+    {
+      ssize_t n = read (fd, server->request + got, sizeof server->request - got - 1);
+
+      if (n <= 0)
+        break;
+      got += (size_t)n;
+    }
+  if (server->answer != NULL)
+    (void)!write (fd, server->answer, strlen (server->answer));
+  if (server->is_mute)
+    (void)!read (fd, server->request + got, 1);
+  if (server->resets)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+  return NULL;
+}
+
+static void
+start_ (struct server *server)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+
+  server->listener = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (server->listener, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (listen (server->listener, 1), 0);
+  assert_int_equal (getsockname (server->listener, (struct sockaddr *)&address, &length), 0);
+  server->port = ntohs (address.sin_port);
+  assert_int_equal (pthread_create (&server->thread, NULL, serve_, server), 0);
+}
+
+static void
+stop_ (struct server *server)
+{
+  shutdown (server->listener, SHUT_RDWR);
+  pthread_join (server->thread, NULL);
+  close (server->listener);
+}
+
+static struct sr_exchange *
+exchange_ (const struct server *server, const char *body)
+{
+  static const char *const headers[] = { "X-Name", "value", NULL };
+  const struct sr_exchange_options options = { .address = "127.0.0.1",
+                                               .port = server->port,
+                                               .source_address = "127.0.0.9",
+                                               .connect_timeout_s = IDLE_S,
+                                               .idle_timeout_s = IDLE_S,
+                                               .method = body != NULL ? "POST" : "GET",
+                                               .path = "/p?q=1",
+                                               .headers = headers,
+                                               .body = body,
+                                               .body_length = body != NULL ? strlen (body) : 0 };
+  struct sr_exchange *exchange = sr_exchange_new (&options);
+
+  assert_non_null (exchange);
+  return exchange;
+}
+
+/* Asserts how the answer BYTES is read: its begin, then its whole body. */
+static void
+assert_answer_ (const char *bytes,
+                enum sr_exchange_status begin,
+                enum sr_exchange_status whole,
+                const char *body)
+{
+  struct server server = { .answer = bytes };
+  g_autoptr (GString) read = g_string_new (NULL);
+  struct sr_exchange *exchange;
+
+  start_ (&server);
+  exchange = exchange_ (&server, NULL);
+  assert_int_equal (sr_exchange_begin (exchange), begin);
+  if (begin == SR_EXCHANGE_OK)
+    assert_int_equal (sr_exchange_read_all (exchange, read, BODY_MAX_BYTES), whole);
+  if (whole == SR_EXCHANGE_OK)
+    assert_string_equal (read->str, body);
+  sr_exchange_delete (exchange);
+  stop_ (&server);
+}
+
+static void
+a_request_is_sent_as_it_was_given (void **state)
+{
+  struct server server
+      = { .answer = "HTTP/1.1 201 Created\r\nX-Id: 7\r\nContent-Length: 0\r\n\r\n" };
+  struct sr_exchange *exchange;
+
+  start_ (&server);
+  exchange = exchange_ (&server, "body");
+  assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_OK);
+  assert_int_equal (sr_exchange_code (exchange), 201);
+  assert_string_equal (sr_exchange_header (exchange, "x-id"), "7");
+  assert_null (sr_exchange_header (exchange, "X-Other"));
+  assert_true (sr_exchange_was_connected (exchange));
+  sr_exchange_delete (exchange);
+  stop_ (&server);
+  assert_string_equal (server.peer, "127.0.0.9");
+  assert_true (g_str_has_prefix (server.request, "POST /p?q=1 HTTP/1.1\r\nHost: 127.0.0.1:"));
+  assert_non_null (strstr (server.request, "\r\nX-Name: value\r\n"));
+  assert_non_null (strstr (server.request, "\r\nConnection: close\r\n"));
+  assert_non_null (strstr (server.request, "\r\nContent-Length: 4\r\n"));
+}
+
+static void
+only_a_whole_answer_counts (void **state)
+{
+  assert_answer_ ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", SR_EXCHANGE_OK,
+                  SR_EXCHANGE_OK, "whole");
+  assert_answer_ ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", SR_EXCHANGE_OK,
+                  SR_EXCHANGE_BROKEN, NULL);
+  assert_answer_ ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+                  SR_EXCHANGE_OK, SR_EXCHANGE_OK, "whole");
+  assert_answer_ ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+                  SR_EXCHANGE_OK, SR_EXCHANGE_BROKEN, NULL);
+  assert_answer_ ("HTTP/1.1 200 OK\r\n\r\nto the end", SR_EXCHANGE_OK, SR_EXCHANGE_OK,
+                  "to the end");
+  assert_answer_ ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                  SR_EXCHANGE_OK, SR_EXCHANGE_OK, "ok");
+  assert_answer_ ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500 No\r\n"
+                  "Content-Length: 0\r\n\r\n",
+                  SR_EXCHANGE_OK, SR_EXCHANGE_OK, "ok");
+  assert_answer_ ("no head at all\r\n\r\n", SR_EXCHANGE_BROKEN, SR_EXCHANGE_BROKEN, NULL);
+  assert_answer_ ("", SR_EXCHANGE_BROKEN, SR_EXCHANGE_BROKEN, NULL);
+}
+
+static void
+a_reset_and_silence_are_told_apart (void **state)
+{
+  struct server resetting = { .answer = "HTTP/1.1 200", .resets = true };
+  struct server mute = { .is_mute = true };
+  struct sr_exchange *exchange;
+
+  start_ (&resetting);
+  exchange = exchange_ (&resetting, NULL);
+  assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_BROKEN);
+  sr_exchange_delete (exchange);
+  stop_ (&resetting);
+  start_ (&mute);
+  exchange = exchange_ (&mute, NULL);
+  assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_TIMEOUT);
+  assert_true (sr_exchange_was_connected (exchange));
+  sr_exchange_delete (exchange);
+  stop_ (&mute);
+}
+
+/* Silence in the middle of a body is no end of it. */
+static void
+a_body_that_stalls_is_broken (void **state)
+{
+  struct server server
+      = { .answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", .is_mute = true };
+  struct sr_exchange *exchange;
+  char buffer[16];
+  size_t length;
+
+  start_ (&server);
+  exchange = exchange_ (&server, NULL);
+  assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_OK);
+  assert_int_equal (sr_exchange_read (exchange, buffer, sizeof buffer, &length), SR_EXCHANGE_OK);
+  assert_int_equal (length, 4);
+  assert_int_equal (sr_exchange_read (exchange, buffer, sizeof buffer, &length),
+                    SR_EXCHANGE_BROKEN);
+  assert_int_equal (sr_exchange_finish (exchange), SR_EXCHANGE_BROKEN);
+  sr_exchange_delete (exchange);
+  stop_ (&server);
+}
+
+static void
+without_a_listener_nothing_is_sent (void **state)
+{
+  struct server server = { .answer = "" };
+  struct sr_exchange *exchange;
+
+  start_ (&server);
+  stop_ (&server);
+  exchange = exchange_ (&server, "body");
+  assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_NOT_SENT);
+  assert_false (sr_exchange_was_connected (exchange));
+  sr_exchange_delete (exchange);
+}
+
+static void
+an_address_must_be_a_number (void **state)
+{
+  const struct sr_exchange_options options
+      = { .address = "localhost", .port = 1, .method = "GET", .path = "/" };
+
+  assert_null (sr_exchange_new (&options));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_request_is_sent_as_it_was_given),
+    cmocka_unit_test (only_a_whole_answer_counts),
+    cmocka_unit_test (a_reset_and_silence_are_told_apart),
+    cmocka_unit_test (a_body_that_stalls_is_broken),
+    cmocka_unit_test (without_a_listener_nothing_is_sent),
+    cmocka_unit_test (an_address_must_be_a_number),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -34,6 +34,7 @@
   const struct net_http_owner_vtable **owner;
   enum conn_state_ state;
   bool is_server;
+  bool is_patient;
   bool in_body;
   bool skips_body;
   bool held;
@@ -134,6 +135,7 @@
 
   conn->owner = owner;
   conn->is_server = options->is_server;
+  conn->is_patient = options->is_patient;
   conn->head_max_bytes = options->head_max_bytes;
   conn->input = g_byte_array_new ();
   conn->head.headers = g_array_new (FALSE, FALSE, sizeof (struct net_header));
@@ -142,6 +144,9 @@
   conn->tcp.data = conn;
   conn->linger.data = conn;
   conn->open_handles = 2;
+  if (options->source != NULL
+      && uv_tcp_bind (&conn->tcp, (const struct sockaddr *)options->source, 0) != 0)
+    g_warning ("a source address can't be bound; another one is used");
   http_parser_init (&conn->parser, conn->is_server ? HTTP_REQUEST : HTTP_RESPONSE);
   conn->parser.data = conn;
   return conn;
@@ -315,6 +320,22 @@
   net_http_conn_close (conn);
 }
 
+/* Returns the phrase that goes with STATUS. */
+const char *
+net_http_reason (unsigned status)
+{
+  switch (status)
+    {
+#define REASON_(number, name, text)                                                                \
+  case number:                                                                                     \
+    return #text;
+      HTTP_STATUS_MAP (REASON_)
+#undef REASON_
+    default:
+      return "Error";
+    }
+}
+
 /* Tells whether both texts hold the same bytes. */
 bool
 net_text_equal (struct net_text left, struct net_text right)
@@ -653,7 +674,7 @@
   if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
     return;
   /* Callers may be slow for long; their silence is bounded by the idle time. */
-  for (size_t i = 0; i < (conn->is_server ? 1 : G_N_ELEMENTS (options)); i++)
+  for (size_t i = 0; i < (conn->is_server || conn->is_patient ? 1 : G_N_ELEMENTS (options)); i++)
     {
       if (setsockopt (fd, options[i][0], options[i][1], &options[i][2], sizeof (int)) != 0)
         g_debug ("socket option %d of level %d is not available", options[i][1], options[i][0]);
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -77,6 +77,9 @@
 {
   uv_loop_t *loop;
   bool is_server;
+  /* Outgoing: how long the peer may be silent is the owner's matter, not that of the sockets. */
+  bool is_patient;
+  const struct sockaddr_in *source; /* outgoing: bound for the connection; NULL: any */
   size_t head_max_bytes;
 };
 
@@ -95,6 +98,7 @@
 void net_http_conn_finish_unread (struct net_http_conn *conn);
 void net_http_conn_reset (struct net_http_conn *conn);
 
+const char *net_http_reason (unsigned status);
 bool net_text_equal (struct net_text left, struct net_text right);
 bool net_text_is (struct net_text text, const char *value);
 bool net_text_is_nocase (struct net_text text, const char *value);
--- a/src/platform/platform-http.h
+++ b/src/platform/platform-http.h
@@ -1,4 +1,4 @@
-/* The platform over HTTP, through neon. */
+/* The platform over HTTP. */
 #pragma once
 
 #include "platform/platform.h"
--- a/src/request/run.c
+++ b/src/request/run.c
@@ -258,6 +258,23 @@
   sr_run_copy_from (run, offset, out, &tokens);
 }
 
+/* Appends at most MAX_BYTES (four or more) of RUN's text from OFFSET on to OUT, and no half of a
+ * character of UTF-8. */
+void
+sr_run_copy_piece (struct sr_run *run, size_t offset, size_t max_bytes, GString *out)
+{
+  size_t length;
+
+  pthread_mutex_lock (&run->mutex);
+  length = run->text->len - MIN (offset, run->text->len);
+  if (length > max_bytes)
+    for (length = max_bytes; length > 0 && (run->text->str[offset + length] & 0xc0) == 0x80;)
+      length--;
+  if (length > 0)
+    g_string_append_len (out, run->text->str + offset, (gssize)length);
+  pthread_mutex_unlock (&run->mutex);
+}
+
 /* Like sr_run_copy_text; *TOKENS is set to the tokens of the whole answer so far, of the same
  * moment. */
 void
--- a/testing/harness/client.h
+++ b/testing/harness/client.h
@@ -1,4 +1,4 @@
-/* A small HTTP client for tests, on neon: every call has a connection of its own. */
+/* A small HTTP client for tests: every call has a connection of its own. */
 #pragma once
 
 #include <glib.h>
--- a/testing/process/test-budget.c
+++ b/testing/process/test-budget.c
@@ -99,6 +99,9 @@
       caller->refused += answer.verdict == HARNESS_REFUSED;
       caller->wrong += answer.verdict == HARNESS_WRONG;
       in_a_row = answer.verdict == HARNESS_ANSWERED ? 0 : in_a_row + 1;
+      if (caller->requests_max > 0 && answer.verdict != HARNESS_ANSWERED)
+        print_message ("request %u at instance %u: %s %s\n", caller->answered + caller->refused,
+                       caller->instance, harness_verdict_to_string (answer.verdict), answer.code);
       if (in_a_row > 0)
         g_usleep (REFUSAL_PAUSE_US);
     }
