A write that is not answered holds nobody up; a stop uses its time for giving tokens back

Now a read beside a write that is 150 ms late tells how it ended, when somebody waits; an answer lost while others arrived says nothing of the store; what a stop does next is a decision of its own (gateway/stop).

--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -17,7 +17,7 @@
 };
 
 static struct allotment_team *team_new_ (struct allotment_book *book, const char *name);
-static void store_answers_ (struct allotment_book *book);
+static void store_answers_ (struct allotment_book *book, int64_t now_us);
 static void team_free_ (void *data);
 static void take_record_ (struct allotment_team *team,
                           struct sr_record *record,
@@ -189,6 +189,7 @@
 void
 allotment_book_read_done (struct allotment_book *book,
                           const char *name,
+                          uint64_t call,
                           enum store_status status,
                           json_t *content,
                           int64_t revision,
@@ -197,10 +198,21 @@
   struct allotment_team *team = g_hash_table_lookup (book->teams, name);
   struct sr_record *record;
 
-  g_assert (team != NULL && team->step == STEP_READING);
-  team->step = STEP_IDLE;
+  g_assert (team != NULL);
   if (status == STORE_OK || status == STORE_ABSENT)
-    store_answers_ (book);
+    store_answers_ (book, now_us);
+  if (call == team->check)
+    {
+      /* Later than the write expected: it took effect or never will, and the record tells which. */
+      if (team->step == STEP_WRITING && status == STORE_OK && revision > team->revision)
+        allotment_book_write_done (book, name, team->call, STORE_CONFLICT, content, revision,
+                                   now_us);
+      return;
+    }
+  if (call != team->call)
+    return;
+  g_assert (team->step == STEP_READING);
+  team->step = STEP_IDLE;
   if (status == STORE_ABSENT)
     take_record_ (team, sr_record_new (), 0, now_us);
   else if (status != STORE_OK)
@@ -216,6 +228,7 @@
 void
 allotment_book_write_done (struct allotment_book *book,
                            const char *name,
+                           uint64_t call,
                            enum store_status status,
                            json_t *content,
                            int64_t revision,
@@ -225,11 +238,15 @@
   struct sr_record *edited = team->edited;
   struct sr_record *current;
 
+  if (status == STORE_OK || status == STORE_CONFLICT)
+    store_answers_ (book, now_us);
+  if (call != team->call)
+    return; /* a read has told already how it ended */
   g_assert (team->step == STEP_WRITING);
   team->step = STEP_IDLE;
+  team->call = 0;
+  team->check = 0;
   team->edited = NULL;
-  if (status == STORE_OK || status == STORE_CONFLICT)
-    store_answers_ (book);
   if (status == STORE_OK)
     {
       sr_ledger_written (team->ledger, edited);
@@ -413,7 +430,7 @@
   GHashTableIter iter;
   void *value;
 
-  store_answers_ (book);
+  store_answers_ (book, now_us);
   g_hash_table_iter_init (&iter, book->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -583,8 +600,9 @@
 }
 
 static void
-store_answers_ (struct allotment_book *book)
+store_answers_ (struct allotment_book *book, int64_t now_us)
 {
+  book->store_answered_us = now_us;
   book->store_out_until_us = 0;
   book->store_failures = 0;
 }
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -56,10 +56,11 @@
  * this table. */
 struct allotment_link_vtable
 {
-  /* Ends with allotment_book_read_done. */
-  void (*read) (void *link, const char *team);
-  /* CONTENT becomes the link's. Ends with allotment_book_write_done. */
-  void (*write) (void *link, const char *team, json_t *content, int64_t expected_revision);
+  /* Ends with allotment_book_read_done, which is given CALL. */
+  void (*read) (void *link, const char *team, uint64_t call);
+  /* CONTENT becomes the link's. Ends with allotment_book_write_done, which is given CALL. */
+  void (*write) (
+      void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision);
   void (*ask) (void *link, const char *peer, const struct allotment_ask *ask);
   /* Answers whoever sent the ask with HANDLE. */
   void (*answer) (void *link, uint64_t handle, const struct allotment_answer *answer);
@@ -97,12 +98,14 @@
     struct allotment_book *book, const char *team, GArray *parts, int64_t used, int64_t now_us);
 void allotment_book_read_done (struct allotment_book *book,
                                const char *team,
+                               uint64_t call,
                                enum store_status status,
                                json_t *content,
                                int64_t revision,
                                int64_t now_us);
 void allotment_book_write_done (struct allotment_book *book,
                                 const char *team,
+                                uint64_t call,
                                 enum store_status status,
                                 json_t *content,
                                 int64_t revision,
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -64,6 +64,8 @@
   /* The store. */
   enum allotment_store_step step;
   int64_t step_us;          /* when it began */
+  uint64_t call;            /* of the step */
+  uint64_t check;           /* a read beside a write that is late; 0: none for this write yet */
   struct sr_record *record; /* as last read or written; NULL: not known */
   int64_t revision;         /* of record; 0: there is none yet */
   int64_t record_us;
@@ -96,8 +98,10 @@
   int64_t peers_since_us; /* when they were first known; 0: not yet */
   /* It could not be reached by any team's call; 0: it answers, INT64_MAX: until it returns. */
   int64_t store_out_until_us;
-  unsigned store_failures; /* in a row, of all teams */
-  bool leaving;            /* others are the homes from now on */
+  unsigned store_failures;   /* in a row, of all teams */
+  int64_t store_answered_us; /* any team's call; 0: never */
+  uint64_t calls;            /* made so far */
+  bool leaving;              /* others are the homes from now on */
   bool stopping;
 };
 
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -34,6 +34,8 @@
   SOURCE_PEER
 };
 
+static void
+check_late_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static bool store_is_out_ (const struct allotment_book *book,
                            const struct allotment_team *team,
                            int64_t now_us);
@@ -85,6 +87,7 @@
   struct allotment_peer *home = home_ (book, team, now_us);
   int64_t need;
 
+  check_late_write_ (book, team, now_us);
   allotment_serve_waiters_ (team, now_us);
   allotment_serve_asks_ (book, team, now_us);
   if (book->stopping)
@@ -184,17 +187,22 @@
                          enum store_status status,
                          int64_t now_us)
 {
+  /* An answer that was lost while others arrived: the store itself is there. */
+  bool is_lone = status == STORE_UNKNOWN && book->store_answered_us > team->step_us;
+
   team->retry_us = now_us + (status == STORE_UNKNOWN ? STORE_RETRY_US : STORE_DOWN_RETRY_US);
   team->store_is_down = true;
-  if (status != STORE_INVALID && book->store_out_until_us != INT64_MAX)
+  if (!is_lone && status != STORE_INVALID && book->store_out_until_us != INT64_MAX)
     book->store_out_until_us = now_us
                                + MIN ((int64_t)STORE_OUT_US << MIN (book->store_failures, 8U),
                                       (int64_t)STORE_OUT_MAX_US);
-  book->store_failures++;
+  if (!is_lone)
+    book->store_failures++;
   sr_event (SR_EVENT_FAILURE, "allotment_store_failed", "{s:s,s:s,s:I}", "team", team->name,
             "status", store_status_to_string (status), "available",
             (json_int_t)sr_ledger_available (team->ledger));
-  allotment_answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
+  if (!is_lone)
+    allotment_answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
 }
 
 /* Tells whether the store is not to be counted on now. */
@@ -396,7 +404,25 @@
             (json_int_t)team->revision);
   team->step = STEP_READING;
   team->step_us = now_us;
-  allotment_link_ (book)->read (book->options.link, team->name);
+  team->call = ++book->calls;
+  allotment_link_ (book)->read (book->options.link, team->name, team->call);
+}
+
+/* A write whose answer may be lost holds up all who wait for it: a read beside it tells how it
+ * ended. */
+static void
+check_late_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  bool is_waited_for
+      = book->stopping || !g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks);
+
+  if (team->step != STEP_WRITING || team->check != 0 || !is_waited_for
+      || now_us - team->step_us < STORE_LATE_US)
+    return;
+  sr_event (SR_EVENT_INFO, "allotment_check", "{s:s,s:I}", "team", team->name, "revision",
+            (json_int_t)team->revision);
+  team->check = ++book->calls;
+  allotment_link_ (book)->read (book->options.link, team->name, team->check);
 }
 
 static void
@@ -411,8 +437,10 @@
   team->step = STEP_WRITING;
   team->step_us = now_us;
   team->edited = record;
-  allotment_link_ (book)->write (book->options.link, team->name, sr_record_to_json (record),
-                                 team->revision);
+  team->call = ++book->calls;
+  team->check = 0;
+  allotment_link_ (book)->write (book->options.link, team->name, team->call,
+                                 sr_record_to_json (record), team->revision);
 }
 
 /* Returns a copy of the record with what changes by itself: the total that was paid, and holders
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -63,6 +63,7 @@
   enum event_kind_ kind;
   struct node_ *node;
   uint64_t incarnation;
+  uint64_t call;
   json_t *content;
   int64_t revision;
   enum store_status status;
@@ -95,11 +96,13 @@
   double loss;        /* of datagrams */
   double late;        /* of datagrams that wait for seconds, as at an instance that is paused */
   double lost_writes; /* answers lost; half of those writes happen late */
+  bool lands_at_once; /* none of them does */
   int64_t call_us;    /* what the store takes */
 };
 
-static void read_ (void *link, const char *team);
-static void write_ (void *link, const char *team, json_t *content, int64_t expected_revision);
+static void read_ (void *link, const char *team, uint64_t call);
+static void
+write_ (void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision);
 static void ask_ (void *link, const char *peer, const struct allotment_ask *ask);
 static void answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
 
@@ -121,7 +124,7 @@
 }
 
 static void
-read_ (void *link, const char *team)
+read_ (void *link, const char *team, uint64_t call)
 {
   struct node_ *node = link;
   struct world_ *world = node->world;
@@ -131,17 +134,19 @@
   if (node->cut_from_store)
     {
       event = event_new_ (world, EVENT_READ_DONE, node, CALL_TIMEOUT_US);
+      event->call = call;
       event->status = STORE_UNREACHABLE;
       return;
     }
   event = event_new_ (world, EVENT_READ_DONE, node, world->call_us);
+  event->call = call;
   event->status = world->record == NULL ? STORE_ABSENT : STORE_OK;
   event->content = json_deep_copy (world->record);
   event->revision = world->revision;
 }
 
 static void
-write_ (void *link, const char *team, json_t *content, int64_t expected_revision)
+write_ (void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision)
 {
   struct node_ *node = link;
   struct world_ *world = node->world;
@@ -151,11 +156,13 @@
   if (node->cut_from_store)
     {
       event = event_new_ (world, EVENT_WRITE_DONE, node, CALL_TIMEOUT_US);
+      event->call = call;
       event->status = STORE_UNREACHABLE;
       json_decref (content);
       return;
     }
   event = event_new_ (world, EVENT_WRITE_ARRIVES, node, world->call_us / 2);
+  event->call = call;
   event->content = content;
   event->revision = expected_revision;
   if (g_rand_double (world->random) < world->lost_writes)
@@ -163,9 +170,10 @@
       struct event_ *late;
 
       event->answer_is_lost = true;
-      if (g_rand_boolean (world->random))
+      if (!world->lands_at_once && g_rand_boolean (world->random))
         event->at_us += g_rand_int_range (world->random, 1, 6) * SECOND;
       late = event_new_ (world, EVENT_WRITE_DONE, node, CALL_TIMEOUT_US);
+      late->call = call;
       late->status = STORE_UNKNOWN;
     }
 }
@@ -379,6 +387,7 @@
     return;
   done = event_new_ (world, EVENT_WRITE_DONE, event->node, world->call_us / 2);
   done->incarnation = event->incarnation;
+  done->call = event->call;
   done->status = holds ? STORE_OK : STORE_CONFLICT;
   done->content = json_deep_copy (world->record);
   done->revision = world->revision;
@@ -394,7 +403,7 @@
     {
     case EVENT_READ_DONE:
       if (alive)
-        allotment_book_read_done (node->book, "team", event->status, event->content,
+        allotment_book_read_done (node->book, "team", event->call, event->status, event->content,
                                   event->revision, world->now_us);
       break;
     case EVENT_WRITE_ARRIVES:
@@ -402,7 +411,7 @@
       break;
     case EVENT_WRITE_DONE:
       if (alive)
-        allotment_book_write_done (node->book, "team", event->status, event->content,
+        allotment_book_write_done (node->book, "team", event->call, event->status, event->content,
                                    event->revision, world->now_us);
       break;
     case EVENT_ASK:
@@ -946,6 +955,49 @@
 
 /* A lender is paused with an ask in its queue; the borrower is killed and starts anew; then the
  * lender wakes and answers. What was lent to the one that died is not lent to its successor. */
+/* Of a scarce budget a home holds little and draws often. Writes take effect and their answers are
+ * lost, one and all: a read beside tells so long before the call's time is over. */
+static void
+a_lost_answer_holds_nobody_up (void **state)
+{
+  struct world_ world;
+
+  set_up_ (&world, 3000000, 21);
+  run_ (&world, 3 * SECOND);
+  load_ (&world, 5000, 40, 8 * SECOND);
+  world.lost_writes = 1;
+  world.lands_at_once = true;
+  load_ (&world, 5000, 40, 3 * SECOND);
+  assert_int_equal (world.refused, 0);
+  assert_true (world.longest_wait_us < 400 * MS);
+  tear_down_ (&world);
+}
+
+/* Half of the writes are not answered, and half of those happen seconds later, while the store
+ * answers all other calls: it does not count as out, nor are all who wait refused at once. */
+static void
+a_store_that_loses_answers_is_not_out (void **state)
+{
+  unsigned granted = 0;
+  unsigned refused = 0;
+
+  for (uint32_t seed = 1; seed <= 10; seed++)
+    {
+      struct world_ world;
+
+      set_up_ (&world, 3000000, seed);
+      run_ (&world, 3 * SECOND);
+      load_ (&world, 5000, 40, 8 * SECOND);
+      world.lost_writes = 0.5;
+      load_ (&world, 5000, 40, 3 * SECOND);
+      granted += world.granted;
+      refused += world.refused;
+      tear_down_ (&world);
+    }
+  assert_true (granted > 0);
+  assert_int_equal (refused, 0);
+}
+
 static void
 a_loan_to_an_earlier_start_is_not_taken (void **state)
 {
@@ -1055,6 +1107,8 @@
     cmocka_unit_test (an_empty_record_is_read_by_its_home),
     cmocka_unit_test (a_raised_total_is_available_at_once),
     cmocka_unit_test (a_slow_store_delays_but_does_not_refuse),
+    cmocka_unit_test (a_lost_answer_holds_nobody_up),
+    cmocka_unit_test (a_store_that_loses_answers_is_not_out),
     cmocka_unit_test (a_loan_to_an_earlier_start_is_not_taken),
     cmocka_unit_test (no_schedule_overspends),
   };
--- a/src/gateway/book-link.c
+++ b/src/gateway/book-link.c
@@ -12,34 +12,44 @@
 {
   struct gateway *gateway;
   char *team;
+  uint64_t number; /* the book's */
 };
 
+static struct record_call_ *
+record_call_new_ (struct gateway *gateway, const char *team, uint64_t number);
 static void on_record_read_ (const struct store_result *result, void *data);
 static void on_record_written_ (const struct store_result *result, void *data);
 static struct gw_backend *backend_of_key_ (const struct gateway *gateway, uint64_t key);
 
 void
-gateway_read_record_ (void *link, const char *team)
+gateway_read_record_ (void *link, const char *team, uint64_t call)
 {
   struct gateway *gateway = link;
-  struct record_call_ *call = g_new0 (struct record_call_, 1);
 
-  call->gateway = gateway;
-  call->team = g_strdup (team);
-  store_read (gateway->store, KIND_BUDGETS, team, on_record_read_, call);
+  store_read (gateway->store, KIND_BUDGETS, team, on_record_read_,
+              record_call_new_ (gateway, team, call));
 }
 
 void
-gateway_write_record_ (void *link, const char *team, json_t *content, int64_t expected_revision)
+gateway_write_record_ (
+    void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision)
 {
   struct gateway *gateway = link;
+
+  store_write (gateway->store, KIND_BUDGETS, team, content, expected_revision, on_record_written_,
+               record_call_new_ (gateway, team, call));
+  json_decref (content);
+}
+
+static struct record_call_ *
+record_call_new_ (struct gateway *gateway, const char *team, uint64_t number)
+{
   struct record_call_ *call = g_new0 (struct record_call_, 1);
 
   call->gateway = gateway;
   call->team = g_strdup (team);
-  store_write (gateway->store, KIND_BUDGETS, team, content, expected_revision, on_record_written_,
-               call);
-  json_decref (content);
+  call->number = number;
+  return call;
 }
 
 static void
@@ -47,7 +57,7 @@
 {
   struct record_call_ *call = data;
 
-  allotment_book_read_done (call->gateway->context.book, call->team, result->status,
+  allotment_book_read_done (call->gateway->context.book, call->team, call->number, result->status,
                             result->n_objects > 0 ? result->objects[0].content : NULL,
                             result->n_objects > 0 ? result->objects[0].revision : 0,
                             g_get_monotonic_time ());
@@ -60,7 +70,7 @@
 {
   struct record_call_ *call = data;
 
-  allotment_book_write_done (call->gateway->context.book, call->team, result->status,
+  allotment_book_write_done (call->gateway->context.book, call->team, call->number, result->status,
                              result->n_objects > 0 ? result->objects[0].content : NULL,
                              result->n_objects > 0 ? result->objects[0].revision : 0,
                              g_get_monotonic_time ());
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -67,9 +67,9 @@
 void gateway_on_backends_reachable_ (bool reachable, void *data);
 void gateway_on_instances_listed_ (const struct store_result *result, void *data);
 void gateway_on_instances_changed_ (const struct store_result *result, void *data);
-void gateway_read_record_ (void *link, const char *team);
-void
-gateway_write_record_ (void *link, const char *team, json_t *content, int64_t expected_revision);
+void gateway_read_record_ (void *link, const char *team, uint64_t call);
+void gateway_write_record_ (
+    void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision);
 void gateway_send_ask_ (void *link, const char *peer, const struct allotment_ask *ask);
 void gateway_send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
 void gateway_on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -4,6 +4,7 @@
 #include "base/event-log.h"
 #include "gateway/exchange.h"
 #include "gateway/probe.h"
+#include "gateway/stop.h"
 #include "gateway/upstream.h"
 
 #include <pthread.h>
@@ -16,10 +17,7 @@
   INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
   WORK_INTERVAL_MS = 60,     /* the time in which 4,000 tokens are read */
   ANNOUNCE_RETRY_MS = 100,
-  BALANCER_NOTICE_MS = 3200, /* two questions of the balancer, a second each, go unanswered */
-  STOP_LOOK_MS = 50,
-  STOP_MARGIN_MS = 300, /* before the process would be killed */
-  HAND_BACK_MS = 400    /* for giving tokens back at the end */
+  STOP_LOOK_MS = 50
 };
 
 #define KIND_INSTANCES "sapphirerun-instances"
@@ -348,7 +346,7 @@
   gateway->context.stopping_since_us = gateway->stop_us;
   gateway->context.stop_by_us
       = gateway->stop_us
-        + ((int64_t)gateway->settings->stop_limit_s * 1000 - STOP_MARGIN_MS) * GATEWAY_US_PER_MS;
+        + ((int64_t)gateway->settings->stop_limit_s * 1000 - GW_STOP_MARGIN_MS) * GATEWAY_US_PER_MS;
   sr_event (SR_EVENT_INFO, "stopping", "{s:i,s:i,s:i}", "signal", number, "requests",
             (int)gateway->context.exchanges, "connections",
             (int)gw_ingress_connections (gateway->ingress));
@@ -416,37 +414,42 @@
               store_status_to_string (result->status));
 }
 
-/* Serves on until the balancer has moved the callers, then until what runs has ended, gives the
- * tokens back and leaves. */
+/* Looks what a stop has come to. */
 static void
 on_stop_timer_ (uv_timer_t *timer)
 {
   struct gateway *gateway = timer->data;
+  struct allotment_book *book = gateway->context.book;
   int64_t now_us = g_get_monotonic_time ();
-  int64_t since_ms = (now_us - gateway->stop_us) / GATEWAY_US_PER_MS;
-  int64_t last_ms = (int64_t)gateway->settings->stop_limit_s * 1000 - STOP_MARGIN_MS;
-  bool out_of_time = since_ms >= last_ms - HAND_BACK_MS;
+  const struct gw_stop_state state = {
+    .since_ms = (now_us - gateway->stop_us) / GATEWAY_US_PER_MS,
+    .limit_ms = (int64_t)gateway->settings->stop_limit_s * 1000,
+    .requests = (unsigned)gateway->context.exchanges,
+    .connections = gw_ingress_connections (gateway->ingress),
+    .is_handing_back = gateway->handing_back,
+    .has_tokens = book != NULL && !allotment_book_is_empty (book),
+  };
 
-  if (since_ms < BALANCER_NOTICE_MS)
-    return;
-  gw_ingress_close_idle (gateway->ingress);
-  if (!out_of_time
-      && (gateway->context.exchanges > 0 || gw_ingress_connections (gateway->ingress) > 0))
-    return;
-  if (!gateway->handing_back)
+  switch (gw_stop_next (&state))
     {
+    case GW_STOP_SERVE:
+      break;
+    case GW_STOP_FINISH:
+      gw_ingress_close_idle (gateway->ingress);
+      break;
+    case GW_STOP_HAND_BACK:
+      gw_ingress_close_idle (gateway->ingress);
+      if (gateway->handing_back)
+        break;
       gateway->handing_back = true;
       if (gateway->announced)
         store_remove (gateway->store, KIND_INSTANCES, gateway->settings->name->str, on_withdrawn_,
                       NULL);
-      if (gateway->context.book != NULL)
-        allotment_book_stop (gateway->context.book, now_us);
-      return;
+      if (book != NULL)
+        allotment_book_stop (book, now_us);
+      break;
+    case GW_STOP_END:
+      uv_stop (&gateway->loop);
+      break;
     }
-  if (since_ms < last_ms && gateway->context.book != NULL
-      && !allotment_book_is_empty (gateway->context.book) && !out_of_time)
-    return;
-  if (since_ms < last_ms && out_of_time && gateway->context.exchanges > 0)
-    return;
-  uv_stop (&gateway->loop);
 }
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -5,6 +5,7 @@
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
 #include "gateway/settings.h"
+#include "gateway/stop.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -494,6 +495,34 @@
   assert_true (gw_link_load_share (&load) > 0.85);
 }
 
+/* The time kept for giving tokens back is used for that, also when callers stay until the end. */
+static void
+a_stop_gives_tokens_back_before_it_ends (void **state)
+{
+  struct gw_stop_state stop = { .limit_ms = 8000, .requests = 1, .connections = 2 };
+
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_SERVE);
+  stop.since_ms = 4000;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_FINISH);
+  stop.requests = 0;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_FINISH);
+  stop.connections = 0;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_HAND_BACK);
+  stop.connections = 2;
+  stop.since_ms = 7300;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_HAND_BACK);
+  stop.is_handing_back = true;
+  stop.has_tokens = true;
+  stop.since_ms = 7650;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_HAND_BACK);
+  stop.has_tokens = false;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
+  stop.requests = 1;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_HAND_BACK);
+  stop.since_ms = 7700;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
+}
+
 static void
 settings_are_checked_whole (void **state)
 {
@@ -539,6 +568,7 @@
     cmocka_unit_test (a_full_link_refuses_and_a_half_full_one_does_not),
     cmocka_unit_test (an_instance_whose_link_fills_up_is_left_alone),
     cmocka_unit_test (each_direction_of_a_link_counts_by_itself),
+    cmocka_unit_test (a_stop_gives_tokens_back_before_it_ends),
     cmocka_unit_test (settings_are_checked_whole),
   };
 
