--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -67,7 +67,8 @@
       atomic_store (&entry->stopping, true);
       uv_async_send (&entry->wake);
       pthread_join (entry->thread, NULL);
-      uv_loop_close (&entry->loop);
+      if (uv_loop_close (&entry->loop) != 0)
+        sr_log (G_LOG_LEVEL_WARNING, "entry", "something of the loop is left open");
     }
   pthread_cond_destroy (&entry->changed);
   pthread_mutex_destroy (&entry->mutex);
--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -65,12 +65,15 @@
   const struct sr_run_table_options kept = { .answers_kept_max = 2, .answer_kept_us = 1000000 };
   struct sr_findings *findings = sr_findings_new ();
   struct sr_entry_options options = { .settings = &settings, .print_status = print_status_ };
+  struct sr_config *config;
 
   settings.name = g_string_new ("i1");
   settings.listen_address = g_string_new ("127.0.0.1");
   current = sr_config_current_new ();
-  assert_true (sr_config_current_apply (
-      current, sr_config_parse ("test", configuration, strlen (configuration), 1, findings)));
+  config = sr_config_parse ("test", configuration, strlen (configuration), 1, findings);
+  assert_non_null (config);
+  assert_true (sr_config_current_apply (current, config));
+  sr_config_unref (config);
   sr_findings_delete (findings);
   table = sr_run_table_new (&kept);
   options.current = current;
@@ -334,7 +337,8 @@
   int fd = connect_ ();
   size_t received = 0;
 
-  memcpy (piece + PIECE_BYTES - 2, "\xc3\xa9", 2);
+  piece[PIECE_BYTES - 2] = '\xc3';
+  piece[PIECE_BYTES - 1] = '\xa9';
   ask_ (fd, key, "1.1");
   while (sr_entry_open_requests (entry) == 0)
     g_usleep (POLL_US);
--- a/src/gateway/test-placement.c
+++ b/src/gateway/test-placement.c
@@ -319,6 +319,7 @@
   struct play_ play;
   double in_time;
   double p95;
+  unsigned late;
 
   play_set_up_ (&play, way);
   for (; play.now_ms < PLAY_MS + DRAIN_MS; play.now_ms++)
@@ -332,7 +333,8 @@
     }
   qsort (play.first_ms->data, play.first_ms->len, sizeof (int64_t), compare_);
   in_time = 100.0 * play.in_time / play.arrivals;
-  p95 = (double)g_array_index (play.first_ms, int64_t, play.first_ms->len * 95 / 100);
+  late = play.first_ms->len * 95 / 100;
+  p95 = (double)g_array_index (play.first_ms, int64_t, late);
   print_message ("load %.1f, %s: %.1f%% in time, %.1f%% refused, p95 %.0f ms, %.0f tokens read of "
                  "each prompt\n",
                  load, way_names_[way], in_time, 100.0 * play.refused / play.arrivals, p95,
