--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -145,7 +145,15 @@
   assert_true (g_str_has_prefix (got->str, begin));
 }
 
-/* Starts a run that the next request of ask_ joins. */
+/* A run, and a caller who has asked for it. */
+struct stream_
+{
+  char key[16];
+  struct sr_run *run;
+  int fd;
+  GString *got; /* what the caller has read */
+};
+
 static struct sr_run *
 begin_run_ (char *key, size_t size)
 {
@@ -191,6 +199,25 @@
   send_ (fd, request);
 }
 
+/* Starts a run, and has a caller of HTTP/VERSION join it. */
+static void
+stream_open_ (struct stream_ *stream, const char *version)
+{
+  stream->run = begin_run_ (stream->key, sizeof stream->key);
+  stream->got = g_string_new (NULL);
+  stream->fd = connect_ ();
+  ask_ (stream->fd, stream->key, version);
+  while (sr_entry_open_requests (entry) == 0)
+    g_usleep (POLL_US);
+}
+
+static void
+stream_close_ (struct stream_ *stream)
+{
+  close (stream->fd);
+  g_string_free (stream->got, TRUE);
+}
+
 static void
 requests_on_one_connection_are_answered_in_order (void **state)
 {
@@ -272,129 +299,106 @@
 static void
 a_streamed_reply_comes_as_the_run_goes_on (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
-  g_autoptr (GString) got = g_string_new (NULL);
-  int fd = connect_ ();
+  struct stream_ stream;
 
-  ask_ (fd, key, "1.1");
-  sr_run_append (run, "one", 3, 1);
-  assert_true (read_until_ (fd, got, "{\"t\":\"one\"}\n\r\n"));
-  assert_true (g_str_has_prefix (got->str, "HTTP/1.1 200 OK\r\n"));
-  assert_true (strstr (got->str, "\r\nX-Request-Id: r") != NULL);
+  stream_open_ (&stream, "1.1");
+  sr_run_append (stream.run, "one", 3, 1);
+  assert_true (read_until_ (stream.fd, stream.got, "{\"t\":\"one\"}\n\r\n"));
+  assert_true (g_str_has_prefix (stream.got->str, "HTTP/1.1 200 OK\r\n"));
+  assert_true (strstr (stream.got->str, "\r\nX-Request-Id: r") != NULL);
   assert_int_equal (sr_entry_open_requests (entry), 1);
-  sr_run_append (run, "two", 3, 1);
-  assert_true (read_until_ (fd, got, "{\"t\":\"two\"}\n\r\n"));
-  end_run_ (run, SR_OUTCOME_ANSWERED);
-  assert_true (read_until_ (fd, got, "\r\n0\r\n\r\n"));
-  assert_true (strstr (got->str, "\"outcome\":\"answered\"") != NULL);
-  close (fd);
+  sr_run_append (stream.run, "two", 3, 1);
+  assert_true (read_until_ (stream.fd, stream.got, "{\"t\":\"two\"}\n\r\n"));
+  end_run_ (stream.run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (stream.fd, stream.got, "\r\n0\r\n\r\n"));
+  assert_true (strstr (stream.got->str, "\"outcome\":\"answered\"") != NULL);
+  stream_close_ (&stream);
 }
 
 /* A caller of HTTP/1.0 knows no chunks: the end of the connection is the end of the stream. */
 static void
 an_old_caller_gets_its_stream_without_chunks (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
-  g_autoptr (GString) got = g_string_new (NULL);
-  int fd = connect_ ();
-
-  ask_ (fd, key, "1.0");
-  sr_run_append (run, "one", 3, 1);
-  end_run_ (run, SR_OUTCOME_ANSWERED);
-  assert_true (read_until_ (fd, got, NULL));
-  assert_null (strstr (got->str, "chunked"));
-  assert_true (strstr (got->str, "\r\n\r\n{\"t\":\"one\"}\n{") != NULL);
-  close (fd);
+  struct stream_ stream;
+
+  stream_open_ (&stream, "1.0");
+  sr_run_append (stream.run, "one", 3, 1);
+  end_run_ (stream.run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (stream.fd, stream.got, NULL));
+  assert_null (strstr (stream.got->str, "chunked"));
+  assert_true (strstr (stream.got->str, "\r\n\r\n{\"t\":\"one\"}\n{") != NULL);
+  stream_close_ (&stream);
 }
 
 static void
 a_stream_whose_run_fails_looks_cut (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
-  g_autoptr (GString) got = g_string_new (NULL);
-  int fd = connect_ ();
-
-  ask_ (fd, key, "1.1");
-  sr_run_append (run, "one", 3, 1);
-  assert_true (read_until_ (fd, got, "{\"t\":\"one\"}\n\r\n"));
-  end_run_ (run, SR_OUTCOME_UNKNOWN);
-  assert_false (read_until_ (fd, got, "\r\n0\r\n\r\n"));
-  close (fd);
+  struct stream_ stream;
+
+  stream_open_ (&stream, "1.1");
+  sr_run_append (stream.run, "one", 3, 1);
+  assert_true (read_until_ (stream.fd, stream.got, "{\"t\":\"one\"}\n\r\n"));
+  end_run_ (stream.run, SR_OUTCOME_UNKNOWN);
+  assert_false (read_until_ (stream.fd, stream.got, "\r\n0\r\n\r\n"));
+  stream_close_ (&stream);
 }
 
 /* A caller that does not read for a while loses nothing, and others are served meanwhile. */
 static void
 a_slow_caller_gets_its_whole_stream (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
-  g_autoptr (GString) got = g_string_new (NULL);
   g_autofree char *piece = g_strnfill (PIECE_BYTES, 'x'); /* and a character of two bytes */
+  struct stream_ stream;
   int other = connect_ ();
-  int fd = connect_ ();
   size_t received = 0;
 
   piece[PIECE_BYTES - 2] = '\xc3';
   piece[PIECE_BYTES - 1] = '\xa9';
-  ask_ (fd, key, "1.1");
-  while (sr_entry_open_requests (entry) == 0)
-    g_usleep (POLL_US);
+  stream_open_ (&stream, "1.1");
   for (unsigned i = 0; i < LONG_BYTES / PIECE_BYTES; i++)
-    sr_run_append (run, piece, PIECE_BYTES, 1);
-  end_run_ (run, SR_OUTCOME_ANSWERED);
+    sr_run_append (stream.run, piece, PIECE_BYTES, 1);
+  end_run_ (stream.run, SR_OUTCOME_ANSWERED);
   assert_reply_ (other, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n", "HTTP/1.1 200 OK\r\n",
                  "\nok\n");
   assert_int_equal (sr_entry_open_requests (entry), 1);
-  assert_true (read_until_ (fd, got, "\r\n0\r\n\r\n"));
-  for (const char *at = strstr (got->str, "\r\n\r\n"); *at != '\0'; at++)
+  assert_true (read_until_ (stream.fd, stream.got, "\r\n0\r\n\r\n"));
+  for (const char *at = strstr (stream.got->str, "\r\n\r\n"); *at != '\0'; at++)
     received += *at == 'x' || *at == '\xc3' || *at == '\xa9';
   assert_int_equal (received, LONG_BYTES);
-  close (fd);
+  stream_close_ (&stream);
   close (other);
 }
 
 static void
 a_caller_that_leaves_is_noticed (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
   int64_t end_us = g_get_monotonic_time () + WAIT_S * G_USEC_PER_SEC;
   int64_t later_us = end_us + 1000 * G_USEC_PER_SEC;
-  int fd = connect_ ();
+  struct stream_ stream;
 
-  ask_ (fd, key, "1.1");
-  while (sr_entry_open_requests (entry) == 0)
-    g_usleep (POLL_US);
-  assert_false (sr_run_is_abandoned (run, later_us));
-  close (fd);
+  stream_open_ (&stream, "1.1");
+  assert_false (sr_run_is_abandoned (stream.run, later_us));
+  stream_close_ (&stream);
   while (sr_entry_open_requests (entry) > 0 && g_get_monotonic_time () < end_us)
     g_usleep (POLL_US);
-  assert_true (sr_run_is_abandoned (run, later_us));
-  end_run_ (run, SR_OUTCOME_ANSWERED);
+  assert_true (sr_run_is_abandoned (stream.run, later_us));
+  end_run_ (stream.run, SR_OUTCOME_ANSWERED);
 }
 
 static void
 after_the_listener_has_closed_open_connections_end_with_their_reply (void **state)
 {
-  char key[16];
-  struct sr_run *run = begin_run_ (key, sizeof key);
-  g_autoptr (GString) got = g_string_new (NULL);
-  int fd = connect_ ();
+  struct stream_ stream;
 
-  ask_ (fd, key, "1.1");
-  while (sr_entry_open_requests (entry) == 0)
-    g_usleep (POLL_US);
+  stream_open_ (&stream, "1.1");
   sr_entry_close_listener (entry);
   assert_int_equal (connect_ (), -1);
-  sr_run_append (run, "one", 3, 1);
-  end_run_ (run, SR_OUTCOME_ANSWERED);
-  assert_true (read_until_ (fd, got, NULL));
-  assert_true (strstr (got->str, "\r\nConnection: close\r\n") != NULL);
-  assert_true (g_str_has_suffix (got->str, "\r\n0\r\n\r\n"));
-  close (fd);
+  sr_run_append (stream.run, "one", 3, 1);
+  end_run_ (stream.run, SR_OUTCOME_ANSWERED);
+  assert_true (read_until_ (stream.fd, stream.got, NULL));
+  assert_true (strstr (stream.got->str, "\r\nConnection: close\r\n") != NULL);
+  assert_true (g_str_has_suffix (stream.got->str, "\r\n0\r\n\r\n"));
+  stream_close_ (&stream);
 }
 
 int
