The configuration is listed now and then beside the watch

Version 15 was acked at 7.17 s, in the second in which watches hear nothing (platform_compact); all 54 instances that were not cut off had it between 12.0 and 12.8 s. The first was front-makole-21, which found its history gone at position 380 and listed. Until then every watch had ended behind the change without showing it, and nobody had seen it who could have told the others. Ruled out: news that were lost (nobody had any), one instance cut off from the others, a store that was not reached.

An older list changes nothing. Red before: test-watcher/a_change_that_no_watch_showed_is_found (there was no list).

--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -236,6 +236,7 @@
                      CLAMP (gateway->context.instances * GATEWAY_BACKENDS_PAUSE_FLEET_MS,
                             (unsigned)GATEWAY_BACKENDS_PAUSE_MIN_MS,
                             (unsigned)GATEWAY_BACKENDS_PAUSE_MAX_MS));
+  watcher_set_check (gateway->routes_watcher, gateway->context.instances * GATEWAY_CHECK_FLEET_MS);
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -362,6 +362,28 @@
   fake_delete_ (fake);
 }
 
+/* The watches of all instances were deaf to a change, so that nobody can tell of it: it is found by
+ * a list, and a list that is older than what is known changes nothing. */
+static void
+a_change_that_no_watch_showed_is_found (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+
+  answer_ (fake, STORE_OK, 10, 1);
+  answer_ (fake, STORE_OK, 20, 1);
+  fake->call = CALL_NONE;
+  watcher_set_check (fake->watcher, 20);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 15, 1);
+  assert_int_equal (fake->listed, 1);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 21, 1);
+  assert_int_equal (fake->listed, 2);
+  fake_delete_ (fake);
+}
+
 /* A look has told a change when the answer of the watch, which left the store before it, arrives.
  */
 static void
@@ -401,6 +423,7 @@
     cmocka_unit_test (a_deaf_watch_is_found_out_by_what_others_have_seen),
     cmocka_unit_test (a_look_that_failed_is_made_again),
     cmocka_unit_test (a_change_behind_the_position_is_listed),
+    cmocka_unit_test (a_change_that_no_watch_showed_is_found),
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -18,6 +18,8 @@
   struct watcher_options options;
   uv_timer_t timer;
   uv_timer_t look_timer;
+  uv_timer_t check_timer;
+  unsigned check_ms; /* mean time between whole lists beside the watch; 0: none */
   bool looking;
   bool pausing;     /* the next watch begins when the timer ends */
   int64_t wanted;   /* a revision that others have seen */
@@ -36,6 +38,8 @@
 static unsigned wait_of_ (const struct watcher_options *options);
 static void on_timer_ (uv_timer_t *timer);
 static void on_look_timer_ (uv_timer_t *timer);
+static void on_check_timer_ (uv_timer_t *timer);
+static void set_check_timer_ (struct watcher *watcher);
 static bool is_behind_ (const struct watcher *watcher);
 static void on_looked_ (const struct store_result *result, void *data);
 static void on_looked_list_ (const struct store_result *result, void *data);
@@ -62,7 +66,8 @@
     g_ptr_array_add (options->leader->led, watcher);
   uv_timer_init (options->loop, &watcher->timer);
   uv_timer_init (options->loop, &watcher->look_timer);
-  watcher->timer.data = watcher->look_timer.data = watcher;
+  uv_timer_init (options->loop, &watcher->check_timer);
+  watcher->timer.data = watcher->look_timer.data = watcher->check_timer.data = watcher;
   return watcher;
 }
 
@@ -89,6 +94,18 @@
   watcher->options.pause_ms = pause_ms;
 }
 
+/* Has everything listed beside the watch now and then, INTERVAL_MS apart on the mean (0: never): a
+ * change that no watch of any instance shows is known to nobody who could tell of it. */
+void
+watcher_set_check (struct watcher *watcher, unsigned interval_ms)
+{
+  bool begins = watcher->check_ms == 0;
+
+  watcher->check_ms = interval_ms;
+  if (begins)
+    set_check_timer_ (watcher);
+}
+
 /* Others have seen REVISION: unless the own watch shows it soon, the store is asked once more
  * beside it. To be told again as long as they say so, as the call may fail. */
 void
@@ -116,6 +133,7 @@
   watcher->stopped = true;
   uv_timer_stop (&watcher->timer);
   uv_timer_stop (&watcher->look_timer);
+  uv_timer_stop (&watcher->check_timer);
 }
 
 /* Frees a stopped watcher. Its calls must have been answered, and its timers closed by a run of the
@@ -133,6 +151,7 @@
     g_ptr_array_remove (watcher->options.leader->led, watcher);
   uv_close ((uv_handle_t *)&watcher->timer, NULL);
   uv_close ((uv_handle_t *)&watcher->look_timer, NULL);
+  uv_close ((uv_handle_t *)&watcher->check_timer, NULL);
   uv_run (loop, UV_RUN_NOWAIT);
   g_free (watcher);
 }
@@ -199,6 +218,29 @@
     store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
 }
 
+static void
+on_check_timer_ (uv_timer_t *timer)
+{
+  struct watcher *watcher = timer->data;
+
+  set_check_timer_ (watcher);
+  if (watcher->looking || watcher->revision == 0 || !watcher->reachable)
+    return;
+  watcher->looking = true;
+  store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+}
+
+/* Instances that began together must not check together. */
+static void
+set_check_timer_ (struct watcher *watcher)
+{
+  if (watcher->check_ms == 0 || watcher->stopped)
+    return;
+  uv_timer_start (
+      &watcher->check_timer, on_check_timer_,
+      (uint64_t)g_random_double_range (watcher->check_ms * 0.5, watcher->check_ms * 1.5), 0);
+}
+
 /* Tells whether others have seen a change that may have been missed here. The position of the watch
  * says nothing of that: one that was deaf to a change goes on behind it. */
 static bool
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -32,6 +32,7 @@
 void watcher_start (struct watcher *watcher);
 void watcher_set_wait (struct watcher *watcher, unsigned wait_min_ms, unsigned wait_ms);
 void watcher_set_pause (struct watcher *watcher, unsigned pause_ms);
+void watcher_set_check (struct watcher *watcher, unsigned interval_ms);
 void watcher_look_after (struct watcher *watcher, int64_t revision);
 int64_t watcher_seen (const struct watcher *watcher);
 void watcher_stop (struct watcher *watcher);
