The entry's loop looks once whether it is to end

With gdb: the thread that deletes the entry waits for the loop, the loop waits without a timeout, and the listener is open. on_wake_ read the flag twice: false where the listener is closed, true where the rest is, so that nothing was left to wake the loop and close the listener.

The flags are read once. New: test-entry/an_entry_ends_whenever_it_is_told_to, 300 stops right after a wake; it does not hit the window on the code before (the window is some nanoseconds), so the mend rests on the trace.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -176,14 +176,16 @@
 on_wake_ (uv_async_t *wake)
 {
   struct sr_entry *entry = wake->data;
+  /* Looked at once: what is set meanwhile comes with a wake of its own. */
+  bool stopping = atomic_load (&entry->stopping);
+  bool closed = stopping || atomic_load (&entry->closed);
   struct sr_caller *caller;
 
   while ((caller = next_woken_ (entry)) != NULL)
     sr_caller_go_on (caller);
-  if ((atomic_load (&entry->closed) || atomic_load (&entry->stopping))
-      && !uv_is_closing ((uv_handle_t *)&entry->listener))
+  if (closed && !uv_is_closing ((uv_handle_t *)&entry->listener))
     uv_close ((uv_handle_t *)&entry->listener, on_listener_closed_);
-  if (atomic_load (&entry->stopping) && !uv_is_closing ((uv_handle_t *)&entry->wake))
+  if (stopping && !uv_is_closing ((uv_handle_t *)&entry->wake))
     {
       sr_connection_close_all (entry);
       uv_close ((uv_handle_t *)&entry->sweep, NULL);
--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -23,7 +23,8 @@
   BODY_MAX_BYTES = 4096,
   DEADLINE_MS = 10000,
   LONG_BYTES = 16000000, /* more than the kernel's buffers take */
-  PIECE_BYTES = 4000
+  PIECE_BYTES = 4000,
+  STOPS = 300
 };
 
 static const char configuration[]
@@ -401,6 +402,24 @@
   stream_close_ (&stream);
 }
 
+/* The end of the entry, at whatever moment after a wake of its loop. */
+static void
+an_entry_ends_whenever_it_is_told_to (void **state)
+{
+  for (unsigned i = 0; i < STOPS; i++)
+    {
+      struct stream_ stream;
+
+      assert_int_equal (set_up_ (state), 0);
+      stream_open_ (&stream, "1.1");
+      sr_run_append (stream.run, "one", 3, 1);
+      end_run_ (stream.run, SR_OUTCOME_UNKNOWN);
+      g_usleep (i % 50);
+      assert_int_equal (tear_down_ (state), 0);
+      stream_close_ (&stream);
+    }
+}
+
 int
 main (void)
 {
@@ -419,6 +438,7 @@
     cmocka_unit_test_setup_teardown (a_caller_that_leaves_is_noticed, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (
         after_the_listener_has_closed_open_connections_end_with_their_reply, set_up_, tear_down_),
+    cmocka_unit_test (an_entry_ends_whenever_it_is_told_to),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
