--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -510,13 +510,13 @@
   if (team->left_us != 0)
     {
       known->left_at_most = team->left_at_most;
-      known->left_age_ms = (now_us - team->left_us) / 1000;
+      known->left_age_ms = (now_us - team->left_us) / US_PER_MS;
       known->left_told_by = team->left_told_by;
     }
   if (team->record == NULL || team->record_us == 0)
     return;
   known->record_left = sr_record_remaining (team->record);
-  known->record_age_ms = (now_us - team->record_us) / 1000;
+  known->record_age_ms = (now_us - team->record_us) / US_PER_MS;
 }
 
 static struct allotment_team *
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -82,7 +82,6 @@
   struct sr_holder_id asked_lender;
   int64_t asked_returned;
   int64_t asked_need;
-  int64_t asked_want;
   /* What was last heard to be left of the whole budget at most. */
   int64_t left_at_most;
   int64_t left_us; /* 0: never */
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -513,7 +513,6 @@
     team->asked_lender = loan->id;
   team->asked_returned = loan == NULL ? 0 : loan->given;
   team->asked_need = need;
-  team->asked_want = need;
   team->asked_us = now_us;
   allotment_send_ask_ (book, team);
 }
@@ -529,7 +528,7 @@
     .lender = team->asked_lender,
     .returned = team->asked_returned,
     .need = team->asked_need,
-    .want = team->asked_want,
+    .want = team->asked_need,
     .prepaid_tokens = team->prepaid_tokens,
   };
 
--- a/src/bill/bill.c
+++ b/src/bill/bill.c
@@ -275,6 +275,7 @@
   char *name = NULL;
   int64_t version;
   bool written = false;
+  unsigned found;
 
   pthread_mutex_lock (&bills->mutex);
   if (!bills->writing)
@@ -296,8 +297,11 @@
       if (status == SR_PLATFORM_OK)
         sr_book_batch_written (bills->book);
       else if (taken != NULL)
-        sr_log (G_LOG_LEVEL_MESSAGE, "bills", "%s was there already, with %u lines kept here", name,
-                sr_book_batch_taken (bills->book, taken));
+        {
+          found = sr_book_batch_taken (bills->book, taken);
+          sr_log (G_LOG_LEVEL_MESSAGE, "bills", "%s was there already, with %u lines kept here",
+                  name, found);
+        }
       if (written)
         bills->stuck_since_us = 0;
       pthread_cond_broadcast (&bills->changed);
--- a/src/bill/book.c
+++ b/src/bill/book.c
@@ -32,6 +32,7 @@
 static void line_free_ (void *data);
 static void kept_free_ (void *data);
 static bool is_same_ (const struct sr_bill_instance *left, const struct sr_bill_instance *right);
+static struct sr_bill_line *find_ (GQueue *lines, uint64_t number);
 static void add_line_ (struct sr_book *book,
                        const char *text,
                        const struct sr_bill_instance *origin,
@@ -81,16 +82,10 @@
 void
 sr_book_set_keeper (struct sr_book *book, uint64_t number, const struct sr_bill_instance *keeper)
 {
-  for (GList *each = book->lines->head; each != NULL; each = each->next)
-    {
-      struct sr_bill_line *line = each->data;
+  struct sr_bill_line *line = find_ (book->lines, number);
 
-      if (line->number == number)
-        {
-          line->keeper = *keeper;
-          return;
-        }
-    }
+  if (line != NULL)
+    line->keeper = *keeper;
 }
 
 /* Returns the first own line after number AFTER whose copy is not at KEEPER, or NULL. */
@@ -111,14 +106,7 @@
 const struct sr_bill_line *
 sr_book_find (const struct sr_book *book, uint64_t number)
 {
-  for (GList *each = book->lines->tail; each != NULL; each = each->prev)
-    {
-      const struct sr_bill_line *line = each->data;
-
-      if (line->number == number)
-        return line;
-    }
-  return NULL;
+  return find_ (book->lines, number);
 }
 
 /* Returns the number up to which all own lines are on the platform. */
@@ -281,12 +269,8 @@
   kept_forget_ (kept, written_up_to);
   if (line == NULL || line->number <= kept->written_up_to)
     return true;
-  for (GList *each = kept->lines->tail; each != NULL; each = each->prev)
-    {
-      copy = each->data;
-      if (copy->number == line->number)
-        return true;
-    }
+  if (find_ (kept->lines, line->number) != NULL)
+    return true;
   if (g_queue_get_length (kept->lines) >= SR_BOOK_LINES_MAX)
     return false;
   copy = g_memdup2 (line, sizeof *line);
@@ -370,6 +354,20 @@
   return left->incarnation == right->incarnation && strcmp (left->name, right->name) == 0;
 }
 
+/* Returns the line NUMBER of LINES, or NULL. New lines are asked for most often. */
+static struct sr_bill_line *
+find_ (GQueue *lines, uint64_t number)
+{
+  for (GList *each = lines->tail; each != NULL; each = each->prev)
+    {
+      struct sr_bill_line *line = each->data;
+
+      if (line->number == number)
+        return line;
+    }
+  return NULL;
+}
+
 static void
 add_line_ (struct sr_book *book,
            const char *text,
--- a/src/entry/connection.c
+++ b/src/entry/connection.c
@@ -3,7 +3,7 @@
 #include "base/counters.h"
 #include "base/log.h"
 #include "entry/caller.h"
-#include "net/http-conn.h"
+#include "net/http-reply.h"
 
 #include <string.h>
 #include <time.h>
@@ -156,18 +156,14 @@
 void
 sr_connection_body (struct sr_connection *connection, const char *data, size_t length)
 {
-  char size[24];
-  struct net_text parts[] = { { size, 0 }, { data, length }, { "\r\n", 2 } };
+  const struct net_text part = { data, length };
 
   if (length == 0 || connection->is_head_request)
     return;
-  if (!connection->is_chunked)
-    {
-      net_http_conn_write (connection->conn, &parts[1], 1);
-      return;
-    }
-  parts[0].length = (size_t)g_snprintf (size, sizeof size, "%zx\r\n", length);
-  net_http_conn_write (connection->conn, parts, G_N_ELEMENTS (parts));
+  if (connection->is_chunked)
+    net_http_write_chunk (connection->conn, &part, 1);
+  else
+    net_http_conn_write (connection->conn, &part, 1);
 }
 
 /* Returns the bytes of the reply that the caller has yet to read. */
@@ -182,10 +178,8 @@
 void
 sr_connection_end (struct sr_connection *connection)
 {
-  const struct net_text last = { "0\r\n\r\n", 5 };
-
   if (connection->is_chunked && !connection->is_head_request)
-    net_http_conn_write (connection->conn, &last, 1);
+    net_http_write_last_chunk (connection->conn);
   connection->is_ending = net_http_conn_queued (connection->conn) > 0;
   if (!connection->is_ending)
     replied_ (connection);
@@ -217,7 +211,6 @@
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
-  static const struct net_text go_on = { "HTTP/1.1 100 Continue\r\n\r\n", 25 };
   struct sr_connection *connection = owner;
 
   connection->heard_ms = uv_now (&connection->entry->loop);
@@ -234,7 +227,7 @@
 
       if (net_text_is_nocase (header->name, "Expect")
           && net_text_is_nocase (header->value, "100-continue"))
-        net_http_conn_write (connection->conn, &go_on, 1);
+        net_http_write_continue (connection->conn);
     }
 }
 
@@ -273,15 +266,10 @@
 on_refusable_ (void *owner, enum net_end end)
 {
   struct sr_connection *connection = owner;
-  unsigned status = end == NET_END_HEAD_TOO_LARGE ? 431 : 400;
-  g_autofree char *text
-      = g_strdup_printf ("HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status,
-                         net_http_reason (status));
-  const struct net_text part = net_text_of (text);
 
   sr_log (G_LOG_LEVEL_INFO, "entry", "what came is no request: %s", net_end_to_string (end));
   if (connection->caller == NULL || connection->is_reading)
-    net_http_conn_write (connection->conn, &part, 1);
+    net_http_write_refusal (connection->conn, end);
   net_http_conn_finish (connection->conn);
   free_ (connection);
 }
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -1,6 +1,7 @@
 #include "gateway/exchange-private.h"
 
 #include "base/event-log.h"
+#include "net/http-reply.h"
 
 #include <string.h>
 
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -166,7 +166,6 @@
       put_instance_ (gateway, &result->objects[i]);
   peers_changed_ (gateway);
   note_starts_ (gateway, result);
-  note_starts_ (gateway, result);
 }
 
 static void
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "base/event-log.h"
 #include "gateway/exchange.h"
+#include "net/http-reply.h"
 
 #include <string.h>
 
@@ -166,7 +167,6 @@
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
-  static const struct net_text go_on = { "HTTP/1.1 100 Continue\r\n\r\n", 25 };
   struct caller_ *caller = owner;
   struct gw_context *context = caller->ingress->context;
   GString *headers = g_string_sized_new (512);
@@ -201,7 +201,7 @@
       free_ (caller);
     }
   else if (ask.expects_continue)
-    net_http_conn_write (caller->conn, &go_on, 1);
+    net_http_write_continue (caller->conn);
 }
 
 static void
@@ -267,12 +267,6 @@
 on_refusable_ (void *owner, enum net_end end)
 {
   struct caller_ *caller = owner;
-  const char *text = end == NET_END_HEAD_TOO_LARGE
-                         ? "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: "
-                           "0\r\nConnection: close\r\n\r\n"
-                         : "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: "
-                           "close\r\n\r\n";
-  struct net_text part = net_text_of (text);
   struct net_http_conn *conn = caller->conn;
 
   sr_event (SR_EVENT_FAILURE, "request_unreadable", "{s:s}", "reason", net_end_to_string (end));
@@ -284,7 +278,7 @@
       gw_exchange_abandon (exchange);
     }
   if (!caller->is_answered)
-    net_http_conn_write (conn, &part, 1);
+    net_http_write_refusal (conn, end);
   caller->conn = NULL;
   net_http_conn_finish (conn);
   free_ (caller);
@@ -323,27 +317,12 @@
 body_ (void *asker, const struct net_text *parts, size_t n_parts)
 {
   struct caller_ *caller = caller_of_ (asker);
-  struct net_text framed[4];
-  char size[24];
-  size_t total = 0;
 
-  g_assert (n_parts <= 2);
-  if (!caller->is_chunked)
-    {
-      net_http_conn_write (caller->conn, parts, n_parts);
-      return;
-    }
-  for (size_t i = 0; i < n_parts; i++)
-    {
-      framed[i + 1] = parts[i];
-      total += parts[i].length;
-    }
-  if (total == 0)
-    return;
-  g_snprintf (size, sizeof size, "%zx\r\n", total);
-  framed[0] = net_text_of (size);
-  framed[n_parts + 1] = net_text_of ("\r\n");
-  net_http_conn_write (caller->conn, framed, n_parts + 2);
+  g_assert (n_parts <= NET_CHUNK_PARTS_MAX);
+  if (caller->is_chunked)
+    net_http_write_chunk (caller->conn, parts, n_parts);
+  else
+    net_http_conn_write (caller->conn, parts, n_parts);
 }
 
 static size_t
@@ -356,10 +335,9 @@
 finish_ (void *asker)
 {
   struct caller_ *caller = caller_of_ (asker);
-  const struct net_text last = net_text_of ("0\r\n\r\n");
 
   if (caller->is_chunked)
-    net_http_conn_write (caller->conn, &last, 1);
+    net_http_write_last_chunk (caller->conn);
   caller->exchange = NULL;
   caller->is_answered = true;
   if (!caller->is_reading)
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -16,9 +16,8 @@
    * change must be in force. */
   GATEWAY_WATCH_FLEET_MS = 170,
   GATEWAY_WATCH_MIN_MS = 1200,
-  GATEWAY_CHECK_FLEET_MS
-  = 1000, /* the fleet lists once a second: a third of the time for a change */
-  GATEWAY_WATCH_MAX_MS = 15000, /* who reaches nobody else finds out by itself after this time */
+  GATEWAY_CHECK_FLEET_MS = 1000, /* the fleet lists once in a third of the time for a change */
+  GATEWAY_WATCH_MAX_MS = 15000,  /* who reaches nobody else finds out by itself after this time */
   /* Between changes, which are read together: each change costs a call of every instance. At most a
    * third of the time in which a leaving server must be dropped, a sixth of that in which a
    * configuration must be in force. */
--- a/src/gateway/stop.c
+++ b/src/gateway/stop.c
@@ -1,28 +1,11 @@
 #include "gateway/stop.h"
 
-#include <glib.h>
-
 enum
 {
   BALANCER_NOTICE_MS = 3200, /* two questions of the balancer, a second each, go unanswered */
   HAND_BACK_MS = 400         /* for giving tokens back at the end */
 };
 
-static const char *const step_names_[] = {
-  [GW_STOP_SERVE] = "serve",
-  [GW_STOP_FINISH] = "finish",
-  [GW_STOP_HAND_BACK] = "hand_back",
-  [GW_STOP_END] = "end",
-};
-
-/* Returns the word for STEP in logs. */
-const char *
-gw_stop_step_to_string (enum gw_stop_step step)
-{
-  g_assert ((size_t)step < G_N_ELEMENTS (step_names_));
-  return step_names_[step];
-}
-
 /* Serves on until the balancer has moved the callers, then until what runs has ended, gives the
  * tokens back and ends; at the limit in any case. */
 enum gw_stop_step
--- a/src/gateway/stop.h
+++ b/src/gateway/stop.h
@@ -29,5 +29,4 @@
   bool has_tokens; /* some have to go back, or calls for that are out */
 };
 
-const char *gw_stop_step_to_string (enum gw_stop_step step);
 enum gw_stop_step gw_stop_next (const struct gw_stop_state *state);
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -320,22 +320,6 @@
   net_http_conn_close (conn);
 }
 
-/* Returns the phrase that goes with STATUS. */
-const char *
-net_http_reason (unsigned status)
-{
-  switch (status)
-    {
-#define REASON_(number, name, text)                                                                \
-  case number:                                                                                     \
-    return #text;
-      HTTP_STATUS_MAP (REASON_)
-#undef REASON_
-    default:
-      return "Error";
-    }
-}
-
 /* Tells whether both texts hold the same bytes. */
 bool
 net_text_equal (struct net_text left, struct net_text right)
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -98,7 +98,6 @@
 void net_http_conn_finish_unread (struct net_http_conn *conn);
 void net_http_conn_reset (struct net_http_conn *conn);
 
-const char *net_http_reason (unsigned status);
 bool net_text_equal (struct net_text left, struct net_text right);
 bool net_text_is (struct net_text text, const char *value);
 bool net_text_is_nocase (struct net_text text, const char *value);
--- /dev/null
+++ b/src/net/http-reply.c
@@ -0,0 +1,78 @@
+#include "net/http-reply.h"
+
+#include <http_parser.h>
+
+enum
+{
+  CHUNK_SIZE_BYTES = 24 /* of the line that gives a chunk's length */
+};
+
+/* Returns the phrase that goes with STATUS. */
+const char *
+net_http_reason (unsigned status)
+{
+  switch (status)
+    {
+#define REASON_(number, name, text)                                                                \
+  case number:                                                                                     \
+    return #text;
+      HTTP_STATUS_MAP (REASON_)
+#undef REASON_
+    default:
+      return "Error";
+    }
+}
+
+/* Tells the peer to go on with the body of its request. */
+void
+net_http_write_continue (struct net_http_conn *conn)
+{
+  const struct net_text part = net_text_of ("HTTP/1.1 100 Continue\r\n\r\n");
+
+  net_http_conn_write (conn, &part, 1);
+}
+
+/* Replies to what is no request because of END; the connection is to be finished then. */
+void
+net_http_write_refusal (struct net_http_conn *conn, enum net_end end)
+{
+  unsigned status = end == NET_END_HEAD_TOO_LARGE ? 431 : 400;
+  g_autofree char *text
+      = g_strdup_printf ("HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status,
+                         net_http_reason (status));
+  const struct net_text part = net_text_of (text);
+
+  net_http_conn_write (conn, &part, 1);
+}
+
+/* Writes the parts (at most NET_CHUNK_PARTS_MAX) as one chunk of a body; nothing when they are
+ * empty, as that would end the body. */
+void
+net_http_write_chunk (struct net_http_conn *conn, const struct net_text *parts, size_t n_parts)
+{
+  struct net_text framed[NET_CHUNK_PARTS_MAX + 2];
+  char size[CHUNK_SIZE_BYTES];
+  size_t total = 0;
+
+  g_assert (n_parts <= NET_CHUNK_PARTS_MAX);
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      framed[i + 1] = parts[i];
+      total += parts[i].length;
+    }
+  if (total == 0)
+    return;
+  g_snprintf (size, sizeof size, "%zx\r\n", total);
+  framed[0] = net_text_of (size);
+  framed[n_parts + 1] = net_text_of ("\r\n");
+  net_http_conn_write (conn, framed, n_parts + 2);
+}
+
+/* Ends a body of chunks. */
+void
+net_http_write_last_chunk (struct net_http_conn *conn)
+{
+  const struct net_text last = net_text_of ("0\r\n\r\n");
+
+  net_http_conn_write (conn, &last, 1);
+}
--- /dev/null
+++ b/src/net/http-reply.h
@@ -0,0 +1,16 @@
+/* What a server writes around its replies. */
+#pragma once
+
+#include "net/http-conn.h"
+
+enum
+{
+  NET_CHUNK_PARTS_MAX = 2
+};
+
+const char *net_http_reason (unsigned status);
+void net_http_write_continue (struct net_http_conn *conn);
+void net_http_write_refusal (struct net_http_conn *conn, enum net_end end);
+void
+net_http_write_chunk (struct net_http_conn *conn, const struct net_text *parts, size_t n_parts);
+void net_http_write_last_chunk (struct net_http_conn *conn);
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -42,6 +42,7 @@
 static void set_check_timer_ (struct watcher *watcher);
 static bool is_behind_ (const struct watcher *watcher);
 static void on_looked_ (const struct store_result *result, void *data);
+static void list_beside_ (struct watcher *watcher);
 static void on_looked_list_ (const struct store_result *result, void *data);
 static void take_list_ (struct watcher *watcher, const struct store_result *result);
 static bool note_told_ (struct watcher *watcher, const struct store_object *object);
@@ -210,12 +211,14 @@
     return;
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
             "revision", (json_int_t)watcher->revision, "others", (json_int_t)watcher->wanted);
+  if (watcher->wanted <= watcher->revision)
+    {
+      list_beside_ (watcher);
+      return;
+    }
   watcher->looking = true;
-  if (watcher->wanted > watcher->revision)
-    store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
-                 watcher);
-  else
-    store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+  store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
+               watcher);
 }
 
 static void
@@ -224,10 +227,8 @@
   struct watcher *watcher = timer->data;
 
   set_check_timer_ (watcher);
-  if (watcher->looking || watcher->revision == 0 || !watcher->reachable)
-    return;
-  watcher->looking = true;
-  store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+  if (!watcher->looking && watcher->revision != 0 && watcher->reachable)
+    list_beside_ (watcher);
 }
 
 /* Instances that began together must not check together. */
@@ -261,10 +262,14 @@
   if (result->status == STORE_OK)
     take_changes_ (watcher, result);
   if (result->status == STORE_HISTORY_GONE || (result->status == STORE_OK && is_behind_ (watcher)))
-    {
-      watcher->looking = true;
-      store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
-    }
+    list_beside_ (watcher);
+}
+
+static void
+list_beside_ (struct watcher *watcher)
+{
+  watcher->looking = true;
+  store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
 }
 
 static void
