Watches lost in silence: lists by the fleet find what changed, of both kinds

Traced with a line for each watch that fails or ends (scratch): from the change in the deaf second on, the store answers no open watch, not even at its end, and closes none; a watch opened in that second is silent as well. Each instance finds out at its own time-out, a second after the end of its watch (up to 16 s at 83 instances); then its history is gone and it lists.

- The fleet lists four times a second, and backend servers too (a server may begin to leave in such a second); in a list of the kind that is made without news, what is missing gets the time of a lapsed entry.
- Who is told of a change that its watch does not show lists at once.
- Watches last 0.6 to 1 times their longest time, which pays for the lists.
- A watch that fails leaves a line; news that were told are not spread again.

Tried and taken back: to begin the next watch where an empty one began; nothing changed, as the silent watches do not end.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -128,11 +128,13 @@
   backends->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
-/* The list is complete: what it did not hold is removed, see gw_backends_remove. */
-void
+/* The list is complete: what it did not hold is removed, see gw_backends_remove. Returns whether
+ * some of that is used on. */
+bool
 gw_backends_end_list (struct gw_backends *backends, bool doubtful)
 {
   g_autoptr (GPtrArray) absent = g_ptr_array_new_with_free_func (g_free);
+  bool some_left = false;
   GHashTableIter iter;
   void *id;
 
@@ -142,8 +144,11 @@
       g_ptr_array_add (absent, g_strdup (id));
   for (unsigned i = 0; i < absent->len; i++)
     gw_backends_remove (backends, absent->pdata[i], doubtful);
+  for (unsigned i = 0; i < absent->len && !some_left; i++)
+    some_left = g_hash_table_contains (backends->by_id, absent->pdata[i]);
   g_hash_table_unref (backends->listed);
   backends->listed = NULL;
+  return some_left;
 }
 
 /* What was missing has had its time to return. */
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -42,7 +42,7 @@
 void gw_backends_put (struct gw_backends *backends, struct gw_backend_facts *facts);
 void gw_backends_remove (struct gw_backends *backends, const char *id, bool doubtful);
 void gw_backends_begin_list (struct gw_backends *backends);
-void gw_backends_end_list (struct gw_backends *backends, bool doubtful);
+bool gw_backends_end_list (struct gw_backends *backends, bool doubtful);
 void gw_backends_drop_missing (struct gw_backends *backends);
 /* Brought by the connection pool. */
 void gw_upstream_close_idle (struct gw_backend *backend);
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -75,6 +75,22 @@
   spread_news_ (gateway);
 }
 
+/* A list beside the watch. What is missing in it may have lapsed in an outage that has not been
+ * noticed yet: it gets the time to return. */
+void
+gateway_on_backends_checked_ (const struct store_result *result, void *data)
+{
+  struct gateway *gateway = data;
+
+  gw_backends_begin_list (gateway->context.backends);
+  for (size_t i = 0; i < result->n_objects; i++)
+    put_backend_ (gateway, &result->objects[i]);
+  spread_news_ (gateway);
+  if (gw_backends_end_list (gateway->context.backends, true)
+      && !uv_is_active ((uv_handle_t *)&gateway->lease_timer))
+    uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RETURN_MS, 0);
+}
+
 void
 gateway_on_backends_changed_ (const struct store_result *result, void *data)
 {
@@ -218,6 +234,8 @@
 {
   g_autoptr (GPtrArray) names = mesh_peer_names (gateway->mesh);
   unsigned wait_ms;
+  unsigned wait_min_ms;
+  unsigned check_ms;
 
   for (unsigned i = names->len; i > 0; i--)
     if (g_hash_table_contains (gateway->leaving, names->pdata[i - 1]))
@@ -225,8 +243,10 @@
   gateway->context.instances = names->len + 1;
   wait_ms = CLAMP (gateway->context.instances * GATEWAY_WATCH_FLEET_MS,
                    (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
-  watcher_set_wait (gateway->routes_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
-  watcher_set_wait (gateway->backends_watcher, GATEWAY_WATCH_MIN_MS, wait_ms);
+  wait_min_ms
+      = MAX (wait_ms * GATEWAY_WATCH_SHORTEST_PERCENT / 100, (unsigned)GATEWAY_WATCH_MIN_MS);
+  watcher_set_wait (gateway->routes_watcher, wait_min_ms, wait_ms);
+  watcher_set_wait (gateway->backends_watcher, wait_min_ms, wait_ms);
   watcher_set_pause (gateway->routes_watcher,
                      CLAMP (gateway->context.instances * GATEWAY_ROUTES_PAUSE_FLEET_MS,
                             (unsigned)GATEWAY_ROUTES_PAUSE_MIN_MS,
@@ -235,7 +255,10 @@
                      CLAMP (gateway->context.instances * GATEWAY_BACKENDS_PAUSE_FLEET_MS,
                             (unsigned)GATEWAY_BACKENDS_PAUSE_MIN_MS,
                             (unsigned)GATEWAY_BACKENDS_PAUSE_MAX_MS));
-  watcher_set_check (gateway->routes_watcher, gateway->context.instances * GATEWAY_CHECK_FLEET_MS);
+  check_ms
+      = MAX (gateway->context.instances * GATEWAY_CHECK_FLEET_MS, (unsigned)GATEWAY_CHECK_MIN_MS);
+  watcher_set_check (gateway->routes_watcher, check_ms);
+  watcher_set_check (gateway->backends_watcher, check_ms);
   allotment_book_set_peers (gateway->context.book, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
@@ -249,12 +272,16 @@
   watcher_look_after (gateway->backends_watcher, news->backends_revision);
 }
 
-/* Tells a few others what the own watches have shown, once. */
+/* Tells a few others what the store has shown here, once. */
 static void
 spread_news_ (struct gateway *gateway)
 {
   const struct mesh_news news = news_ (gateway);
 
+  if (news.configuration_revision == gateway->spread.configuration_revision
+      && news.backends_revision == gateway->spread.backends_revision)
+    return;
+  gateway->spread = news;
   mesh_spread_news (gateway->mesh, &news, gateway->context.random);
 }
 
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -167,11 +167,13 @@
   watch.kind = gateway->platform->kind_of_backends;
   watch.listed = gateway_on_backends_listed_;
   watch.pause_ms = GATEWAY_BACKENDS_PAUSE_MIN_MS;
+  watch.checked = gateway_on_backends_checked_;
   watch.changed = gateway_on_backends_changed_;
   watch.reachable = gateway_on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
   watch.leader = gateway->backends_watcher;
   watch.reachable = NULL;
+  watch.checked = NULL;
   watch.kind = gateway->platform->kind_of_configuration;
   watch.listed = watch.changed = gateway_on_routes_;
   watch.pause_ms = GATEWAY_ROUTES_PAUSE_MIN_MS;
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -416,10 +416,12 @@
   fleet_set_up_ (&fleet, 3, false);
   backend_ (&fleet, 2)->facts.is_leaving = true;
   gw_backends_begin_list (fleet.table);
-  gw_backends_end_list (fleet.table, true);
+  assert_true (gw_backends_end_list (fleet.table, true));
   assert_int_equal (gw_backends_of (fleet.table, "s")->len, 2); /* the leaving one is gone */
   gw_backends_drop_missing (fleet.table);
   assert_int_equal (gw_backends_of (fleet.table, "s")->len, 0);
+  gw_backends_begin_list (fleet.table);
+  assert_false (gw_backends_end_list (fleet.table, true));
   fleet_tear_down_ (&fleet);
 }
 
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -4,6 +4,7 @@
 
 enum
 {
+  US_PER_MS = 1000,
   RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
   RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
   LOOK_DELAY_MS = 120, /* in which the own watch is likely to show what others have seen */
@@ -20,12 +21,14 @@
   uv_timer_t look_timer;
   uv_timer_t check_timer;
   unsigned check_ms; /* mean time between whole lists beside the watch; 0: none */
-  bool looking;
-  bool pausing;     /* the next watch begins when the timer ends */
-  int64_t wanted;   /* a revision that others have seen */
-  int64_t seen;     /* of the latest change that was told */
-  int64_t complete; /* of the last whole list: nothing up to it can have been missed */
-  int64_t revision; /* 0: list first */
+  bool looking;      /* a list beside the watch is out */
+  bool checking;     /* it is that of a check */
+  bool pausing;      /* the next watch begins when the timer ends */
+  int64_t wanted;    /* a revision that others have seen */
+  int64_t seen;      /* of the latest change that was told */
+  int64_t complete;  /* of the last whole list: nothing up to it can have been missed */
+  int64_t revision;  /* 0: list first */
+  int64_t asked_us;  /* when the call that is out was made */
   unsigned retry_ms;
   GPtrArray *led;   /* watchers that this one leads */
   GHashTable *told; /* name of an object: revision (int64_t) of its latest change that was told */
@@ -41,10 +44,11 @@
 static void on_check_timer_ (uv_timer_t *timer);
 static void set_check_timer_ (struct watcher *watcher);
 static bool is_behind_ (const struct watcher *watcher);
-static void on_looked_ (const struct store_result *result, void *data);
 static void list_beside_ (struct watcher *watcher);
 static void on_looked_list_ (const struct store_result *result, void *data);
-static void take_list_ (struct watcher *watcher, const struct store_result *result);
+static void take_list_ (struct watcher *watcher,
+                        const struct store_result *result,
+                        void (*tell) (const struct store_result *, void *));
 static bool note_told_ (struct watcher *watcher, const struct store_object *object);
 static void take_changes_ (struct watcher *watcher, const struct store_result *result);
 static void on_listed_ (const struct store_result *result, void *data);
@@ -96,14 +100,17 @@
 }
 
 /* Has everything listed beside the watch now and then, INTERVAL_MS apart on the mean (0: never): a
- * change that no watch of any instance shows is known to nobody who could tell of it. */
+ * change that no watch of any instance shows is known to nobody who could tell of it. That happens
+ * when the store loses all open watches without closing them: each finds out at its end. */
 void
 watcher_set_check (struct watcher *watcher, unsigned interval_ms)
 {
   bool begins = watcher->check_ms == 0;
 
   watcher->check_ms = interval_ms;
-  if (begins)
+  if (interval_ms == 0)
+    uv_timer_stop (&watcher->check_timer);
+  else if (begins)
     set_check_timer_ (watcher);
 }
 
@@ -165,6 +172,7 @@
   watcher->pausing = false;
   if (watcher->stopped)
     return;
+  watcher->asked_us = g_get_monotonic_time ();
   if (watcher->revision == 0)
     store_list (options->store, options->kind, on_listed_, watcher);
   else
@@ -211,14 +219,7 @@
     return;
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
             "revision", (json_int_t)watcher->revision, "others", (json_int_t)watcher->wanted);
-  if (watcher->wanted <= watcher->revision)
-    {
-      list_beside_ (watcher);
-      return;
-    }
-  watcher->looking = true;
-  store_watch (watcher->options.store, watcher->options.kind, watcher->revision, 1, on_looked_,
-               watcher);
+  list_beside_ (watcher);
 }
 
 static void
@@ -227,8 +228,10 @@
   struct watcher *watcher = timer->data;
 
   set_check_timer_ (watcher);
-  if (!watcher->looking && watcher->revision != 0 && watcher->reachable)
-    list_beside_ (watcher);
+  if (watcher->looking || watcher->revision == 0 || !watcher->reachable)
+    return;
+  watcher->checking = true;
+  list_beside_ (watcher);
 }
 
 /* Instances that began together must not check together. */
@@ -250,21 +253,7 @@
   return watcher->wanted > MAX (watcher->seen, watcher->complete);
 }
 
-/* The call beside the watch has ended. What it tells is told once more when the watch returns. */
-static void
-on_looked_ (const struct store_result *result, void *data)
-{
-  struct watcher *watcher = data;
-
-  watcher->looking = false;
-  if (watcher->stopped)
-    return;
-  if (result->status == STORE_OK)
-    take_changes_ (watcher, result);
-  if (result->status == STORE_HISTORY_GONE || (result->status == STORE_OK && is_behind_ (watcher)))
-    list_beside_ (watcher);
-}
-
+/* Asks for everything: a second watch may be as deaf as the first one. */
 static void
 list_beside_ (struct watcher *watcher)
 {
@@ -276,15 +265,19 @@
 on_looked_list_ (const struct store_result *result, void *data)
 {
   struct watcher *watcher = data;
+  const struct watcher_options *options = &watcher->options;
+  bool checks = watcher->checking && options->checked != NULL;
 
-  watcher->looking = false;
+  watcher->looking = watcher->checking = false;
   /* One that the watch has overtaken would undo what that has told. */
   if (!watcher->stopped && result->status == STORE_OK && result->revision >= watcher->seen)
-    take_list_ (watcher, result);
+    take_list_ (watcher, result, checks ? options->checked : options->listed);
 }
 
 static void
-take_list_ (struct watcher *watcher, const struct store_result *result)
+take_list_ (struct watcher *watcher,
+            const struct store_result *result,
+            void (*tell) (const struct store_result *, void *))
 {
   watcher->revision = MAX (watcher->revision, result->revision);
   watcher->complete = MAX (watcher->complete, result->revision);
@@ -293,7 +286,7 @@
       watcher->seen = MAX (watcher->seen, result->objects[i].revision);
       note_told_ (watcher, &result->objects[i]);
     }
-  watcher->options.listed (result, watcher->options.data);
+  tell (result, watcher->options.data);
 }
 
 /* Tells changes, but for those of objects of which a later one was told: the watch and a look
@@ -347,7 +340,7 @@
     }
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
-  take_list_ (watcher, result);
+  take_list_ (watcher, result, watcher->options.listed);
   ask_after_change_ (watcher);
 }
 
@@ -387,6 +380,9 @@
 {
   const struct watcher *leader = watcher->options.leader;
 
+  sr_event (SR_EVENT_INFO, "watch_failed", "{s:s,s:s,s:I,s:I}", "kind", watcher->options.kind,
+            "status", store_status_to_string (status), "revision", (json_int_t)watcher->revision,
+            "open_ms", (json_int_t)((g_get_monotonic_time () - watcher->asked_us) / US_PER_MS));
   if (watcher->retry_ms > RETRY_FIRST_MS)
     set_reachable_ (watcher, false, status);
   if (!watcher->reachable && leader != NULL && !leader->reachable)
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -19,6 +19,9 @@
   void *data;
   /* All objects there are, in place of all that was known. */
   void (*listed) (const struct store_result *result, void *data);
+  /* The same from a list of watcher_set_check; NULL: listed is called. The watch may not have
+   * noticed an outage yet, in which entries lapsed that are about to return. */
+  void (*checked) (const struct store_result *result, void *data);
   /* Changes since, in their order. */
   void (*changed) (const struct store_result *result, void *data);
   /* The store could not be asked (false), or answers again (true). */
