--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -11,17 +11,16 @@
 enum
 {
   GATEWAY_US_PER_MS = 1000,
-  /* A watch can be deaf to a change. They are open for a time by chance, so that in a small fleet
-   * one of them ends about this often, finds out, and tells the others: in time for the two seconds
-   * in which a change must be in force. */
+  /* A watch can be deaf to a change, or tell of it late. Lists beside the watches find it: several
+   * by the fleet in the two seconds in which a change must be in force, with time left to tell the
+   * others, also while a third of the fleet is cut off. */
+  GATEWAY_CHECK_FLEET_MS = 250, /* times the instances */
+  GATEWAY_CHECK_MIN_MS = 1000,  /* of one instance */
+  /* Watches are open for a time by chance, so that they do not all end together. */
   GATEWAY_WATCH_FLEET_MS = 170, /* times the instances: the longest time */
   GATEWAY_WATCH_MIN_MS = 1200,
   GATEWAY_WATCH_MAX_MS = 15000, /* who reaches nobody else finds out by itself after this time */
   GATEWAY_WATCH_SHORTEST_PERCENT = 60, /* of the longest time; each end costs a call */
-  /* In a large fleet lists beside the watches find it out: several in the two seconds, with time
-   * left to tell the others, also while a third of the fleet is cut off. */
-  GATEWAY_CHECK_FLEET_MS = 250, /* times the instances */
-  GATEWAY_CHECK_MIN_MS = 8000,  /* in small fleets watches are short */
   /* Between changes, which are read together: each change costs a call of every instance. At most a
    * third of the time in which a leaving server must be dropped, a sixth of that in which a
    * configuration must be in force. */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -41,6 +41,7 @@
 
 struct store;
 
+/* Reads and lists show what was written before them. What a watch tells may be seconds old. */
 struct store_vtable
 {
   void (*read) (
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -174,14 +174,15 @@
 a_pause_after_a_change_gathers_what_follows (void **state)
 {
   struct fake_ *fake = g_new0 (struct fake_, 1);
-  const struct watcher_options options = { .loop = &fake->loop,
-                                           .store = &fake->base,
-                                           .kind = "k",
-                                           .wait_ms = 1200,
-                                           .pause_ms = 30,
-                                           .data = fake,
-                                           .listed = on_listed_,
-                                           .changed = on_changed_ };
+  const struct watcher_options options
+      = { .loop = &fake->loop,
+          .store = &fake->base,
+          .kind = "k",
+          .wait_ms = 1, /* an answer at once is none before its time */
+          .pause_ms = 30,
+          .data = fake,
+          .listed = on_listed_,
+          .changed = on_changed_ };
 
   fake->base.vtable = &vtable_;
   uv_loop_init (&fake->loop);
@@ -250,6 +251,7 @@
   assert_int_equal (fake->lost, 1);
   answer_ (fake, STORE_OK, 10, 0);
   assert_int_equal (fake->regained, 1);
+  run_until_call_ (fake);
   assert_int_equal (fake->wait_ms, 1200);
   fake_delete_ (fake);
 }
@@ -399,6 +401,49 @@
   fake_delete_ (fake);
 }
 
+/* A watch that is behind tells of what was there before the last list: the object may be gone
+ * since.
+ */
+static void
+what_was_there_before_a_list_is_not_told_again (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  const struct store_object gone = { .name = "p", .revision = 12 };
+  const struct store_result late
+      = { .status = STORE_OK, .revision = 12, .objects = &gone, .n_objects = 1 };
+  const struct store_object deleted = { .name = "o", .revision = 20, .deleted = true };
+  const struct store_result later
+      = { .status = STORE_OK, .revision = 21, .objects = &deleted, .n_objects = 1 };
+
+  answer_ (fake, STORE_OK, 10, 1);
+  answer_ (fake, STORE_HISTORY_GONE, 0, 0);
+  answer_ (fake, STORE_OK, 20, 1); /* without the object that came at 12 */
+  assert_int_equal (fake->listed, 2);
+  fake->done (&late, fake->data);
+  assert_int_equal (fake->changed, 0);
+  assert_int_equal (fake->after_revision, 20);
+  fake->done (&later, fake->data);
+  assert_int_equal (fake->changed, 1);
+  fake_delete_ (fake);
+}
+
+/* A watch that ends at once would otherwise be made as often as the store answers. */
+static void
+watches_that_end_early_are_not_made_in_a_row (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  int64_t begin_us;
+
+  answer_ (fake, STORE_OK, 10, 1);
+  answer_ (fake, STORE_OK, 10, 0);
+  assert_int_equal (fake->call, CALL_NONE);
+  begin_us = g_get_monotonic_time ();
+  run_until_call_ (fake);
+  assert_true (g_get_monotonic_time () - begin_us > 100000);
+  assert_int_equal (fake->call, CALL_WATCH);
+  fake_delete_ (fake);
+}
+
 /* A look has told a change when the answer of the watch, which left the store before it, arrives.
  */
 static void
@@ -439,6 +484,8 @@
     cmocka_unit_test (a_look_that_failed_is_made_again),
     cmocka_unit_test (a_change_behind_the_position_is_listed),
     cmocka_unit_test (a_change_that_no_watch_showed_is_found),
+    cmocka_unit_test (what_was_there_before_a_list_is_not_told_again),
+    cmocka_unit_test (watches_that_end_early_are_not_made_in_a_row),
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -5,11 +5,12 @@
 enum
 {
   US_PER_MS = 1000,
-  RETRY_FIRST_MS = 20, /* a watch that was merely cut goes on at once */
-  RETRY_MAX_MS = 800,  /* less than half of the time in which a change must be in force */
-  LOOK_DELAY_MS = 120, /* in which the own watch is likely to show what others have seen */
-  TOLD_MAX = 20000,    /* objects remembered, several times those of a large deployment */
-  LED_RETRY_MS = 5000, /* while the leader asks; for a failure that is not the leader's */
+  RETRY_FIRST_MS = 20,  /* a watch that was merely cut goes on at once */
+  RETRY_MAX_MS = 800,   /* less than half of the time in which a change must be in force */
+  LOOK_DELAY_MS = 120,  /* in which the own watch is likely to show what others have seen */
+  TOLD_MAX = 20000,     /* objects remembered, several times those of a large deployment */
+  LED_RETRY_MS = 5000,  /* while the leader asks; for a failure that is not the leader's */
+  EARLY_PAUSE_MS = 200, /* after a watch without a change that ended early, and may do so again */
   RETURN_WAIT_MS
   = 20 /* of the first watch after a failure: its answer tells that the store is back */
 };
@@ -20,15 +21,16 @@
   uv_timer_t timer;
   uv_timer_t look_timer;
   uv_timer_t check_timer;
-  unsigned check_ms; /* mean time between whole lists beside the watch; 0: none */
-  bool looking;      /* a list beside the watch is out */
-  bool checking;     /* it is that of a check */
-  bool pausing;      /* the next watch begins when the timer ends */
-  int64_t wanted;    /* a revision that others have seen */
-  int64_t seen;      /* of the latest change that was told */
-  int64_t complete;  /* of the last whole list: nothing up to it can have been missed */
-  int64_t revision;  /* 0: list first */
-  int64_t asked_us;  /* when the call that is out was made */
+  unsigned check_ms;      /* mean time between whole lists beside the watch; 0: none */
+  bool looking;           /* a list beside the watch is out */
+  bool checking;          /* it is that of a check */
+  bool pausing;           /* the next watch begins when the timer ends */
+  int64_t wanted;         /* a revision that others have seen */
+  int64_t seen;           /* of the latest change that was told */
+  int64_t complete;       /* of the last whole list: nothing up to it can have been missed */
+  int64_t revision;       /* 0: list first */
+  int64_t asked_us;       /* when the call that is out was made */
+  unsigned asked_wait_ms; /* how long it may wait */
   unsigned retry_ms;
   GPtrArray *led;   /* watchers that this one leads */
   GHashTable *told; /* name of an object: revision (int64_t) of its latest change that was told */
@@ -38,6 +40,7 @@
 
 static void ask_ (struct watcher *watcher);
 static void ask_after_change_ (struct watcher *watcher);
+static unsigned open_ms_ (const struct watcher *watcher);
 static unsigned wait_of_ (const struct watcher_options *options);
 static void on_timer_ (uv_timer_t *timer);
 static void on_look_timer_ (uv_timer_t *timer);
@@ -174,11 +177,13 @@
     return;
   watcher->asked_us = g_get_monotonic_time ();
   if (watcher->revision == 0)
-    store_list (options->store, options->kind, on_listed_, watcher);
-  else
-    store_watch (options->store, options->kind, watcher->revision,
-                 watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : wait_of_ (options),
-                 on_changed_, watcher);
+    {
+      store_list (options->store, options->kind, on_listed_, watcher);
+      return;
+    }
+  watcher->asked_wait_ms = watcher->retry_ms > RETRY_FIRST_MS ? RETURN_WAIT_MS : wait_of_ (options);
+  store_watch (options->store, options->kind, watcher->revision, watcher->asked_wait_ms,
+               on_changed_, watcher);
 }
 
 /* Goes on after a pause, in which further changes gather. */
@@ -194,6 +199,13 @@
   uv_timer_start (&watcher->timer, on_timer_, watcher->options.pause_ms, 0);
 }
 
+/* Returns for how long the call that is out, or has just ended, was open. */
+static unsigned
+open_ms_ (const struct watcher *watcher)
+{
+  return (unsigned)((g_get_monotonic_time () - watcher->asked_us) / US_PER_MS);
+}
+
 static unsigned
 wait_of_ (const struct watcher_options *options)
 {
@@ -289,8 +301,8 @@
   tell (result, watcher->options.data);
 }
 
-/* Tells changes, but for those of objects of which a later one was told: the watch and a look
- * beside it may overtake each other. */
+/* Tells changes, but for those of objects of which a later one was told: a list beside the watch
+ * overtakes it, as a watch may be behind. */
 static void
 take_changes_ (struct watcher *watcher, const struct store_result *result)
 {
@@ -301,6 +313,9 @@
   for (size_t i = 0; i < result->n_objects; i++)
     {
       watcher->seen = MAX (watcher->seen, result->objects[i].revision);
+      /* A list has shown what was written before it, also that an object is gone. */
+      if (!result->objects[i].deleted && result->objects[i].revision <= watcher->complete)
+        continue;
       if (note_told_ (watcher, &result->objects[i]))
         g_array_append_val (news, result->objects[i]);
     }
@@ -369,6 +384,8 @@
   take_changes_ (watcher, result);
   if (result->n_objects > 0)
     ask_after_change_ (watcher);
+  else if (open_ms_ (watcher) < watcher->asked_wait_ms / 2)
+    uv_timer_start (&watcher->timer, on_timer_, EARLY_PAUSE_MS, 0);
   else
     ask_ (watcher);
 }
@@ -382,7 +399,7 @@
 
   sr_event (SR_EVENT_INFO, "watch_failed", "{s:s,s:s,s:I,s:I}", "kind", watcher->options.kind,
             "status", store_status_to_string (status), "revision", (json_int_t)watcher->revision,
-            "open_ms", (json_int_t)((g_get_monotonic_time () - watcher->asked_us) / US_PER_MS));
+            "open_ms", (json_int_t)open_ms_ (watcher));
   if (watcher->retry_ms > RETRY_FIRST_MS)
     set_reachable_ (watcher, false, status);
   if (!watcher->reachable && leader != NULL && !leader->reachable)
