A loan that was returned is told until its lender has heard it

Found by reading: what a borrower returns is marked as returned before the call that tells it; when that call fails, or the answer to a recall is lost, a borrower that stops has nothing available any more, tells nobody, and the lender closes its record as if all of the loan were spent.

test-budget-peers/test_loan_is_returned_to_a_lender_that_is_reached_late: red before (1,015 of 1,000 tokens settled), green now. What a lender counts as spent at its stop is logged now (loans_left).

--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -147,7 +147,7 @@
     keep = home_target_ (book, team, now_us);
   else if (!book->leaving && team->drew_us != 0 && now_us - team->drew_us < STAND_IN_US)
     keep = stand_in_target_ (book, team, now_us);
-  else if (team->ledger->own->reserved == 0 && !sr_source_has_open_loans (team->ledger->own))
+  else if (team->ledger->own->reserved == 0 && sr_source_open_loans (team->ledger->own) == 0)
     ending = SR_LEDGER_CLOSE_RETURNED;
   if (ending == SR_LEDGER_KEEP_OPEN
       && sr_source_available (team->ledger->own)
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -13,18 +13,27 @@
   SR_BUDGET_WORKERS = 4
 };
 
+/* Tokens of a loan that were returned in all, as far as the lender may not have heard it. */
+struct sr_budget_return
+{
+  struct sr_holder_id loan;
+  int64_t returned;
+};
+
 /* One budget at this instance. All fields but the name are under the mutex of the budgets. */
 struct sr_budget_entry
 {
   char *name;
   struct sr_ledger *ledger;
-  GPtrArray *holders; /* other instances on the record as last read (char *) */
-  bool queued;        /* in the ring of the workers */
-  bool busy;          /* a worker is at it */
-  int64_t waiting;    /* tokens that reservations wait for */
-  int64_t lend_need;  /* tokens that borrowers asked for and did not get */
-  int64_t lent;       /* to borrowers, since the start */
-  bool recall;        /* a borrower's peer needs what is out on loan */
+  GPtrArray *holders;      /* other instances on the record as last read (char *) */
+  bool queued;             /* in the ring of the workers */
+  bool busy;               /* a worker is at it */
+  GArray *untold;          /* struct sr_budget_return */
+  int64_t return_after_us; /* a lender could not be told: not again until then */
+  int64_t waiting;         /* tokens that reservations wait for */
+  int64_t lend_need;       /* tokens that borrowers asked for and did not get */
+  int64_t lent;            /* to borrowers, since the start */
+  bool recall;             /* a borrower's peer needs what is out on loan */
   int64_t recall_after_us;
   int64_t ahead_after_us; /* no tokens are fetched ahead of demand until then */
   uint64_t started;       /* attempts to get tokens */
@@ -82,6 +91,14 @@
 struct sr_budget_entry *sr_budget_entry_get (struct sr_budgets *budgets, const char *name);
 void sr_budget_entry_free (void *data);
 void sr_budget_entry_enqueue (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void sr_budget_entry_note_return (struct sr_budget_entry *entry,
+                                  const struct sr_holder_id *loan,
+                                  int64_t returned);
+void sr_budget_entry_told_return (struct sr_budget_entry *entry,
+                                  const struct sr_holder_id *loan,
+                                  int64_t returned);
+int64_t sr_budget_entry_returned (const struct sr_budget_entry *entry,
+                                  const struct sr_holder_id *loan);
 void sr_budget_entry_note_holders (struct sr_budgets *budgets,
                                    struct sr_budget_entry *entry,
                                    const struct sr_record *record);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -1,6 +1,7 @@
 #include "budget/budget-private.h"
 
 #include "base/counters.h"
+#include "base/log.h"
 #include "base/thread.h"
 
 #include <string.h>
@@ -290,7 +291,8 @@
 hand_over_entry_ (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t loans_until_us)
 {
   int64_t now_us = g_get_monotonic_time ();
-  bool has_loans;
+  int64_t open_loans;
+  bool has_returned;
   bool told = true;
   bool done = false;
 
@@ -300,19 +302,24 @@
       entry->busy = true;
       pthread_mutex_unlock (&budgets->mutex);
       sr_budget_recall (budgets, entry);
-      sr_budget_return_loans (budgets, entry, true);
+      has_returned = sr_budget_return_loans (budgets, entry, true) || now_us >= loans_until_us;
       pthread_mutex_lock (&budgets->mutex);
-      has_loans = sr_ledger_has_open_loans (entry->ledger);
+      open_loans = sr_ledger_open_loans (entry->ledger);
       pthread_mutex_unlock (&budgets->mutex);
-      if (!has_loans || now_us >= loans_until_us)
+      if (open_loans > 0 && now_us >= loans_until_us)
+        sr_log (G_LOG_LEVEL_WARNING, "loans_left",
+                "budget %s: %" G_GINT64_FORMAT " tokens on loan were not returned, count as spent",
+                entry->name, open_loans);
+      if (open_loans == 0 || now_us >= loans_until_us)
         told = sr_budget_give_back (
             budgets, entry, now_us >= loans_until_us ? SR_LEDGER_CLOSE : SR_LEDGER_CLOSE_RETURNED);
       if (!told && now_us >= loans_until_us)
         sr_budget_finish (budgets, entry);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
-      has_loans = now_us < loans_until_us && sr_ledger_has_open_loans (entry->ledger);
-      done = entry->ledger->own == NULL && !sr_ledger_has_left_over (entry->ledger) && !has_loans;
+      open_loans = now_us < loans_until_us ? sr_ledger_open_loans (entry->ledger) : 0;
+      done = entry->ledger->own == NULL && !sr_ledger_has_left_over (entry->ledger)
+             && open_loans == 0 && has_returned;
     }
   pthread_mutex_unlock (&budgets->mutex);
   return done;
@@ -331,7 +338,7 @@
     {
       struct sr_budget_entry *entry = value;
 
-      if (entry->ledger->sources->len > 0)
+      if (entry->ledger->sources->len > 0 || entry->untold->len > 0)
         g_ptr_array_add (entries, entry);
     }
   pthread_mutex_unlock (&budgets->mutex);
--- a/src/budget/ledger-loans.c
+++ b/src/budget/ledger-loans.c
@@ -133,30 +133,30 @@
     }
 }
 
-/* Tells whether some borrower may still return tokens of SOURCE, an own record. */
-bool
-sr_source_has_open_loans (const struct sr_source *source)
+/* Returns the tokens of SOURCE, an own record, that borrowers may still return. */
+int64_t
+sr_source_open_loans (const struct sr_source *source)
 {
+  int64_t tokens = 0;
+
   for (unsigned i = 0; source->own && !source->gone && i < source->loans->len; i++)
     {
       const struct sr_loan *loan = &g_array_index (source->loans, struct sr_loan, i);
 
-      if (loan->open > 0 && loan->lent > loan->returned)
-        return true;
+      tokens += CLAMP (loan->open, 0, loan->lent - loan->returned);
     }
-  return false;
+  return tokens;
 }
 
-/* Tells whether some borrower may still return tokens of an own record. */
-bool
-sr_ledger_has_open_loans (const struct sr_ledger *ledger)
+/* Returns the tokens of all own records that borrowers may still return. */
+int64_t
+sr_ledger_open_loans (const struct sr_ledger *ledger)
 {
+  int64_t tokens = 0;
+
   for (unsigned i = 0; i < ledger->sources->len; i++)
-    {
-      if (sr_source_has_open_loans (ledger->sources->pdata[i]))
-        return true;
-    }
-  return false;
+    tokens += sr_source_open_loans (ledger->sources->pdata[i]);
+  return tokens;
 }
 
 /* Tells whether something is available of a loan that can be returned. */
--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -59,7 +59,7 @@
         continue;
       if (source->reserved == 0
           && (ending != SR_LEDGER_KEEP_OPEN || sr_source_available (source) == 0)
-          && (ending == SR_LEDGER_CLOSE || !sr_source_has_open_loans (source)))
+          && (ending == SR_LEDGER_CLOSE || sr_source_open_loans (source) == 0))
         {
           source->granted = MIN (source->granted, committed);
           sr_record_close (record, &source->id, committed);
@@ -123,7 +123,7 @@
   granted = MIN (holder->granted, committed + keep);
   if (own->reserved == 0
       && (ending == SR_LEDGER_CLOSE
-          || (ending == SR_LEDGER_CLOSE_RETURNED && !sr_source_has_open_loans (own))))
+          || (ending == SR_LEDGER_CLOSE_RETURNED && sr_source_open_loans (own) == 0)))
     {
       sr_record_close (record, &own->id, committed);
       granted = committed;
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -37,8 +37,8 @@
   int64_t ceiling; /* own: acknowledged by the witness */
   int64_t used;    /* settled requests */
   int64_t reserved;
-  int64_t given;                          /* own: out on loan; loan: returned so far */
-  int64_t told;                           /* loan: used and returned when the lender last heard */
+  int64_t given; /* own: out on loan; loan: returned so far */
+  int64_t told;  /* loan: of what was returned, what the lender has heard of */
   char witness[SR_BUDGET_NAME_MAX_BYTES]; /* own: empty for none */
   uint64_t witness_incarnation;
   GArray *loans; /* own: struct sr_loan */
@@ -155,9 +155,9 @@
                           uint64_t incarnation,
                           int64_t lent,
                           int64_t open);
-bool sr_ledger_has_open_loans (const struct sr_ledger *ledger);
+int64_t sr_ledger_open_loans (const struct sr_ledger *ledger);
 bool sr_ledger_loans_left (const struct sr_ledger *ledger);
-bool sr_source_has_open_loans (const struct sr_source *source);
+int64_t sr_source_open_loans (const struct sr_source *source);
 int64_t sr_ledger_borrowed (struct sr_ledger *ledger, const struct sr_loan_answer *answer);
 int64_t
 sr_ledger_return_loan (struct sr_ledger *ledger, const struct sr_holder_id *lender, int64_t keep);
--- a/src/budget/peers.c
+++ b/src/budget/peers.c
@@ -29,6 +29,9 @@
 
 static bool
 address_of_ (struct sr_budgets *budgets, const char *name, struct sr_peer_address *address);
+static bool tell_return_ (struct sr_budgets *budgets,
+                          struct sr_budget_entry *entry,
+                          const struct sr_budget_return *each);
 static enum sr_ask_result ask_ (struct sr_budgets *budgets,
                                 struct sr_budget_entry *entry,
                                 const char *lender,
@@ -115,31 +118,30 @@
 }
 
 /* Returns to each lender what is available of its loan; WITH_CLOSED of those loans too that are
- * not added to any more, which the lender may not take back. Returns false when one could not be
- * told. */
+ * not added to any more, which the lender may not take back. What a lender may not have heard yet
+ * is told again. Returns false when one could not be told. */
 bool
 sr_budget_return_loans (struct sr_budgets *budgets, struct sr_budget_entry *entry, bool with_closed)
 {
-  GArray *returns = g_array_new (FALSE, FALSE, sizeof (struct ask));
+  GArray *returns;
   bool told = true;
 
   pthread_mutex_lock (&budgets->mutex);
   for (unsigned i = 0; i < entry->ledger->sources->len; i++)
     {
       const struct sr_source *source = entry->ledger->sources->pdata[i];
-      struct ask ask = { .loan = source->id, .last_resort = true };
 
-      if (source->own || !(source->open || with_closed) || sr_source_available (source) <= 0)
-        continue;
-      ask.returned = sr_ledger_return_loan (entry->ledger, &source->id, 0);
-      g_array_append_val (returns, ask);
+      if (!source->own && (source->open || with_closed) && sr_source_available (source) > 0)
+        sr_budget_entry_note_return (entry, &source->id,
+                                     sr_ledger_return_loan (entry->ledger, &source->id, 0));
     }
+  returns = g_array_copy (entry->untold);
   pthread_mutex_unlock (&budgets->mutex);
   for (unsigned i = 0; i < returns->len; i++)
     {
-      const struct ask *ask = &g_array_index (returns, struct ask, i);
+      const struct sr_budget_return *each = &g_array_index (returns, struct sr_budget_return, i);
 
-      told = ask_ (budgets, entry, ask->loan.instance, ask) != SR_ASK_UNREACHABLE && told;
+      told = tell_return_ (budgets, entry, each) && told;
     }
   g_array_unref (returns);
   return told;
@@ -165,6 +167,26 @@
   g_array_unref (recalls);
 }
 
+/* Tells the lender what was returned of a loan. One that is no member any more never hears it: its
+ * record on the platform decides. Returns false when it could not be reached. */
+static bool
+tell_return_ (struct sr_budgets *budgets,
+              struct sr_budget_entry *entry,
+              const struct sr_budget_return *each)
+{
+  const struct ask ask = { .loan = each->loan, .returned = each->returned, .last_resort = true };
+  struct sr_member_view *view = sr_budget_view (budgets);
+  bool is_member = view != NULL && sr_member_view_find (view, each->loan.instance) != NULL;
+
+  sr_member_view_unref (view);
+  if (is_member)
+    return ask_ (budgets, entry, each->loan.instance, &ask) != SR_ASK_UNREACHABLE;
+  pthread_mutex_lock (&budgets->mutex);
+  sr_budget_entry_told_return (entry, &each->loan, each->returned);
+  pthread_mutex_unlock (&budgets->mutex);
+  return true;
+}
+
 /* Sends ASK to instance LENDER and takes over its answer. */
 static enum sr_ask_result
 ask_ (struct sr_budgets *budgets,
@@ -197,6 +219,7 @@
   answer.lent = reply.lent;
   sr_holder_from_message (&reply.lender, &answer.lender);
   pthread_mutex_lock (&budgets->mutex);
+  sr_budget_entry_told_return (entry, &ask->loan, ask->returned);
   gained = sr_ledger_borrowed (entry->ledger, &answer) > 0;
   if (gained)
     pthread_cond_broadcast (&budgets->changed);
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -18,6 +18,7 @@
   WAIT_US = 8000000,
   SHORT_WAIT_US = 1000000,
   HANG_US = 2000000,
+  UNREACHABLE_US = 500000,
   OUT_BACKOFF_US = 600000, /* an unreachable platform is asked again after less */
   PREPAID = 10000,
   SIZE = 50
@@ -58,11 +59,22 @@
   pthread_mutex_unlock (&view_mutex);
 }
 
+/* Has the peers' calls to INSTANCE answered. */
+static void
+listen_ (struct instance *instance)
+{
+  struct sr_peer_server_options options
+      = { .address = "127.0.0.1", .port = FIRST_PORT + (unsigned)(instance - instances) };
+
+  instance->server = sr_peer_server_new (&options);
+  sr_budgets_add_to_server (instance->budgets, instance->server);
+  assert_true (sr_peer_server_start (instance->server));
+}
+
 static void
 start_on_ (unsigned index, struct sr_platform *its_platform)
 {
   struct instance *instance = &instances[index];
-  struct sr_peer_server_options server = { .address = "127.0.0.1", .port = FIRST_PORT + index };
   struct sr_peer_client_options client = { .source_address = NULL };
   struct sr_budgets_options options = { .platform = its_platform,
                                         .view = view_,
@@ -80,11 +92,9 @@
   members[index].state = SR_MEMBER_ALIVE;
   pthread_mutex_unlock (&view_mutex);
   instance->client = sr_peer_client_new (&client);
-  instance->server = sr_peer_server_new (&server);
   options.peers = instance->client;
   instance->budgets = sr_budgets_new (&options);
-  sr_budgets_add_to_server (instance->budgets, instance->server);
-  assert_true (sr_peer_server_start (instance->server));
+  listen_ (instance);
   assert_true (sr_budgets_start (instance->budgets));
 }
 
@@ -368,6 +378,49 @@
   sr_record_delete (record);
 }
 
+static void *
+listen_again_ (void *data)
+{
+  g_usleep (UNREACHABLE_US);
+  listen_ (data);
+  return NULL;
+}
+
+/* The lender cannot be reached when the borrower begins to stop. */
+static void
+test_loan_is_returned_to_a_lender_that_is_reached_late (void **state)
+{
+  struct sr_record *record;
+  struct instance *lender;
+  struct instance *borrower;
+  pthread_t thread;
+  int64_t spent;
+
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 1);
+  lender = &instances[g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                      - '0'];
+  borrower = &instances[(lender - instances + 1) % 3];
+  sr_record_delete (record);
+  for (spent = SIZE; spent < 20 * SIZE; spent += SIZE)
+    assert_true (spend_ ((unsigned)(borrower - instances), SIZE));
+  sr_peer_server_stop (lender->server);
+  sr_peer_server_delete (lender->server);
+  assert_int_equal (pthread_create (&thread, NULL, listen_again_, lender), 0);
+  assert_true (sr_budgets_hand_over (borrower->budgets, g_get_monotonic_time () + WAIT_US));
+  pthread_join (thread, NULL);
+  stop_ ((unsigned)(borrower - instances));
+  for (unsigned i = 0; i < INSTANCES; i++)
+    if (&instances[i] != borrower)
+      assert_true (sr_budgets_hand_over (instances[i].budgets, g_get_monotonic_time () + WAIT_US));
+  start_ ((unsigned)(borrower - instances));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 0);
+  assert_int_equal (record->settled, spent);
+  sr_record_delete (record);
+}
+
 /* A planned stop while the platform is out: the witness knows how much was used, so that the others
  * can spend all the rest. */
 static void
@@ -425,6 +478,8 @@
     cmocka_unit_test_setup_teardown (test_home_that_hangs_is_not_waited_for, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_loan_is_returned_to_a_lender_that_is_reached_late,
+                                     set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_loan_of_a_record_given_up_is_returned, set_up_,
                                      tear_down_),
     cmocka_unit_test_setup_teardown (test_stop_in_an_outage_strands_nothing, set_up_, tear_down_),
--- a/src/budget/test-ledger.c
+++ b/src/budget/test-ledger.c
@@ -109,10 +109,10 @@
 
   sr_ledger_note_open (lender->ledger, &lender->id, "borrower", BORROWER_INCARNATION - 1, 0, 0);
   assert_int_equal (sr_ledger_spent_of (lender->ledger, &lender->id), 0);
-  assert_true (sr_ledger_has_open_loans (lender->ledger));
+  assert_true (sr_ledger_open_loans (lender->ledger));
   sr_ledger_note_open (lender->ledger, &lender->id, "borrower", BORROWER_INCARNATION + 1, 0, 0);
   assert_int_equal (sr_ledger_spent_of (lender->ledger, &lender->id), LENT);
-  assert_false (sr_ledger_has_open_loans (lender->ledger));
+  assert_false (sr_ledger_open_loans (lender->ledger));
 }
 
 /* Nobody waits for ever: what has not come back by then counts as spent. */
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -6,6 +6,7 @@
 {
   UPKEEP_INTERVAL_US = 100000,
   US_PER_MS = 1000,
+  RETURN_RETRY_US = 1000000, /* a lender that is stopped or busy is reached within seconds */
   FORGET_US = 60000000 /* after its last use, a budget of which nothing is held is forgotten */
 };
 
@@ -52,10 +53,15 @@
 
       if (entry != NULL)
         {
+          bool told;
+
           pthread_mutex_unlock (&budgets->mutex);
-          sr_budget_return_loans (budgets, entry, false);
+          told = sr_budget_return_loans (budgets, entry, false);
           pthread_mutex_lock (&budgets->mutex);
-          continue;
+          if (told)
+            continue;
+          entry->return_after_us = now_us + RETURN_RETRY_US;
+          entry = NULL;
         }
       if (now_us >= next_us && !sr_budget_platform_is_out (budgets, now_us))
         entry = pick_upkeep_ (budgets, now_us);
@@ -107,7 +113,8 @@
   return oldest;
 }
 
-/* Returns a budget that is not in use here while something of a loan is left, or NULL. */
+/* Returns a budget that is not in use here while something of a loan is left, or its lender may not
+ * have heard what was returned; or NULL. */
 static struct sr_budget_entry *
 pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us)
 {
@@ -119,7 +126,8 @@
     {
       struct sr_budget_entry *entry = value;
 
-      if (sr_ledger_is_idle (entry->ledger, now_us) && sr_ledger_loans_left (entry->ledger))
+      if (sr_ledger_is_idle (entry->ledger, now_us) && now_us >= entry->return_after_us
+          && (sr_ledger_loans_left (entry->ledger) || entry->untold->len > 0))
         return entry;
     }
   return NULL;
@@ -132,6 +140,7 @@
   const struct sr_budget_entry *entry = value;
   int64_t now_us = *(const int64_t *)data;
 
-  return entry->ledger->sources->len == 0 && !entry->queued && !entry->busy && entry->waiting == 0
+  return entry->ledger->sources->len == 0 && entry->untold->len == 0 && !entry->queued
+         && !entry->busy && entry->waiting == 0
          && now_us - entry->ledger->last_use_us > entry->ledger->options.idle_us + FORGET_US;
 }
