An idle lender waits for its loans before it closes its record

The borrowers are asked first and the record is closed when the loans are back; those missing after as long again are given up as before.

--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -19,7 +19,10 @@
   SHORT_WAIT_US = 1000000,
   HANG_US = 2000000,
   UNREACHABLE_US = 500000,
+  POLL_US = 20000,
   OUT_BACKOFF_US = 600000, /* an unreachable platform is asked again after less */
+  LONG_IDLE_S = 60,        /* longer than any test */
+  SHORT_IDLE_S = 1,
   PREPAID = 10000,
   SIZE = 50
 };
@@ -36,6 +39,7 @@
 static struct sr_member members[INSTANCES];
 static struct instance instances[INSTANCES];
 static struct sr_platform *platform;
+static unsigned idle_return_s = LONG_IDLE_S;
 static const char *const data_centres[INSTANCES] = { "makole", "makole", "makole", "kikuyu" };
 
 static struct sr_member_view *
@@ -82,7 +86,7 @@
                                         .instance = instance->name,
                                         .data_centre = data_centres[index],
                                         .allotment_cover_s = 30,
-                                        .idle_return_s = 60,
+                                        .idle_return_s = idle_return_s,
                                         .settle_interval_ms = 100,
                                         .seed = index };
 
@@ -336,6 +340,57 @@
   sr_record_delete (record);
 }
 
+static int
+set_up_with_short_idle_time_ (void **state)
+{
+  idle_return_s = SHORT_IDLE_S;
+  return set_up_ (state);
+}
+
+static int
+tear_down_with_short_idle_time_ (void **state)
+{
+  idle_return_s = LONG_IDLE_S;
+  return tear_down_ (state);
+}
+
+/* A budget is not in use any more, but for one long request of a borrower. */
+static void
+test_idle_lender_waits_for_its_loans (void **state)
+{
+  int64_t end_us = g_get_monotonic_time () + WAIT_US;
+  struct sr_reservation *reservation;
+  struct sr_record *record;
+  unsigned borrower;
+  int64_t retry_after_ms;
+
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  assert_int_equal (record->holders->len, 1);
+  borrower = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                        - '0' + 1)
+             % 3;
+  sr_record_delete (record);
+  assert_int_equal (sr_budgets_reserve (instances[borrower].budgets, "b", SIZE,
+                                        g_get_monotonic_time () + WAIT_US, &reservation,
+                                        &retry_after_ms),
+                    SR_BUDGET_RESERVED);
+  g_usleep (SHORT_IDLE_S * 1500000);
+  sr_budgets_settle (instances[borrower].budgets, reservation, 1);
+  do
+    {
+      g_usleep (POLL_US);
+      record = record_ ();
+      if (record->holders->len == 0 || g_get_monotonic_time () >= end_us)
+        break;
+      sr_record_delete (record);
+    }
+  while (true);
+  assert_int_equal (record->holders->len, 0);
+  assert_int_equal (record->settled, SIZE + 1);
+  sr_record_delete (record);
+}
+
 /* A loan whose record the lender gave up for its witness is returned when the borrower stops. */
 static void
 test_loan_of_a_record_given_up_is_returned (void **state)
@@ -480,6 +535,8 @@
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_loan_is_returned_to_a_lender_that_is_reached_late,
                                      set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_idle_lender_waits_for_its_loans,
+                                     set_up_with_short_idle_time_, tear_down_with_short_idle_time_),
     cmocka_unit_test_setup_teardown (test_loan_of_a_record_given_up_is_returned, set_up_,
                                      tear_down_),
     cmocka_unit_test_setup_teardown (test_stop_in_an_outage_strands_nothing, set_up_, tear_down_),
--- a/src/budget/worker.c
+++ b/src/budget/worker.c
@@ -12,6 +12,7 @@
 
 static struct sr_budget_entry *pick_upkeep_ (struct sr_budgets *budgets, int64_t now_us);
 static struct sr_budget_entry *pick_idle_loans_ (struct sr_budgets *budgets, int64_t now_us);
+static enum sr_ledger_ending ending_of_ (const struct sr_ledger *ledger, int64_t now_us);
 static gboolean is_forgettable_ (void *key, void *value, void *data);
 
 /* A worker: gets tokens for the budgets in the ring until it is closed. */
@@ -49,7 +50,7 @@
     {
       int64_t now_us = g_get_monotonic_time ();
       struct sr_budget_entry *entry = pick_idle_loans_ (budgets, now_us);
-      bool close;
+      enum sr_ledger_ending ending;
 
       if (entry != NULL)
         {
@@ -73,9 +74,11 @@
           continue;
         }
       entry->busy = true;
-      close = sr_ledger_is_idle (entry->ledger, now_us);
+      ending = ending_of_ (entry->ledger, now_us);
       pthread_mutex_unlock (&budgets->mutex);
-      sr_budget_give_back (budgets, entry, close ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN);
+      if (ending == SR_LEDGER_CLOSE_RETURNED)
+        sr_budget_recall (budgets, entry);
+      sr_budget_give_back (budgets, entry, ending);
       pthread_mutex_lock (&budgets->mutex);
       entry->busy = false;
       entry->synced_us = now_us;
@@ -133,6 +136,17 @@
   return NULL;
 }
 
+/* Returns what becomes of the record of LEDGER. One that idles is closed when its loans are back;
+ * borrowers that idle return theirs, so that those missing after as long again are given up. */
+static enum sr_ledger_ending
+ending_of_ (const struct sr_ledger *ledger, int64_t now_us)
+{
+  if (!sr_ledger_is_idle (ledger, now_us))
+    return SR_LEDGER_KEEP_OPEN;
+  return sr_ledger_is_idle (ledger, now_us - ledger->options.idle_us) ? SR_LEDGER_CLOSE
+                                                                      : SR_LEDGER_CLOSE_RETURNED;
+}
+
 /* A budget that is nowhere in use, nor in a message on its way. */
 static gboolean
 is_forgettable_ (void *key, void *value, void *data)
