A home holds more while over a third of its team's budget is left

A crash of all is why homes hold little.

Now a third of the total stays out of a crash's reach as long as there is more, and what is beyond it is held, up to the demand of a cut; a fifth of a scarcer budget as before.

--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -12,6 +12,7 @@
   STAND_IN_COVER_US = 2000000, /* demand of a draw in place of the home: a write a second */
   STAND_IN_US = 3000000,       /* what was drawn so is kept, as the home may stay away */
   LEFT_DIVISOR = 5,            /* of what is left of a scarce budget: what a crash may lose of it */
+  KEPT_DIVISOR = 3,            /* of the total: what a crash leaves while there is more */
   FIRST_SHARE_DIVISOR = 5,     /* of an untouched budget: demand of ten seconds of a short day */
   FLOOR_DIVISOR = 40,          /* of any budget, until demand is known: the largest of requests */
   LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
@@ -311,8 +312,9 @@
 
 /* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of
  * a cut. When all instances crash, what is held is lost. That is not missed while more is left than
- * was spent; of a scarcer budget only a part is held, since a request that is refused in a cut
- * leaves its tokens to a later one, and a crash does not. */
+ * was spent; later a third of the total stays in the store, and of a scarcer budget only a part is
+ * held, since a request that is refused in a cut leaves its tokens to a later one, and a crash does
+ * not. */
 static int64_t
 home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
@@ -320,6 +322,7 @@
   const struct sr_record *record = team->record;
   bool untouched = record == NULL || (record->holders->len == 0 && record->settled == 0);
   int64_t left;
+  int64_t at_most;
 
   if (book->peers_since_us == 0 || now_us - book->peers_since_us < FIRST_DRAW_DELAY_US)
     return 0;
@@ -328,7 +331,8 @@
     return target;
   left = sr_ledger_available (team->ledger) + MAX (sr_record_remaining (record), 0)
          + MAX (team->prepaid_tokens - record->prepaid, 0);
-  return MIN (target, MAX (left / LEFT_DIVISOR, 2 * left - team->prepaid_tokens));
+  at_most = MAX (left / LEFT_DIVISOR, left - team->prepaid_tokens / KEPT_DIVISOR);
+  return MIN (target, MAX (at_most, 2 * left - team->prepaid_tokens));
 }
 
 /* Returns the tokens that this instance should have available while it serves TEAM in place of a
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -545,6 +545,26 @@
   tear_down_ (&world);
 }
 
+/* Half of the budget is spent when all are cut off for the time that an eighth of it lasts. */
+static void
+a_cut_at_half_of_a_budget_refuses_nobody (void **state)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      struct world_ world;
+
+      set_up_ (&world, 2000000, seed);
+      run_ (&world, 3 * SECOND);
+      load_ (&world, 5000, 10, 20 * SECOND);
+      for (unsigned i = 0; i < BOOKS; i++)
+        world.nodes[i].cut_from_store = true;
+      world.refused = 0;
+      load_ (&world, 5000, 10, 5 * SECOND);
+      assert_int_equal (world.refused, 0);
+      tear_down_ (&world);
+    }
+}
+
 /* Everybody knows that the store is away, and the home has lent all it had: nobody asks the store,
  * and what can't be served is refused before a call to the store would have ended. */
 static void
@@ -1092,6 +1112,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_calm_day_refuses_nobody),
     cmocka_unit_test (a_cut_of_all_instances_from_the_store_refuses_nobody),
+    cmocka_unit_test (a_cut_at_half_of_a_budget_refuses_nobody),
     cmocka_unit_test (a_store_known_to_be_away_is_not_asked),
     cmocka_unit_test (a_large_request_of_a_small_budget_is_served_anywhere),
     cmocka_unit_test (a_home_that_is_cut_off_stops_nobody_else),
