--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -401,6 +401,32 @@
   fake_delete_ (fake);
 }
 
+/* A list of a check that comes between two watches: the second one begins where it would have, since
+ * what is missing in the list is believed only when the watch tells of it. */
+static void
+a_check_does_not_move_the_watch (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  const struct store_object gone = { .name = "o", .revision = 20, .deleted = true };
+  const struct store_result removal
+      = { .status = STORE_OK, .revision = 21, .objects = &gone, .n_objects = 1 };
+
+  watcher_set_pause (fake->watcher, 400);
+  answer_ (fake, STORE_OK, 10, 1);
+  watcher_set_check (fake->watcher, 20);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  watcher_set_check (fake->watcher, 0);
+  answer_ (fake, STORE_OK, 20, 0);
+  assert_int_equal (fake->checked, 1);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_WATCH);
+  assert_int_equal (fake->after_revision, 10);
+  fake->done (&removal, fake->data);
+  assert_int_equal (fake->changed, 1);
+  fake_delete_ (fake);
+}
+
 /* A watch that is behind tells of what was there before the last list: the object may be gone
  * since.
  */
@@ -484,6 +510,7 @@
     cmocka_unit_test (a_look_that_failed_is_made_again),
     cmocka_unit_test (a_change_behind_the_position_is_listed),
     cmocka_unit_test (a_change_that_no_watch_showed_is_found),
+    cmocka_unit_test (a_check_does_not_move_the_watch),
     cmocka_unit_test (what_was_there_before_a_list_is_not_told_again),
     cmocka_unit_test (watches_that_end_early_are_not_made_in_a_row),
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -282,8 +282,12 @@
 
   watcher->looking = watcher->checking = false;
   /* One that the watch has overtaken would undo what that has told. */
-  if (!watcher->stopped && result->status == STORE_OK && result->revision >= watcher->seen)
-    take_list_ (watcher, result, checks ? options->checked : options->listed);
+  if (watcher->stopped || result->status != STORE_OK || result->revision < watcher->seen)
+    return;
+  /* Of what is missing in a check the next watch is still to tell. */
+  if (!checks)
+    watcher->revision = MAX (watcher->revision, result->revision);
+  take_list_ (watcher, result, checks ? options->checked : options->listed);
 }
 
 static void
@@ -291,7 +295,6 @@
             const struct store_result *result,
             void (*tell) (const struct store_result *, void *))
 {
-  watcher->revision = MAX (watcher->revision, result->revision);
   watcher->complete = MAX (watcher->complete, result->revision);
   for (size_t i = 0; i < result->n_objects; i++)
     {
@@ -355,6 +358,7 @@
     }
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
+  watcher->revision = MAX (watcher->revision, result->revision);
   take_list_ (watcher, result, watcher->options.listed);
   ask_after_change_ (watcher);
 }
