--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -401,8 +401,8 @@
   fake_delete_ (fake);
 }
 
-/* A list of a check that comes between two watches: the second one begins where it would have, since
- * what is missing in the list is believed only when the watch tells of it. */
+/* A list of a check that comes between two watches: the second one begins where it would have,
+ * since what is missing in the list is believed only when the watch tells of it. */
 static void
 a_check_does_not_move_the_watch (void **state)
 {
