Others are asked beside a draw that hangs at a silent platform

KNOWN-RED had test-budget/outage_of_the_platform_is_bridged, red once and not traced: two of twelve requests refused while the platform was silent. By reading: a worker that has to draw hangs in the call for two seconds, which is also the longest that a reservation is waited for; it asks other holders only afterwards, so the first requests after the platform falls silent were refused at an instance that had nothing, whatever others held. After 0.7 s (a home that hangs is asked for 0.6) the thread that waits asks them itself, one thread for each budget.

test-budget-peers/test_silent_platform_is_bridged_by_loans: red before (unreachable), green in three runs. That this was the red run is likely, not shown: the case stays listed.

--- a/src/budget/acquire.c
+++ b/src/budget/acquire.c
@@ -80,6 +80,21 @@
   finish_ (&attempt);
 }
 
+/* Asks whoever holds tokens of ENTRY for those that reservations wait for, until END_US: the worker
+ * that is at it hangs. Called with the mutex held, which is given up meanwhile. */
+void
+sr_budget_bridge (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t end_us)
+{
+  struct attempt attempt
+      = { .budgets = budgets, .entry = entry, .lent_before = entry->lent, .end_us = end_us };
+
+  entry->bridging = true;
+  pthread_mutex_unlock (&budgets->mutex);
+  ask_others_ (&attempt);
+  pthread_mutex_lock (&budgets->mutex);
+  entry->bridging = false;
+}
+
 /* The home is the first alive instance of the data centre in the order of the budget's name: a
  * hint, so that few instances draw on the platform. */
 static void
--- a/src/budget/budget-private.h
+++ b/src/budget/budget-private.h
@@ -28,6 +28,7 @@
   GPtrArray *holders;      /* other instances on the record as last read (char *) */
   bool queued;             /* in the ring of the workers */
   bool busy;               /* a worker is at it */
+  bool bridging;           /* others are asked beside a worker that hangs */
   GArray *untold;          /* struct sr_budget_return */
   int64_t return_after_us; /* a lender could not be told: not again until then */
   int64_t waiting;         /* tokens that reservations wait for */
@@ -148,6 +149,7 @@
 
 /* acquire.c */
 void sr_budget_acquire (struct sr_budgets *budgets, struct sr_budget_entry *entry);
+void sr_budget_bridge (struct sr_budgets *budgets, struct sr_budget_entry *entry, int64_t end_us);
 
 /* worker.c */
 void *sr_budget_worker_run (void *data);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -12,6 +12,7 @@
   WORK_RING_CAPACITY = 4096,
   WITNESS_HOLDERS_MAX = 100000,
   WAIT_MAX_US = 2000000,      /* longest wait of a reservation for tokens */
+  LATE_US = 700000,           /* a home that hangs is asked for 600 ms, then the platform */
   REFUSED_US = 300000,        /* after a refusal nobody is asked again for this long */
   RETRY_OUT_MS = 1000,        /* told to callers while the platform is out */
   RETRY_EXHAUSTED_MS = 30000, /* told to callers of an exhausted budget: only a top-up helps */
@@ -250,7 +251,8 @@
 }
 
 /* Called with the mutex held. Waits until TOKENS could be reserved, or an attempt to get them that
- * began after this call has ended without them, or END_US. */
+ * began after this call has ended without them, or END_US. An attempt may hang at a platform that
+ * is silent: others are then asked beside it. */
 static GArray *
 wait_for_tokens_ (struct sr_budgets *budgets,
                   struct sr_budget_entry *entry,
@@ -258,6 +260,7 @@
                   int64_t end_us)
 {
   uint64_t attempt = entry->started + 1;
+  int64_t late_us = g_get_monotonic_time () + LATE_US;
   GArray *parts = NULL;
 
   entry->waiting += tokens;
@@ -265,8 +268,14 @@
     {
       if (!entry->busy)
         sr_budget_entry_enqueue (budgets, entry);
-      if (!sr_cond_wait_until (&budgets->changed, &budgets->mutex, end_us))
-        break;
+      if (!sr_cond_wait_until (&budgets->changed, &budgets->mutex, MIN (late_us, end_us)))
+        {
+          if (g_get_monotonic_time () >= end_us)
+            break;
+          late_us = end_us;
+          if (!entry->bridging)
+            sr_budget_bridge (budgets, entry, end_us);
+        }
       parts = sr_ledger_reserve (entry->ledger, tokens, g_get_monotonic_time ());
       if (parts == NULL && entry->finished >= attempt && entry->verdict != SR_BUDGET_RESERVED)
         {
--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -309,6 +309,32 @@
   sr_budgets_settle (instances[(home + 1) % 3].budgets, reservation, SIZE);
 }
 
+/* The platform is silent and the instance that would draw does not know it yet: it borrows from
+ * another data centre before its caller's patience ends. */
+static void
+test_silent_platform_is_bridged_by_loans (void **state)
+{
+  struct sr_reservation *reservation;
+  struct sr_record *record;
+  unsigned home;
+  int64_t retry_after_ms;
+
+  assert_true (spend_ (0, SIZE));
+  record = record_ ();
+  home = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                    - '0');
+  sr_record_delete (record);
+  for (unsigned i = 0; i < 20; i++)
+    assert_true (spend_ (INSTANCES - 1, SIZE));
+  stop_ (home);
+  start_on_ (home, &hanging);
+  assert_int_equal (sr_budgets_reserve (instances[home].budgets, "b", SIZE,
+                                        g_get_monotonic_time () + SHORT_WAIT_US, &reservation,
+                                        &retry_after_ms),
+                    SR_BUDGET_RESERVED);
+  sr_budgets_settle (instances[home].budgets, reservation, SIZE);
+}
+
 /* With the platform out, instances that hold nothing borrow from those that do. */
 static void
 test_outage_is_bridged_by_loans (void **state)
@@ -531,6 +557,7 @@
     cmocka_unit_test_setup_teardown (test_crashed_holder_is_taken_back, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_sealed_holder_lives_on, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_home_that_hangs_is_not_waited_for, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (test_silent_platform_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_outage_is_bridged_by_loans, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_hand_over_returns_everything, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (test_loan_is_returned_to_a_lender_that_is_reached_late,
