--- a/src/budget/test-budget-peers.c
+++ b/src/budget/test-budget-peers.c
@@ -196,6 +196,20 @@
   return record;
 }
 
+/* Returns the instance that alone holds tokens according to the record. */
+static unsigned
+only_holder_ (void)
+{
+  struct sr_record *record = record_ ();
+  unsigned index;
+
+  assert_int_equal (record->holders->len, 1);
+  index = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
+                     - '0');
+  sr_record_delete (record);
+  return index;
+}
+
 static unsigned
 holders_in_ (const struct sr_record *record, const char *data_centre)
 {
@@ -315,15 +329,11 @@
 test_silent_platform_is_bridged_by_loans (void **state)
 {
   struct sr_reservation *reservation;
-  struct sr_record *record;
   unsigned home;
   int64_t retry_after_ms;
 
   assert_true (spend_ (0, SIZE));
-  record = record_ ();
-  home = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
-                    - '0');
-  sr_record_delete (record);
+  home = only_holder_ ();
   for (unsigned i = 0; i < 20; i++)
     assert_true (spend_ (INSTANCES - 1, SIZE));
   stop_ (home);
@@ -391,12 +401,7 @@
   int64_t retry_after_ms;
 
   assert_true (spend_ (0, SIZE));
-  record = record_ ();
-  assert_int_equal (record->holders->len, 1);
-  borrower = (unsigned)(g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
-                        - '0' + 1)
-             % 3;
-  sr_record_delete (record);
+  borrower = (only_holder_ () + 1) % 3;
   assert_int_equal (sr_budgets_reserve (instances[borrower].budgets, "b", SIZE,
                                         g_get_monotonic_time () + WAIT_US, &reservation,
                                         &retry_after_ms),
@@ -478,12 +483,8 @@
   int64_t spent;
 
   assert_true (spend_ (0, SIZE));
-  record = record_ ();
-  assert_int_equal (record->holders->len, 1);
-  lender = &instances[g_array_index (record->holders, struct sr_record_holder, 0).id.instance[1]
-                      - '0'];
+  lender = &instances[only_holder_ ()];
   borrower = &instances[(lender - instances + 1) % 3];
-  sr_record_delete (record);
   for (spent = SIZE; spent < 20 * SIZE; spent += SIZE)
     assert_true (spend_ ((unsigned)(borrower - instances), SIZE));
   sr_peer_server_stop (lender->server);
