One place takes over a list of backend servers; a check has a callback of its own

Behaviour is unchanged. The two handlers of whole lists put and ended them alike; the watcher kept a flag to know which of two lists had ended, where each has its callback now; the answer to a recall took the larger of two figures of which one is it always; one loop in place of two over the entries that a list did not hold.

--- a/src/budget/handlers.c
+++ b/src/budget/handlers.c
@@ -112,11 +112,10 @@
   entry = g_hash_table_lookup (budgets->entries, budget);
   if (entry != NULL)
     {
-      int64_t returned = sr_ledger_return_loan (entry->ledger, &lender, entry->waiting);
-
       /* The answer may get lost, and the loan be forgotten. */
-      sr_budget_entry_note_return (entry, &lender, returned);
-      reply->returned = MAX (returned, sr_budget_entry_returned (entry, &lender));
+      sr_budget_entry_note_return (entry, &lender,
+                                   sr_ledger_return_loan (entry->ledger, &lender, entry->waiting));
+      reply->returned = sr_budget_entry_returned (entry, &lender);
       sr_ledger_loan_state (entry->ledger, &lender, &reply->lent, &reply->open);
     }
   reply->incarnation = budgets->options.incarnation;
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -143,9 +143,10 @@
     if (!g_hash_table_contains (backends->listed, id))
       g_ptr_array_add (absent, g_strdup (id));
   for (unsigned i = 0; i < absent->len; i++)
-    gw_backends_remove (backends, absent->pdata[i], doubtful);
-  for (unsigned i = 0; i < absent->len && !some_left; i++)
-    some_left = g_hash_table_contains (backends->by_id, absent->pdata[i]);
+    {
+      gw_backends_remove (backends, absent->pdata[i], doubtful);
+      some_left = some_left || g_hash_table_contains (backends->by_id, absent->pdata[i]);
+    }
   g_hash_table_unref (backends->listed);
   backends->listed = NULL;
   return some_left;
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -10,6 +10,8 @@
   LEASE_RETURN_MS = 2200, /* entries that lapsed in an outage are back two seconds after it */
 };
 
+static bool
+take_backends_ (struct gateway *gateway, const struct store_result *result, bool doubtful);
 static void put_backend_ (struct gateway *gateway, const struct store_object *object);
 static bool leases_doubtful_ (const struct gateway *gateway);
 static void on_lease_timer_ (uv_timer_t *timer);
@@ -67,10 +69,7 @@
 {
   struct gateway *gateway = data;
 
-  gw_backends_begin_list (gateway->context.backends);
-  for (size_t i = 0; i < result->n_objects; i++)
-    put_backend_ (gateway, &result->objects[i]);
-  gw_backends_end_list (gateway->context.backends, leases_doubtful_ (gateway));
+  take_backends_ (gateway, result, leases_doubtful_ (gateway));
   gateway->backends_listed = true;
   spread_news_ (gateway);
 }
@@ -82,12 +81,10 @@
 {
   struct gateway *gateway = data;
 
-  gw_backends_begin_list (gateway->context.backends);
-  for (size_t i = 0; i < result->n_objects; i++)
-    put_backend_ (gateway, &result->objects[i]);
+  bool some_missing = take_backends_ (gateway, result, true);
+
   spread_news_ (gateway);
-  if (gw_backends_end_list (gateway->context.backends, true)
-      && !uv_is_active ((uv_handle_t *)&gateway->lease_timer))
+  if (some_missing && !uv_is_active ((uv_handle_t *)&gateway->lease_timer))
     uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RETURN_MS, 0);
 }
 
@@ -105,6 +102,16 @@
       put_backend_ (gateway, &result->objects[i]);
 }
 
+/* Takes over a whole list, see gw_backends_end_list. */
+static bool
+take_backends_ (struct gateway *gateway, const struct store_result *result, bool doubtful)
+{
+  gw_backends_begin_list (gateway->context.backends);
+  for (size_t i = 0; i < result->n_objects; i++)
+    put_backend_ (gateway, &result->objects[i]);
+  return gw_backends_end_list (gateway->context.backends, doubtful);
+}
+
 static void
 put_backend_ (struct gateway *gateway, const struct store_object *object)
 {
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -23,7 +23,6 @@
   uv_timer_t check_timer;
   unsigned check_ms;      /* mean time between whole lists beside the watch; 0: none */
   bool looking;           /* a list beside the watch is out */
-  bool checking;          /* it is that of a check */
   bool pausing;           /* the next watch begins when the timer ends */
   int64_t wanted;         /* a revision that others have seen */
   int64_t seen;           /* of the latest change that was told */
@@ -47,8 +46,10 @@
 static void on_check_timer_ (uv_timer_t *timer);
 static void set_check_timer_ (struct watcher *watcher);
 static bool is_behind_ (const struct watcher *watcher);
-static void list_beside_ (struct watcher *watcher);
+static void list_beside_ (struct watcher *watcher, store_callback done);
 static void on_looked_list_ (const struct store_result *result, void *data);
+static void on_checked_list_ (const struct store_result *result, void *data);
+static bool end_list_beside_ (struct watcher *watcher, const struct store_result *result);
 static void take_list_ (struct watcher *watcher,
                         const struct store_result *result,
                         void (*tell) (const struct store_result *, void *));
@@ -231,7 +232,7 @@
     return;
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
             "revision", (json_int_t)watcher->revision, "others", (json_int_t)watcher->wanted);
-  list_beside_ (watcher);
+  list_beside_ (watcher, on_looked_list_);
 }
 
 static void
@@ -242,8 +243,7 @@
   set_check_timer_ (watcher);
   if (watcher->looking || watcher->revision == 0 || !watcher->reachable)
     return;
-  watcher->checking = true;
-  list_beside_ (watcher);
+  list_beside_ (watcher, watcher->options.checked != NULL ? on_checked_list_ : on_looked_list_);
 }
 
 /* Instances that began together must not check together. */
@@ -267,27 +267,40 @@
 
 /* Asks for everything: a second watch may be as deaf as the first one. */
 static void
-list_beside_ (struct watcher *watcher)
+list_beside_ (struct watcher *watcher, store_callback done)
 {
   watcher->looking = true;
-  store_list (watcher->options.store, watcher->options.kind, on_looked_list_, watcher);
+  store_list (watcher->options.store, watcher->options.kind, done, watcher);
 }
 
 static void
 on_looked_list_ (const struct store_result *result, void *data)
 {
   struct watcher *watcher = data;
-  const struct watcher_options *options = &watcher->options;
-  bool checks = watcher->checking && options->checked != NULL;
 
-  watcher->looking = watcher->checking = false;
-  /* One that the watch has overtaken would undo what that has told. */
-  if (watcher->stopped || result->status != STORE_OK || result->revision < watcher->seen)
+  if (!end_list_beside_ (watcher, result))
     return;
-  /* Of what is missing in a check the next watch is still to tell. */
-  if (!checks)
-    watcher->revision = MAX (watcher->revision, result->revision);
-  take_list_ (watcher, result, checks ? options->checked : options->listed);
+  watcher->revision = MAX (watcher->revision, result->revision);
+  take_list_ (watcher, result, watcher->options.listed);
+}
+
+/* Of what is missing in a check the next watch is still to tell: its position stays. */
+static void
+on_checked_list_ (const struct store_result *result, void *data)
+{
+  struct watcher *watcher = data;
+
+  if (end_list_beside_ (watcher, result))
+    take_list_ (watcher, result, watcher->options.checked);
+}
+
+/* Tells whether RESULT can be told: one that the watch has overtaken would undo what that has told.
+ */
+static bool
+end_list_beside_ (struct watcher *watcher, const struct store_result *result)
+{
+  watcher->looking = false;
+  return !watcher->stopped && result->status == STORE_OK && result->revision >= watcher->seen;
 }
 
 static void
