A reservation that is settled while waiters are served frees no waiter twice

Cause: allotment_serve_waiters_ kept the next queue link across the callback of the waiter that it served. A request that finds no backend server is refused inside that callback and settles; settling pumped the same team, served and freed the next waiters, and the outer loop went on with a freed link.

Now a pump that runs is not entered again, what changes in it is looked at afterwards, and the queue is read from its head after each callback.

test-allotment-callers fails under the address sanitizer without this (heap-use-after-free in allotment_serve_waiters_, from allotment_settle).

--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -61,6 +61,8 @@
   struct allotment_demand demand;
   GQueue waiters; /* struct allotment_waiter */
   GQueue asks;    /* struct allotment_pending_ask */
+  bool is_pumped;
+  bool pump_is_due; /* something has changed since the pump began */
   /* The store. */
   enum allotment_store_step step;
   int64_t step_us;          /* when it began */
--- a/src/allotment/service.c
+++ b/src/allotment/service.c
@@ -13,22 +13,28 @@
                         enum allotment_supply supply,
                         int64_t now_us);
 
-/* Serves what fits, the oldest first: a large reservation that waits for a draw stops nobody. */
+/* Serves what fits, the oldest first: a large reservation that waits for a draw stops nobody. Who
+ * is told may settle, reserve or cancel at once, which changes the queue. */
 void
 allotment_serve_waiters_ (struct allotment_team *team, int64_t now_us)
 {
-  for (GList *link = team->waiters.head, *next; link != NULL; link = next)
+  GList *link = team->waiters.head;
+
+  while (link != NULL)
     {
       struct allotment_waiter copy = *(struct allotment_waiter *)link->data;
       GArray *parts = sr_ledger_reserve (team->ledger, copy.tokens, now_us);
 
-      next = link->next;
       if (parts == NULL)
-        continue;
+        {
+          link = link->next;
+          continue;
+        }
       g_free (link->data);
       g_queue_delete_link (&team->waiters, link);
       allotment_demand_count_ (&team->demand, copy.tokens, now_us);
       copy.done (ALLOTMENT_GRANTED, parts, copy.data);
+      link = team->waiters.head;
     }
 }
 
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -37,6 +37,7 @@
 
 static void
 check_late_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+static void pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static bool store_is_out_ (const struct allotment_book *book,
                            const struct allotment_team *team,
                            int64_t now_us);
@@ -81,9 +82,25 @@
                                           const struct allotment_peer *home,
                                           int64_t now_us);
 
-/* Serves what can be served and fetches what is missing, from the home or from the store. */
+/* Serves what can be served and fetches what is missing, from the home or from the store. Who is
+ * served may settle or reserve at once: that is looked at afterwards, as the queues are in use. */
 void
 allotment_pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  team->pump_is_due = true;
+  if (team->is_pumped)
+    return;
+  team->is_pumped = true;
+  while (team->pump_is_due)
+    {
+      team->pump_is_due = false;
+      pump_ (book, team, now_us);
+    }
+  team->is_pumped = false;
+}
+
+static void
+pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
   struct allotment_peer *home = home_ (book, team, now_us);
   int64_t need;
--- /dev/null
+++ b/src/allotment/test-allotment-callers.c
@@ -0,0 +1,174 @@
+/* What callers do while a book calls them: they settle at once, and the next of them reserve. */
+#include "allotment/allotment.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  CALLERS = 6,
+  PREPAID = 1000,
+  RESERVED = 10,
+  NOW_US = 100000000,
+  STEP_US = 2000000 /* past the time in which other instances announce themselves */
+};
+
+/* A store that keeps calls until the test answers them. */
+struct link_
+{
+  const struct allotment_link_vtable *vtable;
+  uint64_t read_call; /* 0: none is out */
+  uint64_t write_call;
+  json_t *written;
+};
+
+struct caller_
+{
+  struct allotment_book *book;
+  struct caller_ *next; /* reserves when this one is served; NULL: nobody */
+  unsigned answers;
+  enum allotment_verdict verdict;
+};
+
+static void
+read_ (void *data, const char *team, uint64_t call)
+{
+  struct link_ *link = data;
+
+  link->read_call = call;
+}
+
+static void
+write_ (void *data, const char *team, uint64_t call, json_t *content, int64_t expected_revision)
+{
+  struct link_ *link = data;
+
+  link->write_call = call;
+  json_decref (link->written);
+  link->written = content;
+}
+
+static void
+ask_ (void *data, const char *peer, const struct allotment_ask *ask)
+{
+}
+
+static void
+answer_ (void *data, uint64_t handle, const struct allotment_answer *answer)
+{
+}
+
+static const struct allotment_link_vtable vtable_
+    = { .read = read_, .write = write_, .ask = ask_, .answer = answer_ };
+
+static void
+on_reserved_ (enum allotment_verdict verdict, GArray *parts, void *data)
+{
+  struct caller_ *caller = data;
+
+  caller->answers++;
+  caller->verdict = verdict;
+  if (caller->next != NULL)
+    allotment_reserve (caller->book, "team", RESERVED, on_reserved_, caller->next, NOW_US);
+  /* No backend server is known: the request is refused before the reservation returns. */
+  if (parts != NULL)
+    allotment_settle (caller->book, "team", parts, 0, NOW_US);
+}
+
+static struct allotment_book *
+book_new_ (struct link_ *link)
+{
+  const struct allotment_book_options options
+      = { .link = link, .instance = "front-1", .data_centre = "dc", .incarnation = 1 };
+  struct allotment_book *book = allotment_book_new (&options);
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+
+  allotment_book_set_team (book, "team", PREPAID, NOW_US - STEP_US);
+  allotment_book_set_peers (book, names, NOW_US - STEP_US);
+  return book;
+}
+
+/* Answers what BOOK asks of an empty store until it asks no more. */
+static void
+answer_store_ (struct allotment_book *book, struct link_ *link)
+{
+  int64_t revision = 0;
+  json_t *record = NULL;
+
+  while (link->read_call != 0 || link->write_call != 0)
+    {
+      uint64_t call = link->read_call;
+
+      if (call != 0)
+        {
+          link->read_call = 0;
+          allotment_book_read_done (book, "team", call, record == NULL ? STORE_ABSENT : STORE_OK,
+                                    record, revision, NOW_US);
+          continue;
+        }
+      call = link->write_call;
+      link->write_call = 0;
+      json_decref (record);
+      record = g_steal_pointer (&link->written);
+      allotment_book_write_done (book, "team", call, STORE_OK, record, ++revision, NOW_US);
+    }
+  json_decref (record);
+}
+
+static void
+callers_that_settle_at_once_are_served_once (void **state)
+{
+  struct link_ link = { .vtable = &vtable_ };
+  struct allotment_book *book = book_new_ (&link);
+  struct caller_ callers[CALLERS] = { 0 };
+
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i].book = book;
+      allotment_reserve (book, "team", RESERVED, on_reserved_, &callers[i], NOW_US);
+    }
+  answer_store_ (book, &link);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      assert_int_equal (callers[i].answers, 1);
+      assert_int_equal (callers[i].verdict, ALLOTMENT_GRANTED);
+    }
+  allotment_book_delete (book);
+}
+
+static void
+callers_that_reserve_while_others_are_served_are_served_once (void **state)
+{
+  struct link_ link = { .vtable = &vtable_ };
+  struct allotment_book *book = book_new_ (&link);
+  struct caller_ callers[CALLERS] = { 0 };
+
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i].book = book;
+      callers[i].next = i % 2 == 0 ? &callers[i + 1] : NULL;
+    }
+  for (unsigned i = 0; i < CALLERS; i += 2)
+    allotment_reserve (book, "team", RESERVED, on_reserved_, &callers[i], NOW_US);
+  answer_store_ (book, &link);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      assert_int_equal (callers[i].answers, 1);
+      assert_int_equal (callers[i].verdict, ALLOTMENT_GRANTED);
+    }
+  allotment_book_delete (book);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (callers_that_settle_at_once_are_served_once),
+    cmocka_unit_test (callers_that_reserve_while_others_are_served_are_served_once),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
