--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -7,7 +7,7 @@
 enum
 {
   US_PER_MS = 1000,
-  IDLE_US = 1500000,              /* after this time without demand loans go back */
+  IDLE_US = 300000,               /* after this time without demand loans go back */
   ASK_REPEAT_US = 25 * US_PER_MS, /* several round trips, and a processor that is taken up */
   ASK_TRIES = 3,                  /* doubling pauses: given up after 175 ms */
   SUSPECT_FIRST_US = 1000000,     /* a peer that did not answer is passed over; doubles */
@@ -204,9 +204,14 @@
   if (call == team->check)
     {
       /* Later than the write expected: it took effect or never will, and the record tells which. */
-      if (team->step == STEP_WRITING && status == STORE_OK && revision > team->revision)
+      team->check = 0;
+      if (team->step != STEP_WRITING || (status != STORE_OK && status != STORE_ABSENT))
+        return;
+      if (status == STORE_OK && revision > team->revision)
         allotment_book_write_done (book, name, team->call, STORE_CONFLICT, content, revision,
                                    now_us);
+      else
+        allotment_repeat_write_ (book, team, now_us);
       return;
     }
   if (call != team->call)
@@ -342,6 +347,12 @@
   sr_ledger_borrowed (team->ledger, &answer->loan);
   if (!team->asking || team->number != answer->number)
     return;
+  if (answer->is_pending)
+    {
+      team->tries = 1;
+      team->asked_us = now_us;
+      return;
+    }
   team->asking = false;
   /* What is left of loans here may serve this request together with what others return. */
   if (answer->is_dry && return_unused_ (team, peer_name))
@@ -402,15 +413,23 @@
   return MAX (due_us, now_us + US_PER_MS);
 }
 
-/* Instance NAME runs with INCARNATION: it may be asked again, and earlier starts of it are dead. */
+/* Instance NAME runs with INCARNATION, since STARTED_US or earlier: it may be asked again, and
+ * earlier starts of it are dead. */
 void
-allotment_book_peer_started (struct allotment_book *book, const char *name, uint64_t incarnation)
+allotment_book_peer_started (struct allotment_book *book,
+                             const char *name,
+                             uint64_t incarnation,
+                             int64_t started_us)
 {
   struct allotment_peer *peer = allotment_peer_find_ (book, name);
 
   if (peer == NULL)
     return;
-  peer->incarnation = MAX (peer->incarnation, incarnation);
+  if (incarnation > peer->incarnation)
+    {
+      peer->incarnation = incarnation;
+      peer->started_us = started_us;
+    }
   peer->failures = 0;
   peer->suspect_until_us = 0;
 }
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -50,6 +50,7 @@
   bool is_empty;        /* nobody can: the record of the budget has nothing left */
   int64_t left_at_most; /* then, of the whole budget */
   bool is_leaving;      /* the lender stops: ask another one from now on */
+  bool is_pending;      /* the lender waits for the store: it answers once more */
 };
 
 /* How the book reaches the store and other instances. Every implementation begins with a pointer to
@@ -64,6 +65,9 @@
   void (*ask) (void *link, const char *peer, const struct allotment_ask *ask);
   /* Answers whoever sent the ask with HANDLE. */
   void (*answer) (void *link, uint64_t handle, const struct allotment_answer *answer);
+  /* Sets *EARLIEST_MS and *LATEST_MS, between which the real time is now. Returns false when too
+   * few instances have told theirs to be sure. */
+  bool (*real_time) (void *link, int64_t *earliest_ms, int64_t *latest_ms);
 };
 
 /* Called once for each reservation: PARTS are given back by allotment_settle, and NULL unless
@@ -78,6 +82,7 @@
   const char *instance;
   const char *data_centre;
   uint64_t incarnation; /* higher with each start of this instance */
+  int64_t started_us;   /* its process; earlier ones had ended by then */
 };
 
 struct allotment_book *allotment_book_new (const struct allotment_book_options *options);
@@ -119,8 +124,10 @@
                               const struct allotment_answer *answer,
                               int64_t now_us);
 int64_t allotment_book_tick (struct allotment_book *book, int64_t now_us);
-void
-allotment_book_peer_started (struct allotment_book *book, const char *name, uint64_t incarnation);
+void allotment_book_peer_started (struct allotment_book *book,
+                                  const char *name,
+                                  uint64_t incarnation,
+                                  int64_t started_us);
 void allotment_book_store_lost (struct allotment_book *book);
 void allotment_book_store_returned (struct allotment_book *book, int64_t now_us);
 void allotment_book_leave (struct allotment_book *book, int64_t now_us);
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -11,6 +11,12 @@
   STEP_WRITING
 };
 
+enum
+{
+  ALLOTMENT_LEAST_DIVISOR_
+  = 200 /* of the budget: less is not worth a write unless it is needed now */
+};
+
 /* What the store may still give to who waits here. */
 enum allotment_supply
 {
@@ -23,6 +29,7 @@
 {
   char *name;
   uint64_t incarnation; /* the highest one known; 0: none */
+  int64_t started_us;   /* when it became known: earlier starts had ended by then */
   int64_t suspect_until_us;
   unsigned failures; /* in a row */
 };
@@ -51,6 +58,7 @@
   int64_t open;
   int64_t prepaid_tokens;
   int64_t missing; /* what has to be drawn before it can be met */
+  bool is_told;    /* the borrower knows that it waits */
 };
 
 struct allotment_team
@@ -67,6 +75,7 @@
   enum allotment_store_step step;
   int64_t step_us;          /* when it began */
   uint64_t call;            /* of the step */
+  bool is_repeated;         /* the write that is out */
   uint64_t check;           /* a read beside a write that is late; 0: none for this write yet */
   struct sr_record *record; /* as last read or written; NULL: not known */
   int64_t revision;         /* of record; 0: there is none yet */
@@ -75,6 +84,11 @@
   int64_t retry_us;
   bool store_is_down;
   int64_t drew_us; /* when this instance last drew; 0: never */
+  /* The spend limit of the own record. */
+  int64_t limited_us; /* when it was written last; 0: never */
+  bool is_limited;
+  int64_t limit_per_s;
+  int64_t limit_committed; /* tokens in use when it was written */
   /* Borrowing. */
   bool asking;
   uint32_t number;
@@ -106,11 +120,32 @@
   bool stopping;
 };
 
+/* How much is held and how fast it is spent, see holding.c. */
+int64_t allotment_home_target_ (const struct allotment_book *book,
+                                struct allotment_team *team,
+                                int64_t now_us);
+int64_t allotment_stand_in_target_ (const struct allotment_book *book,
+                                    struct allotment_team *team,
+                                    int64_t now_us);
+int64_t allotment_held_back_ (const struct allotment_team *team);
+void allotment_limit_spending_ (struct allotment_book *book,
+                                struct allotment_team *team,
+                                struct sr_record *record,
+                                int64_t need,
+                                int64_t now_us);
+bool
+allotment_limit_is_due_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+
+struct allotment_peer *
+allotment_home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us);
 void allotment_pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 void
+allotment_repeat_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+void
 allotment_return_idle_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 int64_t allotment_left_at_most_ (const struct allotment_book *book,
-                                 const struct allotment_team *team);
+                                 const struct allotment_team *team,
+                                 int64_t now_us);
 void allotment_store_failed_ (struct allotment_book *book,
                               struct allotment_team *team,
                               enum store_status status,
--- a/src/allotment/demand.c
+++ b/src/allotment/demand.c
@@ -7,6 +7,7 @@
 {
   DEMAND_TIME_US = 8000000,  /* over which demand is averaged: a burst is covered while it lasts */
   DEMAND_LEAST_US = 1500000, /* of it must have passed before the average says much */
+  LARGEST_TIME_US = 30000000 /* in which the largest reservation is forgotten */
 };
 
 void
@@ -14,6 +15,8 @@
 {
   if (demand->first_us == 0)
     demand->first_us = demand->at_us = now_us;
+  demand->largest *= exp (-(double)(now_us - demand->at_us) / LARGEST_TIME_US);
+  demand->largest = MAX (demand->largest, (double)tokens);
   demand->per_us *= exp (-(double)(now_us - demand->at_us) / DEMAND_TIME_US);
   demand->per_us = MAX (demand->per_us + (double)tokens / DEMAND_TIME_US, 0);
   demand->at_us = now_us;
@@ -32,3 +35,10 @@
   seen = 1 - exp (-(double)MAX (now_us - demand->first_us, DEMAND_LEAST_US) / DEMAND_TIME_US);
   return (int64_t)(demand->per_us / seen * (double)span_us);
 }
+
+/* Returns the largest reservation of late. */
+int64_t
+allotment_demand_largest_ (const struct allotment_demand *demand)
+{
+  return (int64_t)demand->largest;
+}
--- a/src/allotment/service.c
+++ b/src/allotment/service.c
@@ -7,6 +7,9 @@
   = 600 * US_PER_MS, /* two calls to a slow store; then the caller hears when to return */
 };
 
+static void tell_pending_ (struct allotment_book *book,
+                           const struct allotment_team *team,
+                           struct allotment_pending_ask *ask);
 static bool serve_ask_ (struct allotment_book *book,
                         struct allotment_team *team,
                         struct allotment_pending_ask *ask,
@@ -46,7 +49,10 @@
       next = link->next;
       if (!serve_ask_ (book, team, link->data,
                        book->stopping ? SUPPLY_OUT_OF_REACH : SUPPLY_MAY_COME, now_us))
-        continue;
+        {
+          tell_pending_ (book, team, link->data);
+          continue;
+        }
       g_free (link->data);
       g_queue_delete_link (&team->asks, link);
     }
@@ -161,6 +167,24 @@
   return sum;
 }
 
+/* Tells who sent ASK that it waits for the store: silence would mean that this instance is gone. */
+static void
+tell_pending_ (struct allotment_book *book,
+               const struct allotment_team *team,
+               struct allotment_pending_ask *ask)
+{
+  const struct allotment_answer answer = { .team = team->name,
+                                           .number = ask->number,
+                                           .borrower_incarnation = ask->borrower_incarnation,
+                                           .is_leaving = book->leaving,
+                                           .is_pending = true };
+
+  if (ask->is_told)
+    return;
+  ask->is_told = true;
+  allotment_link_ (book)->answer (book->options.link, ask->handle, &answer);
+}
+
 /* Answers ASK if it can be met in full, or, when no more can come, in any case. */
 static bool
 serve_ask_ (struct allotment_book *book,
@@ -200,7 +224,7 @@
       answer.is_dry = true;
       /* Who knows of a larger total than this instance is not told that nothing is left. */
       answer.is_empty = supply == SUPPLY_EMPTY && ask->prepaid_tokens <= team->prepaid_tokens;
-      answer.left_at_most = answer.is_empty ? allotment_left_at_most_ (book, team) : 0;
+      answer.left_at_most = answer.is_empty ? allotment_left_at_most_ (book, team, now_us) : 0;
     }
   else if (!book->stopping)
     sr_ledger_lend (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -8,16 +8,10 @@
 enum
 {
   US_PER_MS = 1000,
-  HOME_COVER_US = 12000000, /* demand a home holds: the longest cut that is expected, and bursts */
-  STAND_IN_COVER_US = 2000000, /* demand of a draw in place of the home: a write a second */
-  STAND_IN_US = 3000000,       /* what was drawn so is kept, as the home may stay away */
-  LEFT_DIVISOR = 5,            /* of what is left of a scarce budget: what a crash may lose of it */
-  KEPT_DIVISOR = 3,            /* of the total: what a crash leaves while there is more */
-  FIRST_SHARE_DIVISOR = 5,     /* of an untouched budget: demand of ten seconds of a short day */
-  FLOOR_DIVISOR = 40,          /* of any budget, until demand is known: the largest of requests */
-  LEAST_DRAW_DIVISOR = 200, /* of the budget: less is not worth a write unless it is needed now */
-  FIRST_DRAW_DELAY_US = 1500000,   /* all instances have announced themselves by then */
+  STAND_IN_US = 3000000, /* what was drawn in place of the home is kept, as that may stay away */
   STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
+  STORE_LATE_AGAIN_US
+  = 50 * US_PER_MS,                /* the same of a write that is repeated: reads are answered */
   STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long; doubles */
   STORE_OUT_MAX_US = 4000000,      /* the watches tell sooner that the store is back */
   STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
@@ -37,6 +31,9 @@
 
 static void
 check_late_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
+static int64_t
+ended_by_ms_ (const struct allotment_book *book, const struct sr_holder_id *id, int64_t now_us);
+static void renew_limit_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static void pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static bool store_is_out_ (const struct allotment_book *book,
                            const struct allotment_team *team,
@@ -48,12 +45,6 @@
                              bool down,
                              struct allotment_peer **peer,
                              int64_t now_us);
-static struct allotment_peer *
-home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us);
-static int64_t
-home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us);
-static int64_t
-stand_in_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static void draw_ (struct allotment_book *book,
                    struct allotment_team *team,
                    int64_t need,
@@ -63,8 +54,10 @@
 static void write_ (struct allotment_book *book,
                     struct allotment_team *team,
                     struct sr_record *record,
+                    int64_t need,
                     int64_t now_us);
-static struct sr_record *edit_record_ (struct allotment_book *book, struct allotment_team *team);
+static struct sr_record *
+edit_record_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static bool is_dead_ (const struct allotment_book *book, const struct sr_holder_id *id);
 static void begin_ask_ (struct allotment_book *book,
                         struct allotment_team *team,
@@ -102,9 +95,10 @@
 static void
 pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
-  struct allotment_peer *home = home_ (book, team, now_us);
+  struct allotment_peer *home = allotment_home_ (book, team, now_us);
   int64_t need;
 
+  sr_ledger_pass_time (team->ledger, now_us);
   check_late_write_ (book, team, now_us);
   allotment_serve_waiters_ (team, now_us);
   allotment_serve_asks_ (book, team, now_us);
@@ -118,9 +112,10 @@
   if (home == NULL || (need > 0 && !g_queue_is_empty (&team->asks)))
     {
       /* Asks are met from the store; who asks knows others to turn to. */
-      int64_t target = home == NULL ? home_target_ (book, team, now_us)
-                                    : stand_in_target_ (book, team, now_us);
-      int64_t available = sr_ledger_available (team->ledger);
+      int64_t target = home == NULL ? allotment_home_target_ (book, team, now_us)
+                                    : allotment_stand_in_target_ (book, team, now_us);
+      int64_t available = sr_ledger_available (team->ledger) + allotment_held_back_ (team);
+
       if (need > 0 || available < target * 3 / 4)
         draw_ (book, team, MAX (need, 0), MAX (target - available, 0), now_us);
     }
@@ -128,6 +123,7 @@
   if (need > 0 && !g_queue_is_empty (&team->waiters))
     fetch_ (book, team, need, now_us);
   allotment_refuse_late_ (book, team, now_us);
+  renew_limit_ (book, team, now_us);
 }
 
 /* Returns loans that nobody needs to their lender, and an own allotment to the store when this is
@@ -135,7 +131,7 @@
 void
 allotment_return_idle_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
-  const struct allotment_peer *home = home_ (book, team, now_us);
+  const struct allotment_peer *home = allotment_home_ (book, team, now_us);
   struct sr_source *loan = team->asking ? NULL : loan_to_return_ (book, team, home, now_us);
   enum sr_ledger_ending ending = SR_LEDGER_KEEP_OPEN;
   int64_t keep = 0;
@@ -162,18 +158,18 @@
   if (book->stopping)
     ending = SR_LEDGER_CLOSE;
   else if (home == NULL)
-    keep = home_target_ (book, team, now_us);
+    keep = allotment_home_target_ (book, team, now_us);
   else if (!book->leaving && team->drew_us != 0 && now_us - team->drew_us < STAND_IN_US)
-    keep = stand_in_target_ (book, team, now_us);
+    keep = allotment_stand_in_target_ (book, team, now_us);
   else if (team->ledger->own->reserved == 0 && sr_source_open_loans (team->ledger->own) == 0)
     ending = SR_LEDGER_CLOSE_RETURNED;
   if (ending == SR_LEDGER_KEEP_OPEN
-      && sr_source_available (team->ledger->own)
-             <= keep * 3 / 2 + MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1))
+      && sr_source_available (team->ledger->own) + allotment_held_back_ (team)
+             <= keep * 3 / 2 + MAX (team->prepaid_tokens / ALLOTMENT_LEAST_DIVISOR_, 1))
     return;
-  record = edit_record_ (book, team);
+  record = edit_record_ (book, team, now_us);
   if (sr_ledger_give_back (team->ledger, record, team->revision, keep, ending))
-    write_ (book, team, record, now_us);
+    write_ (book, team, record, 0, now_us);
   else
     sr_record_delete (record);
 }
@@ -182,7 +178,9 @@
  * instance and its borrowers have used, what other holders said they have, and what the dead held.
  */
 int64_t
-allotment_left_at_most_ (const struct allotment_book *book, const struct allotment_team *team)
+allotment_left_at_most_ (const struct allotment_book *book,
+                         const struct allotment_team *team,
+                         int64_t now_us)
 {
   const struct sr_record *record = team->record;
   int64_t left = MAX (record->prepaid, team->prepaid_tokens) - record->settled;
@@ -193,7 +191,7 @@
           = &g_array_index (record->holders, struct sr_record_holder, i);
 
       left -= is_dead_ (book, &holder->id)
-                  ? holder->granted
+                  ? sr_record_spent_at_most (holder, ended_by_ms_ (book, &holder->id, now_us))
                   : MAX (sr_ledger_spent_of (team->ledger, &holder->id), holder->spent);
     }
   return left;
@@ -254,7 +252,7 @@
   switch (source_ (book, team, down, &peer, now_us))
     {
     case SOURCE_STORE:
-      ahead = stand_in_target_ (book, team, now_us) - sr_ledger_available (team->ledger);
+      ahead = allotment_stand_in_target_ (book, team, now_us) - sr_ledger_available (team->ledger);
       draw_ (book, team, need, MAX (ahead, 0), now_us);
       return;
     case SOURCE_PEER:
@@ -302,8 +300,8 @@
 
 /* Returns the instance that holds the allotment of TEAM, or NULL when it is this one. Instances
  * that did not answer lately are passed over. */
-static struct allotment_peer *
-home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us)
+struct allotment_peer *
+allotment_home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us)
 {
   size_t length = strlen (team->name);
   uint64_t best
@@ -327,42 +325,9 @@
   return home;
 }
 
-/* Returns the tokens that this instance, as the home of TEAM, should have available: the demand of
- * a cut. When all instances crash, what is held is lost. That is not missed while more is left than
- * was spent; later a third of the total stays in the store, and of a scarcer budget only a part is
- * held, since a request that is refused in a cut leaves its tokens to a later one, and a crash does
- * not. */
-static int64_t
-home_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us)
-{
-  int64_t target = allotment_demand_in_ (&team->demand, HOME_COVER_US, now_us);
-  const struct sr_record *record = team->record;
-  bool untouched = record == NULL || (record->holders->len == 0 && record->settled == 0);
-  int64_t left;
-  int64_t at_most;
-
-  if (book->peers_since_us == 0 || now_us - book->peers_since_us < FIRST_DRAW_DELAY_US)
-    return 0;
-  target = MAX (target, team->prepaid_tokens / (untouched ? FIRST_SHARE_DIVISOR : FLOOR_DIVISOR));
-  if (record == NULL)
-    return target;
-  left = sr_ledger_available (team->ledger) + MAX (sr_record_remaining (record), 0)
-         + MAX (team->prepaid_tokens - record->prepaid, 0);
-  at_most = MAX (left / LEFT_DIVISOR, left - team->prepaid_tokens / KEPT_DIVISOR);
-  return MIN (target, MAX (at_most, 2 * left - team->prepaid_tokens));
-}
-
-/* Returns the tokens that this instance should have available while it serves TEAM in place of a
- * home that can't: enough that not each request costs a write. */
-static int64_t
-stand_in_target_ (const struct allotment_book *book, struct allotment_team *team, int64_t now_us)
-{
-  return MIN (allotment_demand_in_ (&team->demand, STAND_IN_COVER_US, now_us),
-              home_target_ (book, team, now_us));
-}
-
 /* Draws NEED and up to WANT more tokens from the store, unless a call is out or the store was down
- * a moment ago. What would serve nobody who waits is left where others can draw it. */
+ * a moment ago. What is held already, but kept back by a spend limit, needs a new limit only. What
+ * would serve nobody who waits is left where others can draw it. */
 static void
 draw_ (struct allotment_book *book,
        struct allotment_team *team,
@@ -370,6 +335,7 @@
        int64_t want,
        int64_t now_us)
 {
+  int64_t held_back = allotment_held_back_ (team);
   struct sr_record *record;
   int64_t least;
   int64_t before;
@@ -384,38 +350,43 @@
       read_ (book, team, now_us);
       return;
     }
-  record = edit_record_ (book, team);
+  record = edit_record_ (book, team, now_us);
   before = sr_record_outstanding (record);
-  least = need == 0 ? MAX (team->prepaid_tokens / LEAST_DRAW_DIVISOR, 1)
+  least = need == 0 ? MAX (team->prepaid_tokens / ALLOTMENT_LEAST_DIVISOR_, 1)
                     : allotment_least_needed_ (team) - sr_ledger_available (team->ledger);
-  if (MIN (need + want, sr_record_remaining (record)) < MAX (least, 1))
+  if (need == 0 || least > held_back)
     {
-      sr_record_delete (record);
-      if (need == 0)
-        return;
-      if (now_us - team->record_us > EMPTY_FRESH_US)
-        read_ (book, team, now_us);
-      else
+      int64_t missing = need == 0 ? least : MAX (least - held_back, 1);
+
+      if (MIN (MAX (need - held_back, 0) + want, sr_record_remaining (record)) < missing)
         {
-          allotment_answer_asks_ (book, team, SUPPLY_EMPTY, now_us);
-          allotment_refuse_exhausted_ (team, book->options.instance,
-                                       allotment_left_at_most_ (book, team), now_us);
+          sr_record_delete (record);
+          if (need == 0)
+            return;
+          if (now_us - team->record_us > EMPTY_FRESH_US)
+            read_ (book, team, now_us);
+          else
+            {
+              allotment_answer_asks_ (book, team, SUPPLY_EMPTY, now_us);
+              allotment_refuse_exhausted_ (team, book->options.instance,
+                                           allotment_left_at_most_ (book, team, now_us), now_us);
+            }
+          return;
+        }
+      if (need - held_back > sr_record_remaining (record) && now_us - team->record_us > FRESH_US)
+        {
+          sr_record_delete (record);
+          read_ (book, team, now_us);
+          return;
         }
-      return;
-    }
-  if (need > sr_record_remaining (record) && now_us - team->record_us > FRESH_US)
-    {
-      sr_record_delete (record);
-      read_ (book, team, now_us);
-      return;
     }
   team->drew_us = now_us;
-  sr_ledger_draw (team->ledger, record, team->revision, need, want, NULL, 0);
+  sr_ledger_draw (team->ledger, record, team->revision, MAX (need - held_back, 0), want, NULL, 0);
   after = sr_record_outstanding (record);
-  sr_event (SR_EVENT_INFO, "allotment_draw", "{s:s,s:I,s:I,s:I,s:I}", "team", team->name,
-            "revision", (json_int_t)team->revision, "need", (json_int_t)need, "want",
-            (json_int_t)want, "drawn", (json_int_t)(after - before));
-  write_ (book, team, record, now_us);
+  sr_event (SR_EVENT_INFO, "allotment_draw", "{s:s,s:I,s:I,s:I,s:I,s:I}", "team", team->name,
+            "revision", (json_int_t)team->revision, "need", (json_int_t)need, "held_back",
+            (json_int_t)held_back, "want", (json_int_t)want, "drawn", (json_int_t)(after - before));
+  write_ (book, team, record, need, now_us);
 }
 
 static void
@@ -438,7 +409,7 @@
       = book->stopping || !g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks);
 
   if (team->step != STEP_WRITING || team->check != 0 || !is_waited_for
-      || now_us - team->step_us < STORE_LATE_US)
+      || now_us - team->step_us < (team->is_repeated ? STORE_LATE_AGAIN_US : STORE_LATE_US))
     return;
   sr_event (SR_EVENT_INFO, "allotment_check", "{s:s,s:I}", "team", team->name, "revision",
             (json_int_t)team->revision);
@@ -450,24 +421,39 @@
 write_ (struct allotment_book *book,
         struct allotment_team *team,
         struct sr_record *record,
+        int64_t need,
         int64_t now_us)
 {
+  allotment_limit_spending_ (book, team, record, need, now_us);
   if (record->written_off > team->record->written_off)
     sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name, "tokens",
               (json_int_t)(record->written_off - team->record->written_off));
   team->step = STEP_WRITING;
   team->step_us = now_us;
   team->edited = record;
+  team->is_repeated = false;
   team->call = ++book->calls;
   team->check = 0;
   allotment_link_ (book)->write (book->options.link, team->name, team->call,
                                  sr_record_to_json (record), team->revision);
 }
 
+/* Sends the write that is out once more: it has not taken effect. Both are conditional on the same
+ * revision, so that one of them does at most. */
+void
+allotment_repeat_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  team->step_us = now_us;
+  team->is_repeated = true;
+  team->call = ++book->calls;
+  allotment_link_ (book)->write (book->options.link, team->name, team->call,
+                                 sr_record_to_json (team->edited), team->revision);
+}
+
 /* Returns a copy of the record with what changes by itself: the total that was paid, and holders
  * that are dead, as whatever they held may be spent. */
 static struct sr_record *
-edit_record_ (struct allotment_book *book, struct allotment_team *team)
+edit_record_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
 {
   json_t *json = sr_record_to_json (team->record);
   struct sr_record *record = sr_record_from_json (json);
@@ -477,11 +463,17 @@
   record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
   for (unsigned i = record->holders->len; i > 0; i--)
     {
-      const struct sr_holder_id id
-          = g_array_index (record->holders, struct sr_record_holder, i - 1).id;
+      const struct sr_record_holder *holder
+          = &g_array_index (record->holders, struct sr_record_holder, i - 1);
+      const struct sr_holder_id id = holder->id;
+      int64_t end_ms;
 
-      if (is_dead_ (book, &id))
-        sr_record_write_off (record, &id);
+      if (!is_dead_ (book, &id))
+        continue;
+      /* Until the time is known, all of its grant counts as spent: as it does on the record. */
+      end_ms = ended_by_ms_ (book, &id, now_us);
+      if (end_ms != SR_TIME_UNKNOWN || !holder->limit.is_set)
+        sr_record_write_off (record, &id, end_ms);
     }
   sr_ledger_close_left_over (team->ledger, record,
                              book->stopping ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN);
@@ -500,6 +492,35 @@
   return peer != NULL && id->incarnation < peer->incarnation;
 }
 
+/* Returns the real time by which the process of the dead holder ID had ended at the latest. */
+static int64_t
+ended_by_ms_ (const struct allotment_book *book, const struct sr_holder_id *id, int64_t now_us)
+{
+  const struct allotment_peer *peer = allotment_peer_find_ (book, id->instance);
+  int64_t known_us = peer == NULL ? book->options.started_us : peer->started_us;
+  int64_t earliest_ms;
+  int64_t latest_ms;
+
+  if (!allotment_link_ (book)->real_time (book->options.link, &earliest_ms, &latest_ms))
+    return SR_TIME_UNKNOWN;
+  return latest_ms - (now_us - known_us) / US_PER_MS;
+}
+
+/* Renews the spend limit when it is time: a crash loses what could have been spent since then. */
+static void
+renew_limit_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
+{
+  struct sr_record *record;
+
+  if (team->ledger->own == NULL || team->record == NULL || team->step != STEP_IDLE
+      || now_us < team->retry_us || now_us < book->store_out_until_us
+      || !allotment_limit_is_due_ (book, team, now_us))
+    return;
+  record = edit_record_ (book, team, now_us);
+  sr_ledger_draw (team->ledger, record, team->revision, 0, 0, NULL, 0);
+  write_ (book, team, record, 0, now_us);
+}
+
 /* Asks HOME for NEED tokens more than are available here. Not for more: a home is a round trip
  * away, and what lies elsewhere can't serve a large request. */
 static void
--- a/src/allotment/test-allotment-callers.c
+++ b/src/allotment/test-allotment-callers.c
@@ -61,8 +61,14 @@
 {
 }
 
+static bool
+real_time_ (void *data, int64_t *earliest_ms, int64_t *latest_ms)
+{
+  return false;
+}
+
 static const struct allotment_link_vtable vtable_
-    = { .read = read_, .write = write_, .ask = ask_, .answer = answer_ };
+    = { .read = read_, .write = write_, .ask = ask_, .answer = answer_, .real_time = real_time_ };
 
 static void
 on_reserved_ (enum allotment_verdict verdict, GArray *parts, void *data)
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -105,9 +105,10 @@
 write_ (void *link, const char *team, uint64_t call, json_t *content, int64_t expected_revision);
 static void ask_ (void *link, const char *peer, const struct allotment_ask *ask);
 static void answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
+static bool real_time_ (void *link, int64_t *earliest_ms, int64_t *latest_ms);
 
 static const struct allotment_link_vtable vtable_
-    = { .read = read_, .write = write_, .ask = ask_, .answer = answer_ };
+    = { .read = read_, .write = write_, .ask = ask_, .answer = answer_, .real_time = real_time_ };
 
 static struct event_ *
 event_new_ (struct world_ *world, enum event_kind_ kind, struct node_ *node, int64_t delay_us)
@@ -232,13 +233,24 @@
   event->from = node;
 }
 
+static bool
+real_time_ (void *link, int64_t *earliest_ms, int64_t *latest_ms)
+{
+  const struct node_ *node = link;
+
+  *earliest_ms = *latest_ms = node->world->now_us / MS;
+  return true;
+}
+
 static void
 start_ (struct node_ *node)
 {
   struct world_ *world = node->world;
-  const struct allotment_book_options options = {
-    .link = node, .instance = node->name, .data_centre = "dc", .incarnation = ++node->incarnation
-  };
+  const struct allotment_book_options options = { .link = node,
+                                                  .instance = node->name,
+                                                  .data_centre = "dc",
+                                                  .incarnation = ++node->incarnation,
+                                                  .started_us = world->now_us };
   g_autoptr (GPtrArray) names = g_ptr_array_new ();
 
   node->book = allotment_book_new (&options);
@@ -250,8 +262,10 @@
   for (unsigned i = 0; i < BOOKS; i++)
     if (&world->nodes[i] != node && world->nodes[i].book != NULL)
       {
-        allotment_book_peer_started (world->nodes[i].book, node->name, node->incarnation);
-        allotment_book_peer_started (node->book, world->nodes[i].name, world->nodes[i].incarnation);
+        allotment_book_peer_started (world->nodes[i].book, node->name, node->incarnation,
+                                     world->now_us);
+        allotment_book_peer_started (node->book, world->nodes[i].name, world->nodes[i].incarnation,
+                                     world->now_us);
       }
   node->next_tick_us = world->now_us;
 }
--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -65,9 +65,9 @@
           sr_record_close (record, &source->id, committed);
           changed = true;
         }
-      else if (holder->granted > sr_source_limit (source))
+      else if (holder->granted > MIN (sr_source_granted (source), source->ceiling))
         {
-          holder->granted = sr_source_limit (source);
+          holder->granted = MIN (sr_source_granted (source), source->ceiling);
           changed = true;
         }
     }
@@ -134,6 +134,26 @@
   return true;
 }
 
+/* Edits RECORD, see sr_ledger_draw, so that it holds LIMIT for the own record: no more than base
+ * tokens beyond those in use now, and per_s more with each second, are spent from LIMIT's times on,
+ * until another limit is on the record. The limit is kept from now on, as the write may take effect
+ * at any time. */
+void
+sr_ledger_promise (struct sr_ledger *ledger,
+                   struct sr_record *record,
+                   const struct sr_spend_limit *limit)
+{
+  struct sr_source *own = ledger->own;
+  struct sr_record_holder *holder = own == NULL ? NULL : sr_record_find (record, &own->id);
+
+  if (holder == NULL)
+    return;
+  holder->limit = *limit;
+  holder->limit.base += sr_ledger_committed (ledger);
+  g_array_append_val (own->limits, holder->limit);
+  sr_ledger_pass_time (ledger, limit->since_us);
+}
+
 /* Takes over that RECORD, edited by sr_ledger_draw or sr_ledger_give_back, was written. */
 void
 sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record)
@@ -241,6 +261,9 @@
   if (holder != NULL)
     {
       source->on_record = true;
+      g_array_set_size (source->limits, 0);
+      if (holder->limit.is_set)
+        g_array_append_val (source->limits, holder->limit);
       source->granted = source->open ? holder->granted : MIN (source->granted, holder->granted);
     }
   else
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -30,13 +30,48 @@
   g_free (ledger);
 }
 
-/* Returns the tokens that may ever be used out of SOURCE, those already used included. */
+/* Returns the tokens granted to SOURCE, whichever write in doubt has taken effect. */
+int64_t
+sr_source_granted (const struct sr_source *source)
+{
+  return source->in_doubt ? MIN (source->granted, source->doubt_granted) : source->granted;
+}
+
+/* Returns the tokens that may be used out of SOURCE as of the time passed last, those already used
+ * included. */
 int64_t
 sr_source_limit (const struct sr_source *source)
 {
-  int64_t limit = MIN (source->granted, source->ceiling);
+  return MIN (sr_source_granted (source), MIN (source->ceiling, source->paced));
+}
+
+/* Returns the tokens of SOURCE that are granted, but that its spend limits do not allow yet. */
+int64_t
+sr_source_held_back (const struct sr_source *source)
+{
+  int64_t committed = source->used + source->reserved + source->given;
+
+  return MAX (sr_source_granted (source) - MAX (sr_source_limit (source), committed), 0);
+}
+
+/* Says that it is NOW_US on the steady clock: spend limits allow more. */
+void
+sr_ledger_pass_time (struct sr_ledger *ledger, int64_t now_us)
+{
+  for (unsigned i = 0; i < ledger->sources->len; i++)
+    {
+      struct sr_source *source = ledger->sources->pdata[i];
+
+      source->paced = INT64_MAX;
+      for (unsigned k = 0; source->own && k < source->limits->len; k++)
+        {
+          const struct sr_spend_limit *limit
+              = &g_array_index (source->limits, struct sr_spend_limit, k);
 
-  return source->in_doubt ? MIN (limit, source->doubt_granted) : limit;
+          source->paced
+              = MIN (source->paced, sr_spend_limit_after (limit, now_us - limit->since_us));
+        }
+    }
 }
 
 /* Returns the tokens of SOURCE that can be reserved, lent or given back now. */
@@ -171,8 +206,12 @@
   source->own = own;
   source->open = true;
   source->ceiling = INT64_MAX;
+  source->paced = INT64_MAX;
   if (own)
-    source->loans = g_array_new (FALSE, TRUE, sizeof (struct sr_loan));
+    {
+      source->loans = g_array_new (FALSE, TRUE, sizeof (struct sr_loan));
+      source->limits = g_array_new (FALSE, TRUE, sizeof (struct sr_spend_limit));
+    }
   g_ptr_array_add (ledger->sources, source);
   return source;
 }
@@ -218,8 +257,11 @@
 {
   struct sr_source *source = data;
 
-  if (source->loans != NULL)
-    g_array_unref (source->loans);
+  if (source->own)
+    {
+      g_array_unref (source->loans);
+      g_array_unref (source->limits);
+    }
   g_free (source);
 }
 
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -35,13 +35,15 @@
   bool gone;       /* own: the platform is known to have closed the record */
   int64_t granted; /* own: confirmed by the platform; loan: lent so far */
   int64_t ceiling; /* own: acknowledged by the witness */
+  int64_t paced;   /* own: what the limits below allow by now; INT64_MAX: there are none */
   int64_t used;    /* settled requests */
   int64_t reserved;
   int64_t given; /* own: out on loan; loan: returned so far */
   int64_t told;  /* loan: of what was returned, what the lender has heard of */
   char witness[SR_BUDGET_NAME_MAX_BYTES]; /* own: empty for none */
   uint64_t witness_incarnation;
-  GArray *loans; /* own: struct sr_loan */
+  GArray *loans;  /* own: struct sr_loan */
+  GArray *limits; /* own: struct sr_spend_limit, those that may be on the record */
   /* A write whose answer is not known: until a read shows a later version, the smaller of both
    * grants counts. */
   bool in_doubt;
@@ -76,7 +78,10 @@
 
 struct sr_ledger *sr_ledger_new (const struct sr_ledger_options *options);
 void sr_ledger_delete (struct sr_ledger *ledger);
+int64_t sr_source_granted (const struct sr_source *source);
 int64_t sr_source_limit (const struct sr_source *source);
+int64_t sr_source_held_back (const struct sr_source *source);
+void sr_ledger_pass_time (struct sr_ledger *ledger, int64_t now_us);
 int64_t sr_source_available (const struct sr_source *source);
 int64_t sr_ledger_available (const struct sr_ledger *ledger);
 int64_t sr_ledger_held (const struct sr_ledger *ledger);
@@ -105,6 +110,9 @@
                           int64_t version,
                           int64_t keep,
                           enum sr_ledger_ending ending);
+void sr_ledger_promise (struct sr_ledger *ledger,
+                        struct sr_record *record,
+                        const struct sr_spend_limit *limit);
 void sr_ledger_written (struct sr_ledger *ledger, const struct sr_record *record);
 
 /* The witness of the own record. */
--- a/src/budget/record.c
+++ b/src/budget/record.c
@@ -13,6 +13,8 @@
 static void top_up_free_ (void *data);
 static bool parse_top_ups_ (struct sr_record *record, const json_t *list);
 static bool parse_holders_ (struct sr_record *record, const json_t *list);
+static bool parse_limit_ (json_t *json, struct sr_spend_limit *limit);
+static json_t *limit_to_json_ (const struct sr_spend_limit *limit);
 static bool copy_name_ (char *target, const char *source);
 static json_t *holder_to_json_ (const struct sr_record_holder *holder);
 static json_t *top_up_to_json_ (const struct sr_record_top_up *top_up);
@@ -196,16 +198,27 @@
                         holder - &g_array_index (record->holders, struct sr_record_holder, 0));
 }
 
-/* Closes holder ID, if it is open, as having spent all of its grant. */
+/* Returns the tokens that HOLDER can have spent when its process had ended by END_MS, in real time;
+ * SR_TIME_UNKNOWN: nobody knows when. */
+int64_t
+sr_record_spent_at_most (const struct sr_record_holder *holder, int64_t end_ms)
+{
+  return MIN (holder->granted, sr_spend_limit_until (&holder->limit, end_ms));
+}
+
+/* Closes holder ID, if it is open, as having spent what it can have spent at most until END_MS, see
+ * sr_record_spent_at_most. Its process must have ended by then. */
 void
-sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id)
+sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id, int64_t end_ms)
 {
   struct sr_record_holder *holder = sr_record_find (record, id);
+  int64_t spent;
 
   if (holder == NULL)
     return;
-  record->written_off += holder->granted - holder->spent;
-  sr_record_close (record, id, holder->granted);
+  spent = sr_record_spent_at_most (holder, end_ms);
+  record->written_off += MAX (spent - holder->spent, 0);
+  sr_record_close (record, id, spent);
 }
 
 /* Applies the top-up ID of TOKENS (negative: a correction) to RECORD, once. */
@@ -289,13 +302,14 @@
     const char *data_centre;
     const char *witness;
     json_int_t numbers[5];
+    json_t *limit = NULL;
 
-    if (json_unpack (each, "{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I}", "instance", &instance,
+    if (json_unpack (each, "{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I,s?o}", "instance", &instance,
                      "incarnation", &numbers[0], "generation", &numbers[1], "data_centre",
                      &data_centre, "granted", &numbers[2], "spent", &numbers[3], "witness",
-                     &witness, "witness_incarnation", &numbers[4])
+                     &witness, "witness_incarnation", &numbers[4], "limit", &limit)
             != 0
-        || !copy_name_ (holder.id.instance, instance)
+        || !parse_limit_ (limit, &holder.limit) || !copy_name_ (holder.id.instance, instance)
         || !copy_name_ (holder.data_centre, data_centre) || !copy_name_ (holder.witness, witness))
       return false;
     holder.id.incarnation = (uint64_t)numbers[0];
@@ -308,6 +322,35 @@
   return true;
 }
 
+/* Reads what limit_to_json_ returned; a record of another writer has none. */
+static bool
+parse_limit_ (json_t *json, struct sr_spend_limit *limit)
+{
+  json_int_t numbers[5];
+
+  *limit = (struct sr_spend_limit){ 0 };
+  if (json == NULL || json_is_null (json))
+    return true;
+  if (json_unpack (json, "{s:I,s:I,s:I,s:I,s:I}", "at_ms", &numbers[0], "since_us", &numbers[1],
+                   "base", &numbers[2], "after_us", &numbers[3], "per_s", &numbers[4])
+          != 0
+      || numbers[2] < 0 || numbers[3] < 0 || numbers[4] < 0)
+    return false;
+  *limit
+      = (struct sr_spend_limit){ true, numbers[0], numbers[1], numbers[2], numbers[3], numbers[4] };
+  return true;
+}
+
+static json_t *
+limit_to_json_ (const struct sr_spend_limit *limit)
+{
+  if (!limit->is_set)
+    return NULL;
+  return json_pack ("{s:I,s:I,s:I,s:I,s:I}", "at_ms", (json_int_t)limit->at_ms, "since_us",
+                    (json_int_t)limit->since_us, "base", (json_int_t)limit->base, "after_us",
+                    (json_int_t)limit->after_us, "per_s", (json_int_t)limit->per_s);
+}
+
 static bool
 copy_name_ (char *target, const char *source)
 {
@@ -317,12 +360,12 @@
 static json_t *
 holder_to_json_ (const struct sr_record_holder *holder)
 {
-  return json_pack ("{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I}", "instance", holder->id.instance,
-                    "incarnation", (json_int_t)holder->id.incarnation, "generation",
-                    (json_int_t)holder->id.generation, "data_centre", holder->data_centre,
-                    "granted", (json_int_t)holder->granted, "spent", (json_int_t)holder->spent,
-                    "witness", holder->witness, "witness_incarnation",
-                    (json_int_t)holder->witness_incarnation);
+  return json_pack (
+      "{s:s,s:I,s:I,s:s,s:I,s:I,s:s,s:I,s:o*}", "instance", holder->id.instance, "incarnation",
+      (json_int_t)holder->id.incarnation, "generation", (json_int_t)holder->id.generation,
+      "data_centre", holder->data_centre, "granted", (json_int_t)holder->granted, "spent",
+      (json_int_t)holder->spent, "witness", holder->witness, "witness_incarnation",
+      (json_int_t)holder->witness_incarnation, "limit", limit_to_json_ (&holder->limit));
 }
 
 static json_t *
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -1,6 +1,8 @@
 /* The platform's object of one budget: what was paid in, what is settled, and who holds tokens. */
 #pragma once
 
+#include "budget/spend-limit.h"
+
 #include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
@@ -32,6 +34,7 @@
   int64_t spent;                          /* as last reported; never more than granted */
   char witness[SR_BUDGET_NAME_MAX_BYTES]; /* empty: none, the holder may use all of its grant */
   uint64_t witness_incarnation;
+  struct sr_spend_limit limit; /* kept by the holder since the record was written */
 };
 
 struct sr_record_top_up
@@ -77,6 +80,7 @@
                          int64_t need,
                          int64_t want);
 void sr_record_close (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
-void sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id);
+int64_t sr_record_spent_at_most (const struct sr_record_holder *holder, int64_t end_ms);
+void sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id, int64_t end_ms);
 enum sr_top_up_verdict sr_record_top_up (
     struct sr_record *record, const char *id, int64_t tokens, const char *who, int64_t time_ms);
--- a/src/budget/recover.c
+++ b/src/budget/recover.c
@@ -60,7 +60,7 @@
         }
       else if (fate == FATE_SUPERSEDED && (holder.witness[0] == '\0' || witness == FATE_SUPERSEDED))
         {
-          sr_record_write_off (record, &holder.id);
+          sr_record_write_off (record, &holder.id, SR_TIME_UNKNOWN);
           holder.spent = holder.granted;
           g_array_append_val (closed, holder);
         }
--- /dev/null
+++ b/src/budget/spend-limit.c
@@ -0,0 +1,35 @@
+#include "budget/spend-limit.h"
+
+#include <glib.h>
+
+static const int64_t US_PER_S = 1000000;
+static const int64_t US_PER_MS = 1000;
+static const int64_t ELAPSED_MAX_US = INT64_C (86400000000); /* a day: no rate asks for more */
+
+/* Returns the tokens that may be in use ELAPSED_US after the promise of LIMIT; INT64_MAX when there
+ * is none, or after so long that it limits nothing. */
+int64_t
+sr_spend_limit_after (const struct sr_spend_limit *limit, int64_t elapsed_us)
+{
+  int64_t more;
+
+  if (!limit->is_set || elapsed_us > ELAPSED_MAX_US
+      || __builtin_mul_overflow (limit->per_s, MAX (elapsed_us - limit->after_us, 0), &more)
+      || __builtin_add_overflow (more / US_PER_S, limit->base, &more))
+    return INT64_MAX;
+  return more;
+}
+
+/* Returns the tokens that can have been in use at TIME_MS (real time, or later; SR_TIME_UNKNOWN:
+ * not known) by a holder that has kept LIMIT. A time before the promise is no evidence. */
+int64_t
+sr_spend_limit_until (const struct sr_spend_limit *limit, int64_t time_ms)
+{
+  int64_t elapsed_ms;
+
+  if (!limit->is_set || time_ms == SR_TIME_UNKNOWN || time_ms < limit->at_ms
+      || __builtin_sub_overflow (time_ms, limit->at_ms, &elapsed_ms)
+      || elapsed_ms > ELAPSED_MAX_US / US_PER_MS)
+    return INT64_MAX;
+  return sr_spend_limit_after (limit, elapsed_ms * US_PER_MS);
+}
--- a/src/budget/test-schedules.c
+++ b/src/budget/test-schedules.c
@@ -1,7 +1,8 @@
 /* Random schedules of all faults over the records, ledgers and witnesses of one budget: writes that
  * take effect late, lost answers, messages lost, repeated and reordered, crashes, instances taken
  * for dead while they live, top-ups and corrections. After each step the tokens that can have been
- * consumed are at most those paid in. */
+ * consumed are at most those paid in, and nobody has spent more of a grant than the record allows.
+ */
 #include "budget/ledger.h"
 #include "budget/witness.h"
 
@@ -14,8 +15,16 @@
 
 #include <cmocka.h>
 
+enum mode
+{
+  MODE_PLAIN,
+  MODE_WITNESSED,
+  MODE_LIMITED
+};
+
 enum
 {
+  US_PER_MS = 1000,
   INSTANCES = 5,
   STEPS = 400,
   RUNS = 600,
@@ -60,6 +69,8 @@
 {
   char name[8];
   uint64_t incarnation;
+  int64_t started_us; /* by the world's clock: earlier starts had ended by then */
+  int64_t behind_us;  /* its steady clock, which stands still in a suspension */
   struct sr_ledger *ledger;
   struct sr_witness *witness;
   GArray *reservations[RESERVATIONS_MAX];
@@ -70,9 +81,18 @@
   struct sr_holder_id recovered;
 };
 
+/* What an ended process had used, reserved and lent of a record. */
+struct ended
+{
+  struct sr_holder_id id;
+  int64_t committed;
+  int64_t end_ms;
+};
+
 struct world
 {
   GRand *random;
+  GArray *ended; /* struct ended */
   struct node nodes[INSTANCES];
   GPtrArray *messages;
   struct sr_record *record;
@@ -83,6 +103,7 @@
   uint64_t operations;
   unsigned top_ups;
   bool witnessed;
+  bool limited; /* holders promise how fast they spend, and the dead are written off by that */
   bool corrections;
 };
 
@@ -92,8 +113,14 @@
   return g_rand_int_range (world->random, 0, count);
 }
 
+static int64_t
+steady_us_ (const struct world *world, const struct node *node)
+{
+  return world->now_us - node->behind_us;
+}
+
 static void
-node_start_ (struct node *node, unsigned index)
+node_start_ (struct node *node, unsigned index, int64_t now_us)
 {
   struct sr_ledger_options options = {
     .data_centre = "kikuyu", .cover_us = 2000000, .ceiling_cover_us = 500000, .idle_us = 300000
@@ -101,6 +128,8 @@
 
   g_snprintf (node->name, sizeof node->name, "n%u", index);
   node->incarnation++;
+  node->started_us = now_us;
+  node->behind_us = 0;
   options.instance = node->name;
   options.incarnation = node->incarnation;
   node->ledger = sr_ledger_new (&options);
@@ -182,6 +211,45 @@
   return pick_ (world, 2) == 0 ? SR_LEDGER_CLOSE : SR_LEDGER_CLOSE_RETURNED;
 }
 
+/* The real time of a promise is known to be no later than this. */
+static void
+promise_ (struct world *world, struct node *node, struct sr_record *record)
+{
+  const struct sr_spend_limit limit = { .is_set = pick_ (world, 4) > 0,
+                                        .at_ms = world->now_us / US_PER_MS - pick_ (world, 200),
+                                        .since_us = steady_us_ (world, node),
+                                        .base = pick_ (world, 40),
+                                        .after_us = pick_ (world, 3) * 4 * STEP_US,
+                                        .per_s = pick_ (world, 200) };
+
+  sr_ledger_promise (node->ledger, record, &limit);
+}
+
+/* Writes off a holder whose process has ended. Its end is known to be no later than this. */
+static void
+write_off_ (struct world *world, unsigned from)
+{
+  struct sr_record *record = copy_ (world->record);
+  const struct sr_record_holder *holder;
+  const struct node *dead;
+  struct sr_holder_id id;
+
+  if (record->holders->len == 0)
+    goto out;
+  holder = &g_array_index (record->holders, struct sr_record_holder,
+                           pick_ (world, (int)record->holders->len));
+  id = holder->id;
+  dead = &world->nodes[index_of_ (id.instance)];
+  if (id.incarnation == dead->incarnation)
+    goto out;
+  sr_record_write_off (record, &id, dead->started_us / US_PER_MS + 1 + pick_ (world, 200));
+  send_write_ (world, from, record, world->version);
+  return;
+
+out:
+  sr_record_delete (record);
+}
+
 static void
 update_ (struct world *world, unsigned from)
 {
@@ -208,6 +276,8 @@
                       world->nodes[other].incarnation);
       changed = true;
     }
+  if (changed && world->limited)
+    promise_ (world, node, record);
   if (changed)
     send_write_ (world, from, record, world->version);
   else
@@ -234,7 +304,7 @@
     {
       struct sr_holder_id id = holder->id;
 
-      sr_record_write_off (record, &id);
+      sr_record_write_off (record, &id, SR_TIME_UNKNOWN);
       send_write_ (world, from, record, world->version);
       return;
     }
@@ -426,13 +496,53 @@
     g_ptr_array_remove_fast (world->messages, message);
 }
 
+static int64_t
+committed_ (const struct sr_source *source)
+{
+  return source->used + source->reserved + source->given;
+}
+
 static void
 crash_ (struct world *world, unsigned index)
 {
   struct node *node = &world->nodes[index];
 
+  for (unsigned i = 0; i < node->ledger->sources->len; i++)
+    {
+      const struct sr_source *source = node->ledger->sources->pdata[i];
+      const struct ended ended = { source->id, committed_ (source), world->now_us / US_PER_MS };
+
+      if (source->own)
+        g_array_append_val (world->ended, ended);
+    }
+
   node_stop_ (node);
-  node_start_ (node, index);
+  node_start_ (node, index, world->now_us);
+}
+
+/* Many reservations and crashes of a budget that is rarely topped up, so that what is written off
+ * too low is granted and consumed once more. */
+static void
+step_limited_ (struct world *world, unsigned index, int choice)
+{
+  struct node *node = &world->nodes[index];
+
+  if (choice < 300)
+    pass_message_ (world);
+  else if (choice < 700)
+    spend_ (world, index);
+  else if (choice < 740)
+    borrow_ (world, index);
+  else if (choice < 742)
+    pay_ (world);
+  else if (choice < 762)
+    crash_ (world, index);
+  else if (choice < 790)
+    node->operation = 0; /* gives up waiting for an answer */
+  else if (node->operation == 0 && choice < 870)
+    write_off_ (world, index);
+  else if (node->operation == 0)
+    update_ (world, index);
 }
 
 static void
@@ -443,7 +553,13 @@
   int choice = pick_ (world, 1000);
 
   world->now_us += STEP_US;
-  if (choice < 300)
+  if (world->limited && pick_ (world, 50) == 0)
+    world->nodes[pick_ (world, INSTANCES)].behind_us += pick_ (world, 40) * STEP_US;
+  for (unsigned i = 0; i < INSTANCES; i++)
+    sr_ledger_pass_time (world->nodes[i].ledger, steady_us_ (world, &world->nodes[i]));
+  if (world->limited)
+    step_limited_ (world, index, choice);
+  else if (choice < 300)
     pass_message_ (world);
   else if (choice < 550)
     spend_ (world, index);
@@ -465,43 +581,72 @@
     update_ (world, index);
 }
 
+/* Returns how much more is committed of HOLDER's record than the record itself allows by now. */
+static int64_t
+beyond_record_ (const struct world *world, const struct sr_record_holder *holder)
+{
+  const struct node *node = &world->nodes[index_of_ (holder->id.instance)];
+
+  for (unsigned i = 0; i < node->ledger->sources->len; i++)
+    {
+      const struct sr_source *source = node->ledger->sources->pdata[i];
+
+      if (source->own && sr_holder_id_equal (&source->id, &holder->id))
+        return committed_ (source) - sr_record_spent_at_most (holder, world->now_us / US_PER_MS);
+    }
+  for (unsigned i = 0; i < world->ended->len; i++)
+    {
+      const struct ended *ended = &g_array_index (world->ended, struct ended, i);
+
+      if (sr_holder_id_equal (&ended->id, &holder->id))
+        return ended->committed - sr_record_spent_at_most (holder, ended->end_ms);
+    }
+  return 0;
+}
+
 /* Runs one schedule. Returns by how much consumption went beyond what was paid in, at worst, and
  * adds to LEFT the tokens that are neither consumed nor can be granted at the end. */
 static int64_t
-run_ (uint32_t seed, bool witnessed, int64_t *left)
+run_ (uint32_t seed, enum mode mode, int64_t *left)
 {
   struct world world = { .random = g_rand_new_with_seed (seed),
-                         .witnessed = witnessed,
+                         .witnessed = mode == MODE_WITNESSED,
+                         .limited = mode == MODE_LIMITED,
                          .corrections = seed % 2 == 1 };
   int64_t worst = INT64_MIN;
 
   world.record = sr_record_new ();
   world.messages = g_ptr_array_new_with_free_func (message_free_);
+  world.ended = g_array_new (FALSE, FALSE, sizeof (struct ended));
   for (unsigned i = 0; i < INSTANCES; i++)
-    node_start_ (&world.nodes[i], i);
+    node_start_ (&world.nodes[i], i, world.now_us);
   pay_ (&world);
   for (unsigned step = 0; step < STEPS; step++)
     {
       step_ (&world);
       worst = MAX (worst, world.consumed - world.paid);
+      for (unsigned i = 0; mode == MODE_LIMITED && i < world.record->holders->len; i++)
+        worst = MAX (worst, beyond_record_ (&world, &g_array_index (world.record->holders,
+                                                                    struct sr_record_holder, i)));
     }
   *left += world.record->prepaid - world.consumed - MAX (sr_record_remaining (world.record), 0);
   for (unsigned i = 0; i < INSTANCES; i++)
     node_stop_ (&world.nodes[i]);
   g_ptr_array_unref (world.messages);
+  g_array_unref (world.ended);
   sr_record_delete (world.record);
   g_rand_free (world.random);
   return worst;
 }
 
 static void
-run_all_ (bool witnessed)
+run_all_ (enum mode mode)
 {
   int64_t left = 0;
 
   for (uint32_t seed = 1; seed <= RUNS; seed++)
     {
-      int64_t beyond = run_ (seed, witnessed, &left);
+      int64_t beyond = run_ (seed, mode, &left);
 
       if (beyond > 0)
         fail_msg ("seed %u: %" G_GINT64_FORMAT " tokens beyond the prepaid ones", seed, beyond);
@@ -514,14 +659,22 @@
 static void
 test_never_overspent_without_witness (void **state)
 {
-  run_all_ (false);
+  run_all_ (MODE_PLAIN);
 }
 
 /* Any holder, dead or not, is sealed and closed at any moment. */
 static void
 test_never_overspent_with_witness (void **state)
 {
-  run_all_ (true);
+  run_all_ (MODE_WITNESSED);
+}
+
+/* Holders promise how fast they spend, and are written off by that once their process has ended:
+ * with steady clocks that stand still, and times that are only known within bounds. */
+static void
+test_never_overspent_with_spend_limits (void **state)
+{
+  run_all_ (MODE_LIMITED);
 }
 
 int
@@ -530,6 +683,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_never_overspent_without_witness),
     cmocka_unit_test (test_never_overspent_with_witness),
+    cmocka_unit_test (test_never_overspent_with_spend_limits),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/gateway/book-link.c
+++ b/src/gateway/book-link.c
@@ -1,8 +1,12 @@
 #include "gateway/serve-private.h"
 
+#include <time.h>
+
 enum
 {
-  WORK_LEAST_TOKENS = 3000, /* shorter prompts delay nobody for long */
+  TIME_ANSWER_MAX_US = 1000000, /* a round trip through a paused instance tells little */
+  TIME_INTERVAL_US = 4000000,   /* a few questions in the time for which answers count */
+  WORK_LEAST_TOKENS = 3000,     /* shorter prompts delay nobody for long */
 };
 
 #define KIND_BUDGETS "sapphirerun-budgets"
@@ -17,6 +21,8 @@
 
 static struct record_call_ *
 record_call_new_ (struct gateway *gateway, const char *team, uint64_t number);
+static void ask_time_ (struct gateway *gateway);
+static int64_t steady_us_ (void);
 static void on_record_read_ (const struct store_result *result, void *data);
 static void on_record_written_ (const struct store_result *result, void *data);
 
@@ -111,13 +117,61 @@
     allotment_book_answered (gateway->context.book, peer, answer, g_get_monotonic_time ());
 }
 
+/* See struct allotment_link_vtable. */
+bool
+gateway_real_time_ (void *link, int64_t *earliest_ms, int64_t *latest_ms)
+{
+  struct gateway *gateway = link;
+  const struct fleet_instant now
+      = { .steady_us = steady_us_ (), .real_ms = g_get_real_time () / GATEWAY_US_PER_MS };
+
+  return fleet_clock_bounds (gateway->clock, &now, earliest_ms, latest_ms);
+}
+
+/* Another instance has told its time of day. An answer to what was not asked lately says nothing.
+ */
+void
+gateway_on_told_time_ (const char *peer, int64_t real_ms, int64_t asked_us, void *data)
+{
+  struct gateway *gateway = data;
+  int64_t now_us = steady_us_ ();
+
+  if (asked_us <= now_us && now_us - asked_us <= TIME_ANSWER_MAX_US)
+    fleet_clock_note (gateway->clock, peer, real_ms, asked_us, now_us);
+}
+
+/* Asks other instances for their time of day: at once until enough have told it. */
+static void
+ask_time_ (struct gateway *gateway)
+{
+  int64_t now_us = steady_us_ ();
+
+  if (gateway->time_asked_us != 0 && now_us - gateway->time_asked_us < TIME_INTERVAL_US
+      && fleet_clock_has_quorum (gateway->clock, now_us))
+    return;
+  gateway->time_asked_us = now_us;
+  mesh_ask_time (gateway->mesh, now_us, gateway->context.random);
+}
+
+/* The steady clock that counts suspensions. */
+static int64_t
+steady_us_ (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
 void
 gateway_on_book_timer_ (uv_timer_t *timer)
 {
   struct gateway *gateway = timer->data;
   int64_t now_us = g_get_monotonic_time ();
-  int64_t due_us = allotment_book_tick (gateway->context.book, now_us);
+  int64_t due_us;
 
+  ask_time_ (gateway);
+  due_us = allotment_book_tick (gateway->context.book, now_us);
   uv_timer_start (timer, gateway_on_book_timer_,
                   (uint64_t)((due_us - now_us) / GATEWAY_US_PER_MS + 1), 0);
 }
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  UP_MAX_MS = 86400000,   /* a longer time is no time that a process was up before it announced */
   LEASE_RETURN_MS = 2200, /* entries that lapsed in an outage are back two seconds after it */
 };
 
@@ -16,6 +17,7 @@
 static bool leases_doubtful_ (const struct gateway *gateway);
 static void on_lease_timer_ (uv_timer_t *timer);
 static void put_instance_ (struct gateway *gateway, const struct store_object *object);
+static int64_t started_us_ (const struct store_object *object);
 static void forget_instance_ (struct gateway *gateway, const char *name);
 static void peers_changed_ (struct gateway *gateway);
 static void note_starts_ (struct gateway *gateway, const struct store_result *result);
@@ -228,10 +230,19 @@
       /* The revision of an announcement is the incarnation, until it is written again to leave. */
       if (!object->deleted && !g_hash_table_contains (gateway->leaving, object->name))
         allotment_book_peer_started (gateway->context.book, object->name,
-                                     (uint64_t)object->revision);
+                                     (uint64_t)object->revision, started_us_ (object));
     }
 }
 
+/* Returns when the process that wrote the announcement OBJECT had started at the latest. */
+static int64_t
+started_us_ (const struct store_object *object)
+{
+  json_int_t up_ms = json_integer_value (json_object_get (object->content, "up_ms"));
+
+  return g_get_monotonic_time () - CLAMP (up_ms, 0, UP_MAX_MS) * GATEWAY_US_PER_MS;
+}
+
 static void
 forget_instance_ (struct gateway *gateway, const char *name)
 {
@@ -251,6 +262,7 @@
     if (g_hash_table_contains (gateway->leaving, names->pdata[i - 1]))
       g_ptr_array_remove_index (names, i - 1);
   gateway->context.instances = names->len + 1;
+  fleet_clock_set_instances (gateway->clock, gateway->context.instances);
   wait_ms = CLAMP (gateway->context.instances * GATEWAY_WATCH_FLEET_MS,
                    (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
   wait_min_ms
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -2,6 +2,7 @@
  * the book's way to the store and to other instances. */
 #pragma once
 
+#include "clock/fleet-clock.h"
 #include "gateway/gateway.h"
 #include "gateway/ingress.h"
 #include "gateway/serve.h"
@@ -46,6 +47,8 @@
   struct watcher *backends_watcher;
   struct watcher *instances_watcher;
   struct mesh *mesh;
+  struct fleet_clock *clock;
+  int64_t time_asked_us; /* of other instances, last; 0: never */
   struct gw_ingress *ingress;
   uv_timer_t book_timer;
   uv_timer_t work_timer;
@@ -80,6 +83,8 @@
 void gateway_send_answer_ (void *link, uint64_t handle, const struct allotment_answer *answer);
 void gateway_on_asked_ (uint64_t handle, const struct allotment_ask *ask, void *data);
 void gateway_on_answered_ (const char *peer, const struct allotment_answer *answer, void *data);
+bool gateway_real_time_ (void *link, int64_t *earliest_ms, int64_t *latest_ms);
+void gateway_on_told_time_ (const char *peer, int64_t real_ms, int64_t asked_us, void *data);
 void gateway_on_news_timer_ (uv_timer_t *timer);
 void gateway_on_told_ (const struct mesh_news *news, void *data);
 void gateway_on_work_timer_ (uv_timer_t *timer);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -44,6 +44,7 @@
   .write = gateway_write_record_,
   .ask = gateway_send_ask_,
   .answer = gateway_send_answer_,
+  .real_time = gateway_real_time_,
 };
 
 /* Runs a gateway until it is told to stop. Returns the exit code of the process. */
@@ -120,6 +121,7 @@
     .works = gateway_on_works_,
     .replaced = gateway_on_replaced_,
     .left = gateway_on_told_left_,
+    .told_time = gateway_on_told_time_,
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
@@ -149,6 +151,7 @@
       uv_timer_init (&gateway->loop, timers[i]);
       timers[i]->data = gateway;
     }
+  gateway->clock = fleet_clock_new ();
   gateway->mesh = mesh_new (&mesh);
   gateway->ingress = gw_ingress_new (context, &settings->entry_address);
   if (gateway->mesh == NULL || gateway->ingress == NULL || !gw_probe_listen (&probe))
@@ -241,9 +244,11 @@
 {
   const struct gw_settings *settings = gateway->settings;
 
-  return json_pack ("{s:s,s:i,s:s,s:s,s:b}", "address", settings->address->str, "peer_port",
-                    (int)settings->peer_port, "data_centre", settings->data_centre->str, "nonce",
-                    gateway->nonce, "leaving", gateway->context.stopping);
+  return json_pack (
+      "{s:s,s:i,s:s,s:s,s:b,s:I}", "address", settings->address->str, "peer_port",
+      (int)settings->peer_port, "data_centre", settings->data_centre->str, "nonce", gateway->nonce,
+      "leaving", gateway->context.stopping, "up_ms",
+      (json_int_t)((g_get_monotonic_time () - gateway->context.started_us) / GATEWAY_US_PER_MS));
 }
 
 static void
@@ -271,6 +276,7 @@
     .instance = gateway->settings->name->str,
     .data_centre = gateway->settings->data_centre->str,
     .incarnation = incarnation,
+    .started_us = gateway->context.started_us,
   };
 
   if (gateway->announced)
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -8,11 +8,13 @@
 
 enum
 {
+  US_PER_MS = 1000,
   WORK_FANOUT = 8, /* of a small fleet all are told, of a large one as many as a link carries */
+  TIME_FANOUT = 8, /* more than are needed, as some do not answer */
   NEWS_FANOUT = 6, /* one in four hundred is not told; a thousand are in four rounds */
   NEWS_REPEAT_FANOUT = 2,   /* who was not told is within a few repetitions, also after a cut */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
-  FORMAT = 2
+  FORMAT = 3
 };
 
 enum kind_
@@ -23,7 +25,9 @@
   KIND_NEWS = 3,
   KIND_WORK = 4,
   KIND_REPLACED = 5,
-  KIND_LEFT = 6
+  KIND_LEFT = 6,
+  KIND_TIME_ASK = 7,
+  KIND_TIME = 8
 };
 
 struct mesh
@@ -41,6 +45,7 @@
   u_int number;
   char sender[SR_BUDGET_NAME_BYTES];
   bool_t is_leaving;
+  bool_t is_pending;
 };
 
 static struct sr_counter sent_counter_ = { .name = "sapphirerun_mesh_datagrams_sent_total",
@@ -70,6 +75,8 @@
 tell_news_ (struct mesh *mesh, const struct mesh_news *news, unsigned fanout, GRand *random);
 static void spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
 static void take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
+static void take_time_ask_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
+static void take_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
 static void take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -175,8 +182,10 @@
   const struct sockaddr_in address = { .sin_family = AF_INET,
                                        .sin_addr.s_addr = (in_addr_t)(handle >> 16),
                                        .sin_port = (in_port_t)(handle & 0xffff) };
-  struct head_ head
-      = { .kind = KIND_ANSWER, .number = answer->number, .is_leaving = answer->is_leaving };
+  struct head_ head = { .kind = KIND_ANSWER,
+                        .number = answer->number,
+                        .is_leaving = answer->is_leaving,
+                        .is_pending = answer->is_pending };
   struct sr_budget_borrowed_msg message = { 0 };
   char team[SR_BUDGET_NAME_BYTES] = { 0 };
   int64_t left = answer->left_at_most;
@@ -263,6 +272,20 @@
   xdr_destroy (&xdr);
 }
 
+/* Asks some instances, chosen by chance, what time it is. NOW_US, on any clock of the caller's, is
+ * handed back with their answers. */
+void
+mesh_ask_time (struct mesh *mesh, int64_t now_us, GRand *random)
+{
+  struct head_ head = { .kind = KIND_TIME_ASK };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_int64_t (&xdr, &now_us))
+    spread_ (mesh, TIME_FANOUT, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
 static void
 on_closed_ (uv_handle_t *handle)
 {
@@ -307,6 +330,10 @@
     take_answer_ (mesh, &xdr, &head);
   else if (head.kind == KIND_WORK)
     take_work_ (mesh, &xdr, &head, from_key_ (address));
+  else if (head.kind == KIND_TIME_ASK)
+    take_time_ask_ (mesh, &xdr, address);
+  else if (head.kind == KIND_TIME)
+    take_time_ (mesh, &xdr, &head);
   else if (head.kind == KIND_NEWS && xdr_news_ (&xdr, &news))
     mesh->options.told (&news, mesh->options.data);
   else if (head.kind == KIND_REPLACED && xdr_uint64_t (&xdr, &backend))
@@ -324,7 +351,7 @@
 {
   return xdr_u_int (xdr, &head->format) && xdr_u_int (xdr, &head->kind)
          && xdr_u_int (xdr, &head->number) && xdr_opaque (xdr, head->sender, sizeof head->sender)
-         && xdr_bool (xdr, &head->is_leaving);
+         && xdr_bool (xdr, &head->is_leaving) && xdr_bool (xdr, &head->is_pending);
 }
 
 static void
@@ -379,6 +406,41 @@
   mesh->options.works (peer, work, head->number, mesh->options.data);
 }
 
+static void
+take_time_ask_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from)
+{
+  struct head_ head = { .kind = KIND_TIME };
+  int64_t real_ms = g_get_real_time () / US_PER_MS;
+  int64_t asked_us;
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR answer;
+
+  if (!xdr_int64_t (xdr, &asked_us))
+    {
+      sr_counter_add (&malformed_counter_, 1);
+      return;
+    }
+  if (begin_ (mesh, &answer, bytes, &head) && xdr_int64_t (&answer, &asked_us)
+      && xdr_int64_t (&answer, &real_ms))
+    send_ (mesh, from, &answer, bytes);
+  xdr_destroy (&answer);
+}
+
+static void
+take_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head)
+{
+  int64_t asked_us;
+  int64_t real_ms;
+
+  if (!xdr_int64_t (xdr, &asked_us) || !xdr_int64_t (xdr, &real_ms) || real_ms <= 0)
+    {
+      sr_counter_add (&malformed_counter_, 1);
+      return;
+    }
+  if (g_hash_table_contains (mesh->peers, head->sender))
+    mesh->options.told_time (head->sender, real_ms, asked_us, mesh->options.data);
+}
+
 static uint64_t
 from_key_ (const struct sockaddr_in *address)
 {
@@ -439,7 +501,8 @@
 take_answer_ (struct mesh *mesh, XDR *xdr, const struct head_ *head)
 {
   struct sr_budget_borrowed_msg message = { 0 };
-  struct allotment_answer answer = { .number = head->number, .is_leaving = head->is_leaving };
+  struct allotment_answer answer
+      = { .number = head->number, .is_leaving = head->is_leaving, .is_pending = head->is_pending };
   char team[SR_BUDGET_NAME_BYTES];
 
   if (!xdr_opaque (xdr, team, sizeof team) || !is_name_ (team)
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -41,6 +41,8 @@
   void (*told) (const struct mesh_news *news, void *data);
   /* BACKEND (hash of its id) is gone: another one answers at its address. */
   void (*replaced) (uint64_t backend, void *data);
+  /* PEER, asked at ASKED_US, says that it is REAL_MS. */
+  void (*told_time) (const char *peer, int64_t real_ms, int64_t asked_us, void *data);
   /* BACKEND (hash of its id), as it started at STARTED_MS, has said that it is leaving. */
   void (*left) (uint64_t backend, int64_t started_ms, void *data);
 };
@@ -57,4 +59,5 @@
 void mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
 void
 mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random);
+void mesh_ask_time (struct mesh *mesh, int64_t now_us, GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
