An instance behind a full link of its own sends only to servers that have answered lately

It could not hear that a server was leaving, neither from the store nor from others.

Now, while the store is not heard for half of the time after which a leaving server must be left alone, and the own link is the reason, only servers count whose last answer is no older than that: they would have said so. Who has heard of none refuses the request for another instance.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -19,6 +19,7 @@
   ATTEMPTS_MAX = 4                 /* whatever a route allows */
 };
 
+static int64_t answered_since_us_ (const struct gw_context *context, int64_t now_us);
 static void send_ (struct gw_exchange *exchange);
 static void on_ready_ (void *user);
 static void on_head_ (void *user,
@@ -80,6 +81,7 @@
     .connect_ms = (double)gw_link_load_delay_ms (&context->link, now_us),
     .part_memory_us = context->part_memory_us,
     .excluded = exchange->tried,
+    .answered_since_us = answered_since_us_ (context, now_us),
     .now_us = now_us,
   };
   struct gw_upstream_options options = {
@@ -109,6 +111,14 @@
                                json_pack ("{s:I}", "paused_ms", (json_int_t)place->paused_ms));
       return;
     }
+  if (verdict == GW_PLACE_UNHEARD)
+    {
+      gw_exchange_refuse_for_ (
+          exchange, exchange->runs > 0 ? 502 : 503, GW_RETURN_ELSEWHERE, "backends_unheard",
+          json_pack ("{s:I}", "store_out_ms",
+                     (json_int_t)((now_us - context->store_out_since_us) / GW_US_PER_MS)));
+      return;
+    }
   if (verdict == GW_PLACE_NONE || verdict == GW_PLACE_FULL)
     {
       gw_exchange_refuse_for_ (exchange, exchange->runs > 0 ? 502 : 503, GW_RETURN_PLACES,
@@ -180,6 +190,20 @@
   gw_exchange_set_timer_ (exchange);
 }
 
+/* Behind a full link of its own an instance hears neither the store nor other instances: a backend
+ * server may be leaving unless it has answered lately without saying so. Returns since when it must
+ * have, or 0 when the store is heard, or is away for other reasons. */
+static int64_t
+answered_since_us_ (const struct gw_context *context, int64_t now_us)
+{
+  int64_t span_us = context->leave_us / 2;
+
+  if (context->store_out_since_us == 0 || now_us - context->store_out_since_us < span_us
+      || !gw_link_load_is_congested (&context->link, now_us))
+    return 0;
+  return now_us - span_us;
+}
+
 /* The backend server may have turned another request away while the connection was made. */
 static void
 on_ready_ (void *user)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
   unsigned instances;     /* this one included */
   int64_t started_us;
   int64_t store_out_since_us; /* 0: it answers */
+  int64_t leave_us;           /* after which a backend server that leaves gets no new request */
   GRand *random;
   bool stopping;
   int64_t stopping_since_us;
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -52,6 +52,7 @@
   unsigned reported_load; /* running and waiting, less what was in flight from here */
   unsigned reported_waiting;
   int64_t reported_us;
+  int64_t answered_us; /* the head of its last answer */
   double error_rate;
   int64_t error_us;
   unsigned breaks; /* in a row */
@@ -113,6 +114,7 @@
   const struct gw_backend *home = home_of_prompt_ (query);
   bool best_is_ejected = true;
   bool all_full = true;
+  bool some_unheard = false;
   double best_ms = INFINITY;
   int64_t opens_us = INT64_MAX;
 
@@ -129,6 +131,11 @@
 
       if (backend->facts.is_leaving || backend->is_gone || is_excluded_ (query, backend))
         continue;
+      if (load->answered_us < query->answered_since_us)
+        {
+          some_unheard = true;
+          continue;
+        }
       if (gw_place_is_paused (backend, query->now_us))
         {
           opens_us = MIN (opens_us, load->paused_until_us);
@@ -156,7 +163,7 @@
       return GW_PLACE_PAUSED;
     }
   if (place->backend == NULL)
-    return GW_PLACE_NONE;
+    return some_unheard ? GW_PLACE_UNHEARD : GW_PLACE_NONE;
   describe_load_ (place, query->now_us);
   return all_full ? GW_PLACE_FULL : GW_PLACE_PICKED;
 }
@@ -206,13 +213,14 @@
   gw_place_heard (backend, now_us);
 }
 
-/* Takes over the load that rode on an ANSWER. */
+/* Takes over that BACKEND has answered, and the load that rode on ANSWER. */
 void
 gw_place_report (struct gw_backend *backend, const struct gw_answer *answer, int64_t now_us)
 {
   struct gw_backend_load *load = backend->load;
   unsigned total = answer->running + answer->waiting;
 
+  load->answered_us = now_us;
   if (!answer->has_load)
     return;
   load->reported_load = total > load->in_flight ? total - load->in_flight : 0;
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -22,15 +22,17 @@
   double connect_ms;         /* what a new connection costs now */
   int64_t part_memory_us;    /* a cached part is believed to be there for this long; 0: 9 s */
   const GPtrArray *excluded; /* struct gw_backend that failed this request */
+  int64_t answered_since_us; /* only those that have answered since then; 0: any */
   int64_t now_us;
 };
 
 enum gw_place_verdict
 {
   GW_PLACE_PICKED,
-  GW_PLACE_FULL,   /* all that take new work have more waiting than can be worth it */
-  GW_PLACE_PAUSED, /* all that could take it want nothing from here for a while */
-  GW_PLACE_NONE    /* nobody takes new work */
+  GW_PLACE_FULL,    /* all that take new work have more waiting than can be worth it */
+  GW_PLACE_PAUSED,  /* all that could take it want nothing from here for a while */
+  GW_PLACE_UNHEARD, /* none has answered since the time of the query */
+  GW_PLACE_NONE     /* nobody takes new work */
 };
 
 struct gw_place
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -144,6 +144,7 @@
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
   context->part_memory_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
+  context->leave_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   gateway->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->random = g_rand_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (timers); i++)
@@ -399,6 +400,7 @@
         ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
       context->part_memory_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
+      context->leave_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
                 settings->retry_ratio, "retry_extra", (int)settings->retry_extra, "link_mbps",
                 settings->link_megabits_per_s);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -65,6 +65,15 @@
     .fallback = "0" },
 };
 
+static const struct sr_ini_key backends_keys_[] = {
+  { .name = "leave_ms",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (leave_ms),
+    .min = 1,
+    .max = 600000,
+    .fallback = "2000" },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s",
     .type = SR_INI_UNSIGNED,
@@ -88,6 +97,7 @@
   { "retries", retries_keys_, G_N_ELEMENTS (retries_keys_) },
   { "limits", limits_keys_, G_N_ELEMENTS (limits_keys_) },
   { "prompts", prompts_keys_, G_N_ELEMENTS (prompts_keys_) },
+  { "backends", backends_keys_, G_N_ELEMENTS (backends_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -28,6 +28,8 @@
   double link_megabits_per_s; /* of each direction; 0: not known */
   /* [prompts] */
   double part_memory_s; /* a part is believed cached for this long after its use; 0: not known */
+  /* [backends] */
+  unsigned leave_ms; /* one that has said it is leaving gets no new request after this time */
   /* [stop] */
   unsigned stop_limit_s; /* then the process is killed */
 
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -408,6 +408,33 @@
   fleet_tear_down_ (&fleet);
 }
 
+/* Behind a full link of its own an instance hears of nobody who leaves: it sends to those that have
+ * answered lately. */
+static void
+only_servers_heard_lately_are_picked_by_who_hears_nothing_else (void **state)
+{
+  struct fleet_ fleet;
+  const struct gw_prompt prompt = { 0 };
+  const struct gw_answer answer = { 0 };
+  struct gw_place_query query;
+  struct gw_place place;
+
+  fleet_set_up_ (&fleet, 3, false);
+  query = query_ (&fleet, &prompt, 10 * SECOND);
+  query.answered_since_us = 9 * SECOND;
+  assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_UNHEARD);
+  gw_place_report (backend_ (&fleet, 0), &answer, 8 * SECOND);
+  gw_place_report (backend_ (&fleet, 1), &answer, 9500 * MS);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_PICKED);
+      assert_string_equal (place.backend->facts.id, "i-1");
+    }
+  backend_ (&fleet, 1)->facts.is_leaving = true;
+  assert_int_equal (gw_place_pick (&query, fleet.random, &place), GW_PLACE_UNHEARD);
+  fleet_tear_down_ (&fleet);
+}
+
 static void
 entries_missing_after_an_outage_are_used_until_they_have_had_their_time (void **state)
 {
@@ -623,7 +650,8 @@
   const char good[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
                       "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
                       "address = 10.0.0.2:83\n[retries]\nratio = 0.2\nextra = 54\nwindow_s = 10\n"
-                      "[prompts]\npart_memory_s = 7.4\n[stop]\nlimit_s = 8\n";
+                      "[prompts]\npart_memory_s = 7.4\n[backends]\nleave_ms = 3000\n"
+                      "[stop]\nlimit_s = 8\n";
   const char bad[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
                      "entry = 10.0.0.1\nready = x\npeer_port = 82\n[store]\naddress = 10.0.0.2:83\n"
                      "[retries]\nratio = 2\n[prompts]\npart_memory_s = -1\n";
@@ -635,6 +663,7 @@
   assert_int_equal (ntohs (settings->store_address.sin_port), 83);
   assert_true (settings->retry_ratio > 0.19 && settings->retry_ratio < 0.21);
   assert_true (settings->part_memory_s > 7.3 && settings->part_memory_s < 7.5);
+  assert_int_equal (settings->leave_ms, 3000);
   gw_settings_delete (settings);
   assert_null (gw_settings_parse ("f", bad, strlen (bad), findings));
   assert_int_equal (sr_findings_count (findings), 4);
@@ -659,6 +688,7 @@
     cmocka_unit_test (a_broken_server_is_passed_over_but_never_the_last_one),
     cmocka_unit_test (a_server_whose_address_is_taken_is_passed_over),
     cmocka_unit_test (nobody_is_picked_who_leaves_or_was_tried),
+    cmocka_unit_test (only_servers_heard_lately_are_picked_by_who_hears_nothing_else),
     cmocka_unit_test (entries_missing_after_an_outage_are_used_until_they_have_had_their_time),
     cmocka_unit_test (a_server_that_has_said_it_is_leaving_stays_so),
     cmocka_unit_test (a_server_that_wants_a_pause_gets_one),
