Refused callers are told when a lender has more without the store

A home that keeps a part of its grant back for outages knows when that may be spent; whoever asks it in vain is told, and its callers return then instead of by chance.

--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -369,6 +369,9 @@
     {
       int64_t until_us = now_us + DRY_MEMORY_US;
 
+      if (answer->opens_ms > 0)
+        team->opens_us = now_us + answer->opens_ms * US_PER_MS;
+
       g_hash_table_replace (team->dry, g_strdup (peer_name),
                             g_memdup2 (&until_us, sizeof until_us));
     }
@@ -515,6 +518,7 @@
                       struct allotment_known *known)
 {
   const struct allotment_team *team = g_hash_table_lookup (book->teams, name);
+  int64_t opens_us;
 
   *known = (struct allotment_known){ .record_left = -1,
                                      .record_age_ms = -1,
@@ -526,6 +530,8 @@
   known->prepaid_tokens = team->prepaid_tokens;
   known->available = sr_ledger_available (team->ledger);
   known->store_is_down = team->store_is_down;
+  opens_us = MAX (allotment_opens_us_ (team, now_us), team->opens_us);
+  known->opens_ms = MAX ((opens_us - now_us) / US_PER_MS, 0);
   if (team->left_us != 0)
     {
       known->left_at_most = team->left_at_most;
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -50,6 +50,7 @@
   bool is_empty;        /* nobody can: the record of the budget has nothing left */
   int64_t left_at_most; /* then, of the whole budget */
   bool is_leaving;      /* the lender stops: ask another one from now on */
+  int64_t opens_ms;     /* until the lender has more without the store; 0: it has none */
   bool is_pending;      /* the lender waits for the store: it answers once more */
 };
 
@@ -143,6 +144,7 @@
   int64_t record_left;   /* on the record as last seen; -1: not known, or topped up since */
   int64_t record_age_ms; /* since then; -1 as above */
   bool store_is_down;    /* the last call for the record failed */
+  int64_t opens_ms;      /* until more is there without the store; 0: that is not known */
   /* What was last heard to be left of the whole budget at most. */
   int64_t left_at_most; /* -1: nothing was */
   int64_t left_age_ms;  /* -1: nothing was */
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -102,7 +102,8 @@
   int64_t left_at_most;
   int64_t left_us; /* 0: never */
   char left_told_by[SR_BUDGET_NAME_MAX_BYTES];
-  GHashTable *dry; /* name of an instance that could get nothing: until when (int64_t) */
+  int64_t opens_us; /* when the lender that was asked last has more without the store; 0: never */
+  GHashTable *dry;  /* name of an instance that could get nothing: until when (int64_t) */
 };
 
 struct allotment_book
@@ -127,6 +128,7 @@
 int64_t allotment_stand_in_target_ (const struct allotment_book *book,
                                     struct allotment_team *team,
                                     int64_t now_us);
+int64_t allotment_opens_us_ (const struct allotment_team *team, int64_t now_us);
 int64_t allotment_held_back_ (const struct allotment_team *team);
 void allotment_limit_spending_ (struct allotment_book *book,
                                 struct allotment_team *team,
--- a/src/allotment/holding.c
+++ b/src/allotment/holding.c
@@ -64,6 +64,15 @@
   return team->ledger->own == NULL ? 0 : sr_source_held_back (team->ledger->own);
 }
 
+/* Returns when more of what is held here may be spent although the store is away, or 0. */
+int64_t
+allotment_opens_us_ (const struct allotment_team *team, int64_t now_us)
+{
+  int64_t opens_us = allotment_held_back_ (team) > 0 ? sr_source_opens_us (team->ledger->own) : 0;
+
+  return opens_us > now_us ? opens_us : 0;
+}
+
 /* Puts the spend limit of the own record into RECORD, which is about to be written. It allows NEED
  * beyond what is available. There is none where nothing would be kept back by it, or where the time
  * is not known. */
--- a/src/allotment/service.c
+++ b/src/allotment/service.c
@@ -200,6 +200,7 @@
   const struct sr_ledger *ledger = team->ledger;
   bool is_first = ask->lender.instance[0] == '\0';
   int64_t before = sr_ledger_committed (ledger);
+  int64_t opens_us;
 
   sr_ledger_take_return (team->ledger, &ask->lender, ask->borrower, ask->borrower_incarnation,
                          ask->returned);
@@ -224,6 +225,8 @@
       answer.is_dry = true;
       /* Who knows of a larger total than this instance is not told that nothing is left. */
       answer.is_empty = supply == SUPPLY_EMPTY && ask->prepaid_tokens <= team->prepaid_tokens;
+      opens_us = allotment_opens_us_ (team, now_us);
+      answer.opens_ms = opens_us == 0 ? 0 : (opens_us - now_us) / US_PER_MS + 1;
       answer.left_at_most = answer.is_empty ? allotment_left_at_most_ (book, team, now_us) : 0;
     }
   else if (!book->stopping)
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -54,6 +54,23 @@
   return MAX (sr_source_granted (source) - MAX (sr_source_limit (source), committed), 0);
 }
 
+/* Returns when, on the steady clock, all spend limits of SOURCE allow more than their base. */
+int64_t
+sr_source_opens_us (const struct sr_source *source)
+{
+  int64_t opens_us = 0;
+
+  for (unsigned i = 0; source->own && i < source->limits->len; i++)
+    {
+      const struct sr_spend_limit *limit
+          = &g_array_index (source->limits, struct sr_spend_limit, i);
+
+      if (limit->is_set)
+        opens_us = MAX (opens_us, limit->since_us + limit->after_us);
+    }
+  return opens_us;
+}
+
 /* Says that it is NOW_US on the steady clock: spend limits allow more. */
 void
 sr_ledger_pass_time (struct sr_ledger *ledger, int64_t now_us)
--- a/src/budget/ledger.h
+++ b/src/budget/ledger.h
@@ -81,6 +81,7 @@
 int64_t sr_source_granted (const struct sr_source *source);
 int64_t sr_source_limit (const struct sr_source *source);
 int64_t sr_source_held_back (const struct sr_source *source);
+int64_t sr_source_opens_us (const struct sr_source *source);
 void sr_ledger_pass_time (struct sr_ledger *ledger, int64_t now_us);
 int64_t sr_source_available (const struct sr_source *source);
 int64_t sr_ledger_available (const struct sr_ledger *ledger);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -386,7 +386,8 @@
   int64_t away_since_us = context->store_out_since_us > 0 ? context->store_out_since_us
                           : is_starting                   ? context->started_us
                                                           : now_us;
-  const struct gw_return_query query = {
+  struct allotment_known known = { 0 };
+  struct gw_return_query query = {
     .cause = cause,
     .answer_ms = gw_backends_answer_ms (context->backends, exchange->service_name),
     .pause_ms = exchange->place.paused_ms,
@@ -394,6 +395,9 @@
     .left_ms = exchange->end_us == INT64_MAX ? 0 : (exchange->end_us - now_us) / GW_US_PER_MS,
   };
 
+  if (exchange->state == EXCHANGE_RESERVING && context->book != NULL)
+    allotment_book_known (context->book, exchange->team->name->str, now_us, &known);
+  query.opens_ms = known.opens_ms;
   return gw_return_after_s (&query, context->random);
 }
 
--- a/src/gateway/return-time.h
+++ b/src/gateway/return-time.h
@@ -11,7 +11,7 @@
   GW_RETURN_ELSEWHERE, /* another instance has room now */
   GW_RETURN_PLACES,    /* places at backend servers free up all the time */
   GW_RETURN_PAUSE,     /* backend servers want nothing before a known time */
-  GW_RETURN_OUTAGE     /* something is away, and nobody knows for how long */
+  GW_RETURN_OUTAGE     /* something is away, and perhaps nobody knows for how long */
 };
 
 struct gw_return_query
@@ -20,6 +20,7 @@
   int64_t answer_ms; /* GW_RETURN_PLACES: mean time of an answer */
   int64_t pause_ms;  /* GW_RETURN_PAUSE: until it is over */
   int64_t away_ms;   /* GW_RETURN_OUTAGE: since when it is away */
+  int64_t opens_ms;  /* GW_RETURN_OUTAGE: until it is bridged; 0: nobody knows */
   int64_t left_ms;   /* of the caller's time; 0: not stated */
 };
 
--- a/src/gateway/test-return-time.c
+++ b/src/gateway/test-return-time.c
@@ -112,6 +112,24 @@
   assert_true (after.first_s > before.last_s);
 }
 
+/* It is known when tokens are there again: nobody returns before, nor long after, and not all at
+ * once. Who can't wait for so long asks once more in the time that is left. */
+static void
+a_bridged_outage_is_waited_for (void **state)
+{
+  struct gw_return_query query
+      = { .cause = GW_RETURN_OUTAGE, .away_ms = 600, .opens_ms = 1800, .left_ms = 8000 };
+  struct herd_ herd;
+
+  play_ (&query, &herd);
+  assert_true (herd.first_s >= 1.8);
+  assert_true (herd.last_s <= 2.5);
+  assert_true (herd.most <= CALLERS / 5);
+  query.left_ms = 3000;
+  play_ (&query, &herd);
+  assert_true (herd.last_s <= 1);
+}
+
 /* Nobody is told to return before a pause is over. */
 static void
 a_pause_is_told_as_it_is (void **state)
@@ -144,6 +162,7 @@
     cmocka_unit_test (few_tries_are_used_late),
     cmocka_unit_test (little_time_bounds_the_wait),
     cmocka_unit_test (a_long_outage_is_asked_about_less_often),
+    cmocka_unit_test (a_bridged_outage_is_waited_for),
     cmocka_unit_test (a_pause_is_told_as_it_is),
     cmocka_unit_test (who_is_served_elsewhere_loses_no_time),
   };
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -14,6 +14,7 @@
   NEWS_FANOUT = 6, /* one in four hundred is not told; a thousand are in four rounds */
   NEWS_REPEAT_FANOUT = 2,   /* who was not told is within a few repetitions, also after a cut */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
+  OPENS_MAX_MS = 3600000,   /* a later time is no answer */
   FORMAT = 3
 };
 
@@ -190,6 +191,7 @@
   char team[SR_BUDGET_NAME_BYTES] = { 0 };
   int64_t left = answer->left_at_most;
   uint64_t incarnation = answer->borrower_incarnation;
+  int64_t opens_ms = answer->opens_ms;
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
@@ -201,7 +203,7 @@
   message.exhausted = answer->is_empty;
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_opaque (&xdr, team, sizeof team)
       && xdr_sr_budget_borrowed_msg (&xdr, &message) && xdr_int64_t (&xdr, &left)
-      && xdr_uint64_t (&xdr, &incarnation))
+      && xdr_uint64_t (&xdr, &incarnation) && xdr_int64_t (&xdr, &opens_ms))
     send_ (mesh, &address, &xdr, bytes);
   xdr_destroy (&xdr);
 }
@@ -507,7 +509,8 @@
 
   if (!xdr_opaque (xdr, team, sizeof team) || !is_name_ (team)
       || !xdr_sr_budget_borrowed_msg (xdr, &message) || !xdr_int64_t (xdr, &answer.left_at_most)
-      || !xdr_uint64_t (xdr, &answer.borrower_incarnation)
+      || !xdr_uint64_t (xdr, &answer.borrower_incarnation) || !xdr_int64_t (xdr, &answer.opens_ms)
+      || answer.opens_ms < 0 || answer.opens_ms > OPENS_MAX_MS
       || message.lender.instance[SR_BUDGET_NAME_BYTES - 1] != '\0' || message.lent < 0)
     {
       sr_counter_add (&malformed_counter_, 1);
