The stand-in of the platform comes back from copies

Process test: three returns from copies of 0.3 to 2.5 s ago under load; of 90 requests none was refused. The watcher's own test: what a call of before tells does not count, everything is listed, and lower revisions are told.

--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -209,6 +209,22 @@
   return true;
 }
 
+/* The store comes back from a copy, and the operator and the backend servers write theirs again. */
+static void
+restore_ (struct site *site, int64_t age_ms)
+{
+  json_t *configuration = objects_get (site->objects, "config", "main");
+
+  objects_restore (site->objects, age_ms);
+  if (configuration != NULL)
+    objects_put (site->objects, "config", "main", json_object_get (configuration, "spec"), -1);
+  json_decref (configuration);
+  for (unsigned i = 0; i < site->n_backends; i++)
+    site_backend_announce (&site->backends[i],
+                           site->backends[i].leaving_since_us != 0 ? "draining" : "ready");
+  site_store_changed (site);
+}
+
 static void
 on_message_end_ (void *owner)
 {
@@ -223,6 +239,14 @@
       reply = counts_ (site);
       done = true;
     }
+  else if (g_str_has_prefix (visit->target, "/restore"))
+    {
+      g_autofree char *age_ms = site_query (visit->target, "age_ms");
+
+      done = age_ms != NULL;
+      if (done)
+        restore_ (site, g_ascii_strtoll (age_ms, NULL, 10));
+    }
   else if (g_str_has_prefix (visit->target, "/store"))
     {
       g_autofree char *mode = site_query (visit->target, "mode");
--- a/emulator/site/objects.c
+++ b/emulator/site/objects.c
@@ -16,8 +16,26 @@
 {
   int64_t revision;
   GPtrArray *objects; /* struct object_, deleted ones too */
+  int64_t era;
+  GQueue copies; /* struct copy_, the latest at the end */
 };
 
+/* All objects as they were from a time on. */
+struct copy_
+{
+  int64_t since_us;
+  int64_t revision;
+  GPtrArray *objects;
+};
+
+enum
+{
+  COPIES_MAX = 400 /* kept */
+};
+
+static void object_free_ (void *data);
+static GPtrArray *copy_all_ (const GPtrArray *objects);
+static void keep_copy_ (struct objects *objects);
 static struct object_ *find_ (const struct objects *objects, const char *kind, const char *name);
 static json_t *to_json_ (const struct object_ *object);
 
@@ -28,10 +46,37 @@
   struct objects *objects = g_new0 (struct objects, 1);
 
   objects->revision = 1;
-  objects->objects = g_ptr_array_new ();
+  objects->era = 1;
+  objects->objects = g_ptr_array_new_with_free_func (object_free_);
+  g_queue_init (&objects->copies);
   return objects;
 }
 
+/* Returns how often the store has come back from a copy, plus one. */
+int64_t
+objects_era (const struct objects *objects)
+{
+  return objects->era;
+}
+
+/* Comes back from a copy that is AGE_MS old, or from the oldest one that is kept. */
+void
+objects_restore (struct objects *objects, int64_t age_ms)
+{
+  int64_t until_us = g_get_monotonic_time () - age_ms * 1000;
+  const struct copy_ *copy = g_queue_peek_head (&objects->copies);
+
+  objects->era++;
+  if (copy == NULL)
+    return;
+  for (GList *link = objects->copies.head; link != NULL; link = link->next)
+    if (((struct copy_ *)link->data)->since_us <= until_us)
+      copy = link->data;
+  g_ptr_array_unref (objects->objects);
+  objects->objects = copy_all_ (copy->objects);
+  objects->revision = copy->revision;
+}
+
 /* Returns all objects of KIND as an array, the caller's. */
 json_t *
 objects_list (const struct objects *objects, const char *kind)
@@ -90,6 +135,7 @@
   object->spec = json_deep_copy (spec);
   object->deleted = false;
   object->revision = ++objects->revision;
+  keep_copy_ (objects);
   return true;
 }
 
@@ -103,6 +149,7 @@
     return false;
   object->deleted = true;
   object->revision = ++objects->revision;
+  keep_copy_ (objects);
   return true;
 }
 
@@ -125,6 +172,49 @@
   return events;
 }
 
+static void
+object_free_ (void *data)
+{
+  struct object_ *object = data;
+
+  g_free (object->kind);
+  g_free (object->name);
+  json_decref (object->spec);
+  g_free (object);
+}
+
+static GPtrArray *
+copy_all_ (const GPtrArray *objects)
+{
+  GPtrArray *copies = g_ptr_array_new_with_free_func (object_free_);
+
+  for (unsigned i = 0; i < objects->len; i++)
+    {
+      struct object_ *copy = g_memdup2 (objects->pdata[i], sizeof (struct object_));
+
+      copy->kind = g_strdup (copy->kind);
+      copy->name = g_strdup (copy->name);
+      copy->spec = json_deep_copy (copy->spec);
+      g_ptr_array_add (copies, copy);
+    }
+  return copies;
+}
+
+static void
+keep_copy_ (struct objects *objects)
+{
+  struct copy_ *copy = g_new0 (struct copy_, 1);
+
+  *copy
+      = (struct copy_){ g_get_monotonic_time (), objects->revision, copy_all_ (objects->objects) };
+  g_queue_push_tail (&objects->copies, copy);
+  if (objects->copies.length <= COPIES_MAX)
+    return;
+  copy = g_queue_pop_head (&objects->copies);
+  g_ptr_array_unref (copy->objects);
+  g_free (copy);
+}
+
 static struct object_ *
 find_ (const struct objects *objects, const char *kind, const char *name)
 {
--- a/emulator/site/objects.h
+++ b/emulator/site/objects.h
@@ -1,5 +1,5 @@
 /* The object store of the stand-in: objects by kind and name, one counter of revisions, and what
- * has changed since the start. */
+ * has changed since the start. It can come back from a copy. */
 #pragma once
 
 #include <glib.h>
@@ -16,4 +16,6 @@
 bool objects_put (
     struct objects *objects, const char *kind, const char *name, json_t *spec, int64_t expected);
 bool objects_remove (struct objects *objects, const char *kind, const char *name);
+int64_t objects_era (const struct objects *objects);
+void objects_restore (struct objects *objects, int64_t age_ms);
 json_t *objects_changes (const struct objects *objects, const char *kind, int64_t after);
--- a/emulator/site/store.c
+++ b/emulator/site/store.c
@@ -55,9 +55,11 @@
 reply_json_ (struct store_visit_ *visit, unsigned status, json_t *json)
 {
   char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
+  g_autofree char *headers
+      = g_strdup_printf ("Content-Type: application/json\r\nStore-Era: %" G_GINT64_FORMAT "\r\n",
+                         (gint64)objects_era (visit->site->objects));
 
-  site_reply (visit->conn, status, "Content-Type: application/json\r\n",
-              text == NULL ? "{}" : text);
+  site_reply (visit->conn, status, headers, text == NULL ? "{}" : text);
   net_http_conn_hold_messages (visit->conn, false);
   free (text);
   json_decref (json);
@@ -138,6 +140,11 @@
   g_free (visit->kind);
   visit->kind = g_strdup (kind);
   visit->after = g_ascii_strtoll (after, NULL, 10);
+  if (visit->after > objects_revision (objects))
+    {
+      reply_json_ (visit, 410, NULL);
+      return;
+    }
   g_ptr_array_add (visit->site->watches, visit);
   if (!answer_watch_ (visit, false))
     uv_timer_start (&visit->timer, on_timer_,
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -497,6 +497,37 @@
   fake_delete_ (fake);
 }
 
+/* The store comes back from a copy: its revisions go back. What a call of before tells does not
+ * count, everything is listed, and changes under lower revisions are told. */
+static void
+after_a_return_from_a_copy_everything_is_listed (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  store_callback watch_done;
+  void *watch_data;
+  const struct store_object object = { .name = "o", .revision = 21 };
+  const struct store_result late
+      = { .status = STORE_OK, .revision = 21, .objects = &object, .n_objects = 1 };
+
+  answer_ (fake, STORE_OK, 20, 1);
+  watch_done = fake->done;
+  watch_data = fake->data;
+  fake->call = CALL_NONE;
+  watcher_restart (fake->watcher, 10);
+  assert_int_equal (watcher_seen (fake->watcher), 0);
+  watch_done (&late, watch_data);
+  assert_int_equal (fake->changed, 0);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  answer_ (fake, STORE_OK, 7, 1);
+  assert_int_equal (fake->listed, 2);
+  assert_int_equal (fake->after_revision, 7);
+  answer_ (fake, STORE_OK, 9, 1);
+  assert_int_equal (fake->changed, 1);
+  answer_ (fake, STORE_OK, 9, 0);
+  fake_delete_ (fake);
+}
+
 int
 main (void)
 {
@@ -516,6 +547,7 @@
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
+    cmocka_unit_test (after_a_return_from_a_copy_everything_is_listed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -660,6 +660,37 @@
   assert_true (answered > 0);
 }
 
+/* The store comes back from copies of some seconds ago, twice in a row: no caller is refused for
+ * want of a backend server, the configuration in force does not go back, and the budget holds. */
+static void
+a_store_that_comes_back_from_a_copy_harms_nobody (void **state)
+{
+  static const int ages_ms[] = { 300, 2500, 1000 };
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < 90; i++)
+    {
+      g_autofree char *id = next_id_ ();
+      struct site_answer answer;
+
+      if (i % 30 == 10)
+        {
+          g_autofree char *path = g_strdup_printf ("/restore?age_ms=%d", ages_ms[i / 30]);
+
+          assert_true (site_fleet_control (fleet, path));
+        }
+      answer
+          = ask_ (1 + i % INSTANCES, i % 2 == 0 ? "/resume/a" : "/safe/a", i % 2 == 0 ? 60 : 0, id);
+      assert_true (answer.verdict == SITE_ANSWERED || answer.verdict == SITE_NOT_RUN);
+      refused += answer.verdict == SITE_NOT_RUN;
+      g_usleep (EASY_PAUSE_US);
+    }
+  print_message ("%u of 90 refused\n", refused);
+  assert_int_equal (refused, 0);
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    assert_true (harness_process_is_running (fleet->instances[i]));
+}
+
 int
 main (void)
 {
@@ -680,6 +711,7 @@
     cmocka_unit_test_teardown (a_change_of_settings_stops_nothing, mend),
     cmocka_unit_test_teardown (a_departure_ends_the_work, mend),
     cmocka_unit_test_teardown (no_budget_is_overspent, mend),
+    cmocka_unit_test_teardown (a_store_that_comes_back_from_a_copy_harms_nobody, mend),
   };
 
   return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
