After the store's return: a draw made unaware is not used, merging is quick

Two causes, by the trace of each write:

An instance that has not heard of the return may know a version that the copy has as well; its draw takes effect, and the answer tells both.

A holder now writes only what is missing, looks once more after 1.5 s, as an unaware one may have written over it, and draws resume after 4 s. The test of callers after a return follows that time: 4.5 s in place of 2.5 s until all have merged.

--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -211,8 +211,6 @@
       if (status == STORE_OK && revision > team->revision)
         allotment_book_write_done (book, name, team->call, STORE_CONFLICT, content, revision,
                                    now_us);
-      else
-        allotment_repeat_write_ (book, team, now_us);
       return;
     }
   if (call != team->call)
@@ -622,8 +620,8 @@
   if (team->record != NULL && team->record != record)
     sr_record_delete (team->record);
   /* A write of before the store's return may have met other content under the same revision. */
-  if (book->restored_us != 0 && sr_ledger_merge (team->ledger, record, revision))
-    team->merge_is_due = true;
+  if (book->restored_us != 0)
+    team->merge_is_due = sr_ledger_merge (team->ledger, record, revision);
   team->record = record;
   team->revision = revision;
   team->record_us = now_us;
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -76,7 +76,6 @@
   int64_t step_us;          /* when it began */
   uint64_t call;            /* of the step */
   bool merge_is_due;        /* the record in the store lacks what is held here */
-  bool is_repeated;         /* the write that is out */
   uint64_t check;           /* a read beside a write that is late; 0: none for this write yet */
   struct sr_record *record; /* as last read or written; NULL: not known */
   int64_t revision;         /* of record; 0: there is none yet */
@@ -145,8 +144,6 @@
 allotment_home_ (struct allotment_book *book, const struct allotment_team *team, int64_t now_us);
 void allotment_pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 void
-allotment_repeat_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
-void
 allotment_return_idle_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 int64_t allotment_left_at_most_ (const struct allotment_book *book,
                                  const struct allotment_team *team,
--- a/src/allotment/holding.c
+++ b/src/allotment/holding.c
@@ -14,9 +14,9 @@
   FIRST_SHARE_DIVISOR = 5,       /* of an untouched budget, until demand is known */
   FLOOR_DIVISOR = 40,            /* of any budget, until demand is known: the largest of requests */
   FIRST_DRAW_DELAY_US = 1500000, /* all instances have announced themselves by then */
-  SPARE_PERCENT = 33,       /* of the total: while more is left, a crash may lose what is beyond */
-  SPARE_COVER_US = 3000000, /* demand of it that may be spent at once: until the reserve opens */
-  BURST_US = 350000, /* demand that may be spent at once: a write that is late and repeated */
+  SPARE_PERCENT = 33,        /* of the total: while more is left, a crash may lose what is beyond */
+  SPARE_COVER_US = 12000000, /* demand of it that may be spent at once: until the reserve opens */
+  BURST_US = 350000,         /* demand that may be spent at once: a write that is late */
   RESERVE_AFTER_US
   = 2500000,             /* without contact the rest may be spent: a start after a crash is up */
   RESERVE_PERCENT = 150, /* of the demand: how fast, as demand varies */
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -10,15 +10,14 @@
   US_PER_MS = 1000,
   STAND_IN_US = 3000000, /* what was drawn in place of the home is kept, as that may stay away */
   STORE_LATE_US = 150 * US_PER_MS, /* a call that takes longer is not waited for: others may have */
-  STORE_LATE_AGAIN_US
-  = 50 * US_PER_MS,                /* the same of a write that is repeated: reads are answered */
   STORE_OUT_US = 500 * US_PER_MS,  /* one team's failed call speaks for all this long; doubles */
   STORE_OUT_MAX_US = 4000000,      /* the watches tell sooner that the store is back */
   STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
   STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
-  RESTORED_WAIT_CALLS = 24,   /* the same of a slow store: all write the same record in turn */
-  RESTORED_WAIT_US = 2000000, /* after the store's return from a copy: living holders have merged */
-  FRESH_US = 150 * US_PER_MS, /* a record read this long ago still tells what remains */
+  RESTORED_CHECK_US = 1500000, /* after the store's return: all instances have heard of it */
+  RESTORED_WAIT_CALLS = 24,    /* the same of a slow store: all write the same record in turn */
+  RESTORED_WAIT_US = 4000000,  /* after it: living holders have merged, and looked again */
+  FRESH_US = 150 * US_PER_MS,  /* a record read this long ago still tells what remains */
   EMPTY_FRESH_US
   = 1000000 /* the same of one that has nothing left: it rarely gets something back */
 };
@@ -425,7 +424,7 @@
       = book->stopping || !g_queue_is_empty (&team->waiters) || !g_queue_is_empty (&team->asks);
 
   if (team->step != STEP_WRITING || team->check != 0 || !is_waited_for
-      || now_us - team->step_us < (team->is_repeated ? STORE_LATE_AGAIN_US : STORE_LATE_US))
+      || now_us - team->step_us < STORE_LATE_US)
     return;
   sr_event (SR_EVENT_INFO, "allotment_check", "{s:s,s:I}", "team", team->name, "revision",
             (json_int_t)team->revision);
@@ -447,25 +446,12 @@
   team->step = STEP_WRITING;
   team->step_us = now_us;
   team->edited = record;
-  team->is_repeated = false;
   team->call = ++book->calls;
   team->check = 0;
   allotment_link_ (book)->write (book->options.link, team->name, team->call,
                                  sr_record_to_json (record), team->revision);
 }
 
-/* Sends the write that is out once more: it has not taken effect. Both are conditional on the same
- * revision, so that one of them does at most. */
-void
-allotment_repeat_write_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us)
-{
-  team->step_us = now_us;
-  team->is_repeated = true;
-  team->call = ++book->calls;
-  allotment_link_ (book)->write (book->options.link, team->name, team->call,
-                                 sr_record_to_json (team->edited), team->revision);
-}
-
 /* Returns a copy of the record with what changes by itself: the total that was paid, and holders
  * that are dead, as whatever they held may be spent. */
 static struct sr_record *
@@ -522,6 +508,19 @@
   return latest_ms - (now_us - known_us) / US_PER_MS;
 }
 
+/* Tells whether the record has to be read once more after the store's return: who had not heard of
+ * it could still write over what was merged, where the revision was the same by chance. */
+static bool
+merge_check_is_due_ (const struct allotment_book *book,
+                     const struct allotment_team *team,
+                     int64_t now_us)
+{
+  int64_t check_us = book->restored_us + RESTORED_CHECK_US;
+
+  return book->restored_us != 0 && now_us >= check_us && team->record_us < check_us
+         && sr_ledger_has_held (team->ledger);
+}
+
 /* Writes the record when the spend limit is due: a crash loses what could have been spent since it
  * was written; or when the store has lost what is held here. */
 static void
@@ -531,6 +530,11 @@
 
   if (team->step != STEP_IDLE || now_us < team->retry_us || now_us < book->store_out_until_us)
     return;
+  if (merge_check_is_due_ (book, team, now_us))
+    {
+      read_ (book, team, now_us);
+      return;
+    }
   if (!team->merge_is_due
       && (team->ledger->own == NULL || !allotment_limit_is_due_ (book, team, now_us)))
     return;
--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -1304,7 +1304,7 @@
       load_ (&world, 5000, 10, (int64_t)(seed % 3) * SECOND);
       if (seed % 2 == 0)
         restore_ (&world, ages_us[seed % 3]);
-      load_ (&world, 5000, 10, WATCH_TELLS_MAX_US + 2500 * MS); /* until all have merged */
+      load_ (&world, 5000, 10, WATCH_TELLS_MAX_US + 4500 * MS); /* until all have merged */
       world.refused = world.exhausted = 0;
       load_ (&world, 5000, 10, 3 * SECOND);
       assert_int_equal (world.refused - world.exhausted, 0);
@@ -1315,18 +1315,17 @@
     }
 }
 
-/* The store comes back from copies again and again, while writes are lost or late, datagrams are
- * lost, and all instances live and reach it: nothing beyond the total is ever consumed. */
 static void
-no_schedule_with_returns_overspends (void **state)
+play_returns_ (uint32_t first, uint32_t last, bool lands_at_once)
 {
-  for (uint32_t seed = 1; seed <= 100; seed++)
+  for (uint32_t seed = first; seed <= last; seed++)
     {
       struct world_ world;
 
       set_up_ (&world, 800000, seed);
       world.loss = 0.1;
       world.lost_writes = 0.3;
+      world.lands_at_once = lands_at_once;
       world.used_mean_percent = 70;
       run_ (&world, 2 * SECOND);
       for (unsigned step = 0; step < 60; step++)
@@ -1342,6 +1341,30 @@
     }
 }
 
+/* The store comes back from copies again and again, while answers of writes and datagrams are lost,
+ * and all instances live and reach it: nothing beyond the total is ever consumed. One that has not
+ * heard of the return may draw on a version that the copy has too (seed 266); holders merge slowly,
+ * each behind the writes of the others (seed 300). */
+static void
+no_schedule_with_returns_and_lost_answers_overspends (void **state)
+{
+  play_returns_ (251, 350, true);
+}
+
+/* The same where half of the writes whose answers are lost take effect seconds later. */
+static void
+no_schedule_with_returns_overspends (void **state)
+{
+  play_returns_ (1, 100, false);
+}
+
+/* The same; seed 162 is known to fail. */
+static void
+no_schedule_with_returns_and_late_writes_overspends (void **state)
+{
+  play_returns_ (101, 200, false);
+}
+
 int
 main (void)
 {
@@ -1372,7 +1395,9 @@
     cmocka_unit_test (a_store_that_loses_answers_is_not_out),
     cmocka_unit_test (a_loan_to_an_earlier_start_is_not_taken),
     cmocka_unit_test (no_schedule_overspends),
+    cmocka_unit_test (no_schedule_with_returns_and_lost_answers_overspends),
     cmocka_unit_test (no_schedule_with_returns_overspends),
+    cmocka_unit_test (no_schedule_with_returns_and_late_writes_overspends),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -185,7 +185,7 @@
       int64_t granted = source->granted;
       struct sr_record_holder *holder = sr_record_find (record, &source->id);
 
-      if (!source->own || source->gone || granted == 0)
+      if (!source->own || source->gone || (granted == 0 && (holder == NULL || source->in_doubt)))
         continue;
       /* A write that may still take effect, or has: the record tells. */
       if (source->in_doubt
