--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -165,8 +165,9 @@
 }
 
 /* Puts what is held here into RECORD, which was read from a platform that has come back from a
- * copy: the own records that it lacks, and what was granted to them since. Counts only grow by
- * that, so that it may be done any number of times. Returns whether something was missing. */
+ * copy: the own records that it lacks, and their grants as they count here. A grant that is not
+ * known here was drawn before the return was known, and goes back. It may be done any number of
+ * times. Returns whether RECORD was changed. */
 bool
 sr_ledger_merge (const struct sr_ledger *ledger, struct sr_record *record, int64_t version)
 {
