--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 # Builds the one shipped binary, the stand-ins and the tests.
 # Sources are found by place: src/<slice>/*.c is the library, src/<slice>/test-*.c one unit test
-# program each, src/cli/main.c the binary, emulator/<name>/*.c one stand-in program each,
-# testing/harness/*.c the harness, testing/process/test-*.c one process test program each,
-# bench/<name>.c one measurement program each.
+# program each, testing/unit/*.c what several of those share, src/cli/main.c the binary,
+# emulator/<name>/*.c one stand-in program each, testing/harness/*.c the harness,
+# testing/process/test-*.c one process test program each, bench/<name>.c one measurement program each.
 BUILD ?= build
 CC = gcc
 PKGS = glib-2.0 liburcu libtirpc jansson libuv
@@ -12,7 +12,7 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-unused-parameter
 SAN ?=
 OPT ?= -O2 -g
-CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -I. -Isrc -Iinclude -I$(BUILD) $(PKG_CFLAGS)
+CFLAGS = -std=gnu11 $(OPT) $(WARN) $(SAN) -D_GNU_SOURCE -include src/base/log-domain.h -I. -Isrc -Itesting -Iinclude -I$(BUILD) $(PKG_CFLAGS)
 LIBS = $(SAN) $(PKG_LIBS) -largtable2 -linih -lxxhash -lhttp_parser -lpthread -lm
 # The stand-ins speak HTTP by another library than the product, so that no mistake goes unseen on both
 # sides.
@@ -66,8 +66,10 @@
 $(BIN): $(BUILD)/src/cli/main.o $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
+$(BUILD)/src/allotment/test-allotment $(BUILD)/src/allotment/test-allotment-schedules: $(BUILD)/testing/unit/book-world.o
+
 $(UNIT): $(BUILD)/%: $(BUILD)/%.o $(LIB)
-	$(CC) $^ -o $@ $(LIBS) -lcmocka
+	$(CC) $(filter-out $(LIB),$^) $(LIB) -o $@ $(LIBS) -lcmocka
 
 define STANDIN_RULE
 $(BUILD)/standin-$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/$(1)/*.c)) $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard emulator/common/*.c)) $(LIB)
