A start after the store's return takes no older configuration; the soak draws returns

Cause: an instance that starts just after the store has come back from a copy took the configuration of the copy, with routes and keys withdrawn since, until the operator wrote again.

Now it asks other instances for their news, which tell the version in force (config-guard decides): it takes none that is older, and waits a second when nobody answers. Only where the store has returned at least once. The stand-in's operator writes again after a time that a test names.

Before: test-gateway-path/a_start_after_a_return_takes_no_older_configuration failed (the withdrawn route was served); after: green.

--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -25,6 +25,7 @@
 
 static void on_head_ (void *owner, const struct net_http_head *head);
 static void on_body_ (void *owner, const char *data, size_t length);
+static void on_operator_timer_ (uv_timer_t *timer);
 static void on_message_end_ (void *owner);
 static void on_ended_ (void *owner, enum net_end end);
 
@@ -209,22 +210,36 @@
   return true;
 }
 
-/* The store comes back from a copy, and the operator and the backend servers write theirs again. */
+/* The store comes back from a copy. The backend servers write their entries again at once, and the
+ * operator the configuration after OPERATOR_MS. */
 static void
-restore_ (struct site *site, int64_t age_ms)
+restore_ (struct site *site, int64_t age_ms, int64_t operator_ms)
 {
-  json_t *configuration = objects_get (site->objects, "config", "main");
-
+  /* What the operator is still about to write again is newer than what is there. */
+  if (!uv_is_active ((uv_handle_t *)&site->operator_timer))
+    {
+      json_decref (site->lost_configuration);
+      site->lost_configuration = objects_get (site->objects, "config", "main");
+    }
   objects_restore (site->objects, age_ms);
-  if (configuration != NULL)
-    objects_put (site->objects, "config", "main", json_object_get (configuration, "spec"), -1);
-  json_decref (configuration);
+  uv_timer_start (&site->operator_timer, on_operator_timer_, (uint64_t)MAX (operator_ms, 0), 0);
   for (unsigned i = 0; i < site->n_backends; i++)
     site_backend_announce (&site->backends[i],
                            site->backends[i].leaving_since_us != 0 ? "draining" : "ready");
   site_store_changed (site);
 }
 
+static void
+on_operator_timer_ (uv_timer_t *timer)
+{
+  struct site *site = timer->data;
+
+  if (site->lost_configuration != NULL)
+    objects_put (site->objects, "config", "main",
+                 json_object_get (site->lost_configuration, "spec"), -1);
+  site_store_changed (site);
+}
+
 static void
 on_message_end_ (void *owner)
 {
@@ -242,10 +257,12 @@
   else if (g_str_has_prefix (visit->target, "/restore"))
     {
       g_autofree char *age_ms = site_query (visit->target, "age_ms");
+      g_autofree char *operator_ms = site_query (visit->target, "operator_ms");
 
       done = age_ms != NULL;
       if (done)
-        restore_ (site, g_ascii_strtoll (age_ms, NULL, 10));
+        restore_ (site, g_ascii_strtoll (age_ms, NULL, 10),
+                  operator_ms == NULL ? 0 : g_ascii_strtoll (operator_ms, NULL, 10));
     }
   else if (g_str_has_prefix (visit->target, "/store"))
     {
@@ -304,6 +321,8 @@
   signal (SIGPIPE, SIG_IGN);
   site = g_new0 (struct site, 1);
   uv_loop_init (&site->loop);
+  uv_timer_init (&site->loop, &site->operator_timer);
+  site->operator_timer.data = site;
   site->address = address->sval[0];
   site->pace_ms = pace->count > 0 ? (unsigned)pace->ival[0] : 2;
   site->objects = objects_new ();
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -81,6 +81,8 @@
   unsigned pace_ms; /* between the events of a stream */
   struct objects *objects;
   enum site_store_mode store_mode;
+  json_t *lost_configuration; /* to be written again after a return from a copy, or NULL */
+  uv_timer_t operator_timer;
   GPtrArray *watches; /* struct store_visit_ that wait */
   uv_tcp_t store_listener;
   uv_tcp_t control_listener;
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -10,9 +10,13 @@
   ANNOUNCED_AGAIN_MS = 1500, /* in which instances have put themselves on their list again */
   RESTART_SPREAD_MS = 300,   /* in which all instances list anew, three kinds each */
   UP_MAX_MS = 86400000,   /* a longer time is no time that a process was up before it announced */
+  GUARD_REPEAT_MS = 250,  /* while others are asked for the version that they have */
   LEASE_RETURN_MS = 2200, /* entries that lapsed in an outage are back two seconds after it */
 };
 
+static void take_routes_ (struct gateway *gateway, struct gw_routes *routes);
+static void take_held_routes_ (struct gateway *gateway);
+static void on_guard_timer_ (uv_timer_t *timer);
 static bool
 take_backends_ (struct gateway *gateway, const struct store_result *result, bool doubtful);
 static void put_backend_ (struct gateway *gateway, const struct store_object *object);
@@ -36,8 +40,6 @@
   for (size_t i = 0; i < result->n_objects; i++)
     {
       struct gw_routes *routes;
-      GHashTableIter iter;
-      void *value;
 
       if (result->objects[i].deleted || !gateway->platform->is_configuration (&result->objects[i]))
         continue;
@@ -49,25 +51,74 @@
           gw_routes_unref (routes);
           continue;
         }
-      gw_routes_unref (context->routes);
-      context->routes = routes;
-      spread_news_ (gateway);
-      sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i}", "version",
-                (json_int_t)routes->version, "revision", (json_int_t)result->objects[i].revision,
-                "routes", (int)routes->routes->len, "teams",
-                (int)g_hash_table_size (routes->teams));
-      g_hash_table_iter_init (&iter, routes->teams);
-      while (context->book != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+      if (context->routes == NULL)
         {
-          const struct gw_team *team = value;
-
-          if (team->is_prepaid)
-            allotment_book_set_team (context->book, team->name->str, team->prepaid_tokens,
-                                     g_get_monotonic_time ());
+          gw_routes_unref (gateway->held_routes);
+          gateway->held_routes = routes;
+          take_held_routes_ (gateway);
         }
+      else
+        take_routes_ (gateway, routes);
     }
 }
 
+/* Puts ROUTES, which it takes over, in force. */
+static void
+take_routes_ (struct gateway *gateway, struct gw_routes *routes)
+{
+  struct gw_context *context = &gateway->context;
+  GHashTableIter iter;
+  void *value;
+
+  gw_routes_unref (context->routes);
+  context->routes = routes;
+  spread_news_ (gateway);
+  sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i}", "version",
+            (json_int_t)routes->version, "revision",
+            (json_int_t)watcher_seen (gateway->routes_watcher), "routes", (int)routes->routes->len,
+            "teams", (int)g_hash_table_size (routes->teams));
+  g_hash_table_iter_init (&iter, routes->teams);
+  while (context->book != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct gw_team *team = value;
+
+      if (team->is_prepaid)
+        allotment_book_set_team (context->book, team->name->str, team->prepaid_tokens,
+                                 g_get_monotonic_time ());
+    }
+}
+
+/* Puts the first configuration in force once it is known not to be an older one than others have.
+ */
+static void
+take_held_routes_ (struct gateway *gateway)
+{
+  const struct config_guard *guard = &gateway->config_guard;
+  struct gw_routes *routes = gateway->held_routes;
+
+  if (routes == NULL)
+    return;
+  if (config_guard_allows (guard, gateway->store->era > STORE_ERA_FIRST, routes->version,
+                           g_get_monotonic_time ()))
+    {
+      gateway->held_routes = NULL;
+      take_routes_ (gateway, routes);
+      return;
+    }
+  sr_event (SR_EVENT_INFO, "configuration_held", "{s:I,s:I}", "version",
+            (json_int_t)routes->version, "others", (json_int_t)guard->version);
+  if (guard->has_heard || guard->peers != CONFIG_GUARD_PEERS_ASKED)
+    return;
+  mesh_ask_news (gateway->mesh, gateway->context.random);
+  uv_timer_start (&gateway->guard_timer, on_guard_timer_, GUARD_REPEAT_MS, 0);
+}
+
+static void
+on_guard_timer_ (uv_timer_t *timer)
+{
+  take_held_routes_ (timer->data);
+}
+
 void
 gateway_on_backends_listed_ (const struct store_result *result, void *data)
 {
@@ -182,6 +233,10 @@
     put_instance_ (gateway, &result->objects[i]);
   peers_changed_ (gateway);
   note_starts_ (gateway, result);
+  config_guard_note_peers (&gateway->config_guard, gateway->context.instances - 1,
+                           g_get_monotonic_time ());
+  if (!uv_is_active ((uv_handle_t *)&gateway->guard_timer))
+    take_held_routes_ (gateway);
 }
 
 void
@@ -319,6 +374,8 @@
 {
   struct gateway *gateway = data;
 
+  if (config_guard_hear (&gateway->config_guard, news->configuration_version))
+    take_held_routes_ (gateway);
   /* Whoever asks the store learns of its return; revisions of another era say nothing here. */
   if (news->era > gateway->store->era)
     gateway_announce_ (gateway);
@@ -328,6 +385,13 @@
   watcher_look_after (gateway->backends_watcher, news->backends_revision);
 }
 
+/* Another instance asks what is known here. */
+void
+gateway_on_asked_news_ (struct mesh_news *news, void *data)
+{
+  *news = news_ (data);
+}
+
 /* Tells a few others what the store has shown here, once. */
 static void
 spread_news_ (struct gateway *gateway)
@@ -360,5 +424,6 @@
     .era = gateway->store->era,
     .configuration_revision = watcher_seen (gateway->routes_watcher),
     .backends_revision = watcher_seen (gateway->backends_watcher),
+    .configuration_version = gateway->context.routes == NULL ? 0 : gateway->context.routes->version,
   };
 }
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "clock/fleet-clock.h"
+#include "gateway/config-guard.h"
 #include "gateway/gateway.h"
 #include "gateway/ingress.h"
 #include "gateway/serve.h"
@@ -44,6 +45,8 @@
   struct gw_context context;
   uv_loop_t loop;
   struct mesh_news spread; /* what others were told last */
+  struct config_guard config_guard;
+  struct gw_routes *held_routes; /* not in force: the guard does not allow them yet; or NULL */
   struct store *store;
   struct watcher *routes_watcher;
   struct watcher *backends_watcher;
@@ -56,6 +59,7 @@
   uv_timer_t work_timer;
   uv_timer_t news_timer;
   uv_timer_t lease_timer;
+  uv_timer_t guard_timer;
   uv_timer_t announce_timer;
   uv_timer_t stop_timer;
   uv_signal_t term;
@@ -95,6 +99,7 @@
 bool gateway_real_time_ (void *link, int64_t *earliest_ms, int64_t *latest_ms);
 void gateway_on_told_time_ (const char *peer, int64_t real_ms, int64_t asked_us, void *data);
 void gateway_on_news_timer_ (uv_timer_t *timer);
+void gateway_on_asked_news_ (struct mesh_news *news, void *data);
 void gateway_on_told_ (const struct mesh_news *news, void *data);
 void gateway_on_work_timer_ (uv_timer_t *timer);
 void gateway_tell_replaced_ (struct gw_context *context, const struct gw_backend *backend);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -122,6 +122,7 @@
     .asked = gateway_on_asked_,
     .answered = gateway_on_answered_,
     .told = gateway_on_told_,
+    .asked_news = gateway_on_asked_news_,
     .works = gateway_on_works_,
     .replaced = gateway_on_replaced_,
     .left = gateway_on_told_left_,
@@ -131,8 +132,9 @@
                                     .address = settings->ready_address,
                                     .data = gateway,
                                     .answer = answer_ready_ };
-  uv_timer_t *timers[] = { &gateway->book_timer,  &gateway->work_timer,     &gateway->news_timer,
-                           &gateway->lease_timer, &gateway->announce_timer, &gateway->stop_timer };
+  uv_timer_t *timers[] = { &gateway->book_timer,  &gateway->work_timer,  &gateway->news_timer,
+                           &gateway->lease_timer, &gateway->guard_timer, &gateway->announce_timer,
+                           &gateway->stop_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -9,9 +9,10 @@
 enum
 {
   US_PER_MS = 1000,
-  WORK_FANOUT = 8, /* of a small fleet all are told, of a large one as many as a link carries */
-  TIME_FANOUT = 8, /* more than are needed, as some do not answer */
-  NEWS_FANOUT = 6, /* one in four hundred is not told; a thousand are in four rounds */
+  WORK_FANOUT = 8,     /* of a small fleet all are told, of a large one as many as a link carries */
+  TIME_FANOUT = 8,     /* more than are needed, as some do not answer */
+  NEWS_ASK_FANOUT = 8, /* most of them have long started */
+  NEWS_FANOUT = 6,     /* one in four hundred is not told; a thousand are in four rounds */
   NEWS_REPEAT_FANOUT = 2,   /* who was not told is within a few repetitions, also after a cut */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
   OPENS_MAX_MS = 3600000,   /* a later time is no answer */
@@ -28,7 +29,8 @@
   KIND_REPLACED = 5,
   KIND_LEFT = 6,
   KIND_TIME_ASK = 7,
-  KIND_TIME = 8
+  KIND_TIME = 8,
+  KIND_NEWS_ASK = 9
 };
 
 struct mesh
@@ -77,6 +79,7 @@
 static void spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
 static void take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
 static void take_time_ask_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
+static void answer_news_ask_ (struct mesh *mesh, const struct sockaddr_in *to);
 static void take_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
 static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void take_ask_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
@@ -274,6 +277,19 @@
   xdr_destroy (&xdr);
 }
 
+/* Asks some instances, chosen by chance, for their news. */
+void
+mesh_ask_news (struct mesh *mesh, GRand *random)
+{
+  struct head_ head = { .kind = KIND_NEWS_ASK };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  if (begin_ (mesh, &xdr, bytes, &head))
+    spread_ (mesh, NEWS_ASK_FANOUT, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
 /* Asks some instances, chosen by chance, what time it is. NOW_US, on any clock of the caller's, is
  * handed back with their answers. */
 void
@@ -336,6 +352,8 @@
     take_time_ask_ (mesh, &xdr, address);
   else if (head.kind == KIND_TIME)
     take_time_ (mesh, &xdr, &head);
+  else if (head.kind == KIND_NEWS_ASK)
+    answer_news_ask_ (mesh, address);
   else if (head.kind == KIND_NEWS && xdr_news_ (&xdr, &news))
     mesh->options.told (&news, mesh->options.data);
   else if (head.kind == KIND_REPLACED && xdr_uint64_t (&xdr, &backend))
@@ -443,6 +461,20 @@
     mesh->options.told_time (head->sender, real_ms, asked_us, mesh->options.data);
 }
 
+static void
+answer_news_ask_ (struct mesh *mesh, const struct sockaddr_in *to)
+{
+  struct head_ head = { .kind = KIND_NEWS };
+  struct mesh_news news = { 0 };
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  mesh->options.asked_news (&news, mesh->options.data);
+  if (begin_ (mesh, &xdr, bytes, &head) && xdr_news_ (&xdr, &news))
+    send_ (mesh, to, &xdr, bytes);
+  xdr_destroy (&xdr);
+}
+
 static uint64_t
 from_key_ (const struct sockaddr_in *address)
 {
@@ -458,8 +490,13 @@
 static bool
 xdr_news_ (XDR *xdr, struct mesh_news *news)
 {
-  return xdr_int64_t (xdr, &news->era) && xdr_int64_t (xdr, &news->configuration_revision)
-         && xdr_int64_t (xdr, &news->backends_revision);
+  if (!xdr_int64_t (xdr, &news->era) || !xdr_int64_t (xdr, &news->configuration_revision)
+      || !xdr_int64_t (xdr, &news->backends_revision))
+    return false;
+  /* Instances of an earlier release do not tell their version. */
+  if (!xdr_int64_t (xdr, &news->configuration_version))
+    news->configuration_version = 0;
+  return true;
 }
 
 /* What the kernel does not take is lost, as a datagram may be. */
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -14,6 +14,7 @@
   int64_t era; /* of the store: revisions of two eras can't be compared */
   int64_t configuration_revision;
   int64_t backends_revision;
+  int64_t configuration_version; /* in force; 0: none */
 };
 
 enum
@@ -40,6 +41,7 @@
   void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
   void (*works) (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
   void (*told) (const struct mesh_news *news, void *data);
+  void (*asked_news) (struct mesh_news *news, void *data); /* sets *NEWS to its own */
   /* BACKEND (hash of its id) is gone: another one answers at its address. */
   void (*replaced) (uint64_t backend, void *data);
   /* PEER, asked at ASKED_US, says that it is REAL_MS. */
@@ -60,5 +62,6 @@
 void mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
 void
 mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random);
+void mesh_ask_news (struct mesh *mesh, GRand *random);
 void mesh_ask_time (struct mesh *mesh, int64_t now_us, GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -29,6 +29,7 @@
   PAUSE_US = 20000,          /* between requests of cases that watch for a while */
   EASY_PAUSE_US = 60000,     /* the same, where tokens must last through an outage of the store */
   IN_FORCE_MAX_MS = 2000,    /* a configuration, and the leaving of a backend server */
+  OPERATOR_MS = 2500,        /* until the operator has written again */
   REPLY_US = 150000,         /* in which a stand-in's answer has come back */
   NOTICE_MS = 1000           /* for what the stand-in counts a little later */
 };
@@ -691,6 +692,44 @@
     assert_true (harness_process_is_running (fleet->instances[i]));
 }
 
+/* A route has been withdrawn when the store comes back from a copy that still has it, and the
+ * operator takes a while to write again. An instance that starts just then does not serve it, and
+ * serves what holds as soon as the store shows that. */
+static void
+a_start_after_a_return_takes_no_older_configuration (void **state)
+{
+  const int64_t prepaid = 4 * PREPAID;
+  g_autofree char *path
+      = g_strdup_printf ("/restore?age_ms=%d&operator_ms=%d", IN_FORCE_MAX_MS + 500, OPERATOR_MS);
+  int64_t end_us;
+  bool answered = false;
+
+  assert_true (site_fleet_configure (fleet, prepaid, true));
+  g_usleep (IN_FORCE_MAX_MS * 1000);
+  assert_true (site_fleet_configure (fleet, prepaid, false));
+  g_usleep (IN_FORCE_MAX_MS * 1000);
+  harness_process_kill (fleet->instances[2]);
+  assert_true (site_fleet_control (fleet, path));
+  end_us = g_get_monotonic_time () + OPERATOR_MS * 1000;
+  site_fleet_start_instance (fleet, 2);
+  while (g_get_monotonic_time () < end_us)
+    {
+      g_autofree char *id = next_id_ ();
+
+      assert_int_not_equal (ask_ (2, "/extra/a", 0, id).verdict, SITE_ANSWERED);
+      g_usleep (PAUSE_US);
+    }
+  end_us += IN_FORCE_MAX_MS * 1000;
+  while (!answered && g_get_monotonic_time () < end_us)
+    {
+      g_autofree char *id = next_id_ ();
+
+      answered = ask_ (2, "/safe/a", 0, id).verdict == SITE_ANSWERED;
+      g_usleep (PAUSE_US);
+    }
+  assert_true (answered);
+}
+
 int
 main (void)
 {
@@ -712,6 +751,7 @@
     cmocka_unit_test_teardown (a_departure_ends_the_work, mend),
     cmocka_unit_test_teardown (no_budget_is_overspent, mend),
     cmocka_unit_test_teardown (a_store_that_comes_back_from_a_copy_harms_nobody, mend),
+    cmocka_unit_test_teardown (a_start_after_a_return_takes_no_older_configuration, mend),
   };
 
   return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -25,7 +25,10 @@
   RECOVERY_MS = 15000, /* the longest bound of recovery that the users' sites state */
   STOP_LIMIT_S = 5,
   FIRST_START_MS = 10000, /* above those of the stand-in */
-  LEAVES_ONE_IN = 4       /* of the disturbed backend servers: these say so in their answers */
+  LEAVES_ONE_IN = 4,      /* of the disturbed backend servers: these say so in their answers */
+  RETURN_ONE_IN = 6,      /* with --returns: of the faults, so many are followed by one */
+  COPY_MIN_MS = 200,
+  COPY_MAX_MS = 6000
 };
 
 /* A request and what its caller was told. */
@@ -57,6 +60,8 @@
   GRand *random; /* of the faults */
   /* Of what backend servers say besides: the faults of a seed stay what they were. */
   GRand *words_random;
+  GRand *returns_random; /* of the store, from copies; NULL: it never comes back from one */
+  int64_t ended_us;      /* when an instance last ended */
   bool says_leaving[MODELS + PLAINS];
   unsigned starts; /* of backend servers, after the first ones */
   int64_t prepaid;
@@ -87,6 +92,7 @@
 static void drain_backend_ (struct run_ *run);
 static void change_configuration_ (struct run_ *run);
 static void reload_ (struct run_ *run);
+static void return_store_ (struct run_ *run);
 
 static const struct fault_ faults_[] = {
   { "kill", kill_instance_ },
@@ -125,6 +131,7 @@
 
   if (instance->pid != 0 && !harness_process_wait (instance, 0, &code))
     return;
+  run->ended_us = g_get_monotonic_time ();
   if (!run->stopping[i])
     broken_ (run, "an instance ends only when told to", instance->name);
   else if (code != 0)
@@ -151,6 +158,7 @@
   unsigned i = any_instance_ (run);
 
   harness_process_kill (run->fleet->instances[i]);
+  run->ended_us = g_get_monotonic_time ();
   run->paused[i] = run->stopping[i] = run->has_run[i] = false;
   site_fleet_start_instance (run->fleet, i);
 }
@@ -276,6 +284,19 @@
     harness_process_signal (run->fleet->instances[i], SIGHUP);
 }
 
+/* The store comes back from a copy, which is no older than the last end of an instance: what one
+ * that has ended was granted since the copy nobody can put back (docs/design/store-copies.md). */
+static void
+return_store_ (struct run_ *run)
+{
+  int64_t whole_ms = (g_get_monotonic_time () - run->ended_us) / 1000;
+  int age_ms = g_rand_int_range (run->returns_random, COPY_MIN_MS, COPY_MAX_MS);
+  g_autofree char *path
+      = g_strdup_printf ("/restore?age_ms=%" G_GINT64_FORMAT, (gint64)MIN (age_ms, whole_ms));
+
+  site_fleet_control (run->fleet, path);
+}
+
 static void *
 call_ (void *data)
 {
@@ -373,7 +394,7 @@
 
 /* Plays one seed. Returns how many promises were broken. */
 static unsigned
-play_ (uint32_t seed, unsigned seconds, unsigned instances)
+play_ (uint32_t seed, unsigned seconds, unsigned instances, bool with_returns)
 {
   struct run_ run = { .seed = seed, .seconds = seconds, .instances = instances };
   const struct site_options options = { .name = "soak",
@@ -390,6 +411,9 @@
   run.prepaid = options.prepaid;
   run.random = g_rand_new_with_seed (seed);
   run.words_random = g_rand_new_with_seed (seed + 1);
+  if (with_returns)
+    run.returns_random = g_rand_new_with_seed (seed + 2);
+  run.ended_us = g_get_monotonic_time ();
   run.fleet = site_fleet_start (&options);
   if (run.fleet == NULL)
     {
@@ -412,6 +436,8 @@
           = &faults_[g_rand_int_range (run.random, 0, G_N_ELEMENTS (faults_))];
 
       fault->strike (&run);
+      if (with_returns && g_rand_int_range (run.returns_random, 0, RETURN_ONE_IN) == 0)
+        return_store_ (&run);
       g_usleep ((gulong)g_rand_int_range (run.random, 20, 500) * 1000);
       for (unsigned i = 1; i <= instances; i++)
         start_again_ (&run, i);
@@ -425,6 +451,7 @@
   site_fleet_stop (run.fleet);
   g_rand_free (run.random);
   g_rand_free (run.words_random);
+  g_clear_pointer (&run.returns_random, g_rand_free);
   return run.broken;
 }
 
@@ -435,8 +462,9 @@
   struct arg_int *count = arg_int0 (NULL, "seeds", "N", "seeds to play (1)");
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "S", "of faults for each seed (8)");
   struct arg_int *instances = arg_int0 (NULL, "instances", "N", "gateways (4)");
+  struct arg_lit *returns = arg_lit0 (NULL, "returns", "the store comes back from copies");
   struct arg_end *end = arg_end (8);
-  void *table[] = { seed, count, seconds, instances, end };
+  void *table[] = { seed, count, seconds, instances, returns, end };
   unsigned passed = 0;
   unsigned failed = 0;
   uint32_t first;
@@ -451,7 +479,7 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   for (int i = 0; i < (count->count > 0 ? count->ival[0] : 1); i++)
     if (play_ (first + (uint32_t)i, seconds->count > 0 ? (unsigned)seconds->ival[0] : 8,
-               instances->count > 0 ? (unsigned)instances->ival[0] : 4)
+               instances->count > 0 ? (unsigned)instances->ival[0] : 4, returns->count > 0)
         == 0)
       passed++;
     else
