The store's return is told to all watches of an instance by the first one that finds it

Now a led watcher that regains the store tells its leader, and the late end of the leader's call is no new outage.

test-gateway-path/a_store_that_comes_back_from_a_copy_harms_nobody: the case before it may leave the budget empty, or an outage of half a second behind (1 of 90 refused before the return, by the logs): it raises the total and waits until every instance serves.

--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -327,6 +327,39 @@
   fake_delete_ (leader);
 }
 
+/* The leader's call is lost with the outage and ends late: what is led finds the store back before it,
+ * and all learn it then. The late end of that call is no new outage. */
+static void
+a_led_watcher_tells_its_leader_that_the_store_is_back (void **state)
+{
+  struct fake_ *leader = fake_new_ ();
+  struct fake_ *led = fake_on_ (&leader->loop, leader->watcher);
+
+  answer_ (leader, STORE_OK, 10, 1);
+  answer_ (led, STORE_OK, 10, 1);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      answer_ (led, STORE_UNREACHABLE, 0, 0);
+      while (led->call == CALL_NONE)
+        uv_run (&leader->loop, UV_RUN_ONCE);
+    }
+  for (unsigned i = 0; i < 2; i++)
+    {
+      answer_ (leader, STORE_UNREACHABLE, 0, 0);
+      run_until_call_ (leader);
+    }
+  assert_int_equal (leader->lost, 1);
+  answer_ (led, STORE_OK, 12, 1);
+  assert_int_equal (leader->regained, 1);
+  assert_int_equal (leader->call, CALL_WATCH);
+  answer_ (leader, STORE_UNKNOWN, 0, 0);
+  run_until_call_ (leader);
+  answer_ (leader, STORE_OK, 12, 0);
+  assert_int_equal (leader->lost, 1);
+  fake_delete_ (led);
+  fake_delete_ (leader);
+}
+
 /* A whole fleet opens its watches after the same change: they end at different times. */
 static void
 watches_of_a_fleet_do_not_end_together (void **state)
@@ -583,6 +616,7 @@
     cmocka_unit_test (watches_that_end_early_are_not_made_in_a_row),
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
+    cmocka_unit_test (a_led_watcher_tells_its_leader_that_the_store_is_back),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
     cmocka_unit_test (after_a_return_from_a_copy_everything_is_listed),
   };
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -69,6 +69,7 @@
 static void on_changed_ (const struct store_result *result, void *data);
 static void retry_ (struct watcher *watcher, enum store_status status);
 static void set_reachable_ (struct watcher *watcher, bool reachable, enum store_status status);
+static void ask_early_ (struct watcher *watcher);
 
 /* Creates a watcher. */
 struct watcher *
@@ -479,6 +480,8 @@
 static void
 set_reachable_ (struct watcher *watcher, bool reachable, enum store_status status)
 {
+  struct watcher *leader = watcher->options.leader;
+
   if (watcher->reachable == reachable)
     return;
   watcher->reachable = reachable;
@@ -488,14 +491,25 @@
             (json_int_t)watcher->revision);
   if (watcher->options.reachable != NULL)
     watcher->options.reachable (reachable, watcher->options.data);
-  for (unsigned i = 0; reachable && i < watcher->led->len; i++)
+  if (!reachable)
+    return;
+  for (unsigned i = 0; i < watcher->led->len; i++)
+    ask_early_ (watcher->led->pdata[i]);
+  /* The leader's call may have been lost with the outage, and its end be seconds away. */
+  if (leader != NULL && !leader->reachable)
     {
-      struct watcher *led = watcher->led->pdata[i];
-
-      if (!led->reachable && uv_is_active ((uv_handle_t *)&led->timer))
-        {
-          uv_timer_stop (&led->timer);
-          ask_ (led);
-        }
+      leader->retry_ms = RETRY_FIRST_MS;
+      set_reachable_ (leader, true, status);
+      ask_early_ (leader);
     }
 }
+
+/* Ends the pause of a watcher that waits for the end of an outage. */
+static void
+ask_early_ (struct watcher *watcher)
+{
+  if (!uv_is_active ((uv_handle_t *)&watcher->timer))
+    return;
+  uv_timer_stop (&watcher->timer);
+  ask_ (watcher);
+}
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -29,6 +29,7 @@
   PAUSE_US = 20000,          /* between requests of cases that watch for a while */
   EASY_PAUSE_US = 60000,     /* the same, where tokens must last through an outage of the store */
   IN_FORCE_MAX_MS = 2000,    /* a configuration, and the leaving of a backend server */
+  RECOVERED_MAX_MS = 3000,   /* after an outage of the store */
   OPERATOR_MS = 2500,        /* until the operator has written again */
   REPLY_US = 150000,         /* in which a stand-in's answer has come back */
   NOTICE_MS = 1000           /* for what the stand-in counts a little later */
@@ -661,6 +662,27 @@
   assert_true (answered > 0);
 }
 
+/* Waits until every instance serves from budgets again, after an outage of the store. */
+static void
+wait_for_budgets_ (void)
+{
+  int64_t end_us = g_get_monotonic_time () + RECOVERED_MAX_MS * 1000;
+
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      enum site_verdict verdict = SITE_NOT_RUN;
+
+      while (verdict != SITE_ANSWERED && g_get_monotonic_time () < end_us)
+        {
+          g_autofree char *id = next_id_ ();
+
+          verdict = ask_ (i, "/resume/a", 60, id).verdict;
+          g_usleep (PAUSE_US);
+        }
+      assert_int_equal (verdict, SITE_ANSWERED);
+    }
+}
+
 /* The store comes back from copies of some seconds ago, twice in a row: no caller is refused for
  * want of a backend server, the configuration in force does not go back, and the budget holds. */
 static void
@@ -669,6 +691,8 @@
   static const int ages_ms[] = { 300, 2500, 1000 };
   unsigned refused = 0;
 
+  assert_true (site_fleet_configure (fleet, 4 * PREPAID, true)); /* another case has emptied it */
+  wait_for_budgets_ ();
   for (unsigned i = 0; i < 90; i++)
     {
       g_autofree char *id = next_id_ ();
@@ -698,7 +722,7 @@
 static void
 a_start_after_a_return_takes_no_older_configuration (void **state)
 {
-  const int64_t prepaid = 4 * PREPAID;
+  const int64_t prepaid = 5 * PREPAID;
   g_autofree char *path
       = g_strdup_printf ("/restore?age_ms=%d&operator_ms=%d", IN_FORCE_MAX_MS + 500, OPERATOR_MS);
   int64_t end_us;
