sapphirerun account: where the tokens of budgets went, from the logs

Tells for each budget what was answered, what ran for callers that had left, what was written off and what is unspent, and how many of the requests refused for want of tokens the rest could have served at most: a bound that no decision about tokens can pass.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -38,6 +38,7 @@
 struct sr_platform *cli_open_platform (const char *command, const char *address);
 int64_t cli_deadline_us (void);
 
+int cli_command_account (int argc, char **argv);
 int cli_command_audit (int argc, char **argv);
 int cli_command_check (int argc, char **argv);
 int cli_command_explain (int argc, char **argv);
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 static const struct cli_command commands_[] = {
+  { "account", "tell from a log where the tokens of budgets went", cli_command_account },
   { "audit", "print the trail of accepted changes", cli_command_audit },
   { "check", "check files of settings or of configuration", cli_command_check },
   { "explain", "tell the cause of failed requests from a log", cli_command_explain },
