--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -16,7 +16,6 @@
   TICK_US = 200 * US_PER_MS        /* between looks at demand to come */
 };
 
-static void set_unmerged_ (struct allotment_book *book, const GPtrArray *names);
 static struct allotment_team *team_new_ (struct allotment_book *book, const char *name);
 static void store_answers_ (struct allotment_book *book, int64_t now_us);
 static void team_free_ (void *data);
@@ -106,7 +105,7 @@
     {
       book->peers_since_us = now_us;
       if (book->restored_us != 0)
-        set_unmerged_ (book, names);
+        allotment_set_unmerged_ (book, names);
     }
   g_hash_table_iter_init (&iter, book->teams);
   while (g_hash_table_iter_next (&iter, NULL, &team))
@@ -473,65 +472,6 @@
     }
 }
 
-/* The store has come back from a copy of some time ago: its records may lack what is held here and
- * at the other INSTANCES (char *, copied), and their revisions say nothing of those that were
- * known.
- */
-void
-allotment_book_store_restored (struct allotment_book *book, GPtrArray *instances, int64_t now_us)
-{
-  GHashTableIter iter;
-  void *value;
-
-  book->restored_us = now_us;
-  set_unmerged_ (book, instances);
-  g_hash_table_iter_init (&iter, book->teams);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct allotment_team *team = value;
-
-      /* What is still out tells nothing any more; a write of it may take effect all the same. */
-      team->step = STEP_IDLE;
-      team->call = 0;
-      team->check = 0;
-      sr_record_delete (team->edited);
-      sr_record_delete (team->record);
-      team->edited = team->record = NULL;
-      team->revision = 0;
-      team->record_us = 0;
-      sr_ledger_forget_versions (team->ledger);
-      team->merge_is_due = sr_ledger_has_held (team->ledger);
-      allotment_pump_ (book, team, now_us);
-    }
-}
-
-/* Instance NAME holds nothing that the records of the store, as it has come back, lack. */
-void
-allotment_book_peer_merged (struct allotment_book *book, const char *name, int64_t now_us)
-{
-  if (g_hash_table_remove (book->unmerged, name) && g_hash_table_size (book->unmerged) == 0)
-    {
-      sr_event (SR_EVENT_INFO, "records_merged", "{s:I}", "after_ms",
-                (json_int_t)((now_us - book->restored_us) / US_PER_MS));
-      allotment_book_tick (book, now_us);
-    }
-}
-
-/* Tells whether the records hold all that is held here, as far as the store has come back from a
- * copy. */
-bool
-allotment_book_is_merged (const struct allotment_book *book)
-{
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, book->teams);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const struct allotment_team *)value)->merge_is_due)
-      return false;
-  return true;
-}
-
 /* The instance is going to stop: others become the homes, what is not in use goes back to the store
  * and requests are served by loans. */
 void
@@ -612,14 +552,6 @@
   known->record_age_ms = (now_us - team->record_us) / US_PER_MS;
 }
 
-static void
-set_unmerged_ (struct allotment_book *book, const GPtrArray *names)
-{
-  g_hash_table_remove_all (book->unmerged);
-  for (unsigned i = 0; i < names->len; i++)
-    g_hash_table_add (book->unmerged, g_strdup (names->pdata[i]));
-}
-
 static struct allotment_team *
 team_new_ (struct allotment_book *book, const char *name)
 {
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -124,6 +124,10 @@
   bool stopping;
 };
 
+/* After the store's return, see merge.c. */
+void allotment_set_unmerged_ (struct allotment_book *book, const GPtrArray *names);
+bool allotment_others_merge_ (const struct allotment_book *book, int64_t now_us);
+
 /* How much is held and how fast it is spent, see holding.c. */
 int64_t allotment_home_target_ (const struct allotment_book *book,
                                 struct allotment_team *team,
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -14,10 +14,7 @@
   STORE_OUT_MAX_US = 4000000,      /* the watches tell sooner that the store is back */
   STORE_RETRY_US = 50 * US_PER_MS, /* after a conflict or a lost answer */
   STORE_DOWN_RETRY_US = 300 * US_PER_MS, /* while the store refuses or can't be reached */
-  RESTORED_WAIT_US = 2000000, /* after the store's return, for holders that are not known */
-  RESTORED_WAIT_MAX_US
-  = 10000000,                 /* for those that are known and do not say that they have merged */
-  FRESH_US = 150 * US_PER_MS, /* a record read this long ago still tells what remains */
+  FRESH_US = 150 * US_PER_MS,            /* a record read this long ago still tells what remains */
   EMPTY_FRESH_US
   = 1000000 /* the same of one that has nothing left: it rarely gets something back */
 };
@@ -36,7 +33,6 @@
 ended_by_ms_ (const struct allotment_book *book, const struct sr_holder_id *id, int64_t now_us);
 static void renew_limit_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
 static void pump_ (struct allotment_book *book, struct allotment_team *team, int64_t now_us);
-static bool others_merge_ (const struct allotment_book *book, int64_t now_us);
 static bool store_is_out_ (const struct allotment_book *book,
                            const struct allotment_team *team,
                            int64_t now_us);
@@ -128,16 +124,6 @@
   renew_limit_ (book, team, now_us);
 }
 
-/* Tells whether holders may still be about to put into the record what the store has lost of it. */
-static bool
-others_merge_ (const struct allotment_book *book, int64_t now_us)
-{
-  int64_t wait_us
-      = g_hash_table_size (book->unmerged) > 0 ? RESTORED_WAIT_MAX_US : RESTORED_WAIT_US;
-
-  return book->restored_us != 0 && now_us - book->restored_us < wait_us;
-}
-
 /* Returns loans that nobody needs to their lender, and an own allotment to the store when this is
  * not the home, or far more than the demand, or the instance stops. */
 void
@@ -362,9 +348,9 @@
       read_ (book, team, now_us);
       return;
     }
-  if (others_merge_ (book, now_us) && need > held_back)
+  if (allotment_others_merge_ (book, now_us) && need > held_back)
     return;
-  if (others_merge_ (book, now_us))
+  if (allotment_others_merge_ (book, now_us))
     want = 0;
   record = edit_record_ (book, team, now_us);
   before = sr_record_outstanding (record);
