Instances no longer tell each other the prompts they have sent

Played without a network (test-placement) at twice what can be read: 89.5 in 100 in time with it, 100.0 without, as sessions stay where their parts are; at lower loads p95 is longer by 5 to 80 ms, all in time.

Taken out with its case in test-gateway (what_others_sent_counts_for_a_while), its timer and its datagram.

--- a/src/gateway/book-link.c
+++ b/src/gateway/book-link.c
@@ -7,7 +7,6 @@
 {
   TIME_ANSWER_MAX_US = 1000000, /* a round trip through a paused instance tells little */
   TIME_INTERVAL_US = 4000000,   /* a few questions in the time for which answers count */
-  WORK_LEAST_TOKENS = 3000,     /* shorter prompts delay nobody for long */
 };
 
 #define KIND_BUDGETS "sapphirerun-budgets"
@@ -178,41 +177,6 @@
                   (uint64_t)((due_us - now_us) / GATEWAY_US_PER_MS + 1), 0);
 }
 
-/* Tells others where long prompts of this instance are being read, and once that they are. */
-void
-gateway_on_work_timer_ (uv_timer_t *timer)
-{
-  struct gateway *gateway = timer->data;
-  g_autoptr (GPtrArray) all = gw_backends_all (gateway->context.backends);
-  struct mesh_work work[MESH_WORK_MAX];
-  unsigned n_work = 0;
-
-  for (unsigned i = 0; i < all->len && n_work < MESH_WORK_MAX; i++)
-    {
-      int64_t unread = gw_place_unread (all->pdata[i]);
-
-      if (unread >= WORK_LEAST_TOKENS)
-        work[n_work++] = (struct mesh_work){ ((struct gw_backend *)all->pdata[i])->key, unread };
-    }
-  if (n_work > 0)
-    mesh_spread_work (gateway->mesh, work, n_work, gateway->context.random);
-}
-
-void
-gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data)
-{
-  struct gateway *gateway = data;
-  int64_t now_us = g_get_monotonic_time ();
-
-  for (unsigned i = 0; i < n_work; i++)
-    {
-      struct gw_backend *backend = gw_backends_find (gateway->context.backends, work[i].backend);
-
-      if (backend != NULL)
-        gw_place_others (backend, peer, work[i].unread_tokens, now_us);
-    }
-}
-
 /* See struct gw_context. */
 void
 gateway_tell_replaced_ (struct gw_context *context, const struct gw_backend *backend)
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -30,20 +30,11 @@
   EJECT_MAX_US = 8000000,    /* the time in which a crashed server commonly returns */
   REPLACED_US = 10000000,    /* as long as the store may be away and its entries stay as they are */
   PART_MEMORY_US = 9000000,  /* a cached part is believed to be there, where no setting says so */
-  OTHERS_MAX = 16,           /* other instances remembered of one server */
-  OTHERS_MEMORY_US = 400000, /* the time in which a middling prompt is read */
   PARTS_MAX = 4096,          /* parts remembered of one server */
   WAITING_MAX_PER_SLOT = 2   /* beyond this queue nobody is served in time */
 };
 
 /* What another instance has sent to a backend server. */
-struct others_work_
-{
-  uint64_t peer;
-  int64_t unread_tokens;
-  int64_t told_us;
-};
-
 struct gw_backend_load
 {
   unsigned in_flight;
@@ -60,8 +51,7 @@
   int64_t replaced_until_us;
   int64_t paused_until_us; /* it has turned a request away and wants none before */
   int64_t quiet_since_us;  /* the last byte, or when the first request in flight was sent */
-  struct others_work_ others[OTHERS_MAX];
-  GHashTable *parts; /* id (uint64_t): struct part_use_ */
+  GHashTable *parts;       /* id (uint64_t): struct part_use_ */
 };
 
 struct part_use_
@@ -80,8 +70,6 @@
 static const struct gw_backend *home_of_prompt_ (const struct gw_place_query *query);
 static void describe_load_ (struct gw_place *place, int64_t now_us);
 static double others_ (const struct gw_backend_load *load, int64_t now_us);
-static double others_unread_ (const struct gw_backend_load *load, int64_t now_us);
-static double queued_tokens_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
@@ -153,7 +141,7 @@
       place->backend = backend;
       place->expected_ms = ms;
       place->unread_tokens = unread;
-      place->queued_tokens = unread + (int64_t)queued_tokens_ (load, query->now_us);
+      place->queued_tokens = unread + load->unread_tokens;
       best_ms = ms;
       best_is_ejected = ejected;
     }
@@ -279,34 +267,6 @@
   return is_new;
 }
 
-/* Returns the prompt tokens sent from here to BACKEND that are not read yet. */
-int64_t
-gw_place_unread (const struct gw_backend *backend)
-{
-  return backend->load->unread_tokens;
-}
-
-/* PEER has UNREAD_TOKENS of its prompts at BACKEND. */
-void
-gw_place_others (struct gw_backend *backend, uint64_t peer, int64_t unread_tokens, int64_t now_us)
-{
-  struct others_work_ *place = &backend->load->others[0];
-
-  for (unsigned i = 0; i < OTHERS_MAX; i++)
-    {
-      struct others_work_ *work = &backend->load->others[i];
-
-      if (work->peer == peer)
-        {
-          place = work;
-          break;
-        }
-      if (work->told_us < place->told_us)
-        place = work;
-    }
-  *place = (struct others_work_){ peer, unread_tokens, now_us };
-}
-
 /* BACKEND has turned a request away and wants no other one from here for PAUSE_MS. */
 void
 gw_place_pause (struct gw_backend *backend, int64_t pause_ms, int64_t now_us)
@@ -343,8 +303,7 @@
     {
       const struct gw_prompt *prompt = query->prompt;
 
-      ms += gw_pace_reading_ms (backend->pace,
-                                (double)unread_tokens + queued_tokens_ (load, query->now_us));
+      ms += gw_pace_reading_ms (backend->pace, (double)(unread_tokens + load->unread_tokens));
       ms += total * RUNNING_MS;
       if (query->service->memory_tokens > 0 && prompt->is_stated
           && load->memory_tokens + prompt->input_tokens + prompt->output_tokens_max
@@ -451,30 +410,6 @@
   return load->reported_us == 0 ? 0 : load->reported_load * exp (-age);
 }
 
-/* Returns the prompt tokens of other instances that are believed to be unread there. */
-static double
-others_unread_ (const struct gw_backend_load *load, int64_t now_us)
-{
-  double sum = 0;
-
-  for (unsigned i = 0; i < OTHERS_MAX; i++)
-    {
-      const struct others_work_ *work = &load->others[i];
-      double age = (double)(now_us - work->told_us) / OTHERS_MEMORY_US;
-
-      if (work->unread_tokens > 0 && age < 1)
-        sum += (double)work->unread_tokens * (1 - age);
-    }
-  return sum;
-}
-
-/* Returns the prompt tokens that are believed to be unread there. */
-static double
-queued_tokens_ (const struct gw_backend_load *load, int64_t now_us)
-{
-  return (double)load->unread_tokens + others_unread_ (load, now_us);
-}
-
 static double
 error_rate_ (const struct gw_backend_load *load, int64_t now_us)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -73,9 +73,6 @@
                       enum gw_place_end end,
                       int64_t now_us);
 bool gw_place_set_replaced (struct gw_backend *backend, int64_t now_us);
-int64_t gw_place_unread (const struct gw_backend *backend);
-void
-gw_place_others (struct gw_backend *backend, uint64_t peer, int64_t unread_tokens, int64_t now_us);
 void gw_place_pause (struct gw_backend *backend, int64_t pause_ms, int64_t now_us);
 bool gw_place_is_paused (const struct gw_backend *backend, int64_t now_us);
 bool gw_place_is_silent (const struct gw_backend *backend, int64_t now_us);
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -56,7 +56,6 @@
   int64_t time_asked_us; /* of other instances, last; 0: never */
   struct gw_ingress *ingress;
   uv_timer_t book_timer;
-  uv_timer_t work_timer;
   uv_timer_t news_timer;
   uv_timer_t lease_timer;
   uv_timer_t guard_timer;
@@ -101,10 +100,8 @@
 void gateway_on_news_timer_ (uv_timer_t *timer);
 void gateway_on_asked_news_ (struct mesh_news *news, void *data);
 void gateway_on_told_ (const struct mesh_news *news, void *data);
-void gateway_on_work_timer_ (uv_timer_t *timer);
 void gateway_tell_replaced_ (struct gw_context *context, const struct gw_backend *backend);
 void gateway_on_replaced_ (uint64_t key, void *data);
 void gateway_on_left_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_told_left_ (uint64_t key, int64_t started_ms, void *data);
-void gateway_on_works_ (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
 void gateway_on_book_timer_ (uv_timer_t *timer);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -15,7 +15,6 @@
 {
   NEWS_INTERVAL_MS = 500, /* several repetitions in the time in which a change must be in force */
   INSTANCES_PAUSE_MS = 1000, /* all start at once, and each announcement would wake all others */
-  WORK_INTERVAL_MS = 60,     /* the time in which 4,000 tokens are read */
   ERA_SHIFT
   = 40, /* bits of a revision in the number of a start: a million changes a second for days
          */
@@ -123,7 +122,6 @@
     .answered = gateway_on_answered_,
     .told = gateway_on_told_,
     .asked_news = gateway_on_asked_news_,
-    .works = gateway_on_works_,
     .replaced = gateway_on_replaced_,
     .left = gateway_on_told_left_,
     .told_time = gateway_on_told_time_,
@@ -132,9 +130,8 @@
                                     .address = settings->ready_address,
                                     .data = gateway,
                                     .answer = answer_ready_ };
-  uv_timer_t *timers[] = { &gateway->book_timer,  &gateway->work_timer,  &gateway->news_timer,
-                           &gateway->lease_timer, &gateway->guard_timer, &gateway->announce_timer,
-                           &gateway->stop_timer };
+  uv_timer_t *timers[] = { &gateway->book_timer,  &gateway->news_timer,     &gateway->lease_timer,
+                           &gateway->guard_timer, &gateway->announce_timer, &gateway->stop_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
@@ -203,7 +200,6 @@
   g_snprintf (gateway->nonce, sizeof gateway->nonce, "%08x%08x", g_rand_int (context->random),
               g_rand_int (context->random));
   gateway_announce_ (gateway);
-  uv_timer_start (&gateway->work_timer, gateway_on_work_timer_, WORK_INTERVAL_MS, WORK_INTERVAL_MS);
   uv_timer_start (&gateway->news_timer, gateway_on_news_timer_, NEWS_INTERVAL_MS, NEWS_INTERVAL_MS);
   return true;
 }
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -275,31 +275,6 @@
   return gw_backends_of (fleet->table, "s")->pdata[index];
 }
 
-/* Another instance has sent a long prompt somewhere: short ones go elsewhere while it is read. */
-static void
-what_others_sent_counts_for_a_while (void **state)
-{
-  struct fleet_ fleet;
-  const struct gw_prompt prompt
-      = { .is_stated = true, .input_tokens = 600, .output_tokens_max = 100 };
-  unsigned picks[2] = { 0 };
-
-  fleet_set_up_ (&fleet, 3, true);
-  gw_place_others (backend_ (&fleet, 0), 7, 50000, 10 * SECOND);
-  for (unsigned i = 0; i < 200; i++)
-    {
-      struct gw_place_query query
-          = query_ (&fleet, &prompt, i < 100 ? 10 * SECOND + 50 * MS : 12 * SECOND);
-      struct gw_place place;
-
-      gw_place_pick (&query, fleet.random, &place);
-      picks[i / 100] += place.backend == backend_ (&fleet, 0);
-    }
-  assert_int_equal (picks[0], 0);
-  assert_true (picks[1] > 0);
-  fleet_tear_down_ (&fleet);
-}
-
 static unsigned
 picks_of_ (struct fleet_ *fleet, const char *id, int64_t now_us)
 {
@@ -682,7 +657,6 @@
     cmocka_unit_test (a_service_new_to_an_old_process_has_the_fixed_part),
     cmocka_unit_test (long_prompts_are_spread),
     cmocka_unit_test (sessions_stay_where_they_are_cached),
-    cmocka_unit_test (what_others_sent_counts_for_a_while),
     cmocka_unit_test (a_server_that_fails_often_is_avoided_for_a_while),
     cmocka_unit_test (a_few_failures_do_not_count),
     cmocka_unit_test (a_broken_server_is_passed_over_but_never_the_last_one),
--- a/src/gateway/test-placement.c
+++ b/src/gateway/test-placement.c
@@ -22,9 +22,7 @@
   SLOTS = 64,
   SESSIONS = 120,
   PLAY_MS = 20000,
-  DRAIN_MS = 20000, /* after the last arrival */
-  TELL_MS = 60,     /* between two words of a gateway to the others */
-  TELL_LEAST_TOKENS = 3000,
+  DRAIN_MS = 20000,    /* after the last arrival */
   OBJECTIVE_MS = 1200, /* to the first byte */
   CACHE_MS = 9000,     /* an unused part stays cached */
   STEP_MS = 12,        /* between two tokens of an answer */
@@ -294,20 +292,6 @@
     }
 }
 
-static void
-tell_others_ (struct play_ *play)
-{
-  for (unsigned from = 0; from < GATEWAYS; from++)
-    for (unsigned k = 0; k < ENGINES; k++)
-      {
-        int64_t unread = gw_place_unread (backend_ (play, from, k));
-
-        for (unsigned to = 0; to < GATEWAYS && unread >= TELL_LEAST_TOKENS; to++)
-          if (to != from)
-            gw_place_others (backend_ (play, to, k), from + 1, unread, now_us_ (play));
-      }
-}
-
 static int
 compare_ (const void *left, const void *right)
 {
@@ -339,8 +323,6 @@
       for (double due = per_ms; play.now_ms < PLAY_MS && due > 0; due--)
         if (g_rand_double (play.arrivals_random) < due)
           arrive_ (&play);
-      if (play.now_ms % TELL_MS == 0)
-        tell_others_ (&play);
       for (unsigned k = 0; k < ENGINES; k++)
         run_engine_ (&play, &play.engines[k]);
     }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -9,10 +9,9 @@
 enum
 {
   US_PER_MS = 1000,
-  WORK_FANOUT = 8,     /* of a small fleet all are told, of a large one as many as a link carries */
-  TIME_FANOUT = 8,     /* more than are needed, as some do not answer */
-  NEWS_ASK_FANOUT = 8, /* most of them have long started */
-  NEWS_FANOUT = 6,     /* one in four hundred is not told; a thousand are in four rounds */
+  TIME_FANOUT = 8,          /* more than are needed, as some do not answer */
+  NEWS_ASK_FANOUT = 8,      /* most of them have long started */
+  NEWS_FANOUT = 6,          /* one in four hundred is not told; a thousand are in four rounds */
   NEWS_REPEAT_FANOUT = 2,   /* who was not told is within a few repetitions, also after a cut */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below every link's packet size */
   OPENS_MAX_MS = 3600000,   /* a later time is no answer */
@@ -25,7 +24,7 @@
   KIND_ASK = 1,
   KIND_ANSWER = 2,
   KIND_NEWS = 3,
-  KIND_WORK = 4,
+  /* 4 was used by earlier releases. */
   KIND_REPLACED = 5,
   KIND_LEFT = 6,
   KIND_TIME_ASK = 7,
@@ -72,12 +71,10 @@
 static bool begin_ (const struct mesh *mesh, XDR *xdr, char *bytes, struct head_ *head);
 static bool xdr_head_ (XDR *xdr, struct head_ *head);
 static bool xdr_news_ (XDR *xdr, struct mesh_news *news);
-static bool xdr_work_ (XDR *xdr, struct mesh_work *work);
 static uint64_t from_key_ (const struct sockaddr_in *address);
 static void
 tell_news_ (struct mesh *mesh, const struct mesh_news *news, unsigned fanout, GRand *random);
 static void spread_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
-static void take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer);
 static void take_time_ask_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
 static void answer_news_ask_ (struct mesh *mesh, const struct sockaddr_in *to);
 static void take_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -255,28 +252,6 @@
   xdr_destroy (&xdr);
 }
 
-/* Tells some instances, chosen by chance, the WORK sent from here; it replaces what they were told
- * before. */
-void
-mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random)
-{
-  struct head_ head = { .kind = KIND_WORK, .number = MIN (n_work, MESH_WORK_MAX) };
-  char bytes[MESSAGE_MAX_BYTES];
-  bool encoded;
-  XDR xdr;
-
-  encoded = begin_ (mesh, &xdr, bytes, &head);
-  for (u_int i = 0; encoded && i < head.number; i++)
-    {
-      struct mesh_work copy = work[i];
-
-      encoded = xdr_work_ (&xdr, &copy);
-    }
-  if (encoded)
-    spread_ (mesh, WORK_FANOUT, &xdr, bytes, random);
-  xdr_destroy (&xdr);
-}
-
 /* Asks some instances, chosen by chance, for their news. */
 void
 mesh_ask_news (struct mesh *mesh, GRand *random)
@@ -346,8 +321,6 @@
     take_ask_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_ANSWER)
     take_answer_ (mesh, &xdr, &head);
-  else if (head.kind == KIND_WORK)
-    take_work_ (mesh, &xdr, &head, from_key_ (address));
   else if (head.kind == KIND_TIME_ASK)
     take_time_ask_ (mesh, &xdr, address);
   else if (head.kind == KIND_TIME)
@@ -412,20 +385,6 @@
     }
 }
 
-static void
-take_work_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t peer)
-{
-  struct mesh_work work[MESH_WORK_MAX];
-
-  for (u_int i = 0; i < head->number; i++)
-    if (i >= MESH_WORK_MAX || !xdr_work_ (xdr, &work[i]) || work[i].unread_tokens < 0)
-      {
-        sr_counter_add (&malformed_counter_, 1);
-        return;
-      }
-  mesh->options.works (peer, work, head->number, mesh->options.data);
-}
-
 static void
 take_time_ask_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from)
 {
@@ -481,12 +440,6 @@
   return (uint64_t)address->sin_addr.s_addr << 16 | (uint64_t)address->sin_port;
 }
 
-static bool
-xdr_work_ (XDR *xdr, struct mesh_work *work)
-{
-  return xdr_uint64_t (xdr, &work->backend) && xdr_int64_t (xdr, &work->unread_tokens);
-}
-
 static bool
 xdr_news_ (XDR *xdr, struct mesh_news *news)
 {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -17,18 +17,6 @@
   int64_t configuration_version; /* in force; 0: none */
 };
 
-enum
-{
-  MESH_WORK_MAX = 64 /* backend servers in one message */
-};
-
-/* Prompt tokens that an instance has sent to a backend server and that are not read yet. */
-struct mesh_work
-{
-  uint64_t backend; /* hash of its id */
-  int64_t unread_tokens;
-};
-
 struct mesh;
 
 struct mesh_options
@@ -39,7 +27,6 @@
   void *data;
   void (*asked) (uint64_t handle, const struct allotment_ask *ask, void *data);
   void (*answered) (const char *peer, const struct allotment_answer *answer, void *data);
-  void (*works) (uint64_t peer, const struct mesh_work *work, unsigned n_work, void *data);
   void (*told) (const struct mesh_news *news, void *data);
   void (*asked_news) (struct mesh_news *news, void *data); /* sets *NEWS to its own */
   /* BACKEND (hash of its id) is gone: another one answers at its address. */
@@ -60,8 +47,6 @@
 void mesh_spread_replaced (struct mesh *mesh, uint64_t backend, GRand *random);
 void mesh_spread_left (struct mesh *mesh, uint64_t backend, int64_t started_ms, GRand *random);
 void mesh_repeat_news (struct mesh *mesh, const struct mesh_news *news, GRand *random);
-void
-mesh_spread_work (struct mesh *mesh, const struct mesh_work *work, unsigned n_work, GRand *random);
 void mesh_ask_news (struct mesh *mesh, GRand *random);
 void mesh_ask_time (struct mesh *mesh, int64_t now_us, GRand *random);
 void mesh_send_answer (struct mesh *mesh, uint64_t handle, const struct allotment_answer *answer);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -327,8 +327,8 @@
   fake_delete_ (leader);
 }
 
-/* The leader's call is lost with the outage and ends late: what is led finds the store back before it,
- * and all learn it then. The late end of that call is no new outage. */
+/* The leader's call is lost with the outage and ends late: what is led finds the store back before
+ * it, and all learn it then. The late end of that call is no new outage. */
 static void
 a_led_watcher_tells_its_leader_that_the_store_is_back (void **state)
 {
--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -451,7 +451,8 @@
   site_fleet_stop (run.fleet);
   g_rand_free (run.random);
   g_rand_free (run.words_random);
-  g_clear_pointer (&run.returns_random, g_rand_free);
+  if (run.returns_random != NULL)
+    g_rand_free (run.returns_random);
   return run.broken;
 }
 
