--- a/src/allotment/test-allotment.c
+++ b/src/allotment/test-allotment.c
@@ -28,8 +28,7 @@
   book_world_set_up (&world, 2000000, 2);
   book_world_run (&world, 3 * SECOND);
   book_world_load (&world, 5000, 10, 6 * SECOND);
-  for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-    world.nodes[i].cut_from_store = true;
+  book_world_cut_all (&world);
   book_world_load (&world, 5000, 10, 9 * SECOND);
   assert_int_equal (world.refused, 0);
   for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
@@ -50,8 +49,7 @@
       book_world_set_up (&world, 2000000, seed);
       book_world_run (&world, 3 * SECOND);
       book_world_load (&world, 5000, 10, 20 * SECOND);
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        world.nodes[i].cut_from_store = true;
+      book_world_cut_all (&world);
       world.refused = 0;
       book_world_load (&world, 5000, 10, 5 * SECOND);
       assert_int_equal (world.refused, 0);
@@ -85,11 +83,7 @@
   assert_true (world.refused > 0);
   assert_int_equal (reads, 0);
   assert_true (world.longest_wait_us < CALL_TIMEOUT_US / 4);
-  for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-    {
-      world.nodes[i].cut_from_store = false;
-      allotment_book_store_returned (world.nodes[i].book, world.now_us);
-    }
+  book_world_mend_all (&world);
   book_world_run (&world, SECOND);
   world.refused = 0;
   book_world_load (&world, 5000, 10, 3 * SECOND);
@@ -548,8 +542,7 @@
       book_world_set_up (&world, 2000000, seed);
       book_world_run (&world, 3 * SECOND);
       book_world_load (&world, 5000, 10, 28 * SECOND);
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        world.nodes[i].cut_from_store = true;
+      book_world_cut_all (&world);
       book_world_load (&world, 5000, 10, 3 * SECOND);
       world.refused = 0;
       granted = world.granted;
@@ -593,14 +586,9 @@
       book_world_set_up (&world, 4000000, seed);
       book_world_run (&world, 3 * SECOND);
       book_world_load (&world, 5000, 20, 5 * SECOND);
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        world.nodes[i].cut_from_store = true;
+      book_world_cut_all (&world);
       book_world_load (&world, 5000, 20, 5 * SECOND);
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        {
-          world.nodes[i].cut_from_store = false;
-          allotment_book_store_returned (world.nodes[i].book, world.now_us);
-        }
+      book_world_mend_all (&world);
       book_world_load (&world, 5000, 20, SECOND);
       home = book_world_home (&world);
       book_node_kill (home);
@@ -628,14 +616,9 @@
       world.lost_writes = 1;
       book_world_load (&world, 5000, 20, 200 * MS);
       world.lost_writes = 0;
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        world.nodes[i].cut_from_store = true;
+      book_world_cut_all (&world);
       book_world_load (&world, 5000, 20, 5 * SECOND);
-      for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
-        {
-          world.nodes[i].cut_from_store = false;
-          allotment_book_store_returned (world.nodes[i].book, world.now_us);
-        }
+      book_world_mend_all (&world);
       book_world_load (&world, 5000, 20, 200 * MS);
       book_world_crash_all (&world);
       book_world_load (&world, 5000, 20, 20 * SECOND);
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -59,6 +59,30 @@
   return true;
 }
 
+/* Hands each line of the log at PATH to TAKE. Returns false, with a line on stderr for COMMAND,
+ * when it can't be read or none of its lines is one of a gateway. */
+bool
+cli_each_log_line (const char *command, const char *path, cli_line_callback take, void *data)
+{
+  FILE *stream = fopen (path, "r");
+  char *line = NULL;
+  size_t size = 0;
+  unsigned lines = 0;
+
+  if (stream == NULL)
+    {
+      fprintf (stderr, "%s: %s: %s\n", command, path, g_strerror (errno));
+      return false;
+    }
+  while (getline (&line, &size, stream) >= 0)
+    lines += take (data, line);
+  free (line);
+  fclose (stream);
+  if (lines == 0)
+    fprintf (stderr, "%s: %s: no line of a gateway's log\n", command, path);
+  return lines > 0;
+}
+
 /* Returns the platform at ADDRESS (IP:PORT), whose reference is the caller's, or NULL after saying
  * on stderr for COMMAND that it is no address. */
 struct sr_platform *
--- a/src/cli/command-account.c
+++ b/src/cli/command-account.c
@@ -1,11 +1,10 @@
 #include "cli/cli.h"
 #include "cli/token-account.h"
 
-#include <errno.h>
 #include <stdio.h>
-#include <stdlib.h>
 
 static int run_ (const char *path);
+static bool take_line_ (void *data, const char *line);
 static void print_row_ (const struct token_account_row *row, void *data);
 static double percent_ (int64_t part, int64_t whole);
 
@@ -33,38 +32,26 @@
 {
   struct token_account *account = token_account_new ();
   struct token_account_row sum = { .team = "all" };
-  FILE *stream = fopen (path, "r");
-  char *line = NULL;
-  size_t size = 0;
-  unsigned lines = 0;
   int code = CLI_EXIT_USAGE;
 
-  if (stream == NULL)
+  if (cli_each_log_line ("account", path, take_line_, account))
     {
-      fprintf (stderr, "account: %s: %s\n", path, g_strerror (errno));
-      goto out;
+      printf ("%-16s %12s %9s %11s %12s %8s %8s %8s %9s\n", "team", "prepaid", "answered",
+              "unfinished", "written off", "unspent", "refused", "wanted", "servable");
+      token_account_each (account, print_row_, &sum);
+      print_row_ (&sum, NULL);
+      code = CLI_EXIT_OK;
     }
-  while (getline (&line, &size, stream) >= 0)
-    lines += token_account_add (account, line);
-  if (lines == 0)
-    {
-      fprintf (stderr, "account: %s: no line of a gateway's log\n", path);
-      goto out;
-    }
-  printf ("%-16s %12s %9s %11s %12s %8s %8s %8s %9s\n", "team", "prepaid", "answered", "unfinished",
-          "written off", "unspent", "refused", "wanted", "servable");
-  token_account_each (account, print_row_, &sum);
-  print_row_ (&sum, NULL);
-  code = CLI_EXIT_OK;
-
-out:
-  free (line);
-  if (stream != NULL)
-    fclose (stream);
   token_account_delete (account);
   return code;
 }
 
+static bool
+take_line_ (void *data, const char *line)
+{
+  return token_account_add (data, line);
+}
+
 /* Prints ROW and adds it to the one at DATA, unless that is NULL. */
 static void
 print_row_ (const struct token_account_row *row, void *data)
--- a/src/cli/command-explain.c
+++ b/src/cli/command-explain.c
@@ -1,7 +1,6 @@
 #include "cli/cli.h"
 #include "cli/failure-report.h"
 
-#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +13,7 @@
 };
 
 static int run_ (const char *path, struct totals *totals);
+static bool take_line_ (void *data, const char *line);
 static void print_failure_ (const struct failure *failure, void *data);
 static void print_counts_ (const struct totals *totals);
 
@@ -47,25 +47,11 @@
 run_ (const char *path, struct totals *totals)
 {
   struct failure_report *report = failure_report_new ();
-  FILE *stream = fopen (path, "r");
-  char *line = NULL;
-  size_t size = 0;
-  unsigned lines = 0;
   unsigned failed;
   int code = CLI_EXIT_USAGE;
 
-  if (stream == NULL)
-    {
-      fprintf (stderr, "explain: %s: %s\n", path, g_strerror (errno));
-      goto out;
-    }
-  while (getline (&line, &size, stream) >= 0)
-    lines += failure_report_add (report, line);
-  if (lines == 0)
-    {
-      fprintf (stderr, "explain: %s: no line of a gateway's log\n", path);
-      goto out;
-    }
+  if (!cli_each_log_line ("explain", path, take_line_, report))
+    goto out;
   failed = failure_report_each (report, print_failure_, totals);
   if (totals->wanted == NULL)
     {
@@ -75,13 +61,16 @@
   code = totals->wanted != NULL || totals->explained == failed ? CLI_EXIT_OK : CLI_EXIT_REFUSED;
 
 out:
-  free (line);
-  if (stream != NULL)
-    fclose (stream);
   failure_report_delete (report);
   return code;
 }
 
+static bool
+take_line_ (void *data, const char *line)
+{
+  return failure_report_add (data, line);
+}
+
 static void
 print_failure_ (const struct failure *failure, void *data)
 {
--- a/testing/unit/book-world.c
+++ b/testing/unit/book-world.c
@@ -775,3 +775,22 @@
     }
   return false;
 }
+
+/* Cuts all instances off from the store. */
+void
+book_world_cut_all (struct book_world *world)
+{
+  for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
+    world->nodes[i].cut_from_store = true;
+}
+
+/* All instances reach the store again, and notice it at once. */
+void
+book_world_mend_all (struct book_world *world)
+{
+  for (unsigned i = 0; i < BOOK_WORLD_NODES; i++)
+    {
+      world->nodes[i].cut_from_store = false;
+      allotment_book_store_returned (world->nodes[i].book, world->now_us);
+    }
+}
--- a/testing/unit/book-world.h
+++ b/testing/unit/book-world.h
@@ -66,6 +66,8 @@
 void book_world_run (struct book_world *world, int64_t span_us);
 void book_world_load (struct book_world *world, int64_t tokens, unsigned per_s, int64_t span_us);
 void book_world_crash_all (struct book_world *world);
+void book_world_cut_all (struct book_world *world);
+void book_world_mend_all (struct book_world *world);
 void book_world_restore (struct book_world *world, int64_t age_us);
 struct book_node *book_world_home (struct book_world *world);
 bool book_world_delay_ask (struct book_world *world, const struct book_node *from, int64_t by_us);
