test-entry ends a run only after the caller has joined it

Shown by a pause of 15 ms in begin_run_: the program ended every time; with the case reading the run's first piece before it ends the run, it passes with that pause too. Ruled out: the product, which always has a dispatcher; the time for which answers are kept (1 us: green).

--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -424,6 +424,9 @@
       assert_int_equal (set_up_ (state), 0);
       stream_open_ (&stream, "1.1");
       sr_run_append (stream.run, "one", 3, 1);
+      /* The request counts as open before it has joined the run, which must not have ended by then:
+       * there is no dispatcher here that could start another one. */
+      assert_true (read_until_ (stream.fd, stream.got, "{\"t\":\"one\"}\n\r\n"));
       end_run_ (stream.run, SR_OUTCOME_UNKNOWN);
       g_usleep (i % 50);
       assert_int_equal (tear_down_ (state), 0);
