The store's return ends the pauses of watches that had lost it, and no others

Cause: when led watches were made to tell their leader, the check that a led watch had lost the store was lost: one that merely gathered changes asked the store early. The new case of test-watcher fails on the code before.

--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -360,6 +360,30 @@
   fake_delete_ (leader);
 }
 
+/* A led watcher that has not lost the store pauses after a change for as long as it would have. */
+static void
+the_return_of_the_leader_ends_no_other_pause (void **state)
+{
+  struct fake_ *leader = fake_new_ ();
+  struct fake_ *led = fake_on_ (&leader->loop, leader->watcher);
+
+  watcher_set_pause (led->watcher, 60000);
+  answer_ (leader, STORE_OK, 10, 1);
+  answer_ (led, STORE_OK, 10, 1);
+  assert_int_equal (led->call, CALL_NONE);
+  for (unsigned i = 0; i < 2; i++)
+    {
+      answer_ (leader, STORE_UNREACHABLE, 0, 0);
+      run_until_call_ (leader);
+    }
+  assert_int_equal (leader->lost, 1);
+  answer_ (leader, STORE_OK, 10, 0);
+  assert_int_equal (leader->regained, 1);
+  assert_int_equal (led->call, CALL_NONE);
+  fake_delete_ (led);
+  fake_delete_ (leader);
+}
+
 /* A whole fleet opens its watches after the same change: they end at different times. */
 static void
 watches_of_a_fleet_do_not_end_together (void **state)
@@ -617,6 +641,7 @@
     cmocka_unit_test (a_late_watch_does_not_undo_what_a_look_has_told),
     cmocka_unit_test (a_led_watcher_waits_for_its_leader_in_an_outage),
     cmocka_unit_test (a_led_watcher_tells_its_leader_that_the_store_is_back),
+    cmocka_unit_test (the_return_of_the_leader_ends_no_other_pause),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
     cmocka_unit_test (after_a_return_from_a_copy_everything_is_listed),
   };
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -494,7 +494,12 @@
   if (!reachable)
     return;
   for (unsigned i = 0; i < watcher->led->len; i++)
-    ask_early_ (watcher->led->pdata[i]);
+    {
+      struct watcher *led = watcher->led->pdata[i];
+
+      if (!led->reachable)
+        ask_early_ (led);
+    }
   /* The leader's call may have been lost with the outage, and its end be seconds away. */
   if (leader != NULL && !leader->reachable)
     {
