What the change wrote twice is written once; what it left dead is gone

- allotment: the time of the last call had no reader any more; whether the store may be called stood three times (may_call_store_); the wait for others' merges was asked for twice.
- ledger: sr_source_granted instead of its formula; a limit computed once.
- config-guard: that something was heard follows from the version heard.
- gateway: one place tells the book what teams have paid for (open_book_ had a loop of its own before).
- cli: one reader of log lines for explain and account.
- holding.c no longer says that what a crash loses is not missed.

Behaviour unchanged.

--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -223,7 +223,6 @@
   if (call != team->call)
     return;
   g_assert (team->step == STEP_READING);
-  book->call_us = now_us - team->step_us;
   team->step = STEP_IDLE;
   if (status == STORE_ABSENT)
     take_record_ (book, team, sr_record_new (), 0, now_us);
@@ -255,7 +254,6 @@
   if (call != team->call)
     return; /* a read has told already how it ended */
   g_assert (team->step == STEP_WRITING);
-  book->call_us = now_us - team->step_us;
   team->step = STEP_IDLE;
   team->call = 0;
   team->check = 0;
--- a/src/allotment/book-private.h
+++ b/src/allotment/book-private.h
@@ -117,7 +117,6 @@
   unsigned store_failures;   /* in a row, of all teams */
   int64_t store_answered_us; /* any team's call; 0: never */
   uint64_t calls;            /* made so far */
-  int64_t call_us;           /* what the last call to the store took that was answered */
   int64_t restored_us;       /* when the store last came back from a copy; 0: never */
   GHashTable *unmerged;      /* names of instances that may hold what it has lost since */
   bool leaving;              /* others are the homes from now on */
--- a/src/allotment/holding.c
+++ b/src/allotment/holding.c
@@ -1,9 +1,9 @@
 /* How much of a budget an instance holds, and how fast it promises to spend it. The home of a team
- * holds the demand of a long cut from the store. While much is left it may spend that at any time:
- * what a crash loses of it is not missed. Of a scarce budget it may spend little at once, and the
- * rest only when it has not reached the store for a while: by the time of the next start after a
- * crash that has not begun, so that nearly all of it is known to be unspent. Answers cuts of ten
- * seconds together with crashes of all instances. */
+ * holds the demand of a long cut from the store. While much is left it may spend a part of that at
+ * any time, which a crash may lose. Of a scarce budget it may spend little at once, and the rest
+ * only when it has not reached the store for a while: by the time of the next start after a crash
+ * that has not begun, so that nearly all of it is known to be unspent. Answers cuts of ten seconds
+ * together with crashes of all instances. */
 #include "allotment/book-private.h"
 
 enum
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -36,6 +36,9 @@
 static bool store_is_out_ (const struct allotment_book *book,
                            const struct allotment_team *team,
                            int64_t now_us);
+static bool may_call_store_ (const struct allotment_book *book,
+                             const struct allotment_team *team,
+                             int64_t now_us);
 static void
 fetch_ (struct allotment_book *book, struct allotment_team *team, int64_t need, int64_t now_us);
 static enum source_ source_ (struct allotment_book *book,
@@ -143,8 +146,7 @@
       loan->told = loan->used + loan->given;
       begin_ask_ (book, team, lender.instance, loan, 0, now_us);
     }
-  if (team->ledger->own == NULL || team->step != STEP_IDLE || now_us < team->retry_us
-      || now_us < book->store_out_until_us)
+  if (team->ledger->own == NULL || !may_call_store_ (book, team, now_us))
     return;
   /* A write whose answer was lost: what can be given back is known after a read. */
   if (team->record == NULL)
@@ -227,6 +229,15 @@
          || (team->step != STEP_IDLE && now_us - team->step_us > STORE_LATE_US);
 }
 
+/* Tells whether a call for the record of TEAM can be made now. */
+static bool
+may_call_store_ (const struct allotment_book *book,
+                 const struct allotment_team *team,
+                 int64_t now_us)
+{
+  return team->step == STEP_IDLE && now_us >= team->retry_us && now_us >= book->store_out_until_us;
+}
+
 struct allotment_peer *
 allotment_peer_find_ (const struct allotment_book *book, const char *name)
 {
@@ -341,17 +352,19 @@
 
   if (store_is_out_ (book, team, now_us))
     allotment_answer_asks_ (book, team, SUPPLY_OUT_OF_REACH, now_us);
-  if (team->step != STEP_IDLE || now_us < team->retry_us || now_us < book->store_out_until_us)
+  if (!may_call_store_ (book, team, now_us))
     return;
   if (team->record == NULL)
     {
       read_ (book, team, now_us);
       return;
     }
-  if (allotment_others_merge_ (book, now_us) && need > held_back)
-    return;
   if (allotment_others_merge_ (book, now_us))
-    want = 0;
+    {
+      if (need > held_back)
+        return;
+      want = 0;
+    }
   record = edit_record_ (book, team, now_us);
   before = sr_record_outstanding (record);
   least = need == 0 ? MAX (team->prepaid_tokens / ALLOTMENT_LEAST_DIVISOR_, 1)
@@ -502,7 +515,7 @@
 {
   struct sr_record *record;
 
-  if (team->step != STEP_IDLE || now_us < team->retry_us || now_us < book->store_out_until_us)
+  if (!may_call_store_ (book, team, now_us))
     return;
   if (!team->merge_is_due
       && (team->ledger->own == NULL || !allotment_limit_is_due_ (book, team, now_us)))
--- a/src/allotment/test-allotment-callers.c
+++ b/src/allotment/test-allotment-callers.c
@@ -124,6 +124,16 @@
   json_decref (record);
 }
 
+static void
+assert_served_once_ (const struct caller_ callers[CALLERS])
+{
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      assert_int_equal (callers[i].answers, 1);
+      assert_int_equal (callers[i].verdict, ALLOTMENT_GRANTED);
+    }
+}
+
 static void
 callers_that_settle_at_once_are_served_once (void **state)
 {
@@ -137,11 +147,7 @@
       allotment_reserve (book, "team", RESERVED, on_reserved_, &callers[i], NOW_US);
     }
   answer_store_ (book, &link);
-  for (unsigned i = 0; i < CALLERS; i++)
-    {
-      assert_int_equal (callers[i].answers, 1);
-      assert_int_equal (callers[i].verdict, ALLOTMENT_GRANTED);
-    }
+  assert_served_once_ (callers);
   allotment_book_delete (book);
 }
 
@@ -160,11 +166,7 @@
   for (unsigned i = 0; i < CALLERS; i += 2)
     allotment_reserve (book, "team", RESERVED, on_reserved_, &callers[i], NOW_US);
   answer_store_ (book, &link);
-  for (unsigned i = 0; i < CALLERS; i++)
-    {
-      assert_int_equal (callers[i].answers, 1);
-      assert_int_equal (callers[i].verdict, ALLOTMENT_GRANTED);
-    }
+  assert_served_once_ (callers);
   allotment_book_delete (book);
 }
 
--- a/src/budget/ledger-record.c
+++ b/src/budget/ledger-record.c
@@ -64,6 +64,7 @@
       struct sr_source *source = ledger->sources->pdata[i];
       struct sr_record_holder *holder = sr_record_find (record, &source->id);
       int64_t committed = source->used + source->reserved + source->given;
+      int64_t usable = MIN (sr_source_granted (source), source->ceiling);
 
       if (!source->own || source->open || holder == NULL)
         continue;
@@ -75,9 +76,9 @@
           sr_record_close (record, &source->id, committed);
           changed = true;
         }
-      else if (holder->granted > MIN (sr_source_granted (source), source->ceiling))
+      else if (holder->granted > usable)
         {
-          holder->granted = MIN (sr_source_granted (source), source->ceiling);
+          holder->granted = usable;
           changed = true;
         }
     }
@@ -222,7 +223,6 @@
 note_closed_ (struct sr_ledger *ledger, const struct sr_source *source)
 {
   const struct sr_closed closed = { source->id, source->used + source->reserved + source->given };
-
   unsigned at;
 
   if (source->gone || !source->on_record)
--- a/src/budget/ledger.c
+++ b/src/budget/ledger.c
@@ -121,10 +121,7 @@
   if (own == NULL)
     return sum;
   sum -= sr_source_available (own);
-  return sum
-         + MAX ((own->in_doubt ? MIN (own->granted, own->doubt_granted) : own->granted)
-                    - sr_ledger_committed (ledger),
-                0);
+  return sum + MAX (sr_source_granted (own) - sr_ledger_committed (ledger), 0);
 }
 
 /* Returns the tokens of the own open record that are used, reserved or out on loan. */
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -28,6 +28,9 @@
   CLI_GO_ON = -1
 };
 
+/* Takes one line of a file; returns whether it was one of the kind that is looked for. */
+typedef bool (*cli_line_callback) (void *data, const char *line);
+
 int cli_parse (int argc,
                char **argv,
                void **table,
@@ -35,9 +38,6 @@
                struct arg_end *end,
                const char *description);
 bool cli_read_file (const char *path, char **text, size_t *length);
-/* Takes one line of a file; returns whether it was one of the kind that is looked for. */
-typedef bool (*cli_line_callback) (void *data, const char *line);
-
 bool cli_each_log_line (const char *command, const char *path, cli_line_callback take, void *data);
 struct sr_platform *cli_open_platform (const char *command, const char *address);
 int64_t cli_deadline_us (void);
--- a/src/cli/failure-report.c
+++ b/src/cli/failure-report.c
@@ -1,5 +1,7 @@
 #include "cli/failure-report.h"
 
+#include "cli/log-line.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,7 +32,6 @@
         "timeout",      "encoded_answer", "unclear_answer", "malformed" };
 
 static void request_free_ (void *data);
-static const char *text_ (const json_t *line, const char *key);
 static struct request *request_of_ (struct failure_report *report, const json_t *line);
 static const json_t *last_ (const struct request *request, const char *event);
 static bool has_failed_ (const struct request *request);
@@ -68,19 +69,17 @@
 bool
 failure_report_add (struct failure_report *report, const char *line)
 {
-  const char *object = strchr (line, '{');
-  json_t *root = object == NULL ? NULL : json_loads (object, JSON_DISABLE_EOF_CHECK, NULL);
-  const char *event = root == NULL ? NULL : text_ (root, "event");
-  const char *instance = root == NULL ? NULL : text_ (root, "instance");
-  bool is_line = event != NULL && instance != NULL;
+  json_t *root = log_line_parse (line);
+  const char *instance = log_line_text (root, "instance");
+  bool is_line = instance != NULL;
 
-  if (is_line && strcmp (event, "started") == 0)
+  if (is_line && strcmp (log_line_text (root, "event"), "started") == 0)
     {
       unsigned starts = GPOINTER_TO_UINT (g_hash_table_lookup (report->starts, instance));
 
       g_hash_table_replace (report->starts, g_strdup (instance), GUINT_TO_POINTER (starts + 1));
     }
-  if (is_line && text_ (root, "request") != NULL)
+  if (is_line && log_line_text (root, "request") != NULL)
     g_ptr_array_add (request_of_ (report, root)->lines, json_incref (root));
   json_decref (root);
   return is_line;
@@ -100,8 +99,8 @@
 
       if (!has_failed_ (request))
         continue;
-      failure.request = text_ (request->lines->pdata[0], "request");
-      failure.instance = text_ (request->lines->pdata[0], "instance");
+      failure.request = log_line_text (request->lines->pdata[0], "request");
+      failure.instance = log_line_text (request->lines->pdata[0], "instance");
       failure.cause = cause_ (report, request);
       callback (&failure, data);
       g_free (failure.cause);
@@ -120,17 +119,11 @@
   g_free (request);
 }
 
-static const char *
-text_ (const json_t *line, const char *key)
-{
-  return json_string_value (json_object_get (line, key));
-}
-
 static struct request *
 request_of_ (struct failure_report *report, const json_t *line)
 {
-  const char *instance = text_ (line, "instance");
-  g_autofree char *key = g_strdup_printf ("%s/%s", instance, text_ (line, "request"));
+  const char *instance = log_line_text (line, "instance");
+  g_autofree char *key = g_strdup_printf ("%s/%s", instance, log_line_text (line, "request"));
   struct request *request = g_hash_table_lookup (report->requests, key);
 
   if (request != NULL)
@@ -148,7 +141,7 @@
 last_ (const struct request *request, const char *event)
 {
   for (unsigned i = request->lines->len; i > 0; i--)
-    if (strcmp (text_ (request->lines->pdata[i - 1], "event"), event) == 0)
+    if (strcmp (log_line_text (request->lines->pdata[i - 1], "event"), event) == 0)
       return request->lines->pdata[i - 1];
   return NULL;
 }
@@ -160,7 +153,7 @@
 
   if (ended == NULL)
     return true;
-  return strcmp (text_ (ended, "outcome"), "answered") != 0
+  return strcmp (log_line_text (ended, "outcome"), "answered") != 0
          || json_integer_value (json_object_get (ended, "status")) >= STATUS_FAILED;
 }
 
@@ -169,7 +162,7 @@
 {
   const json_t *ended = last_ (request, "request_ended");
   const json_t *refused = last_ (request, "request_refused");
-  const char *instance = text_ (request->lines->pdata[0], "instance");
+  const char *instance = log_line_text (request->lines->pdata[0], "instance");
   const char *outcome;
 
   if (ended == NULL)
@@ -180,7 +173,7 @@
                  ? g_strdup_printf ("%s was killed while it ran and started again", instance)
                  : NULL;
     }
-  outcome = text_ (ended, "outcome");
+  outcome = log_line_text (ended, "outcome");
   if (strcmp (outcome, "caller_left") == 0)
     return g_strdup ("the caller left");
   if (refused != NULL)
@@ -199,9 +192,9 @@
 static char *
 cause_of_refusal_ (const struct request *request, const json_t *refused)
 {
-  const char *reason = text_ (refused, "reason");
+  const char *reason = log_line_text (refused, "reason");
   const json_t *inputs = json_object_get (refused, "inputs");
-  const char *state = text_ (refused, "state");
+  const char *state = log_line_text (refused, "state");
   char *printed;
   char *cause;
 
@@ -227,11 +220,11 @@
   const json_t *failed = last_ (request, "attempt_failed");
   const json_t *attempt = sent != NULL ? sent : failed;
 
-  if (attempt == NULL || text_ (attempt, "backend") == NULL)
+  if (attempt == NULL || log_line_text (attempt, "backend") == NULL)
     return NULL;
-  return g_strdup_printf ("%s: backend server %s%s%s", what, text_ (attempt, "backend"),
+  return g_strdup_printf ("%s: backend server %s%s%s", what, log_line_text (attempt, "backend"),
                           failed != NULL ? ", last attempt " : "",
-                          failed != NULL ? text_ (failed, "reason") : "");
+                          failed != NULL ? log_line_text (failed, "reason") : "");
 }
 
 static bool
--- a/src/cli/token-account.c
+++ b/src/cli/token-account.c
@@ -1,5 +1,7 @@
 #include "cli/token-account.h"
 
+#include "cli/log-line.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -32,7 +34,6 @@
 static void take_record_ (struct token_account *account, const json_t *line);
 static void take_end_ (struct token_account *account, const json_t *line);
 static void take_refusal_ (struct token_account *account, const json_t *line);
-static const char *text_ (const json_t *line, const char *key);
 static int64_t number_ (const json_t *line, const char *key);
 static bool is_for_tokens_ (const char *reason);
 static int compare_names_ (const void *left, const void *right);
@@ -65,19 +66,19 @@
 bool
 token_account_add (struct token_account *account, const char *line)
 {
-  const char *object = strchr (line, '{');
-  json_t *root = object == NULL ? NULL : json_loads (object, JSON_DISABLE_EOF_CHECK, NULL);
-  const char *event = root == NULL ? NULL : text_ (root, "event");
-  bool is_line = event != NULL;
+  json_t *root = log_line_parse (line);
+  const char *event = log_line_text (root, "event");
 
-  if (is_line && strcmp (event, "allotment_written") == 0)
+  if (root == NULL)
+    return false;
+  if (strcmp (event, "allotment_written") == 0)
     take_record_ (account, root);
-  else if (is_line && strcmp (event, "request_ended") == 0)
+  else if (strcmp (event, "request_ended") == 0)
     take_end_ (account, root);
-  else if (is_line && strcmp (event, "request_refused") == 0)
+  else if (strcmp (event, "request_refused") == 0)
     take_refusal_ (account, root);
   json_decref (root);
-  return is_line;
+  return true;
 }
 
 /* Calls CALLBACK for each team of which a record was seen, by name. */
@@ -138,7 +139,7 @@
 static struct team_ *
 team_of_ (struct token_account *account, const json_t *line)
 {
-  const char *name = text_ (line, "team");
+  const char *name = log_line_text (line, "team");
   struct team_ *team;
 
   if (name == NULL || name[0] == '\0')
@@ -157,7 +158,7 @@
 static struct request_ *
 request_of_ (struct token_account *account, const json_t *line)
 {
-  const char *id = text_ (line, "request");
+  const char *id = log_line_text (line, "request");
   struct team_ *team = team_of_ (account, line);
   struct request_ *request;
 
@@ -177,7 +178,7 @@
 take_record_ (struct token_account *account, const json_t *line)
 {
   struct team_ *team = team_of_ (account, line);
-  const char *time = text_ (line, "time");
+  const char *time = log_line_text (line, "time");
 
   if (team == NULL || time == NULL
       || (team->written_time != NULL && strcmp (time, team->written_time) < 0))
@@ -192,7 +193,7 @@
 take_end_ (struct token_account *account, const json_t *line)
 {
   struct request_ *request = request_of_ (account, line);
-  const char *outcome = text_ (line, "outcome");
+  const char *outcome = log_line_text (line, "outcome");
   bool is_answered
       = outcome != NULL && strcmp (outcome, "answered") == 0 && number_ (line, "status") < 400;
 
@@ -211,13 +212,8 @@
   struct request_ *request = request_of_ (account, line);
 
   if (request != NULL)
-    request->tokens = is_for_tokens_ (text_ (line, "reason")) ? number_ (line, "tokens") : 0;
-}
-
-static const char *
-text_ (const json_t *line, const char *key)
-{
-  return json_string_value (json_object_get (line, key));
+    request->tokens
+        = is_for_tokens_ (log_line_text (line, "reason")) ? number_ (line, "tokens") : 0;
 }
 
 static int64_t
--- a/src/gateway/config-guard.c
+++ b/src/gateway/config-guard.c
@@ -21,7 +21,6 @@
 {
   if (version <= guard->version)
     return false;
-  guard->has_heard = true;
   guard->version = version;
   return true;
 }
@@ -36,7 +35,7 @@
 {
   if (!store_has_returned)
     return true;
-  if (guard->has_heard)
+  if (guard->version > 0)
     return version >= guard->version;
   switch (guard->peers)
     {
--- a/src/gateway/config-guard.h
+++ b/src/gateway/config-guard.h
@@ -18,8 +18,7 @@
 {
   enum config_guard_peers peers;
   int64_t asked_us; /* when other instances were asked for their version */
-  bool has_heard;
-  int64_t version; /* the highest one that was heard */
+  int64_t version;  /* the highest one that was heard; 0: none */
 };
 
 void config_guard_note_peers (struct config_guard *guard, unsigned n_peers, int64_t now_us);
--- a/src/gateway/follow.c
+++ b/src/gateway/follow.c
@@ -67,8 +67,6 @@
 take_routes_ (struct gateway *gateway, struct gw_routes *routes)
 {
   struct gw_context *context = &gateway->context;
-  GHashTableIter iter;
-  void *value;
 
   gw_routes_unref (context->routes);
   context->routes = routes;
@@ -77,8 +75,21 @@
             (json_int_t)routes->version, "revision",
             (json_int_t)watcher_seen (gateway->routes_watcher), "routes", (int)routes->routes->len,
             "teams", (int)g_hash_table_size (routes->teams));
-  g_hash_table_iter_init (&iter, routes->teams);
-  while (context->book != NULL && g_hash_table_iter_next (&iter, NULL, &value))
+  gateway_tell_totals_ (gateway);
+}
+
+/* Tells the book, if there is one, what the teams of the configuration in force have paid for. */
+void
+gateway_tell_totals_ (struct gateway *gateway)
+{
+  const struct gw_context *context = &gateway->context;
+  GHashTableIter iter;
+  void *value;
+
+  if (context->book == NULL || context->routes == NULL)
+    return;
+  g_hash_table_iter_init (&iter, context->routes->teams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct gw_team *team = value;
 
@@ -107,7 +118,7 @@
     }
   sr_event (SR_EVENT_INFO, "configuration_held", "{s:I,s:I}", "version",
             (json_int_t)routes->version, "others", (json_int_t)guard->version);
-  if (guard->has_heard || guard->peers != CONFIG_GUARD_PEERS_ASKED)
+  if (guard->version > 0 || guard->peers != CONFIG_GUARD_PEERS_ASKED)
     return;
   mesh_ask_news (gateway->mesh, gateway->context.random);
   uv_timer_start (&gateway->guard_timer, on_guard_timer_, GUARD_REPEAT_MS, 0);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -342,21 +342,7 @@
   gateway->incarnation = incarnation;
   sr_event (SR_EVENT_INFO, "announced", "{s:I}", "incarnation", (json_int_t)incarnation);
   gateway->context.book = allotment_book_new (&options);
-  if (gateway->context.routes != NULL)
-    {
-      GHashTableIter iter;
-      void *value;
-
-      g_hash_table_iter_init (&iter, gateway->context.routes->teams);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct gw_team *team = value;
-
-          if (team->is_prepaid)
-            allotment_book_set_team (gateway->context.book, team->name->str, team->prepaid_tokens,
-                                     g_get_monotonic_time ());
-        }
-    }
+  gateway_tell_totals_ (gateway);
   watcher_start (gateway->instances_watcher);
   gateway_on_book_timer_ (&gateway->book_timer);
 }
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -204,6 +204,22 @@
   return harness_post (site_address_, fleet->options.port_base + CONTROL, path);
 }
 
+/* Tells the backend servers FROM (included) to TO (not included) how to behave: a query like
+ * "mode=cut". Returns whether all were told. */
+bool
+site_fleet_set_backends (struct site_fleet *fleet, unsigned from, unsigned to, const char *settings)
+{
+  bool done = true;
+
+  for (unsigned i = from; i < to; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/backend?index=%u&%s", i, settings);
+
+      done = site_fleet_control (fleet, path) && done;
+    }
+  return done;
+}
+
 /* Disturbs the way from INSTANCE to the store: a mode of the fault proxy. */
 bool
 site_fleet_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms)
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -73,6 +73,10 @@
 int site_fleet_ready_status (struct site_fleet *fleet, unsigned instance);
 bool site_fleet_configure (struct site_fleet *fleet, int64_t prepaid, bool with_extra_route);
 bool site_fleet_control (struct site_fleet *fleet, const char *path);
+bool site_fleet_set_backends (struct site_fleet *fleet,
+                              unsigned from,
+                              unsigned to,
+                              const char *settings);
 bool site_fleet_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms);
 bool site_fleet_clear_rules (struct site_fleet *fleet);
 json_t *site_fleet_counts (struct site_fleet *fleet);
--- a/testing/process/test-endless.c
+++ b/testing/process/test-endless.c
@@ -64,26 +64,16 @@
 static int
 mend (void **state)
 {
-  for (unsigned i = 0; i < MODELS + PLAINS; i++)
-    {
-      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=ok", i);
-
-      if (!site_fleet_control (fleet, path))
-        return -1;
-    }
-  return 0;
+  return site_fleet_set_backends (fleet, 0, MODELS + PLAINS, "mode=ok") ? 0 : -1;
 }
 
 static void
 set_ (unsigned from, unsigned to, const char *mode, const char *kind, bool drips)
 {
-  for (unsigned i = from; i < to; i++)
-    {
-      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=%s&endless=%s&drips=%d", i,
-                                               mode, kind, (int)drips);
+  g_autofree char *settings
+      = g_strdup_printf ("mode=%s&endless=%s&drips=%d", mode, kind, (int)drips);
 
-      assert_true (site_fleet_control (fleet, path));
-    }
+  assert_true (site_fleet_set_backends (fleet, from, to, settings));
 }
 
 static struct site_answer
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -63,12 +63,7 @@
 static int
 mend (void **state)
 {
-  for (unsigned i = 0; i < MODELS + PLAINS; i++)
-    {
-      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=ok", i);
-
-      site_fleet_control (fleet, path);
-    }
+  site_fleet_set_backends (fleet, 0, MODELS + PLAINS, "mode=ok");
   site_fleet_control (fleet, "/store?mode=up");
   for (unsigned i = 1; i <= INSTANCES; i++)
     {
@@ -103,12 +98,9 @@
 static void
 set_all_ (unsigned from, unsigned to, const char *mode)
 {
-  for (unsigned i = from; i < to; i++)
-    {
-      g_autofree char *path = g_strdup_printf ("/backend?index=%u&mode=%s", i, mode);
+  g_autofree char *settings = g_strdup_printf ("mode=%s", mode);
 
-      assert_true (site_fleet_control (fleet, path));
-    }
+  assert_true (site_fleet_set_backends (fleet, from, to, settings));
 }
 
 static unsigned
