Gateway log: a failed attempt names the prompt's shared parts and how long its answer had run

The incident of the prompt part that ends engines could not be told from overload or from unrelated crashes: attempt_failed had neither. No change of behaviour.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -40,6 +40,7 @@
 static void end_failed_attempt_ (struct gw_exchange *exchange,
                                  const char *reason,
                                  enum gw_attempt_outcome outcome);
+static json_t *shared_parts_ (const struct gw_prompt *prompt);
 static void retry_or_end_ (struct gw_exchange *exchange, bool sent, const char *reason);
 static bool timeout_is_servers_fault_ (const struct gw_exchange *exchange);
 static bool take_retry_ (struct gw_exchange *exchange, bool executed);
@@ -185,6 +186,7 @@
   parts[1] = (struct net_string_view){ (const char *)exchange->body->data, exchange->body->len };
   exchange->state = EXCHANGE_SENT;
   exchange->sent_us = now_us;
+  exchange->answer_began_us = 0;
   exchange->received_event = false;
   exchange->runs++;
   exchange->attempts++;
@@ -335,6 +337,8 @@
   size_t complete;
 
   gw_placement_note_received (exchange->backend, now_us);
+  if (exchange->answer_began_us == 0)
+    exchange->answer_began_us = now_us;
   if (exchange->is_event_stream && !exchange->received_event)
     {
       exchange->received_event = true;
@@ -452,16 +456,36 @@
                      const char *reason,
                      enum gw_attempt_outcome outcome)
 {
-  sr_event (SR_EVENT_WARNING, "attempt_failed", "{s:s,s:s,s:s,s:s,s:i}", "request", exchange->id,
-            "backend", exchange->backend->facts.id, "state",
+  int64_t now_us = g_get_monotonic_time ();
+  bool was_sent = exchange->state != EXCHANGE_CONNECTING;
+
+  sr_event (SR_EVENT_WARNING, "attempt_failed", "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i,s:o}", "request",
+            exchange->id, "backend", exchange->backend->facts.id, "state",
             gw_exchange_state_to_string_ (exchange->state), "reason", reason, "events",
-            (int)exchange->scan.events);
+            (int)exchange->scan.events, "sent_ms",
+            was_sent ? (json_int_t)((now_us - exchange->sent_us) / GW_US_PER_MS) : -1, "answer_ms",
+            was_sent && exchange->answer_began_us != 0
+                ? (json_int_t)((now_us - exchange->answer_began_us) / GW_US_PER_MS)
+                : -1,
+            "open_connections", (int)exchange->backend->open_connections, "parts",
+            shared_parts_ (&exchange->prompt));
   gw_exchange_end_attempt_ (exchange, outcome);
   g_string_truncate (exchange->partial_event, 0);
   exchange->scan.line_length = 0;
   exchange->scan.has_content = false;
 }
 
+/* For the log: the ids of the shared parts of PROMPT, as the caller writes them. */
+static json_t *
+shared_parts_ (const struct gw_prompt *prompt)
+{
+  json_t *parts = json_array ();
+
+  for (unsigned i = 0; i + 1 < prompt->n_parts; i++)
+    json_array_append_new (parts, json_sprintf ("%" G_GINT64_MODIFIER "x", prompt->parts[i].id));
+  return parts;
+}
+
 /* Retries the request on another backend server if that is allowed, or ends it with REASON. SENT:
  * the last server may have executed it. */
 static void
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -34,6 +34,7 @@
   struct gw_latency_model *latency_model; /* latency model of its service */
   GQueue idle_connections;                /* owned by the connection pool */
   unsigned connections;
+  unsigned open_connections; /* those whose handshake is complete */
 };
 
 struct gw_backends;
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -194,6 +194,7 @@
 
   uv_timer_stop (&upstream->timer);
   upstream->is_open = true;
+  upstream->backend->open_connections++;
   gw_link_load_note_handshake (upstream->link, now_us - upstream->opened_us, true, now_us);
   (*upstream->user)->ready (upstream->user);
 }
@@ -362,6 +363,8 @@
     return;
   upstream->is_closed = true;
   upstream->backend->connections--;
+  if (upstream->is_open)
+    upstream->backend->open_connections--;
   gw_backend_unref (upstream->backend);
   upstream->backend = NULL;
   uv_close ((uv_handle_t *)&upstream->timer, on_timer_closed_);
