--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -65,7 +65,7 @@
   int64_t memory_tokens;   /* KV cache space, in tokens, counted at the server until the end */
   int64_t sent_us;
   int64_t answer_began_us; /* when the first byte of its response body arrived; 0: none yet */
-  GPtrArray *tried; /* struct gw_backend, with references: servers of earlier attempts */
+  GPtrArray *tried;        /* struct gw_backend, with references: servers of earlier attempts */
   /* The response. */
   unsigned status;
   GString *reason;
