Failing test: a part of a prompt ends one backend server after the other

The stand-in site learns to end a backend server's process on a part of a prompt, before the first event of the answer, and to start the next one.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -1,5 +1,6 @@
 #include "emulator/site/site.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -23,6 +24,7 @@
   char *team;
   char *counts;   /* X-Token-Counts: "INPUT,OUTPUT" */
   char *expected; /* X-Expect-Instance */
+  char *parts;    /* X-Prompt-Prefix: "ID:TOKENS,ID:TOKENS" */
   int64_t next_event;
   int64_t events;
   bool is_running;
@@ -35,6 +37,7 @@
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
 static void on_ended_ (void *owner, enum net_end_reason end);
+static void on_restart_timer_ (uv_timer_t *timer);
 
 static const struct net_http_owner_vtable vtable_ = {
   .head = on_head_,
@@ -60,9 +63,68 @@
   session->conn = net_http_conn_new (&options, session);
   uv_timer_init (&backend->site->loop, &session->timer);
   session->timer.data = session;
+  g_ptr_array_add (backend->sessions, session);
   net_http_conn_accept (session->conn, listener);
 }
 
+/* Initializes the fields that outlive the processes of BACKEND. */
+void
+site_backend_init (struct site_backend *backend)
+{
+  backend->sessions = g_ptr_array_new ();
+  uv_timer_init (&backend->site->loop, &backend->restart_timer);
+  backend->restart_timer.data = backend;
+}
+
+/* Ends the process of BACKEND without notice: resets all connections and refuses new ones. The next
+ * process starts after down_ms. */
+void
+site_backend_crash (struct site_backend *backend)
+{
+  if (backend->is_down)
+    return;
+  backend->is_down = true;
+  uv_close ((uv_handle_t *)&backend->listener, NULL);
+  while (backend->sessions->len > 0)
+    {
+      struct backend_session_ *session = backend->sessions->pdata[0];
+
+      session->is_running = false;
+      net_http_conn_reset (session->conn);
+      on_ended_ (session, NET_END_RESET);
+    }
+  backend->running = 0;
+  uv_timer_start (&backend->restart_timer, on_restart_timer_, backend->down_ms, 0);
+}
+
+static void
+on_restart_timer_ (uv_timer_t *timer)
+{
+  struct site_backend *backend = timer->data;
+
+  backend->is_down = false;
+  backend->started_ms++;
+  if (!site_listen (backend->site, &backend->listener, backend->port, site_backend_accept))
+    {
+      fprintf (stderr, "cannot listen on port %u again\n", backend->port);
+      return;
+    }
+  backend->listener.data = backend;
+  site_backend_announce (backend, "ready");
+}
+
+/* Returns whether the request of SESSION has the prompt part with ID before its last one. */
+static bool
+has_shared_part_ (const struct backend_session_ *session, uint64_t id)
+{
+  g_auto (GStrv) parts = g_strsplit (session->parts == NULL ? "" : session->parts, ",", -1);
+
+  for (unsigned i = 0; parts[i] != NULL && parts[i + 1] != NULL; i++)
+    if (g_ascii_strtoull (parts[i], NULL, 16) == id)
+      return true;
+  return false;
+}
+
 /* Writes the store entry of BACKEND with STATE. */
 void
 site_backend_announce (struct site_backend *backend, const char *state)
@@ -196,6 +258,12 @@
   g_autofree char *event = NULL;
   g_autofree char *chunk = NULL;
 
+  if (session->backend->crash_part != 0 && has_shared_part_ (session, session->backend->crash_part))
+    {
+      session->backend->site->crashes++;
+      site_backend_crash (session->backend);
+      return;
+    }
   if (session->next_event > session->events)
     {
       write_ (session, "0\r\n\r\n");
@@ -342,12 +410,14 @@
   g_free (session->team);
   g_free (session->counts);
   g_free (session->expected);
+  g_free (session->parts);
   session->method = g_strndup (head->method.data, head->method.length);
   session->path = g_strndup (head->target.data, head->target.length);
   session->id = site_header (head, "X-Request-Id");
   session->team = site_header (head, "X-Tenant");
   session->counts = site_header (head, "X-Token-Counts");
   session->expected = site_header (head, "X-Expect-Instance");
+  session->parts = site_header (head, "X-Prompt-Prefix");
   session->next_event = last_event_id == NULL ? 1 : g_ascii_strtoll (last_event_id, NULL, 10) + 1;
   if (key != NULL)
     session->backend->site->keys_seen++;
@@ -374,6 +444,8 @@
       return;
     }
   site->arrivals++;
+  if (backend->crash_part != 0 && has_shared_part_ (session, backend->crash_part))
+    site->crash_arrivals++;
   if (backend->mode == SITE_BACKEND_WRONG_INSTANCE
       || g_strcmp0 (session->expected, backend->id) != 0)
     {
@@ -442,6 +514,8 @@
   g_free (session->team);
   g_free (session->counts);
   g_free (session->expected);
+  g_free (session->parts);
+  g_ptr_array_remove_fast (session->backend->sessions, session);
   g_clear_pointer (&session->pattern, g_free);
   uv_close ((uv_handle_t *)&session->timer, on_timer_closed_);
 }
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -167,10 +167,11 @@
       json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
       json_array_append_new (paused, json_integer (site->backends[i].arrivals_paused));
     }
-  return json_pack ("{s:O,s:O,s:i,s:i,s:i,s:o,s:o}", "runs", site->runs, "consumed", site->consumed,
-                    "abandoned", (int)site->abandoned, "arrivals", (int)site->arrivals, "keys_seen",
-                    (int)site->keys_seen, "latest_after_leaving_ms", leaving, "arrivals_paused",
-                    paused);
+  return json_pack ("{s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "consumed",
+                    site->consumed, "abandoned", (int)site->abandoned, "arrivals",
+                    (int)site->arrivals, "keys_seen", (int)site->keys_seen,
+                    "latest_after_leaving_ms", leaving, "arrivals_paused", paused, "crashes",
+                    (int)site->crashes, "crash_arrivals", (int)site->crash_arrivals);
 }
 
 static bool
@@ -183,6 +184,9 @@
   g_autofree char *started = site_query (target, "started_ms");
   g_autofree char *endless = site_query (target, "endless");
   g_autofree char *drips = site_query (target, "drips");
+  g_autofree char *crash_part = site_query (target, "crash_part");
+  g_autofree char *down_ms = site_query (target, "down_ms");
+  g_autofree char *crash = site_query (target, "crash");
   char *retry_after = site_query (target, "retry_after");
   unsigned backend_index
       = index == NULL ? SITE_BACKENDS_MAX : (unsigned)g_ascii_strtoull (index, NULL, 10);
@@ -210,6 +214,12 @@
       g_free (site->backends[backend_index].retry_after);
       site->backends[backend_index].retry_after = retry_after;
     }
+  if (crash_part != NULL)
+    site->backends[backend_index].crash_part = g_ascii_strtoull (crash_part, NULL, 16);
+  if (down_ms != NULL)
+    site->backends[backend_index].down_ms = (unsigned)g_ascii_strtoull (down_ms, NULL, 10);
+  if (g_strcmp0 (crash, "1") == 0)
+    site_backend_crash (&site->backends[backend_index]);
   if (mode != NULL)
     site->backends[backend_index].mode = (enum site_backend_mode)mode_index;
   if (state != NULL)
@@ -354,7 +364,7 @@
       backend->is_model = i < models->ival[0];
       backend->started_ms = START_TIME_DEFAULT_MS;
       backend->site = site;
-      backend->listener.data = backend;
+      site_backend_init (backend);
       g_snprintf (backend->id, sizeof backend->id, "i-%u", backend->index);
       if (!site_listen (site, &backend->listener, backend->port, site_backend_accept))
         return 1;
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -72,6 +72,12 @@
   int64_t latest_after_leaving_ms; /* time from leaving_since_us to the last request received */
   unsigned running;
   uv_tcp_t listener;
+  GPtrArray *sessions; /* connections to this backend server */
+  uint64_t crash_part; /* id of the prompt part on which its process ends before the first event;
+                          0: none */
+  unsigned down_ms;    /* from such an end to the next process */
+  bool is_down;
+  uv_timer_t restart_timer;
   struct site *site;
 };
 
@@ -95,13 +101,17 @@
   json_t *consumed;   /* team: tokens */
   unsigned abandoned; /* requests whose caller closed the connection while they ran */
   unsigned arrivals;
-  unsigned keys_seen; /* requests with an Authorization header */
+  unsigned keys_seen;      /* requests with an Authorization header */
+  unsigned crashes;        /* ends of backend server processes because of crash_part */
+  unsigned crash_arrivals; /* requests with that part that were received */
 };
 
 bool site_listen (struct site *site, uv_tcp_t *listener, unsigned port, uv_connection_cb accept);
 void site_store_accept (uv_stream_t *listener, int status);
 void site_store_changed (struct site *site);
 void site_backend_accept (uv_stream_t *listener, int status);
+void site_backend_init (struct site_backend *backend);
+void site_backend_crash (struct site_backend *backend);
 void site_backend_announce (struct site_backend *backend, const char *state);
 void site_control_accept (uv_stream_t *listener, int status);
 void
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -255,8 +255,9 @@
   g_autofree char *counts
       = g_strdup_printf ("%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT, (gint64)request->input_tokens,
                          (gint64)request->output_tokens);
-  g_autofree char *parts
-      = g_strdup_printf ("5c1e:%" G_GINT64_FORMAT, (gint64)request->input_tokens);
+  g_autofree char *parts = request->parts != NULL ? g_strdup (request->parts)
+                                                  : g_strdup_printf ("5c1e:%" G_GINT64_FORMAT,
+                                                                     (gint64)request->input_tokens);
   g_autofree char *deadline = g_strdup_printf (
       "%" G_GINT64_FORMAT, (gint64)(request->deadline_ms > 0 ? request->deadline_ms : 10000));
   g_autofree char *tokens
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -55,6 +55,7 @@
   int64_t input_tokens;  /* streams */
   int64_t output_tokens; /* streams: a multiple of the tokens per event */
   int64_t deadline_ms;   /* 0: 10 s */
+  const char *parts;     /* streams: the prompt's parts, "ID:TOKENS,ID:TOKENS"; NULL: one */
 };
 
 struct site_response
