Gateway: a stream that can't be resumed is cut, it no longer ends the process

Callers saw every request of the instance end. A resumable stream had begun, its server broke off, and no other server took requests (leaving, paused, all full, no time left): starting the next attempt then refused the request, and gw_exchange_refuse_with_inputs_ asserts that no response has begun. Found by the stand-in that ends servers; the process's last line was the assertion. Ruled out: the other callers of refuse, which check response_began first. Now the response is cut (stream_not_resumed), in the one place that all refusals go through.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -332,7 +332,8 @@
 
 /* Ends the request with an error response of the gateway and frees the exchange. 503 guarantees
  * that the request has not run, so it must not be used after an attempt that may have executed it.
- * CAUSE determines the Retry-After header of a 503. */
+ * CAUSE determines the Retry-After header of a 503. A response that has begun, as of a stream that
+ * can't be resumed, is cut instead. */
 void
 gw_exchange_refuse_ (struct gw_exchange *exchange,
                      unsigned status,
@@ -361,7 +362,15 @@
   bool guarantees_no_run = status == 503;
   double after_s = 0;
 
-  g_assert (!exchange->response_began && !(guarantees_no_run && exchange->runs > 0));
+  g_assert (!(guarantees_no_run && exchange->runs > 0));
+  if (exchange->response_began)
+    {
+      sr_event (SR_EVENT_WARNING, "stream_not_resumed", "{s:s,s:s,s:o*}", "request", exchange->id,
+                "reason", why, "inputs", inputs);
+      g_string_free (headers, TRUE);
+      gw_exchange_finish_ (exchange, "not_resumed", false);
+      return;
+    }
   if (guarantees_no_run)
     {
       char seconds[G_ASCII_DTOSTR_BUF_SIZE];
--- a/testing/process/test-gateway-path.c
+++ b/testing/process/test-gateway-path.c
@@ -760,6 +760,23 @@
   assert_true (answered);
 }
 
+/* The other servers are leaving, so that none is left to go on with the stream. */
+static void
+a_begun_stream_is_cut_when_no_server_can_resume_it (void **state)
+{
+  g_autofree char *id = next_id_ ();
+  struct site_response answer;
+
+  assert_true (site_fleet_set_backends (fleet, 1, MODEL_BACKENDS, "state=draining"));
+  g_usleep (PROPAGATION_MAX_MS * 1000);
+  set_backend_mode_ (0, 1, "cut");
+  answer = send_request_ (1, "/resume/a", 60, id);
+  assert_true (site_fleet_set_backends (fleet, 1, MODEL_BACKENDS, "state=ready&started_ms=2000"));
+  g_usleep (PROPAGATION_MAX_MS * 1000);
+  assert_int_equal (answer.outcome, SITE_TRUNCATED);
+  assert_true (harness_process_is_running (fleet->instances[1]));
+}
+
 int
 main (void)
 {
@@ -770,6 +787,7 @@
     cmocka_unit_test_teardown (repeatable_requests_are_retried_on_another_server, clear_faults),
     cmocka_unit_test_teardown (resumable_streams_continue_on_another_server, clear_faults),
     cmocka_unit_test_teardown (cut_streams_are_never_reported_as_complete, clear_faults),
+    cmocka_unit_test_teardown (a_begun_stream_is_cut_when_no_server_can_resume_it, clear_faults),
     cmocka_unit_test_teardown (requests_are_served_during_store_outages, clear_faults),
     cmocka_unit_test_teardown (configuration_takes_effect_in_time_and_older_versions_are_ignored,
                                clear_faults),
