Gateway: a prompt part that ends backend servers is blocked on all instances

Cause: a request whose server ends under it is a failure of that server for the gateway, which ejects it and sends the next request of the kind to a sound one. Nothing relates ends of different servers to what their requests have in common, and no instance sees enough of them alone (a "query of death"). Evidence: attempt_failed names the parts; 64 of 64 ends have the same part in a request without a byte of its answer, and no request with it was ever answered. Ruled out: load (the first ends hit idle engines), unrelated crashes (the same part at all ends). Now each instance reports to its peers, in bounded messages that merge in any order, which shared parts were unanswered when a server's process ended, and which were answered since. Two spaced ends without an answer block a part (three, where it had been answered shortly before); an answer clears it. A process counts as ended when all connections to it are closed, or one is and it accepts no other. Requests with a blocked part are refused with 503 before anything is sent; unanswered ones are called off. One instance after the other may try again, by rendezvous hashing, after 30 s and twice the time before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -1,6 +1,7 @@
 #include "gateway/exchange-private.h"
 
 #include "base/event-log.h"
+#include "gateway/end-detector.h"
 #include "gateway/latency-model.h"
 
 #include <string.h>
@@ -40,7 +41,7 @@
 static void end_failed_attempt_ (struct gw_exchange *exchange,
                                  const char *reason,
                                  enum gw_attempt_outcome outcome);
-static json_t *shared_parts_ (const struct gw_prompt *prompt);
+static void end_without_retry_ (struct gw_exchange *exchange, const char *reason);
 static void retry_or_end_ (struct gw_exchange *exchange, bool sent, const char *reason);
 static bool timeout_is_servers_fault_ (const struct gw_exchange *exchange);
 static bool take_retry_ (struct gw_exchange *exchange, bool executed);
@@ -117,6 +118,8 @@
                      (json_int_t)((exchange->deadline_us - now_us) / GW_US_PER_MS)));
       return;
     }
+  if (gw_exchange_refuse_blocked_ (exchange))
+    return;
   verdict = gw_placement_pick (&query, context->random, place);
   if (verdict == GW_PLACEMENT_ALL_PAUSED)
     {
@@ -187,6 +190,8 @@
   exchange->state = EXCHANGE_SENT;
   exchange->sent_us = now_us;
   exchange->answer_began_us = 0;
+  exchange->survival_noted = false;
+  gw_exchange_list_unanswered_ (exchange);
   exchange->received_event = false;
   exchange->runs++;
   exchange->attempts++;
@@ -222,13 +227,17 @@
   return now_us - span_us;
 }
 
-/* The backend server may have asked for a pause, in another response, during the handshake. */
+/* During the handshake the backend server may have asked for a pause, in another response, or the
+ * prompt may have been blocked. */
 static void
 on_ready_ (void *user)
 {
   struct gw_exchange *exchange = user;
 
-  if (!gw_placement_is_paused (exchange->backend, g_get_monotonic_time ()))
+  if (!gw_placement_is_paused (exchange->backend, g_get_monotonic_time ())
+      && (exchange->is_trial
+          || !quarantine_blocks (exchange->context->quarantine, &exchange->shared_parts,
+                                 exchange->team_hash)))
     {
       send_request_ (exchange);
       return;
@@ -339,6 +348,9 @@
   gw_placement_note_received (exchange->backend, now_us);
   if (exchange->answer_began_us == 0)
     exchange->answer_began_us = now_us;
+  gw_exchange_unlist_unanswered_ (exchange);
+  if (now_us - exchange->answer_began_us >= QUARANTINE_SURVIVAL_MS * GW_US_PER_MS)
+    gw_exchange_note_survival_ (exchange, now_us);
   if (exchange->is_event_stream && !exchange->received_event)
     {
       exchange->received_event = true;
@@ -419,6 +431,8 @@
     }
   else if (exchange->partial_event->len > 0)
     forward_ (exchange, exchange->partial_event->str, exchange->partial_event->len);
+  if (exchange->status < 300)
+    gw_exchange_note_survival_ (exchange, g_get_monotonic_time ());
   if (exchange->status < 300)
     gw_latency_model_note_response (exchange->backend->latency_model,
                                     g_get_monotonic_time () - exchange->sent_us);
@@ -432,8 +446,16 @@
 {
   struct gw_exchange *exchange = user;
   bool sent = exchange->state != EXCHANGE_CONNECTING;
+  bool unanswered = sent && failure == GW_UPSTREAM_CLOSED && gw_exchange_is_unanswered_ (exchange);
+  bool is_suspect
+      = unanswered
+        && quarantine_is_suspect (exchange->context->quarantine, &exchange->shared_parts,
+                                  exchange->backend->key, exchange->backend->facts.started_ms);
 
   exchange->upstream = NULL;
+  if (unanswered)
+    end_detector_note_closed (exchange->context->end_detector, exchange->backend,
+                              &exchange->shared_parts, exchange->team_hash);
   end_failed_attempt_ (exchange, gw_upstream_failure_to_string (failure),
                        failure == GW_UPSTREAM_LINK_BUSY ? GW_ATTEMPT_ABANDONED : GW_ATTEMPT_BROKEN);
   if (failure == GW_UPSTREAM_LINK_BUSY && exchange->runs == 0)
@@ -447,7 +469,10 @@
       gw_exchange_start_attempt_ (exchange);
       return;
     }
-  retry_or_end_ (exchange, sent, gw_upstream_failure_to_string (failure));
+  if (is_suspect)
+    end_without_retry_ (exchange, "prompt_part_suspected");
+  else
+    retry_or_end_ (exchange, sent, gw_upstream_failure_to_string (failure));
 }
 
 /* Logs the failed attempt with REASON, ends it and discards an incomplete event. */
@@ -468,24 +493,13 @@
                 ? (json_int_t)((now_us - exchange->answer_began_us) / GW_US_PER_MS)
                 : -1,
             "open_connections", (int)exchange->backend->open_connections, "parts",
-            shared_parts_ (&exchange->prompt));
+            gw_exchange_parts_to_json_ (exchange));
   gw_exchange_end_attempt_ (exchange, outcome);
   g_string_truncate (exchange->partial_event, 0);
   exchange->scan.line_length = 0;
   exchange->scan.has_content = false;
 }
 
-/* For the log: the ids of the shared parts of PROMPT, as the caller writes them. */
-static json_t *
-shared_parts_ (const struct gw_prompt *prompt)
-{
-  json_t *parts = json_array ();
-
-  for (unsigned i = 0; i + 1 < prompt->n_parts; i++)
-    json_array_append_new (parts, json_sprintf ("%" G_GINT64_MODIFIER "x", prompt->parts[i].id));
-  return parts;
-}
-
 /* Retries the request on another backend server if that is allowed, or ends it with REASON. SENT:
  * the last server may have executed it. */
 static void
@@ -493,7 +507,14 @@
 {
   if (take_retry_ (exchange, sent))
     gw_exchange_start_attempt_ (exchange);
-  else if (exchange->response_began)
+  else
+    end_without_retry_ (exchange, reason);
+}
+
+static void
+end_without_retry_ (struct gw_exchange *exchange, const char *reason)
+{
+  if (exchange->response_began)
     gw_exchange_finish_ (exchange, "cut", false);
   else
     gw_exchange_refuse_ (exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_BUSY, reason);
@@ -531,6 +552,7 @@
   if (exchange->upstream != NULL)
     gw_upstream_abandon (exchange->upstream);
   exchange->upstream = NULL;
+  gw_exchange_unlist_unanswered_ (exchange);
   exchange->reading_paused = false;
   gw_placement_end_request (exchange->backend, exchange->uncached_tokens, exchange->memory_tokens,
                             outcome, g_get_monotonic_time ());
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -35,6 +35,7 @@
   GQueue idle_connections;                /* owned by the connection pool */
   unsigned connections;
   unsigned open_connections; /* those whose handshake is complete */
+  unsigned connections_lost; /* those that it has closed, in all */
 };
 
 struct gw_backends;
--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -1,5 +1,5 @@
-/* State shared by exchange.c, the life cycle of an exchange, and attempt.c, its attempts at backend
- * servers. */
+/* State shared by exchange.c, the life cycle of an exchange, attempt.c, its attempts at backend
+ * servers, and exchange-quarantine.c, what it reports to and asks of the quarantine. */
 #pragma once
 
 #include "base/counters.h"
@@ -44,6 +44,9 @@
   GString *headers;
   char *last_event_id; /* Last-Event-Id of the caller; NULL: from the stream's beginning */
   struct gw_prompt prompt;
+  struct quarantine_parts shared_parts; /* of the prompt */
+  uint64_t team_hash;                   /* 0: no team */
+  bool is_trial;                        /* tests whether a blocked prompt part is sound */
   GByteArray *body;
   bool has_body;
   uint64_t declared_body_bytes; /* body length in bytes from the request head; 0: not given */
@@ -64,6 +67,9 @@
   int64_t uncached_tokens; /* uncached prompt tokens, counted at the server until its first byte */
   int64_t memory_tokens;   /* KV cache space, in tokens, counted at the server until the end */
   int64_t sent_us;
+  GList unanswered_link; /* in the context's list */
+  bool is_listed;        /* in that list */
+  bool survival_noted;
   int64_t answer_began_us; /* when the first byte of its response body arrived; 0: none yet */
   GPtrArray *tried;        /* struct gw_backend, with references: servers of earlier attempts */
   /* The response. */
@@ -97,6 +103,13 @@
                                       enum gw_retry_after_cause cause,
                                       const char *why,
                                       json_t *inputs);
+void gw_exchange_set_shared_parts_ (struct gw_exchange *exchange);
+bool gw_exchange_refuse_blocked_ (struct gw_exchange *exchange);
+void gw_exchange_list_unanswered_ (struct gw_exchange *exchange);
+void gw_exchange_unlist_unanswered_ (struct gw_exchange *exchange);
+bool gw_exchange_is_unanswered_ (const struct gw_exchange *exchange);
+void gw_exchange_note_survival_ (struct gw_exchange *exchange, int64_t now_us);
+json_t *gw_exchange_parts_to_json_ (const struct gw_exchange *exchange);
 void gw_exchange_register_attempt_metrics_ (void);
 const struct gw_upstream_user_vtable *gw_exchange_upstream_vtable_ (void);
 const char *gw_exchange_state_to_string_ (enum gw_exchange_state state);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -4,6 +4,7 @@
 #include "net/http-reply.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -83,6 +84,8 @@
     exchange->last_event_id
         = g_strndup (request->last_event_id.data, request->last_event_id.length);
   exchange->prompt = request->prompt;
+  gw_exchange_set_shared_parts_ (exchange);
+  exchange->unanswered_link.data = exchange;
   exchange->has_body = head->is_chunked || head->has_length;
   exchange->declared_body_bytes = head->has_length ? head->length : 0;
   exchange->body = g_byte_array_new ();
@@ -131,6 +134,8 @@
 
   gw_retry_budget_count_request (gw_context_retry_budget (context, exchange->service_name),
                                  g_get_monotonic_time ());
+  if (gw_exchange_refuse_blocked_ (exchange))
+    return;
   if (exchange->team == NULL || !exchange->team->is_prepaid || !exchange->prompt.is_declared)
     {
       gw_exchange_start_attempt_ (exchange);
@@ -220,6 +225,7 @@
                          (json_int_t)g_hash_table_size (exchange->routes->teams_by_key)));
           return false;
         }
+      exchange->team_hash = XXH3_64bits (exchange->team->name->str, exchange->team->name->len);
     }
   service = gw_route_pick_service (exchange->route, g_rand_int (context->random));
   if (service == NULL)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -47,3 +47,4 @@
 void gw_exchange_start (struct gw_exchange *exchange);
 void gw_exchange_on_caller_drained (struct gw_exchange *exchange);
 void gw_exchange_abandon (struct gw_exchange *exchange);
+void gw_exchange_cancel_blocked (struct gw_context *context);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,10 +9,13 @@
 #include "gateway/placement.h"
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
+#include "quarantine/quarantine.h"
 
 #include <glib.h>
 #include <uv.h>
 
+struct end_detector;
+
 /* Written by the event handlers in serve.c and updates.c, read by requests. */
 struct gw_context
 {
@@ -37,6 +40,10 @@
   int64_t stopping_since_us;
   int64_t stop_by_us; /* when requests that are still running are cut off */
   unsigned exchanges; /* requests in progress */
+  struct quarantine *quarantine;
+  struct end_detector *end_detector;
+  GQueue unanswered; /* struct gw_exchange with shared prompt parts that were sent and have no byte
+                        of an answer yet */
   /* Reports to peers that a different server responds at the address of BACKEND. */
   void (*announce_replaced) (struct gw_context *context, const struct gw_backend *backend);
 };
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -1,6 +1,6 @@
 /* State shared by the source files of a running gateway: serve.c (start and stop), updates.c
- * (updates from the store and from peers) and allotment-link.c (access of the allotment manager to
- * the store and to peers). */
+ * (updates from the store and from peers), allotment-link.c (access of the allotment manager to the
+ * store and to peers) and quarantine-link.c (the quarantine's access to peers). */
 #pragma once
 
 #include "clock/fleet-clock.h"
@@ -71,6 +71,8 @@
   uv_signal_t hang_up;
   char nonce[32]; /* random; distinguishes this process's announcement from those of earlier starts
                    */
+  bool peers_asked;              /* for updates and reports, after the first list of instances */
+  uv_timer_t cancel_timer;       /* requests are cancelled after a prompt part was blocked */
   bool backends_listed;          /* the first list of backend servers has been received */
   bool announced;                /* registered in the store, and the allotment manager is open */
   bool returning_tokens;         /* stopping: returning the tokens */
@@ -118,3 +120,8 @@
 void gateway_on_backend_leaving_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_peer_reported_leaving_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_allotment_timer_ (uv_timer_t *timer);
+void gateway_open_quarantine_ (struct gateway *gateway);
+void
+gateway_on_part_reports_ (const struct quarantine_report *reports, unsigned n_reports, void *data);
+unsigned gateway_fill_part_reports_ (struct quarantine_report *reports, unsigned max, void *data);
+void gateway_repeat_part_reports_ (struct gateway *gateway);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -128,6 +128,8 @@
     .on_replaced = gateway_on_backend_replaced_,
     .on_leaving = gateway_on_peer_reported_leaving_,
     .on_time = gateway_on_peer_time_,
+    .on_part_reports = gateway_on_part_reports_,
+    .on_part_reports_request = gateway_fill_part_reports_,
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
@@ -135,7 +137,8 @@
                                     .respond = respond_readiness_ };
   uv_timer_t *timers[]
       = { &gateway->allotment_timer,    &gateway->gossip_timer,   &gateway->lease_timer,
-          &gateway->config_guard_timer, &gateway->announce_timer, &gateway->stop_timer };
+          &gateway->config_guard_timer, &gateway->announce_timer, &gateway->stop_timer,
+          &gateway->cancel_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
@@ -154,6 +157,7 @@
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->random = g_rand_new ();
+  gateway_open_quarantine_ (gateway);
   for (size_t i = 0; i < G_N_ELEMENTS (timers); i++)
     {
       uv_timer_init (&gateway->loop, timers[i]);
@@ -366,6 +370,13 @@
 static unsigned
 respond_metrics_ (const char *path, GString *body, void *data)
 {
+  struct gateway *gateway = data;
+
+  if (strcmp (path, "/blocked-prompt-parts") == 0)
+    {
+      quarantine_print (gateway->context.quarantine, body, g_get_monotonic_time ());
+      return 200;
+    }
   if (strcmp (path, "/metrics") != 0)
     return 404;
   sr_counters_print (body);
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -253,6 +253,11 @@
     put_instance_ (gateway, &result->objects[i]);
   update_peers_ (gateway);
   report_peer_starts_ (gateway, result);
+  if (!gateway->peers_asked && gateway->context.instances > 1)
+    {
+      gateway->peers_asked = true;
+      mesh_request_updates (gateway->mesh, gateway->context.random);
+    }
   config_guard_note_peers (&gateway->config_guard, gateway->context.instances - 1,
                            g_get_monotonic_time ());
   if (!uv_is_active ((uv_handle_t *)&gateway->config_guard_timer))
@@ -438,6 +443,7 @@
   const struct mesh_update update = own_update_ (gateway);
 
   mesh_repeat_update (gateway->mesh, &update, gateway->context.random);
+  gateway_repeat_part_reports_ (gateway);
 }
 
 static struct mesh_update
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -286,6 +286,8 @@
 {
   struct gw_upstream *upstream = owner;
 
+  if (upstream->is_open)
+    upstream->backend->connections_lost++;
   upstream->conn = NULL;
   if (upstream->user == NULL)
     {
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "base/event-log.h"
 #include "budget/budget_xdr.h"
+#include "mesh/part-reports.h"
 
 #include <string.h>
 
@@ -29,7 +30,8 @@
   KIND_LEAVING = 6,
   KIND_TIME_REQUEST = 7,
   KIND_TIME = 8,
-  KIND_UPDATE_REQUEST = 9
+  KIND_UPDATE_REQUEST = 9,
+  KIND_PART_REPORTS = 10
 };
 
 struct mesh
@@ -77,6 +79,15 @@
 send_update_ (struct mesh *mesh, const struct mesh_update *update, unsigned fanout, GRand *random);
 static void
 send_to_some_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
+static void send_part_reports_ (struct mesh *mesh,
+                                const struct quarantine_report *reports,
+                                unsigned n_reports,
+                                unsigned fanout,
+                                GRand *random);
+static void receive_part_reports_ (struct mesh *mesh,
+                                   XDR *xdr,
+                                   const struct head_ *head,
+                                   const struct sockaddr_in *from);
 static void receive_time_request_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
 static void receive_update_request_ (struct mesh *mesh, const struct sockaddr_in *from);
 static void receive_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -256,6 +267,29 @@
   xdr_destroy (&xdr);
 }
 
+/* Announces REPORTS to a few random peers. A receiver to which they are new must announce them in
+ * turn. */
+void
+mesh_announce_part_reports (struct mesh *mesh,
+                            const struct quarantine_report *reports,
+                            unsigned n_reports,
+                            GRand *random)
+{
+  for (unsigned i = 0; i < n_reports; i += MESH_PART_REPORTS_MAX)
+    send_part_reports_ (mesh, reports + i, MIN (n_reports - i, (unsigned)MESH_PART_REPORTS_MAX),
+                        ANNOUNCE_FANOUT, random);
+}
+
+/* Repeats REPORTS, for peers that the announcements have missed; to be called regularly. */
+void
+mesh_repeat_part_reports (struct mesh *mesh,
+                          const struct quarantine_report *reports,
+                          unsigned n_reports,
+                          GRand *random)
+{
+  send_part_reports_ (mesh, reports, n_reports, REPEAT_FANOUT, random);
+}
+
 /* Requests an update from some random peers. */
 void
 mesh_request_updates (struct mesh *mesh, GRand *random)
@@ -331,6 +365,8 @@
     receive_time_ (mesh, &xdr, &head);
   else if (head.kind == KIND_UPDATE_REQUEST)
     receive_update_request_ (mesh, address);
+  else if (head.kind == KIND_PART_REPORTS)
+    receive_part_reports_ (mesh, &xdr, &head, address);
   else if (head.kind == KIND_UPDATE && xdr_update_ (&xdr, &update))
     mesh->options.on_update (&update, mesh->options.data);
   else if (head.kind == KIND_REPLACED && xdr_uint64_t (&xdr, &backend))
@@ -430,6 +466,8 @@
 {
   struct head_ head = { .kind = KIND_UPDATE };
   struct mesh_update update = { 0 };
+  struct quarantine_report reports[MESH_PART_REPORTS_MAX];
+  unsigned n_reports;
   char bytes[MESSAGE_MAX_BYTES];
   XDR xdr;
 
@@ -437,6 +475,54 @@
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_update_ (&xdr, &update))
     send_ (mesh, from, &xdr, bytes);
   xdr_destroy (&xdr);
+  n_reports
+      = mesh->options.on_part_reports_request (reports, MESH_PART_REPORTS_MAX, mesh->options.data);
+  head.kind = KIND_PART_REPORTS;
+  if (n_reports > 0 && begin_ (mesh, &xdr, bytes, &head)
+      && part_reports_xdr (&xdr, reports, &n_reports, g_get_monotonic_time ()))
+    send_ (mesh, from, &xdr, bytes);
+  if (n_reports > 0)
+    xdr_destroy (&xdr);
+}
+
+static void
+send_part_reports_ (struct mesh *mesh,
+                    const struct quarantine_report *reports,
+                    unsigned n_reports,
+                    unsigned fanout,
+                    GRand *random)
+{
+  struct head_ head = { .kind = KIND_PART_REPORTS };
+  struct quarantine_report copies[MESH_PART_REPORTS_MAX];
+  char bytes[MESSAGE_MAX_BYTES];
+  XDR xdr;
+
+  g_assert (n_reports <= MESH_PART_REPORTS_MAX);
+  memcpy (copies, reports, n_reports * sizeof reports[0]);
+  if (begin_ (mesh, &xdr, bytes, &head)
+      && part_reports_xdr (&xdr, copies, &n_reports, g_get_monotonic_time ()))
+    send_to_some_ (mesh, fanout, &xdr, bytes, random);
+  xdr_destroy (&xdr);
+}
+
+/* Only reports that a known peer sends from its address count. */
+static void
+receive_part_reports_ (struct mesh *mesh,
+                       XDR *xdr,
+                       const struct head_ *head,
+                       const struct sockaddr_in *from)
+{
+  const struct sockaddr_in *peer = g_hash_table_lookup (mesh->peers, head->sender);
+  struct quarantine_report reports[MESH_PART_REPORTS_MAX] = { 0 };
+  unsigned n_reports;
+
+  if (peer == NULL || handle_of_ (peer) != handle_of_ (from)
+      || !part_reports_xdr (xdr, reports, &n_reports, g_get_monotonic_time ()))
+    {
+      sr_counter_add (&malformed_counter_, 1);
+      return;
+    }
+  mesh->options.on_part_reports (reports, n_reports, mesh->options.data);
 }
 
 /* Returns the handle of a loan request from ADDRESS: the address itself. */
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "allotment/allotment.h"
+#include "quarantine/quarantine.h"
 
 #include <netinet/in.h>
 #include <uv.h>
@@ -18,6 +19,11 @@
   int64_t configuration_version; /* in force; 0: none */
 };
 
+enum
+{
+  MESH_PART_REPORTS_MAX = 24 /* in one datagram */
+};
+
 struct mesh;
 
 struct mesh_options
@@ -43,6 +49,10 @@
   void (*on_time) (const char *peer, int64_t real_ms, int64_t requested_us, void *data);
   /* The process of BACKEND (gw_backend_key) that started at STARTED_MS is leaving. */
   void (*on_leaving) (uint64_t backend, int64_t started_ms, void *data);
+  /* Reports of a peer on prompt parts. */
+  void (*on_part_reports) (const struct quarantine_report *reports, unsigned n_reports, void *data);
+  /* A peer requests an update: sets up to MAX REPORTS on prompt parts. Returns their number. */
+  unsigned (*on_part_reports_request) (struct quarantine_report *reports, unsigned max, void *data);
 };
 
 struct mesh *mesh_new (const struct mesh_options *options);
@@ -56,6 +66,14 @@
 void mesh_announce_update (struct mesh *mesh, const struct mesh_update *update, GRand *random);
 void mesh_announce_replaced (struct mesh *mesh, uint64_t backend, GRand *random);
 void mesh_announce_leaving (struct mesh *mesh, uint64_t backend, int64_t started_ms, GRand *random);
+void mesh_announce_part_reports (struct mesh *mesh,
+                                 const struct quarantine_report *reports,
+                                 unsigned n_reports,
+                                 GRand *random);
+void mesh_repeat_part_reports (struct mesh *mesh,
+                               const struct quarantine_report *reports,
+                               unsigned n_reports,
+                               GRand *random);
 void mesh_repeat_update (struct mesh *mesh, const struct mesh_update *update, GRand *random);
 void mesh_request_updates (struct mesh *mesh, GRand *random);
 void mesh_request_time (struct mesh *mesh, int64_t now_us, GRand *random);
--- /dev/null
+++ b/src/quarantine/part-ends.c
@@ -0,0 +1,192 @@
+#include "quarantine/part-ends.h"
+
+#include <stdlib.h>
+
+enum
+{
+  US_PER_MS = 1000,
+  ENDS_OF_NEW_PART = 2,    /* block a part that was not answered lately */
+  ENDS_OF_PROVEN_PART = 3, /* block a part that was answered shortly before it ended servers */
+  NEW_SPREAD_US = 100000,  /* ends closer to each other are one: a whole rack may fail at once */
+  PROVEN_SPREAD_US = 500000,
+  BLOCK_FIRST_US = 30000000, /* from the last end to the first trial; doubles with each end in a
+                                trial */
+  TRIAL_SPREAD_US = BLOCK_FIRST_US / 2, /* ends this far apart are those of different trials */
+  BLOCK_DOUBLINGS_MAX = 7
+};
+
+static bool is_same_process_ (const struct part_end *a, const struct part_end *b);
+static int compare_ends_ (const void *a, const void *b);
+static unsigned count_spaced_ (const struct part_ends *ends, int64_t spread_us, bool only_new);
+
+/* Adds END. Two reports of one end are merged to the same result in either order. Returns whether
+ * this may change what follows. */
+bool
+part_ends_add (struct part_ends *ends, const struct part_end *end)
+{
+  for (unsigned i = 0; i < ends->n; i++)
+    {
+      struct part_end *known = &ends->ends[i];
+      bool changes = end->survived_before && !known->survived_before;
+
+      if (!is_same_process_ (known, end))
+        continue;
+      known->survived_before = known->survived_before || end->survived_before;
+      known->at_us = MIN (known->at_us, end->at_us);
+      known->team = MIN (known->team, end->team);
+      qsort (ends->ends, ends->n, sizeof ends->ends[0], compare_ends_);
+      return changes;
+    }
+  if (ends->n == PART_ENDS_MAX)
+    {
+      if (end->at_us <= ends->ends[0].at_us)
+        return false;
+      ends->ends[0] = *end;
+    }
+  else
+    ends->ends[ends->n++] = *end;
+  qsort (ends->ends, ends->n, sizeof ends->ends[0], compare_ends_);
+  return true;
+}
+
+/* Forgets the ends until UNTIL_US. Returns whether there were any. */
+bool
+part_ends_forget_until (struct part_ends *ends, int64_t until_us)
+{
+  unsigned kept = 0;
+  unsigned before = ends->n;
+
+  for (unsigned i = 0; i < before; i++)
+    if (ends->ends[i].at_us > until_us)
+      ends->ends[kept++] = ends->ends[i];
+  ends->n = kept;
+  return kept < before;
+}
+
+/* Returns whether the part has to be blocked. */
+bool
+part_ends_are_conclusive (const struct part_ends *ends)
+{
+  return count_spaced_ (ends, NEW_SPREAD_US, true) >= ENDS_OF_NEW_PART
+         || count_spaced_ (ends, PROVEN_SPREAD_US, false) >= ENDS_OF_PROVEN_PART;
+}
+
+/* Returns when a request with the blocked part may be tried. There must be an end. */
+int64_t
+part_ends_trial_due_us (const struct part_ends *ends)
+{
+  unsigned doublings = count_spaced_ (ends, TRIAL_SPREAD_US, false) - 1;
+
+  g_assert (ends->n > 0);
+  return ends->ends[ends->n - 1].at_us
+         + ((int64_t)BLOCK_FIRST_US << MIN (doublings, (unsigned)BLOCK_DOUBLINGS_MAX));
+}
+
+/* Returns whether a verdict from these ends holds for requests of TEAM: those of one team alone
+ * can't get a part blocked for others. */
+bool
+part_ends_concern_team (const struct part_ends *ends, uint64_t team)
+{
+  for (unsigned i = 0; i < ends->n; i++)
+    if (ends->ends[i].team == team || ends->ends[i].team != ends->ends[0].team)
+      return true;
+  return false;
+}
+
+/* Returns whether A and B have the ends of the same processes. */
+bool
+part_ends_equal (const struct part_ends *a, const struct part_ends *b)
+{
+  if (a->n != b->n)
+    return false;
+  for (unsigned i = 0; i < a->n; i++)
+    {
+      bool found = false;
+
+      for (unsigned k = 0; k < b->n && !found; k++)
+        found = is_same_process_ (&a->ends[i], &b->ends[k]);
+      if (!found)
+        return false;
+    }
+  return true;
+}
+
+/* Returns whether there is the end of another process than that of BACKEND that started at
+ * STARTED_MS, before which the part had not been answered. */
+bool
+part_ends_has_new_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms)
+{
+  const struct part_end own = { .backend = backend, .started_ms = started_ms };
+
+  for (unsigned i = 0; i < ends->n; i++)
+    if (!ends->ends[i].survived_before && !is_same_process_ (&ends->ends[i], &own))
+      return true;
+  return false;
+}
+
+/* Sets up to PART_ENDS_MAX REPORTS on PART. Returns their number. */
+unsigned
+part_ends_to_reports (const struct part_ends *ends,
+                      uint64_t part,
+                      struct quarantine_report *reports)
+{
+  for (unsigned i = 0; i < ends->n; i++)
+    reports[i] = (struct quarantine_report){ .kind = QUARANTINE_ENDED,
+                                             .part = part,
+                                             .at_us = ends->ends[i].at_us,
+                                             .backend = ends->ends[i].backend,
+                                             .started_ms = ends->ends[i].started_ms,
+                                             .team = ends->ends[i].team,
+                                             .survived_before = ends->ends[i].survived_before };
+  return ends->n;
+}
+
+/* For the log: each end, with the server's key and how long ago it was. */
+json_t *
+part_ends_to_json (const struct part_ends *ends, int64_t now_us)
+{
+  json_t *list = json_array ();
+
+  for (unsigned i = 0; i < ends->n; i++)
+    json_array_append_new (
+        list, json_pack ("{s:o,s:I,s:I}", "backend_key",
+                         json_sprintf ("%" G_GINT64_MODIFIER "x", ends->ends[i].backend),
+                         "started_ms", (json_int_t)ends->ends[i].started_ms, "age_ms",
+                         (json_int_t)((now_us - ends->ends[i].at_us) / US_PER_MS)));
+  return list;
+}
+
+static bool
+is_same_process_ (const struct part_end *a, const struct part_end *b)
+{
+  return a->backend == b->backend && a->started_ms == b->started_ms;
+}
+
+static int
+compare_ends_ (const void *a, const void *b)
+{
+  const struct part_end *left = a;
+  const struct part_end *right = b;
+
+  return (left->at_us > right->at_us) - (left->at_us < right->at_us);
+}
+
+/* Returns how many ends are SPREAD_US or more from the counted one before; ONLY_NEW: of those
+ * before which the part had not been answered. */
+static unsigned
+count_spaced_ (const struct part_ends *ends, int64_t spread_us, bool only_new)
+{
+  unsigned count = 0;
+  int64_t last_us = 0;
+
+  for (unsigned i = 0; i < ends->n; i++)
+    {
+      const struct part_end *end = &ends->ends[i];
+
+      if ((only_new && end->survived_before) || (count > 0 && end->at_us - last_us < spread_us))
+        continue;
+      count++;
+      last_us = end->at_us;
+    }
+  return count;
+}
