--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -401,7 +401,7 @@
       else if (least == NULL || tells_less_ (entry, least))
         least = entry;
     }
-  if (removed)
+  if (removed || least == NULL)
     return;
   least->ends.n = 0;
   judge_ (quarantine, least, "too many parts are known", now_us);
