--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -189,6 +189,7 @@
   parts[1] = (struct net_string_view){ (const char *)exchange->body->data, exchange->body->len };
   exchange->state = EXCHANGE_SENT;
   exchange->sent_us = now_us;
+  exchange->head_received = false;
   exchange->answer_began_us = 0;
   exchange->survival_noted = false;
   gw_exchange_list_unanswered_ (exchange);
@@ -300,6 +301,7 @@
                            response->is_encoded ? "encoded_answer" : "unclear_answer");
       return;
     }
+  exchange->head_received = true;
   exchange->status = head->status;
   exchange->is_event_stream = response->is_event_stream;
   exchange->response_has_length = head->has_length;
@@ -455,7 +457,8 @@
   exchange->upstream = NULL;
   if (unanswered)
     end_detector_note_closed (exchange->context->end_detector, exchange->backend,
-                              &exchange->shared_parts, exchange->team_hash);
+                              &exchange->shared_parts, exchange->team_hash,
+                              gw_exchange_progress_ (exchange));
   end_failed_attempt_ (exchange, gw_upstream_failure_to_string (failure),
                        failure == GW_UPSTREAM_LINK_BUSY ? GW_ATTEMPT_ABANDONED : GW_ATTEMPT_BROKEN);
   if (failure == GW_UPSTREAM_LINK_BUSY && exchange->runs == 0)
--- a/src/gateway/end-detector.c
+++ b/src/gateway/end-detector.c
@@ -36,6 +36,7 @@
 {
   struct quarantine_parts parts;
   uint64_t team;
+  enum quarantine_progress progress;
 };
 
 static void on_settled_ (uv_timer_t *timer);
@@ -77,16 +78,18 @@
 }
 
 /* Notes that the connection of a request with PARTS of TEAM (hash; 0: none) was closed by BACKEND
- * before its answer got under way. A server that has announced that it is leaving ends as planned.
+ * before its answer got under way. A server that
+ * has announced that it is leaving ends as planned.
  */
 void
 end_detector_note_closed (struct end_detector *detector,
                           struct gw_backend *backend,
                           const struct quarantine_parts *parts,
-                          uint64_t team)
+                          uint64_t team,
+                          enum quarantine_progress progress)
 {
   struct check_ *check = g_hash_table_lookup (detector->checks, backend);
-  const struct unanswered_ request = { .parts = *parts, .team = team };
+  const struct unanswered_ request = { .parts = *parts, .team = team, .progress = progress };
 
   if (parts->n == 0 || backend->facts.is_leaving || backend->is_removed)
     return;
@@ -205,7 +208,9 @@
     {
       const struct unanswered_ *request = &g_array_index (check->requests, struct unanswered_, i);
 
-      requests[i] = (struct quarantine_request){ .parts = &request->parts, .team = request->team };
+      requests[i] = (struct quarantine_request){ .parts = &request->parts,
+                                                 .team = request->team,
+                                                 .progress = request->progress };
     }
   sr_counter_add (&ends_counter_, 1);
   sr_event (SR_EVENT_WARNING, "backend_ended", "{s:s,s:o,s:I,s:i,s:s}", "backend",
--- a/src/gateway/end-detector.h
+++ b/src/gateway/end-detector.h
@@ -11,4 +11,5 @@
 void end_detector_note_closed (struct end_detector *detector,
                                struct gw_backend *backend,
                                const struct quarantine_parts *parts,
-                               uint64_t team);
+                               uint64_t team,
+                               enum quarantine_progress progress);
--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -70,6 +70,7 @@
   GList unanswered_link; /* in the context's list */
   bool is_listed;        /* in that list */
   bool survival_noted;
+  bool head_received;      /* of the answer of the current attempt */
   int64_t answer_began_us; /* when the first byte of its response body arrived; 0: none yet */
   GPtrArray *tried;        /* struct gw_backend, with references: servers of earlier attempts */
   /* The response. */
@@ -108,6 +109,7 @@
 void gw_exchange_list_unanswered_ (struct gw_exchange *exchange);
 void gw_exchange_unlist_unanswered_ (struct gw_exchange *exchange);
 bool gw_exchange_is_unanswered_ (const struct gw_exchange *exchange);
+enum quarantine_progress gw_exchange_progress_ (const struct gw_exchange *exchange);
 void gw_exchange_note_survival_ (struct gw_exchange *exchange, int64_t now_us);
 json_t *gw_exchange_parts_to_json_ (const struct gw_exchange *exchange);
 void gw_exchange_register_attempt_metrics_ (void);
--- a/src/gateway/exchange-quarantine.c
+++ b/src/gateway/exchange-quarantine.c
@@ -94,6 +94,15 @@
                 < QUARANTINE_SURVIVAL_MS * GW_US_PER_MS;
 }
 
+/* Returns how far the answer of the current attempt has got. */
+enum quarantine_progress
+gw_exchange_progress_ (const struct gw_exchange *exchange)
+{
+  if (exchange->answer_began_us != 0)
+    return QUARANTINE_PARTLY;
+  return exchange->head_received ? QUARANTINE_BEGUN : QUARANTINE_WAITING;
+}
+
 /* Notes, once for each attempt, that its answer has got under way. */
 void
 gw_exchange_note_survival_ (struct gw_exchange *exchange, int64_t now_us)
--- a/src/mesh/part-reports.c
+++ b/src/mesh/part-reports.c
@@ -27,15 +27,18 @@
 {
   u_int kind = report->kind;
   int64_t age_ms = MAX ((now_us - report->at_us) / US_PER_MS, 0);
+  u_int progress = report->progress;
   bool_t survived_before = report->survived_before;
 
   if (!xdr_u_int (xdr, &kind) || !xdr_uint64_t (xdr, &report->part) || !xdr_int64_t (xdr, &age_ms)
       || !xdr_uint64_t (xdr, &report->backend) || !xdr_int64_t (xdr, &report->started_ms)
-      || !xdr_uint64_t (xdr, &report->team) || !xdr_bool (xdr, &survived_before)
-      || kind > QUARANTINE_SURVIVED || age_ms < 0 || age_ms > AGE_MAX_MS)
+      || !xdr_uint64_t (xdr, &report->team) || !xdr_u_int (xdr, &progress)
+      || !xdr_bool (xdr, &survived_before) || kind > QUARANTINE_SURVIVED
+      || progress > QUARANTINE_BEGUN || age_ms < 0 || age_ms > AGE_MAX_MS)
     return false;
   report->kind = (enum quarantine_report_kind)kind;
   report->at_us = now_us - age_ms * US_PER_MS;
+  report->progress = (enum quarantine_progress)progress;
   report->survived_before = survived_before;
   return true;
 }
--- a/src/quarantine/part-ends.c
+++ b/src/quarantine/part-ends.c
@@ -5,10 +5,13 @@
 enum
 {
   US_PER_MS = 1000,
-  ENDS_OF_NEW_PART = 2,    /* block a part that was not answered lately */
-  ENDS_OF_PROVEN_PART = 3, /* block a part that was answered shortly before it ended servers */
-  NEW_SPREAD_US = 100000,  /* ends closer to each other are one: a whole rack may fail at once */
-  PROVEN_SPREAD_US = 500000,
+  /* Ends closer to each other count as one: a whole rack may fail at once. */
+  BEGUN_SPREAD_US = 60000,
+  SPREAD_US = 500000,
+  BEGUN_ENDS = 2,  /* of requests whose answer had just begun: block a part */
+  PARTLY_ENDS = 3, /* of these, and of ones whose answer had not got far: block a part */
+  ANY_ENDS = 4,    /* block a part */
+
   BLOCK_FIRST_US = 30000000, /* from the last end to the first trial; doubles with each end in a
                                 trial */
   TRIAL_SPREAD_US = BLOCK_FIRST_US / 2, /* ends this far apart are those of different trials */
@@ -16,8 +19,10 @@
 };
 
 static bool is_same_process_ (const struct part_end *a, const struct part_end *b);
+static enum quarantine_progress evidence_ (const struct part_end *end);
 static int compare_ends_ (const void *a, const void *b);
-static unsigned count_spaced_ (const struct part_ends *ends, int64_t spread_us, bool only_new);
+static unsigned
+count_spaced_ (const struct part_ends *ends, int64_t spread_us, enum quarantine_progress least);
 
 /* Adds END. Two reports of one end are merged to the same result in either order. Returns whether
  * this may change what follows. */
@@ -27,10 +32,12 @@
   for (unsigned i = 0; i < ends->n; i++)
     {
       struct part_end *known = &ends->ends[i];
-      bool changes = end->survived_before && !known->survived_before;
+      bool changes
+          = end->progress > known->progress || (end->survived_before && !known->survived_before);
 
       if (!is_same_process_ (known, end))
         continue;
+      known->progress = MAX (known->progress, end->progress);
       known->survived_before = known->survived_before || end->survived_before;
       known->at_us = MIN (known->at_us, end->at_us);
       known->team = MIN (known->team, end->team);
@@ -67,15 +74,16 @@
 bool
 part_ends_are_conclusive (const struct part_ends *ends)
 {
-  return count_spaced_ (ends, NEW_SPREAD_US, true) >= ENDS_OF_NEW_PART
-         || count_spaced_ (ends, PROVEN_SPREAD_US, false) >= ENDS_OF_PROVEN_PART;
+  return count_spaced_ (ends, BEGUN_SPREAD_US, QUARANTINE_BEGUN) >= BEGUN_ENDS
+         || count_spaced_ (ends, SPREAD_US, QUARANTINE_PARTLY) >= PARTLY_ENDS
+         || count_spaced_ (ends, SPREAD_US, QUARANTINE_WAITING) >= ANY_ENDS;
 }
 
 /* Returns when a request with the blocked part may be tried. There must be an end. */
 int64_t
 part_ends_trial_due_us (const struct part_ends *ends)
 {
-  unsigned doublings = count_spaced_ (ends, TRIAL_SPREAD_US, false) - 1;
+  unsigned doublings = count_spaced_ (ends, TRIAL_SPREAD_US, QUARANTINE_WAITING) - 1;
 
   g_assert (ends->n > 0);
   return ends->ends[ends->n - 1].at_us
@@ -111,15 +119,15 @@
   return true;
 }
 
-/* Returns whether there is the end of another process than that of BACKEND that started at
- * STARTED_MS, before which the part had not been answered. */
+/* Returns whether there is an end with the strongest evidence of another process than that of
+ * BACKEND that started at STARTED_MS. */
 bool
-part_ends_has_new_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms)
+part_ends_accuse_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms)
 {
   const struct part_end own = { .backend = backend, .started_ms = started_ms };
 
   for (unsigned i = 0; i < ends->n; i++)
-    if (!ends->ends[i].survived_before && !is_same_process_ (&ends->ends[i], &own))
+    if (evidence_ (&ends->ends[i]) == QUARANTINE_BEGUN && !is_same_process_ (&ends->ends[i], &own))
       return true;
   return false;
 }
@@ -137,6 +145,7 @@
                                              .backend = ends->ends[i].backend,
                                              .started_ms = ends->ends[i].started_ms,
                                              .team = ends->ends[i].team,
+                                             .progress = ends->ends[i].progress,
                                              .survived_before = ends->ends[i].survived_before };
   return ends->n;
 }
@@ -162,6 +171,13 @@
   return a->backend == b->backend && a->started_ms == b->started_ms;
 }
 
+/* A part that was answered shortly before is less likely to be the cause. */
+static enum quarantine_progress
+evidence_ (const struct part_end *end)
+{
+  return end->survived_before ? MIN (end->progress, QUARANTINE_PARTLY) : end->progress;
+}
+
 static int
 compare_ends_ (const void *a, const void *b)
 {
@@ -171,10 +187,10 @@
   return (left->at_us > right->at_us) - (left->at_us < right->at_us);
 }
 
-/* Returns how many ends are SPREAD_US or more from the counted one before; ONLY_NEW: of those
- * before which the part had not been answered. */
+/* Returns how many ends with the evidence LEAST or more are SPREAD_US or more from the counted one
+ * before. */
 static unsigned
-count_spaced_ (const struct part_ends *ends, int64_t spread_us, bool only_new)
+count_spaced_ (const struct part_ends *ends, int64_t spread_us, enum quarantine_progress least)
 {
   unsigned count = 0;
   int64_t last_us = 0;
@@ -183,7 +199,7 @@
     {
       const struct part_end *end = &ends->ends[i];
 
-      if ((only_new && end->survived_before) || (count > 0 && end->at_us - last_us < spread_us))
+      if (evidence_ (end) < least || (count > 0 && end->at_us - last_us < spread_us))
         continue;
       count++;
       last_us = end->at_us;
--- a/src/quarantine/part-ends.h
+++ b/src/quarantine/part-ends.h
@@ -16,8 +16,9 @@
   uint64_t backend; /* gw_backend_key of the server */
   int64_t started_ms;
   int64_t at_us;
-  uint64_t team;        /* hash of the team whose request it was; 0: no team */
-  bool survived_before; /* requests with the part were answered shortly before */
+  uint64_t team;                     /* hash of the team whose request it was; 0: no team */
+  enum quarantine_progress progress; /* of the request with the part that is the likeliest cause */
+  bool survived_before;              /* requests with the part were answered shortly before */
 };
 
 struct part_ends
@@ -33,7 +34,7 @@
 bool part_ends_concern_team (const struct part_ends *ends, uint64_t team);
 bool part_ends_equal (const struct part_ends *a, const struct part_ends *b);
 bool
-part_ends_has_new_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms);
+part_ends_accuse_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms);
 unsigned part_ends_to_reports (const struct part_ends *ends,
                                uint64_t part,
                                struct quarantine_report *reports);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -186,7 +186,7 @@
     {
       const struct entry_ *entry = g_hash_table_lookup (quarantine->entries, &parts->ids[i]);
 
-      if (entry != NULL && part_ends_has_new_elsewhere (&entry->ends, backend, started_ms))
+      if (entry != NULL && part_ends_accuse_elsewhere (&entry->ends, backend, started_ms))
         return true;
     }
   return false;
@@ -232,14 +232,15 @@
       for (unsigned i = 0; i < parts->n && n < QUARANTINE_REPORTS_MAX; i++)
         {
           uint64_t part = parts->ids[i];
-          const struct quarantine_report report
-              = { .kind = QUARANTINE_ENDED,
-                  .part = part,
-                  .at_us = end->at_us,
-                  .backend = end->backend,
-                  .started_ms = end->started_ms,
-                  .team = end->requests[r].team,
-                  .survived_before = survivors_has (quarantine->survivors, part, end->at_us) };
+          bool survived_before = survivors_has (quarantine->survivors, part, end->at_us);
+          const struct quarantine_report report = { .kind = QUARANTINE_ENDED,
+                                                    .part = part,
+                                                    .at_us = end->at_us,
+                                                    .backend = end->backend,
+                                                    .started_ms = end->started_ms,
+                                                    .team = end->requests[r].team,
+                                                    .progress = end->requests[r].progress,
+                                                    .survived_before = survived_before };
 
           if (merge_end_ (quarantine, &report, now_us))
             reports[n++] = report;
@@ -435,6 +436,7 @@
                                 .started_ms = report->started_ms,
                                 .at_us = report->at_us,
                                 .team = report->team,
+                                .progress = report->progress,
                                 .survived_before = report->survived_before };
   struct entry_ *entry;
   bool is_first;
@@ -452,9 +454,10 @@
   if (is_first)
     {
       sr_counter_add (&suspected_counter_, 1);
-      sr_event (SR_EVENT_INFO, "prompt_part_suspected", "{s:o,s:b,s:o}", "part",
-                json_sprintf ("%" G_GINT64_MODIFIER "x", entry->part), "answered_before",
-                (int)report->survived_before, "ends", part_ends_to_json (&entry->ends, now_us));
+      sr_event (SR_EVENT_INFO, "prompt_part_suspected", "{s:o,s:i,s:b,s:o}", "part",
+                json_sprintf ("%" G_GINT64_MODIFIER "x", entry->part), "progress",
+                (int)report->progress, "answered_before", (int)report->survived_before, "ends",
+                part_ends_to_json (&entry->ends, now_us));
     }
   entry->changed_us = now_us;
   entry->trial_us = INT64_MIN;
@@ -493,7 +496,12 @@
   bool is_blocked = part_ends_are_conclusive (&entry->ends);
 
   if (is_blocked == entry->is_blocked)
-    return;
+    {
+      /* It may be blocked for more teams now. */
+      if (is_blocked)
+        quarantine->options.blocked (entry->part, quarantine->options.data);
+      return;
+    }
   entry->is_blocked = is_blocked;
   quarantine->n_blocked += is_blocked ? 1 : -1U;
   sr_counter_set (&blocked_gauge_, quarantine->n_blocked);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -24,6 +24,15 @@
   unsigned n;
 };
 
+/* How far the answer to a request had got when its server ended, by how likely the request is the
+ * cause. */
+enum quarantine_progress
+{
+  QUARANTINE_WAITING, /* no head of an answer was received */
+  QUARANTINE_PARTLY,  /* the first bytes of its body were received */
+  QUARANTINE_BEGUN    /* the head was received, and nothing of the body */
+};
+
 enum quarantine_report_kind
 {
   QUARANTINE_ENDED,   /* a process ended with the part in a request that was not answered yet */
@@ -35,10 +44,11 @@
 {
   enum quarantine_report_kind kind;
   uint64_t part;
-  int64_t at_us;        /* of the end, or when the answer began */
-  uint64_t backend;     /* QUARANTINE_ENDED: gw_backend_key of the server */
-  int64_t started_ms;   /* QUARANTINE_ENDED: start of its process */
-  uint64_t team;        /* QUARANTINE_ENDED: hash of the team whose request it was; 0: no team */
+  int64_t at_us;      /* of the end, or when the answer began */
+  uint64_t backend;   /* QUARANTINE_ENDED: gw_backend_key of the server */
+  int64_t started_ms; /* QUARANTINE_ENDED: start of its process */
+  uint64_t team;      /* QUARANTINE_ENDED: hash of the team whose request it was; 0: no team */
+  enum quarantine_progress progress; /* QUARANTINE_ENDED */
   bool survived_before; /* QUARANTINE_ENDED: requests with the part were answered shortly before */
 };
 
@@ -61,7 +71,7 @@
   unsigned (*trial_rank) (uint64_t part, void *data);
   /* Spreads reports that are new to this instance. */
   void (*announce) (const struct quarantine_report *reports, unsigned n_reports, void *data);
-  /* PART is blocked from now on. */
+  /* PART is blocked from now on, for the first or for further teams. */
   void (*blocked) (uint64_t part, void *data);
   void *data;
 };
@@ -71,6 +81,7 @@
 {
   const struct quarantine_parts *parts;
   uint64_t team;
+  enum quarantine_progress progress;
 };
 
 /* The end of a server process. BACKEND is gw_backend_key of the server. */
