--- a/src/cli/failure-report.c
+++ b/src/cli/failure-report.c
@@ -27,9 +27,16 @@
 /* Refusal reasons that need no decision inputs, as they depend on the request alone. */
 static const char *const self_contained_reasons_[] = { "malformed", "no_key", "body_too_large" };
 /* Refusal reasons that are caused by the selected backend server. */
-static const char *const backend_reasons_[]
-    = { "not_executed", "not_connected",  "closed",         "silent",
-        "timeout",      "encoded_answer", "unclear_answer", "malformed" };
+static const char *const backend_reasons_[] = { "not_executed",
+                                                "not_connected",
+                                                "closed",
+                                                "silent",
+                                                "timeout",
+                                                "encoded_answer",
+                                                "unclear_answer",
+                                                "malformed",
+                                                "prompt_part_suspected",
+                                                "prompt_part_blocked" };
 
 static void request_free_ (void *data);
 static struct request_ *get_request_ (struct failure_report *report, const json_t *line);
--- a/src/gateway/exchange-quarantine.c
+++ b/src/gateway/exchange-quarantine.c
@@ -1,5 +1,7 @@
 #include "gateway/exchange-private.h"
 
+static json_t *backends_to_json_ (const struct gw_context *context,
+                                  const struct quarantine_result *result);
 static json_t *part_to_json_ (uint64_t part);
 
 /* All parts of a prompt but the last one may be in other requests, too. */
@@ -34,10 +36,11 @@
       break;
     }
   exchange->place.resumes_in_ms = result.resumes_in_ms;
-  gw_exchange_refuse_with_inputs_ (exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_PAUSE,
-                                   "prompt_part_blocked",
-                                   json_pack ("{s:o,s:I}", "part", part_to_json_ (result.part),
-                                              "trial_in_ms", (json_int_t)result.resumes_in_ms));
+  gw_exchange_refuse_with_inputs_ (
+      exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_PAUSE, "prompt_part_blocked",
+      json_pack ("{s:o,s:I,s:o}", "part", part_to_json_ (result.part), "trial_in_ms",
+                 (json_int_t)result.resumes_in_ms, "ended",
+                 backends_to_json_ (exchange->context, &result)));
   return true;
 }
 
@@ -126,6 +129,24 @@
   return list;
 }
 
+/* For the log: the backend servers that ended under requests with the part of RESULT, by id, or by
+ * key where another process has taken their place. */
+static json_t *
+backends_to_json_ (const struct gw_context *context, const struct quarantine_result *result)
+{
+  json_t *list = json_array ();
+
+  for (unsigned i = 0; i < result->n_backends; i++)
+    {
+      const struct gw_backend *backend = gw_backends_find (context->backends, result->backends[i]);
+
+      json_array_append_new (
+          list, backend != NULL ? json_string (backend->facts.id)
+                                : json_sprintf ("%" G_GINT64_MODIFIER "x", result->backends[i]));
+    }
+  return list;
+}
+
 static json_t *
 part_to_json_ (uint64_t part)
 {
--- a/src/gateway/quarantine-link.c
+++ b/src/gateway/quarantine-link.c
@@ -27,6 +27,17 @@
   g_queue_init (&gateway->context.unanswered);
   gateway->context.quarantine = quarantine_new (&options);
   gateway->context.end_detector = end_detector_new (&gateway->context);
+  gateway_set_exempt_parts_ (gateway, gateway->settings);
+}
+
+/* Sets the parts that the operator has exempted in SETTINGS. */
+void
+gateway_set_exempt_parts_ (struct gateway *gateway, const struct gw_settings *settings)
+{
+  const GArray *parts = settings->never_blocked_parts;
+
+  quarantine_set_exempt (gateway->context.quarantine, (const uint64_t *)(const void *)parts->data,
+                         parts->len);
 }
 
 /* Merges the reports of a peer. */
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -121,6 +121,7 @@
 void gateway_on_peer_reported_leaving_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_allotment_timer_ (uv_timer_t *timer);
 void gateway_open_quarantine_ (struct gateway *gateway);
+void gateway_set_exempt_parts_ (struct gateway *gateway, const struct gw_settings *settings);
 void
 gateway_on_part_reports_ (const struct quarantine_report *reports, unsigned n_reports, void *data);
 unsigned gateway_fill_part_reports_ (struct quarantine_report *reports, unsigned max, void *data);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -462,6 +462,7 @@
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
+      gateway_set_exempt_parts_ (gateway, settings);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
                 settings->retry_ratio, "retry_extra", (int)settings->retry_extra, "link_mbps",
                 settings->link_megabits_per_s);
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -7,6 +7,8 @@
 #include <stddef.h>
 #include <stdlib.h>
 
+#define NO_PARTS "none" /* value of never_block */
+
 enum
 {
   PORT_MAX = 65535,
@@ -63,6 +65,10 @@
     .type = SR_INI_TEXT,
     .offset = MEMBER (part_memory_text),
     .default_value = "0" },
+  { .name = "never_block",
+    .type = SR_INI_TEXT,
+    .offset = MEMBER (never_block_text),
+    .default_value = NO_PARTS },
 };
 
 static const struct sr_ini_key backends_keys_[] = {
@@ -103,6 +109,8 @@
 
 static void text_free_ (GString *text);
 static void
+resolve_parts_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings);
+static void
 resolve_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings);
 static void resolve_address_ (const char *text,
                               struct sockaddr_in *address,
@@ -163,6 +171,8 @@
   text_free_ (settings->retry_ratio_text);
   text_free_ (settings->link_text);
   text_free_ (settings->part_memory_text);
+  text_free_ (settings->never_block_text);
+  g_clear_pointer (&settings->never_blocked_parts, g_array_unref);
   g_free (settings);
 }
 
@@ -204,6 +214,33 @@
       || settings->part_memory_s > PART_MEMORY_MAX_S)
     sr_findings_add (findings, file_name, 0, "prompts", "part_memory_s",
                      "is not a number from 0 to 3600");
+  resolve_parts_ (settings, file_name, findings);
+}
+
+/* Converts the comma-separated ids of prompt parts that are never blocked. */
+static void
+resolve_parts_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings)
+{
+  const char *text = settings->never_block_text->str;
+  g_auto (GStrv) ids = g_strsplit (strcmp (text, NO_PARTS) == 0 ? "" : text, ",", -1);
+
+  settings->never_blocked_parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  for (unsigned i = 0; ids[i] != NULL; i++)
+    {
+      const char *id = g_strstrip (ids[i]);
+      char *end;
+      uint64_t part;
+
+      errno = 0;
+      part = g_ascii_strtoull (id, &end, 16);
+      if (!g_ascii_isxdigit (*id) || *end != '\0' || errno != 0)
+        {
+          sr_findings_add (findings, file_name, 0, "prompts", "never_block",
+                           "is not a list of hexadecimal ids, separated by commas");
+          return;
+        }
+      g_array_append_val (settings->never_blocked_parts, part);
+    }
 }
 
 static void
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -27,7 +27,8 @@
   /* [limits] */
   double link_megabits_per_s; /* capacity of each direction; 0: not known */
   /* [prompts] */
-  double part_memory_s; /* a prompt part is assumed cached this long after use; 0: default */
+  double part_memory_s;        /* a prompt part is assumed cached this long after use; 0: default */
+  GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
   /* [backends] */
   unsigned leave_ms; /* upper bound until a leaving server gets no new request */
   /* [stop] */
@@ -41,6 +42,7 @@
   GString *retry_ratio_text;
   GString *link_text;
   GString *part_memory_text;
+  GString *never_block_text;
 };
 
 struct gw_settings *gw_settings_load (const char *path, struct sr_findings *findings);
--- a/src/quarantine/part-ends.c
+++ b/src/quarantine/part-ends.c
@@ -44,7 +44,7 @@
       qsort (ends->ends, ends->n, sizeof ends->ends[0], compare_ends_);
       return changes;
     }
-  if (ends->n == PART_ENDS_MAX)
+  if (ends->n == QUARANTINE_ENDS_MAX)
     {
       if (end->at_us <= ends->ends[0].at_us)
         return false;
@@ -132,7 +132,7 @@
   return false;
 }
 
-/* Sets up to PART_ENDS_MAX REPORTS on PART. Returns their number. */
+/* Sets up to QUARANTINE_ENDS_MAX REPORTS on PART. Returns their number. */
 unsigned
 part_ends_to_reports (const struct part_ends *ends,
                       uint64_t part,
--- a/src/quarantine/part-ends.h
+++ b/src/quarantine/part-ends.h
@@ -6,11 +6,6 @@
 
 #include <jansson.h>
 
-enum
-{
-  PART_ENDS_MAX = 8 /* the latest ones are kept */
-};
-
 struct part_end
 {
   uint64_t backend; /* gw_backend_key of the server */
@@ -23,7 +18,7 @@
 
 struct part_ends
 {
-  struct part_end ends[PART_ENDS_MAX]; /* by time */
+  struct part_end ends[QUARANTINE_ENDS_MAX]; /* by time */
   unsigned n;
 };
 
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -147,6 +147,8 @@
         {
           result->resumes_in_ms
               = MAX ((part_ends_trial_due_us (&entry->ends) - now_us) / US_PER_MS, RETRY_MIN_MS);
+          for (unsigned k = 0; k < entry->ends.n; k++)
+            result->backends[result->n_backends++] = entry->ends.ends[k].backend;
           return QUARANTINE_BLOCKED;
         }
       trial = entry;
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -13,6 +13,7 @@
 {
   QUARANTINE_PARTS_MAX = 16,   /* of one prompt that are looked at */
   QUARANTINE_REPORTS_MAX = 64, /* in one call */
+  QUARANTINE_ENDS_MAX = 8,     /* the latest ones are kept, for each part */
   QUARANTINE_SURVIVAL_MS
   = 200 /* an answer that has gone on for this long clears the parts of its prompt */
 };
@@ -63,6 +64,8 @@
 {
   uint64_t part;         /* QUARANTINE_BLOCKED, QUARANTINE_TRIAL: the part */
   int64_t resumes_in_ms; /* QUARANTINE_BLOCKED: until a request with it may be tried again */
+  uint64_t backends[QUARANTINE_ENDS_MAX]; /* gw_backend_key of the servers that have ended */
+  unsigned n_backends;
 };
 
 struct quarantine_options
