Quarantine: blocked parts outlast the instances, in the store

Instances that all start again, or can't reach a peer, had to find a crashing part anew, at two servers each. The instances of the first three ranks now create an object for each verdict; it is read at the start and, while no peer is heard, by interval.

--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -1,6 +1,6 @@
 /* State shared by the source files of a running gateway: serve.c (start and stop), updates.c
  * (updates from the store and from peers), allotment-link.c (access of the allotment manager to the
- * store and to peers) and quarantine-link.c (the quarantine's access to peers). */
+ * store and to peers) and quarantine-link.c (the quarantine's access to peers and to the store). */
 #pragma once
 
 #include "clock/fleet-clock.h"
@@ -72,6 +72,8 @@
   char nonce[32]; /* random; distinguishes this process's announcement from those of earlier starts
                    */
   bool peers_asked;              /* for updates and reports, after the first list of instances */
+  uv_timer_t quarantine_timer;   /* saves and reads blocked prompt parts */
+  int64_t quarantine_read_us;    /* when the saved ones were last read; 0: never */
   uv_timer_t cancel_timer;       /* requests are cancelled after a prompt part was blocked */
   bool backends_listed;          /* the first list of backend servers has been received */
   bool announced;                /* registered in the store, and the allotment manager is open */
@@ -126,3 +128,4 @@
 gateway_on_part_reports_ (const struct quarantine_report *reports, unsigned n_reports, void *data);
 unsigned gateway_fill_part_reports_ (struct quarantine_report *reports, unsigned max, void *data);
 void gateway_repeat_part_reports_ (struct gateway *gateway);
+void gateway_on_quarantine_timer_ (uv_timer_t *timer);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -136,9 +136,9 @@
                                     .data = gateway,
                                     .respond = respond_readiness_ };
   uv_timer_t *timers[]
-      = { &gateway->allotment_timer,    &gateway->gossip_timer,   &gateway->lease_timer,
-          &gateway->config_guard_timer, &gateway->announce_timer, &gateway->stop_timer,
-          &gateway->cancel_timer };
+      = { &gateway->allotment_timer,    &gateway->gossip_timer,    &gateway->lease_timer,
+          &gateway->config_guard_timer, &gateway->announce_timer,  &gateway->stop_timer,
+          &gateway->cancel_timer,       &gateway->quarantine_timer };
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
@@ -210,6 +210,7 @@
   gateway_announce_ (gateway);
   uv_timer_start (&gateway->gossip_timer, gateway_on_gossip_timer_, GOSSIP_INTERVAL_MS,
                   GOSSIP_INTERVAL_MS);
+  gateway_on_quarantine_timer_ (&gateway->quarantine_timer);
   return true;
 }
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -38,7 +38,8 @@
 {
   struct mesh_options options;
   uv_udp_t socket;
-  GHashTable *peers; /* name: struct sockaddr_in */
+  GHashTable *peers;   /* name: struct sockaddr_in */
+  int64_t received_us; /* when the last datagram of a known peer came; 0: none yet */
   char buffer[MESSAGE_MAX_BYTES];
 };
 
@@ -132,6 +133,14 @@
   uv_close ((uv_handle_t *)&mesh->socket, on_closed_);
 }
 
+/* Returns when the last datagram of a known peer was received, on the monotonic clock; 0: none yet.
+ */
+int64_t
+mesh_last_received_us (const struct mesh *mesh)
+{
+  return mesh->received_us;
+}
+
 /* Adds the peer NAME, or changes its address. */
 void
 mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address)
@@ -355,6 +364,8 @@
   xdrmem_create (&xdr, buffer->base, (u_int)length, XDR_DECODE);
   if (!xdr_head_ (&xdr, &head) || head.format != FORMAT || !is_valid_name_ (head.sender))
     head.kind = KIND_MALFORMED;
+  else if (g_hash_table_contains (mesh->peers, head.sender))
+    mesh->received_us = g_get_monotonic_time ();
   if (head.kind == KIND_LOAN_REQUEST)
     receive_loan_request_ (mesh, &xdr, &head, handle_of_ (address));
   else if (head.kind == KIND_LOAN_REPLY)
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -57,6 +57,7 @@
 
 struct mesh *mesh_new (const struct mesh_options *options);
 void mesh_delete (struct mesh *mesh);
+int64_t mesh_last_received_us (const struct mesh *mesh);
 void mesh_set_peer (struct mesh *mesh, const char *name, const struct sockaddr_in *address);
 void mesh_remove_peer (struct mesh *mesh, const char *name);
 GPtrArray *mesh_peer_names (const struct mesh *mesh);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -20,6 +20,8 @@
   TRIAL_RANKS = 3,              /* instances that may try, each once */
   TRIAL_LIFETIME_US = 60000000, /* a trial without any outcome may be repeated after this long */
   RANK_LIFETIME_US = 1000000,
+  SAVE_STEP_US = 2000000, /* until the instance of the next rank may save a blocked part */
+  SAVE_RANKS = 3,
   RETRY_MIN_MS = 1000 /* an instance that may not try tells its callers to come back after this */
 };
 
@@ -30,6 +32,7 @@
   struct part_ends ends;
   int64_t cleared_us; /* earlier ends don't count: an answer began then; INT64_MIN: never */
   bool is_blocked;
+  bool is_saved; /* outside the fleet's memory, as far as this instance is to see to it */
   int64_t changed_us;
   int64_t trial_us; /* when this instance last sent a trial; INT64_MIN: not since the last end */
   unsigned rank;    /* of this instance, see trial_rank */
@@ -50,6 +53,7 @@
 static void make_room_ (struct quarantine *quarantine, int64_t now_us);
 static bool tells_less_ (const struct entry_ *a, const struct entry_ *b);
 static bool is_expired_ (const struct entry_ *entry, int64_t now_us);
+static struct part_end end_of_report_ (const struct quarantine_report *report);
 static bool
 merge_end_ (struct quarantine *quarantine, const struct quarantine_report *report, int64_t now_us);
 static bool
@@ -57,6 +61,7 @@
 static void
 judge_ (struct quarantine *quarantine, struct entry_ *entry, const char *reason, int64_t now_us);
 static bool may_try_ (struct quarantine *quarantine, struct entry_ *entry, int64_t now_us);
+static void update_rank_ (struct quarantine *quarantine, struct entry_ *entry, int64_t now_us);
 static struct entry_ *find_blocked_ (const struct quarantine *quarantine,
                                      const struct quarantine_parts *parts,
                                      unsigned index,
@@ -327,6 +332,60 @@
   return n;
 }
 
+/* Sets up to QUARANTINE_ENDS_MAX REPORTS on a blocked part that this instance is to save, for
+ * instances that can't reach a peer; the part counts as saved from then on. Few instances save a
+ * part, one after the other, in case one is gone. Returns their number, 0: there is none. */
+unsigned
+quarantine_take_unsaved (struct quarantine *quarantine,
+                         struct quarantine_report *reports,
+                         int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, quarantine->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct entry_ *entry = value;
+
+      if (!entry->is_blocked || entry->is_saved)
+        continue;
+      update_rank_ (quarantine, entry, now_us);
+      if (entry->rank >= SAVE_RANKS
+          || now_us - entry->changed_us < entry->rank * (int64_t)SAVE_STEP_US)
+        continue;
+      entry->is_saved = true;
+      return part_ends_to_reports (&entry->ends, entry->part, reports);
+    }
+  return 0;
+}
+
+/* Saving PART has failed. */
+void
+quarantine_set_unsaved (struct quarantine *quarantine, uint64_t part)
+{
+  struct entry_ *entry = g_hash_table_lookup (quarantine->entries, &part);
+
+  if (entry != NULL)
+    entry->is_saved = false;
+}
+
+/* Returns whether the N_REPORTS REPORTS on the ends of one part, as they were saved, hold no more:
+ * a request with the part may be tried. */
+bool
+quarantine_is_outdated (const struct quarantine_report *reports, unsigned n_reports, int64_t now_us)
+{
+  struct part_ends ends = { 0 };
+
+  for (unsigned i = 0; i < n_reports; i++)
+    {
+      const struct part_end end = end_of_report_ (&reports[i]);
+
+      part_ends_add (&ends, &end);
+    }
+  return ends.n == 0 || part_ends_trial_due_us (&ends) < now_us;
+}
+
 unsigned
 quarantine_blocked_count (const struct quarantine *quarantine)
 {
@@ -430,16 +489,22 @@
   return !entry->is_blocked && now_us - entry->changed_us > lifetime_us;
 }
 
+static struct part_end
+end_of_report_ (const struct quarantine_report *report)
+{
+  return (struct part_end){ .backend = report->backend,
+                            .started_ms = report->started_ms,
+                            .at_us = report->at_us,
+                            .team = report->team,
+                            .progress = report->progress,
+                            .survived_before = report->survived_before };
+}
+
 /* Returns whether REPORT, on an end, was new. */
 static bool
 merge_end_ (struct quarantine *quarantine, const struct quarantine_report *report, int64_t now_us)
 {
-  const struct part_end end = { .backend = report->backend,
-                                .started_ms = report->started_ms,
-                                .at_us = report->at_us,
-                                .team = report->team,
-                                .progress = report->progress,
-                                .survived_before = report->survived_before };
+  const struct part_end end = end_of_report_ (report);
   struct entry_ *entry;
   bool is_first;
 
@@ -463,6 +528,7 @@
     }
   entry->changed_us = now_us;
   entry->trial_us = INT64_MIN;
+  entry->is_saved = false;
   judge_ (quarantine, entry, "it was unanswered at the ends of several servers", now_us);
   return true;
 }
@@ -532,14 +598,19 @@
     return false;
   if (entry->trial_us != INT64_MIN && now_us - entry->trial_us < TRIAL_LIFETIME_US)
     return false;
-  if (entry->ranked_us == INT64_MIN || now_us - entry->ranked_us > RANK_LIFETIME_US)
-    {
-      entry->rank = quarantine->options.trial_rank (entry->part, quarantine->options.data);
-      entry->ranked_us = now_us;
-    }
+  update_rank_ (quarantine, entry, now_us);
   return entry->rank < TRIAL_RANKS && now_us >= due_us + entry->rank * (int64_t)TRIAL_STEP_US;
 }
 
+static void
+update_rank_ (struct quarantine *quarantine, struct entry_ *entry, int64_t now_us)
+{
+  if (entry->ranked_us != INT64_MIN && now_us - entry->ranked_us <= RANK_LIFETIME_US)
+    return;
+  entry->rank = quarantine->options.trial_rank (entry->part, quarantine->options.data);
+  entry->ranked_us = now_us;
+}
+
 /* Returns the entry by which the part with INDEX in PARTS blocks requests of TEAM, or NULL. */
 static struct entry_ *
 find_blocked_ (const struct quarantine *quarantine,
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -131,5 +131,12 @@
                              struct quarantine_report *reports,
                              unsigned max,
                              int64_t now_us);
+unsigned quarantine_take_unsaved (struct quarantine *quarantine,
+                                  struct quarantine_report *reports,
+                                  int64_t now_us);
+void quarantine_set_unsaved (struct quarantine *quarantine, uint64_t part);
+bool quarantine_is_outdated (const struct quarantine_report *reports,
+                             unsigned n_reports,
+                             int64_t now_us);
 unsigned quarantine_blocked_count (const struct quarantine *quarantine);
 void quarantine_print (const struct quarantine *quarantine, GString *out, int64_t now_us);
