Store: one odd entry of another program hides no other one

Operators of similar systems reported machines that stopped following the list of engines. Here: an entry that is nested more than 2,048 deep, has a number beyond its range or a string that is no text made jansson reject the whole page, so that every list and watch failed (STORE_INVALID): instances used servers that had left, and a new instance never became ready.

--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  ODD_DEPTH = 100000,          /* of nesting in an odd entry */
   START_TIME_DEFAULT_MS = 1000 /* start time of all backend servers until a test sets another */
 };
 
@@ -227,6 +228,41 @@
   return true;
 }
 
+/* Another program writes an entry among those of the backend servers that is odd in one WAY.
+ * Returns false if that is not known. */
+static bool
+write_odd_entry_ (struct site *site, const char *way)
+{
+  json_t *spec
+      = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s}", "service", "model", "address", "127.0.6.100:9",
+                   "zone", "zone-1", "state", "ready", "slots", 64, "more", SITE_ODD_VALUE_MARK);
+  bool done = true;
+
+  g_clear_pointer (&site->odd_value, g_free);
+  if (g_strcmp0 (way, "deep") == 0)
+    {
+      g_autofree char *open = g_strnfill (ODD_DEPTH, '[');
+      g_autofree char *close = g_strnfill (ODD_DEPTH, ']');
+
+      site->odd_value = g_strconcat (open, close, NULL);
+    }
+  else if (g_strcmp0 (way, "number") == 0)
+    site->odd_value = g_strdup ("123456789012345678901234567890");
+  else if (g_strcmp0 (way, "real") == 0)
+    site->odd_value = g_strdup ("1e999");
+  else if (g_strcmp0 (way, "bytes") == 0)
+    site->odd_value = g_strdup ("\"\xff\\u0000\"");
+  else if (g_strcmp0 (way, "port") == 0)
+    json_object_set_new (spec, "address", json_string ("127.0.6.100:99999"));
+  else
+    done = false;
+  if (done)
+    objects_put (site->objects, "servers", "odd", spec, -1);
+  json_decref (spec);
+  site_store_changed (site);
+  return done;
+}
+
 /* Restores the store as it was AGE_MS ago. The backend servers write their entries again
  * at once, and the operator writes the configuration again after OPERATOR_MS. */
 static void
@@ -291,6 +327,12 @@
       if (done)
         site->store_mode = (enum site_store_mode)mode_index;
     }
+  else if (g_str_has_prefix (session->target, "/odd-entry"))
+    {
+      g_autofree char *way = site_query (session->target, "way");
+
+      done = write_odd_entry_ (site, way);
+    }
   else if (g_str_has_prefix (session->target, "/backend"))
     done = set_backend_ (site, session->target);
   else if (g_str_has_prefix (session->target, "/configuration"))
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -16,6 +16,9 @@
   SITE_TOKENS_PER_EVENT = 6
 };
 
+/* A string value in an entry that the store writes out as odd_value of the site. */
+#define SITE_ODD_VALUE_MARK "@odd@"
+
 enum site_store_mode
 {
   SITE_STORE_UP,
@@ -88,6 +91,7 @@
   unsigned event_interval_ms; /* between the events of a stream */
   struct objects *objects;
   enum site_store_mode store_mode;
+  char *odd_value;             /* JSON text that is written for SITE_ODD_VALUE_MARK; NULL: none */
   json_t *saved_configuration; /* configuration before a restore, written again by the operator
                                   timer; or NULL */
   uv_timer_t operator_timer;
--- a/emulator/site/store.c
+++ b/emulator/site/store.c
@@ -55,11 +55,14 @@
 reply_json_ (struct store_session_ *session, unsigned status, json_t *json)
 {
   char *text = json == NULL ? NULL : json_dumps (json, JSON_COMPACT);
+  g_autoptr (GString) written = g_string_new (text == NULL ? "{}" : text);
   g_autofree char *headers
       = g_strdup_printf ("Content-Type: application/json\r\nStore-Era: %" G_GINT64_FORMAT "\r\n",
                          (gint64)objects_era (session->site->objects));
 
-  site_reply (session->conn, status, headers, text == NULL ? "{}" : text);
+  if (session->site->odd_value != NULL)
+    g_string_replace (written, "\"" SITE_ODD_VALUE_MARK "\"", session->site->odd_value, 0);
+  site_reply (session->conn, status, headers, written->str);
   net_http_conn_hold_messages (session->conn, false);
   free (text);
   json_decref (json);
--- /dev/null
+++ b/testing/process/test-odd-entries.c
@@ -0,0 +1,130 @@
+/* Another program writes one odd entry among those of the backend servers: the instances go on to
+ * follow the other entries, and instances that start later become ready. */
+#include "testing/harness/harness.h"
+#include "testing/harness/site.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 34700,
+  INSTANCES = 2,
+  MODEL_BACKENDS = 3,
+  PREPAID_TOKENS = 100000000,
+  DRAIN_MAX_US = 2000000 /* until a leaving backend server gets no more requests */
+};
+
+static struct site_fleet *fleet;
+static unsigned ids;
+static int64_t started_ms = 2000; /* of the backend server that leaves in each case */
+
+static int
+start_fleet (void **state)
+{
+  static const struct site_options options = { .name = "odd-entries",
+                                               .port_base = PORT_BASE,
+                                               .instances = INSTANCES,
+                                               .model_backends = MODEL_BACKENDS,
+                                               .plain_backends = 1,
+                                               .event_interval_ms = 2,
+                                               .prepaid = PREPAID_TOKENS };
+
+  fleet = site_fleet_start (&options);
+  return fleet != NULL ? 0 : -1;
+}
+
+static int
+stop_fleet (void **state)
+{
+  site_fleet_stop (fleet);
+  return 0;
+}
+
+static enum site_outcome
+send_ (unsigned instance)
+{
+  g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+  const struct site_request request = {
+    .instance = instance, .path = "/stream/a", .id = id, .input_tokens = 100, .output_tokens = 12
+  };
+
+  return site_send (fleet, &request).outcome;
+}
+
+static int64_t
+latest_after_leaving_ms (void)
+{
+  json_t *counts = site_fleet_counts (fleet);
+  int64_t latest_ms = json_integer_value (
+      json_array_get (json_object_get (counts, "latest_after_leaving_ms"), 0));
+
+  json_decref (counts);
+  return latest_ms;
+}
+
+static void
+assert_followed_after (const char *way)
+{
+  g_autofree char *odd = g_strdup_printf ("/odd-entry?way=%s", way);
+  g_autofree char *back = NULL;
+
+  assert_true (site_fleet_control (fleet, odd));
+  g_usleep (DRAIN_MAX_US / 4);
+  assert_true (site_fleet_set_backends (fleet, 0, 1, "state=draining"));
+  g_usleep (DRAIN_MAX_US);
+  for (unsigned i = 0; i < 20; i++)
+    assert_int_equal (send_ (1 + i % INSTANCES), SITE_COMPLETED);
+  assert_true (latest_after_leaving_ms () < DRAIN_MAX_US / 1000);
+  harness_process_kill (fleet->instances[1]);
+  assert_true (site_fleet_start_instance (fleet, 1));
+  assert_true (site_fleet_wait_ready (fleet, 1, HARNESS_WAIT_MS));
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      assert_true (harness_process_is_running (fleet->instances[i]));
+      assert_int_equal (send_ (i), SITE_COMPLETED);
+    }
+  back = g_strdup_printf ("state=ready&started_ms=%" G_GINT64_FORMAT, (gint64)++started_ms);
+  assert_true (site_fleet_set_backends (fleet, 0, 1, back));
+}
+
+static void
+a_deeply_nested_entry_hides_no_other_one (void **state)
+{
+  assert_followed_after ("deep");
+}
+
+static void
+an_entry_with_too_large_a_number_hides_no_other_one (void **state)
+{
+  assert_followed_after ("number");
+  assert_followed_after ("real");
+}
+
+static void
+an_entry_with_a_port_out_of_range_hides_no_other_one (void **state)
+{
+  assert_followed_after ("port");
+}
+
+static void
+an_entry_that_is_no_text_hides_no_other_one (void **state)
+{
+  assert_followed_after ("bytes");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (an_entry_with_a_port_out_of_range_hides_no_other_one),
+    cmocka_unit_test (a_deeply_nested_entry_hides_no_other_one),
+    cmocka_unit_test (an_entry_with_too_large_a_number_hides_no_other_one),
+    cmocka_unit_test (an_entry_that_is_no_text_hides_no_other_one),
+  };
+
+  return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
+}
