Gateway: a refusal without an id on a kept connection is no answer

Operators of similar systems reported an engine that wrote an earlier refusal once more: callers were told 'not run, try again' for requests that it ran. Here too: on a connection that has carried a response, a refusal (X-Not-Executed, or 421) without a request id was taken for the current request's. Such a refusal is discarded now like any other response of an earlier request, and the right one follows; a 421, which a server that is not the right one may send for good, ends the attempt as one that may have run. Tests: test-faulty-responses, the first two cases red before.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -28,6 +28,8 @@
   int64_t next_event;
   int64_t events;
   bool is_running;
+  unsigned requests;     /* received on this connection */
+  bool is_unframed;      /* the stream has no chunks and ends with the connection */
   char *pattern;         /* of an endless response, repeated; or NULL */
   size_t trickle_offset; /* in pattern, of the next byte to send */
   uv_timer_t timer;
@@ -251,12 +253,34 @@
   end_run_ (session);
 }
 
+static void
+write_event_ (struct backend_session_ *session, const char *event)
+{
+  g_autofree char *chunk = g_strdup_printf ("%zx\r\n%s\r\n", strlen (event), event);
+
+  write_ (session, session->is_unframed ? event : chunk);
+}
+
+static void
+end_stream_ (struct backend_session_ *session)
+{
+  if (!session->is_unframed)
+    {
+      write_ (session, "0\r\n\r\n");
+      end_run_ (session);
+      return;
+    }
+  session->backend->running--;
+  session->is_running = false;
+  net_http_conn_finish (session->conn);
+  on_ended_ (session, NET_END_EOF);
+}
+
 static void
 on_event_ (uv_timer_t *timer)
 {
   struct backend_session_ *session = timer->data;
   g_autofree char *event = NULL;
-  g_autofree char *chunk = NULL;
 
   if (session->backend->crash_part != 0 && has_shared_part_ (session, session->backend->crash_part))
     {
@@ -266,8 +290,15 @@
     }
   if (session->next_event > session->events)
     {
-      write_ (session, "0\r\n\r\n");
-      end_run_ (session);
+      end_stream_ (session);
+      return;
+    }
+  if ((session->backend->mode == SITE_BACKEND_TORN
+       || session->backend->mode == SITE_BACKEND_TORN_UNFRAMED)
+      && session->next_event > session->events / 2)
+    {
+      write_event_ (session, "id: 99\ndata: ");
+      end_stream_ (session);
       return;
     }
   if (session->backend->mode == SITE_BACKEND_CUT && session->next_event > session->events / 2)
@@ -280,8 +311,7 @@
     }
   event = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
                            (gint64)session->next_event, session->id, (gint64)session->next_event);
-  chunk = g_strdup_printf ("%zx\r\n%s\r\n", strlen (event), event);
-  write_ (session, chunk);
+  write_event_ (session, event);
   consume_ (session, SITE_TOKENS_PER_EVENT);
   session->next_event++;
   uv_timer_start (timer, on_event_, session->backend->site->event_interval_ms, 0);
@@ -295,10 +325,12 @@
                        ? 0
                        : g_ascii_strtoll (strchr (session->counts, ',') + 1, NULL, 10);
   g_autofree char *headers = response_headers_ (session);
-  g_autofree char *head
-      = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n",
-                         headers);
+  g_autofree char *head = NULL;
+
+  session->is_unframed = session->backend->mode == SITE_BACKEND_UNFRAMED
+                         || session->backend->mode == SITE_BACKEND_TORN_UNFRAMED;
+  head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n%s\r\n", headers,
+                          session->is_unframed ? "" : "Transfer-Encoding: chunked\r\n");
 
   /* Input tokens are counted once, however often the request runs. */
   if (json_array_size (json_object_get (session->backend->site->runs, session->id)) == 1)
@@ -308,6 +340,16 @@
   uv_timer_start (&session->timer, on_event_, session->backend->site->event_interval_ms, 0);
 }
 
+static void
+reply_json_error_ (struct backend_session_ *session)
+{
+  g_autofree char *headers = response_headers_ (session);
+  g_autofree char *all = g_strconcat (headers, "Content-Type: application/json\r\n", NULL);
+
+  site_reply (session->conn, 200, all, "{\"error\":\"no memory left\"}");
+  end_run_ (session);
+}
+
 /* Writes the endless response at the speed of the link: more as soon as nothing is queued. */
 static void
 on_flood_timer_ (uv_timer_t *timer)
@@ -462,6 +504,10 @@
       refuse_ (session);
       return;
     }
+  if (session->requests++ > 0 && backend->mode == SITE_BACKEND_STALE)
+    site_reply (session->conn, 503, "X-Not-Executed: 1\r\n", "");
+  if (session->requests > 1 && backend->mode == SITE_BACKEND_STALE_421)
+    site_reply (session->conn, 421, "X-Instance-Id: another\r\n", "");
   runs = json_object_get (site->runs, session->id);
   if (runs == NULL)
     {
@@ -486,6 +532,8 @@
     }
   else if (backend->mode == SITE_BACKEND_ERROR)
     reply_plain_ (session, 500);
+  else if (backend->mode == SITE_BACKEND_JSON_ERROR)
+    reply_json_error_ (session);
   else if (session->counts != NULL && backend->is_model)
     run_model_ (session);
   else
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -52,6 +52,11 @@
   [SITE_BACKEND_UNFRAMED] = "unframed",
   [SITE_BACKEND_WRONG_INSTANCE] = "other",
   [SITE_BACKEND_ENDLESS] = "endless",
+  [SITE_BACKEND_STALE] = "stale",
+  [SITE_BACKEND_STALE_421] = "stale421",
+  [SITE_BACKEND_JSON_ERROR] = "json",
+  [SITE_BACKEND_TORN] = "torn",
+  [SITE_BACKEND_TORN_UNFRAMED] = "torn_unframed",
 };
 
 static const char *const endless_names_[] = {
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -38,7 +38,13 @@
   SITE_BACKEND_EXTRA,          /* sends a second response after each one */
   SITE_BACKEND_UNFRAMED,       /* responses without length, ended early by closing the connection */
   SITE_BACKEND_WRONG_INSTANCE, /* replies 421: not the instance that the request expects */
-  SITE_BACKEND_ENDLESS         /* sends an endless response until the caller closes */
+  SITE_BACKEND_ENDLESS,        /* sends an endless response until the caller closes */
+  SITE_BACKEND_STALE,          /* from the second request of a connection on, sends an earlier
+                                  refusal once more, without an id, before the response */
+  SITE_BACKEND_STALE_421,      /* the same with status 421 */
+  SITE_BACKEND_JSON_ERROR,     /* runs the request and replies 200 with an error in JSON */
+  SITE_BACKEND_TORN,           /* streams end inside an event, as if they were complete */
+  SITE_BACKEND_TORN_UNFRAMED   /* the same without chunks: with the connection */
 };
 
 /* Which part of an endless response has no end. */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -49,6 +49,7 @@
 
 static void on_connected_ (void *owner);
 static void on_head_ (void *owner, const struct net_http_head *head);
+static bool may_be_stray_ (const struct gw_upstream *upstream);
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
 static void on_ended_ (void *owner, enum net_end_reason end);
@@ -220,9 +221,16 @@
     }
   note_server_state_ (upstream, head->status, &response);
   gw_placement_note_response (upstream->backend, &response, g_get_monotonic_time ());
+  if (response.request_id.length == 0 && head->status == HTTP_MISDIRECTED
+      && may_be_stray_ (upstream))
+    {
+      sr_counter_add (&stray_responses_counter_, 1);
+      fail_ (upstream, GW_UPSTREAM_MALFORMED);
+      return;
+    }
   matches = response.request_id.length > 0
                 ? net_string_view_is (response.request_id, upstream->request_id)
-                : !upstream->has_responded || response.not_executed;
+                : !may_be_stray_ (upstream);
   if (!matches)
     {
       sr_counter_add (&stray_responses_counter_, 1);
@@ -239,6 +247,14 @@
   (*upstream->user)->head (upstream->user, head, &response, upstream->headers);
 }
 
+/* Returns whether a response without an id may be one to an earlier request, sent once more: then it
+ * says nothing of the current request. Servers send back the id that they were given. */
+static bool
+may_be_stray_ (const struct gw_upstream *upstream)
+{
+  return upstream->has_responded && upstream->request_id[0] != '\0';
+}
+
 static void
 on_body_ (void *owner, const char *data, size_t length)
 {
--- a/testing/harness/raw-http.c
+++ b/testing/harness/raw-http.c
@@ -86,7 +86,10 @@
 
         /* A response delimited only by connection close cannot be known to be complete. */
         if (got == 0)
-          reply->complete = false;
+          {
+            reply->complete = false;
+            reply->closed = true;
+          }
         if (got == 0 || used != (size_t)got)
           break;
       }
--- a/testing/harness/raw-http.h
+++ b/testing/harness/raw-http.h
@@ -10,6 +10,7 @@
 {
   int status;    /* 0: no response */
   bool complete; /* the response is complete according to its framing */
+  bool closed;   /* the peer has closed the connection without a reset */
   GString *body;
   double retry_after_s;
 };
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -247,9 +247,9 @@
   return harness_get_json (site_address_, fleet->options.port_base + CONTROL_OFFSET, "/counts");
 }
 
-/* Sends one request and classifies its response. */
-struct site_response
-site_send (struct site_fleet *fleet, const struct site_request *request)
+/* Sends one request. The caller owns the reply. */
+struct raw_http_response *
+site_call (struct site_fleet *fleet, const struct site_request *request)
 {
   g_autofree char *address = site_instance_address (request->instance);
   g_autofree char *counts
@@ -268,9 +268,29 @@
       "POST %s HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %s\r\n"
       "Authorization: Token key-1\r\n%sContent-Length: 4\r\n\r\nbody",
       request->path, request->id, deadline, tokens);
+
+  return raw_http_call (address, fleet->options.port_base + ENTRY_OFFSET, bytes, strlen (bytes),
+                        SILENCE_LIMIT_S);
+}
+
+/* Returns the whole body of the response to the stream REQUEST; the caller owns it. */
+GString *
+site_expected_events (const struct site_request *request)
+{
+  GString *expected = g_string_new (NULL);
+
+  for (int64_t i = 1; i <= request->output_tokens / TOKENS_PER_EVENT; i++)
+    g_string_append_printf (expected, "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
+                            (gint64)i, request->id, (gint64)i);
+  return expected;
+}
+
+/* Sends one request and classifies its response. */
+struct site_response
+site_send (struct site_fleet *fleet, const struct site_request *request)
+{
   int64_t begin_us = g_get_monotonic_time ();
-  struct raw_http_response *reply = raw_http_call (address, fleet->options.port_base + ENTRY_OFFSET,
-                                                   bytes, strlen (bytes), SILENCE_LIMIT_S);
+  struct raw_http_response *reply = site_call (fleet, request);
   struct site_response answer = { .outcome = classify_ (request, reply),
                                   .status = reply->status,
                                   .duration_ms = (g_get_monotonic_time () - begin_us) / 1000,
@@ -294,7 +314,7 @@
 static enum site_outcome
 classify_ (const struct site_request *request, const struct raw_http_response *reply)
 {
-  g_autoptr (GString) expected = g_string_new (NULL);
+  g_autoptr (GString) expected = site_expected_events (request);
 
   if (reply->status == 0)
     return SITE_NO_RESPONSE;
@@ -306,9 +326,6 @@
     return SITE_TRUNCATED;
   if (request->output_tokens == 0)
     g_string_printf (expected, "answer to %s", request->id);
-  for (int64_t i = 1; i <= request->output_tokens / TOKENS_PER_EVENT; i++)
-    g_string_append_printf (expected, "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
-                            (gint64)i, request->id, (gint64)i);
   return g_string_equal (expected, reply->body) ? SITE_COMPLETED : SITE_WRONG;
 }
 
