--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -29,7 +29,10 @@
   LEAVING_ONE_IN = 4,     /* share of faulty backend servers that announce their exit */
   RESTORE_ONE_IN = 6,     /* with --returns: share of faults followed by a restore */
   COPY_MIN_MS = 200,      /* age of the copy that is restored */
-  COPY_MAX_MS = 6000
+  COPY_MAX_MS = 6000,
+  CRASH_ONE_IN = 4,       /* with --crashes: share of faults followed by one of these */
+  CRASH_PART_ONE_IN = 16, /* with --crashes: share of streams with the part that ends servers */
+  CRASH_DOWN_MS = 700
 };
 
 /* A request and its result as seen by the caller. */
@@ -63,6 +66,7 @@
    * keeps its sequence of faults. */
   GRand *headers_random;
   GRand *restores_random; /* selects restores of the store from a copy; NULL: none */
+  GRand *crashes_random;  /* selects ends of backend servers and misleading responses; NULL: none */
   int64_t ended_us;       /* when an instance last exited */
   bool announces_leaving[MODEL_BACKENDS + PLAIN_BACKENDS];
   unsigned backend_restarts; /* restarts of backend servers, counted for their start times */
@@ -94,6 +98,7 @@
 static void change_configuration_ (struct run_ *run);
 static void reload_ (struct run_ *run);
 static void restore_store_ (struct run_ *run);
+static void crash_backend_ (struct run_ *run);
 
 static const struct fault_ faults_[] = {
   { "kill", kill_instance_ },
@@ -303,6 +308,19 @@
   site_fleet_control (run->fleet, path);
 }
 
+/* Ends the process of a model engine, or makes one send misleading responses. */
+static void
+crash_backend_ (struct run_ *run)
+{
+  static const char *const settings[]
+      = { "crash=1", "mode=stale", "mode=stale421", "mode=torn", "mode=torn_unframed" };
+  g_autofree char *path = g_strdup_printf (
+      "/backend?index=%d&%s", g_rand_int_range (run->crashes_random, 0, MODEL_BACKENDS),
+      settings[g_rand_int_range (run->crashes_random, 0, G_N_ELEMENTS (settings))]);
+
+  site_fleet_control (run->fleet, path);
+}
+
 static void *
 send_requests_ (void *data)
 {
@@ -323,6 +341,10 @@
       };
       struct site_response answer;
 
+      if (run->crashes_random != NULL)
+        request.parts = g_rand_int_range (caller->random, 0, CRASH_PART_ONE_IN) == 0
+                            ? "5c1e:1,dead:1,1:1"
+                            : "5c1e:1,50d0:1,1:1";
       sent->id = g_strdup_printf ("s%u-c%u-%u", run->seed, caller->number, caller->sent->len);
       sent->repeatable = kind == 1 || kind == 3;
       request.id = sent->id;
@@ -367,6 +389,9 @@
     report_violation_ (run, "no budget is overspent", "team-1");
   printf ("seed %u: %u requests completed, consumed %" G_GINT64_FORMAT " of %" G_GINT64_FORMAT "\n",
           run->seed, completed, (gint64)consumed, (gint64)run->prepaid);
+  if (run->crashes_random != NULL)
+    printf ("seed %u: one part of prompts ended %d servers\n", run->seed,
+            (int)harness_json_number (counts, "crashes"));
   json_decref (counts);
   return completed;
 }
@@ -403,7 +428,8 @@
 
 /* Runs one seed. Returns the number of violations. */
 static unsigned
-run_seed_ (uint32_t seed, unsigned seconds, unsigned instances, bool with_restores)
+run_seed_ (
+    uint32_t seed, unsigned seconds, unsigned instances, bool with_restores, bool with_crashes)
 {
   struct run_ run = { .seed = seed, .seconds = seconds, .instances = instances };
   const struct site_options options = { .name = "soak",
@@ -429,6 +455,13 @@
       printf ("seed %u did not start\n", seed);
       return 1;
     }
+  if (with_crashes)
+    {
+      g_autofree char *settings = g_strdup_printf ("crash_part=dead&down_ms=%d", CRASH_DOWN_MS);
+
+      run.crashes_random = g_rand_new_with_seed (seed + 3);
+      site_fleet_set_backends (run.fleet, 0, MODEL_BACKENDS, settings);
+    }
   for (unsigned c = 0; c < CALLERS; c++)
     {
       struct caller_ *caller = &run.callers[c];
@@ -447,6 +480,8 @@
       fault->inject (&run);
       if (with_restores && g_rand_int_range (run.restores_random, 0, RESTORE_ONE_IN) == 0)
         restore_store_ (&run);
+      if (with_crashes && g_rand_int_range (run.crashes_random, 0, CRASH_ONE_IN) == 0)
+        crash_backend_ (&run);
       g_usleep ((gulong)g_rand_int_range (run.random, 20, 500) * 1000);
       for (unsigned i = 1; i <= instances; i++)
         restart_if_exited_ (&run, i);
@@ -462,6 +497,8 @@
   g_rand_free (run.headers_random);
   if (run.restores_random != NULL)
     g_rand_free (run.restores_random);
+  if (run.crashes_random != NULL)
+    g_rand_free (run.crashes_random);
   return run.violations;
 }
 
@@ -475,8 +512,10 @@
   struct arg_int *instances = arg_int0 (NULL, "instances", "N", "number of gateways (default 4)");
   struct arg_lit *returns
       = arg_lit0 (NULL, "returns", "restore the store from copies during the run");
+  struct arg_lit *crashes
+      = arg_lit0 (NULL, "crashes", "end model engines, and a part of prompts that ends them");
   struct arg_end *end = arg_end (8);
-  void *table[] = { seed, count, seconds, instances, returns, end };
+  void *table[] = { seed, count, seconds, instances, returns, crashes, end };
   unsigned passed = 0;
   unsigned failed = 0;
   uint32_t first;
@@ -491,7 +530,8 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   for (int i = 0; i < (count->count > 0 ? count->ival[0] : 1); i++)
     if (run_seed_ (first + (uint32_t)i, seconds->count > 0 ? (unsigned)seconds->ival[0] : 8,
-                   instances->count > 0 ? (unsigned)instances->ival[0] : 4, returns->count > 0)
+                   instances->count > 0 ? (unsigned)instances->ival[0] : 4, returns->count > 0,
+                   crashes->count > 0)
         == 0)
       passed++;
     else
