--- a/src/gateway/end-detector.c
+++ b/src/gateway/end-detector.c
@@ -78,8 +78,7 @@
 }
 
 /* Notes that the connection of a request with PARTS of TEAM (hash; 0: none) was closed by BACKEND
- * before its answer got under way. A server that
- * has announced that it is leaving ends as planned.
+ * before its answer got under way. A server that has announced that it is leaving ends as planned.
  */
 void
 end_detector_note_closed (struct end_detector *detector,
