Event log: a line that is dropped releases its values

Found by the address sanitizer in the unit tests of the quarantine, which run without a log. Test: test-base/dropped_log_line_releases_its_values, red before.

--- a/src/base/event-log.c
+++ b/src/base/event-log.c
@@ -84,21 +84,28 @@
 {
   int64_t now_s = g_get_monotonic_time () / G_USEC_PER_SEC;
   json_error_t error;
-  json_t *fields;
+  json_t *fields = NULL;
   va_list args;
+  bool is_logged;
 
   pthread_mutex_lock (&mutex_);
-  if (running_ && !stopping_ && may_log_ (level, now_s))
+  is_logged = running_ && !stopping_ && may_log_ (level, now_s);
+  /* Packing takes the references of values ("o"), which a line that is dropped must release, too.
+   */
+  if (is_logged || strchr (format, 'o') != NULL)
     {
       va_start (args, format);
       fields = json_vpack_ex (&error, 0, format, args);
       va_end (args);
+    }
+  if (is_logged)
+    {
       if (fields == NULL)
         fields = json_pack ("{s:s}", "log_error", error.text);
       append_ (level == SR_EVENT_WARNING ? "warning" : "info", event, fields);
-      json_decref (fields);
     }
   pthread_mutex_unlock (&mutex_);
+  json_decref (fields);
 }
 
 /* Returns whether the limit for the current second allows another line. The first line of a new
--- a/src/base/test-base.c
+++ b/src/base/test-base.c
@@ -1,9 +1,11 @@
 #include "base/counters.h"
+#include "base/event-log.h"
 #include "base/findings.h"
 #include "base/rendezvous.h"
 #include "base/ring.h"
 #include "base/thread.h"
 
+#include <jansson.h>
 #include <sched.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -117,6 +119,18 @@
   assert_non_null (strstr (out->str, "test_us_bucket{le=\"200\"} 1\n"));
 }
 
+/* No log is running here, so that each line is dropped. */
+static void
+dropped_log_line_releases_its_values (void **state)
+{
+  json_t *value = json_array ();
+
+  sr_event (SR_EVENT_WARNING, "event", "{s:o,s:i}", "value", json_incref (value), "number", 1);
+  sr_event (SR_EVENT_INFO, "event", "{s:o*}", "value", NULL);
+  assert_int_equal (value->refcount, 1);
+  json_decref (value);
+}
+
 int
 main (void)
 {
@@ -126,6 +140,7 @@
     cmocka_unit_test (findings_keep_their_location),
     cmocka_unit_test (rendezvous_moves_only_keys_of_removed_candidate),
     cmocka_unit_test (metrics_are_printed_with_their_values),
+    cmocka_unit_test (dropped_log_line_releases_its_values),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
