Allotment: a lender without its record draws what a borrower lacks, not its total

Callers were refused as budget_out_of_reach after a restore of the store: a loan request states the total that is to have been lent since the lender's record was opened; a lender that had lost its record took that total for an amount, drew 164,782 tokens where a request takes 1,060, or refused as nothing of that size was left. What the borrower has received is in the request, and is taken off now. The same in the product's interface (queue_shortage_) is open: its message does not say what was received.

--- a/src/allotment/serve.c
+++ b/src/allotment/serve.c
@@ -223,7 +223,7 @@
                           request->borrower_incarnation, request->returned);
   sr_ledger_set_open_loan (team->ledger, &request->lender, request->borrower,
                            request->borrower_incarnation, request->received, request->outstanding);
-  request->missing = request->need;
+  request->missing = MAX (request->need - request->received, 0);
   if (ledger->own == NULL && request->need > 0 && supply == SUPPLY_MAY_COME)
     return false;
   /* Lend nothing yet, only find out what has been lent. A loan is never made in part: the borrower
--- a/src/allotment/test-allotment-callers.c
+++ b/src/allotment/test-allotment-callers.c
@@ -1,6 +1,5 @@
-/* Callers that settle, or make another reservation, from within the callback of a reservation.
- * Guards against waiting reservations that are lost or served twice as the queue changes meanwhile.
- */
+/* One manager with a store whose calls the test completes: callers that settle, or make another
+ * reservation, from within the callback of a reservation, and loan requests of peers. */
 #include "allotment/allotment.h"
 
 #include <setjmp.h>
@@ -25,6 +24,8 @@
   uint64_t read_call; /* 0: none is pending */
   uint64_t write_call;
   json_t *written;
+  struct allotment_loan_reply reply; /* the last one */
+  unsigned replies;                  /* that end a loan request */
 };
 
 struct caller_
@@ -61,6 +62,12 @@
 static void
 send_loan_reply_ (void *data, uint64_t handle, const struct allotment_loan_reply *reply)
 {
+  struct link_ *link = data;
+
+  if (reply->is_pending)
+    return;
+  link->reply = *reply;
+  link->replies++;
 }
 
 static bool
@@ -177,12 +184,39 @@
   allotment_manager_delete (manager);
 }
 
+/* The lender has lost its record, as in a restore of the store: of the total that a borrower asks
+ * for, only what it has not received is needed. */
+static void
+a_lender_without_its_record_draws_what_a_borrower_lacks (void **state)
+{
+  struct link_ link = { .vtable = &vtable_ };
+  struct allotment_manager *manager = manager_new_ (&link);
+  const struct allotment_loan_request request
+      = { .team = "team",
+          .number = 1,
+          .borrower = "front-2",
+          .borrower_incarnation = 1,
+          .lender = { .instance = "front-1", .incarnation = 1, .generation = 7 },
+          .need = 5 * PREPAID + RESERVED,
+          .want = 5 * PREPAID + RESERVED,
+          .received = 5 * PREPAID,
+          .prepaid_tokens = PREPAID };
+
+  allotment_manager_loan_requested (manager, 1, &request, NOW_US);
+  complete_store_calls_ (manager, &link);
+  assert_int_equal (link.replies, 1);
+  assert_true (link.reply.loan.has_record);
+  assert_false (link.reply.is_refused);
+  allotment_manager_delete (manager);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (callers_that_settle_in_the_callback_are_served_once),
     cmocka_unit_test (callers_that_reserve_in_the_callback_are_served_once),
+    cmocka_unit_test (a_lender_without_its_record_draws_what_a_borrower_lacks),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
