--- a/src/base/test-base.c
+++ b/src/base/test-base.c
@@ -126,7 +126,7 @@
   json_t *value = json_array ();
 
   sr_event (SR_EVENT_WARNING, "event", "{s:o,s:i}", "value", json_incref (value), "number", 1);
-  sr_event (SR_EVENT_INFO, "event", "{s:o*}", "value", NULL);
+  sr_event (SR_EVENT_INFO, "event", "{s:o*}", "value", (json_t *)NULL);
   assert_int_equal (value->refcount, 1);
   json_decref (value);
 }
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -26,6 +26,7 @@
 #define KIND_INSTANCES "sapphirerun-instances"
 
 static bool start_ (struct gateway *gateway);
+static void handle_signals_ (struct gateway *gateway);
 static void on_announcement_read_ (const struct store_result *result, void *data);
 static bool announcement_is_current_ (const struct gateway *gateway, json_t *content);
 static json_t *new_announcement_ (const struct gateway *gateway);
@@ -172,13 +173,7 @@
   probe.respond = respond_metrics_;
   if (!gw_probe_listen (&probe))
     return false;
-  uv_signal_init (&gateway->loop, &gateway->term);
-  uv_signal_init (&gateway->loop, &gateway->interrupt);
-  uv_signal_init (&gateway->loop, &gateway->hang_up);
-  gateway->term.data = gateway->interrupt.data = gateway->hang_up.data = gateway;
-  uv_signal_start (&gateway->term, on_stop_signal_, SIGTERM);
-  uv_signal_start (&gateway->interrupt, on_stop_signal_, SIGINT);
-  uv_signal_start (&gateway->hang_up, on_hang_up_, SIGHUP);
+  handle_signals_ (gateway);
 
   gateway->store = gateway->platform->open_store (&gateway->loop, settings);
   store_on_restored (gateway->store, gateway_on_restored_, gateway);
@@ -214,6 +209,18 @@
   return true;
 }
 
+static void
+handle_signals_ (struct gateway *gateway)
+{
+  uv_signal_init (&gateway->loop, &gateway->term);
+  uv_signal_init (&gateway->loop, &gateway->interrupt);
+  uv_signal_init (&gateway->loop, &gateway->hang_up);
+  gateway->term.data = gateway->interrupt.data = gateway->hang_up.data = gateway;
+  uv_signal_start (&gateway->term, on_stop_signal_, SIGTERM);
+  uv_signal_start (&gateway->interrupt, on_stop_signal_, SIGINT);
+  uv_signal_start (&gateway->hang_up, on_hang_up_, SIGHUP);
+}
+
 /* Writes this instance's announcement to the store, unless the store has a current one. The
  * revision of the first write determines the incarnation, see gateway_incarnation_; if a restore
  * loses the announcement, it is written again with the same incarnation. */
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -172,7 +172,8 @@
   text_free_ (settings->link_text);
   text_free_ (settings->part_memory_text);
   text_free_ (settings->never_block_text);
-  g_clear_pointer (&settings->never_blocked_parts, g_array_unref);
+  if (settings->never_blocked_parts != NULL)
+    g_array_unref (settings->never_blocked_parts);
   g_free (settings);
 }
 
