HTTP connection: a head is parsed whole or refused

Cause: the reader looked for the end of a head and the parser for its beginning, each on its own. Now the parser gets a head only as a whole, in one call, and must find its end there. Servers' heads are as strict as callers'; nothing may stand in front of a status line; empty lines in front of a request are skipped. Interim responses have no body: it went to the owner before any head. Trailers are no headers.

--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -40,6 +40,9 @@
   bool disable_dead_peer_detection;
   bool in_body;
   bool skips_body;
+  bool parsing_head;     /* the parser is given a complete head */
+  bool head_complete;    /* the parser has found the end of that head */
+  bool message_complete; /* the parser has found the end of the message */
   bool held;
   bool paused;
   bool reading;
@@ -80,6 +83,10 @@
 static void parse_ (struct net_http_conn *conn);
 static bool parse_head_ (struct net_http_conn *conn);
 static size_t find_head_end_ (struct net_http_conn *conn);
+static bool is_start_of_response_ (const uint8_t *bytes, size_t length);
+static void skip_empty_lines_ (struct net_http_conn *conn);
+static bool parse_failed_ (struct net_http_conn *conn);
+static bool finish_message_ (struct net_http_conn *conn);
 static bool head_is_strict_ (const uint8_t *bytes, size_t length);
 static void update_reading_ (struct net_http_conn *conn);
 static void set_socket_options_ (struct net_http_conn *conn);
@@ -503,6 +510,8 @@
     {
       conn->parsing = true;
       http_parser_execute (&conn->parser, &parser_settings_, NULL, 0);
+      if (conn->state == CONN_OPEN)
+        finish_message_ (conn);
       conn->parsing = false;
     }
   if (conn->state == CONN_CLOSED || conn->owner == NULL)
@@ -528,24 +537,17 @@
 
       if (!conn->in_body)
         {
-          if (conn->held)
-            break;
-          if (!parse_head_ (conn))
+          if (conn->held || !parse_head_ (conn))
             break;
           continue;
         }
       used = http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data,
                                   conn->input->len);
-      if (conn->state != CONN_OPEN)
+      if (conn->state != CONN_OPEN || parse_failed_ (conn))
         break;
-      if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
-        http_parser_pause (&conn->parser, 0);
-      else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
-        {
-          end_ (conn, NET_END_MALFORMED);
-          break;
-        }
       g_byte_array_remove_range (conn->input, 0, (guint)used);
+      if (!finish_message_ (conn))
+        break;
     }
   conn->parsing = false;
   if (conn->state == CONN_OPEN)
@@ -557,9 +559,16 @@
 static bool
 parse_head_ (struct net_http_conn *conn)
 {
-  size_t length = find_head_end_ (conn);
-  size_t used;
+  size_t length;
 
+  if (conn->is_server)
+    skip_empty_lines_ (conn);
+  else if (!is_start_of_response_ (conn->input->data, conn->input->len))
+    {
+      end_ (conn, NET_END_MALFORMED);
+      return false;
+    }
+  length = find_head_end_ (conn);
   if (length == 0 && conn->input->len <= conn->head_max_bytes)
     return false;
   if (length == 0 || length > conn->head_max_bytes)
@@ -567,7 +576,7 @@
       end_ (conn, NET_END_HEAD_TOO_LARGE);
       return false;
     }
-  if (conn->is_server && !head_is_strict_ (conn->input->data, length))
+  if (!head_is_strict_ (conn->input->data, length))
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
@@ -575,22 +584,73 @@
   g_array_set_size (conn->head.headers, 0);
   conn->head.reason = (struct net_string_view){ "", 0 };
   conn->in_body = true;
-  used = http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data,
-                              length);
-  if (conn->state != CONN_OPEN)
+  conn->parsing_head = true;
+  conn->head_complete = false;
+  http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data, length);
+  conn->parsing_head = false;
+  if (conn->state != CONN_OPEN || parse_failed_ (conn))
     return false;
-  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
-    http_parser_pause (&conn->parser, 0);
-  else if (HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
+  if (!conn->head_complete)
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
     }
   conn->scanned = 0;
-  g_byte_array_remove_range (conn->input, 0, (guint)used);
+  g_byte_array_remove_range (conn->input, 0, (guint)length);
+  return finish_message_ (conn);
+}
+
+/* Returns false if BYTES, the first ones of a message, can't begin a response. */
+static bool
+is_start_of_response_ (const uint8_t *bytes, size_t length)
+{
+  static const char start[] = "HTTP/1.";
+
+  return memcmp (bytes, start, MIN (length, sizeof start - 1)) == 0;
+}
+
+/* Removes empty lines in front of a request, which some callers send after a body. */
+static void
+skip_empty_lines_ (struct net_http_conn *conn)
+{
+  size_t length = 0;
+
+  while (length + 2 <= conn->input->len && memcmp (conn->input->data + length, "\r\n", 2) == 0)
+    length += 2;
+  if (length == 0)
+    return;
+  g_byte_array_remove_range (conn->input, 0, (guint)length);
+  conn->scanned = 0;
+}
+
+/* Returns true if the parser has found an error, and then ends the connection. */
+static bool
+parse_failed_ (struct net_http_conn *conn)
+{
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
+    http_parser_pause (&conn->parser, 0);
+  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK)
+    return false;
+  end_ (conn, NET_END_MALFORMED);
   return true;
 }
 
+/* Reports the end of the message, if the parser has found it. Returns false if the connection has
+ * ended. */
+static bool
+finish_message_ (struct net_http_conn *conn)
+{
+  if (!conn->message_complete)
+    return true;
+  conn->message_complete = false;
+  conn->in_body = false;
+  conn->scanned = 0;
+  if (!conn->is_server && conn->parser.status_code / 100 == 1)
+    return true;
+  (*conn->owner)->message_end (conn->owner);
+  return conn->state == CONN_OPEN;
+}
+
 /* Returns the length of the head including the empty line, or 0 while it is incomplete. */
 static size_t
 find_head_end_ (struct net_http_conn *conn)
@@ -606,12 +666,13 @@
 }
 
 /* Returns false for heads that two parsers could split differently, which allows request smuggling:
- * bare CR or LF, NUL, folded lines, white space in a field name. Also for more than HEAD_LINES_MAX
- * lines. */
+ * bare CR or LF, NUL, folded lines, white space in a field name, lines without a colon. Also for
+ * more than HEAD_LINES_MAX lines. */
 static bool
 head_is_strict_ (const uint8_t *bytes, size_t length)
 {
   unsigned lines = 0;
+  size_t line = 0;      /* offset of the current line */
   bool in_name = false; /* in a header line, before the colon */
 
   for (size_t i = 0; i < length; i++)
@@ -628,6 +689,9 @@
         continue;
       if (i == 0 || bytes[i - 1] != '\r' || ++lines > HEAD_LINES_MAX)
         return false;
+      if (in_name && i - line > 1)
+        return false;
+      line = i + 1;
       in_name = true; /* this rejects folded lines, which begin with a blank */
     }
   return true;
@@ -701,6 +765,8 @@
   struct net_http_conn *conn = parser->data;
   struct net_header header = { .name = { at, length }, .value = { "", 0 } };
 
+  if (!conn->parsing_head)
+    return 0; /* trailers are not reported */
   g_array_append_val (conn->head.headers, header);
   return 0;
 }
@@ -711,6 +777,8 @@
   struct net_http_conn *conn = parser->data;
   GArray *headers = conn->head.headers;
 
+  if (!conn->parsing_head)
+    return 0;
   if (headers->len == 0)
     return -1;
   g_array_index (headers, struct net_header, headers->len - 1).value
@@ -725,10 +793,13 @@
   struct net_http_head *head = &conn->head;
   bool body_is_absent = false;
 
-  if (parser->upgrade)
+  conn->head_complete = true;
+  if (parser->upgrade || parser->http_major != 1)
+    return -1;
+  if (!conn->is_server && (parser->status_code < 100 || parser->status_code > 599))
     return -1;
   if (!conn->is_server && parser->status_code / 100 == 1)
-    return 0; /* interim response: the final one follows */
+    return 1; /* interim response, without a body: the final one follows */
   head->minor_version = parser->http_minor;
   head->is_chunked = (parser->flags & F_CHUNKED) != 0;
   head->has_length = !head->is_chunked && (parser->flags & F_CONTENTLENGTH) != 0;
@@ -759,17 +830,14 @@
   return conn->state == CONN_OPEN ? 0 : -1;
 }
 
-/* Pauses the parser, because parse_head_ checks the next head before the parser sees it. */
+/* Pauses the parser, because parse_head_ checks the next head before the parser sees it. The owner
+ * is told when the message is out of the buffer, so that it can see whether bytes follow. */
 static int
 on_message_complete_ (http_parser *parser)
 {
   struct net_http_conn *conn = parser->data;
 
   http_parser_pause (parser, 1);
-  conn->in_body = false;
-  conn->scanned = 0;
-  if (!conn->is_server && parser->status_code / 100 == 1)
-    return 0;
-  (*conn->owner)->message_end (conn->owner);
+  conn->message_complete = true;
   return 0;
 }
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -67,6 +67,7 @@
   void (*connected) (void *owner); /* outgoing connections only; may be NULL */
   void (*head) (void *owner, const struct net_http_head *head);
   void (*body) (void *owner, const char *data, size_t length);
+  /* The message is complete and removed from the buffer. */
   void (*message_end) (void *owner);
   void (*written) (void *owner); /* the kernel has accepted all queued bytes; may be NULL */
   /* Servers only, may be NULL: called instead of `ended` when the request is malformed or its head
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -35,6 +35,7 @@
   unsigned status;
   bool ends_with_connection;
   GString *target;
+  GString *headers; /* names and values of the last head */
   GString *body;
   bool holds_after_message;
   const char *early_response; /* sent as soon as the head is parsed; the body is not read */
@@ -57,6 +58,14 @@
   recorder->ends_with_connection = head->ends_with_connection;
   g_string_truncate (recorder->target, 0);
   g_string_append_len (recorder->target, head->target.data, (gssize)head->target.length);
+  g_string_truncate (recorder->headers, 0);
+  for (unsigned i = 0; i < head->headers->len; i++)
+    {
+      const struct net_header *header = &g_array_index (head->headers, struct net_header, i);
+
+      g_string_append_printf (recorder->headers, "%.*s=%.*s;", (int)header->name.length,
+                              header->name.data, (int)header->value.length, header->value.data);
+    }
   if (recorder->early_response != NULL)
     {
       const struct net_string_view part = net_string_view_of (recorder->early_response);
@@ -140,6 +149,7 @@
   signal (SIGPIPE, SIG_IGN);
   recorder->vtable = is_server ? &server_vtable_ : &client_vtable_;
   recorder->target = g_string_new (NULL);
+  recorder->headers = g_string_new (NULL);
   recorder->body = g_string_new (NULL);
   uv_loop_init (&recorder->loop);
   uv_timer_init (&recorder->loop, &recorder->timeout);
@@ -202,10 +212,20 @@
   if (recorder->peer >= 0)
     close (recorder->peer);
   g_string_free (recorder->target, TRUE);
+  g_string_free (recorder->headers, TRUE);
   g_string_free (recorder->body, TRUE);
   g_free (recorder);
 }
 
+/* Runs the loop until the connection has read LENGTH more bytes than BEFORE, or has ended. */
+static void
+run_until_read_ (struct recorder_ *recorder, uint64_t before, size_t length)
+{
+  while (!recorder->ended && !recorder->is_bad_request && recorder->conn != NULL
+         && net_traffic ()->received - before < length)
+    uv_run (&recorder->loop, UV_RUN_ONCE);
+}
+
 static void
 send_text_ (struct recorder_ *recorder, const char *text)
 {
@@ -269,6 +289,7 @@
     { "X : a\r\n", "" },
     { "Content-Length: +3\r\n", "abc" },
     { "no colon\r\n", "" },
+    { "nocolon\r\n", "" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -287,6 +308,69 @@
     }
 }
 
+/* Such a head would be passed on with values that belong to nothing, or read differently by the
+ * caller. */
+static void
+ambiguous_response_head_is_rejected (void **state)
+{
+  const char *const heads[] = {
+    "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: a\nY: b\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: a\rY\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX : a\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nnocolon\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 700 OK\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 0\r\n\r\n",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      struct recorder_ *recorder = client_new_ ();
+
+      send_text_ (recorder, heads[i]);
+      RUN_UNTIL (recorder, recorder->ended || recorder->n_messages > 0);
+      assert_true (recorder->ended);
+      assert_int_equal (recorder->end, NET_END_MALFORMED);
+      assert_int_equal (recorder->heads, 0);
+      free_ (recorder);
+    }
+}
+
+/* Empty lines in front of a head, which arrives in two pieces, once made the parser take the pieces
+ * as parts of a body: the views of the head's texts then pointed to bytes that had been replaced.
+ */
+static void
+empty_lines_do_not_spoil_the_next_head (void **state)
+{
+  struct recorder_ *recorder = server_new_ ();
+  uint64_t before = net_traffic ()->received;
+  const char *const pieces[]
+      = { "\r", "\n\r\n", "GET /first HTTP/1.1\r\nHost: one.example\r\nX-Fi",
+          "rst: 1\r\n\r\n\r\n\r\nGET /second HTTP/1.1\r\nHost: two.example\r\n",
+          "X-Second: 2\r\n\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (pieces); i++)
+    {
+      send_text_ (recorder, pieces[i]);
+      run_until_read_ (recorder, before, strlen (pieces[i]));
+      before = net_traffic ()->received;
+      if (i == 3)
+        {
+          assert_string_equal (recorder->target->str, "/first");
+          assert_string_equal (recorder->headers->str, "Host=one.example;X-First=1;");
+        }
+    }
+  assert_int_equal (recorder->n_messages, 2);
+  assert_string_equal (recorder->target->str, "/second");
+  assert_string_equal (recorder->headers->str, "Host=two.example;X-Second=2;");
+  free_ (recorder);
+}
+
 static void
 malformed_request_line_is_rejected (void **state)
 {
@@ -445,6 +529,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (request_split_over_reads_is_parsed),
     cmocka_unit_test (ambiguous_framing_is_rejected),
+    cmocka_unit_test (ambiguous_response_head_is_rejected),
+    cmocka_unit_test (empty_lines_do_not_spoil_the_next_head),
     cmocka_unit_test (malformed_request_line_is_rejected),
     cmocka_unit_test (oversized_head_is_rejected),
     cmocka_unit_test (held_request_is_not_parsed_and_peer_close_is_reported),
