Gateway: a header that is missing does not end the process

Cause: the copy of a missing header was NULL and its users took it for a string (strlen in gw_backend_key, memcmp and [0] in the match of a response's id). net_string_view_dup copies an empty view to "", and the comparisons read no byte of one. A request without an id gets a connection of its own, as its response proves nothing.

Ruled out: routes, keys and hosts, which check the length or are there.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -495,6 +495,14 @@
       net_http_conn_hold_messages (session->conn, false);
       return;
     }
+  if (backend->mode == SITE_BACKEND_UNNAMED_421)
+    {
+      g_autofree char *headers = g_strdup_printf ("X-Request-Id: %s\r\n", session->id);
+
+      site_reply (session->conn, 421, headers, "");
+      net_http_conn_hold_messages (session->conn, false);
+      return;
+    }
   if (backend->leaving_since_us != 0)
     backend->latest_after_leaving_ms
         = MAX (backend->latest_after_leaving_ms,
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -57,6 +57,7 @@
   [SITE_BACKEND_JSON_ERROR] = "json",
   [SITE_BACKEND_TORN] = "torn",
   [SITE_BACKEND_TORN_UNFRAMED] = "torn_unframed",
+  [SITE_BACKEND_UNNAMED_421] = "unnamed421",
 };
 
 static const char *const endless_names_[] = {
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -44,7 +44,8 @@
   SITE_BACKEND_STALE_421,      /* the same with status 421 */
   SITE_BACKEND_JSON_ERROR,     /* runs the request and replies 200 with an error in JSON */
   SITE_BACKEND_TORN,           /* streams end inside an event, as if they were complete */
-  SITE_BACKEND_TORN_UNFRAMED   /* the same without chunks: with the connection */
+  SITE_BACKEND_TORN_UNFRAMED,  /* the same without chunks: with the connection */
+  SITE_BACKEND_UNNAMED_421     /* replies 421 without saying which instance it is */
 };
 
 /* Which part of an endless response has no end. */
--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -43,7 +43,7 @@
 
   caller->entry = entry;
   caller->connection = connection;
-  caller->method = g_strndup (head->method.data, head->method.length);
+  caller->method = net_string_view_dup (head->method);
   caller->path = decoded_path_ (head->target);
   for (unsigned i = 0; i < head->headers->len; i++)
     {
@@ -51,7 +51,7 @@
 
       for (unsigned k = 0; k < SR_HEADERS; k++)
         if (caller->headers[k] == NULL && net_string_view_is_nocase (header->name, header_names[k]))
-          caller->headers[k] = g_strndup (header->value.data, header->value.length);
+          caller->headers[k] = net_string_view_dup (header->value);
     }
   caller->woken_link.data = caller;
   caller->body = g_string_new (NULL);
@@ -300,7 +300,7 @@
 static char *
 decoded_path_ (struct net_string_view target)
 {
-  g_autofree char *text = g_strndup (target.data, target.length);
+  g_autofree char *text = net_string_view_dup (target);
   char *path;
 
   text[strcspn (text, "?")] = '\0';
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -76,13 +76,12 @@
   exchange->upstream_vtable = gw_exchange_upstream_vtable_ ();
   exchange->context = context;
   exchange->caller = caller;
-  exchange->id = g_strndup (request->request_id.data, request->request_id.length);
-  exchange->method = g_strndup (head->method.data, head->method.length);
-  exchange->target = g_strndup (head->target.data, head->target.length);
+  exchange->id = net_string_view_dup (request->request_id);
+  exchange->method = net_string_view_dup (head->method);
+  exchange->target = net_string_view_dup (head->target);
   exchange->headers = headers;
   if (request->last_event_id.length > 0)
-    exchange->last_event_id
-        = g_strndup (request->last_event_id.data, request->last_event_id.length);
+    exchange->last_event_id = net_string_view_dup (request->last_event_id);
   exchange->prompt = request->prompt;
   gw_exchange_set_shared_parts_ (exchange);
   exchange->unanswered_link.data = exchange;
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -410,7 +410,7 @@
 
   if (status == HTTP_MISDIRECTED)
     {
-      g_autofree char *id = g_strndup (response->backend_id.data, response->backend_id.length);
+      g_autofree char *id = net_string_view_dup (response->backend_id);
 
       backend = gw_backends_find (upstream->backends, gw_backend_key (id));
     }
@@ -426,12 +426,15 @@
     }
 }
 
-/* Returns the most recently used idle connection that fits OPTIONS, or NULL. */
+/* Returns the most recently used idle connection that fits OPTIONS, or NULL. A request without an
+ * id gets none, because its response could not be told from a late one to an earlier request. */
 static struct gw_upstream *
 take_idle_ (const struct gw_upstream_options *options)
 {
   uint64_t now_ms = uv_now (options->loop);
 
+  if (options->request_id[0] == '\0')
+    return NULL;
   for (GList *link = options->backend->idle_connections.tail; link != NULL; link = link->prev)
     {
       struct gw_upstream *upstream = link->data;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -42,7 +42,7 @@
   struct gw_link_load *link;    /* gets the handshake times */
   struct gw_backends *backends; /* updated when a response says that its server is leaving */
   struct gw_backend *backend;
-  const char *request_id;
+  const char *request_id; /* empty: the caller gave none */
   bool is_not_repeatable; /* for a request that must not run twice: reuse no idle connection that
                            * the server may be closing */
   void *user;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -249,7 +249,7 @@
 
       g_hash_table_replace (exchange->headers,
                             g_ascii_strdown (header->name.data, (gssize)header->name.length),
-                            g_strndup (header->value.data, header->value.length));
+                            net_string_view_dup (header->value));
     }
 }
 
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -340,19 +340,22 @@
 bool
 net_string_view_equal (struct net_string_view left, struct net_string_view right)
 {
-  return left.length == right.length && memcmp (left.data, right.data, left.length) == 0;
+  return left.length == right.length
+         && (left.length == 0 || memcmp (left.data, right.data, left.length) == 0);
 }
 
 bool
 net_string_view_is (struct net_string_view text, const char *value)
 {
-  return text.length == strlen (value) && memcmp (text.data, value, text.length) == 0;
+  return text.length == strlen (value)
+         && (text.length == 0 || memcmp (text.data, value, text.length) == 0);
 }
 
 bool
 net_string_view_is_nocase (struct net_string_view text, const char *value)
 {
-  return text.length == strlen (value) && strncasecmp (text.data, value, text.length) == 0;
+  return text.length == strlen (value)
+         && (text.length == 0 || strncasecmp (text.data, value, text.length) == 0);
 }
 
 /* Returns a view of VALUE, which must outlive it. */
@@ -362,6 +365,13 @@
   return (struct net_string_view){ value, strlen (value) };
 }
 
+/* Returns a copy of TEXT, "" if it is empty. The caller frees it. */
+char *
+net_string_view_dup (struct net_string_view text)
+{
+  return text.length == 0 ? g_strdup ("") : g_strndup (text.data, text.length);
+}
+
 /* Parses TEXT as a non-negative decimal number of at most 18 digits. Returns false, with *VALUE
  * unchanged, when it is not one. */
 bool
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -247,11 +247,20 @@
   return harness_get_json (site_address_, fleet->options.port_base + CONTROL_OFFSET, "/counts");
 }
 
+/* Sends BYTES to INSTANCE on a new connection. The caller owns the reply. */
+struct raw_http_response *
+site_call_raw (struct site_fleet *fleet, unsigned instance, const char *bytes)
+{
+  g_autofree char *address = site_instance_address (instance);
+
+  return raw_http_call (address, fleet->options.port_base + ENTRY_OFFSET, bytes, strlen (bytes),
+                        SILENCE_LIMIT_S);
+}
+
 /* Sends one request. The caller owns the reply. */
 struct raw_http_response *
 site_call (struct site_fleet *fleet, const struct site_request *request)
 {
-  g_autofree char *address = site_instance_address (request->instance);
   g_autofree char *counts
       = g_strdup_printf ("%" G_GINT64_FORMAT ",%" G_GINT64_FORMAT, (gint64)request->input_tokens,
                          (gint64)request->output_tokens);
@@ -269,8 +278,7 @@
       "Authorization: Token key-1\r\n%sContent-Length: 4\r\n\r\nbody",
       request->path, request->id, deadline, tokens);
 
-  return raw_http_call (address, fleet->options.port_base + ENTRY_OFFSET, bytes, strlen (bytes),
-                        SILENCE_LIMIT_S);
+  return site_call_raw (fleet, request->instance, bytes);
 }
 
 /* Returns the whole body of the response to the stream REQUEST; the caller owns it. */
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -84,6 +84,8 @@
 bool site_fleet_clear_rules (struct site_fleet *fleet);
 json_t *site_fleet_counts (struct site_fleet *fleet);
 char *site_instance_address (unsigned instance);
+struct raw_http_response *
+site_call_raw (struct site_fleet *fleet, unsigned instance, const char *bytes);
 struct raw_http_response *site_call (struct site_fleet *fleet, const struct site_request *request);
 GString *site_expected_events (const struct site_request *request);
 struct site_response site_send (struct site_fleet *fleet, const struct site_request *request);
--- a/testing/process/test-faulty-responses.c
+++ b/testing/process/test-faulty-responses.c
@@ -107,6 +107,49 @@
   assert_refusals_are_true ("stale421");
 }
 
+/* The header with the server's id was once read without a check that it is there. */
+static void
+a_misdirection_without_the_servers_id_does_not_end_the_process (void **state)
+{
+  set_mode (MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS, "unnamed421");
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+      const struct site_request request
+          = { .instance = 1, .path = i % 2 == 0 ? "/once/a" : "/safe/a", .id = id };
+
+      assert_int_equal (site_send (fleet, &request).outcome, SITE_NOT_RUN);
+      assert_int_equal (run_count (id), 0);
+      assert_true (harness_process_is_running (fleet->instances[1]));
+    }
+}
+
+/* A request without an id once met a connection that had carried another one: its id was read
+ * without a check that it is there. Its responses can't be told from late ones to others. */
+static void
+a_request_without_an_id_does_not_end_the_process (void **state)
+{
+  static const char *const modes[] = { "ok", "unnamed421", "shed", "stale", "error" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (modes) * REQUESTS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+      const struct site_request request = { .instance = 1, .path = "/safe/a", .id = id };
+      struct raw_http_response *reply;
+
+      set_mode (MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS, "ok");
+      site_send (fleet, &request);
+      set_mode (MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS, modes[i / REQUESTS]);
+      reply = site_call_raw (fleet, 1,
+                             "GET /safe/a HTTP/1.1\r\nHost: site.test\r\n"
+                             "Authorization: Token key-1\r\nX-Deadline-Ms: 1000\r\n\r\n");
+      assert_int_not_equal (reply->status, 0);
+      assert_int_not_equal (reply->status, 200);
+      raw_reply_free (reply);
+      assert_true (harness_process_is_running (fleet->instances[1]));
+    }
+}
+
 static void
 assert_stream_is_pure (const struct site_request *request)
 {
@@ -217,6 +260,8 @@
     CASE (a_resumable_stream_that_ends_inside_an_event_goes_on_at_another_server),
     CASE (an_earlier_refusal_on_a_kept_connection_is_no_answer),
     CASE (an_earlier_misdirection_on_a_kept_connection_is_no_answer),
+    CASE (a_misdirection_without_the_servers_id_does_not_end_the_process),
+    CASE (a_request_without_an_id_does_not_end_the_process),
     CASE (an_error_of_the_next_server_is_not_put_into_a_begun_stream),
     CASE (a_stream_that_ends_inside_an_event_is_not_complete),
     CASE (a_stream_that_ends_with_its_connection_is_passed_on_whole),
