Upstream: a connection is used again only if it is known to be clean

An idle connection was closed only when the bytes had become a whole head.

Now a client's connection reads bytes only while a response is expected, any other byte ends it; it is pooled only with nothing behind the response and never after it carried stray bytes, and is taken from the pool only if nothing waits in the socket. The client of the store does the same. The end of a message is known at the last byte, so the look at what follows comes before the next request. Each kind of refused bytes has a counter and a log line with the server's id. A head that is too large counts as malformed, not as a closed connection.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -9,6 +9,8 @@
   ENDLESS_WRITE_BYTES = 262144, /* of an endless response, written at once */
   FLOOD_INTERVAL_MS = 1,        /* between checks whether more can be written */
   TRICKLE_INTERVAL_MS = 20,     /* between two bytes */
+  PIECE_INTERVAL_MS = 2,        /* between two pieces of a response */
+  STRAY_DELAY_MS = 5,           /* of late stray bytes */
   PAUSE_NOTICE_US = 500000 /* after a Retry-After, while requests sent before it may still arrive */
 };
 
@@ -32,6 +34,10 @@
   bool is_unframed;      /* the stream has no chunks and ends with the connection */
   char *pattern;         /* of an endless response, repeated; or NULL */
   size_t trickle_offset; /* in pattern, of the next byte to send */
+  GString *rest;         /* of a response in pieces; NULL: none */
+  GString *late;         /* stray bytes to send later; NULL: none */
+  uv_timer_t late_timer;
+  unsigned open_timers;
   uv_timer_t timer;
 };
 
@@ -65,6 +71,9 @@
   session->conn = net_http_conn_new (&options, session);
   uv_timer_init (&backend->site->loop, &session->timer);
   session->timer.data = session;
+  uv_timer_init (&backend->site->loop, &session->late_timer);
+  session->late_timer.data = session;
+  session->open_timers = 2;
   g_ptr_array_add (backend->sessions, session);
   net_http_conn_accept (session->conn, listener);
 }
@@ -200,11 +209,11 @@
 {
   struct site_backend *backend = session->backend;
   int64_t now_us = g_get_monotonic_time ();
-  g_autofree char *headers
-      = g_strdup_printf ("X-Not-Executed: 1\r\n%s%s%s%s", leaving_header_ (backend),
-                         backend->retry_after == NULL ? "" : "Retry-After: ",
-                         backend->retry_after == NULL ? "" : backend->retry_after,
-                         backend->retry_after == NULL ? "" : "\r\n");
+  g_autofree char *headers = g_strdup_printf (
+      "X-Request-Id: %s\r\nX-Not-Executed: 1\r\n%s%s%s%s", session->id, leaving_header_ (backend),
+      backend->retry_after == NULL ? "" : "Retry-After: ",
+      backend->retry_after == NULL ? "" : backend->retry_after,
+      backend->retry_after == NULL ? "" : "\r\n");
   double pause_s = backend->retry_after == NULL ? 0 : g_ascii_strtod (backend->retry_after, NULL);
 
   if (now_us >= backend->paused_from_us && now_us < backend->paused_until_us)
@@ -226,6 +235,82 @@
       session->id, session->backend->running, leaving_header_ (session->backend));
 }
 
+static void
+write_string_ (struct backend_session_ *session, const GString *text)
+{
+  const struct net_string_view part = { text->str, text->len };
+
+  if (text->len > 0)
+    net_http_conn_write (session->conn, &part, 1);
+}
+
+static void
+on_late_timer_ (uv_timer_t *timer)
+{
+  struct backend_session_ *session = timer->data;
+
+  write_string_ (session, session->late);
+  g_string_free (session->late, TRUE);
+  session->late = NULL;
+}
+
+static void
+on_piece_timer_ (uv_timer_t *timer)
+{
+  struct backend_session_ *session = timer->data;
+
+  write_string_ (session, session->rest);
+  g_string_free (session->rest, TRUE);
+  session->rest = NULL;
+  end_run_ (session);
+}
+
+/* Sends a response in the form that the test has set, with stray bytes. */
+static void
+reply_in_form_ (struct backend_session_ *session)
+{
+  const struct site_reply_form *form = &session->backend->form;
+  g_autofree char *headers = response_headers_ (session);
+  GString *text = site_reply_form_encode (form, session->id, headers);
+  GString *stray = site_reply_form_stray (form, session->id);
+  json_t *statuses = session->backend->site->statuses;
+  json_t *list = json_object_get (statuses, session->id);
+  size_t first;
+
+  if (list == NULL)
+    {
+      list = json_array ();
+      json_object_set_new (statuses, session->id, list);
+    }
+  json_array_append_new (list, json_integer (form->status == 0 ? 200 : form->status));
+  if (form->place == SITE_STRAY_LATE && stray->len > 0)
+    {
+      if (session->late != NULL)
+        g_string_free (session->late, TRUE);
+      session->late = g_string_new_len (stray->str, (gssize)stray->len);
+      uv_timer_start (&session->late_timer, on_late_timer_, STRAY_DELAY_MS, 0);
+    }
+  else if (stray->len > 0)
+    {
+      if (form->place == SITE_STRAY_INSTEAD)
+        g_string_truncate (text, 0);
+      g_string_insert_len (text, form->place == SITE_STRAY_BEHIND ? -1 : 0, stray->str,
+                           (gssize)stray->len);
+    }
+  g_string_free (stray, TRUE);
+  if (form->in_pieces)
+    {
+      first = text->len / 3;
+      session->rest = g_string_new_len (text->str + first, (gssize)(text->len - first));
+      g_string_truncate (text, first);
+      uv_timer_start (&session->timer, on_piece_timer_, PIECE_INTERVAL_MS, 0);
+    }
+  write_string_ (session, text);
+  g_string_free (text, TRUE);
+  if (!form->in_pieces)
+    end_run_ (session);
+}
+
 static void
 reply_plain_ (struct backend_session_ *session, unsigned status)
 {
@@ -491,7 +576,10 @@
   if (backend->mode == SITE_BACKEND_WRONG_INSTANCE
       || g_strcmp0 (session->expected, backend->id) != 0)
     {
-      site_reply (session->conn, 421, "X-Instance-Id: another\r\n", "");
+      g_autofree char *headers
+          = g_strdup_printf ("X-Request-Id: %s\r\nX-Instance-Id: another\r\n", session->id);
+
+      site_reply (session->conn, 421, headers, "");
       net_http_conn_hold_messages (session->conn, false);
       return;
     }
@@ -544,6 +632,8 @@
     reply_json_error_ (session);
   else if (session->counts != NULL && backend->is_model)
     run_model_ (session);
+  else if (backend->mode == SITE_BACKEND_OK)
+    reply_in_form_ (session);
   else
     reply_plain_ (session, 200);
 }
@@ -551,7 +641,10 @@
 static void
 on_timer_closed_ (uv_handle_t *handle)
 {
-  g_free (handle->data);
+  struct backend_session_ *session = handle->data;
+
+  if (--session->open_timers == 0)
+    g_free (session);
 }
 
 static void
@@ -573,5 +666,10 @@
   g_free (session->parts);
   g_ptr_array_remove_fast (session->backend->sessions, session);
   g_clear_pointer (&session->pattern, g_free);
+  if (session->rest != NULL)
+    g_string_free (session->rest, TRUE);
+  if (session->late != NULL)
+    g_string_free (session->late, TRUE);
+  uv_close ((uv_handle_t *)&session->late_timer, on_timer_closed_);
   uv_close ((uv_handle_t *)&session->timer, on_timer_closed_);
 }
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -174,9 +174,9 @@
       json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
       json_array_append_new (paused, json_integer (site->backends[i].arrivals_paused));
     }
-  return json_pack ("{s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "consumed",
-                    site->consumed, "abandoned", (int)site->abandoned, "arrivals",
-                    (int)site->arrivals, "keys_seen", (int)site->keys_seen,
+  return json_pack ("{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "statuses",
+                    site->statuses, "consumed", site->consumed, "abandoned", (int)site->abandoned,
+                    "arrivals", (int)site->arrivals, "keys_seen", (int)site->keys_seen,
                     "latest_after_leaving_ms", leaving, "arrivals_paused", paused, "crashes",
                     (int)site->crashes, "crash_arrivals", (int)site->crash_arrivals);
 }
@@ -227,6 +227,7 @@
     site->backends[backend_index].down_ms = (unsigned)g_ascii_strtoull (down_ms, NULL, 10);
   if (g_strcmp0 (crash, "1") == 0)
     site_backend_crash (&site->backends[backend_index]);
+  site_reply_form_set (&site->backends[backend_index].form, target);
   if (mode != NULL)
     site->backends[backend_index].mode = (enum site_backend_mode)mode_index;
   if (state != NULL)
@@ -394,6 +395,7 @@
   site->objects = objects_new ();
   site->watches = g_ptr_array_new ();
   site->runs = json_object ();
+  site->statuses = json_object ();
   site->consumed = json_object ();
   site->store_listener.data = site->control_listener.data = site;
   if (!site_listen (site, &site->store_listener, (unsigned)port->ival[0], site_store_accept)
--- /dev/null
+++ b/emulator/site/reply-form.c
@@ -0,0 +1,83 @@
+#include "emulator/site/site.h"
+
+#include <string.h>
+
+enum
+{
+  STATUS_OK = 200
+};
+
+static const char *const places_[] = {
+  [SITE_STRAY_BEFORE] = "before",
+  [SITE_STRAY_INSTEAD] = "instead",
+  [SITE_STRAY_BEHIND] = "behind",
+  [SITE_STRAY_LATE] = "late",
+};
+
+/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces. What is
+ * not given is off. */
+void
+site_reply_form_set (struct site_reply_form *form, const char *target)
+{
+  g_autofree char *stray = site_query (target, "stray");
+  g_autofree char *place = site_query (target, "place");
+  g_autofree char *status = site_query (target, "status");
+  g_autofree char *chunked = site_query (target, "chunked");
+  g_autofree char *pieces = site_query (target, "pieces");
+
+  g_clear_pointer (&form->stray, g_bytes_unref);
+  *form = (struct site_reply_form){
+    .status = status == NULL ? 0 : (unsigned)g_ascii_strtoull (status, NULL, 10),
+    .is_chunked = g_strcmp0 (chunked, "1") == 0,
+    .in_pieces = g_strcmp0 (pieces, "1") == 0,
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (places_); i++)
+    if (g_strcmp0 (place, places_[i]) == 0)
+      form->place = (enum site_stray_place)i;
+  if (stray != NULL)
+    {
+      GByteArray *bytes = g_byte_array_new ();
+
+      for (const char *at = stray; at[0] != '\0' && at[1] != '\0'; at += 2)
+        {
+          guint8 byte = (guint8)(g_ascii_xdigit_value (at[0]) << 4 | g_ascii_xdigit_value (at[1]));
+
+          g_byte_array_append (bytes, &byte, 1);
+        }
+      form->stray = g_byte_array_free_to_bytes (bytes);
+    }
+}
+
+/* Returns the stray bytes of a response to request ID; the caller owns them. */
+GString *
+site_reply_form_stray (const struct site_reply_form *form, const char *id)
+{
+  GString *out = g_string_new (NULL);
+  size_t length = 0;
+  const char *bytes = form->stray == NULL ? NULL : g_bytes_get_data (form->stray, &length);
+
+  for (size_t i = 0; i < length; i++)
+    if (bytes[i] == '@')
+      g_string_append (out, id);
+    else
+      g_string_append_c (out, bytes[i]);
+  return out;
+}
+
+/* Returns the sound response to request ID with HEADERS; the caller owns it. */
+GString *
+site_reply_form_encode (const struct site_reply_form *form, const char *id, const char *headers)
+{
+  unsigned status = form->status == 0 ? STATUS_OK : form->status;
+  g_autofree char *body = g_strdup_printf ("answer to %s", id);
+  GString *out = g_string_new (NULL);
+
+  g_string_printf (out, "HTTP/1.1 %u %s\r\n%s", status, status == STATUS_OK ? "OK" : "Error",
+                   headers);
+  if (form->is_chunked)
+    g_string_append_printf (out, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
+                            strlen (body), body);
+  else
+    g_string_append_printf (out, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
+  return out;
+}
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -63,6 +63,25 @@
   SITE_ENDLESS_WRONG_REQUEST /* the response to another request */
 };
 
+/* Where a faulty plain server puts bytes that belong to no response. */
+enum site_stray_place
+{
+  SITE_STRAY_BEFORE,
+  SITE_STRAY_INSTEAD, /* in place of the response */
+  SITE_STRAY_BEHIND,
+  SITE_STRAY_LATE /* behind it, some milliseconds later */
+};
+
+/* How a plain server sends its next responses. */
+struct site_reply_form
+{
+  GBytes *stray; /* "@" stands for the id of the request; NULL: none */
+  enum site_stray_place place;
+  unsigned status; /* 0: 200 */
+  bool is_chunked;
+  bool in_pieces; /* with a pause in the middle of the head */
+};
+
 struct site_backend
 {
   char id[16];
@@ -87,6 +106,7 @@
                           0: none */
   unsigned down_ms;    /* from such an end to the next process */
   bool is_down;
+  struct site_reply_form form; /* of plain servers in mode SITE_BACKEND_OK */
   uv_timer_t restart_timer;
   struct site *site;
 };
@@ -109,6 +129,7 @@
   unsigned n_backends;
   /* Counts for the tests. */
   json_t *runs;       /* request id: array of backend ids */
+  json_t *statuses;   /* request id: array of the statuses that plain servers answered */
   json_t *consumed;   /* team: tokens */
   unsigned abandoned; /* requests whose caller closed the connection while they ran */
   unsigned arrivals;
@@ -124,6 +145,10 @@
 void site_backend_init (struct site_backend *backend);
 void site_backend_crash (struct site_backend *backend);
 void site_backend_announce (struct site_backend *backend, const char *state);
+void site_reply_form_set (struct site_reply_form *form, const char *target);
+GString *
+site_reply_form_encode (const struct site_reply_form *form, const char *id, const char *headers);
+GString *site_reply_form_stray (const struct site_reply_form *form, const char *id);
 void site_control_accept (uv_stream_t *listener, int status);
 void
 site_reply (struct net_http_conn *conn, unsigned status, const char *headers, const char *body);
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -24,6 +24,17 @@
   = 16 /* per backend server: about the number of requests that end within one idle time */
 };
 
+/* Bytes of a server that are no response to the request that uses the connection, or to any. */
+enum refused_bytes_
+{
+  REFUSED_UNSOLICITED,   /* while no request used the connection */
+  REFUSED_AFTER_MESSAGE, /* right behind a complete response */
+  REFUSED_MALFORMED,     /* not valid HTTP */
+  REFUSED_HEAD_TOO_LARGE,
+  REFUSED_WRONG_ID, /* a response to another request */
+  REFUSED_NO_ID     /* a response that names no request */
+};
+
 struct gw_upstream
 {
   const struct net_http_owner_vtable *vtable; /* must be first: the owner of conn */
@@ -39,8 +50,9 @@
   GString *headers;
   int64_t opened_us;      /* start of the handshake */
   bool is_open;           /* the handshake is complete */
-  bool has_responded;     /* has received a complete response to an earlier request */
   bool discards_response; /* discarding a response to another request */
+  bool has_strayed;       /* has carried bytes that belonged to no request: it is not reused */
+  bool expects_no_body;   /* the response to the current request has no body, as for HEAD */
   bool keeps_alive;       /* the response allows reuse of the connection */
   bool is_closed;
   uint64_t idle_since_ms;
@@ -49,7 +61,9 @@
 
 static void on_connected_ (void *owner);
 static void on_head_ (void *owner, const struct net_http_head *head);
-static bool may_be_stray_ (const struct gw_upstream *upstream);
+static void refuse_bytes_ (struct gw_upstream *upstream, enum refused_bytes_ kind);
+static void note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end);
+static bool is_reusable_ (const struct gw_upstream *upstream);
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
 static void on_ended_ (void *owner, enum net_end_reason end);
@@ -81,9 +95,30 @@
 
 static struct sr_counter opened_counter_ = { .name = "sapphirerun_backend_connections_opened_total",
                                              .help = "Connections opened to backend servers." };
-static struct sr_counter stray_responses_counter_
-    = { .name = "sapphirerun_backend_stray_answers_total",
-        .help = "Answers of backend servers that belonged to no request in progress." };
+static const char *const refused_names_[] = {
+  [REFUSED_UNSOLICITED] = "unsolicited", [REFUSED_AFTER_MESSAGE] = "after_message",
+  [REFUSED_MALFORMED] = "malformed",     [REFUSED_HEAD_TOO_LARGE] = "head_too_large",
+
+  [REFUSED_WRONG_ID] = "wrong_id",       [REFUSED_NO_ID] = "no_id",
+};
+
+static struct sr_counter refused_counters_[] = {
+  [REFUSED_UNSOLICITED] = { .name = "sapphirerun_backend_bytes_unsolicited_total",
+                            .help = "Connections to backend servers that were closed because bytes "
+                                    "arrived between two requests." },
+  [REFUSED_AFTER_MESSAGE] = { .name = "sapphirerun_backend_bytes_after_message_total",
+                              .help = "Responses of backend servers with bytes behind their end." },
+  [REFUSED_MALFORMED] = { .name = "sapphirerun_backend_answers_malformed_total",
+                          .help = "Responses of backend servers that were not valid HTTP." },
+  [REFUSED_HEAD_TOO_LARGE]
+  = { .name = "sapphirerun_backend_heads_too_large_total",
+      .help = "Responses of backend servers whose head exceeded the limit." },
+  [REFUSED_WRONG_ID]
+  = { .name = "sapphirerun_backend_stray_answers_total",
+      .help = "Answers of backend servers that belonged to no request in progress." },
+  [REFUSED_NO_ID] = { .name = "sapphirerun_backend_answers_without_id_total",
+                      .help = "Answers of backend servers that named no request." },
+};
 
 /* Returns the log name of FAILURE. */
 const char *
@@ -98,7 +133,8 @@
 gw_upstream_register_metrics (void)
 {
   sr_counter_register (&opened_counter_);
-  sr_counter_register (&stray_responses_counter_);
+  for (size_t i = 0; i < G_N_ELEMENTS (refused_counters_); i++)
+    sr_counter_register (&refused_counters_[i]);
 }
 
 /* Returns a connection to the backend server of OPTIONS for one request: an idle one, which is
@@ -158,8 +194,8 @@
                   size_t n_parts,
                   bool expects_no_body)
 {
-  if (expects_no_body)
-    net_http_conn_expect_no_body (upstream->conn);
+  upstream->expects_no_body = expects_no_body;
+  net_http_conn_expect_response (upstream->conn, expects_no_body);
   net_http_conn_write (upstream->conn, parts, n_parts);
 }
 
@@ -201,39 +237,28 @@
 }
 
 /* Matches the response with the request by its id. A response to another request is discarded, as
- * the right one may follow. */
+ * the right one may follow. What can't be a response to any request fails the current one, of which
+ * it says nothing. */
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
   struct gw_upstream *upstream = owner;
+  bool has_id = upstream->request_id[0] != '\0';
   struct gw_response_head response;
-  bool matches;
 
   g_string_truncate (upstream->headers, 0);
   upstream->dialect->decode_response (head, &response, upstream->headers);
-  if (upstream->user == NULL)
-    {
-      sr_counter_add (&stray_responses_counter_, 1);
-      g_queue_remove (&upstream->backend->idle_connections, upstream);
-      note_server_state_ (upstream, head->status, &response);
-      close_ (upstream);
-      return;
-    }
   note_server_state_ (upstream, head->status, &response);
   gw_placement_note_response (upstream->backend, &response, g_get_monotonic_time ());
-  if (response.request_id.length == 0 && head->status == HTTP_MISDIRECTED
-      && may_be_stray_ (upstream))
+  if (response.request_id.length == 0 && has_id && head->status == HTTP_MISDIRECTED)
     {
-      sr_counter_add (&stray_responses_counter_, 1);
+      refuse_bytes_ (upstream, REFUSED_NO_ID);
       fail_ (upstream, GW_UPSTREAM_MALFORMED);
       return;
     }
-  matches = response.request_id.length > 0
-                ? net_string_view_is (response.request_id, upstream->request_id)
-                : !may_be_stray_ (upstream);
-  if (!matches)
+  if (!net_string_view_is (response.request_id, upstream->request_id))
     {
-      sr_counter_add (&stray_responses_counter_, 1);
+      refuse_bytes_ (upstream, response.request_id.length == 0 ? REFUSED_NO_ID : REFUSED_WRONG_ID);
       upstream->discards_response = true;
       return;
     }
@@ -247,12 +272,37 @@
   (*upstream->user)->head (upstream->user, head, &response, upstream->headers);
 }
 
-/* Returns whether a response without an id may be one to an earlier request, sent once more: then
- * it says nothing of the current request. Servers send back the id that they were given. */
-static bool
-may_be_stray_ (const struct gw_upstream *upstream)
+/* Counts and logs bytes of the server that are not passed on. */
+static void
+refuse_bytes_ (struct gw_upstream *upstream, enum refused_bytes_ kind)
+{
+  upstream->has_strayed = true;
+  sr_counter_add (&refused_counters_[kind], 1);
+  sr_event (SR_EVENT_WARNING, "backend_bytes_refused", "{s:s,s:s,s:s}", "backend",
+            upstream->backend->facts.id, "reason", refused_names_[kind], "request",
+            upstream->request_id == NULL ? "" : upstream->request_id);
+}
+
+/* Counts and logs the end of the connection if bytes of the server caused it. */
+static void
+note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end)
 {
-  return upstream->has_responded && upstream->request_id[0] != '\0';
+  switch (end)
+    {
+    case NET_END_UNSOLICITED:
+      refuse_bytes_ (upstream, REFUSED_UNSOLICITED);
+      break;
+    case NET_END_MALFORMED:
+      refuse_bytes_ (upstream, REFUSED_MALFORMED);
+      break;
+    case NET_END_HEAD_TOO_LARGE:
+      refuse_bytes_ (upstream, REFUSED_HEAD_TOO_LARGE);
+      break;
+    case NET_END_CONNECT_FAILED:
+    case NET_END_EOF:
+    case NET_END_RESET:
+      break;
+    }
 }
 
 static void
@@ -273,19 +323,14 @@
   if (upstream->discards_response)
     {
       upstream->discards_response = false;
+      net_http_conn_expect_response (upstream->conn, upstream->expects_no_body);
       return;
     }
-  if (user == NULL)
-    return;
   upstream->user = NULL;
-  upstream->has_responded = true;
+  if (net_http_conn_has_received (upstream->conn))
+    refuse_bytes_ (upstream, REFUSED_AFTER_MESSAGE);
   g_clear_pointer (&upstream->request_id, g_free);
-  /* If the response came before the whole request was sent, the rest of it is still queued, and the
-   * connection can't be reused. */
-  if (upstream->keeps_alive && upstream->idle_max_ms > 0
-      && net_http_conn_queued (upstream->conn) == 0 && !upstream->backend->is_removed
-      && !upstream->backend->facts.is_leaving
-      && upstream->backend->idle_connections.length < IDLE_CONNECTIONS_MAX)
+  if (is_reusable_ (upstream))
     {
       upstream->idle_since_ms = uv_now (upstream->loop);
       net_http_conn_pause (upstream->conn, false);
@@ -297,6 +342,18 @@
   (*user)->complete (user);
 }
 
+/* Returns whether the connection, which has just carried a complete response, may carry another
+ * request. If the response came before the whole request was sent, the rest of it is still
+ * queued. */
+static bool
+is_reusable_ (const struct gw_upstream *upstream)
+{
+  return upstream->keeps_alive && upstream->idle_max_ms > 0 && !upstream->has_strayed
+         && net_http_conn_queued (upstream->conn) == 0 && !upstream->backend->is_removed
+         && !upstream->backend->facts.is_leaving
+         && upstream->backend->idle_connections.length < IDLE_CONNECTIONS_MAX;
+}
+
 static void
 on_ended_ (void *owner, enum net_end_reason end)
 {
@@ -305,15 +362,16 @@
   if (upstream->is_open)
     upstream->backend->connections_lost++;
   upstream->conn = NULL;
+  note_refused_end_ (upstream, end);
   if (upstream->user == NULL)
     {
       g_queue_remove (&upstream->backend->idle_connections, upstream);
       free_ (upstream);
       return;
     }
-  fail_ (upstream, !upstream->is_open         ? GW_UPSTREAM_NOT_CONNECTED
-                   : end == NET_END_MALFORMED ? GW_UPSTREAM_MALFORMED
-                                              : GW_UPSTREAM_CLOSED);
+  fail_ (upstream, !upstream->is_open      ? GW_UPSTREAM_NOT_CONNECTED
+                   : upstream->has_strayed ? GW_UPSTREAM_MALFORMED
+                                           : GW_UPSTREAM_CLOSED);
 }
 
 /* Decides whether the handshake, which has taken WAITED_MS so far, gets more time or has failed. */
@@ -432,18 +490,23 @@
 take_idle_ (const struct gw_upstream_options *options)
 {
   uint64_t now_ms = uv_now (options->loop);
+  GList *previous;
 
   if (options->request_id[0] == '\0')
     return NULL;
-  for (GList *link = options->backend->idle_connections.tail; link != NULL; link = link->prev)
+  for (GList *link = options->backend->idle_connections.tail; link != NULL; link = previous)
     {
       struct gw_upstream *upstream = link->data;
       uint64_t idle_ms = now_ms - upstream->idle_since_ms;
 
+      previous = link->prev;
       if (options->is_not_repeatable
           && (idle_ms < IDLE_MIN_NOT_REPEATABLE_MS
               || idle_ms > MIN (upstream->idle_max_ms, (unsigned)IDLE_MAX_NOT_REPEATABLE_MS)))
         continue;
+      /* The loop has yet to read what has arrived: bytes, or the end of the connection. */
+      if (!net_http_conn_is_clean (upstream->conn))
+        continue;
       g_queue_delete_link (&options->backend->idle_connections, link);
       uv_timer_stop (&upstream->timer);
       return upstream;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -232,6 +232,7 @@
 
   exchange->connected = true;
   exchange->has_progressed = true;
+  net_http_conn_expect_response (exchange->conn, false);
   net_http_conn_write (exchange->conn, parts, exchange->body_length > 0 ? 2 : 1);
 }
 
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -1,5 +1,6 @@
 #include "net/http-conn.h"
 
+#include <errno.h>
 #include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -38,6 +39,7 @@
   enum conn_state_ state;
   bool is_server;
   bool disable_dead_peer_detection;
+  bool awaits_response; /* outgoing: a request was sent and its response is not complete */
   bool in_body;
   bool skips_body;
   bool parsing_head;     /* the parser is given a complete head */
@@ -115,6 +117,7 @@
   [NET_END_RESET] = "reset",
   [NET_END_MALFORMED] = "malformed",
   [NET_END_HEAD_TOO_LARGE] = "head_too_large",
+  [NET_END_UNSOLICITED] = "unsolicited",
 };
 
 /* Per thread: a loop runs on one thread and reads one connection at a time, so all its connections
@@ -200,11 +203,15 @@
   conn->head_max_bytes = bytes;
 }
 
-/* Call it before the response to a HEAD request, which has no body whatever its headers say. */
+/* Call it before a request is sent: until its response is complete, bytes of the peer are parsed;
+ * at any other time they end the connection. HAS_NO_BODY: the response has no body whatever its
+ * headers say, as for HEAD. */
 void
-net_http_conn_expect_no_body (struct net_http_conn *conn)
+net_http_conn_expect_response (struct net_http_conn *conn, bool has_no_body)
 {
-  conn->skips_body = true;
+  g_assert (!conn->is_server);
+  conn->awaits_response = true;
+  conn->skips_body = has_no_body;
 }
 
 /* Sends the parts (at most 8) in order. What the kernel does not accept at once is copied and
@@ -271,6 +278,21 @@
   return conn->input->len > 0;
 }
 
+/* Returns whether CONN is open and between two messages: everything written has been sent, and the
+ * peer has sent nothing since the last message, also not into the socket's buffer. */
+bool
+net_http_conn_is_clean (const struct net_http_conn *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  if (conn->state != CONN_OPEN || conn->in_body || conn->awaits_response || conn->input->len > 0
+      || conn->queued_bytes > 0 || uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    return false;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 /* While HOLD is set, further messages stay unparsed in the buffer. The end of the connection is
  * still reported. */
 void
@@ -573,6 +595,11 @@
 
   if (conn->is_server)
     skip_empty_lines_ (conn);
+  else if (!conn->awaits_response)
+    {
+      end_ (conn, NET_END_UNSOLICITED);
+      return false;
+    }
   else if (!is_start_of_response_ (conn->input->data, conn->input->len))
     {
       end_ (conn, NET_END_MALFORMED);
@@ -657,6 +684,7 @@
   conn->scanned = 0;
   if (!conn->is_server && conn->parser.status_code / 100 == 1)
     return true;
+  conn->awaits_response = false;
   (*conn->owner)->message_end (conn->owner);
   return conn->state == CONN_OPEN;
 }
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -45,7 +45,8 @@
   NET_END_EOF,            /* the peer closed; a message that has begun is incomplete */
   NET_END_RESET,          /* socket error */
   NET_END_MALFORMED,      /* not valid HTTP */
-  NET_END_HEAD_TOO_LARGE
+  NET_END_HEAD_TOO_LARGE,
+  NET_END_UNSOLICITED /* outgoing connections: bytes arrived while no response was expected */
 };
 
 /* Payload bytes of all connections of this thread since it started. */
@@ -91,12 +92,13 @@
 bool net_http_conn_accept (struct net_http_conn *conn, uv_stream_t *listener);
 bool net_http_conn_connect (struct net_http_conn *conn, const struct sockaddr_in *address);
 void net_http_conn_set_head_max (struct net_http_conn *conn, size_t bytes);
-void net_http_conn_expect_no_body (struct net_http_conn *conn);
+void net_http_conn_expect_response (struct net_http_conn *conn, bool has_no_body);
 void net_http_conn_write (struct net_http_conn *conn,
                           const struct net_string_view *parts,
                           size_t n_parts);
 size_t net_http_conn_queued (const struct net_http_conn *conn);
 bool net_http_conn_has_received (const struct net_http_conn *conn);
+bool net_http_conn_is_clean (const struct net_http_conn *conn);
 void net_http_conn_hold_messages (struct net_http_conn *conn, bool hold);
 void net_http_conn_pause (struct net_http_conn *conn, bool pause);
 void net_http_conn_close (struct net_http_conn *conn);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -196,6 +196,7 @@
   close (listener);
   while (!recorder->connected)
     uv_run (&recorder->loop, UV_RUN_ONCE);
+  net_http_conn_expect_response (recorder->conn, false);
   return recorder;
 }
 
@@ -475,6 +476,56 @@
   free_ (recorder);
 }
 
+/* Such bytes were once kept, and the next response was read as their continuation. */
+static void
+bytes_behind_a_response_end_the_connection (void **state)
+{
+  const char response[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  const char *const strays[] = {
+    "\r",    "\r\n", "HTTP", "HTTP/1.1 200 OK\r\nX-Stray: ", "x", "HTTP/1.1 100 Continue\r\n\r\n",
+    response
+  };
+
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (strays); i++)
+    {
+      struct recorder_ *recorder = client_new_ ();
+      const char *stray = strays[i / 2];
+      g_autofree char *both = g_strconcat (response, stray, NULL);
+      bool at_once = i % 2 == 0;
+
+      send_text_ (recorder, at_once ? both : response);
+      RUN_UNTIL (recorder, recorder->n_messages == 1);
+      if (!at_once)
+        {
+          assert_true (net_http_conn_is_clean (recorder->conn));
+          send_text_ (recorder, stray);
+          assert_false (net_http_conn_is_clean (recorder->conn));
+        }
+      RUN_UNTIL (recorder, recorder->ended);
+      assert_int_equal (recorder->end, NET_END_UNSOLICITED);
+      assert_int_equal (recorder->heads, 1);
+      assert_string_equal (recorder->body->str, "ok");
+      free_ (recorder);
+    }
+}
+
+static void
+a_connection_is_not_clean_before_its_response_is_complete (void **state)
+{
+  struct recorder_ *recorder = client_new_ ();
+
+  assert_false (net_http_conn_is_clean (recorder->conn));
+  send_text_ (recorder, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no");
+  RUN_UNTIL (recorder, recorder->body->len == 1);
+  assert_false (net_http_conn_is_clean (recorder->conn));
+  send_text_ (recorder, "k");
+  RUN_UNTIL (recorder, recorder->n_messages == 1);
+  assert_true (net_http_conn_is_clean (recorder->conn));
+  close_peer_ (recorder, false);
+  assert_false (net_http_conn_is_clean (recorder->conn));
+  free_ (recorder);
+}
+
 static void
 bytes_not_read_by_a_slow_peer_are_counted_as_queued (void **state)
 {
@@ -538,6 +589,8 @@
     cmocka_unit_test (response_without_length_is_complete_at_eof_but_not_at_reset),
     cmocka_unit_test (malformed_response_ends_the_connection),
     cmocka_unit_test (body_is_not_read_after_early_response),
+    cmocka_unit_test (bytes_behind_a_response_end_the_connection),
+    cmocka_unit_test (a_connection_is_not_clean_before_its_response_is_complete),
     cmocka_unit_test (bytes_not_read_by_a_slow_peer_are_counted_as_queued),
   };
 
--- a/testing/harness/raw-http.c
+++ b/testing/harness/raw-http.c
@@ -11,6 +11,7 @@
 {
   struct raw_http_response *reply;
   bool in_retry_after;
+  bool in_seal;
 };
 
 static int
@@ -19,6 +20,7 @@
   struct parse_state_ *state = parser->data;
 
   state->in_retry_after = length == 11 && g_ascii_strncasecmp (at, "Retry-After", 11) == 0;
+  state->in_seal = length == 15 && g_ascii_strncasecmp (at, "X-Response-Seal", 15) == 0;
   return 0;
 }
 
@@ -30,6 +32,8 @@
 
   if (state->in_retry_after)
     state->reply->retry_after_s = g_ascii_strtod (value, NULL);
+  if (state->in_seal)
+    g_string_append (state->reply->seal, value);
   return 0;
 }
 
@@ -74,6 +78,7 @@
   int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   reply->body = g_string_new (NULL);
+  reply->seal = g_string_new (NULL);
   http_parser_init (&parser, HTTP_RESPONSE);
   parser.data = &state;
   inet_pton (AF_INET, address, &target.sin_addr);
@@ -101,5 +106,6 @@
 raw_reply_free (struct raw_http_response *reply)
 {
   g_string_free (reply->body, TRUE);
+  g_string_free (reply->seal, TRUE);
   g_free (reply);
 }
--- a/testing/harness/raw-http.h
+++ b/testing/harness/raw-http.h
@@ -13,6 +13,7 @@
   bool closed;   /* the peer has closed the connection without a reset */
   GString *body;
   double retry_after_s;
+  GString *seal; /* X-Response-Seal of the response; empty: none */
 };
 
 struct raw_http_response *
