Gateway: two messages in one head are no answer, and a response proves whose it is

Callers got 200 with the server's own seal where the server had answered 500, and 503 for requests that had run (MIXED, REFUSED): a head that a server breaks off, and the next one behind it after the next request has gone out, parse as one.

Where bytes came from can't be told by their position then, so the message has to prove it: a second status line anywhere in a head, or a second id, seal, X-Not-Executed, X-Instance-Id, Content-Type or Retry-After, makes it no answer, and a success needs its seal. The connection ends, and the attempt's outcome is unknown.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -49,6 +49,8 @@
 struct gw_response_head
 {
   struct net_string_view request_id;
+  bool is_ambiguous;    /* a header that decides about the response is there more than once */
+  bool is_signed;       /* the server has signed the response */
   bool not_executed;    /* the server guarantees that it has not run and will not run the request */
   bool is_encoded;      /* the body has a content coding, which the gateway can't read */
   bool is_event_stream; /* the body is a stream of server-sent events */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -31,8 +31,10 @@
   REFUSED_AFTER_MESSAGE, /* right behind a complete response */
   REFUSED_MALFORMED,     /* not valid HTTP */
   REFUSED_HEAD_TOO_LARGE,
-  REFUSED_WRONG_ID, /* a response to another request */
-  REFUSED_NO_ID     /* a response that names no request */
+  REFUSED_AMBIGUOUS, /* a header that must be unique is there twice */
+  REFUSED_UNSIGNED,  /* a success without the server's signature */
+  REFUSED_WRONG_ID,  /* a response to another request */
+  REFUSED_NO_ID      /* a response that names no request */
 };
 
 struct gw_upstream
@@ -98,7 +100,7 @@
 static const char *const refused_names_[] = {
   [REFUSED_UNSOLICITED] = "unsolicited", [REFUSED_AFTER_MESSAGE] = "after_message",
   [REFUSED_MALFORMED] = "malformed",     [REFUSED_HEAD_TOO_LARGE] = "head_too_large",
-
+  [REFUSED_AMBIGUOUS] = "ambiguous",     [REFUSED_UNSIGNED] = "unsigned",
   [REFUSED_WRONG_ID] = "wrong_id",       [REFUSED_NO_ID] = "no_id",
 };
 
@@ -113,6 +115,10 @@
   [REFUSED_HEAD_TOO_LARGE]
   = { .name = "sapphirerun_backend_heads_too_large_total",
       .help = "Responses of backend servers whose head exceeded the limit." },
+  [REFUSED_AMBIGUOUS] = { .name = "sapphirerun_backend_heads_ambiguous_total",
+                          .help = "Responses of backend servers with a unique header twice." },
+  [REFUSED_UNSIGNED] = { .name = "sapphirerun_backend_answers_unsigned_total",
+                         .help = "Successes of backend servers without their signature." },
   [REFUSED_WRONG_ID]
   = { .name = "sapphirerun_backend_stray_answers_total",
       .help = "Answers of backend servers that belonged to no request in progress." },
@@ -248,6 +254,12 @@
 
   g_string_truncate (upstream->headers, 0);
   upstream->dialect->decode_response (head, &response, upstream->headers);
+  if (response.is_ambiguous)
+    {
+      refuse_bytes_ (upstream, REFUSED_AMBIGUOUS);
+      fail_ (upstream, GW_UPSTREAM_MALFORMED);
+      return;
+    }
   note_server_state_ (upstream, head->status, &response);
   gw_placement_note_response (upstream->backend, &response, g_get_monotonic_time ());
   if (response.request_id.length == 0 && has_id && head->status == HTTP_MISDIRECTED)
@@ -262,6 +274,12 @@
       upstream->discards_response = true;
       return;
     }
+  if (head->status / 100 == 2 && !response.is_signed)
+    {
+      refuse_bytes_ (upstream, REFUSED_UNSIGNED);
+      fail_ (upstream, GW_UPSTREAM_MALFORMED);
+      return;
+    }
   upstream->keeps_alive = head->keeps_alive && !head->ends_with_connection;
   upstream->idle_max_ms = IDLE_MAX_MS;
   if (response.has_idle_timeout)
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -90,6 +90,7 @@
 static bool parse_failed_ (struct net_http_conn *conn);
 static bool finish_message_ (struct net_http_conn *conn);
 static bool head_is_strict_ (const uint8_t *bytes, size_t length);
+static bool has_second_status_line_ (const uint8_t *bytes, size_t length);
 static void update_reading_ (struct net_http_conn *conn);
 static void set_socket_options_ (struct net_http_conn *conn);
 
@@ -613,7 +614,8 @@
       end_ (conn, NET_END_HEAD_TOO_LARGE);
       return false;
     }
-  if (!head_is_strict_ (conn->input->data, length))
+  if (!head_is_strict_ (conn->input->data, length)
+      || (!conn->is_server && has_second_status_line_ (conn->input->data, length)))
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
@@ -735,6 +737,27 @@
   return true;
 }
 
+/* Returns whether a status line stands in the head behind its first one: a response that was broken
+ * off, and the next one right behind it, would be read as one message. */
+static bool
+has_second_status_line_ (const uint8_t *bytes, size_t length)
+{
+  static const char start[] = "HTTP/1.";
+  const size_t line_bytes = strlen ("HTTP/1.1 200");
+  const uint8_t *at = bytes + 1;
+  const uint8_t *end = bytes + length;
+
+  while ((at = memmem (at, (size_t)(end - at), start, sizeof start - 1)) != NULL)
+    {
+      if ((size_t)(end - at) > line_bytes && g_ascii_isdigit (at[7]) && at[8] == ' '
+          && g_ascii_isdigit (at[9]) && g_ascii_isdigit (at[10]) && g_ascii_isdigit (at[11])
+          && (at[12] == ' ' || at[12] == '\r'))
+        return true;
+      at++;
+    }
+  return false;
+}
+
 /* Starts or stops reading: it stops while paused, or while too many held bytes are buffered. */
 static void
 update_reading_ (struct net_http_conn *conn)
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -14,7 +14,10 @@
 
 enum
 {
-  TIMEOUT_MS = 5000 /* of one condition in RUN_UNTIL */
+  TIMEOUT_MS = 5000, /* of one condition in RUN_UNTIL */
+  CUT_SEEDS = 300,
+  CUTS_PER_SEED = 3,
+  CUT_BYTES_MAX = 24
 };
 
 /* Owner of the tested connection: records its callbacks. */
@@ -40,8 +43,21 @@
   bool holds_after_message;
   const char *early_response; /* sent as soon as the head is parsed; the body is not read */
   bool timed_out;
+  GString *events;   /* what the owner was told; NULL: not recorded */
+  bool expects_more; /* a client's connection expects a response after each one */
+  bool in_body;      /* the last event was a part of a body */
 };
 
+static void
+note_ (struct recorder_ *recorder, const char *event)
+{
+  recorder->in_body = false;
+  if (recorder->events != NULL)
+    g_string_append_printf (recorder->events, "%s\n", event);
+}
+
+static const struct net_http_owner_vtable client_vtable_;
+
 static void
 connected_ (void *owner)
 {
@@ -66,6 +82,11 @@
       g_string_append_printf (recorder->headers, "%.*s=%.*s;", (int)header->name.length,
                               header->name.data, (int)header->value.length, header->value.data);
     }
+  if (recorder->events != NULL)
+    g_string_append_printf (recorder->events, "head %u %s %s %d %d %d\n", head->status,
+                            recorder->target->str, recorder->headers->str, (int)head->has_length,
+                            (int)head->is_chunked, (int)head->keeps_alive);
+  recorder->in_body = false;
   if (recorder->early_response != NULL)
     {
       const struct net_string_view part = net_string_view_of (recorder->early_response);
@@ -79,7 +100,15 @@
 static void
 body_ (void *owner, const char *data, size_t length)
 {
-  g_string_append_len (((struct recorder_ *)owner)->body, data, (gssize)length);
+  struct recorder_ *recorder = owner;
+
+  g_string_append_len (recorder->body, data, (gssize)length);
+  if (recorder->events == NULL)
+    return;
+  if (!recorder->in_body)
+    g_string_append (recorder->events, "body ");
+  g_string_append_len (recorder->events, data, (gssize)length);
+  recorder->in_body = true;
 }
 
 static void
@@ -88,6 +117,9 @@
   struct recorder_ *recorder = owner;
 
   recorder->n_messages++;
+  note_ (recorder, "\nend of message");
+  if (recorder->expects_more && recorder->vtable == &client_vtable_)
+    net_http_conn_expect_response (recorder->conn, false);
   if (recorder->holds_after_message)
     net_http_conn_hold_messages (recorder->conn, true);
 }
@@ -99,6 +131,7 @@
 
   recorder->is_bad_request = true;
   recorder->end = end;
+  note_ (recorder, net_end_reason_to_string (end));
   net_http_conn_close (recorder->conn);
   recorder->conn = NULL;
 }
@@ -110,6 +143,7 @@
 
   recorder->ended = true;
   recorder->end = end;
+  note_ (recorder, net_end_reason_to_string (end));
   recorder->conn = NULL;
 }
 
@@ -323,6 +357,9 @@
     "HTTP/1.1 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nX : a\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nnocolon\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OKHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX: aHTTP/1.0 500\r\nContent-Length: 0\r\n\r\n",
     "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
     "HTTP/1.1 700 OK\r\nContent-Length: 0\r\n\r\n",
@@ -574,6 +611,96 @@
   free_ (recorder);
 }
 
+/* Pieces that are put together to streams of messages, sound and not. */
+static const char *const response_pieces_[] = {
+  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
+  "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Trailer: t\r\n\r\n",
+  "HTTP/1.1 204 No Content\r\n\r\n",
+  "HTTP/1.1 100 Continue\r\n\r\n",
+  "HTTP/1.1 103 Hints\r\nContent-Length: 4\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nX-A: b",
+  "HTTP/1.1 200 OK\r\n\r\nuntil the end",
+  "\r\n",
+  "\r\n\r\n",
+  "0\r\n\r\n",
+  "stray",
+};
+static const char *const request_pieces_[] = {
+  "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+  "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
+  "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\nHost: h\r\n\r\n3\r\nabc\r\n0\r\nX-T: "
+  "t\r\n\r\n",
+  "GET /d HTTP/1.1\r\nHost: h\r\nX-A: ",
+  "\r\n",
+  "\r\n\r\n",
+  "0\r\n\r\n",
+  "stray",
+};
+
+/* Writes what the owner of the connection is told of BYTES to EVENTS. Pieces of a body that follow
+ * each other are joined. They arrive in pieces whose sizes CUTS draws; NULL: in one. */
+static void
+record_events_ (bool is_server, const GString *bytes, GRand *cuts, GString *events)
+{
+  struct recorder_ *recorder = is_server ? server_new_ () : client_new_ ();
+  uint64_t before;
+
+  recorder->events = events;
+  recorder->expects_more = true;
+  for (gsize at = 0; at < bytes->len && recorder->conn != NULL;)
+    {
+      gsize length = cuts == NULL ? bytes->len : (gsize)g_rand_int_range (cuts, 1, CUT_BYTES_MAX);
+
+      length = MIN (length, bytes->len - at);
+      before = net_traffic ()->received;
+      if (send (recorder->peer, bytes->str + at, length, MSG_NOSIGNAL) < 0)
+        break; /* the connection has ended */
+      run_until_read_ (recorder, before, length);
+      at += length;
+    }
+  if (recorder->conn != NULL)
+    {
+      close_peer_ (recorder, false);
+      RUN_UNTIL (recorder, recorder->ended || recorder->is_bad_request);
+    }
+  free_ (recorder);
+}
+
+/* What a message says must not depend on how the network cuts its bytes. */
+static void
+events_do_not_depend_on_the_cut_of_the_bytes (void **state)
+{
+  for (unsigned seed = 1; seed <= CUT_SEEDS; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      bool is_server = seed % 2 == 0;
+      const char *const *pieces = is_server ? request_pieces_ : response_pieces_;
+      gint32 n_pieces
+          = (gint32)(is_server ? G_N_ELEMENTS (request_pieces_) : G_N_ELEMENTS (response_pieces_));
+      g_autoptr (GString) bytes = g_string_new (NULL);
+      g_autoptr (GString) whole = g_string_new (NULL);
+
+      for (gint32 i = g_rand_int_range (random, 1, 6); i > 0; i--)
+        g_string_append (bytes, pieces[g_rand_int_range (random, 0, n_pieces)]);
+      if (g_rand_int_range (random, 0, 4) == 0)
+        bytes->str[g_rand_int_range (random, 0, (gint32)bytes->len)]
+            = (char)g_rand_int_range (random, 0, 256);
+      record_events_ (is_server, bytes, NULL, whole);
+      for (unsigned i = 0; i < CUTS_PER_SEED; i++)
+        {
+          g_autoptr (GString) cut = g_string_new (NULL);
+
+          record_events_ (is_server, bytes, random, cut);
+          if (!g_string_equal (whole, cut))
+            print_message ("seed %u\n", seed);
+          assert_string_equal (whole->str, cut->str);
+        }
+      g_rand_free (random);
+    }
+}
+
 int
 main (void)
 {
@@ -591,6 +718,7 @@
     cmocka_unit_test (body_is_not_read_after_early_response),
     cmocka_unit_test (bytes_behind_a_response_end_the_connection),
     cmocka_unit_test (a_connection_is_not_clean_before_its_response_is_complete),
+    cmocka_unit_test (events_do_not_depend_on_the_cut_of_the_bytes),
     cmocka_unit_test (bytes_not_read_by_a_slow_peer_are_counted_as_queued),
   };
 
