Planned stop: what is left at the end of the grace is refused, not cut

Callers of streams without a first byte, and of requests that waited for tokens or whose body was still arriving, got a reset at the end of a planned stop: its last step stopped the loop whatever was in progress.

Now each request in progress is ended there as at its deadline: 503 if it was not sent, 504 if it was, a reset if its response has begun; the process exits one check later.

Ruled out: plain requests that come late in the grace.

test-planned-stop/what_is_left_at_the_end_of_the_grace_is_refused failed before.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -48,6 +48,8 @@
 static bool is_repeatable_ (const struct gw_exchange *exchange);
 static void begin_response_ (struct gw_exchange *exchange);
 static void forward_ (struct gw_exchange *exchange, const char *data, size_t length);
+static void
+end_unfinished_ (struct gw_exchange *exchange, enum gw_attempt_outcome outcome, const char *reason);
 static void on_timer_ (uv_timer_t *timer);
 
 static const struct gw_upstream_user_vtable upstream_vtable_ = {
@@ -636,6 +638,28 @@
   return !exchange->response_began || (!exchange->is_event_stream && !exchange->reading_paused);
 }
 
+/* Ends the request at the end of a planned stop: it is refused, or its response, which has begun,
+ * is cut. */
+void
+gw_exchange_stop (struct gw_exchange *exchange)
+{
+  end_unfinished_ (exchange, GW_ATTEMPT_ABANDONED, "stopping");
+}
+
+/* Ends the request, whose time is over, with REASON, and its attempt with OUTCOME. */
+static void
+end_unfinished_ (struct gw_exchange *exchange, enum gw_attempt_outcome outcome, const char *reason)
+{
+  if (exchange->state == EXCHANGE_RESERVING)
+    allotment_manager_cancel (exchange->context->allotments, exchange->team->name->str, exchange);
+  if (exchange->backend != NULL)
+    gw_exchange_end_attempt_ (exchange, outcome);
+  if (exchange->response_began)
+    gw_exchange_finish_ (exchange, reason, false);
+  else
+    gw_exchange_refuse_ (exchange, exchange->runs > 0 ? 504 : 503, GW_RETRY_AFTER_BUSY, reason);
+}
+
 static void
 on_timer_ (uv_timer_t *timer)
 {
@@ -645,18 +669,9 @@
 
   if (now_us >= exchange->deadline_us)
     {
-      if (exchange->state == EXCHANGE_RESERVING)
-        allotment_manager_cancel (exchange->context->allotments, exchange->team->name->str,
-                                  exchange);
-      if (exchange->backend != NULL)
-        gw_exchange_end_attempt_ (exchange, timeout_is_servers_fault_ (exchange)
-                                                ? GW_ATTEMPT_BROKEN
-                                                : GW_ATTEMPT_ABANDONED);
-      if (exchange->response_began)
-        gw_exchange_finish_ (exchange, "timeout", false);
-      else
-        gw_exchange_refuse_ (exchange, exchange->runs > 0 ? 504 : 503, GW_RETRY_AFTER_BUSY,
-                             "timeout");
+      end_unfinished_ (
+          exchange, timeout_is_servers_fault_ (exchange) ? GW_ATTEMPT_BROKEN : GW_ATTEMPT_ABANDONED,
+          "timeout");
       return;
     }
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -48,4 +48,5 @@
 void gw_exchange_start (struct gw_exchange *exchange);
 void gw_exchange_on_caller_drained (struct gw_exchange *exchange);
 void gw_exchange_abandon (struct gw_exchange *exchange);
+void gw_exchange_stop (struct gw_exchange *exchange);
 void gw_exchange_cancel_blocked (struct gw_context *context);
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -136,6 +136,23 @@
     }
 }
 
+/* Ends all requests in progress, as the process is about to exit: each is refused, or its response,
+ * which has begun, is cut. */
+void
+gw_ingress_end_requests (struct gw_ingress *ingress)
+{
+  g_autoptr (GList) callers = g_hash_table_get_keys (ingress->callers);
+
+  for (GList *link = callers; link != NULL; link = link->next)
+    {
+      struct caller_ *caller = link->data;
+
+      caller->closes = true;
+      if (caller->exchange != NULL)
+        gw_exchange_stop (caller->exchange);
+    }
+}
+
 unsigned
 gw_ingress_connection_count (const struct gw_ingress *ingress)
 {
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -534,6 +534,11 @@
         allotment_manager_stop (allotments, now_us);
       break;
     case GW_STOP_END:
+      if (gateway->context.exchanges > 0)
+        {
+          gw_ingress_end_requests (gateway->ingress); /* sent until the next check */
+          break;
+        }
       uv_stop (&gateway->loop);
       break;
     }
--- /dev/null
+++ b/testing/process/test-planned-stop.c
@@ -0,0 +1,207 @@
+/* Requests that arrive during a planned stop, until the process is gone: what is taken is answered
+ * before the end of the grace, or refused. */
+#include "testing/harness/harness.h"
+#include "testing/harness/site.h"
+
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  PORT_BASE = 35100,
+  MODEL_BACKENDS = 1,
+  PLAIN_BACKENDS = 2,
+  PREPAID_TOKENS = 100000000,
+  STOP_LIMIT_S = 5,
+  DEADLINE_MS = 600,
+  CALLERS = 16,
+  ROUNDS = 3,
+  EXIT_LIMIT_MS = 10000,
+  US_PER_MS = 1000
+};
+
+struct caller_
+{
+  unsigned number;
+  unsigned round;
+  int64_t until_us;
+  unsigned answered;
+  unsigned refused;
+  unsigned lost;
+};
+
+static struct site_fleet *fleet;
+
+static int
+start_fleet (void **state)
+{
+  static const struct site_options options = { .name = "planned-stop",
+                                               .port_base = PORT_BASE,
+                                               .instances = 1,
+                                               .model_backends = MODEL_BACKENDS,
+                                               .plain_backends = PLAIN_BACKENDS,
+                                               .event_interval_ms = 2,
+                                               .prepaid = PREPAID_TOKENS,
+                                               .stop_limit_s = STOP_LIMIT_S };
+
+  fleet = site_fleet_start (&options);
+  return fleet != NULL ? 0 : -1;
+}
+
+static int
+stop_fleet (void **state)
+{
+  site_fleet_stop (fleet);
+  return 0;
+}
+
+static void *
+run_caller (void *data)
+{
+  struct caller_ *caller = data;
+  GRand *random = g_rand_new_with_seed (caller->round * 100 + caller->number);
+
+  for (unsigned i = 0; g_get_monotonic_time () < caller->until_us; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("p%u-%u-%u", caller->round, caller->number, i);
+      const struct site_request request
+          = { .instance = 1,
+              .path = i % 2 == 0 ? "/once/a" : "/safe/a",
+              .id = id,
+              .deadline_ms = g_rand_int_range (random, DEADLINE_MS / 4, DEADLINE_MS) };
+      struct site_response answer = site_send (fleet, &request);
+
+      if (answer.outcome == SITE_NOT_RUN)
+        caller->refused++;
+      else if (answer.outcome != SITE_NO_RESPONSE)
+        caller->answered++;
+      else
+        {
+          json_t *counts = site_fleet_counts (fleet);
+
+          if (site_run_count (counts, id) > 0)
+            {
+              caller->lost++;
+              print_message ("%s: run, and no answer after %d ms\n", id, (int)answer.duration_ms);
+            }
+          json_decref (counts);
+          g_usleep (20 * US_PER_MS);
+        }
+    }
+  g_rand_free (random);
+  return NULL;
+}
+
+/* Servers that never answer keep requests open until their deadlines; the last ones fall together
+ * with the end of the grace. They were cut without an answer. */
+static void
+requests_at_the_end_of_the_grace_are_answered (void **state)
+{
+  for (unsigned round = 0; round < ROUNDS; round++)
+    {
+      struct caller_ callers[CALLERS] = { 0 };
+      GThread *threads[CALLERS];
+      unsigned answered = 0;
+      unsigned refused = 0;
+      unsigned lost = 0;
+      int exit_code = -1;
+
+      assert_true (site_fleet_set_backends (fleet, MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS,
+                                            "mode=silent"));
+      harness_process_signal (fleet->instances[1], SIGTERM);
+      for (unsigned i = 0; i < CALLERS; i++)
+        {
+          callers[i].number = i;
+          callers[i].round = round;
+          callers[i].until_us = g_get_monotonic_time () + (int64_t)STOP_LIMIT_S * 1000 * US_PER_MS;
+          threads[i] = g_thread_new ("caller", run_caller, &callers[i]);
+        }
+      assert_true (harness_process_wait (fleet->instances[1], EXIT_LIMIT_MS, &exit_code));
+      for (unsigned i = 0; i < CALLERS; i++)
+        {
+          g_thread_join (threads[i]);
+          answered += callers[i].answered;
+          refused += callers[i].refused;
+          lost += callers[i].lost;
+        }
+      print_message ("round %u: %u answered, %u refused, %u lost\n", round, answered, refused,
+                     lost);
+      assert_int_equal (exit_code, 0);
+      assert_true (answered > 0 && refused > 0);
+      assert_int_equal (lost, 0);
+      assert_true (site_fleet_set_backends (fleet, MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS,
+                                            "mode=ok"));
+      assert_true (site_fleet_start_instance (fleet, 1));
+      assert_true (site_fleet_wait_ready (fleet, 1, 20000));
+    }
+}
+
+static void *
+run_stream (void *data)
+{
+  struct site_response *answer = data;
+  const struct site_request request = { .instance = 1,
+                                        .path = "/stream/a",
+                                        .id = "last-stream",
+                                        .input_tokens = 1000,
+                                        .output_tokens = 60,
+                                        .deadline_ms = EXIT_LIMIT_MS };
+
+  *answer = site_send (fleet, &request);
+  return NULL;
+}
+
+static void *
+run_stuck (void *data)
+{
+  struct site_response *answer = data;
+  struct raw_http_response *reply
+      = site_call_raw (fleet, 1,
+                       "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: stuck\r\n"
+                       "X-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n"
+                       "Content-Length: 4\r\n\r\nbo");
+
+  answer->status = reply->status;
+  raw_reply_free (reply);
+  return NULL;
+}
+
+/* A stream without a first byte and a request whose body is still arriving: both were cut off when
+ * the process exited. */
+static void
+what_is_left_at_the_end_of_the_grace_is_refused (void **state)
+{
+  struct site_response answers[2] = { 0 };
+  GThread *threads[2];
+  int exit_code = -1;
+
+  assert_true (site_fleet_set_backends (fleet, 0, MODEL_BACKENDS, "mode=silent"));
+  threads[0] = g_thread_new ("stream", run_stream, &answers[0]);
+  threads[1] = g_thread_new ("stuck", run_stuck, &answers[1]);
+  g_usleep (500 * US_PER_MS);
+  harness_process_signal (fleet->instances[1], SIGTERM);
+  assert_true (harness_process_wait (fleet->instances[1], EXIT_LIMIT_MS, &exit_code));
+  for (unsigned i = 0; i < G_N_ELEMENTS (threads); i++)
+    g_thread_join (threads[i]);
+  assert_int_equal (exit_code, 0);
+  assert_int_equal (answers[0].status, 504);
+  assert_true (answers[1].status == 503 || answers[1].status == 408);
+  assert_true (site_fleet_set_backends (fleet, 0, MODEL_BACKENDS, "mode=ok"));
+  assert_true (site_fleet_start_instance (fleet, 1));
+  assert_true (site_fleet_wait_ready (fleet, 1, 20000));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (what_is_left_at_the_end_of_the_grace_is_refused),
+    cmocka_unit_test (requests_at_the_end_of_the_grace_are_answered),
+  };
+
+  return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
+}
