Test: a response that is cut anywhere is never whole

Another operator's report: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It does not happen here: cut after each of 170 bytes, with a length and in chunks, on new and on used connections, no answer looked whole.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -298,6 +298,19 @@
                            (gssize)stray->len);
     }
   g_string_free (stray, TRUE);
+  if (form->cut_bytes > 0)
+    {
+      struct net_http_conn *conn = session->conn;
+
+      g_string_truncate (text, form->cut_bytes);
+      write_string_ (session, text);
+      g_string_free (text, TRUE);
+      session->backend->running--;
+      session->is_running = false;
+      net_http_conn_finish (conn);
+      on_ended_ (session, NET_END_EOF);
+      return;
+    }
   if (form->in_pieces)
     {
       first = text->len / 3;
--- a/emulator/site/reply-form.c
+++ b/emulator/site/reply-form.c
@@ -14,8 +14,8 @@
   [SITE_STRAY_LATE] = "late",
 };
 
-/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces. What is
- * not given is off. */
+/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces, cut.
+ * What is not given is off. */
 void
 site_reply_form_set (struct site_reply_form *form, const char *target)
 {
@@ -24,12 +24,14 @@
   g_autofree char *status = site_query (target, "status");
   g_autofree char *chunked = site_query (target, "chunked");
   g_autofree char *pieces = site_query (target, "pieces");
+  g_autofree char *cut = site_query (target, "cut");
 
   g_clear_pointer (&form->stray, g_bytes_unref);
   *form = (struct site_reply_form){
     .status = status == NULL ? 0 : (unsigned)g_ascii_strtoull (status, NULL, 10),
     .is_chunked = g_strcmp0 (chunked, "1") == 0,
     .in_pieces = g_strcmp0 (pieces, "1") == 0,
+    .cut_bytes = cut == NULL ? 0 : (unsigned)g_ascii_strtoull (cut, NULL, 10),
   };
   for (size_t i = 0; i < G_N_ELEMENTS (places_); i++)
     if (g_strcmp0 (place, places_[i]) == 0)
--- a/testing/process/test-stray-bytes.c
+++ b/testing/process/test-stray-bytes.c
@@ -24,6 +24,7 @@
   STRAY_ONE_IN = 2, /* responses */
   RANDOM_BYTES_MAX = 40,
   PAUSE_MAX_MS = 30,   /* before the next request */
+  CUT_MAX_BYTES = 170, /* longer than a response */
   SOUND_ONE_IN_MAX = 3 /* requests that are answered in full, at least */
 };
 
@@ -259,10 +260,43 @@
   assert_int_equal (broken, 0);
 }
 
+/* A server that stops anywhere in its response, most of all in its head, and closes: nothing of it
+ * may look like a whole answer, on a new connection or on one that has carried an answer. */
+static void
+a_response_that_is_cut_anywhere_is_never_whole (void **state)
+{
+  for (unsigned i = 0; i < 2 * CUT_MAX_BYTES; i++)
+    {
+      bool is_chunked = i % 2 == 0;
+      g_autofree char *id = g_strdup_printf ("cut-%03u", i);
+      g_autofree char *before = g_strdup_printf ("bef-%03u", i);
+      g_autofree char *form
+          = g_strdup_printf ("mode=ok&chunked=%d&cut=%u", (int)is_chunked, i / 2 + 1);
+      struct site_request request = {
+        .instance = 1, .path = i % 4 < 2 ? "/once/a" : "/safe/a", .id = before, .deadline_ms = 1000
+      };
+      struct raw_http_response *reply;
+      const char *wrong;
+
+      assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, "mode=ok"));
+      if (i % 3 == 0)
+        assert_int_equal (site_send (fleet, &request).outcome, SITE_COMPLETED);
+      assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, form));
+      request.id = id;
+      reply = site_call (fleet, &request);
+      wrong = judge (&request, reply);
+      if (wrong != NULL)
+        print_message ("%s: %s, status %d\n", form, wrong, reply->status);
+      assert_null (wrong);
+      raw_reply_free (reply);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_response_that_is_cut_anywhere_is_never_whole),
     cmocka_unit_test (stray_bytes_never_become_part_of_an_answer),
   };
 
