Gateway: a stream whose event numbers go back is not passed on as one

Cause: ids of events were kept for resumption and never compared. An event whose number is not above the one before ends the attempt now; a resumable stream goes on elsewhere, others are cut. Complete events in front of such an event, or of one without end, are passed on first: they were counted as delivered and dropped, so that a resumed stream would have lacked them.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -31,6 +31,7 @@
   int64_t events;
   bool is_running;
   unsigned requests;     /* received on this connection */
+  bool has_repeated;     /* the current stream has begun a second time */
   bool is_unframed;      /* the stream has no chunks and ends with the connection */
   char *pattern;         /* of an endless response, repeated; or NULL */
   size_t trickle_offset; /* in pattern, of the next byte to send */
@@ -386,6 +387,12 @@
       site_backend_crash (session->backend);
       return;
     }
+  if (session->next_event > session->events && session->backend->mode == SITE_BACKEND_REPEAT
+      && !session->has_repeated)
+    {
+      session->has_repeated = true;
+      session->next_event = 1;
+    }
   if (session->next_event > session->events)
     {
       end_stream_ (session);
@@ -434,6 +441,7 @@
   if (json_array_size (json_object_get (session->backend->site->runs, session->id)) == 1)
     consume_ (session, input);
   session->events = output / SITE_TOKENS_PER_EVENT;
+  session->has_repeated = false;
   write_ (session, head);
   uv_timer_start (&session->timer, on_event_, session->backend->site->event_interval_ms, 0);
 }
--- a/emulator/site/reply-form.c
+++ b/emulator/site/reply-form.c
@@ -26,7 +26,8 @@
   g_autofree char *pieces = site_query (target, "pieces");
   g_autofree char *cut = site_query (target, "cut");
 
-  g_clear_pointer (&form->stray, g_bytes_unref);
+  if (form->stray != NULL)
+    g_bytes_unref (form->stray);
   *form = (struct site_reply_form){
     .status = status == NULL ? 0 : (unsigned)g_ascii_strtoull (status, NULL, 10),
     .is_chunked = g_strcmp0 (chunked, "1") == 0,
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -45,7 +45,8 @@
   SITE_BACKEND_JSON_ERROR,     /* runs the request and replies 200 with an error in JSON */
   SITE_BACKEND_TORN,           /* streams end inside an event, as if they were complete */
   SITE_BACKEND_TORN_UNFRAMED,  /* the same without chunks: with the connection */
-  SITE_BACKEND_UNNAMED_421     /* replies 421 without saying which instance it is */
+  SITE_BACKEND_UNNAMED_421,    /* replies 421 without saying which instance it is */
+  SITE_BACKEND_REPEAT          /* streams send their events a second time behind the last one */
 };
 
 /* Which part of an endless response has no end. */
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -37,6 +37,8 @@
 static void on_body_ (void *user, const char *data, size_t length);
 static void on_complete_ (void *user);
 static void on_failed_ (void *user, enum gw_upstream_failure failure);
+static void
+forward_events_ (struct gw_exchange *exchange, const char *data, size_t complete, size_t length);
 static bool stream_exceeds_limits_ (const struct gw_exchange *exchange, size_t added);
 static void end_failed_attempt_ (struct gw_exchange *exchange,
                                  const char *reason,
@@ -351,6 +353,7 @@
 {
   struct gw_exchange *exchange = user;
   int64_t now_us = g_get_monotonic_time ();
+  const char *fault = NULL;
   size_t complete;
 
   gw_placement_note_received (exchange->backend, now_us);
@@ -383,18 +386,29 @@
       return;
     }
   complete = gw_event_scan_feed (&exchange->scan, data, length);
-  if (stream_exceeds_limits_ (exchange, length - complete))
-    {
-      end_failed_attempt_ (exchange, "endless", GW_ATTEMPT_BROKEN);
-      retry_or_end_ (exchange, true, "endless_answer");
-      return;
-    }
+  if (exchange->scan.went_back)
+    fault = "event_order";
+  else if (stream_exceeds_limits_ (exchange, length - complete))
+    fault = "endless_answer";
+  forward_events_ (exchange, data, complete, fault == NULL ? length : complete);
+  if (fault == NULL)
+    return;
+  end_failed_attempt_ (exchange, fault, GW_ATTEMPT_BROKEN);
+  retry_or_end_ (exchange, true, fault);
+}
+
+/* Forwards LENGTH bytes of a stream, of which the first COMPLETE ones end an event. Of a resumable
+ * stream only complete events are forwarded, so that another backend server can resume after the
+ * last one. */
+static void
+forward_events_ (struct gw_exchange *exchange, const char *data, size_t complete, size_t length)
+{
   if (!exchange->route->resumable)
     {
-      forward_ (exchange, data, length);
+      if (length > 0)
+        forward_ (exchange, data, length);
       return;
     }
-  /* Forward only complete events, so that another backend server can resume after the last one. */
   if (complete > 0)
     {
       if (exchange->partial_event->len > 0)
@@ -511,6 +525,8 @@
   g_string_truncate (exchange->partial_event, 0);
   exchange->scan.line_length = 0;
   exchange->scan.has_content = false;
+  exchange->scan.has_id = false;
+  exchange->scan.went_back = false;
 }
 
 /* Retries the request on another backend server if that is allowed, or ends it with REASON. SENT:
--- a/src/gateway/event-scan.c
+++ b/src/gateway/event-scan.c
@@ -1,11 +1,15 @@
 #include "gateway/event-scan.h"
 
+#include "net/http-conn.h"
+
 #include <string.h>
 
+static bool goes_back_ (const struct gw_event_scan *scan);
 static void end_line_ (struct gw_event_scan *scan);
 
 /* Scans the next LENGTH bytes of the stream. Returns how many of them belong to complete events;
- * the rest is the beginning of the next one. Ids of GW_EVENT_ID_MAX_BYTES and more are ignored. */
+ * the rest is the beginning of the next one, or begins with an event that goes back. Ids of
+ * GW_EVENT_ID_MAX_BYTES and more are ignored. */
 size_t
 gw_event_scan_feed (struct gw_event_scan *scan, const char *data, size_t length)
 {
@@ -27,7 +31,13 @@
         end_line_ (scan);
       else if (scan->has_content)
         {
+          if (goes_back_ (scan))
+            {
+              scan->went_back = true;
+              return complete;
+            }
           scan->events++;
+          scan->has_id = false;
           memcpy (scan->last_id, scan->pending_id, sizeof scan->last_id);
           scan->has_content = false;
           complete = i + 1;
@@ -39,6 +49,19 @@
   return complete;
 }
 
+/* Returns whether the event that is complete now has a number that is not above the one before it.
+ * Ids that are no numbers have no order. */
+static bool
+goes_back_ (const struct gw_event_scan *scan)
+{
+  int64_t last;
+  int64_t current;
+
+  return scan->has_id && net_string_view_to_int (net_string_view_of (scan->last_id), &last)
+         && net_string_view_to_int (net_string_view_of (scan->pending_id), &current)
+         && current <= last;
+}
+
 static void
 end_line_ (struct gw_event_scan *scan)
 {
@@ -59,4 +82,5 @@
     return;
   memcpy (scan->pending_id, id, length);
   scan->pending_id[length] = '\0';
+  scan->has_id = true;
 }
--- a/src/gateway/event-scan.h
+++ b/src/gateway/event-scan.h
@@ -19,6 +19,9 @@
                          beginning */
   char pending_id[GW_EVENT_ID_MAX_BYTES]; /* of the incomplete event */
   bool has_content;                       /* the incomplete event has a line */
+  bool has_id;                            /* the incomplete event has an id of its own */
+  bool went_back; /* an event had a number that is not above the one before: the rest of the bytes
+                     is not scanned */
 };
 
 size_t gw_event_scan_feed (struct gw_event_scan *scan, const char *data, size_t length);
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -48,6 +48,35 @@
     }
 }
 
+/* The second copy of a stream was once joined to the first one. */
+static void
+an_event_that_goes_back_ends_the_scan (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    size_t complete; /* bytes before the event that goes back; 0: none does */
+  } cases[] = {
+    { "id: 1\n\nid: 2\n\n", 0 },
+    { "id: 1\n\nid: 10\n\nid: 11\n\n", 0 },
+    { "id: 1\n\ndata: a\n\ndata: b\n\n", 0 },
+    { "id: a\n\nid: a\n\n", 0 },
+    { "id: 1\n\nid: 2\n\nid: 1\n\n", 14 },
+    { "id: 9\n\nid: 9\n\n", 7 },
+    { "id: 10\n\nid: 9\n\n", 8 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct gw_event_scan scan = { 0 };
+      size_t complete = gw_event_scan_feed (&scan, cases[i].text, strlen (cases[i].text));
+
+      assert_int_equal (scan.went_back, cases[i].complete > 0);
+      assert_int_equal (complete,
+                        cases[i].complete > 0 ? cases[i].complete : strlen (cases[i].text));
+    }
+}
+
 static struct gw_routes *
 routes_ (void)
 {
@@ -669,6 +698,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (events_are_found_for_any_split_of_the_stream),
+    cmocka_unit_test (an_event_that_goes_back_ends_the_scan),
     cmocka_unit_test (the_longest_prefix_of_the_host_selects_the_route),
     cmocka_unit_test (target_weights_split_the_traffic),
     cmocka_unit_test (the_retry_budget_is_not_exceeded_in_any_window),
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -614,8 +614,8 @@
 /* Pieces that are put together to streams of messages, sound and not. */
 static const char *const response_pieces_[] = {
   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
-  "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Trailer: t\r\n\r\n",
+  "HTTP/1.1 500 E\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1;x=y\r\nd\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-T: t\r\n\r\n",
   "HTTP/1.1 204 No Content\r\n\r\n",
   "HTTP/1.1 100 Continue\r\n\r\n",
   "HTTP/1.1 103 Hints\r\nContent-Length: 4\r\n\r\n",
@@ -630,8 +630,7 @@
 static const char *const request_pieces_[] = {
   "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
   "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
-  "POST /c HTTP/1.1\r\nTransfer-Encoding: chunked\r\nHost: h\r\n\r\n3\r\nabc\r\n0\r\nX-T: "
-  "t\r\n\r\n",
+  "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-T: t\r\n\r\n",
   "GET /d HTTP/1.1\r\nHost: h\r\nX-A: ",
   "\r\n",
   "\r\n\r\n",
--- a/testing/process/test-faulty-responses.c
+++ b/testing/process/test-faulty-responses.c
@@ -187,6 +187,24 @@
     }
 }
 
+/* A server that answers twice: its second copy was joined to the first. */
+static void
+a_stream_whose_events_come_twice_is_not_passed_on_as_one (void **state)
+{
+  set_mode (0, MODEL_BACKENDS, "repeat");
+  for (unsigned i = 0; i < REQUESTS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+      const struct site_request request = { .instance = 1,
+                                            .path = i % 2 == 0 ? "/stream/a" : "/resume/a",
+                                            .id = id,
+                                            .input_tokens = 1000,
+                                            .output_tokens = 60 };
+
+      assert_stream_is_pure (&request);
+    }
+}
+
 static void
 a_stream_that_ends_inside_an_event_is_not_complete (void **state)
 {
@@ -263,6 +281,7 @@
     CASE (a_misdirection_without_the_servers_id_does_not_end_the_process),
     CASE (a_request_without_an_id_does_not_end_the_process),
     CASE (an_error_of_the_next_server_is_not_put_into_a_begun_stream),
+    CASE (a_stream_whose_events_come_twice_is_not_passed_on_as_one),
     CASE (a_stream_that_ends_inside_an_event_is_not_complete),
     CASE (a_stream_that_ends_with_its_connection_is_passed_on_whole),
   };
