Retry budget: a shrinking fleet shares the fixed part as the window's largest one

An instance that the store had not let register counted itself as the only one.

The largest number of instances of the last window counts now, and none is known before the first list.

Ruled out, by reading: repeats that are not charged.

test-gateway/a_shrinking_fleet_does_not_exceed_the_retry_budget fails with the number as it is.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -555,6 +555,7 @@
 take_retry_ (struct gw_exchange *exchange, bool executed)
 {
   struct gw_context *context = exchange->context;
+  int64_t now_us = g_get_monotonic_time ();
 
   if (executed && !is_repeatable_ (exchange))
     return false;
@@ -563,7 +564,7 @@
   if (exchange->attempts >= MIN (exchange->route->attempts_max, (unsigned)ATTEMPTS_MAX))
     return false;
   return gw_retry_budget_take (gw_context_retry_budget (context, exchange->service_name),
-                               context->instances, g_get_monotonic_time ());
+                               gw_fleet_size_recent (&context->fleet_size, now_us), now_us);
 }
 
 static bool
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
   struct allotment_manager *allotments; /* NULL until this instance is registered in the store */
   GHashTable *retry_budgets;            /* service name: struct gw_retry_budget */
   struct gw_retry_budget_options retry_options;
+  struct gw_fleet_size fleet_size; /* that shares the fixed part of the retry budgets */
   struct gw_link_load link;
   int64_t part_cache_lifetime_us; /* a prompt part is assumed cached on a server for this long; 0:
                                      default */
--- a/src/gateway/retry-budget.c
+++ b/src/gateway/retry-budget.c
@@ -30,8 +30,8 @@
 }
 
 /* Takes one retry from the budget. Returns false when it is used up. INSTANCES share the fixed
- * part. A process has no fixed part for one window after its start, as it may have used it up
- * before a restart. */
+ * part; while their number is unknown (0) there is none. A process has no fixed part for one window
+ * after its start, as it may have used it up before a restart. */
 bool
 gw_retry_budget_take (struct gw_retry_budget *budget, unsigned instances, int64_t now_us)
 {
@@ -46,14 +46,36 @@
       retries += budget->retries[i];
     }
   limit = SAFETY_FACTOR * budget->options.ratio * requests;
-  if (now_us - budget->started_us >= budget->options.window_us)
-    limit += SAFETY_FACTOR * budget->options.extra / MAX (instances, 1U);
+  if (instances > 0 && now_us - budget->started_us >= budget->options.window_us)
+    limit += SAFETY_FACTOR * budget->options.extra / instances;
   if (retries + 1 > limit)
     return false;
   budget->retries[budget->step % GW_RETRY_STEPS]++;
   return true;
 }
 
+/* The fleet has INSTANCES instances from now on. */
+void
+gw_fleet_size_note (struct gw_fleet_size *size,
+                    unsigned instances,
+                    int64_t window_us,
+                    int64_t now_us)
+{
+  if (instances < size->current)
+    {
+      size->before = gw_fleet_size_recent (size, now_us);
+      size->before_until_us = now_us + window_us;
+    }
+  size->current = instances;
+}
+
+/* Returns the largest number of instances of the last window, 0 if it is not known. */
+unsigned
+gw_fleet_size_recent (const struct gw_fleet_size *size, int64_t now_us)
+{
+  return now_us < size->before_until_us ? MAX (size->before, size->current) : size->current;
+}
+
 /* Clears the counters of steps that have left the window. */
 static void
 advance_ (struct gw_retry_budget *budget, int64_t now_us)
--- a/src/gateway/retry-budget.h
+++ b/src/gateway/retry-budget.h
@@ -18,6 +18,15 @@
   int64_t window_us;
 };
 
+/* The number of instances that share the fixed part. Those that have left may have used their share
+ * within the window, so a smaller number counts only once the window is over. */
+struct gw_fleet_size
+{
+  unsigned current; /* 0: not known yet */
+  unsigned before;  /* the largest number of the last window */
+  int64_t before_until_us;
+};
+
 struct gw_retry_budget
 {
   struct gw_retry_budget_options options;
@@ -33,3 +42,8 @@
                            int64_t now_us);
 void gw_retry_budget_count_request (struct gw_retry_budget *budget, int64_t now_us);
 bool gw_retry_budget_take (struct gw_retry_budget *budget, unsigned instances, int64_t now_us);
+void gw_fleet_size_note (struct gw_fleet_size *size,
+                         unsigned instances,
+                         int64_t window_us,
+                         int64_t now_us);
+unsigned gw_fleet_size_recent (const struct gw_fleet_size *size, int64_t now_us);
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -184,6 +184,55 @@
   assert_true (gw_retry_budget_take (&budget, 1, 12 * SECOND));
 }
 
+/* Those that have left may have used their share just before: the others must not use it again. */
+static void
+a_shrinking_fleet_does_not_exceed_the_retry_budget (void **state)
+{
+  enum
+  {
+    INSTANCES = 10,
+    LEFT = 5
+  };
+  const struct gw_retry_budget_options options
+      = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
+  struct gw_retry_budget budgets[INSTANCES];
+  struct gw_fleet_size size = { 0 };
+  int64_t now_us = 30 * SECOND;
+  unsigned retries = 0;
+
+  assert_int_equal (gw_fleet_size_recent (&size, now_us), 0);
+  gw_fleet_size_note (&size, INSTANCES, options.window_us, now_us);
+  for (unsigned i = 0; i < INSTANCES; i++)
+    gw_retry_budget_init (&budgets[i], &options, 0, now_us);
+  for (unsigned i = 0; i < INSTANCES; i++)
+    while (gw_retry_budget_take (&budgets[i], gw_fleet_size_recent (&size, now_us), now_us))
+      retries++;
+  for (unsigned left = INSTANCES - 1; left >= LEFT; left--)
+    {
+      now_us += SECOND;
+      gw_fleet_size_note (&size, left, options.window_us, now_us);
+    }
+  for (unsigned i = 0; i < LEFT; i++)
+    while (gw_retry_budget_take (&budgets[i], gw_fleet_size_recent (&size, now_us), now_us))
+      retries++;
+  assert_true (retries <= options.extra);
+  now_us += options.window_us;
+  assert_int_equal (gw_fleet_size_recent (&size, now_us), LEFT);
+}
+
+/* An instance that is not registered yet knows of no other one, and may be one of many. */
+static void
+an_unknown_fleet_size_gives_no_fixed_part_of_the_retry_budget (void **state)
+{
+  const struct gw_retry_budget_options options
+      = { .ratio = 0.2, .extra = 54, .window_us = 10 * SECOND };
+  struct gw_retry_budget budget;
+
+  gw_retry_budget_init (&budget, &options, 0, 30 * SECOND);
+  assert_false (gw_retry_budget_take (&budget, 0, 30 * SECOND));
+  assert_true (gw_retry_budget_take (&budget, 10, 30 * SECOND));
+}
+
 /* The first request to a service comes long after the start of the process, so none of its fixed
  * part can have been used by an earlier start. */
 static void
@@ -702,6 +751,8 @@
     cmocka_unit_test (the_longest_prefix_of_the_host_selects_the_route),
     cmocka_unit_test (target_weights_split_the_traffic),
     cmocka_unit_test (the_retry_budget_is_not_exceeded_in_any_window),
+    cmocka_unit_test (a_shrinking_fleet_does_not_exceed_the_retry_budget),
+    cmocka_unit_test (an_unknown_fleet_size_gives_no_fixed_part_of_the_retry_budget),
     cmocka_unit_test (a_new_process_does_not_get_the_fixed_part_of_the_retry_budget),
     cmocka_unit_test (a_new_service_in_an_old_process_gets_the_fixed_part_of_the_retry_budget),
     cmocka_unit_test (long_prompts_are_spread_over_all_servers),
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -374,6 +374,8 @@
     if (g_hash_table_contains (gateway->leaving_instances, names->pdata[i - 1]))
       g_ptr_array_remove_index (names, i - 1);
   gateway->context.instances = names->len + 1;
+  gw_fleet_size_note (&gateway->context.fleet_size, gateway->context.instances,
+                      gateway->context.retry_options.window_us, g_get_monotonic_time ());
   fleet_clock_set_instances (gateway->clock, gateway->context.instances);
   wait_max_ms = CLAMP (gateway->context.instances * GATEWAY_WATCH_MS_PER_INSTANCE,
                        (unsigned)GATEWAY_WATCH_MIN_MS, (unsigned)GATEWAY_WATCH_MAX_MS);
