A finished response is sent whole: to slow callers, and before a planned stop ends

Cause: what is queued for a caller belonged to nobody once the request was over. The limit of a second, meant for a peer that does not close, counted from the end of the response, and a stop saw no request.

A finished connection is counted until its bytes are sent: a stop waits for it as long as the grace allows, then resets it. The second counts from the last byte. A peer that takes nothing for five seconds is reset, with a log line. A reset is one in every state, so that nothing cut looks whole.

--- a/emulator/site/reply-form.c
+++ b/emulator/site/reply-form.c
@@ -24,6 +24,7 @@
   g_autofree char *status = site_query (target, "status");
   g_autofree char *chunked = site_query (target, "chunked");
   g_autofree char *pieces = site_query (target, "pieces");
+  g_autofree char *filler = site_query (target, "filler");
   g_autofree char *cut = site_query (target, "cut");
 
   if (form->stray != NULL)
@@ -32,6 +33,7 @@
     .status = status == NULL ? 0 : (unsigned)g_ascii_strtoull (status, NULL, 10),
     .is_chunked = g_strcmp0 (chunked, "1") == 0,
     .in_pieces = g_strcmp0 (pieces, "1") == 0,
+    .filler_bytes = filler == NULL ? 0 : (unsigned)g_ascii_strtoull (filler, NULL, 10),
     .cut_bytes = cut == NULL ? 0 : (unsigned)g_ascii_strtoull (cut, NULL, 10),
   };
   for (size_t i = 0; i < G_N_ELEMENTS (places_); i++)
@@ -72,7 +74,8 @@
 site_reply_form_encode (const struct site_reply_form *form, const char *id, const char *headers)
 {
   unsigned status = form->status == 0 ? STATUS_OK : form->status;
-  g_autofree char *body = g_strdup_printf ("answer to %s", id);
+  g_autofree char *filler = g_strnfill (form->filler_bytes, '.');
+  g_autofree char *body = g_strdup_printf ("answer to %s%s", id, filler);
   GString *out = g_string_new (NULL);
 
   g_string_printf (out, "HTTP/1.1 %u %s\r\n%s", status, status == STATUS_OK ? "OK" : "Error",
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -80,8 +80,9 @@
   enum site_stray_place place;
   unsigned status; /* 0: 200 */
   bool is_chunked;
-  bool in_pieces;     /* with a pause in the middle of the head */
-  unsigned cut_bytes; /* the connection ends after so many bytes of the response; 0: never */
+  bool in_pieces;        /* with a pause in the middle of the head */
+  unsigned filler_bytes; /* added to the body */
+  unsigned cut_bytes;    /* the connection ends after so many bytes of the response; 0: never */
 };
 
 struct site_backend
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -509,7 +509,7 @@
   const struct gw_stop_state state = {
     .elapsed_ms = (now_us - gateway->stop_started_us) / GATEWAY_US_PER_MS,
     .limit_ms = (int64_t)gateway->settings->stop_limit_s * 1000,
-    .requests = (unsigned)gateway->context.exchanges,
+    .requests = (unsigned)gateway->context.exchanges + net_http_unsent_count (),
     .connections = gw_ingress_connection_count (gateway->ingress),
     .is_returning_tokens = gateway->returning_tokens,
     .has_tokens = allotments != NULL && !allotment_manager_has_returned_all (allotments),
@@ -539,6 +539,7 @@
           gw_ingress_end_requests (gateway->ingress); /* sent until the next check */
           break;
         }
+      net_http_reset_unsent ();
       uv_stop (&gateway->loop);
       break;
     }
--- a/src/gateway/stop.h
+++ b/src/gateway/stop.h
@@ -23,7 +23,7 @@
 {
   int64_t elapsed_ms; /* since the stop was requested */
   int64_t limit_ms;   /* from the stop request until the process is killed */
-  unsigned requests;
+  unsigned requests;  /* in progress, and answered ones whose bytes are not all sent */
   unsigned connections;
   bool is_returning_tokens;
   bool has_tokens; /* some are to be returned, or store calls for that are pending */
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -15,6 +15,8 @@
   HELD_MAX_BYTES = 65536,   /* of pipelined requests that wait for the current one */
   LINGER_MS = 1000,         /* several round trips over any link */
   LINGER_UNREAD_MS = 300,   /* shorter, because the peer may be blocked in sending */
+  SEND_CHECK_MS = 1000,     /* between checks whether a slow peer still takes bytes */
+  SEND_STALLED_CHECKS = 5,  /* without progress, after which the rest is dropped */
   /* An unreachable peer is detected in about 3 s, the time after a fault in which guarantees must
    * hold again: by keepalive probes when the connection is idle, by UNACKNOWLEDGED_MAX_MS when sent
    * bytes are not acknowledged. */
@@ -63,6 +65,12 @@
   uv_connect_t connect_request;
   uv_shutdown_t shutdown_request;
   uv_timer_t linger;
+  /* Finished connections whose queued bytes are not sent yet. */
+  GList unsent_link;
+  bool is_unsent;
+  bool lingers_unread;
+  size_t unsent_bytes; /* at the last check */
+  unsigned stalled_checks;
 };
 
 struct queued_write_
@@ -79,6 +87,9 @@
 static void on_write_ (uv_write_t *request, int status);
 static void on_shutdown_ (uv_shutdown_t *request, int status);
 static void finish_ (struct net_http_conn *conn, bool reads_input);
+static void start_linger_ (struct net_http_conn *conn);
+static void set_sent_ (struct net_http_conn *conn);
+static void on_send_check_ (uv_timer_t *timer);
 static void on_linger_timeout_ (uv_timer_t *timer);
 static void on_handle_closed_ (uv_handle_t *handle);
 static void end_ (struct net_http_conn *conn, enum net_end_reason end);
@@ -125,6 +136,7 @@
  * share them without locks. */
 static _Thread_local struct net_traffic traffic_;
 static _Thread_local char read_buffer_[READ_CHUNK_BYTES];
+static _Thread_local GQueue unsent_ = G_QUEUE_INIT;
 
 const struct net_traffic *
 net_traffic (void)
@@ -132,6 +144,22 @@
   return &traffic_;
 }
 
+/* Returns how many connections of this thread were finished and have not sent all of their bytes.
+ */
+unsigned
+net_http_unsent_count (void)
+{
+  return unsent_.length;
+}
+
+/* Resets the connections that net_http_unsent_count counts. */
+void
+net_http_reset_unsent (void)
+{
+  while (unsent_.length > 0)
+    net_http_conn_reset (unsent_.head->data);
+}
+
 /* Returns the name of END for log lines. */
 const char *
 net_end_reason_to_string (enum net_end_reason end)
@@ -326,15 +354,18 @@
 {
   if (conn->state == CONN_CLOSED)
     return;
+  set_sent_ (conn);
   conn->state = CONN_CLOSED;
   conn->owner = NULL;
   uv_close ((uv_handle_t *)&conn->tcp, on_handle_closed_);
   uv_close ((uv_handle_t *)&conn->linger, on_handle_closed_);
 }
 
-/* Sends what is queued, shuts the sending side down and discards input until the peer closes, at
- * most LINGER_MS in all: closing a socket with unread input would reset the connection, and the
- * peer could lose the response. No callback follows. */
+/* Sends what is queued, however slowly the peer takes it, shuts the sending side down and discards
+ * input until the peer closes, at most LINGER_MS from then on: closing a socket with unread input
+ * would reset the connection, and the peer could lose the response. If the peer takes no byte for
+ * SEND_STALLED_CHECKS checks, the connection is reset, so that the response does not look complete.
+ * No callback follows. */
 void
 net_http_conn_finish (struct net_http_conn *conn)
 {
@@ -354,17 +385,14 @@
 void
 net_http_conn_reset (struct net_http_conn *conn)
 {
+  const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  uv_os_fd_t fd;
+
   if (conn->state == CONN_CLOSED)
     return;
-  if (conn->state == CONN_OPEN && conn->pending_requests == 0)
-    {
-      conn->state = CONN_CLOSED;
-      conn->owner = NULL;
-      uv_close ((uv_handle_t *)&conn->linger, on_handle_closed_);
-      if (uv_tcp_close_reset (&conn->tcp, on_handle_closed_) != 0)
-        uv_close ((uv_handle_t *)&conn->tcp, on_handle_closed_);
-      return;
-    }
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+      && setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) != 0)
+    g_debug ("a connection is closed without a reset");
   net_http_conn_close (conn);
 }
 
@@ -433,14 +461,56 @@
   conn->state = CONN_LINGERING;
   conn->owner = NULL;
   conn->paused = !reads_input;
+  conn->lingers_unread = !reads_input;
   update_reading_ (conn);
-  uv_timer_start (&conn->linger, on_linger_timeout_, reads_input ? LINGER_MS : LINGER_UNREAD_MS, 0);
+  if (conn->queued_bytes > 0)
+    {
+      conn->is_unsent = true;
+      conn->unsent_link.data = conn;
+      conn->unsent_bytes = conn->queued_bytes;
+      g_queue_push_tail_link (&unsent_, &conn->unsent_link);
+      uv_timer_start (&conn->linger, on_send_check_, SEND_CHECK_MS, SEND_CHECK_MS);
+    }
+  else
+    start_linger_ (conn);
   if (uv_shutdown (&conn->shutdown_request, (uv_stream_t *)&conn->tcp, on_shutdown_) == 0)
     conn->pending_requests++;
   else
     net_http_conn_close (conn);
 }
 
+static void
+start_linger_ (struct net_http_conn *conn)
+{
+  uv_timer_start (&conn->linger, on_linger_timeout_,
+                  conn->lingers_unread ? LINGER_UNREAD_MS : LINGER_MS, 0);
+}
+
+/* All bytes of CONN have been sent, or dropped. */
+static void
+set_sent_ (struct net_http_conn *conn)
+{
+  if (!conn->is_unsent)
+    return;
+  conn->is_unsent = false;
+  g_queue_unlink (&unsent_, &conn->unsent_link);
+}
+
+/* Resets a finished connection whose peer has stopped taking bytes. */
+static void
+on_send_check_ (uv_timer_t *timer)
+{
+  struct net_http_conn *conn = timer->data;
+  size_t unsent = uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
+
+  conn->stalled_checks = unsent < conn->unsent_bytes ? 0 : conn->stalled_checks + 1;
+  conn->unsent_bytes = unsent;
+  if (conn->stalled_checks < SEND_STALLED_CHECKS)
+    return;
+  g_message ("a peer takes no more bytes; %zu bytes of a response are dropped", unsent);
+  net_http_conn_reset (conn);
+}
+
 static void
 on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -456,7 +526,9 @@
     return;
   if (conn->state == CONN_LINGERING)
     {
-      if (length < 0)
+      if (length == UV_EOF && conn->is_unsent)
+        conn->paused = true; /* the peer has only ended its own side */
+      else if (length < 0)
         net_http_conn_close (conn);
       else
         traffic_.received += (uint64_t)length;
@@ -516,8 +588,18 @@
   struct net_http_conn *conn = request->handle->data;
 
   conn->pending_requests--;
+  if (conn->state == CONN_CLOSED)
+    return;
   if (status != 0)
-    net_http_conn_close (conn);
+    {
+      net_http_conn_close (conn);
+      return;
+    }
+  if (conn->is_unsent)
+    {
+      set_sent_ (conn);
+      start_linger_ (conn);
+    }
 }
 
 static void
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -2,6 +2,7 @@
 #include "net/http-conn.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -15,6 +16,9 @@
 enum
 {
   TIMEOUT_MS = 5000, /* of one condition in RUN_UNTIL */
+  BLOCK_BYTES = 1 << 20,
+  BLOCKS = 16,
+  SLOW_MS = 1600, /* longer than a finished connection lingers */
   CUT_SEEDS = 300,
   CUTS_PER_SEED = 3,
   CUT_BYTES_MAX = 24
@@ -611,6 +615,78 @@
   free_ (recorder);
 }
 
+static void
+finish_now_ (struct recorder_ *recorder)
+{
+  net_http_conn_finish (recorder->conn);
+  recorder->conn = NULL;
+}
+
+/* What was unsent a second after the end of a response was dropped, and the connection closed as if
+ * the response were complete. */
+static void
+a_finished_response_is_sent_whole_to_a_slow_peer (void **state)
+{
+  struct recorder_ *recorder = server_new_ ();
+  g_autofree char *block = g_strnfill (BLOCK_BYTES, 'x');
+  g_autofree char *buffer = g_malloc (BLOCK_BYTES);
+  const struct net_string_view part = { block, BLOCK_BYTES };
+  int64_t end_us;
+  size_t received = 0;
+  ssize_t length = 1;
+
+  send_text_ (recorder, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  RUN_UNTIL (recorder, recorder->n_messages == 1);
+  for (unsigned i = 0; i < BLOCKS; i++)
+    net_http_conn_write (recorder->conn, &part, 1);
+  assert_true (net_http_conn_queued (recorder->conn) > 0);
+  finish_now_ (recorder);
+  assert_int_equal (net_http_unsent_count (), 1);
+  end_us = g_get_monotonic_time () + SLOW_MS * 1000;
+  while (g_get_monotonic_time () < end_us)
+    {
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+      length = recv (recorder->peer, buffer, 4096, MSG_DONTWAIT);
+      received += (size_t)MAX (length, 0);
+      g_usleep (1000);
+    }
+  assert_int_equal (net_http_unsent_count (), 1);
+  while (length != 0)
+    {
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+      length = recv (recorder->peer, buffer, BLOCK_BYTES, MSG_DONTWAIT);
+      assert_true (length >= 0 || errno == EAGAIN);
+      received += (size_t)MAX (length, 0);
+    }
+  assert_int_equal (received, (size_t)BLOCKS * BLOCK_BYTES);
+  assert_int_equal (net_http_unsent_count (), 0);
+  free_ (recorder);
+}
+
+static void
+unsent_responses_are_cut_by_a_reset (void **state)
+{
+  struct recorder_ *recorder = server_new_ ();
+  g_autofree char *block = g_strnfill (BLOCK_BYTES, 'x');
+  const struct net_string_view part = { block, BLOCK_BYTES };
+  ssize_t length = 1;
+
+  send_text_ (recorder, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  RUN_UNTIL (recorder, recorder->n_messages == 1);
+  for (unsigned i = 0; i < BLOCKS; i++)
+    net_http_conn_write (recorder->conn, &part, 1);
+  finish_now_ (recorder);
+  net_http_reset_unsent ();
+  assert_int_equal (net_http_unsent_count (), 0);
+  for (unsigned i = 0; i < 10; i++)
+    uv_run (&recorder->loop, UV_RUN_NOWAIT);
+  while (length > 0)
+    length = recv (recorder->peer, block, BLOCK_BYTES, 0);
+  assert_int_equal (length, -1);
+  assert_int_equal (errno, ECONNRESET);
+  free_ (recorder);
+}
+
 /* Pieces that are put together to streams of messages, sound and not. */
 static const char *const response_pieces_[] = {
   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n\r\nhello",
@@ -717,6 +793,8 @@
     cmocka_unit_test (body_is_not_read_after_early_response),
     cmocka_unit_test (bytes_behind_a_response_end_the_connection),
     cmocka_unit_test (a_connection_is_not_clean_before_its_response_is_complete),
+    cmocka_unit_test (a_finished_response_is_sent_whole_to_a_slow_peer),
+    cmocka_unit_test (unsent_responses_are_cut_by_a_reset),
     cmocka_unit_test (events_do_not_depend_on_the_cut_of_the_bytes),
     cmocka_unit_test (bytes_not_read_by_a_slow_peer_are_counted_as_queued),
   };
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -253,18 +254,25 @@
   return harness_get_json (site_address_, fleet->options.port_base + CONTROL_OFFSET, "/counts");
 }
 
-/* Opens a connection to the entry of INSTANCE. Returns its socket, which the caller closes, or
- * -1. */
+/* Opens a connection to the entry of INSTANCE, with a receive buffer of RECEIVE_BUFFER_BYTES (0:
+ * the usual one). Returns its socket, which the caller closes, or -1. */
 int
-site_connect (struct site_fleet *fleet, unsigned instance)
+site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows)
 {
   g_autofree char *address = site_instance_address (instance);
   struct sockaddr_in target
       = { .sin_family = AF_INET,
           .sin_port = htons ((uint16_t)(fleet->options.port_base + ENTRY_OFFSET)) };
+  const int small_buffer_bytes = 4096;
+  const int segment_bytes = 1400;
   int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
   inet_pton (AF_INET, address, &target.sin_addr);
+  if (has_small_windows)
+    {
+      setsockopt (peer, SOL_SOCKET, SO_RCVBUF, &small_buffer_bytes, sizeof small_buffer_bytes);
+      setsockopt (peer, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
+    }
   if (connect (peer, (struct sockaddr *)&target, sizeof target) == 0)
     return peer;
   close (peer);
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -85,7 +85,7 @@
 bool site_fleet_clear_rules (struct site_fleet *fleet);
 json_t *site_fleet_counts (struct site_fleet *fleet);
 char *site_instance_address (unsigned instance);
-int site_connect (struct site_fleet *fleet, unsigned instance);
+int site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows);
 struct raw_http_response *
 site_call_raw (struct site_fleet *fleet, unsigned instance, const char *bytes);
 struct raw_http_response *site_call (struct site_fleet *fleet, const struct site_request *request);
--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -149,7 +149,7 @@
 
   submit (IDLE_SHORT_MS, false);
   g_usleep (1000 * US_PER_MS);
-  peer = site_connect (fleet, 1);
+  peer = site_connect (fleet, 1, false);
   assert_true (send_all (peer, first) && send_all (peer, "body"));
   assert_int_equal (read_status (peer), 200);
   harness_process_signal (fleet->instances[1], SIGSTOP);
@@ -171,11 +171,11 @@
 
   submit (IDLE_SHORT_MS, false);
   g_usleep (1000 * US_PER_MS);
-  peer = site_connect (fleet, 1);
+  peer = site_connect (fleet, 1, false);
   assert_true (send_all (peer, head) && send_all (peer, "bo"));
   assert_int_equal (read_status (peer), 408);
   close (peer);
-  peer = site_connect (fleet, 1);
+  peer = site_connect (fleet, 1, false);
   assert_true (send_all (peer, "POST /once/a HTTP/1.1\r\nHost: si"));
   assert_int_equal (read_status (peer), 408);
   close (peer);
@@ -190,7 +190,7 @@
 {
   g_autofree char *first = head_of ("/safe/a", "before-1", 4);
   g_autofree char *second = head_of ("/once/a", "before-2", 4);
-  int peer = site_connect (fleet, 1);
+  int peer = site_connect (fleet, 1, false);
 
   submit (IDLE_LONG_MS, false);
   g_usleep (1000 * US_PER_MS);
@@ -229,7 +229,7 @@
         }
       if (peer < 0)
         {
-          peer = site_connect (fleet, 1);
+          peer = site_connect (fleet, 1, false);
           is_kept = false;
         }
       if (!send_all (peer, head) || !send_all (peer, "half"))
--- a/testing/process/test-planned-stop.c
+++ b/testing/process/test-planned-stop.c
@@ -7,6 +7,9 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -21,6 +24,11 @@
   CALLERS = 16,
   ROUNDS = 3,
   EXIT_LIMIT_MS = 10000,
+  SLOW_CALLERS = 4,
+  SLOW_BODY_BYTES = 240000, /* short enough for the gateway to queue it whole */
+  SLOW_READ_BYTES = 4096,
+  SLOW_READ_INTERVAL_MS = 15,
+  SLOW_BEGIN_MS = 3000, /* after the signal: the answer is queued when the stop ends what is idle */
   US_PER_MS = 1000
 };
 
@@ -140,6 +148,58 @@
     }
 }
 
+/* Reads a long response slowly. DATA gets the number of bytes. */
+static void *
+run_slow_caller (void *data)
+{
+  static const char request[]
+      = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: slow\r\n"
+        "X-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\nContent-Length: 4\r\n\r\nbody";
+  g_autofree char *buffer = g_malloc (SLOW_READ_BYTES);
+  size_t *received = data;
+  int peer = site_connect (fleet, 1, true);
+  ssize_t length;
+
+  if (send (peer, request, strlen (request), MSG_NOSIGNAL) < 0)
+    return NULL;
+  while ((length = recv (peer, buffer, SLOW_READ_BYTES, 0)) > 0)
+    {
+      *received += (size_t)length;
+      g_usleep (SLOW_READ_INTERVAL_MS * US_PER_MS);
+    }
+  close (peer);
+  return NULL;
+}
+
+/* The last bytes of an answer were still queued when the process, which had no request left,
+ * exited. */
+static void
+answers_to_slow_callers_are_sent_whole_before_the_exit (void **state)
+{
+  size_t received[SLOW_CALLERS] = { 0 };
+  GThread *threads[SLOW_CALLERS];
+  g_autofree char *form = g_strdup_printf ("mode=ok&filler=%u", (unsigned)SLOW_BODY_BYTES);
+  int exit_code = -1;
+
+  assert_true (
+      site_fleet_set_backends (fleet, MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS, form));
+  harness_process_signal (fleet->instances[1], SIGTERM);
+  g_usleep (SLOW_BEGIN_MS * US_PER_MS);
+  for (unsigned i = 0; i < SLOW_CALLERS; i++)
+    threads[i] = g_thread_new ("slow", run_slow_caller, &received[i]);
+  assert_true (harness_process_wait (fleet->instances[1], EXIT_LIMIT_MS, &exit_code));
+  for (unsigned i = 0; i < SLOW_CALLERS; i++)
+    {
+      g_thread_join (threads[i]);
+      print_message ("caller %u: %zu bytes\n", i, received[i]);
+    }
+  assert_true (site_fleet_start_instance (fleet, 1));
+  assert_true (site_fleet_wait_ready (fleet, 1, 20000));
+  assert_int_equal (exit_code, 0);
+  for (unsigned i = 0; i < SLOW_CALLERS; i++)
+    assert_true (received[i] > SLOW_BODY_BYTES);
+}
+
 static void *
 run_stream (void *data)
 {
@@ -200,6 +260,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (what_is_left_at_the_end_of_the_grace_is_refused),
+    cmocka_unit_test (answers_to_slow_callers_are_sent_whole_before_the_exit),
     cmocka_unit_test (requests_at_the_end_of_the_grace_are_answered),
   };
 
