--- a/testing/process/test-planned-stop.c
+++ b/testing/process/test-planned-stop.c
@@ -155,14 +155,14 @@
   static const char request[]
       = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: slow\r\n"
         "X-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\nContent-Length: 4\r\n\r\nbody";
-  g_autofree char *buffer = g_malloc (SLOW_READ_BYTES);
+  char buffer[SLOW_READ_BYTES];
   size_t *received = data;
   int peer = site_connect (fleet, 1, true);
   ssize_t length;
 
   if (send (peer, request, strlen (request), MSG_NOSIGNAL) < 0)
     return NULL;
-  while ((length = recv (peer, buffer, SLOW_READ_BYTES, 0)) > 0)
+  while ((length = recv (peer, buffer, sizeof buffer, 0)) > 0)
     {
       *received += (size_t)length;
       g_usleep (SLOW_READ_INTERVAL_MS * US_PER_MS);
