Upstream: a connection that carried stray bytes and then closes is closed, not malformed

What ended the connection decides, not what it carried before: a server that crashes after a late response would not have counted as ended. A message that can't be queued is logged.

--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -64,7 +64,7 @@
 static void on_connected_ (void *owner);
 static void on_head_ (void *owner, const struct net_http_head *head);
 static void refuse_bytes_ (struct gw_upstream *upstream, enum refused_bytes_ kind);
-static void note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end);
+static bool note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end);
 static bool is_reusable_ (const struct gw_upstream *upstream);
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
@@ -301,26 +301,28 @@
             upstream->request_id == NULL ? "" : upstream->request_id);
 }
 
-/* Counts and logs the end of the connection if bytes of the server caused it. */
-static void
+/* Returns whether bytes of the server caused the END of the connection, and then counts and logs
+ * it. */
+static bool
 note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end)
 {
   switch (end)
     {
     case NET_END_UNSOLICITED:
       refuse_bytes_ (upstream, REFUSED_UNSOLICITED);
-      break;
+      return true;
     case NET_END_MALFORMED:
       refuse_bytes_ (upstream, REFUSED_MALFORMED);
-      break;
+      return true;
     case NET_END_HEAD_TOO_LARGE:
       refuse_bytes_ (upstream, REFUSED_HEAD_TOO_LARGE);
-      break;
+      return true;
     case NET_END_CONNECT_FAILED:
     case NET_END_EOF:
     case NET_END_RESET:
-      break;
+      return false;
     }
+  g_assert_not_reached ();
 }
 
 static void
@@ -376,20 +378,20 @@
 on_ended_ (void *owner, enum net_end_reason end)
 {
   struct gw_upstream *upstream = owner;
+  bool is_refused = note_refused_end_ (upstream, end);
 
   if (upstream->is_open)
     upstream->backend->connections_lost++;
   upstream->conn = NULL;
-  note_refused_end_ (upstream, end);
   if (upstream->user == NULL)
     {
       g_queue_remove (&upstream->backend->idle_connections, upstream);
       free_ (upstream);
       return;
     }
-  fail_ (upstream, !upstream->is_open      ? GW_UPSTREAM_NOT_CONNECTED
-                   : upstream->has_strayed ? GW_UPSTREAM_MALFORMED
-                                           : GW_UPSTREAM_CLOSED);
+  fail_ (upstream, !upstream->is_open ? GW_UPSTREAM_NOT_CONNECTED
+                   : is_refused       ? GW_UPSTREAM_MALFORMED
+                                      : GW_UPSTREAM_CLOSED);
 }
 
 /* Decides whether the handshake, which has taken WAITED_MS so far, gets more time or has failed. */
@@ -508,16 +510,14 @@
 take_idle_ (const struct gw_upstream_options *options)
 {
   uint64_t now_ms = uv_now (options->loop);
-  GList *previous;
 
   if (options->request_id[0] == '\0')
     return NULL;
-  for (GList *link = options->backend->idle_connections.tail; link != NULL; link = previous)
+  for (GList *link = options->backend->idle_connections.tail; link != NULL; link = link->prev)
     {
       struct gw_upstream *upstream = link->data;
       uint64_t idle_ms = now_ms - upstream->idle_since_ms;
 
-      previous = link->prev;
       if (options->is_not_repeatable
           && (idle_ms < IDLE_MIN_NOT_REPEATABLE_MS
               || idle_ms > MIN (upstream->idle_max_ms, (unsigned)IDLE_MAX_NOT_REPEATABLE_MS)))
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -256,6 +256,7 @@
   int sent = 0;
   struct queued_write_ *write;
   size_t at = 0;
+  int error;
 
   g_assert (n_parts <= G_N_ELEMENTS (buffers));
   if (conn->state != CONN_OPEN)
@@ -284,8 +285,10 @@
       sent -= (int)skip;
     }
   buffers[0] = uv_buf_init (write->bytes, (unsigned)write->length);
-  if (uv_write (&write->request, (uv_stream_t *)&conn->tcp, buffers, 1, on_write_) != 0)
+  error = uv_write (&write->request, (uv_stream_t *)&conn->tcp, buffers, 1, on_write_);
+  if (error != 0)
     {
+      g_message ("%zu bytes of a message are dropped: %s", write->length, uv_strerror (error));
       g_free (write);
       return;
     }
