--- a/emulator/site/reply-form.c
+++ b/emulator/site/reply-form.c
@@ -14,8 +14,8 @@
   [SITE_STRAY_LATE] = "late",
 };
 
-/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces, cut.
- * What is not given is off. */
+/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces, filler,
+ * cut. What is not given is off. */
 void
 site_reply_form_set (struct site_reply_form *form, const char *target)
 {
