--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -254,9 +254,9 @@
   return harness_get_json (site_address_, fleet->options.port_base + CONTROL_OFFSET, "/counts");
 }
 
-/* Opens a connection to the entry of INSTANCE. HAS_SMALL_WINDOWS: with segments and a receive buffer
- * as on a slow link, so that the instance's kernel can take few bytes ahead. Returns its socket,
- * which the caller closes, or -1. */
+/* Opens a connection to the entry of INSTANCE. HAS_SMALL_WINDOWS: with segments and a receive
+ * buffer as on a slow link, so that the instance's kernel can take few bytes ahead. Returns its
+ * socket, which the caller closes, or -1. */
 int
 site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows)
 {
