Ingress: the ends of callers' connections are counted, and logged when something is left

Nothing told apart the ways in which a connection of a caller ends: at the idle limit, behind a response, with a body that is not read, malformed, cut.

New: a counter for each way; a line caller_connection_ended when a request is still arriving or bytes of a response are queued; a line when a finished connection has dropped bytes, or is closed with unread ones. The line `configuration` has the idle limit.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -18,6 +18,19 @@
   REQUEST_LINE_BYTES = 2048    /* added to the header limit: room for the request line */
 };
 
+/* Why the connection of a caller was ended. */
+enum caller_end_
+{
+  CALLER_END_CALLER,      /* the caller closed it, or it failed */
+  CALLER_END_RESPONSE,    /* after a response that announced it */
+  CALLER_END_IDLE,        /* the idle limit was over */
+  CALLER_END_INCOMPLETE,  /* a request head or body stopped arriving; refused with 408 */
+  CALLER_END_UNREAD_BODY, /* refused without reading the rest of the body */
+  CALLER_END_MALFORMED,   /* what arrived was no valid request */
+  CALLER_END_CUT,         /* a response that had begun can't be completed */
+  CALLER_END_STOPPING     /* idle at a planned stop */
+};
+
 struct gw_ingress
 {
   struct gw_context *context;
@@ -48,6 +61,7 @@
   bool is_closed;
 };
 
+static void note_end_ (const struct caller_ *caller, enum caller_end_ end);
 static void on_connection_ (uv_stream_t *listener, int status);
 static void on_head_ (void *owner, const struct net_http_head *head);
 static void on_body_ (void *owner, const char *data, size_t length);
@@ -87,9 +101,39 @@
   .reset = reset_,
 };
 
+static const char *const end_names_[] = {
+  [CALLER_END_CALLER] = "caller",
+  [CALLER_END_RESPONSE] = "response",
+  [CALLER_END_IDLE] = "idle",
+  [CALLER_END_INCOMPLETE] = "incomplete",
+  [CALLER_END_UNREAD_BODY] = "unread_body",
+  [CALLER_END_MALFORMED] = "malformed",
+  [CALLER_END_CUT] = "cut",
+  [CALLER_END_STOPPING] = "stopping",
+};
+
 static struct sr_counter connections_counter_
     = { .name = "sapphirerun_caller_connections_total", .help = "Connections of callers." };
 
+static struct sr_counter end_counters_[] = {
+  [CALLER_END_CALLER] = { .name = "sapphirerun_caller_connections_left_total",
+                          .help = "Connections that their callers ended." },
+  [CALLER_END_RESPONSE] = { .name = "sapphirerun_caller_connections_closed_total",
+                            .help = "Connections of callers closed after a response." },
+  [CALLER_END_IDLE] = { .name = "sapphirerun_caller_connections_idle_total",
+                        .help = "Connections of callers closed at the idle limit." },
+  [CALLER_END_INCOMPLETE] = { .name = "sapphirerun_caller_connections_incomplete_total",
+                              .help = "Connections closed because a request stopped arriving." },
+  [CALLER_END_UNREAD_BODY] = { .name = "sapphirerun_caller_connections_unread_total",
+                               .help = "Connections closed without reading a refused body." },
+  [CALLER_END_MALFORMED] = { .name = "sapphirerun_caller_connections_malformed_total",
+                             .help = "Connections closed because of an invalid request." },
+  [CALLER_END_CUT] = { .name = "sapphirerun_caller_connections_cut_total",
+                       .help = "Connections reset in the middle of a response." },
+  [CALLER_END_STOPPING] = { .name = "sapphirerun_caller_connections_stopping_total",
+                            .help = "Idle connections closed by a planned stop." },
+};
+
 /* Listens on ADDRESS. Logs the error and returns NULL if that fails. */
 struct gw_ingress *
 gw_ingress_new (struct gw_context *context, const struct sockaddr_in *address)
@@ -100,6 +144,8 @@
   ingress->context = context;
   ingress->callers = g_hash_table_new (NULL, NULL);
   sr_counter_register (&connections_counter_);
+  for (size_t i = 0; i < G_N_ELEMENTS (end_counters_); i++)
+    sr_counter_register (&end_counters_[i]);
   uv_tcp_init (context->loop, &ingress->listener);
   ingress->listener.data = ingress;
   error = uv_tcp_bind (&ingress->listener, (const struct sockaddr *)address, 0);
@@ -131,6 +177,7 @@
               && uv_now (ingress->context->loop) - caller->connected_ms < FIRST_REQUEST_WAIT_MS))
         continue;
       g_hash_table_iter_remove (&iter);
+      note_end_ (caller, CALLER_END_STOPPING);
       net_http_conn_close (caller->conn);
       free_ (caller);
     }
@@ -159,6 +206,25 @@
   return g_hash_table_size (ingress->callers);
 }
 
+/* Counts the END of the connection by this instance, and logs it if a request is incomplete or
+ * bytes of a response are still queued. Call it before the connection is given up. */
+static void
+note_end_ (const struct caller_ *caller, enum caller_end_ end)
+{
+  size_t queued = net_http_conn_queued (caller->conn);
+  bool has_received = net_http_conn_has_received (caller->conn);
+
+  sr_counter_add (&end_counters_[end], 1);
+  if (!caller->is_reading && !has_received && queued == 0)
+    return;
+  sr_event (SR_EVENT_WARNING, "caller_connection_ended", "{s:s,s:b,s:b,s:b,s:I,s:I,s:I}", "reason",
+            end_names_[end], "reading", (int)caller->is_reading, "answered",
+            (int)caller->is_answered, "partial_head", (int)(has_received && !caller->is_reading),
+            "unsent_bytes", (json_int_t)queued, "idle_ms",
+            (json_int_t)(uv_now (caller->ingress->context->loop) - caller->idle_since_ms),
+            "idle_limit_ms", (json_int_t)caller->idle_limit_ms);
+}
+
 static void
 on_connection_ (uv_stream_t *listener, int status)
 {
@@ -218,6 +284,7 @@
     {
       if (caller->refuses_body)
         {
+          note_end_ (caller, CALLER_END_UNREAD_BODY);
           net_http_conn_finish_unread (caller->conn);
           caller->conn = NULL;
           free_ (caller);
@@ -229,6 +296,7 @@
     {
       caller->closes = true;
       gw_exchange_refuse_too_large (exchange);
+      note_end_ (caller, CALLER_END_UNREAD_BODY);
       net_http_conn_finish (caller->conn);
       caller->conn = NULL;
       free_ (caller);
@@ -248,6 +316,7 @@
   if (!gw_exchange_body (caller->exchange, data, length))
     {
       /* Close instead of reading and discarding the rest of the body, which may be long. */
+      note_end_ (caller, CALLER_END_UNREAD_BODY);
       net_http_conn_finish (caller->conn);
       caller->conn = NULL;
       free_ (caller);
@@ -284,6 +353,7 @@
 {
   struct caller_ *caller = owner;
 
+  sr_counter_add (&end_counters_[CALLER_END_CALLER], 1);
   caller->conn = NULL;
   if (caller->exchange != NULL)
     {
@@ -314,6 +384,7 @@
     }
   if (!caller->is_answered)
     net_http_write_bad_request (conn, end);
+  sr_counter_add (&end_counters_[CALLER_END_MALFORMED], 1);
   caller->conn = NULL;
   net_http_conn_finish (conn);
   free_ (caller);
@@ -385,6 +456,7 @@
   struct caller_ *caller = caller_from_user_ (user);
   struct net_http_conn *conn = caller->conn;
 
+  sr_counter_add (&end_counters_[CALLER_END_CUT], 1);
   caller->exchange = NULL;
   caller->conn = NULL;
   net_http_conn_reset (conn);
@@ -400,6 +472,7 @@
     {
       struct net_http_conn *conn = caller->conn;
 
+      sr_counter_add (&end_counters_[CALLER_END_RESPONSE], 1);
       caller->conn = NULL;
       net_http_conn_finish (conn);
       free_ (caller);
@@ -461,6 +534,7 @@
   bool has_begun = !caller->is_answered && caller->is_reading;
   bool has_partial_head = !caller->is_reading && net_http_conn_has_received (conn);
 
+  note_end_ (caller, has_begun || has_partial_head ? CALLER_END_INCOMPLETE : CALLER_END_IDLE);
   if (caller->exchange != NULL)
     {
       caller->closes = true;
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -76,10 +76,11 @@
   gw_routes_unref (context->routes);
   context->routes = routes;
   gossip_update_ (gateway);
-  sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i}", "version",
+  sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i,s:I}", "version",
             (json_int_t)routes->version, "revision",
             (json_int_t)watcher_reported_revision (gateway->routes_watcher), "routes",
-            (int)routes->routes->len, "teams", (int)g_hash_table_size (routes->teams));
+            (int)routes->routes->len, "teams", (int)g_hash_table_size (routes->teams), "idle_ms",
+            (json_int_t)routes->limits.idle_timeout_ms);
   gateway_set_team_totals_ (gateway);
 }
 
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -69,7 +69,8 @@
   GList unsent_link;
   bool is_unsent;
   bool lingers_unread;
-  size_t unsent_bytes; /* at the last check */
+  uint64_t dropped_bytes; /* received after the last response */
+  size_t unsent_bytes;    /* at the last check */
   unsigned stalled_checks;
 };
 
@@ -88,6 +89,7 @@
 static void on_shutdown_ (uv_shutdown_t *request, int status);
 static void finish_ (struct net_http_conn *conn, bool reads_input);
 static void start_linger_ (struct net_http_conn *conn);
+static void note_unused_input_ (const struct net_http_conn *conn);
 static void set_sent_ (struct net_http_conn *conn);
 static void on_send_check_ (uv_timer_t *timer);
 static void on_linger_timeout_ (uv_timer_t *timer);
@@ -357,6 +359,7 @@
 {
   if (conn->state == CONN_CLOSED)
     return;
+  note_unused_input_ (conn);
   set_sent_ (conn);
   conn->state = CONN_CLOSED;
   conn->owner = NULL;
@@ -489,6 +492,21 @@
                   conn->lingers_unread ? LINGER_UNREAD_MS : LINGER_MS, 0);
 }
 
+/* Logs what a finished connection, which is about to be closed, received without using it. */
+static void
+note_unused_input_ (const struct net_http_conn *conn)
+{
+  bool is_unread;
+
+  if (!conn->is_server || conn->state != CONN_LINGERING)
+    return;
+  is_unread = conn->lingers_unread && net_http_conn_has_unread (conn);
+  if (conn->dropped_bytes == 0 && !is_unread)
+    return;
+  g_message ("a finished connection received %" G_GUINT64_FORMAT " bytes that were dropped%s",
+             conn->dropped_bytes, is_unread ? ", and is closed with unread bytes" : "");
+}
+
 /* All bytes of CONN have been sent, or dropped. */
 static void
 set_sent_ (struct net_http_conn *conn)
@@ -534,7 +552,10 @@
       else if (length < 0)
         net_http_conn_close (conn);
       else
-        traffic_.received += (uint64_t)length;
+        {
+          traffic_.received += (uint64_t)length;
+          conn->dropped_bytes += (uint64_t)length;
+        }
       return;
     }
   if (length < 0)
