Ingress: a head that can't be read on a kept connection is refused, not only closed

A caller whose second or later request on a connection had a head above the limit, or one that is malformed, got no answer: the connection was closed.

Cause: is_answered still spoke of the request before, so the refusal (431, 400) was held back as if it belonged to a body that goes on behind an answer. The limit for heads was that of the time when the connection was accepted; now it is the one in force when the connection begins to wait.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -247,8 +247,6 @@
   uv_timer_init (ingress->context->loop, &caller->timer);
   caller->timer.data = caller;
   g_hash_table_add (ingress->callers, caller);
-  net_http_conn_set_head_max (caller->conn,
-                              limits_ (caller)->header_max_bytes + REQUEST_LINE_BYTES);
   sr_counter_add (&connections_counter_, 1);
   if (!net_http_conn_accept (caller->conn, listener))
     {
@@ -488,8 +486,11 @@
 static void
 begin_idle_ (struct caller_ *caller)
 {
+  caller->is_answered = false;
   caller->idle_since_ms = uv_now (caller->ingress->context->loop);
   caller->idle_limit_ms = (uint64_t)limits_ (caller)->idle_timeout_ms;
+  net_http_conn_set_head_max (caller->conn,
+                              limits_ (caller)->header_max_bytes + REQUEST_LINE_BYTES);
 }
 
 /* Restarts the timer that detects incomplete request heads and idle connections. */
--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -23,6 +23,7 @@
   PREPAID_TOKENS = 100000000,
   IDLE_SHORT_MS = 300,
   IDLE_LONG_MS = 15000,
+  HEAD_BEYOND_BYTES = 20000 /* above the configuration's limit */,
   ANSWER_LIMIT_MS = 4000,
   SEEDS = 3,
   CALLERS = 12,
@@ -162,6 +163,22 @@
   submit (IDLE_LONG_MS, false);
 }
 
+/* It was taken for the rest of the request before, which has been answered. */
+static void
+a_head_that_is_too_large_is_refused_on_a_kept_connection (void **state)
+{
+  g_autofree char *first = head_of ("/safe/a", "head-1", 4);
+  g_autofree char *filler = g_strnfill (HEAD_BEYOND_BYTES, 'x');
+  int peer = site_connect (fleet, 1, false);
+
+  assert_true (send_all (peer, first) && send_all (peer, "body"));
+  assert_int_equal (read_status (peer), 200);
+  assert_true (send_all (peer, "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Filler: ")
+               && send_all (peer, filler));
+  assert_int_equal (read_status (peer), 431);
+  close (peer);
+}
+
 /* Such a request was given up without a word. */
 static void
 a_request_whose_body_stops_arriving_is_refused_as_not_run (void **state)
@@ -307,6 +324,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_request_that_waits_when_the_idle_limit_is_over_is_answered),
+    cmocka_unit_test (a_head_that_is_too_large_is_refused_on_a_kept_connection),
     cmocka_unit_test (a_request_whose_body_stops_arriving_is_refused_as_not_run),
     cmocka_unit_test (a_shorter_idle_limit_does_not_close_connections_that_were_idle_before),
     cmocka_unit_test (requests_beside_changes_are_all_accounted_for),
