Gateway: the refusal of a chunked body beyond the limit announces the end of the connection

After such a refusal (413) the connection is finished, which reads and drops what arrives, but the response did not say so. A caller that kept the connection for its next request lost that request: read, not run, no answer.

A refusal that leaves a body unread says so wherever it is decided; the check of a declared length did already. Test red before, also on.

--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -111,6 +111,7 @@
 {
   if (exchange->body->len + length > exchange->routes->limits.body_max_bytes)
     {
+      exchange->refuses_body = true;
       gw_exchange_refuse_ (exchange, 413, GW_RETRY_AFTER_BUSY, "body_too_large");
       return false;
     }
--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -114,6 +114,25 @@
   return -1;
 }
 
+/* Waits for the head of a response. Returns whether TEXT stands in it. */
+static bool
+head_contains (int peer, const char *text)
+{
+  struct pollfd poller = { .fd = peer, .events = POLLIN };
+  g_autoptr (GString) received = g_string_new (NULL);
+
+  while (strstr (received->str, "\r\n\r\n") == NULL && poll (&poller, 1, ANSWER_LIMIT_MS) > 0)
+    {
+      char buffer[2048];
+      ssize_t length = recv (peer, buffer, sizeof buffer, 0);
+
+      if (length <= 0)
+        return false;
+      g_string_append_len (received, buffer, length);
+    }
+  return strstr (received->str, text) != NULL;
+}
+
 static bool
 has_ended (int peer)
 {
@@ -179,6 +198,21 @@
   close (peer);
 }
 
+/* The connection closes behind the refusal, and a next request on it was read and dropped. */
+static void
+a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection (void **state)
+{
+  static const char head[]
+      = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: chunk-1\r\n"
+        "Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n";
+  g_autofree char *body = g_strnfill (0x11000, 'x');
+  int peer = site_connect (fleet, 1, false);
+
+  assert_true (send_all (peer, head) && send_all (peer, body));
+  assert_true (head_contains (peer, "\r\nConnection: close\r\n"));
+  close (peer);
+}
+
 /* Such a request was given up without a word. */
 static void
 a_request_whose_body_stops_arriving_is_refused_as_not_run (void **state)
@@ -325,6 +359,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_request_that_waits_when_the_idle_limit_is_over_is_answered),
     cmocka_unit_test (a_head_that_is_too_large_is_refused_on_a_kept_connection),
+    cmocka_unit_test (
+        a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection),
     cmocka_unit_test (a_request_whose_body_stops_arriving_is_refused_as_not_run),
     cmocka_unit_test (a_shorter_idle_limit_does_not_close_connections_that_were_idle_before),
     cmocka_unit_test (requests_beside_changes_are_all_accounted_for),
