Ingress: the idle limit does not drop the rest of a response

A caller who takes a response slowly lost its end when the idle limit was over meanwhile: the connection counted as idle from when the response had been handed to it, and since an idle connection is closed at once, which drops what is queued.

Now the limit counts from the last byte taken; a caller that takes none for the whole limit is reset, so that the response does not look complete. net_http_conn_queued tells how much the kernel has not taken, also in the middle of one write.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -50,6 +50,7 @@
   uint64_t connected_ms;
   uint64_t idle_since_ms;
   uint64_t idle_limit_ms; /* in force when the connection became idle */
+  size_t unsent_bytes;    /* of the last response, when the timer last expired */
   bool has_sent_request;  /* has sent a request head */
   bool is_reading;        /* the current request has not been received completely */
   bool is_answered;       /* the response to the current request is complete */
@@ -343,6 +344,8 @@
 
   if (caller->exchange != NULL)
     gw_exchange_on_caller_drained (caller->exchange);
+  else
+    caller->idle_since_ms = uv_now (caller->ingress->context->loop);
 }
 
 /* The caller closed the connection, or the connection failed. */
@@ -489,6 +492,7 @@
   caller->is_answered = false;
   caller->idle_since_ms = uv_now (caller->ingress->context->loop);
   caller->idle_limit_ms = (uint64_t)limits_ (caller)->idle_timeout_ms;
+  caller->unsent_bytes = net_http_conn_queued (caller->conn);
   net_http_conn_set_head_max (caller->conn,
                               limits_ (caller)->header_max_bytes + REQUEST_LINE_BYTES);
 }
@@ -503,17 +507,22 @@
                   MIN (limits->header_timeout_ms, limits->idle_timeout_ms), 0);
 }
 
+/* A response that the caller still takes keeps the connection in use. */
 static void
 on_timer_ (uv_timer_t *timer)
 {
   struct caller_ *caller = timer->data;
-  uint64_t idle_ms = uv_now (caller->ingress->context->loop) - caller->idle_since_ms;
+  uint64_t now_ms = uv_now (caller->ingress->context->loop);
+  uint64_t limit_ms = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms);
   bool waits_for_head = caller->exchange == NULL && !caller->is_reading;
   bool has_partial_head = waits_for_head && net_http_conn_has_received (caller->conn);
-  bool is_idle
-      = (waits_for_head || caller->is_reading)
-        && idle_ms >= MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms);
+  size_t unsent = net_http_conn_queued (caller->conn);
+  bool is_idle;
 
+  if (caller->exchange == NULL && unsent < caller->unsent_bytes)
+    caller->idle_since_ms = now_ms;
+  caller->unsent_bytes = unsent;
+  is_idle = (waits_for_head || caller->is_reading) && now_ms - caller->idle_since_ms >= limit_ms;
   if (!is_idle && !(has_partial_head && caller->stalled))
     {
       caller->stalled = has_partial_head;
@@ -546,6 +555,8 @@
   caller->conn = NULL;
   if (has_begun || has_partial_head)
     net_http_conn_finish (conn);
+  else if (net_http_conn_queued (conn) > 0)
+    net_http_conn_reset (conn);
   else
     net_http_conn_close (conn);
   free_ (caller);
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -302,7 +302,7 @@
 size_t
 net_http_conn_queued (const struct net_http_conn *conn)
 {
-  return conn->queued_bytes;
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
 }
 
 /* Returns whether received bytes wait to be parsed. */
--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -24,6 +24,9 @@
   IDLE_SHORT_MS = 300,
   IDLE_LONG_MS = 15000,
   HEAD_BEYOND_BYTES = 20000 /* above the configuration's limit */,
+  SLOW_BODY_BYTES = 240000 /* short enough for the gateway to queue it whole */,
+  SLOW_READ_BYTES = 4096,
+  SLOW_READ_INTERVAL_MS = 25,
   ANSWER_LIMIT_MS = 4000,
   SEEDS = 3,
   CALLERS = 12,
@@ -213,6 +216,36 @@
   close (peer);
 }
 
+/* What was still queued was dropped at the idle limit. */
+static void
+a_response_to_a_slow_caller_is_sent_whole_although_the_idle_limit_is_over (void **state)
+{
+  g_autofree char *head = head_of ("/safe/a", "slow-1", 4);
+  g_autofree char *form = g_strdup_printf ("mode=ok&filler=%u", (unsigned)SLOW_BODY_BYTES);
+  size_t received = 0;
+  char buffer[SLOW_READ_BYTES];
+  int peer;
+
+  submit (IDLE_SHORT_MS, false);
+  assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, form));
+  g_usleep (1000 * US_PER_MS);
+  peer = site_connect (fleet, 1, true);
+  assert_true (send_all (peer, head) && send_all (peer, "body"));
+  while (received < SLOW_BODY_BYTES)
+    {
+      ssize_t length = recv (peer, buffer, sizeof buffer, 0);
+
+      if (length <= 0)
+        break;
+      received += (size_t)length;
+      g_usleep (SLOW_READ_INTERVAL_MS * US_PER_MS);
+    }
+  assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, "mode=ok&filler=0"));
+  close (peer);
+  submit (IDLE_LONG_MS, false);
+  assert_true (received >= SLOW_BODY_BYTES);
+}
+
 /* Such a request was given up without a word. */
 static void
 a_request_whose_body_stops_arriving_is_refused_as_not_run (void **state)
@@ -361,6 +394,7 @@
     cmocka_unit_test (a_head_that_is_too_large_is_refused_on_a_kept_connection),
     cmocka_unit_test (
         a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection),
+    cmocka_unit_test (a_response_to_a_slow_caller_is_sent_whole_although_the_idle_limit_is_over),
     cmocka_unit_test (a_request_whose_body_stops_arriving_is_refused_as_not_run),
     cmocka_unit_test (a_shorter_idle_limit_does_not_close_connections_that_were_idle_before),
     cmocka_unit_test (requests_beside_changes_are_all_accounted_for),
