Ingress: the idle limit is announced, and a connection outlives it by a second

Cause: the connection was closed at the very moment up to which its caller may use it, and the caller was never told that moment.

Now each response announces the limit that holds from then on (Keep-Alive: timeout), the connection stays for a second longer, time for a request to arrive behind a large configuration on a full link, and a limit that is shortened does not apply to what has been announced.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -15,7 +15,9 @@
   = 1000, /* time for a new caller's first request to arrive, also over a full link */
   SHORT_BODY_MAX_BYTES = 2048, /* a shorter body usually arrives together with its head */
   UNREAD_WAIT_MS = 10,         /* for the loop to read what has arrived */
-  REQUEST_LINE_BYTES = 2048    /* added to the header limit: room for the request line */
+  IDLE_GRACE_MS = 1000,        /* for a request sent at the idle limit to arrive, as above */
+  REQUEST_LINE_BYTES = 2048,   /* added to the header limit: room for the request line */
+  MS_PER_S = 1000
 };
 
 /* Why the connection of a caller was ended. */
@@ -49,7 +51,7 @@
   uv_timer_t timer;
   uint64_t connected_ms;
   uint64_t idle_since_ms;
-  uint64_t idle_limit_ms; /* in force when the connection became idle */
+  uint64_t idle_limit_ms; /* announced with the last response */
   size_t unsent_bytes;    /* of the last response, when the timer last expired */
   bool has_sent_request;  /* has sent a request head */
   bool is_reading;        /* the current request has not been received completely */
@@ -256,8 +258,8 @@
       free_ (caller);
       return;
     }
+  caller->idle_limit_ms = (uint64_t)limits_ (caller)->idle_timeout_ms;
   begin_idle_ (caller);
-  set_timer_ (caller);
 }
 
 static void
@@ -412,8 +414,12 @@
   caller->closes = caller->closes || response->ends_with_connection || caller->refuses_body
                    || gw_link_load_sheds_callers (&caller->ingress->context->link)
                    || caller->ingress->context->stopping;
+  caller->idle_limit_ms = (uint64_t)limits_ (caller)->idle_timeout_ms;
   if (caller->closes)
     g_string_append (head, "Connection: close\r\n");
+  else if (caller->idle_limit_ms >= MS_PER_S)
+    g_string_append_printf (head, "Keep-Alive: timeout=%" G_GUINT64_FORMAT "\r\n",
+                            caller->idle_limit_ms / MS_PER_S);
   g_string_append (head, "\r\n");
   part = (struct net_string_view){ head->str, head->len };
   net_http_conn_write (caller->conn, &part, 1);
@@ -480,21 +486,19 @@
       return;
     }
   begin_idle_ (caller);
-  set_timer_ (caller);
   net_http_conn_hold_messages (caller->conn, false);
 }
 
-/* The connection waits for its next request. A configuration that shortens the idle limit holds
- * from the next time on: the caller may rely on the limit that it has seen. */
+/* The connection waits for its next request. */
 static void
 begin_idle_ (struct caller_ *caller)
 {
   caller->is_answered = false;
   caller->idle_since_ms = uv_now (caller->ingress->context->loop);
-  caller->idle_limit_ms = (uint64_t)limits_ (caller)->idle_timeout_ms;
   caller->unsent_bytes = net_http_conn_queued (caller->conn);
   net_http_conn_set_head_max (caller->conn,
                               limits_ (caller)->header_max_bytes + REQUEST_LINE_BYTES);
+  set_timer_ (caller);
 }
 
 /* Restarts the timer that detects incomplete request heads and idle connections. */
@@ -507,13 +511,16 @@
                   MIN (limits->header_timeout_ms, limits->idle_timeout_ms), 0);
 }
 
-/* A response that the caller still takes keeps the connection in use. */
+/* The idle limit that the caller has been told holds although a configuration has shortened it
+ * since; a longer one holds at once. A response that the caller still takes keeps the connection in
+ * use. */
 static void
 on_timer_ (uv_timer_t *timer)
 {
   struct caller_ *caller = timer->data;
   uint64_t now_ms = uv_now (caller->ingress->context->loop);
-  uint64_t limit_ms = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms);
+  uint64_t limit_ms
+      = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms) + IDLE_GRACE_MS;
   bool waits_for_head = caller->exchange == NULL && !caller->is_reading;
   bool has_partial_head = waits_for_head && net_http_conn_has_received (caller->conn);
   size_t unsent = net_http_conn_queued (caller->conn);
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -197,6 +197,17 @@
                                       "host", "site.test", "pathPrefix", "/extra/", "kind", "safe",
                                       "timeoutMs", 3000, "goalMs", 100, "service", "plain",
                                       "maxAttempts", 2));
+  for (unsigned i = 0; i < fleet->unused_routes; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("r-unused-%u", i);
+      g_autofree char *prefix = g_strdup_printf ("/unused-%u/", i);
+
+      json_array_append_new (json_object_get (configuration, "routes"),
+                             json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i}", "name", name, "host",
+                                        "unused.test", "pathPrefix", prefix, "kind", "safe",
+                                        "timeoutMs", 3000, "goalMs", 100, "service", "plain",
+                                        "maxAttempts", 2));
+    }
   text = json_dumps (configuration, JSON_COMPACT);
   call.body = text;
   reply = harness_call (&call);
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -36,7 +36,9 @@
   struct harness_process *proxy;
   struct harness_process *instances[SITE_INSTANCES_MAX + 1]; /* from 1 */
   int64_t version;                                           /* of the configuration */
-  unsigned idle_timeout_ms; /* of callers' connections, in configurations submitted from now on */
+  /* In configurations submitted from now on: */
+  unsigned idle_timeout_ms; /* of callers' connections */
+  unsigned unused_routes;   /* additional ones that no request uses */
 };
 
 enum site_outcome
--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -22,9 +22,13 @@
   PLAIN_BACKENDS = 2,
   PREPAID_TOKENS = 100000000,
   IDLE_SHORT_MS = 300,
+  IDLE_MEDIUM_MS = 1500,
   IDLE_LONG_MS = 15000,
-  HEAD_BEYOND_BYTES = 20000 /* above the configuration's limit */,
-  SLOW_BODY_BYTES = 240000 /* short enough for the gateway to queue it whole */,
+  ABSENCE_MS = 500,  /* of the process */
+  DELIVERY_MS = 200, /* of a request over a busy link */
+  LARGE_ROUTES = 1400,
+  HEAD_BEYOND_BYTES = 20000, /* above the configuration's limit */
+  SLOW_BODY_BYTES = 240000,  /* short enough for the gateway to queue it whole */
   SLOW_READ_BYTES = 4096,
   SLOW_READ_INTERVAL_MS = 25,
   ANSWER_LIMIT_MS = 4000,
@@ -185,34 +189,66 @@
   submit (IDLE_LONG_MS, false);
 }
 
-/* It was taken for the rest of the request before, which has been answered. */
+/* The request is sent just before the idle limit is over, while a large configuration holds the
+ * process up. */
 static void
-a_head_that_is_too_large_is_refused_on_a_kept_connection (void **state)
+a_request_behind_a_large_configuration_is_answered_on_a_kept_connection (void **state)
 {
-  g_autofree char *first = head_of ("/safe/a", "head-1", 4);
-  g_autofree char *filler = g_strnfill (HEAD_BEYOND_BYTES, 'x');
-  int peer = site_connect (fleet, 1, false);
+  g_autofree char *first = head_of ("/safe/a", "large-1", 4);
+  g_autofree char *second = head_of ("/once/a", "large-2", 4);
+  int peer;
 
+  submit (IDLE_MEDIUM_MS, false);
+  g_usleep (1000 * US_PER_MS);
+  peer = site_connect (fleet, 1, false);
   assert_true (send_all (peer, first) && send_all (peer, "body"));
   assert_int_equal (read_status (peer), 200);
-  assert_true (send_all (peer, "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Filler: ")
-               && send_all (peer, filler));
-  assert_int_equal (read_status (peer), 431);
+  g_usleep ((IDLE_MEDIUM_MS - 100) * US_PER_MS);
+  harness_process_signal (fleet->instances[1], SIGSTOP);
+  fleet->unused_routes = LARGE_ROUTES;
+  submit (IDLE_MEDIUM_MS, false);
+  assert_true (send_all (peer, second) && send_all (peer, "body"));
+  g_usleep (ABSENCE_MS * US_PER_MS);
+  harness_process_signal (fleet->instances[1], SIGCONT);
+  assert_int_equal (read_status (peer), 200);
+  assert_int_equal (run_count ("large-2"), 1);
   close (peer);
+  fleet->unused_routes = 0;
+  submit (IDLE_LONG_MS, false);
 }
 
-/* The connection closes behind the refusal, and a next request on it was read and dropped. */
+/* The connection was closed at the very moment up to which its caller may use it. */
 static void
-a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection (void **state)
+a_request_that_crosses_the_idle_limit_is_answered (void **state)
 {
-  static const char head[]
-      = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: chunk-1\r\n"
-        "Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n";
-  g_autofree char *body = g_strnfill (0x11000, 'x');
-  int peer = site_connect (fleet, 1, false);
+  g_autofree char *first = head_of ("/safe/a", "cross-1", 4);
+  g_autofree char *second = head_of ("/once/a", "cross-2", 4);
+  int peer;
 
-  assert_true (send_all (peer, head) && send_all (peer, body));
-  assert_true (head_contains (peer, "\r\nConnection: close\r\n"));
+  submit (IDLE_MEDIUM_MS, false);
+  g_usleep (1000 * US_PER_MS);
+  peer = site_connect (fleet, 1, false);
+  assert_true (send_all (peer, first) && send_all (peer, "body"));
+  assert_int_equal (read_status (peer), 200);
+  g_usleep ((IDLE_MEDIUM_MS + DELIVERY_MS) * US_PER_MS);
+  assert_true (send_all (peer, second) && send_all (peer, "body"));
+  assert_int_equal (read_status (peer), 200);
+  close (peer);
+  submit (IDLE_LONG_MS, false);
+}
+
+static void
+responses_announce_the_idle_limit (void **state)
+{
+  g_autofree char *head = head_of ("/safe/a", "announce-1", 4);
+  g_autofree char *request = g_strconcat (head, "body", NULL);
+  int peer;
+
+  submit (IDLE_LONG_MS, false);
+  g_usleep (1000 * US_PER_MS);
+  peer = site_connect (fleet, 1, false);
+  assert_true (send_all (peer, request));
+  assert_true (head_contains (peer, "\r\nKeep-Alive: timeout=15\r\n"));
   close (peer);
 }
 
@@ -246,6 +282,37 @@
   assert_true (received >= SLOW_BODY_BYTES);
 }
 
+/* It was taken for the rest of the request before, which has been answered. */
+static void
+a_head_that_is_too_large_is_refused_on_a_kept_connection (void **state)
+{
+  g_autofree char *first = head_of ("/safe/a", "head-1", 4);
+  g_autofree char *filler = g_strnfill (HEAD_BEYOND_BYTES, 'x');
+  int peer = site_connect (fleet, 1, false);
+
+  assert_true (send_all (peer, first) && send_all (peer, "body"));
+  assert_int_equal (read_status (peer), 200);
+  assert_true (send_all (peer, "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Filler: ")
+               && send_all (peer, filler));
+  assert_int_equal (read_status (peer), 431);
+  close (peer);
+}
+
+/* The connection closes behind the refusal, and a next request on it was read and dropped. */
+static void
+a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection (void **state)
+{
+  static const char head[]
+      = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: chunk-1\r\n"
+        "Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n";
+  g_autofree char *body = g_strnfill (0x11000, 'x');
+  int peer = site_connect (fleet, 1, false);
+
+  assert_true (send_all (peer, head) && send_all (peer, body));
+  assert_true (head_contains (peer, "\r\nConnection: close\r\n"));
+  close (peer);
+}
+
 /* Such a request was given up without a word. */
 static void
 a_request_whose_body_stops_arriving_is_refused_as_not_run (void **state)
@@ -391,10 +458,13 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (a_request_that_waits_when_the_idle_limit_is_over_is_answered),
+    cmocka_unit_test (a_request_behind_a_large_configuration_is_answered_on_a_kept_connection),
+    cmocka_unit_test (a_request_that_crosses_the_idle_limit_is_answered),
+    cmocka_unit_test (responses_announce_the_idle_limit),
+    cmocka_unit_test (a_response_to_a_slow_caller_is_sent_whole_although_the_idle_limit_is_over),
     cmocka_unit_test (a_head_that_is_too_large_is_refused_on_a_kept_connection),
     cmocka_unit_test (
         a_refusal_of_a_chunked_body_beyond_the_limit_announces_the_end_of_the_connection),
-    cmocka_unit_test (a_response_to_a_slow_caller_is_sent_whole_although_the_idle_limit_is_over),
     cmocka_unit_test (a_request_whose_body_stops_arriving_is_refused_as_not_run),
     cmocka_unit_test (a_shorter_idle_limit_does_not_close_connections_that_were_idle_before),
     cmocka_unit_test (requests_beside_changes_are_all_accounted_for),
