--- a/src/store/store.c
+++ b/src/store/store.c
@@ -105,3 +105,11 @@
 {
   store->vtable->remove (store, kind, name, done, data);
 }
+
+/* Returns whether objects of KIND are arriving, in the response to a list or watch that is not
+ * complete yet. */
+bool
+store_is_receiving (struct store *store, const char *kind)
+{
+  return store->vtable->is_receiving != NULL && store->vtable->is_receiving (store, kind);
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -65,6 +65,7 @@
                  void *data);
   void (*remove) (
       struct store *store, const char *kind, const char *name, store_callback done, void *data);
+  bool (*is_receiving) (struct store *store, const char *kind); /* may be NULL: never */
 };
 
 /* The store was restored from an older copy: all writes after that copy are lost, including
@@ -103,3 +104,4 @@
                   void *data);
 void store_remove (
     struct store *store, const char *kind, const char *name, store_callback done, void *data);
+bool store_is_receiving (struct store *store, const char *kind);
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -38,6 +38,7 @@
   unsigned changed;
   unsigned lost;
   unsigned regained;
+  bool is_receiving;
   uv_loop_t loop;
   struct watcher *watcher;
 };
@@ -77,7 +78,14 @@
   fake->wait_ms = wait_ms;
 }
 
-static const struct store_vtable vtable_ = { .list = list_, .watch = watch_ };
+static bool
+is_receiving_ (struct store *store, const char *kind)
+{
+  return ((struct fake_ *)store)->is_receiving;
+}
+
+static const struct store_vtable vtable_
+    = { .list = list_, .watch = watch_, .is_receiving = is_receiving_ };
 
 static void
 on_listed_ (const struct store_result *result, void *data)
@@ -431,6 +439,31 @@
   fake_delete_ (fake);
 }
 
+/* A large change that takes longer to arrive than peers need to report it was read twice. */
+static void
+a_change_that_is_arriving_is_not_listed_beside_the_watch (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  struct pending_ watch;
+
+  respond_ (fake, STORE_OK, 10, 1);
+  watch = (struct pending_){ fake->done, fake->data };
+  fake->call = CALL_NONE;
+  fake->is_receiving = true;
+  watcher_notify_revision (fake->watcher, 15);
+  for (int64_t end_us = g_get_monotonic_time () + 500000; g_get_monotonic_time () < end_us;)
+    uv_run (&fake->loop, UV_RUN_NOWAIT);
+  assert_int_equal (fake->call, CALL_NONE);
+  fake->is_receiving = false; /* it was another change */
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  respond_ (fake, STORE_OK, 16, 1);
+  assert_int_equal (watcher_reported_revision (fake->watcher), 16);
+  fake->done = watch.done;
+  fake->data = watch.data;
+  fake_delete_ (fake);
+}
+
 /* The list in parallel fails too: it is repeated when peers report the change again. */
 static void
 a_failed_list_is_repeated_on_the_next_peer_report (void **state)
@@ -637,6 +670,7 @@
     cmocka_unit_test (expired_history_causes_a_new_list),
     cmocka_unit_test (watches_of_a_fleet_do_not_end_together),
     cmocka_unit_test (a_change_reported_by_peers_is_found_if_the_watch_misses_it),
+    cmocka_unit_test (a_change_that_is_arriving_is_not_listed_beside_the_watch),
     cmocka_unit_test (a_failed_list_is_repeated_on_the_next_peer_report),
     cmocka_unit_test (a_change_before_the_position_of_the_watch_is_found),
     cmocka_unit_test (a_change_that_no_watch_showed_is_found_by_a_periodic_list),
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -287,6 +287,12 @@
   if (watcher->stopped || watcher->list_pending || watcher->pausing || watcher->watch_revision == 0
       || !is_behind_ (watcher))
     return;
+  /* What is arriving is likely the change; a second copy would only delay it. */
+  if (store_is_receiving (watcher->options.store, watcher->options.kind))
+    {
+      uv_timer_start (timer, on_catch_up_timer_, CATCH_UP_DELAY_MS, 0);
+      return;
+    }
   sr_event (SR_EVENT_INFO, "watch_is_behind", "{s:s,s:I,s:I}", "kind", watcher->options.kind,
             "revision", (json_int_t)watcher->watch_revision, "others",
             (json_int_t)watcher->peer_revision);
