--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -95,6 +95,7 @@
 uint64_t gateway_incarnation_ (const struct gateway *gateway, const struct store_object *object);
 void gateway_set_team_totals_ (struct gateway *gateway);
 void gateway_on_restored_ (int64_t era, void *data);
+void gateway_register_update_metrics_ (void);
 void gateway_on_routes_ (const struct store_result *result, void *data);
 void gateway_on_backends_listed_ (const struct store_result *result, void *data);
 void gateway_on_backends_checked_ (const struct store_result *result, void *data);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -143,6 +143,7 @@
 
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
+  gateway_register_update_metrics_ ();
   context->started_us = g_get_monotonic_time ();
   context->loop = &gateway->loop;
   context->announce_replaced = gateway_announce_replaced_;
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -1,5 +1,6 @@
 #include "gateway/serve-private.h"
 
+#include "base/counters.h"
 #include "base/event-log.h"
 
 #include <arpa/inet.h>
@@ -34,6 +35,17 @@
 static struct mesh_update own_update_ (const struct gateway *gateway);
 static void gossip_update_ (struct gateway *gateway);
 
+static struct sr_histogram configuration_histogram_
+    = { .name = "sapphirerun_configuration_microseconds",
+        .help = "Time in which a new configuration was decoded and put in force." };
+
+/* Call once at start. */
+void
+gateway_register_update_metrics_ (void)
+{
+  sr_histogram_register (&configuration_histogram_);
+}
+
 /* Handles a list or changes of the configuration's kind. A lower version than the one in force is
  * ignored. */
 void
@@ -44,6 +56,7 @@
 
   for (size_t i = 0; i < result->n_objects; i++)
     {
+      int64_t begun_us = g_get_monotonic_time ();
       struct gw_routes *routes;
 
       if (result->objects[i].deleted || !gateway->platform->is_configuration (&result->objects[i])
@@ -68,6 +81,7 @@
         }
       else
         apply_routes_ (gateway, routes);
+      sr_histogram_observe (&configuration_histogram_, g_get_monotonic_time () - begun_us);
     }
 }
 
