Entry: an idle connection is closed without reading, and a stuck request is refused

The product's own interface had the incident's cause too: a connection that was idle for two minutes was finished, which reads and drops what arrives, and a request whose head or body stopped arriving ended in the same silence.

Now the check looks into the socket first, an idle connection is closed unread, bytes that are still queued are sent, and what has begun to arrive is refused with 408.

test-entry: request_that_stops_arriving_is_refused and idle_connection_is_closed_without_reading, both red before.

--- a/src/entry/connection.c
+++ b/src/entry/connection.c
@@ -28,9 +28,9 @@
   bool can_chunk;           /* the request is HTTP/1.1 */
   bool is_chunked;          /* the reply */
   bool keeps_alive;
-  bool closes;               /* the connection closes after this reply */
-  bool is_ending;            /* the reply is complete, but a part of it is still queued */
-  uint64_t last_received_ms; /* time of the loop */
+  bool closes;           /* the connection closes after this reply */
+  bool is_ending;        /* the reply is complete, but a part of it is still queued */
+  uint64_t last_used_ms; /* time of the loop */
 };
 
 static struct sr_counter open_requests
@@ -76,7 +76,7 @@
   connection->vtable = &owner_vtable;
   connection->entry = entry;
   connection->link.data = connection;
-  connection->last_received_ms = uv_now (&entry->loop);
+  connection->last_used_ms = uv_now (&entry->loop);
   connection->conn = net_http_conn_new (&options, connection);
   if (!net_http_conn_accept (connection->conn, (uv_stream_t *)&entry->listener))
     {
@@ -101,11 +101,13 @@
     }
 }
 
-/* Closes connections that have received nothing for IDLE_MAX_MS, unless a reply is due. */
+/* Closes connections that have been idle for the limit. What arrives from then on is not read, so
+ * that its caller knows that it has not run. A request that has begun to arrive is refused. */
 void
 sr_connection_close_idle (struct sr_entry *entry)
 {
   uint64_t now_ms = uv_now (&entry->loop);
+  uint64_t idle_max_ms = entry->options.idle_max_ms > 0 ? entry->options.idle_max_ms : IDLE_MAX_MS;
 
   for (GList *each = entry->connections.head; each != NULL;)
     {
@@ -113,9 +115,19 @@
 
       each = each->next;
       if ((connection->caller != NULL && !connection->is_reading)
-          || now_ms - connection->last_received_ms < IDLE_MAX_MS)
+          || now_ms - connection->last_used_ms < idle_max_ms
+          || net_http_conn_has_unread (connection->conn))
         continue;
-      net_http_conn_finish (connection->conn);
+      if (connection->is_reading || net_http_conn_has_received (connection->conn))
+        {
+          sr_log (G_LOG_LEVEL_INFO, "entry", "a request stopped arriving; refused");
+          net_http_write_request_timeout (connection->conn);
+          net_http_conn_finish (connection->conn);
+        }
+      else if (net_http_conn_queued (connection->conn) > 0)
+        net_http_conn_finish_unread (connection->conn);
+      else
+        net_http_conn_close (connection->conn);
       free_ (connection);
     }
 }
@@ -205,7 +217,7 @@
       free_ (connection);
       return;
     }
-  connection->last_received_ms = uv_now (&connection->entry->loop);
+  connection->last_used_ms = uv_now (&connection->entry->loop);
   net_http_conn_hold_messages (connection->conn, false);
 }
 
@@ -214,7 +226,7 @@
 {
   struct sr_connection *connection = owner;
 
-  connection->last_received_ms = uv_now (&connection->entry->loop);
+  connection->last_used_ms = uv_now (&connection->entry->loop);
   connection->is_reading = true;
   connection->is_head_request = net_string_view_is (head->method, "HEAD");
   connection->can_chunk = head->minor_version >= 1;
@@ -237,7 +249,7 @@
 {
   struct sr_connection *connection = owner;
 
-  connection->last_received_ms = uv_now (&connection->entry->loop);
+  connection->last_used_ms = uv_now (&connection->entry->loop);
   sr_caller_append_body (connection->caller, data, length);
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -18,6 +18,8 @@
   struct sr_run_table *table;
   struct sr_dispatch *dispatch;
   uint64_t incarnation;
+  unsigned
+      idle_max_ms; /* time without a request after which a connection is closed; 0: two minutes */
   /* Appends the JSON of GET /status to out. */
   void (*print_status) (GString *out, void *data);
   void *data;
--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -20,6 +20,7 @@
 {
   PORT = 20381,
   TIMEOUT_S = 5,
+  IDLE_MAX_MS = 1500,
   POLL_US = 10000,
   BODY_MAX_BYTES = 4096,
   DEADLINE_MS = 10000,
@@ -66,7 +67,8 @@
 {
   const struct sr_run_table_options kept = { .answers_kept_max = 2, .answer_kept_us = 1000000 };
   struct sr_findings *findings = sr_findings_new ();
-  struct sr_entry_options options = { .settings = &settings, .print_status = print_status_ };
+  struct sr_entry_options options
+      = { .settings = &settings, .idle_max_ms = IDLE_MAX_MS, .print_status = print_status_ };
   struct sr_config *config;
 
   settings.name = g_string_new ("i1");
@@ -439,6 +441,44 @@
     }
 }
 
+/* It ended without a word. */
+static void
+request_that_stops_arriving_is_refused (void **state)
+{
+  static const char *const beginnings[]
+      = { "POST /v1/services/s HTTP/1.1\r\nHost",
+          "POST /v1/services/s HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nha" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (beginnings); i++)
+    {
+      int fd = connect_ ();
+      GString *received = g_string_new (NULL);
+
+      send_ (fd, beginnings[i]);
+      assert_true (read_until_ (fd, received, NULL));
+      assert_true (g_str_has_prefix (received->str, "HTTP/1.1 408 "));
+      g_string_free (received, TRUE);
+      close (fd);
+    }
+}
+
+/* What came while it was being closed was read and dropped. */
+static void
+idle_connection_is_closed_without_reading (void **state)
+{
+  int fd = connect_ ();
+  int error = 0;
+  socklen_t length = sizeof error;
+  char byte;
+
+  assert_int_equal (read (fd, &byte, 1), 0);
+  send_ (fd, "GET /status HTTP/1.1\r\nHost: h\r\n\r\n");
+  g_usleep (IDLE_MAX_MS * 1000);
+  assert_int_equal (getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length), 0);
+  assert_int_not_equal (error, 0);
+  close (fd);
+}
+
 int
 main (void)
 {
@@ -461,6 +501,9 @@
                                      tear_down_),
     cmocka_unit_test_setup_teardown (connection_closes_after_its_reply_once_the_listener_is_closed,
                                      set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (request_that_stops_arriving_is_refused, set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (idle_connection_is_closed_without_reading, set_up_,
+                                     tear_down_),
     cmocka_unit_test (deleting_the_entry_does_not_race_with_wake_ups),
   };
 
