--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -60,7 +60,8 @@
       struct gw_routes *routes;
 
       if (result->objects[i].deleted || !gateway->platform->is_configuration (&result->objects[i])
-          || (result->objects[i].revision == gateway->routes_revision
+          || (gateway->routes_revision > 0
+              && result->objects[i].revision == gateway->routes_revision
               && gateway->store->era == gateway->routes_era))
         continue;
       routes = gateway->platform->decode_routes (&result->objects[i], context->routes);
