--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -89,6 +89,7 @@
 static void on_shutdown_ (uv_shutdown_t *request, int status);
 static void finish_ (struct net_http_conn *conn, bool reads_input);
 static void start_linger_ (struct net_http_conn *conn);
+static ssize_t peek_ (const struct net_http_conn *conn);
 static void note_unused_input_ (const struct net_http_conn *conn);
 static void set_sent_ (struct net_http_conn *conn);
 static void on_send_check_ (uv_timer_t *timer);
@@ -317,13 +318,7 @@
 bool
 net_http_conn_has_unread (const struct net_http_conn *conn)
 {
-  uv_os_fd_t fd;
-  char byte;
-
-  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
-    return true;
-  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
-         || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return peek_ (conn) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 /* Returns whether CONN is open and between two messages: everything written has been sent, and the
@@ -492,6 +487,19 @@
                   conn->lingers_unread ? LINGER_UNREAD_MS : LINGER_MS, 0);
 }
 
+/* Returns 1 if the socket has bytes to read, 0 at their end, -1 otherwise, with errno set. */
+static ssize_t
+peek_ (const struct net_http_conn *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0)
+    return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  errno = EBADF;
+  return -1;
+}
+
 /* Logs what a finished connection, which is about to be closed, received without using it. */
 static void
 note_unused_input_ (const struct net_http_conn *conn)
@@ -500,7 +508,7 @@
 
   if (!conn->is_server || conn->state != CONN_LINGERING)
     return;
-  is_unread = conn->lingers_unread && net_http_conn_has_unread (conn);
+  is_unread = conn->lingers_unread && peek_ (conn) > 0;
   if (conn->dropped_bytes == 0 && !is_unread)
     return;
   g_message ("a finished connection received %" G_GUINT64_FORMAT " bytes that were dropped%s",
