HTTP connection: a refusal beside an unread body is acknowledged before the reset

A request that is refused at its head (link_full) has its body left unread, and 300 ms after the kernel had taken the refusal the connection was closed, which resets it: what the caller had not acknowledged, as behind a full link, was dropped with it.

Now the close waits while bytes are unacknowledged, 3 s at most.

--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -5,18 +5,21 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <linux/sockios.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 enum
 {
-  READ_CHUNK_BYTES = 32768, /* most prompts fit into one or two reads */
-  HEAD_LINES_MAX = 128,     /* far above what real messages have */
-  HELD_MAX_BYTES = 65536,   /* of pipelined requests that wait for the current one */
-  LINGER_MS = 1000,         /* several round trips over any link */
-  LINGER_UNREAD_MS = 300,   /* shorter, because the peer may be blocked in sending */
-  SEND_CHECK_MS = 1000,     /* between checks whether a slow peer still takes bytes */
-  SEND_STALLED_CHECKS = 5,  /* without progress, after which the rest is dropped */
+  READ_CHUNK_BYTES = 32768,  /* most prompts fit into one or two reads */
+  HEAD_LINES_MAX = 128,      /* far above what real messages have */
+  HELD_MAX_BYTES = 65536,    /* of pipelined requests that wait for the current one */
+  LINGER_MS = 1000,          /* several round trips over any link */
+  LINGER_UNREAD_MS = 300,    /* shorter, because the peer may be blocked in sending */
+  LINGER_UNREAD_CHECKS = 10, /* at most, while the peer has not acknowledged the response */
+  SEND_CHECK_MS = 1000,      /* between checks whether a slow peer still takes bytes */
+  SEND_STALLED_CHECKS = 5,   /* without progress, after which the rest is dropped */
   /* An unreachable peer is detected in about 3 s, the time after a fault in which guarantees must
    * hold again: by keepalive probes when the connection is idle, by UNACKNOWLEDGED_MAX_MS when sent
    * bytes are not acknowledged. */
@@ -69,6 +72,7 @@
   GList unsent_link;
   bool is_unsent;
   bool lingers_unread;
+  unsigned linger_checks; /* while it lingers unread */
   uint64_t dropped_bytes; /* received after the last response */
   size_t unsent_bytes;    /* at the last check */
   unsigned stalled_checks;
@@ -94,6 +98,7 @@
 static void set_sent_ (struct net_http_conn *conn);
 static void on_send_check_ (uv_timer_t *timer);
 static void on_linger_timeout_ (uv_timer_t *timer);
+static bool has_unacknowledged_ (const struct net_http_conn *conn);
 static void on_handle_closed_ (uv_handle_t *handle);
 static void end_ (struct net_http_conn *conn, enum net_end_reason end);
 static void parse_ (struct net_http_conn *conn);
@@ -374,7 +379,8 @@
 }
 
 /* Like net_http_conn_finish, for a response sent before the whole request has arrived: the rest of
- * the request is not read, so that it does not use the link's bandwidth. */
+ * the request is not read, so that it does not use the link's bandwidth. The connection is reset
+ * LINGER_UNREAD_MS after the response has been acknowledged. */
 void
 net_http_conn_finish_unread (struct net_http_conn *conn)
 {
@@ -634,10 +640,29 @@
     }
 }
 
+/* Closes the connection. Closing with unread input resets it, which would drop what the peer has
+ * not acknowledged yet, so that waits. */
 static void
 on_linger_timeout_ (uv_timer_t *timer)
 {
-  net_http_conn_close (timer->data);
+  struct net_http_conn *conn = timer->data;
+
+  if (conn->lingers_unread && conn->linger_checks++ < LINGER_UNREAD_CHECKS
+      && has_unacknowledged_ (conn))
+    start_linger_ (conn);
+  else
+    net_http_conn_close (conn);
+}
+
+/* Returns whether the peer has not acknowledged all bytes that the kernel has taken. */
+static bool
+has_unacknowledged_ (const struct net_http_conn *conn)
+{
+  uv_os_fd_t fd;
+  int bytes;
+
+  return uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0 && ioctl (fd, SIOCOUTQ, &bytes) == 0
+         && bytes > 0;
 }
 
 static void
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -19,6 +19,8 @@
   BLOCK_BYTES = 1 << 20,
   BLOCKS = 16,
   SLOW_MS = 1600, /* longer than a finished connection lingers */
+  SLOW_READ_BYTES = 65536,
+  SLOW_READ_INTERVAL_MS = 10,
   CUT_SEEDS = 300,
   CUTS_PER_SEED = 3,
   CUT_BYTES_MAX = 24
@@ -663,6 +665,38 @@
   free_ (recorder);
 }
 
+/* The reset of a connection whose input is not read dropped the end of the response, which the
+ * kernel had taken but the peer had not. */
+static void
+a_response_beside_unread_input_is_acknowledged_before_the_reset (void **state)
+{
+  struct recorder_ *recorder = server_new_ ();
+  g_autofree char *block = g_strnfill (BLOCK_BYTES, 'x');
+  const struct net_string_view part = { block, BLOCK_BYTES };
+  size_t received = 0;
+  ssize_t length = 1;
+
+  send_text_ (recorder, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n");
+  RUN_UNTIL (recorder, recorder->heads == 1);
+  for (unsigned i = 0; i < BLOCKS; i++)
+    net_http_conn_write (recorder->conn, &part, 1);
+  net_http_conn_finish_unread (recorder->conn);
+  recorder->conn = NULL;
+  send_text_ (recorder, "the beginning of the body");
+  while (length > 0)
+    {
+      length = recv (recorder->peer, block, SLOW_READ_BYTES, MSG_DONTWAIT);
+      if (length < 0 && errno == EAGAIN)
+        length = 1; /* nothing yet */
+      else
+        received += (size_t)MAX (length, 0);
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+      g_usleep (SLOW_READ_INTERVAL_MS * 1000);
+    }
+  assert_int_equal (received, (size_t)BLOCKS * BLOCK_BYTES);
+  free_ (recorder);
+}
+
 static void
 unsent_responses_are_cut_by_a_reset (void **state)
 {
@@ -794,6 +828,7 @@
     cmocka_unit_test (bytes_behind_a_response_end_the_connection),
     cmocka_unit_test (a_connection_is_not_clean_before_its_response_is_complete),
     cmocka_unit_test (a_finished_response_is_sent_whole_to_a_slow_peer),
+    cmocka_unit_test (a_response_beside_unread_input_is_acknowledged_before_the_reset),
     cmocka_unit_test (unsent_responses_are_cut_by_a_reset),
     cmocka_unit_test (events_do_not_depend_on_the_cut_of_the_bytes),
     cmocka_unit_test (bytes_not_read_by_a_slow_peer_are_counted_as_queued),
