Planned stop: a connection with something to read is not idle

A request that waits in the socket of an idle connection when the stop closes these would be reset unread.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -176,6 +176,7 @@
 
       if (caller->exchange != NULL || caller->is_reading
           || net_http_conn_has_received (caller->conn) || net_http_conn_queued (caller->conn) > 0
+          || net_http_conn_has_unread (caller->conn)
           || (!caller->has_sent_request
               && uv_now (ingress->context->loop) - caller->connected_ms < FIRST_REQUEST_WAIT_MS))
         continue;
--- a/testing/process/test-planned-stop.c
+++ b/testing/process/test-planned-stop.c
@@ -25,6 +25,7 @@
   ROUNDS = 3,
   EXIT_LIMIT_MS = 10000,
   SLOW_CALLERS = 4,
+  IDLE_CALLERS = 8,
   SLOW_BODY_BYTES = 240000, /* short enough for the gateway to queue it whole */
   SLOW_READ_BYTES = 4096,
   SLOW_READ_INTERVAL_MS = 15,
@@ -255,6 +256,65 @@
   assert_true (site_fleet_wait_ready (fleet, 1, 20000));
 }
 
+/* Reads the whole response to request NUMBER of a_request_that_waits_when_the_stop_begins. Returns
+ * whether it is a success. */
+static bool
+read_answer (int peer, unsigned number)
+{
+  g_autofree char *body = g_strdup_printf ("answer to stop-%u", number);
+  g_autoptr (GString) received = g_string_new (NULL);
+  char buffer[2048];
+  ssize_t length;
+
+  while (!g_str_has_suffix (received->str, body)
+         && (length = recv (peer, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (received, buffer, length);
+  return g_str_has_prefix (received->str, "HTTP/1.1 200 ")
+         && g_str_has_suffix (received->str, body);
+}
+
+/* A late process is told to stop while a whole request waits in the socket of an idle connection:
+ * the connection was reset under it. */
+static void
+a_request_that_waits_when_the_stop_begins_is_answered (void **state)
+{
+  static const char head[] = "POST /once/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: stop-%u\r\n"
+                             "X-Deadline-Ms: 1500\r\nAuthorization: Token key-1\r\n"
+                             "Content-Length: 4\r\n\r\nbody";
+  int peers[IDLE_CALLERS];
+  int exit_code = -1;
+
+  assert_true (site_fleet_set_backends (fleet, MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS,
+                                        "mode=ok&filler=0"));
+  for (unsigned i = 0; i < IDLE_CALLERS; i++)
+    {
+      g_autofree char *request = g_strdup_printf (head, i);
+
+      peers[i] = site_connect (fleet, 1, false);
+      assert_true (send (peers[i], request, strlen (request), MSG_NOSIGNAL) > 0);
+      assert_true (read_answer (peers[i], i));
+    }
+  g_usleep (1000 * US_PER_MS);
+  harness_process_signal (fleet->instances[1], SIGSTOP);
+  harness_process_signal (fleet->instances[1], SIGTERM);
+  for (unsigned i = 0; i < IDLE_CALLERS; i++)
+    {
+      g_autofree char *request = g_strdup_printf (head, IDLE_CALLERS + i);
+
+      assert_true (send (peers[i], request, strlen (request), MSG_NOSIGNAL) > 0);
+    }
+  harness_process_signal (fleet->instances[1], SIGCONT);
+  for (unsigned i = 0; i < IDLE_CALLERS; i++)
+    {
+      assert_true (read_answer (peers[i], IDLE_CALLERS + i));
+      close (peers[i]);
+    }
+  assert_true (harness_process_wait (fleet->instances[1], EXIT_LIMIT_MS, &exit_code));
+  assert_int_equal (exit_code, 0);
+  assert_true (site_fleet_start_instance (fleet, 1));
+  assert_true (site_fleet_wait_ready (fleet, 1, 20000));
+}
+
 int
 main (void)
 {
@@ -262,6 +322,7 @@
     cmocka_unit_test (what_is_left_at_the_end_of_the_grace_is_refused),
     cmocka_unit_test (answers_to_slow_callers_are_sent_whole_before_the_exit),
     cmocka_unit_test (requests_at_the_end_of_the_grace_are_answered),
+    cmocka_unit_test (a_request_that_waits_when_the_stop_begins_is_answered),
   };
 
   return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
