--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -520,9 +520,9 @@
 {
   struct caller_ *caller = timer->data;
   uint64_t now_ms = uv_now (caller->ingress->context->loop);
-  uint64_t limit_ms
-      = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms) + IDLE_GRACE_MS;
   bool waits_for_head = caller->exchange == NULL && !caller->is_reading;
+  uint64_t limit_ms = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms)
+                      + (waits_for_head ? IDLE_GRACE_MS : 0);
   bool has_partial_head = waits_for_head && net_http_conn_has_received (caller->conn);
   size_t unsent = net_http_conn_queued (caller->conn);
   bool is_idle;
