test-changes: the process is away beyond the idle limit and its grace

Since the idle limit has a grace of a second, the process that was away for 600 ms came back before the limit was over, so the case no longer reached the look into the socket that it guards. It is away for 1.6 s now; the assertions are as they were.

--- a/testing/process/test-changes.c
+++ b/testing/process/test-changes.c
@@ -23,6 +23,7 @@
   PREPAID_TOKENS = 100000000,
   IDLE_SHORT_MS = 300,
   IDLE_MEDIUM_MS = 1500,
+  GRACE_MS = 1000, /* for which a connection outlives its idle limit */
   IDLE_LONG_MS = 15000,
   ABSENCE_MS = 500,  /* of the process */
   DELIVERY_MS = 200, /* of a request over a busy link */
@@ -181,7 +182,7 @@
   assert_int_equal (read_status (peer), 200);
   harness_process_signal (fleet->instances[1], SIGSTOP);
   assert_true (send_all (peer, second) && send_all (peer, "body"));
-  g_usleep (2 * IDLE_SHORT_MS * US_PER_MS);
+  g_usleep ((2 * IDLE_SHORT_MS + GRACE_MS) * US_PER_MS);
   harness_process_signal (fleet->instances[1], SIGCONT);
   assert_int_equal (read_status (peer), 200);
   assert_int_equal (run_count ("idle-2"), 1);
