Quarantine: an end is identified by its process, so that reports settle

Callers saw 503 on all routes for many seconds, as instances were busy with reports to each other: up to 15,000 prompt_part_suspected and as many prompt_part_cleared lines a second, 257,203 of them on one part.

Cause: a report carried its age, and each hop turned it into a local time, so that an end grew younger with each hop. An end that had been cleared came back after the time of its answer, was new, and was announced to all peers; so was the answer that cleared it. The merge depended on the order and on the hops. Entries dropped for lack of room came back as new in the same way.

An end is now identified by part, server and start of the process, which are the same everywhere. A report clears one end, and an end stays cleared for as long as anyone repeats it. What one report adds to another is a union, and each instance passes on only what adds to it. Reports that an instance has had are kept apart from the entries, so that dropping an entry makes nothing new.

--- a/src/mesh/part-reports.c
+++ b/src/mesh/part-reports.c
@@ -33,7 +33,7 @@
   if (!xdr_u_int (xdr, &kind) || !xdr_uint64_t (xdr, &report->part) || !xdr_int64_t (xdr, &age_ms)
       || !xdr_uint64_t (xdr, &report->backend) || !xdr_int64_t (xdr, &report->started_ms)
       || !xdr_uint64_t (xdr, &report->team) || !xdr_u_int (xdr, &progress)
-      || !xdr_bool (xdr, &survived_before) || kind > QUARANTINE_SURVIVED
+      || !xdr_bool (xdr, &survived_before) || kind > QUARANTINE_CLEARED
       || progress > QUARANTINE_BEGUN || age_ms < 0 || age_ms > AGE_MAX_MS)
     return false;
   report->kind = (enum quarantine_report_kind)kind;
--- a/src/quarantine/part-ends.c
+++ b/src/quarantine/part-ends.c
@@ -24,47 +24,49 @@
 static unsigned
 count_spaced_ (const struct part_ends *ends, int64_t spread_us, enum quarantine_progress least);
 
-/* Adds END. Two reports of one end are merged to the same result in either order. Returns whether
- * this may change what follows. */
-bool
+/* Adds END. Reports of one end are merged to the same result in any order. */
+void
 part_ends_add (struct part_ends *ends, const struct part_end *end)
 {
-  for (unsigned i = 0; i < ends->n; i++)
-    {
-      struct part_end *known = &ends->ends[i];
-      bool changes
-          = end->progress > known->progress || (end->survived_before && !known->survived_before);
+  struct part_end *known = NULL;
 
-      if (!is_same_process_ (known, end))
-        continue;
+  for (unsigned i = 0; i < ends->n && known == NULL; i++)
+    if (is_same_process_ (&ends->ends[i], end))
+      known = &ends->ends[i];
+  if (known != NULL)
+    {
       known->progress = MAX (known->progress, end->progress);
       known->survived_before = known->survived_before || end->survived_before;
       known->at_us = MIN (known->at_us, end->at_us);
       known->team = MIN (known->team, end->team);
-      qsort (ends->ends, ends->n, sizeof ends->ends[0], compare_ends_);
-      return changes;
-    }
-  if (ends->n == QUARANTINE_ENDS_MAX)
-    {
-      if (end->at_us <= ends->ends[0].at_us)
-        return false;
-      ends->ends[0] = *end;
     }
-  else
+  else if (ends->n < QUARANTINE_ENDS_MAX)
     ends->ends[ends->n++] = *end;
+  else if (end->at_us > ends->ends[0].at_us)
+    ends->ends[0] = *end;
   qsort (ends->ends, ends->n, sizeof ends->ends[0], compare_ends_);
-  return true;
 }
 
-/* Forgets the ends until UNTIL_US. Returns whether there were any. */
+/* Adds END, in place of the oldest one if there is no room. */
+void
+part_ends_put (struct part_ends *ends, const struct part_end *end)
+{
+  if (ends->n == QUARANTINE_ENDS_MAX && end->at_us <= ends->ends[0].at_us
+      && !is_same_process_ (&ends->ends[0], end))
+    ends->ends[0] = *end;
+  else
+    part_ends_add (ends, end);
+}
+
+/* Removes the end of the process of END. Returns whether it was there. */
 bool
-part_ends_forget_until (struct part_ends *ends, int64_t until_us)
+part_ends_remove (struct part_ends *ends, const struct part_end *end)
 {
   unsigned kept = 0;
   unsigned before = ends->n;
 
   for (unsigned i = 0; i < before; i++)
-    if (ends->ends[i].at_us > until_us)
+    if (!is_same_process_ (&ends->ends[i], end))
       ends->ends[kept++] = ends->ends[i];
   ends->n = kept;
   return kept < before;
@@ -132,14 +134,15 @@
   return false;
 }
 
-/* Sets up to QUARANTINE_ENDS_MAX REPORTS on PART. Returns their number. */
+/* Sets up to QUARANTINE_ENDS_MAX REPORTS of KIND on PART. Returns their number. */
 unsigned
 part_ends_to_reports (const struct part_ends *ends,
+                      enum quarantine_report_kind kind,
                       uint64_t part,
                       struct quarantine_report *reports)
 {
   for (unsigned i = 0; i < ends->n; i++)
-    reports[i] = (struct quarantine_report){ .kind = QUARANTINE_ENDED,
+    reports[i] = (struct quarantine_report){ .kind = kind,
                                              .part = part,
                                              .at_us = ends->ends[i].at_us,
                                              .backend = ends->ends[i].backend,
--- a/src/quarantine/part-ends.h
+++ b/src/quarantine/part-ends.h
@@ -22,8 +22,9 @@
   unsigned n;
 };
 
-bool part_ends_add (struct part_ends *ends, const struct part_end *end);
-bool part_ends_forget_until (struct part_ends *ends, int64_t until_us);
+void part_ends_add (struct part_ends *ends, const struct part_end *end);
+void part_ends_put (struct part_ends *ends, const struct part_end *end);
+bool part_ends_remove (struct part_ends *ends, const struct part_end *end);
 bool part_ends_are_conclusive (const struct part_ends *ends);
 int64_t part_ends_trial_due_us (const struct part_ends *ends);
 bool part_ends_concern_team (const struct part_ends *ends, uint64_t team);
@@ -31,6 +32,7 @@
 bool
 part_ends_accuse_elsewhere (const struct part_ends *ends, uint64_t backend, int64_t started_ms);
 unsigned part_ends_to_reports (const struct part_ends *ends,
+                               enum quarantine_report_kind kind,
                                uint64_t part,
                                struct quarantine_report *reports);
 json_t *part_ends_to_json (const struct part_ends *ends, int64_t now_us);
--- a/src/quarantine/quarantine.c
+++ b/src/quarantine/quarantine.c
@@ -2,6 +2,7 @@
 
 #include "base/counters.h"
 #include "base/event-log.h"
+#include "quarantine/known-reports.h"
 #include "quarantine/part-ends.h"
 #include "quarantine/survivors.h"
 
@@ -14,7 +15,7 @@
   ENTRIES_MAX = 256,               /* parts that have reports */
   SUSPECT_LIFETIME_US = 600000000, /* reports of ends that lead to no verdict */
   END_AGE_MAX_MS = 7200000,        /* of an end that is merged; longer than any time to a trial */
-  CLEARED_LIFETIME_US = 60000000,  /* late reports of earlier ends are ignored for this long */
+  CLEARED_LIFETIME_US = 60000000,  /* of an entry whose ends are all cleared */
   SPREAD_SUSPECTS_US = 2000000, /* reports on parts that are not blocked are repeated this long */
   TRIAL_STEP_US = 10000000,     /* until the instance of the next rank may try, too */
   TRIAL_RANKS = 3,              /* instances that may try, each once */
@@ -28,14 +29,18 @@
 /* What is known of one part. */
 struct entry_
 {
-  uint64_t part; /* the key of the table */
-  struct part_ends ends;
-  int64_t cleared_us; /* earlier ends don't count: an answer began then; INT64_MIN: never */
+  uint64_t part;            /* the key of the table */
+  struct part_ends ends;    /* those that count */
+  struct part_ends cleared; /* the latest of those that count no more */
+  struct part_ends missed;  /* of those that count no more, the ones that a peer still reports */
+  int64_t answered_us; /* earlier ends don't count: an answer received here began then; INT64_MIN:
+                          none */
   bool is_blocked;
   bool is_saved; /* outside the fleet's memory, as far as this instance is to see to it */
   int64_t changed_us;
-  int64_t trial_us; /* when this instance last sent a trial; INT64_MIN: not since the last end */
-  unsigned rank;    /* of this instance, see trial_rank */
+  int64_t spread_us; /* when a report was last new here, or a peer showed that it missed one */
+  int64_t trial_us;  /* when this instance last sent a trial; INT64_MIN: not since the last end */
+  unsigned rank;     /* of this instance, see trial_rank */
   int64_t ranked_us;
 };
 
@@ -44,6 +49,7 @@
   struct quarantine_options options;
   GHashTable *entries; /* part: struct entry_ */
   struct survivors *survivors;
+  struct known_reports *known;
   GHashTable *exempt; /* parts that are never blocked */
   unsigned n_blocked;
   unsigned next_report; /* where quarantine_reports goes on */
@@ -55,9 +61,15 @@
 static bool is_expired_ (const struct entry_ *entry, int64_t now_us);
 static struct part_end end_of_report_ (const struct quarantine_report *report);
 static bool
-merge_end_ (struct quarantine *quarantine, const struct quarantine_report *report, int64_t now_us);
-static bool
-merge_survival_ (struct quarantine *quarantine, uint64_t part, int64_t at_us, int64_t now_us);
+merge_end_ (struct quarantine *quarantine, struct quarantine_report *report, int64_t now_us);
+static bool merge_cleared_ (struct quarantine *quarantine,
+                            const struct quarantine_report *report,
+                            int64_t now_us);
+static unsigned clear_until_ (struct quarantine *quarantine,
+                              uint64_t part,
+                              int64_t until_us,
+                              struct quarantine_report *reports,
+                              int64_t now_us);
 static void
 judge_ (struct quarantine *quarantine, struct entry_ *entry, const char *reason, int64_t now_us);
 static bool may_try_ (struct quarantine *quarantine, struct entry_ *entry, int64_t now_us);
@@ -104,6 +116,7 @@
   quarantine->options = *options;
   quarantine->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   quarantine->survivors = survivors_new ();
+  quarantine->known = known_reports_new ();
   quarantine->exempt = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   return quarantine;
 }
@@ -113,6 +126,7 @@
 {
   g_hash_table_unref (quarantine->entries);
   survivors_delete (quarantine->survivors);
+  known_reports_delete (quarantine->known);
   g_hash_table_unref (quarantine->exempt);
   g_free (quarantine);
 }
@@ -206,21 +220,16 @@
                           int64_t began_us,
                           int64_t now_us)
 {
-  struct quarantine_report reports[QUARANTINE_PARTS_MAX];
-  unsigned n = 0;
-
   for (unsigned i = 0; i < parts->n; i++)
     {
-      uint64_t part = parts->ids[i];
+      struct quarantine_report reports[QUARANTINE_ENDS_MAX];
+      unsigned n;
 
-      survivors_add (quarantine->survivors, part, now_us);
-      if (merge_survival_ (quarantine, part, began_us, now_us))
-        reports[n++] = (struct quarantine_report){ .kind = QUARANTINE_SURVIVED,
-                                                   .part = part,
-                                                   .at_us = began_us };
+      survivors_add (quarantine->survivors, parts->ids[i], now_us);
+      n = clear_until_ (quarantine, parts->ids[i], began_us, reports, now_us);
+      if (n > 0)
+        quarantine->options.announce (reports, n, quarantine->options.data);
     }
-  if (n > 0)
-    quarantine->options.announce (reports, n, quarantine->options.data);
 }
 
 /* Notes the end of a server's process with the requests of this instance that were unanswered. */
@@ -240,14 +249,14 @@
         {
           uint64_t part = parts->ids[i];
           bool survived_before = survivors_has (quarantine->survivors, part, end->at_us);
-          const struct quarantine_report report = { .kind = QUARANTINE_ENDED,
-                                                    .part = part,
-                                                    .at_us = end->at_us,
-                                                    .backend = end->backend,
-                                                    .started_ms = end->started_ms,
-                                                    .team = end->requests[r].team,
-                                                    .progress = end->requests[r].progress,
-                                                    .survived_before = survived_before };
+          struct quarantine_report report = { .kind = QUARANTINE_ENDED,
+                                              .part = part,
+                                              .at_us = end->at_us,
+                                              .backend = end->backend,
+                                              .started_ms = end->started_ms,
+                                              .team = end->requests[r].team,
+                                              .progress = end->requests[r].progress,
+                                              .survived_before = survived_before };
 
           if (merge_end_ (quarantine, &report, now_us))
             reports[n++] = report;
@@ -274,8 +283,8 @@
       bool is_new;
 
       report.at_us = MIN (report.at_us, now_us);
-      if (report.kind == QUARANTINE_SURVIVED)
-        is_new = merge_survival_ (quarantine, report.part, report.at_us, now_us);
+      if (report.kind == QUARANTINE_CLEARED)
+        is_new = merge_cleared_ (quarantine, &report, now_us);
       else
         {
           report.survived_before
@@ -310,24 +319,22 @@
     {
       const struct entry_ *entry = value;
 
-      if (entry->is_blocked || with_suspects || now_us - entry->changed_us < SPREAD_SUSPECTS_US)
+      if (entry->is_blocked || with_suspects || now_us < entry->spread_us + SPREAD_SUSPECTS_US)
         g_ptr_array_add (chosen, value);
     }
   for (unsigned i = 0; i < chosen->len; i++)
     {
       const struct entry_ *entry = chosen->pdata[(quarantine->next_report + i) % chosen->len];
-      unsigned needed = entry->ends.n + (entry->cleared_us != INT64_MIN ? 1 : 0);
+      unsigned needed = entry->ends.n + entry->cleared.n + entry->missed.n;
 
       if (n + needed > max)
         {
           quarantine->next_report += i;
           return n;
         }
-      n += part_ends_to_reports (&entry->ends, entry->part, reports + n);
-      if (entry->cleared_us != INT64_MIN)
-        reports[n++] = (struct quarantine_report){ .kind = QUARANTINE_SURVIVED,
-                                                   .part = entry->part,
-                                                   .at_us = entry->cleared_us };
+      n += part_ends_to_reports (&entry->ends, QUARANTINE_ENDED, entry->part, reports + n);
+      n += part_ends_to_reports (&entry->cleared, QUARANTINE_CLEARED, entry->part, reports + n);
+      n += part_ends_to_reports (&entry->missed, QUARANTINE_CLEARED, entry->part, reports + n);
     }
   return n;
 }
@@ -355,7 +362,7 @@
           || now_us - entry->changed_us < entry->rank * (int64_t)SAVE_STEP_US)
         continue;
       entry->is_saved = true;
-      return part_ends_to_reports (&entry->ends, entry->part, reports);
+      return part_ends_to_reports (&entry->ends, QUARANTINE_ENDED, entry->part, reports);
     }
   return 0;
 }
@@ -435,7 +442,8 @@
     make_room_ (quarantine, now_us);
   entry = g_new0 (struct entry_, 1);
   entry->part = part;
-  entry->cleared_us = entry->trial_us = entry->ranked_us = INT64_MIN;
+  entry->answered_us = entry->trial_us = entry->ranked_us = INT64_MIN;
+  entry->spread_us = now_us - SPREAD_SUSPECTS_US;
   entry->changed_us = now_us;
   g_hash_table_insert (quarantine->entries, &entry->part, entry);
   return entry;
@@ -500,24 +508,47 @@
                             .survived_before = report->survived_before };
 }
 
-/* Returns whether REPORT, on an end, was new. */
+/* Returns whether REPORT, on an end, was new. It is turned into one that clears the end where an
+ * answer received here shows that. */
 static bool
-merge_end_ (struct quarantine *quarantine, const struct quarantine_report *report, int64_t now_us)
+merge_end_ (struct quarantine *quarantine, struct quarantine_report *report, int64_t now_us)
 {
   const struct part_end end = end_of_report_ (report);
   struct entry_ *entry;
   bool is_first;
+  bool is_new;
 
   if ((now_us - report->at_us) / US_PER_MS > END_AGE_MAX_MS)
     return false;
+  if (known_reports_is_cleared (quarantine->known, report))
+    {
+      entry = entry_of_ (quarantine, report->part, now_us);
+      if (now_us >= entry->spread_us + SPREAD_SUSPECTS_US)
+        entry->missed.n = 0;
+      part_ends_put (&entry->missed, &end);
+      entry->spread_us = now_us;
+      return false;
+    }
+  is_new = known_reports_add (quarantine->known, report);
   entry = entry_of_ (quarantine, report->part, now_us);
-  if (report->at_us <= entry->cleared_us)
-    return false;
+  if (is_new)
+    entry->spread_us = now_us;
+  if (report->at_us <= entry->answered_us)
+    {
+      report->kind = QUARANTINE_CLEARED;
+      return merge_cleared_ (quarantine, report, now_us);
+    }
   if (is_expired_ (entry, now_us))
     entry->ends.n = 0;
   is_first = entry->ends.n == 0;
-  if (!part_ends_add (&entry->ends, &end))
-    return false;
+  part_ends_add (&entry->ends, &end);
+  if (!is_new)
+    {
+      /* The time may be earlier now, or the end had been dropped for lack of room. */
+      if (part_ends_are_conclusive (&entry->ends) != entry->is_blocked)
+        judge_ (quarantine, entry, "more is known of its ends", now_us);
+      return false;
+    }
   if (is_first)
     {
       sr_counter_add (&suspected_counter_, 1);
@@ -533,28 +564,58 @@
   return true;
 }
 
-/* Forgets the ends of PART before AT_US, when an answer with it began that got under way. Returns
- * whether there were any. */
+/* Clears the end of REPORT, also if it is reported only later. Returns whether that was new. */
 static bool
-merge_survival_ (struct quarantine *quarantine, uint64_t part, int64_t at_us, int64_t now_us)
+merge_cleared_ (struct quarantine *quarantine,
+                const struct quarantine_report *report,
+                int64_t now_us)
 {
-  struct entry_ *entry = g_hash_table_lookup (quarantine->entries, &part);
-  unsigned before;
-
-  if (entry == NULL || at_us <= entry->cleared_us)
-    return false;
-  before = entry->ends.n;
-  if (!part_ends_forget_until (&entry->ends, at_us))
-    return false;
-  sr_counter_add (&cleared_counter_, 1);
-  sr_event (SR_EVENT_INFO, "prompt_part_cleared", "{s:o,s:i,s:b}", "part",
-            json_sprintf ("%" G_GINT64_MODIFIER "x", part), "ends", (int)before, "was_blocked",
-            (int)entry->is_blocked);
-  entry->cleared_us = at_us;
+  const struct part_end end = end_of_report_ (report);
+  struct entry_ *entry = g_hash_table_lookup (quarantine->entries, &report->part);
+  bool is_new = known_reports_add (quarantine->known, report);
+
+  if (entry == NULL)
+    return is_new;
+  if (is_new)
+    entry->spread_us = now_us;
+  part_ends_add (&entry->cleared, &end);
+  if (!part_ends_remove (&entry->ends, &end))
+    return is_new;
+  if (entry->ends.n == 0)
+    {
+      sr_counter_add (&cleared_counter_, 1);
+      sr_event (SR_EVENT_INFO, "prompt_part_cleared", "{s:o,s:b}", "part",
+                json_sprintf ("%" G_GINT64_MODIFIER "x", entry->part), "was_blocked",
+                (int)entry->is_blocked);
+    }
   entry->changed_us = now_us;
   entry->trial_us = INT64_MIN;
   judge_ (quarantine, entry, "a request with it was answered", now_us);
-  return true;
+  return is_new;
+}
+
+/* Clears the ends of PART until UNTIL_US, when an answer with it began that got under way. Sets up
+ * to QUARANTINE_ENDS_MAX REPORTS that say so, and returns their number. */
+static unsigned
+clear_until_ (struct quarantine *quarantine,
+              uint64_t part,
+              int64_t until_us,
+              struct quarantine_report *reports,
+              int64_t now_us)
+{
+  struct entry_ *entry = g_hash_table_lookup (quarantine->entries, &part);
+  struct quarantine_report known[QUARANTINE_ENDS_MAX];
+  unsigned n_known;
+  unsigned n = 0;
+
+  if (entry == NULL)
+    return 0;
+  entry->answered_us = MAX (entry->answered_us, until_us);
+  n_known = part_ends_to_reports (&entry->ends, QUARANTINE_CLEARED, part, known);
+  for (unsigned i = 0; i < n_known; i++)
+    if (known[i].at_us <= until_us && merge_cleared_ (quarantine, &known[i], now_us))
+      reports[n++] = known[i];
+  return n;
 }
 
 /* Blocks or releases the part of ENTRY, whose reports have changed. */
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -36,18 +36,20 @@
 
 enum quarantine_report_kind
 {
-  QUARANTINE_ENDED,   /* a process ended with the part in a request that was not answered yet */
-  QUARANTINE_SURVIVED /* a request with the part was answered */
+  QUARANTINE_ENDED,  /* a process ended with the part in a request that was not answered yet */
+  QUARANTINE_CLEARED /* this end counts no more: a request with the part was answered since */
 };
 
-/* What an instance has learned of one part, as it is sent to peers. */
+/* What an instance has learned of one part at the end of one process, as it is sent to peers. The
+ * part, the server and the start of its process identify it: they are the same at each instance,
+ * while the time grows by the delay of each datagram that passes it on. */
 struct quarantine_report
 {
   enum quarantine_report_kind kind;
   uint64_t part;
-  int64_t at_us;      /* of the end, or when the answer began */
-  uint64_t backend;   /* QUARANTINE_ENDED: gw_backend_key of the server */
-  int64_t started_ms; /* QUARANTINE_ENDED: start of its process */
+  int64_t at_us;      /* of the end, on this instance's clock */
+  uint64_t backend;   /* gw_backend_key of the server */
+  int64_t started_ms; /* start of its process */
   uint64_t team;      /* QUARANTINE_ENDED: hash of the team whose request it was; 0: no team */
   enum quarantine_progress progress; /* QUARANTINE_ENDED */
   bool survived_before; /* QUARANTINE_ENDED: requests with the part were answered shortly before */
