Mesh: reports on prompt parts have a rate, and each kind of datagram a counter

Loans and watches waited behind reports on prompt parts when these came by the thousand. An instance now sends at most 40 datagrams of reports a second, a twentieth of a link of 10 Mbit/s, and handles at most 160. What is over is dropped, counted and logged once a second; reports are repeated for as long as they matter.

test-mesh/loan_requests_pass_a_flood_of_reports is red on the mesh before. The test handed mesh_new names that were freed afterwards; they are kept now.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -4,6 +4,7 @@
 #include "base/event-log.h"
 #include "budget/budget_xdr.h"
 #include "mesh/part-reports.h"
+#include "mesh/rate-limit.h"
 
 #include <string.h>
 
@@ -16,7 +17,11 @@
   REPEAT_FANOUT = 2, /* reaches missed instances in a few repetitions, also after a partition */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below the packet size of every link */
   LIMIT_OPENS_MAX_MS = 3600000, /* loan replies with a later limit_opens_ms are malformed */
-  FORMAT = 3                    /* version of the message format */
+  FORMAT = 3,                   /* version of the message format */
+  REPORTS_SENT_PER_S
+  = 40, /* datagrams of reports: at most 56 KB, a twentieth of a link of 10 Mbit/s */
+  REPORTS_RECEIVED_PER_S = 160, /* of 24 reports each: a few milliseconds of processor time */
+  DROPS_LOG_INTERVAL_US = 1000000
 };
 
 enum kind_
@@ -31,7 +36,8 @@
   KIND_TIME_REQUEST = 7,
   KIND_TIME = 8,
   KIND_UPDATE_REQUEST = 9,
-  KIND_PART_REPORTS = 10
+  KIND_PART_REPORTS = 10,
+  KINDS = 11
 };
 
 struct mesh
@@ -40,6 +46,11 @@
   uv_udp_t socket;
   GHashTable *peers;   /* name: struct sockaddr_in */
   int64_t received_us; /* when the last datagram of a known peer came; 0: none yet */
+  /* Reports give way to loans and updates, which callers wait for. */
+  struct mesh_rate_limit reports_sent;
+  struct mesh_rate_limit reports_received;
+  unsigned drops; /* datagrams of reports over these limits, since the last log line */
+  int64_t drops_logged_us;
   char buffer[MESSAGE_MAX_BYTES];
 };
 
@@ -65,6 +76,30 @@
     = { .name = "sapphirerun_mesh_datagrams_malformed_total",
         .help = "Datagrams that could not be read." };
 
+static struct sr_counter dropped_counter_
+    = { .name = "sapphirerun_mesh_reports_dropped_total",
+        .help = "Datagrams of reports on prompt parts, sent or received, over the limit." };
+static struct sr_counter sent_by_kind_[KINDS] = {
+  [KIND_LOAN_REQUEST] = { .name = "sapphirerun_mesh_sent_loan_requests_total",
+                          .help = "Datagrams sent: loan requests." },
+  [KIND_LOAN_REPLY]
+  = { .name = "sapphirerun_mesh_sent_loan_replies_total", .help = "Datagrams sent: loan replies." },
+  [KIND_UPDATE]
+  = { .name = "sapphirerun_mesh_sent_updates_total", .help = "Datagrams sent: updates." },
+  [KIND_REPLACED] = { .name = "sapphirerun_mesh_sent_replaced_total",
+                      .help = "Datagrams sent: backend servers that were replaced." },
+  [KIND_LEAVING] = { .name = "sapphirerun_mesh_sent_leaving_total",
+                     .help = "Datagrams sent: backend servers that are leaving." },
+  [KIND_TIME_REQUEST] = { .name = "sapphirerun_mesh_sent_time_requests_total",
+                          .help = "Datagrams sent: requests for the time of day." },
+  [KIND_TIME]
+  = { .name = "sapphirerun_mesh_sent_times_total", .help = "Datagrams sent: the time of day." },
+  [KIND_UPDATE_REQUEST] = { .name = "sapphirerun_mesh_sent_update_requests_total",
+                            .help = "Datagrams sent: requests for updates." },
+  [KIND_PART_REPORTS] = { .name = "sapphirerun_mesh_sent_part_reports_total",
+                          .help = "Datagrams sent: reports on prompt parts." },
+};
+
 static void on_closed_ (uv_handle_t *handle);
 static void on_alloc_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
 static void on_receive_ (uv_udp_t *socket,
@@ -78,8 +113,9 @@
 static uint64_t handle_of_ (const struct sockaddr_in *address);
 static void
 send_update_ (struct mesh *mesh, const struct mesh_update *update, unsigned fanout, GRand *random);
-static void
-send_to_some_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
+static void send_to_some_ (
+    struct mesh *mesh, enum kind_ kind, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
+static bool is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit);
 static void send_part_reports_ (struct mesh *mesh,
                                 const struct quarantine_report *reports,
                                 unsigned n_reports,
@@ -92,7 +128,8 @@
 static void receive_time_request_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
 static void receive_update_request_ (struct mesh *mesh, const struct sockaddr_in *from);
 static void receive_time_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
-static void send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes);
+static void
+send_ (struct mesh *mesh, enum kind_ kind, const struct sockaddr_in *to, XDR *xdr, char *bytes);
 static void
 receive_loan_request_ (struct mesh *mesh, XDR *xdr, const struct head_ *head, uint64_t handle);
 static void receive_loan_reply_ (struct mesh *mesh, XDR *xdr, const struct head_ *head);
@@ -109,6 +146,8 @@
 
   mesh->options = *options;
   mesh->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  mesh->reports_sent.per_s = REPORTS_SENT_PER_S;
+  mesh->reports_received.per_s = REPORTS_RECEIVED_PER_S;
   uv_udp_init (options->loop, &mesh->socket);
   mesh->socket.data = mesh;
   error = uv_udp_bind (&mesh->socket, (const struct sockaddr *)&options->address, 0);
@@ -123,6 +162,10 @@
   sr_counter_register (&unsent_counter_);
   sr_counter_register (&received_counter_);
   sr_counter_register (&malformed_counter_);
+  sr_counter_register (&dropped_counter_);
+  for (unsigned i = 0; i < KINDS; i++)
+    if (sent_by_kind_[i].name != NULL)
+      sr_counter_register (&sent_by_kind_[i]);
   return mesh;
 }
 
@@ -196,7 +239,7 @@
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_sr_budget_borrow_msg (&xdr, &message)
       && xdr_int64_t (&xdr, &received) && xdr_int64_t (&xdr, &outstanding)
       && xdr_int64_t (&xdr, &prepaid_tokens))
-    send_ (mesh, address, &xdr, bytes);
+    send_ (mesh, KIND_LOAN_REQUEST, address, &xdr, bytes);
   xdr_destroy (&xdr);
 }
 
@@ -228,7 +271,7 @@
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_opaque (&xdr, team, sizeof team)
       && xdr_sr_budget_borrowed_msg (&xdr, &message) && xdr_int64_t (&xdr, &left_at_most)
       && xdr_uint64_t (&xdr, &incarnation) && xdr_int64_t (&xdr, &opens_ms))
-    send_ (mesh, &address, &xdr, bytes);
+    send_ (mesh, KIND_LOAN_REPLY, &address, &xdr, bytes);
   xdr_destroy (&xdr);
 }
 
@@ -257,7 +300,7 @@
   XDR xdr;
 
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_uint64_t (&xdr, &backend))
-    send_to_some_ (mesh, ANNOUNCE_FANOUT, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_REPLACED, ANNOUNCE_FANOUT, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
@@ -272,7 +315,7 @@
 
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_uint64_t (&xdr, &backend)
       && xdr_int64_t (&xdr, &started_ms))
-    send_to_some_ (mesh, ANNOUNCE_FANOUT, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_LEAVING, ANNOUNCE_FANOUT, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
@@ -308,7 +351,7 @@
   XDR xdr;
 
   if (begin_ (mesh, &xdr, bytes, &head))
-    send_to_some_ (mesh, UPDATE_REQUEST_FANOUT, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_UPDATE_REQUEST, UPDATE_REQUEST_FANOUT, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
@@ -322,7 +365,7 @@
   XDR xdr;
 
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_int64_t (&xdr, &now_us))
-    send_to_some_ (mesh, TIME_FANOUT, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_TIME_REQUEST, TIME_FANOUT, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
@@ -407,7 +450,7 @@
   XDR xdr;
 
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_update_ (&xdr, &copy))
-    send_to_some_ (mesh, fanout, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_UPDATE, fanout, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
@@ -422,9 +465,11 @@
   return xdr_head_ (xdr, head);
 }
 
-/* Sends the message that XDR has encoded to FANOUT random peers, or to all when they are fewer. */
+/* Sends the message of KIND that XDR has encoded to FANOUT random peers, or to all when they are
+ * fewer. */
 static void
-send_to_some_ (struct mesh *mesh, unsigned fanout, XDR *xdr, char *bytes, GRand *random)
+send_to_some_ (
+    struct mesh *mesh, enum kind_ kind, unsigned fanout, XDR *xdr, char *bytes, GRand *random)
 {
   g_autoptr (GPtrArray) names = mesh_peer_names (mesh);
 
@@ -432,7 +477,7 @@
     {
       unsigned pick = (unsigned)g_rand_int_range (random, 0, (gint32)names->len);
 
-      send_ (mesh, g_hash_table_lookup (mesh->peers, names->pdata[pick]), xdr, bytes);
+      send_ (mesh, kind, g_hash_table_lookup (mesh->peers, names->pdata[pick]), xdr, bytes);
       g_ptr_array_remove_index_fast (names, pick);
     }
 }
@@ -453,7 +498,7 @@
     }
   if (begin_ (mesh, &response, bytes, &head) && xdr_int64_t (&response, &requested_us)
       && xdr_int64_t (&response, &real_ms))
-    send_ (mesh, from, &response, bytes);
+    send_ (mesh, KIND_TIME, from, &response, bytes);
   xdr_destroy (&response);
 }
 
@@ -484,14 +529,14 @@
 
   mesh->options.on_update_request (&update, mesh->options.data);
   if (begin_ (mesh, &xdr, bytes, &head) && xdr_update_ (&xdr, &update))
-    send_ (mesh, from, &xdr, bytes);
+    send_ (mesh, KIND_UPDATE, from, &xdr, bytes);
   xdr_destroy (&xdr);
   n_reports
       = mesh->options.on_part_reports_request (reports, MESH_PART_REPORTS_MAX, mesh->options.data);
   head.kind = KIND_PART_REPORTS;
   if (n_reports > 0 && begin_ (mesh, &xdr, bytes, &head)
       && part_reports_xdr (&xdr, reports, &n_reports, g_get_monotonic_time ()))
-    send_ (mesh, from, &xdr, bytes);
+    send_ (mesh, KIND_PART_REPORTS, from, &xdr, bytes);
   if (n_reports > 0)
     xdr_destroy (&xdr);
 }
@@ -512,10 +557,32 @@
   memcpy (copies, reports, n_reports * sizeof reports[0]);
   if (begin_ (mesh, &xdr, bytes, &head)
       && part_reports_xdr (&xdr, copies, &n_reports, g_get_monotonic_time ()))
-    send_to_some_ (mesh, fanout, &xdr, bytes, random);
+    send_to_some_ (mesh, KIND_PART_REPORTS, fanout, &xdr, bytes, random);
   xdr_destroy (&xdr);
 }
 
+/* Takes a datagram of reports from LIMIT. Returns whether it has to be dropped, which is logged
+ * once a second. What is dropped is repeated for as long as it matters. */
+static bool
+is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit)
+{
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (mesh_rate_limit_take (limit, now_us))
+    return false;
+  sr_counter_add (&dropped_counter_, 1);
+  mesh->drops++;
+  if (now_us - mesh->drops_logged_us >= DROPS_LOG_INTERVAL_US)
+    {
+      sr_event (SR_EVENT_WARNING, "mesh_reports_dropped", "{s:i,s:i,s:i}", "datagrams",
+                (int)mesh->drops, "sent_per_s", REPORTS_SENT_PER_S, "received_per_s",
+                REPORTS_RECEIVED_PER_S);
+      mesh->drops = 0;
+      mesh->drops_logged_us = now_us;
+    }
+  return true;
+}
+
 /* Only reports that a known peer sends from its address count. */
 static void
 receive_part_reports_ (struct mesh *mesh,
@@ -527,6 +594,8 @@
   struct quarantine_report reports[MESH_PART_REPORTS_MAX] = { 0 };
   unsigned n_reports;
 
+  if (is_over_limit_ (mesh, &mesh->reports_received))
+    return;
   if (peer == NULL || handle_of_ (peer) != handle_of_ (from)
       || !part_reports_xdr (xdr, reports, &n_reports, g_get_monotonic_time ()))
     {
@@ -557,10 +626,13 @@
 
 /* A datagram that the kernel does not accept is lost, as any datagram may be. */
 static void
-send_ (struct mesh *mesh, const struct sockaddr_in *to, XDR *xdr, char *bytes)
+send_ (struct mesh *mesh, enum kind_ kind, const struct sockaddr_in *to, XDR *xdr, char *bytes)
 {
   uv_buf_t buffer = uv_buf_init (bytes, xdr_getpos (xdr));
 
+  if (kind == KIND_PART_REPORTS && is_over_limit_ (mesh, &mesh->reports_sent))
+    return;
+  sr_counter_add (&sent_by_kind_[kind], 1);
   if (uv_udp_try_send (&mesh->socket, &buffer, 1, (const struct sockaddr *)to) >= 0)
     sr_counter_add (&sent_counter_, 1);
   else
--- /dev/null
+++ b/src/mesh/rate-limit.h
@@ -0,0 +1,16 @@
+/* A token bucket that bounds how many datagrams of one kind are handled. No thread, socket or
+ * clock.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct mesh_rate_limit
+{
+  double per_s; /* also the largest burst */
+  double available;
+  int64_t updated_us; /* 0: not used yet, and full */
+};
+
+bool mesh_rate_limit_take (struct mesh_rate_limit *limit, int64_t now_us);
--- a/src/mesh/test-mesh.c
+++ b/src/mesh/test-mesh.c
@@ -20,11 +20,14 @@
   ROUNDS
   = 6, /* of repeated updates, one in half a second: the bound for a change is three seconds */
   ROUND_LOOPS = 50, /* runs of the event loop between two looks at what has arrived */
-  DELIVERY_MAX_MS = 1000
+  DELIVERY_MAX_MS = 1000,
+  FLOOD_PER_NODE = 30,
+  FLOOD_RATE_MAX = 200 /* datagrams of reports a second: a few milliseconds of processor time */
 };
 
 struct node
 {
+  char name[16];
   struct mesh *mesh;
   GRand *random;
   bool cut_off;
@@ -32,6 +35,8 @@
   unsigned received; /* updates */
   uint64_t replaced;
   int64_t leaving_started_ms;
+  unsigned part_reports; /* datagrams */
+  unsigned loan_requests;
 };
 
 static struct node nodes[FLEET];
@@ -79,6 +84,22 @@
   mesh_announce_leaving (node->mesh, backend, started_ms, node->random);
 }
 
+static void
+on_part_reports (const struct quarantine_report *reports, unsigned n_reports, void *data)
+{
+  struct node *node = data;
+
+  node->part_reports++;
+}
+
+static void
+on_loan_request (uint64_t handle, const struct allotment_loan_request *request, void *data)
+{
+  struct node *node = data;
+
+  node->loan_requests++;
+}
+
 static struct sockaddr_in
 address_of (unsigned index)
 {
@@ -97,15 +118,17 @@
   uv_loop_init (&loop);
   for (unsigned i = 0; i < FLEET; i++)
     {
-      g_autofree char *name = g_strdup_printf ("entry-%u", i);
       const struct mesh_options options = { .loop = &loop,
                                             .address = address_of (i),
-                                            .instance = name,
+                                            .instance = nodes[i].name,
                                             .data = &nodes[i],
                                             .on_update = on_update,
                                             .on_replaced = on_replaced,
-                                            .on_leaving = on_leaving };
+                                            .on_leaving = on_leaving,
+                                            .on_part_reports = on_part_reports,
+                                            .on_loan_request = on_loan_request };
 
+      g_snprintf (nodes[i].name, sizeof nodes[i].name, "entry-%u", i);
       nodes[i].mesh = mesh_new (&options);
       nodes[i].random = random;
       nodes[i].cut_off = i >= FLEET - CUT_OFF;
@@ -250,6 +273,45 @@
   assert_true (informed >= (FLEET - CUT_OFF) * 9 / 10);
 }
 
+/* Guards against reports on prompt parts that keep an instance from its other duties: a flood of
+ * them is dropped beyond a rate, and the loan requests among them are received. */
+static void
+loan_requests_pass_a_flood_of_reports (void **state)
+{
+  const struct quarantine_report report = { .kind = QUARANTINE_ENDED,
+                                            .part = 1,
+                                            .at_us = g_get_monotonic_time (),
+                                            .backend = 2,
+                                            .started_ms = 3 };
+  const struct allotment_loan_request request
+      = { .number = 1, .team = "team", .borrower = "borrower", .need = 1, .want = 1 };
+  int64_t began_us = g_get_monotonic_time ();
+  unsigned sent = 0;
+  double seconds;
+
+  nodes[0].part_reports = nodes[0].loan_requests = 0;
+  for (unsigned i = 1; i < FLEET; i++)
+    {
+      /* Node 0 is the only peer, and so receives all that is sent. */
+      for (unsigned k = 1; k < FLEET; k++)
+        {
+          g_autofree char *name = g_strdup_printf ("entry-%u", k);
+
+          mesh_remove_peer (nodes[i].mesh, name);
+        }
+      for (unsigned k = 0; k < FLOOD_PER_NODE; k++)
+        mesh_announce_part_reports (nodes[i].mesh, &report, 1, nodes[i].random);
+      mesh_send_loan_request (nodes[i].mesh, "entry-0", &request);
+      sent++;
+      deliver ();
+    }
+  seconds = (double)(g_get_monotonic_time () - began_us) / 1e6;
+  assert_int_equal (nodes[0].loan_requests, sent);
+  assert_true (nodes[0].part_reports > 0);
+  assert_true (nodes[0].part_reports <= (1 + seconds) * FLOOD_RATE_MAX);
+  assert_true (counter_value ("sapphirerun_mesh_reports_dropped_total") > 0);
+}
+
 int
 main (void)
 {
@@ -258,6 +320,7 @@
     cmocka_unit_test (a_replaced_server_is_announced_to_the_fleet),
     cmocka_unit_test (a_leaving_server_is_announced_to_the_fleet),
     cmocka_unit_test (repeated_updates_do_not_flood_the_fleet),
+    cmocka_unit_test (loan_requests_pass_a_flood_of_reports),
   };
 
   return cmocka_run_group_tests (tests, set_up, tear_down);
