--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -16,11 +16,11 @@
   ANNOUNCE_FANOUT = 6,       /* misses one instance in 400; reaches a thousand in four rounds */
   REPEAT_FANOUT = 2, /* reaches missed instances in a few repetitions, also after a partition */
   MESSAGE_MAX_BYTES = 1400, /* far above the largest message; below the packet size of every link */
-  LIMIT_OPENS_MAX_MS = 3600000, /* loan replies with a later limit_opens_ms are malformed */
-  FORMAT = 3,                   /* version of the message format */
-  REPORTS_SENT_PER_S
-  = 40, /* datagrams of reports: at most 56 KB, a twentieth of a link of 10 Mbit/s */
-  REPORTS_RECEIVED_PER_S = 160, /* of 24 reports each: a few milliseconds of processor time */
+  LIMIT_OPENS_MAX_MS = 3600000,     /* loan replies with a later limit_opens_ms are malformed */
+  FORMAT = 3,                       /* version of the message format */
+  REPORTS_SENT_BYTES_PER_S = 65536, /* a twentieth of a link of 10 Mbit/s */
+  REPORTS_RECEIVED_BYTES_PER_S
+  = 131072, /* at most 2,500 reports: a few milliseconds of processor time */
   DROPS_LOG_INTERVAL_US = 1000000
 };
 
@@ -115,7 +115,7 @@
 send_update_ (struct mesh *mesh, const struct mesh_update *update, unsigned fanout, GRand *random);
 static void send_to_some_ (
     struct mesh *mesh, enum kind_ kind, unsigned fanout, XDR *xdr, char *bytes, GRand *random);
-static bool is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit);
+static bool is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit, unsigned bytes);
 static void send_part_reports_ (struct mesh *mesh,
                                 const struct quarantine_report *reports,
                                 unsigned n_reports,
@@ -123,6 +123,7 @@
                                 GRand *random);
 static void receive_part_reports_ (struct mesh *mesh,
                                    XDR *xdr,
+                                   unsigned bytes,
                                    const struct head_ *head,
                                    const struct sockaddr_in *from);
 static void receive_time_request_ (struct mesh *mesh, XDR *xdr, const struct sockaddr_in *from);
@@ -146,8 +147,8 @@
 
   mesh->options = *options;
   mesh->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  mesh->reports_sent.per_s = REPORTS_SENT_PER_S;
-  mesh->reports_received.per_s = REPORTS_RECEIVED_PER_S;
+  mesh->reports_sent.per_s = REPORTS_SENT_BYTES_PER_S;
+  mesh->reports_received.per_s = REPORTS_RECEIVED_BYTES_PER_S;
   uv_udp_init (options->loop, &mesh->socket);
   mesh->socket.data = mesh;
   error = uv_udp_bind (&mesh->socket, (const struct sockaddr *)&options->address, 0);
@@ -420,7 +421,7 @@
   else if (head.kind == KIND_UPDATE_REQUEST)
     receive_update_request_ (mesh, address);
   else if (head.kind == KIND_PART_REPORTS)
-    receive_part_reports_ (mesh, &xdr, &head, address);
+    receive_part_reports_ (mesh, &xdr, (unsigned)length, &head, address);
   else if (head.kind == KIND_UPDATE && xdr_update_ (&xdr, &update))
     mesh->options.on_update (&update, mesh->options.data);
   else if (head.kind == KIND_REPLACED && xdr_uint64_t (&xdr, &backend))
@@ -561,22 +562,22 @@
   xdr_destroy (&xdr);
 }
 
-/* Takes a datagram of reports from LIMIT. Returns whether it has to be dropped, which is logged
- * once a second. What is dropped is repeated for as long as it matters. */
+/* Takes a datagram of reports of BYTES from LIMIT. Returns whether it has to be dropped, which is
+ * logged once a second. What is dropped is repeated for as long as it matters. */
 static bool
-is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit)
+is_over_limit_ (struct mesh *mesh, struct mesh_rate_limit *limit, unsigned bytes)
 {
   int64_t now_us = g_get_monotonic_time ();
 
-  if (mesh_rate_limit_take (limit, now_us))
+  if (mesh_rate_limit_take (limit, bytes, now_us))
     return false;
   sr_counter_add (&dropped_counter_, 1);
   mesh->drops++;
   if (now_us - mesh->drops_logged_us >= DROPS_LOG_INTERVAL_US)
     {
       sr_event (SR_EVENT_WARNING, "mesh_reports_dropped", "{s:i,s:i,s:i}", "datagrams",
-                (int)mesh->drops, "sent_per_s", REPORTS_SENT_PER_S, "received_per_s",
-                REPORTS_RECEIVED_PER_S);
+                (int)mesh->drops, "sent_bytes_per_s", REPORTS_SENT_BYTES_PER_S,
+                "received_bytes_per_s", REPORTS_RECEIVED_BYTES_PER_S);
       mesh->drops = 0;
       mesh->drops_logged_us = now_us;
     }
@@ -587,6 +588,7 @@
 static void
 receive_part_reports_ (struct mesh *mesh,
                        XDR *xdr,
+                       unsigned bytes,
                        const struct head_ *head,
                        const struct sockaddr_in *from)
 {
@@ -594,7 +596,7 @@
   struct quarantine_report reports[MESH_PART_REPORTS_MAX] = { 0 };
   unsigned n_reports;
 
-  if (is_over_limit_ (mesh, &mesh->reports_received))
+  if (is_over_limit_ (mesh, &mesh->reports_received, bytes))
     return;
   if (peer == NULL || handle_of_ (peer) != handle_of_ (from)
       || !part_reports_xdr (xdr, reports, &n_reports, g_get_monotonic_time ()))
@@ -630,7 +632,7 @@
 {
   uv_buf_t buffer = uv_buf_init (bytes, xdr_getpos (xdr));
 
-  if (kind == KIND_PART_REPORTS && is_over_limit_ (mesh, &mesh->reports_sent))
+  if (kind == KIND_PART_REPORTS && is_over_limit_ (mesh, &mesh->reports_sent, xdr_getpos (xdr)))
     return;
   sr_counter_add (&sent_by_kind_[kind], 1);
   if (uv_udp_try_send (&mesh->socket, &buffer, 1, (const struct sockaddr *)to) >= 0)
--- a/src/mesh/rate-limit.c
+++ b/src/mesh/rate-limit.c
@@ -4,9 +4,9 @@
 
 static const double US_PER_S = 1e6;
 
-/* Takes one datagram from LIMIT. Returns false if there is none left now. */
+/* Takes a datagram of BYTES from LIMIT. Returns false if not as much is left now. */
 bool
-mesh_rate_limit_take (struct mesh_rate_limit *limit, int64_t now_us)
+mesh_rate_limit_take (struct mesh_rate_limit *limit, unsigned bytes, int64_t now_us)
 {
   double gained = limit->updated_us == 0
                       ? limit->per_s
@@ -14,8 +14,8 @@
 
   limit->available = MIN (limit->available + MAX (gained, 0), limit->per_s);
   limit->updated_us = now_us;
-  if (limit->available < 1)
+  if (limit->available < bytes)
     return false;
-  limit->available -= 1;
+  limit->available -= bytes;
   return true;
 }
--- a/src/mesh/test-mesh.c
+++ b/src/mesh/test-mesh.c
@@ -278,17 +278,17 @@
 static void
 loan_requests_pass_a_flood_of_reports (void **state)
 {
-  const struct quarantine_report report = { .kind = QUARANTINE_ENDED,
-                                            .part = 1,
-                                            .at_us = g_get_monotonic_time (),
-                                            .backend = 2,
-                                            .started_ms = 3 };
+  struct quarantine_report reports[MESH_PART_REPORTS_MAX];
   const struct allotment_loan_request request
       = { .number = 1, .team = "team", .borrower = "borrower", .need = 1, .want = 1 };
   int64_t began_us = g_get_monotonic_time ();
   unsigned sent = 0;
   double seconds;
 
+  for (unsigned i = 0; i < MESH_PART_REPORTS_MAX; i++)
+    reports[i] = (struct quarantine_report){
+      .kind = QUARANTINE_ENDED, .part = 1 + i, .at_us = began_us, .backend = 2, .started_ms = 3
+    };
   nodes[0].part_reports = nodes[0].loan_requests = 0;
   for (unsigned i = 1; i < FLEET; i++)
     {
@@ -300,7 +300,7 @@
           mesh_remove_peer (nodes[i].mesh, name);
         }
       for (unsigned k = 0; k < FLOOD_PER_NODE; k++)
-        mesh_announce_part_reports (nodes[i].mesh, &report, 1, nodes[i].random);
+        mesh_announce_part_reports (nodes[i].mesh, reports, MESH_PART_REPORTS_MAX, nodes[i].random);
       mesh_send_loan_request (nodes[i].mesh, "entry-0", &request);
       sent++;
       deliver ();
