Requests to model services carry their rank where callers compete

Under pressure a model server admitted questions, tags and drafts alike, as no request told it how urgent it was: priorities of routes and teams were decoded and used nowhere. An empty list of contracts is valid: a text setting would have refused it and kept the instance from starting. A caller's own header was already dropped in all deployments and still is.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -180,6 +180,9 @@
                         : MAX ((exchange->deadline_us - now_us) / GW_US_PER_MS, 1),
     .body_length = exchange->body->len,
     .has_body = exchange->has_body,
+    .has_rank = exchange->context->callers_compete && exchange->service != NULL
+                && exchange->service->is_model,
+    .rank = gw_request_rank (exchange->route, exchange->team),
   };
   GString *head = g_string_sized_new (1024);
   struct net_string_view parts[2];
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -79,6 +79,8 @@
   struct net_string_view last_event_id;
   size_t body_length;
   bool has_body;
+  bool has_rank; /* false: the server is told no rank */
+  unsigned rank; /* 0: served first */
 };
 
 struct gw_dialect
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,7 @@
   int64_t store_outage_since_us;  /* start of the store outage; 0: the store is reachable */
   int64_t backend_leave_limit_us; /* a backend server must get no new requests once this long has
                                      passed since it announced its shutdown */
+  bool callers_compete; /* for too little capacity: servers are told the ranks of requests */
   GRand *random;
   bool stopping;
   int64_t stopping_since_us;
--- a/src/gateway/routes.c
+++ b/src/gateway/routes.c
@@ -230,6 +230,14 @@
   return g_hash_table_lookup (routes->services, name);
 }
 
+/* Returns the rank of a request: the priority of TEAM, which may be NULL, if it has one, otherwise
+ * that of ROUTE. 0 is served first. */
+unsigned
+gw_request_rank (const struct gw_route *route, const struct gw_team *team)
+{
+  return team != NULL && team->has_priority ? team->priority : route->priority;
+}
+
 /* Picks a service of ROUTE by weight; RANDOM is any random number. Returns its name, or NULL when
  * there is none with a weight. */
 const GString *
--- a/src/gateway/routes.h
+++ b/src/gateway/routes.h
@@ -108,4 +108,5 @@
                                         struct net_string_view path);
 const struct gw_team *gw_routes_team (const struct gw_routes *routes, struct net_string_view key);
 const struct gw_service *gw_routes_service (const struct gw_routes *routes, const char *name);
+unsigned gw_request_rank (const struct gw_route *route, const struct gw_team *team);
 const GString *gw_route_pick_service (const struct gw_route *route, uint32_t random);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -40,6 +40,7 @@
 static bool is_ready_ (const struct gateway *gateway);
 static void on_stop_signal_ (uv_signal_t *handle, int number);
 static void on_hang_up_ (uv_signal_t *handle, int number);
+static bool callers_compete_ (const struct gateway *gateway, const struct gw_settings *settings);
 static struct gw_retry_budget_options
 retry_options_from_settings_ (const struct gw_settings *settings);
 static void on_withdrawn_ (const struct store_result *result, void *data);
@@ -157,6 +158,7 @@
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
+  context->callers_compete = callers_compete_ (gateway, settings);
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->random = g_rand_new ();
   gateway_open_quarantine_ (gateway);
@@ -471,6 +473,7 @@
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
+      context->callers_compete = callers_compete_ (gateway, settings);
       gateway_set_exempt_parts_ (gateway, settings);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
                 settings->retry_ratio, "retry_extra", (int)settings->retry_extra, "link_mbps",
@@ -480,6 +483,12 @@
   sr_findings_delete (findings);
 }
 
+static bool
+callers_compete_ (const struct gateway *gateway, const struct gw_settings *settings)
+{
+  return settings->callers_compete || gateway->platform->callers_compete (settings->contracts);
+}
+
 static struct gw_retry_budget_options
 retry_options_from_settings_ (const struct gw_settings *settings)
 {
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -22,6 +22,9 @@
                                       const struct gw_routes *previous);
   /* Returns false if OBJECT is not valid; otherwise the caller owns the texts in FACTS. */
   bool (*decode_backend) (const struct store_object *object, struct gw_backend_facts *facts);
+  /* Returns true if CONTRACTS, an array of GString, say that callers compete for too little
+   * capacity. */
+  bool (*callers_compete) (const GPtrArray *contracts);
   struct store *(*open_store) (uv_loop_t *loop, const struct gw_settings *settings);
 };
 
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -80,6 +80,14 @@
     .default_value = "2000" },
 };
 
+static const struct sr_ini_key callers_keys_[] = {
+  { .name = "compete",
+    .type = SR_INI_BOOL,
+    .offset = MEMBER (callers_compete),
+    .default_value = "no" },
+  { .name = "contracts", .type = SR_INI_LIST, .offset = MEMBER (contracts) },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s",
     .type = SR_INI_UNSIGNED,
@@ -104,6 +112,7 @@
   { "limits", limits_keys_, G_N_ELEMENTS (limits_keys_) },
   { "prompts", prompts_keys_, G_N_ELEMENTS (prompts_keys_) },
   { "backends", backends_keys_, G_N_ELEMENTS (backends_keys_) },
+  { "callers", callers_keys_, G_N_ELEMENTS (callers_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
@@ -172,6 +181,8 @@
   text_free_ (settings->link_text);
   text_free_ (settings->part_memory_text);
   text_free_ (settings->never_block_text);
+  if (settings->contracts != NULL)
+    g_ptr_array_unref (settings->contracts);
   if (settings->never_blocked_parts != NULL)
     g_array_unref (settings->never_blocked_parts);
   g_free (settings);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -31,6 +31,9 @@
   GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
   /* [backends] */
   unsigned leave_ms; /* upper bound until a leaving server gets no new request */
+  /* [callers] */
+  bool callers_compete; /* callers compete for too little capacity; see gw_platform as well */
+  GPtrArray *contracts; /* GString: names that the platform adapter knows */
   /* [stop] */
   unsigned stop_limit_s; /* time from a stop signal until the process is killed */
 
