Placement weighs how long work takes on a server now, as it reports

Servers on which the same work took twice as long got as much of it as others, because the fourth figure of X-Engine-Load was not decoded. A missing or invalid figure counts as 100; the other three are used as before.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -58,6 +58,7 @@
   unsigned running;
   unsigned waiting;
   unsigned slots;
+  unsigned work_time_percent; /* time that work takes there now; 100: as usual, or not reported */
   struct net_string_view backend_id; /* id of the server that responded; empty: not given */
   bool is_leaving;                   /* the server that responded is shutting down */
   int64_t retry_after_ms; /* the server asks this instance to send no requests for this long; 0: not
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -26,7 +26,12 @@
 
 enum
 {
-  ERROR_DECAY_US = 4000000, /* time constant of the failure rate: a fault counts for seconds */
+  ERROR_DECAY_US = 4000000,    /* time constant of the failure rate: a fault counts for seconds */
+  WORK_TIME_DECAY_US = 200000, /* time constant of the reported time of work, which changes many
+                                  times per second */
+  WORK_TIME_USUAL_PERCENT = 100,
+  WORK_TIME_MIN_PERCENT = 25, /* limits of what a report can change, also a false one */
+  WORK_TIME_MAX_PERCENT = 1000,
   REPORT_DECAY_US = 600000, /* time constant of a load report, which is soon outdated */
   SILENCE_US = 700000,      /* without a byte while requests run: ten times the longest step */
   EJECT_FIRST_US = 500000,  /* after a broken connection; doubles with each further one */
@@ -47,7 +52,9 @@
   unsigned reported_load;  /* running and waiting requests, without those in flight from here */
   unsigned reported_waiting;
   int64_t reported_us;
-  int64_t responded_us; /* when the head of its last response was received */
+  unsigned work_time_percent; /* last reported */
+  int64_t work_time_us;       /* when it was reported; 0: not yet */
+  int64_t responded_us;       /* when the head of its last response was received */
   double error_rate;
   int64_t error_us; /* when error_rate was last updated */
   unsigned consecutive_breaks;
@@ -75,6 +82,7 @@
 static const struct gw_backend *affinity_server_ (const struct gw_placement_query *query);
 static void describe_load_ (struct gw_placement *place, int64_t now_us);
 static double peer_requests_ (const struct gw_backend_load *load, int64_t now_us);
+static double work_time_factor_ (const struct gw_backend_load *load, int64_t now_us);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
@@ -223,6 +231,8 @@
   load->reported_load = total > load->in_flight ? total - load->in_flight : 0;
   load->reported_waiting = response->waiting;
   load->reported_us = now_us;
+  load->work_time_percent = response->work_time_percent;
+  load->work_time_us = now_us;
 }
 
 /* Ends a request that gw_placement_begin_request counted, with its MEMORY_TOKENS. UNCACHED_TOKENS
@@ -327,6 +337,7 @@
   /* All slots are taken: they become free one after the other. */
   if (total >= slots)
     ms += (total - slots + 1) / slots * gw_latency_model_response_ms (backend->latency_model);
+  ms *= work_time_factor_ (load, query->now_us);
   if (strcmp (backend->facts.data_centre, query->data_centre) != 0)
     ms += OTHER_DATA_CENTRE_MS;
   if (backend->facts.warm_up_ms > 0)
@@ -425,6 +436,20 @@
   return load->reported_us == 0 ? 0 : load->reported_load * exp (-age);
 }
 
+/* Returns by how much longer than usual work is expected to take at the server: what it reported
+ * last, decaying toward 1 with the age of the report. */
+static double
+work_time_factor_ (const struct gw_backend_load *load, int64_t now_us)
+{
+  double reported = CLAMP (load->work_time_percent, (unsigned)WORK_TIME_MIN_PERCENT,
+                           (unsigned)WORK_TIME_MAX_PERCENT)
+                    / (double)WORK_TIME_USUAL_PERCENT;
+  double age = (double)(now_us - load->work_time_us) / WORK_TIME_DECAY_US;
+
+  return load->work_time_us == 0 || load->work_time_percent == 0 ? 1
+                                                                 : 1 + (reported - 1) * exp (-age);
+}
+
 static double
 error_rate_ (const struct gw_backend_load *load, int64_t now_us)
 {
