--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -79,6 +79,8 @@
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
 static bool is_excluded_ (const struct gw_placement_query *query, const struct gw_backend *backend);
+static bool is_evacuated_ (const struct gw_placement_query *query,
+                           const struct gw_backend *backend);
 
 struct gw_backend_load *
 gw_backend_load_new (void)
@@ -123,6 +125,11 @@
       int64_t cached_elsewhere;
       double ms;
 
+      if (is_evacuated_ (query, backend))
+        {
+          place->evacuated++;
+          continue;
+        }
       if (backend->facts.is_leaving || backend->is_removed || is_excluded_ (query, backend))
         continue;
       if (load->responded_us < query->responded_since_us)
@@ -151,6 +158,8 @@
       best_ms = ms;
       best_is_ejected = ejected;
     }
+  if (place->evacuated > 0 && place->evacuated == query->backends->len)
+    return GW_PLACEMENT_ALL_EVACUATED;
   if (place->backend == NULL && resumes_us != INT64_MAX)
     {
       place->resumes_in_ms = (resumes_us - query->now_us + 999) / 1000;
@@ -391,7 +400,7 @@
       uint64_t weight;
 
       if (backend->facts.is_leaving || is_ejected_ (backend->load, query->now_us)
-          || gw_placement_is_paused (backend, query->now_us))
+          || gw_placement_is_paused (backend, query->now_us) || is_evacuated_ (query, backend))
         continue;
       weight = XXH3_64bits_withSeed (&backend->key, sizeof backend->key,
                                      prompt->parts[prompt->n_parts - 2].id);
@@ -455,3 +464,9 @@
       return true;
   return false;
 }
+
+static bool
+is_evacuated_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+{
+  return evacuation_excludes (query->evacuation, backend->facts.data_centre);
+}
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -6,6 +6,7 @@
 
 #include "gateway/backends.h"
 #include "gateway/dialect.h"
+#include "gateway/evacuation.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -23,6 +24,7 @@
   int64_t part_cache_lifetime_us; /* a prompt part is assumed cached this long after use; 0: 9 s */
   const GPtrArray *excluded;  /* struct gw_backend: servers of earlier attempts at this request */
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
+  const struct evacuation *evacuation; /* NULL: evacuations are not followed */
   int64_t now_us;
 };
 
@@ -32,6 +34,7 @@
   GW_PLACEMENT_ALL_FULL,           /* a server is set, but all candidates have overlong queues */
   GW_PLACEMENT_ALL_PAUSED,         /* all candidates have asked for no requests for some time */
   GW_PLACEMENT_NO_RECENT_RESPONSE, /* no candidate has responded recently enough for the query */
+  GW_PLACEMENT_ALL_EVACUATED,      /* every data centre with servers of the service is evacuated */
   GW_PLACEMENT_NO_BACKEND          /* no server takes new requests */
 };
 
@@ -45,6 +48,7 @@
   unsigned in_flight;           /* requests sent by this instance, without this one */
   unsigned reported_load;       /* requests of peers there, by its last load report */
   int64_t report_age_ms;        /* -1: no load report yet */
+  unsigned evacuated;           /* servers excluded because their data centre is evacuated */
   int64_t
       resumes_in_ms; /* GW_PLACEMENT_ALL_PAUSED: until the first candidate accepts requests again */
 };
