Evacuation: follow the store's evacuations, refuse and retry accordingly

Watches wait 20 to 30 s; lists in parallel, one in 400 ms over the fleet, find a change that watches have missed, and the revision in the peers' updates spreads it. An instance that hears no peers lists every 1.2 s (mean).

A request whose connection becomes ready after the evacuation took effect goes elsewhere. The end detector does not call servers there. An instance is ready only once it knows the evacuations. Refusals: all_evacuated, evacuations_unknown; other refusals without a server state how many were excluded.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -99,6 +99,7 @@
     .part_cache_lifetime_us = context->part_cache_lifetime_us,
     .excluded = exchange->tried,
     .responded_since_us = required_response_since_us_ (context, now_us),
+    .evacuation = context->evacuation,
     .now_us = now_us,
   };
   struct gw_upstream_options options = {
@@ -125,19 +126,32 @@
   if (gw_exchange_refuse_blocked_ (exchange))
     return;
   verdict = gw_placement_pick (&query, context->random, place);
+  if (verdict == GW_PLACEMENT_ALL_EVACUATED)
+    {
+      bool is_known = evacuation_is_known (context->evacuation);
+
+      gw_exchange_refuse_with_inputs_ (
+          exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_OUTAGE,
+          is_known ? "all_evacuated" : "evacuations_unknown",
+          json_pack ("{s:i,s:i}", "evacuated", (int)place->evacuated, "data_centres",
+                     (int)evacuation_count (context->evacuation)));
+      return;
+    }
   if (verdict == GW_PLACEMENT_ALL_PAUSED)
     {
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_PAUSE, "all_paused",
-          json_pack ("{s:I}", "paused_ms", (json_int_t)place->resumes_in_ms));
+          json_pack ("{s:I,s:i}", "paused_ms", (json_int_t)place->resumes_in_ms, "evacuated",
+                     (int)place->evacuated));
       return;
     }
   if (verdict == GW_PLACEMENT_NO_RECENT_RESPONSE)
     {
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_ELSEWHERE, "backends_unheard",
-          json_pack ("{s:I}", "store_out_ms",
-                     (json_int_t)((now_us - context->store_outage_since_us) / GW_US_PER_MS)));
+          json_pack ("{s:I,s:i}", "store_out_ms",
+                     (json_int_t)((now_us - context->store_outage_since_us) / GW_US_PER_MS),
+                     "evacuated", (int)place->evacuated));
       return;
     }
   if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_ALL_FULL)
@@ -145,9 +159,10 @@
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_BUSY,
           verdict == GW_PLACEMENT_NO_BACKEND ? "no_backend" : "all_full",
-          json_pack ("{s:i,s:i,s:f}", "backends",
+          json_pack ("{s:i,s:i,s:f,s:i}", "backends",
                      query.backends == NULL ? 0 : (int)query.backends->len, "tried",
-                     (int)exchange->tried->len, "expected_ms", place->expected_ms));
+                     (int)exchange->tried->len, "expected_ms", place->expected_ms, "evacuated",
+                     (int)place->evacuated));
       return;
     }
   exchange->backend = gw_backend_ref (place->backend);
@@ -232,14 +247,15 @@
   return now_us - span_us;
 }
 
-/* During the handshake the backend server may have asked for a pause, in another response, or the
- * prompt may have been blocked. */
+/* During the handshake the backend server may have asked for a pause, in another response, its data
+ * centre may have been evacuated, or the prompt may have been blocked. */
 static void
 on_ready_ (void *user)
 {
   struct gw_exchange *exchange = user;
 
   if (!gw_placement_is_paused (exchange->backend, g_get_monotonic_time ())
+      && !evacuation_excludes (exchange->context->evacuation, exchange->backend->facts.data_centre)
       && (exchange->is_trial
           || !quarantine_blocks (exchange->context->quarantine, &exchange->shared_parts,
                                  exchange->team_hash)))
--- a/src/gateway/end-detector.c
+++ b/src/gateway/end-detector.c
@@ -130,7 +130,8 @@
   call_server_ (check);
 }
 
-/* Opens a connection to the server: it has ended if it accepts none. */
+/* Opens a connection to the server: it has ended if it accepts none. A server in an evacuated data
+ * centre is not called, as it must get nothing new; whether it has ended stays open then. */
 static void
 call_server_ (struct check_ *check)
 {
@@ -145,7 +146,8 @@
     .user = check,
   };
 
-  check->call = gw_upstream_open (&options);
+  if (!evacuation_excludes (context->evacuation, check->backend->facts.data_centre))
+    check->call = gw_upstream_open (&options);
   if (check->call == NULL)
     {
       sr_event (SR_EVENT_WARNING, "backend_not_called", "{s:s}", "backend",
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -418,9 +418,12 @@
   const struct gw_context *context = exchange->context;
   int64_t now_us = g_get_monotonic_time ();
   bool is_starting = context->routes == NULL || context->allotments == NULL;
-  int64_t outage_since_us = context->store_outage_since_us > 0 ? context->store_outage_since_us
-                            : is_starting                      ? context->started_us
-                                                               : now_us;
+  int64_t outage_since_us
+      = context->store_outage_since_us > 0 ? context->store_outage_since_us
+        : is_starting                      ? context->started_us
+        : exchange->place.evacuated > 0
+            ? MAX (evacuation_latest_us (context->evacuation), context->started_us)
+            : now_us;
   struct allotment_budget_status known = { 0 };
   struct gw_retry_after_query query = {
     .cause = cause,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "allotment/allotment.h"
 #include "gateway/backends.h"
 #include "gateway/dialect.h"
+#include "gateway/evacuation.h"
 #include "gateway/link-load.h"
 #include "gateway/placement.h"
 #include "gateway/retry-budget.h"
@@ -24,6 +25,7 @@
   const char *data_centre;
   struct gw_routes *routes; /* NULL until the first configuration has been received */
   struct gw_backends *backends;
+  struct evacuation *evacuation;        /* NULL: evacuations are not followed */
   struct allotment_manager *allotments; /* NULL until this instance is registered in the store */
   GHashTable *retry_budgets;            /* service name: struct gw_retry_budget */
   struct gw_retry_budget_options retry_options;
--- a/src/gateway/serve-private.h
+++ b/src/gateway/serve-private.h
@@ -1,6 +1,7 @@
 /* State shared by the source files of a running gateway: serve.c (start and stop), updates.c
  * (updates from the store and from peers), allotment-link.c (access of the allotment manager to the
- * store and to peers) and quarantine-link.c (the quarantine's access to peers and to the store). */
+ * store and to peers), quarantine-link.c (the quarantine's access to peers and to the store) and
+ * evacuation-link.c (evacuations from the store and from peers). */
 #pragma once
 
 #include "clock/fleet-clock.h"
@@ -59,6 +60,8 @@
   struct watcher *routes_watcher;
   struct watcher *backends_watcher;
   struct watcher *instances_watcher;
+  struct watcher *evacuations_watcher; /* NULL: evacuations are not followed */
+  unsigned evacuation_list_ms;         /* mean interval of its lists in parallel with the watch */
   struct mesh *mesh;
   struct fleet_clock *clock;
   int64_t time_requested_us; /* when peers were last asked for the time; 0: never */
@@ -77,6 +80,7 @@
   bool peers_asked;              /* for updates and reports, after the first list of instances */
   uv_timer_t quarantine_timer;   /* saves and reads blocked prompt parts */
   int64_t quarantine_read_us;    /* when the saved ones were last read; 0: never */
+  uv_timer_t evacuation_timer;   /* ends the hold of evacuations after a restore of the store */
   uv_timer_t cancel_timer;       /* requests are cancelled after a prompt part was blocked */
   bool backends_listed;          /* the first list of backend servers has been received */
   bool announced;                /* registered in the store, and the allotment manager is open */
@@ -119,6 +123,7 @@
 bool gateway_get_real_time_bounds_ (void *link, int64_t *earliest_ms, int64_t *latest_ms);
 void gateway_on_peer_time_ (const char *peer, int64_t real_ms, int64_t requested_us, void *data);
 void gateway_on_gossip_timer_ (uv_timer_t *timer);
+void gateway_gossip_update_ (struct gateway *gateway);
 void gateway_fill_update_ (struct mesh_update *update, void *data);
 void gateway_on_peer_update_ (const struct mesh_update *update, void *data);
 void gateway_announce_replaced_ (struct gw_context *context, const struct gw_backend *backend);
@@ -126,6 +131,11 @@
 void gateway_on_backend_leaving_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_peer_reported_leaving_ (uint64_t key, int64_t started_ms, void *data);
 void gateway_on_allotment_timer_ (uv_timer_t *timer);
+void gateway_open_evacuations_ (struct gateway *gateway, const struct watcher_options *options);
+void gateway_set_evacuation_lists_ (struct gateway *gateway);
+void gateway_note_evacuations_revision_ (struct gateway *gateway, int64_t revision);
+int64_t gateway_evacuations_revision_ (const struct gateway *gateway);
+void gateway_restore_evacuations_ (struct gateway *gateway, unsigned spread_ms);
 void gateway_open_quarantine_ (struct gateway *gateway);
 void gateway_set_exempt_parts_ (struct gateway *gateway, const struct gw_settings *settings);
 void
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -187,6 +187,7 @@
   watch.reachable = gateway_on_backends_reachable_;
   gateway->backends_watcher = watcher_new (&watch);
   watch.leader = gateway->backends_watcher;
+  gateway_open_evacuations_ (gateway, &watch);
   watch.reachable = NULL;
   watch.checked = NULL;
   watch.kind = gateway->platform->configuration_kind;
@@ -412,7 +413,9 @@
 is_ready_ (const struct gateway *gateway)
 {
   return gateway->context.routes != NULL && gateway->backends_listed && gateway->announced
-         && !gateway->context.stopping;
+         && !gateway->context.stopping
+         && (gateway->context.evacuation == NULL
+             || evacuation_is_known (gateway->context.evacuation));
 }
 
 static void
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -14,6 +14,7 @@
   const struct gw_dialect *dialect;
   const char *configuration_kind; /* kind of the store objects, for store_list */
   const char *backend_kind;
+  const char *evacuation_kind; /* each object is named after an evacuated data centre */
   /* Returns true if OBJECT, of the kind of the configuration, is the gateway's configuration. */
   bool (*is_configuration) (const struct store_object *object);
   /* Returns NULL if OBJECT is not valid. What it has in common with PREVIOUS, which may be NULL, is
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -80,6 +80,14 @@
     .default_value = "2000" },
 };
 
+static const struct sr_ini_key evacuation_keys_[] = {
+  { .name = "limit_ms",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (evacuation_limit_ms),
+    .max = 600000,
+    .default_value = "0" },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s",
     .type = SR_INI_UNSIGNED,
@@ -104,6 +112,7 @@
   { "limits", limits_keys_, G_N_ELEMENTS (limits_keys_) },
   { "prompts", prompts_keys_, G_N_ELEMENTS (prompts_keys_) },
   { "backends", backends_keys_, G_N_ELEMENTS (backends_keys_) },
+  { "evacuation", evacuation_keys_, G_N_ELEMENTS (evacuation_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -31,6 +31,9 @@
   GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
   /* [backends] */
   unsigned leave_ms; /* upper bound until a leaving server gets no new request */
+  /* [evacuation] */
+  unsigned evacuation_limit_ms; /* upper bound until the servers of an evacuated data centre get no
+                                   new request; 0: evacuations are not followed */
   /* [stop] */
   unsigned stop_limit_s; /* time from a stop signal until the process is killed */
 
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -712,6 +712,23 @@
   assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
 }
 
+/* Guards against an instance that follows evacuations, or does not start, where the settings say
+ * nothing of them. */
+static void
+without_a_limit_evacuations_are_off (void **state)
+{
+  const char text[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
+                      "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n"
+                      "[store]\naddress = 10.0.0.2:83\n";
+  struct sr_findings *findings = sr_findings_new ();
+  struct gw_settings *settings = gw_settings_parse ("f", text, strlen (text), findings);
+
+  assert_non_null (settings);
+  assert_int_equal (settings->evacuation_limit_ms, 0);
+  gw_settings_delete (settings);
+  sr_findings_delete (findings);
+}
+
 static void
 all_errors_in_the_settings_are_reported (void **state)
 {
@@ -720,7 +737,7 @@
         "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
         "address = 10.0.0.2:83\n[retries]\nratio = 0.2\nextra = 54\nwindow_s = 10\n"
         "[prompts]\npart_memory_s = 7.4\nnever_block = 5c1e07a2, BAD\n[backends]\nleave_ms = 3000\n"
-        "[stop]\nlimit_s = 8\n";
+        "[evacuation]\nlimit_ms = 5000\n[stop]\nlimit_s = 8\n";
   const char bad[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
                      "entry = 10.0.0.1\nready = x\npeer_port = 82\n[store]\naddress = 10.0.0.2:83\n"
                      "[retries]\nratio = 2\n[prompts]\npart_memory_s = -1\nnever_block = 5c1e,x\n";
@@ -733,6 +750,7 @@
   assert_true (settings->retry_ratio > 0.19 && settings->retry_ratio < 0.21);
   assert_true (settings->part_memory_s > 7.3 && settings->part_memory_s < 7.5);
   assert_int_equal (settings->leave_ms, 3000);
+  assert_int_equal (settings->evacuation_limit_ms, 5000);
   assert_int_equal (settings->never_blocked_parts->len, 2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 0), 0x5c1e07a2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 1), 0xbad);
@@ -770,6 +788,7 @@
     cmocka_unit_test (an_instance_reports_overload_before_its_link_is_full),
     cmocka_unit_test (the_two_directions_of_a_link_are_measured_separately),
     cmocka_unit_test (a_stop_returns_tokens_before_the_process_exits),
+    cmocka_unit_test (without_a_limit_evacuations_are_off),
     cmocka_unit_test (all_errors_in_the_settings_are_reported),
   };
 
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -33,7 +33,6 @@
 static void update_peers_ (struct gateway *gateway);
 static void report_peer_starts_ (struct gateway *gateway, const struct store_result *result);
 static struct mesh_update own_update_ (const struct gateway *gateway);
-static void gossip_update_ (struct gateway *gateway);
 
 static struct sr_histogram configuration_histogram_
     = { .name = "sapphirerun_configuration_microseconds",
@@ -94,7 +93,7 @@
 
   gw_routes_unref (context->routes);
   context->routes = routes;
-  gossip_update_ (gateway);
+  gateway_gossip_update_ (gateway);
   sr_event (SR_EVENT_INFO, "configuration", "{s:I,s:I,s:i,s:i,s:I}", "version",
             (json_int_t)routes->version, "revision",
             (json_int_t)watcher_reported_revision (gateway->routes_watcher), "routes",
@@ -163,7 +162,7 @@
 
   apply_backend_list_ (gateway, result, entries_may_be_missing_ (gateway));
   gateway->backends_listed = true;
-  gossip_update_ (gateway);
+  gateway_gossip_update_ (gateway);
 }
 
 /* Handles a periodic list, made in parallel with the watch. An entry that is missing in it may have
@@ -176,7 +175,7 @@
 
   bool some_missing = apply_backend_list_ (gateway, result, true);
 
-  gossip_update_ (gateway);
+  gateway_gossip_update_ (gateway);
   if (some_missing && !uv_is_active ((uv_handle_t *)&gateway->lease_timer))
     uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RENEWAL_MS, 0);
 }
@@ -186,7 +185,7 @@
 {
   struct gateway *gateway = data;
 
-  gossip_update_ (gateway);
+  gateway_gossip_update_ (gateway);
   for (size_t i = 0; i < result->n_objects; i++)
     if (result->objects[i].deleted)
       gw_backends_remove (gateway->context.backends, result->objects[i].name,
@@ -310,6 +309,7 @@
   gateway->merged_era = 0;
   watcher_restart (gateway->routes_watcher, RELIST_SPREAD_MS);
   watcher_restart (gateway->backends_watcher, RELIST_SPREAD_MS);
+  gateway_restore_evacuations_ (gateway, RELIST_SPREAD_MS);
   uv_timer_start (&gateway->lease_timer, on_lease_timer_, LEASE_RENEWAL_MS + RELIST_SPREAD_MS, 0);
   if (gateway->announced)
     watcher_restart (gateway->instances_watcher, REANNOUNCE_WAIT_MS);
@@ -433,6 +433,7 @@
     return;
   watcher_notify_revision (gateway->routes_watcher, update->configuration_revision);
   watcher_notify_revision (gateway->backends_watcher, update->backends_revision);
+  gateway_note_evacuations_revision_ (gateway, update->evacuations_revision);
 }
 
 /* A peer requests this instance's update. */
@@ -443,14 +444,15 @@
 }
 
 /* Sends the current revisions and configuration version to a few peers, if they have changed. */
-static void
-gossip_update_ (struct gateway *gateway)
+void
+gateway_gossip_update_ (struct gateway *gateway)
 {
   const struct mesh_update update = own_update_ (gateway);
 
   if (update.era == gateway->last_gossip.era
       && update.configuration_revision == gateway->last_gossip.configuration_revision
-      && update.backends_revision == gateway->last_gossip.backends_revision)
+      && update.backends_revision == gateway->last_gossip.backends_revision
+      && update.evacuations_revision == gateway->last_gossip.evacuations_revision)
     return;
   gateway->last_gossip = update;
   mesh_announce_update (gateway->mesh, &update, gateway->context.random);
@@ -465,6 +467,7 @@
   const struct mesh_update update = own_update_ (gateway);
 
   mesh_repeat_update (gateway->mesh, &update, gateway->context.random);
+  gateway_set_evacuation_lists_ (gateway);
   gateway_repeat_part_reports_ (gateway);
 }
 
@@ -476,5 +479,6 @@
     .configuration_revision = watcher_reported_revision (gateway->routes_watcher),
     .backends_revision = watcher_reported_revision (gateway->backends_watcher),
     .configuration_version = gateway->context.routes == NULL ? 0 : gateway->context.routes->version,
+    .evacuations_revision = gateway_evacuations_revision_ (gateway),
   };
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -552,6 +552,11 @@
   /* Instances of an earlier release send no version. */
   if (!xdr_int64_t (xdr, &update->configuration_version))
     update->configuration_version = 0;
+  /* Sent only where there is one, so that a fleet without evacuations sends what it always did. */
+  if (xdr->x_op == XDR_ENCODE && update->evacuations_revision == 0)
+    return true;
+  if (!xdr_int64_t (xdr, &update->evacuations_revision))
+    update->evacuations_revision = 0;
   return true;
 }
 
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -17,6 +17,7 @@
   int64_t configuration_revision;
   int64_t backends_revision;
   int64_t configuration_version; /* in force; 0: none */
+  int64_t evacuations_revision;  /* 0: none seen, or evacuations are not followed */
 };
 
 enum
