Watcher: a late parallel list does not undo a later list

A list in parallel with the watch could complete after the list that an expired history (410) caused, and bring back an object that was removed in between: an evacuation that has ended would have begun again, for instance. Only changes were compared, and the removal is in no list. The test failed before (listed 3 times instead of 2).

--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -629,6 +629,35 @@
   fake_delete_ (fake);
 }
 
+/* A list in parallel with the watch is still pending when the watch finds its history expired, and
+ * completes after the list that this causes. It must not bring back an object that was removed
+ * between the two. */
+static void
+a_late_parallel_list_does_not_undo_a_later_list (void **state)
+{
+  struct fake_ *fake = fake_new_ ();
+  struct pending_ watch;
+  struct pending_ parallel;
+  const struct store_object object = { .name = "o", .revision = 12 };
+  const struct store_result expired = { .status = STORE_HISTORY_EXPIRED };
+  const struct store_result late
+      = { .status = STORE_OK, .revision = 13, .objects = &object, .n_objects = 1 };
+
+  respond_ (fake, STORE_OK, 10, 0);
+  watch = (struct pending_){ fake->done, fake->data };
+  fake->call = CALL_NONE;
+  watcher_notify_revision (fake->watcher, 12);
+  run_until_call_ (fake);
+  assert_int_equal (fake->call, CALL_LIST);
+  parallel = (struct pending_){ fake->done, fake->data };
+  complete_call_ (fake, watch.done, watch.data, &expired);
+  respond_ (fake, STORE_OK, 20, 0); /* without the object created at 12 */
+  assert_int_equal (fake->listed, 2);
+  complete_call_ (fake, parallel.done, parallel.data, &late);
+  assert_int_equal (fake->listed, 2);
+  fake_delete_ (fake);
+}
+
 /* The store is restored and its revisions decrease. Results of earlier calls must be ignored,
  * everything listed, and changes with lower revisions reported. */
 static void
@@ -682,6 +711,7 @@
     cmocka_unit_test (a_follower_notifies_its_leader_of_the_end_of_an_outage),
     cmocka_unit_test (the_end_of_an_outage_does_not_end_the_pause_after_a_change),
     cmocka_unit_test (the_first_watch_after_an_outage_does_not_wait),
+    cmocka_unit_test (a_late_parallel_list_does_not_undo_a_later_list),
     cmocka_unit_test (after_a_restore_everything_is_listed),
   };
 
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -360,13 +360,14 @@
     report_list_ (watcher, result, watcher->options.checked);
 }
 
-/* Returns true if RESULT can be reported. One that is older than a change already reported would
- * undo that change. */
+/* Returns true if RESULT can be reported. One that is older than a change or a list already
+ * reported would undo that. */
 static bool
 end_parallel_list_ (struct watcher *watcher, const struct store_result *result)
 {
   watcher->list_pending = false;
-  return result->status == STORE_OK && result->revision >= watcher->reported_revision;
+  return result->status == STORE_OK
+         && result->revision >= MAX (watcher->reported_revision, watcher->listed_revision);
 }
 
 static void
