--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -88,6 +88,14 @@
   { .name = "contracts", .type = SR_INI_LIST, .offset = MEMBER (contracts) },
 };
 
+static const struct sr_ini_key evacuation_keys_[] = {
+  { .name = "limit_ms",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (evacuation_limit_ms),
+    .max = 600000,
+    .default_value = "0" },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s",
     .type = SR_INI_UNSIGNED,
@@ -113,6 +121,7 @@
   { "prompts", prompts_keys_, G_N_ELEMENTS (prompts_keys_) },
   { "backends", backends_keys_, G_N_ELEMENTS (backends_keys_) },
   { "callers", callers_keys_, G_N_ELEMENTS (callers_keys_) },
+  { "evacuation", evacuation_keys_, G_N_ELEMENTS (evacuation_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -34,6 +34,9 @@
   /* [callers] */
   bool callers_compete; /* callers compete for too little capacity; see gw_platform as well */
   GPtrArray *contracts; /* GString: names that the platform adapter knows */
+  /* [evacuation] */
+  unsigned evacuation_limit_ms; /* upper bound until the servers of an evacuated data centre get no
+                                   new request; 0: evacuations are not followed */
   /* [stop] */
   unsigned stop_limit_s; /* time from a stop signal until the process is killed */
 
