Cold servers: a limit that holds over all instances

While a backend server is cold it sustains a few requests per second (coldPerS), and far more crash it. Until now instances only preferred other servers by a fixed cost, so that a server that started during traffic got requests of all instances at once.

Each cold server now takes requests only from the instances that rank first for it by rendezvous hashing over the list of instances in the store; the requests of a window (1.25 s) are dealt to them one by one. Instances send only 28 s after their first list, not with a list older than 24 s, and removed instances keep their rank for 28 s, so that the shares add up to the limit at most although lists differ. The limit is checked when a server is picked and again when the request is sent. It is off unless the settings have [cold].

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -28,6 +28,8 @@
 
 static int64_t required_response_since_us_ (const struct gw_context *context, int64_t now_us);
 static void send_request_ (struct gw_exchange *exchange);
+static void note_sent_to_cold_ (const struct gw_exchange *exchange, int64_t now_us);
+static bool is_withheld_from_cold_ (const struct gw_exchange *exchange);
 static void on_ready_ (void *user);
 static void on_head_ (void *user,
                       const struct net_http_head *head,
@@ -66,6 +68,13 @@
                                                 .help = "Requests answered by a backend server." };
 static struct sr_counter attempts_counter_
     = { .name = "sapphirerun_attempts_total", .help = "Requests sent to backend servers." };
+static struct sr_counter cold_withheld_counter_
+    = { .name = "sapphirerun_cold_withheld_total",
+        .help
+        = "Selections of a backend server that left out cold ones, and requests not sent to a "
+          "selected one because it was cold." };
+static struct sr_counter cold_sent_counter_ = { .name = "sapphirerun_cold_requests_total",
+                                                .help = "Requests sent to cold backend servers." };
 static struct sr_histogram first_byte_histogram_
     = { .name = "sapphirerun_first_byte_microseconds",
         .help = "From a request's arrival to its answer's first byte." };
@@ -74,6 +83,8 @@
 gw_exchange_register_attempt_metrics_ (void)
 {
   sr_counter_register (&attempts_counter_);
+  sr_counter_register (&cold_withheld_counter_);
+  sr_counter_register (&cold_sent_counter_);
   sr_counter_register (&responses_counter_);
   sr_histogram_register (&first_byte_histogram_);
 }
@@ -99,6 +110,7 @@
     .part_cache_lifetime_us = context->part_cache_lifetime_us,
     .excluded = exchange->tried,
     .responded_since_us = required_response_since_us_ (context, now_us),
+    .cold_start = context->cold_start,
     .now_us = now_us,
   };
   struct gw_upstream_options options = {
@@ -125,6 +137,15 @@
   if (gw_exchange_refuse_blocked_ (exchange))
     return;
   verdict = gw_placement_pick (&query, context->random, place);
+  sr_counter_add (&cold_withheld_counter_, place->cold_withheld > 0);
+  if (verdict == GW_PLACEMENT_ALL_COLD)
+    {
+      gw_exchange_refuse_with_inputs_ (exchange, exchange->runs > 0 ? 502 : 503,
+                                       GW_RETRY_AFTER_PAUSE, "all_cold",
+                                       json_pack ("{s:i,s:I}", "cold", (int)place->cold_withheld,
+                                                  "wait_ms", (json_int_t)place->resumes_in_ms));
+      return;
+    }
   if (verdict == GW_PLACEMENT_ALL_PAUSED)
     {
       gw_exchange_refuse_with_inputs_ (
@@ -201,6 +222,7 @@
   exchange->runs++;
   exchange->attempts++;
   sr_counter_add (&attempts_counter_, 1);
+  note_sent_to_cold_ (exchange, now_us);
   sr_event (
       SR_EVENT_INFO, "request_sent", "{s:s,s:s,s:I,s:s,s:i,s:I,s:I,s:I,s:f,s:i,s:i,s:I}", "request",
       exchange->id, "team", exchange->team == NULL ? "" : exchange->team->name->str, "reserved",
@@ -232,14 +254,38 @@
   return now_us - span_us;
 }
 
-/* During the handshake the backend server may have asked for a pause, in another response, or the
- * prompt may have been blocked. */
+/* Counts the request in the limit for cold servers. */
+static void
+note_sent_to_cold_ (const struct gw_exchange *exchange, int64_t now_us)
+{
+  if (!gw_cold_start_is_on (exchange->context->cold_start))
+    return;
+  gw_cold_server_note_sent (&exchange->backend->cold, now_us);
+  sr_counter_add (&cold_sent_counter_, gw_cold_server_is_cold (&exchange->backend->cold, now_us));
+}
+
+/* Returns true if the backend server has become cold since it was picked, or has got all that this
+ * instance may send to it for now. */
+static bool
+is_withheld_from_cold_ (const struct gw_exchange *exchange)
+{
+  if (gw_placement_cold_wait_us (exchange->context->cold_start, exchange->service,
+                                 exchange->backend, g_get_monotonic_time ())
+      <= 0)
+    return false;
+  sr_counter_add (&cold_withheld_counter_, 1);
+  return true;
+}
+
+/* During the handshake the backend server may have asked for a pause, in another response, or have
+ * become cold, or the prompt may have been blocked. */
 static void
 on_ready_ (void *user)
 {
   struct gw_exchange *exchange = user;
 
   if (!gw_placement_is_paused (exchange->backend, g_get_monotonic_time ())
+      && !is_withheld_from_cold_ (exchange)
       && (exchange->is_trial
           || !quarantine_blocks (exchange->context->quarantine, &exchange->shared_parts,
                                  exchange->team_hash)))
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -108,6 +108,7 @@
   g_assert (g_queue_is_empty (&backend->idle_connections));
   gw_backend_load_delete (backend->load);
   gw_latency_model_unref (backend->latency_model);
+  gw_cold_server_clear (&backend->cold);
   gw_backend_facts_clear (&backend->facts);
   g_free (backend);
 }
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -1,6 +1,8 @@
 /* Table of the backend servers, from their entries in the store. */
 #pragma once
 
+#include "gateway/cold-start.h"
+
 #include <glib.h>
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -30,7 +32,8 @@
   uint64_t key;    /* gw_backend_key of the id */
   bool is_removed; /* removed from the table: no new requests, those running may finish */
   bool is_missing; /* not listed after a store outage: removed unless listed again in time */
-  struct gw_backend_load *load;           /* owned by the placement */
+  struct gw_backend_load *load; /* owned by the placement */
+  struct gw_cold_server cold;
   struct gw_latency_model *latency_model; /* latency model of its service */
   GQueue idle_connections;                /* owned by the connection pool */
   unsigned connections;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -60,6 +60,8 @@
   unsigned slots;
   struct net_string_view backend_id; /* id of the server that responded; empty: not given */
   bool is_leaving;                   /* the server that responded is shutting down */
+  int64_t
+      cold_ms; /* the server that responded stays cold for this long; 0: not given or not cold */
   int64_t retry_after_ms; /* the server asks this instance to send no requests for this long; 0: not
                              asked */
   bool has_idle_timeout;  /* false: not given; the next field is 0 */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,7 @@
   unsigned exchanges; /* requests in progress */
   struct quarantine *quarantine;
   struct end_detector *end_detector;
+  struct gw_cold_start *cold_start; /* off unless the settings have it */
   GQueue unanswered; /* struct gw_exchange with shared prompt parts that were sent and have no byte
                         of an answer yet */
   /* Reports to peers that a different server responds at the address of BACKEND. */
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -78,6 +78,7 @@
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
+static bool is_cold_ (const struct gw_placement_query *query, const struct gw_backend *backend);
 static bool is_excluded_ (const struct gw_placement_query *query, const struct gw_backend *backend);
 
 struct gw_backend_load *
@@ -121,6 +122,7 @@
       unsigned slots = MAX (backend->facts.slots, 1U);
       int64_t uncached;
       int64_t cached_elsewhere;
+      int64_t cold_us;
       double ms;
 
       if (backend->facts.is_leaving || backend->is_removed || is_excluded_ (query, backend))
@@ -135,6 +137,14 @@
           resumes_us = MIN (resumes_us, load->paused_until_us);
           continue;
         }
+      cold_us
+          = gw_placement_cold_wait_us (query->cold_start, query->service, backend, query->now_us);
+      if (cold_us > 0)
+        {
+          place->cold_withheld++;
+          resumes_us = MIN (resumes_us, query->now_us + cold_us);
+          continue;
+        }
       uncached = uncached_tokens_ (query, backend, affinity, &cached_elsewhere);
       ms = expected_ms_ (query, backend, uncached + cached_elsewhere);
       if (load->in_flight + peer_requests_ (load, query->now_us)
@@ -154,7 +164,7 @@
   if (place->backend == NULL && resumes_us != INT64_MAX)
     {
       place->resumes_in_ms = (resumes_us - query->now_us + 999) / 1000;
-      return GW_PLACEMENT_ALL_PAUSED;
+      return place->cold_withheld > 0 ? GW_PLACEMENT_ALL_COLD : GW_PLACEMENT_ALL_PAUSED;
     }
   if (place->backend == NULL)
     return some_unresponsive ? GW_PLACEMENT_NO_RECENT_RESPONSE : GW_PLACEMENT_NO_BACKEND;
@@ -292,6 +302,21 @@
   return backend->load->paused_until_us > now_us;
 }
 
+/* Returns the time until this instance may send a request to BACKEND of SERVICE, which is cold; 0:
+ * now, or it is not cold. To be asked again when the request is sent, as the server may have become
+ * cold, or its limit used up, since it was picked. */
+int64_t
+gw_placement_cold_wait_us (const struct gw_cold_start *cold_start,
+                           const struct gw_service *service,
+                           const struct gw_backend *backend,
+                           int64_t now_us)
+{
+  if (service == NULL || !gw_cold_start_is_on (cold_start))
+    return 0;
+  return gw_cold_start_wait_us (cold_start, &backend->cold, backend->key, service->cold_per_s,
+                                now_us);
+}
+
 /* Returns whether BACKEND has requests of this instance and has sent nothing for SILENCE_US. */
 bool
 gw_placement_is_silent (const struct gw_backend *backend, int64_t now_us)
@@ -329,7 +354,7 @@
     ms += (total - slots + 1) / slots * gw_latency_model_response_ms (backend->latency_model);
   if (strcmp (backend->facts.data_centre, query->data_centre) != 0)
     ms += OTHER_DATA_CENTRE_MS;
-  if (backend->facts.warm_up_ms > 0)
+  if (is_cold_ (query, backend))
     ms += WARM_UP_MS;
   if (backend->idle_connections.length == 0)
     ms += query->connect_ms;
@@ -391,7 +416,9 @@
       uint64_t weight;
 
       if (backend->facts.is_leaving || is_ejected_ (backend->load, query->now_us)
-          || gw_placement_is_paused (backend, query->now_us))
+          || gw_placement_is_paused (backend, query->now_us)
+          || gw_placement_cold_wait_us (query->cold_start, query->service, backend, query->now_us)
+                 > 0)
         continue;
       weight = XXH3_64bits_withSeed (&backend->key, sizeof backend->key,
                                      prompt->parts[prompt->n_parts - 2].id);
@@ -447,6 +474,15 @@
   return MAX (load->ejected_until_us, load->replaced_until_us) > now_us;
 }
 
+/* Without the limit for cold servers, the time in the entry is not followed. */
+static bool
+is_cold_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+{
+  if (!gw_cold_start_is_on (query->cold_start))
+    return backend->facts.warm_up_ms > 0;
+  return gw_cold_server_is_cold (&backend->cold, query->now_us);
+}
+
 static bool
 is_excluded_ (const struct gw_placement_query *query, const struct gw_backend *backend)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -23,14 +23,17 @@
   int64_t part_cache_lifetime_us; /* a prompt part is assumed cached this long after use; 0: 9 s */
   const GPtrArray *excluded;  /* struct gw_backend: servers of earlier attempts at this request */
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
+  const struct gw_cold_start *cold_start; /* limit for cold servers; NULL: off */
   int64_t now_us;
 };
 
 enum gw_placement_verdict
 {
   GW_PLACEMENT_PICKED,
-  GW_PLACEMENT_ALL_FULL,           /* a server is set, but all candidates have overlong queues */
-  GW_PLACEMENT_ALL_PAUSED,         /* all candidates have asked for no requests for some time */
+  GW_PLACEMENT_ALL_FULL,   /* a server is set, but all candidates have overlong queues */
+  GW_PLACEMENT_ALL_PAUSED, /* all candidates have asked for no requests for some time */
+  GW_PLACEMENT_ALL_COLD, /* no candidate but cold ones, to which this instance may send nothing now
+                          */
   GW_PLACEMENT_NO_RECENT_RESPONSE, /* no candidate has responded recently enough for the query */
   GW_PLACEMENT_NO_BACKEND          /* no server takes new requests */
 };
@@ -45,8 +48,9 @@
   unsigned in_flight;           /* requests sent by this instance, without this one */
   unsigned reported_load;       /* requests of peers there, by its last load report */
   int64_t report_age_ms;        /* -1: no load report yet */
-  int64_t
-      resumes_in_ms; /* GW_PLACEMENT_ALL_PAUSED: until the first candidate accepts requests again */
+  int64_t resumes_in_ms;        /* GW_PLACEMENT_ALL_PAUSED, GW_PLACEMENT_ALL_COLD: until the first
+                                   candidate        accepts requests again */
+  unsigned cold_withheld;       /* cold servers to which this instance may send nothing now */
 };
 
 enum gw_attempt_outcome
@@ -81,5 +85,9 @@
                                int64_t now_us);
 bool gw_placement_set_replaced (struct gw_backend *backend, int64_t now_us);
 void gw_placement_pause (struct gw_backend *backend, int64_t pause_ms, int64_t now_us);
+int64_t gw_placement_cold_wait_us (const struct gw_cold_start *cold_start,
+                                   const struct gw_service *service,
+                                   const struct gw_backend *backend,
+                                   int64_t now_us);
 bool gw_placement_is_paused (const struct gw_backend *backend, int64_t now_us);
 bool gw_placement_is_silent (const struct gw_backend *backend, int64_t now_us);
--- a/src/gateway/routes.h
+++ b/src/gateway/routes.h
@@ -56,6 +56,8 @@
   unsigned tokens_per_event; /* upper bound */
   unsigned slots;            /* requests that one backend server runs at once */
   int64_t memory_tokens;     /* cache memory of one backend server */
+  int64_t cold_ms;           /* a backend server is cold for this long after its start */
+  double cold_per_s;         /* requests that a cold one sustains; 0: never cold */
 };
 
 struct gw_team
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -158,6 +158,8 @@
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  context->cold_start = gw_cold_start_new (settings->name->str);
+  gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
   context->random = g_rand_new ();
   gateway_open_quarantine_ (gateway);
   for (size_t i = 0; i < G_N_ELEMENTS (timers); i++)
@@ -471,6 +473,7 @@
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
+      gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
       gateway_set_exempt_parts_ (gateway, settings);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
                 settings->retry_ratio, "retry_extra", (int)settings->retry_extra, "link_mbps",
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -12,7 +12,8 @@
 enum
 {
   PORT_MAX = 65535,
-  PART_MEMORY_MAX_S = 3600
+  PART_MEMORY_MAX_S = 3600,
+  COLD_OVERAGE_MAX = 1000
 };
 
 #define MEMBER(member) offsetof (struct gw_settings, member)
@@ -80,6 +81,18 @@
     .default_value = "2000" },
 };
 
+static const struct sr_ini_key cold_keys_[] = {
+  { .name = "overage",
+    .type = SR_INI_TEXT,
+    .offset = MEMBER (cold_overage_text),
+    .default_value = "0" },
+  { .name = "slack",
+    .type = SR_INI_UNSIGNED,
+    .offset = MEMBER (cold_slack),
+    .max = 1000000,
+    .default_value = "0" },
+};
+
 static const struct sr_ini_key stop_keys_[] = {
   { .name = "limit_s",
     .type = SR_INI_UNSIGNED,
@@ -104,6 +117,7 @@
   { "limits", limits_keys_, G_N_ELEMENTS (limits_keys_) },
   { "prompts", prompts_keys_, G_N_ELEMENTS (prompts_keys_) },
   { "backends", backends_keys_, G_N_ELEMENTS (backends_keys_) },
+  { "cold", cold_keys_, G_N_ELEMENTS (cold_keys_) },
   { "stop", stop_keys_, G_N_ELEMENTS (stop_keys_) },
 };
 
@@ -172,6 +186,7 @@
   text_free_ (settings->link_text);
   text_free_ (settings->part_memory_text);
   text_free_ (settings->never_block_text);
+  text_free_ (settings->cold_overage_text);
   if (settings->never_blocked_parts != NULL)
     g_array_unref (settings->never_blocked_parts);
   g_free (settings);
@@ -215,6 +230,12 @@
       || settings->part_memory_s > PART_MEMORY_MAX_S)
     sr_findings_add (findings, file_name, 0, "prompts", "part_memory_s",
                      "is not a number from 0 to 3600");
+  errno = 0;
+  settings->cold_overage = g_ascii_strtod (settings->cold_overage_text->str, &end);
+  /* The comparison is written so that it fails for what is not a number, such as "nan". */
+  if (errno != 0 || *end != '\0' || end == settings->cold_overage_text->str
+      || !(settings->cold_overage >= 0 && settings->cold_overage <= COLD_OVERAGE_MAX))
+    sr_findings_add (findings, file_name, 0, "cold", "overage", "is not a number from 0 to 1000");
   resolve_parts_ (settings, file_name, findings);
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -31,6 +31,9 @@
   GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
   /* [backends] */
   unsigned leave_ms; /* upper bound until a leaving server gets no new request */
+  /* [cold] */
+  double cold_overage; /* a cold server may get this many times what it sustains; 0: no limit */
+  unsigned cold_slack; /* requests per second beyond that */
   /* [stop] */
   unsigned stop_limit_s; /* time from a stop signal until the process is killed */
 
@@ -43,6 +46,7 @@
   GString *link_text;
   GString *part_memory_text;
   GString *never_block_text;
+  GString *cold_overage_text;
 };
 
 struct gw_settings *gw_settings_load (const char *path, struct sr_findings *findings);
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -610,6 +610,86 @@
   fleet_tear_down_ (&fleet);
 }
 
+/* Guards against a cold server that gets more than the share of this instance, or that is picked as
+ * the last one left. Once all are cold and the share is used up, the result says when to retry. */
+static void
+cold_servers_get_only_the_share_of_this_instance (void **state)
+{
+  enum
+  {
+    SHARE = 10 /* 11 x 1.5 + 5, of which a half */
+  };
+  struct fleet_ fleet;
+  const struct gw_prompt prompt = { 0 };
+  struct gw_cold_start *cold = gw_cold_start_new ("g-1");
+  int64_t now_us = 100 * SECOND;
+  struct gw_placement_query query;
+  struct gw_placement place;
+  unsigned picks = 0;
+
+  fleet_set_up_ (&fleet, 2, false);
+  fleet.service.cold_per_s = 11;
+  gw_cold_start_set_limits (cold, 1.5, 5);
+  gw_cold_start_confirm_list (cold, now_us - GW_COLD_SETTLE_US);
+  gw_cold_start_confirm_list (cold, now_us);
+  query = query_ (&fleet, &prompt, now_us);
+  query.cold_start = cold;
+  gw_cold_server_note_remaining (&backend_ (&fleet, 0)->cold, 3000, now_us);
+  for (unsigned i = 0; i < 60; i++)
+    {
+      assert_int_equal (gw_placement_pick (&query, fleet.random, &place), GW_PLACEMENT_PICKED);
+      assert_string_equal (place.backend->facts.id, "i-1"); /* a warm one is preferred */
+    }
+  gw_cold_server_note_remaining (&backend_ (&fleet, 1)->cold, 3000, now_us);
+  while (gw_placement_pick (&query, fleet.random, &place) == GW_PLACEMENT_PICKED)
+    {
+      gw_cold_server_note_sent (&place.backend->cold, now_us);
+      picks++;
+    }
+  assert_int_equal (picks, 2 * SHARE);
+  assert_int_equal (gw_placement_pick (&query, fleet.random, &place), GW_PLACEMENT_ALL_COLD);
+  assert_int_equal (place.cold_withheld, 2);
+  assert_true (place.resumes_in_ms >= 1000 && place.resumes_in_ms <= 1500);
+  query.now_us += place.resumes_in_ms * MS;
+  assert_int_equal (gw_placement_pick (&query, fleet.random, &place), GW_PLACEMENT_PICKED);
+  query.now_us = now_us;
+  gw_cold_start_set_limits (cold, 0, 0);
+  assert_int_equal (gw_placement_pick (&query, fleet.random, &place), GW_PLACEMENT_PICKED);
+  fleet_tear_down_ (&fleet);
+  gw_cold_start_delete (cold);
+}
+
+/* Guards against a cold server that stays less preferred after its cold time, because its entry is
+ * not written again. Without the limit the entry alone counts. */
+static void
+without_the_limit_a_cold_server_is_only_less_preferred (void **state)
+{
+  struct fleet_ fleet;
+  const struct gw_prompt prompt = { 0 };
+  struct gw_cold_start *cold = gw_cold_start_new ("g-1");
+  struct gw_placement_query query;
+  struct gw_placement place;
+  unsigned picks = 0;
+
+  fleet_set_up_ (&fleet, 2, false);
+  fleet.service.cold_per_s = 11;
+  for (unsigned i = 0; i < 2; i++)
+    backend_ (&fleet, i)->facts.warm_up_ms = i == 0 ? 3000 : 0;
+  assert_int_equal (picks_of_ (&fleet, "i-0", 10 * SECOND), 0);
+  assert_int_equal (picks_of_ (&fleet, "i-0", 100 * SECOND), 0);
+  gw_cold_start_set_limits (cold, 1.5, 5);
+  query = query_ (&fleet, &prompt, 100 * SECOND);
+  query.cold_start = cold;
+  for (unsigned i = 0; i < 60; i++)
+    {
+      gw_placement_pick (&query, fleet.random, &place);
+      picks += place.backend == backend_ (&fleet, 0);
+    }
+  assert_true (picks > 0);
+  fleet_tear_down_ (&fleet);
+  gw_cold_start_delete (cold);
+}
+
 /* A link of 8 Mbit/s gets 4 Mbit/s, then 8 Mbit/s. */
 static void
 a_full_link_refuses_requests_and_a_half_full_one_does_not (void **state)
@@ -720,10 +800,11 @@
         "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
         "address = 10.0.0.2:83\n[retries]\nratio = 0.2\nextra = 54\nwindow_s = 10\n"
         "[prompts]\npart_memory_s = 7.4\nnever_block = 5c1e07a2, BAD\n[backends]\nleave_ms = 3000\n"
-        "[stop]\nlimit_s = 8\n";
+        "[cold]\noverage = 1.5\nslack = 5\n[stop]\nlimit_s = 8\n";
   const char bad[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
                      "entry = 10.0.0.1\nready = x\npeer_port = 82\n[store]\naddress = 10.0.0.2:83\n"
-                     "[retries]\nratio = 2\n[prompts]\npart_memory_s = -1\nnever_block = 5c1e,x\n";
+                     "[retries]\nratio = 2\n[prompts]\npart_memory_s = -1\nnever_block = 5c1e,x\n"
+                     "[cold]\noverage = nan\nslack = 5\n";
   struct sr_findings *findings = sr_findings_new ();
   struct gw_settings *settings = gw_settings_parse ("f", good, strlen (good), findings);
 
@@ -733,12 +814,31 @@
   assert_true (settings->retry_ratio > 0.19 && settings->retry_ratio < 0.21);
   assert_true (settings->part_memory_s > 7.3 && settings->part_memory_s < 7.5);
   assert_int_equal (settings->leave_ms, 3000);
+  assert_true (settings->cold_overage > 1.49 && settings->cold_overage < 1.51);
+  assert_int_equal (settings->cold_slack, 5);
   assert_int_equal (settings->never_blocked_parts->len, 2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 0), 0x5c1e07a2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 1), 0xbad);
   gw_settings_delete (settings);
   assert_null (gw_settings_parse ("f", bad, strlen (bad), findings));
-  assert_int_equal (sr_findings_count (findings), 5);
+  assert_int_equal (sr_findings_count (findings), 6);
+  sr_findings_delete (findings);
+}
+
+/* Guards against a limit for cold servers that takes effect where the settings have no [cold]. */
+static void
+settings_without_the_cold_section_have_no_limit (void **state)
+{
+  const char text[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
+                      "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
+                      "address = 10.0.0.2:83\n";
+  struct sr_findings *findings = sr_findings_new ();
+  struct gw_settings *settings = gw_settings_parse ("f", text, strlen (text), findings);
+
+  assert_non_null (settings);
+  assert_true (settings->cold_overage <= 0);
+  assert_int_equal (settings->cold_slack, 0);
+  gw_settings_delete (settings);
   sr_findings_delete (findings);
 }
 
@@ -770,7 +870,10 @@
     cmocka_unit_test (an_instance_reports_overload_before_its_link_is_full),
     cmocka_unit_test (the_two_directions_of_a_link_are_measured_separately),
     cmocka_unit_test (a_stop_returns_tokens_before_the_process_exits),
+    cmocka_unit_test (cold_servers_get_only_the_share_of_this_instance),
+    cmocka_unit_test (without_the_limit_a_cold_server_is_only_less_preferred),
     cmocka_unit_test (all_errors_in_the_settings_are_reported),
+    cmocka_unit_test (settings_without_the_cold_section_have_no_limit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -13,7 +13,8 @@
   = 300, /* after a restore: all instances list three kinds each, spread over this time */
   UPTIME_MAX_MS = 86400000, /* limit for the uptime in an announcement; a process announces itself
                              * soon after its start, so that a longer one is wrong */
-  GUARD_RETRY_MS = 250,     /* between requests to peers for their configuration version */
+  INSTANCES_CHECK_MIN_MS = 10000, /* between lists of the instances, each of which costs a call */
+  GUARD_RETRY_MS = 250,           /* between requests to peers for their configuration version */
   LEASE_RENEWAL_MS
   = 2200, /* entries that expired in an outage are renewed within two seconds of its end */
 };
@@ -25,6 +26,8 @@
                                  const struct store_result *result,
                                  bool may_be_renewed);
 static void put_backend_ (struct gateway *gateway, const struct store_object *object);
+static void
+note_cold_entry_ (struct gateway *gateway, const struct store_object *object, int64_t cold_ms);
 static bool entries_may_be_missing_ (const struct gateway *gateway);
 static void on_lease_timer_ (uv_timer_t *timer);
 static void put_instance_ (struct gateway *gateway, const struct store_object *object);
@@ -211,9 +214,28 @@
 put_backend_ (struct gateway *gateway, const struct store_object *object)
 {
   struct gw_backend_facts facts;
+  int64_t cold_ms;
+
+  if (!gateway->platform->decode_backend (object, &facts))
+    return;
+  cold_ms = facts.warm_up_ms;
+  gw_backends_put (gateway->context.backends, &facts);
+  note_cold_entry_ (gateway, object, cold_ms);
+}
 
-  if (gateway->platform->decode_backend (object, &facts))
-    gw_backends_put (gateway->context.backends, &facts);
+/* The entry OBJECT says that its backend server stays cold for COLD_MS. */
+static void
+note_cold_entry_ (struct gateway *gateway, const struct store_object *object, int64_t cold_ms)
+{
+  struct gw_backend *backend
+      = gw_backends_find (gateway->context.backends, gw_backend_key (object->name));
+
+  if (backend == NULL || !gw_cold_start_is_on (gateway->context.cold_start)
+      || !gw_cold_server_note_entry (&backend->cold, gateway->store->era, object->revision, cold_ms,
+                                     g_get_monotonic_time ()))
+    return;
+  sr_event (SR_EVENT_INFO, "backend_cold", "{s:s,s:I,s:s}", "backend", backend->facts.id, "cold_ms",
+            (json_int_t)cold_ms, "source", "entry");
 }
 
 void
@@ -327,6 +349,7 @@
 
   if (strcmp (object->name, gateway->settings->name->str) == 0)
     return;
+  gw_cold_start_add_instance (gateway->context.cold_start, object->name);
   if (ip == NULL || inet_pton (AF_INET, ip, &address.sin_addr) != 1 || port < 1 || port > 65535)
     {
       sr_event (SR_EVENT_WARNING, "object_not_readable", "{s:s,s:s}", "object", object->name,
@@ -380,6 +403,7 @@
 {
   g_hash_table_remove (gateway->leaving_instances, name);
   mesh_remove_peer (gateway->mesh, name);
+  gw_cold_start_remove_instance (gateway->context.cold_start, name, g_get_monotonic_time ());
 }
 
 static void
@@ -414,6 +438,11 @@
                   (unsigned)GATEWAY_CHECK_MIN_MS);
   watcher_set_list_interval (gateway->routes_watcher, check_ms);
   watcher_set_list_interval (gateway->backends_watcher, check_ms);
+  /* Only the limit for cold servers depends on a complete list. */
+  watcher_set_list_interval (gateway->instances_watcher,
+                             gw_cold_start_is_on (gateway->context.cold_start)
+                                 ? MAX (check_ms, (unsigned)INSTANCES_CHECK_MIN_MS)
+                                 : 0);
   allotment_manager_set_peers (gateway->context.allotments, names, g_get_monotonic_time ());
   sr_event (SR_EVENT_INFO, "instances", "{s:i}", "count", (int)gateway->context.instances);
 }
@@ -465,6 +494,9 @@
   const struct mesh_update update = own_update_ (gateway);
 
   mesh_repeat_update (gateway->mesh, &update, gateway->context.random);
+  if (watcher_confirmed_us (gateway->instances_watcher) > 0)
+    gw_cold_start_confirm_list (gateway->context.cold_start,
+                                watcher_confirmed_us (gateway->instances_watcher));
   gateway_repeat_part_reports_ (gateway);
 }
 
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -496,6 +496,10 @@
     return;
   if (response->is_leaving)
     gw_backends_set_leaving (upstream->backends, backend->key, backend->facts.started_ms);
+  if (response->cold_ms > 0
+      && gw_cold_server_note_remaining (&backend->cold, response->cold_ms, g_get_monotonic_time ()))
+    sr_event (SR_EVENT_INFO, "backend_cold", "{s:s,s:I,s:s}", "backend", backend->facts.id,
+              "cold_ms", (json_int_t)response->cold_ms, "source", "response");
   if (response->retry_after_ms > 0)
     {
       sr_event (SR_EVENT_INFO, "backend_paused", "{s:s,s:I}", "backend", backend->facts.id,
--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -5,8 +5,10 @@
 enum
 {
   US_PER_MS = 1000,
-  RETRY_FIRST_MS = 20, /* a watch whose connection was merely cut continues almost at once */
-  RETRY_MAX_MS = 800,  /* less than half of the two seconds in which a change must be in force */
+  WATCH_DELAY_US = 3000000, /* a change may be missing in the result of a watch that ends this long
+                             * after it */
+  RETRY_FIRST_MS = 20,      /* a watch whose connection was merely cut continues almost at once */
+  RETRY_MAX_MS = 800, /* less than half of the two seconds in which a change must be in force */
   CATCH_UP_DELAY_MS
   = 120, /* time for this watcher's watch to show a change that peers have reported */
   REPORTED_MAX = 20000, /* objects whose reported revision is remembered; several times those of a
@@ -33,6 +35,8 @@
   int64_t listed_revision;   /* of the last list: no change up to it can have been missed */
   int64_t watch_revision;    /* position of the watch; 0: list first */
   int64_t call_started_us;   /* start of the latest list or watch call */
+  int64_t list_started_us;   /* start of the latest list in parallel */
+  int64_t confirmed_us;      /* changes up to this time have been reported; 0: none yet */
   unsigned call_wait_ms;     /* the duration requested for that watch */
   unsigned retry_ms;         /* until the next retry; above RETRY_FIRST_MS after a failure */
   GPtrArray *followers;      /* watchers whose leader this is */
@@ -154,6 +158,14 @@
   return watcher->reported_revision;
 }
 
+/* Returns the time up to which all changes have been reported, unless a watch has missed one
+ * without a later list; 0: no list yet. */
+int64_t
+watcher_confirmed_us (const struct watcher *watcher)
+{
+  return watcher->confirmed_us;
+}
+
 /* The store was restored: earlier revisions are meaningless. Lists everything again after a random
  * delay of up to SPREAD_MS, as all instances do so. */
 void
@@ -335,6 +347,7 @@
 list_in_parallel_ (struct watcher *watcher, store_callback done)
 {
   watcher->list_pending = true;
+  watcher->list_started_us = g_get_monotonic_time ();
   store_list (watcher->options.store, watcher->options.kind, done, call_new_ (watcher));
 }
 
@@ -345,6 +358,7 @@
 
   if (watcher == NULL || !end_parallel_list_ (watcher, result))
     return;
+  watcher->confirmed_us = MAX (watcher->confirmed_us, watcher->list_started_us);
   watcher->watch_revision = MAX (watcher->watch_revision, result->revision);
   report_list_ (watcher, result, watcher->options.listed);
 }
@@ -438,6 +452,7 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   watcher->watch_revision = MAX (watcher->watch_revision, result->revision);
+  watcher->confirmed_us = MAX (watcher->confirmed_us, watcher->call_started_us);
   report_list_ (watcher, result, watcher->options.listed);
   start_call_after_pause_ (watcher);
 }
@@ -465,6 +480,7 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   report_changes_ (watcher, result);
+  watcher->confirmed_us = MAX (watcher->confirmed_us, g_get_monotonic_time () - WATCH_DELAY_US);
   if (result->n_objects > 0)
     start_call_after_pause_ (watcher);
   else if (call_duration_ms_ (watcher) < watcher->call_wait_ms / 2)
--- a/src/store/watcher.h
+++ b/src/store/watcher.h
@@ -41,6 +41,7 @@
 void watcher_set_list_interval (struct watcher *watcher, unsigned interval_ms);
 void watcher_notify_revision (struct watcher *watcher, int64_t revision);
 int64_t watcher_reported_revision (const struct watcher *watcher);
+int64_t watcher_confirmed_us (const struct watcher *watcher);
 void watcher_restart (struct watcher *watcher, unsigned spread_ms);
 void watcher_stop (struct watcher *watcher);
 void watcher_delete (struct watcher *watcher);
