--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -37,6 +37,9 @@
   /* [evacuation] */
   unsigned evacuation_limit_ms; /* upper bound until the servers of an evacuated data centre get no
                                    new request; 0: evacuations are not followed */
+  /* [cold] */
+  double cold_overage; /* a cold server may get this many times what it sustains; 0: no limit */
+  unsigned cold_slack; /* requests per second beyond that */
   /* [stop] */
   unsigned stop_limit_s; /* time from a stop signal until the process is killed */
 
@@ -49,6 +52,7 @@
   GString *link_text;
   GString *part_memory_text;
   GString *never_block_text;
+  GString *cold_overage_text;
 };
 
 struct gw_settings *gw_settings_load (const char *path, struct sr_findings *findings);
