Stand-in and process test of evacuations

The stand-in for the site has data centres (--zones), writes and removes evacuations (/evacuation?zone=Z&on=1), notes the last request that a server received after its evacuation, counts the store calls for evacuations and can let watches miss changes (/store?mode=blind).

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -143,10 +143,11 @@
 {
   struct site *site = backend->site;
   g_autofree char *address = g_strdup_printf ("%s:%u", site->address, backend->port);
-  json_t *spec = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", backend->is_model ? "model" : "plain",
-      "address", address, "zone", "zone-1", "version", "v1", "slots", 64, "state", state,
-      "coldRemainingMs", 0, "seq", 1, "born", (json_int_t)backend->started_ms);
+  g_autofree char *zone = g_strdup_printf ("zone-%u", backend->zone);
+  json_t *spec = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service",
+                            backend->is_model ? "model" : "plain", "address", address, "zone", zone,
+                            "version", "v1", "slots", 64, "state", state, "coldRemainingMs", 0,
+                            "seq", 1, "born", (json_int_t)backend->started_ms);
 
   objects_put (site->objects, "servers", backend->id, spec, -1);
   json_decref (spec);
@@ -576,6 +577,19 @@
 {
 }
 
+/* Counts a request, and notes when it was received if the data centre is evacuated. */
+static void
+note_arrival_ (const struct backend_session_ *session)
+{
+  struct site_backend *backend = session->backend;
+
+  backend->arrivals++;
+  if (backend->evacuated_since_us != 0 && g_strcmp0 (session->expected, backend->id) == 0)
+    backend->latest_after_evacuation_ms
+        = MAX (backend->latest_after_evacuation_ms,
+               (g_get_monotonic_time () - backend->evacuated_since_us) / 1000);
+}
+
 static void
 on_message_end_ (void *owner)
 {
@@ -592,6 +606,7 @@
       return;
     }
   site->arrivals++;
+  note_arrival_ (session);
   if (backend->crash_part != 0 && has_shared_part_ (session, backend->crash_part))
     site->crash_arrivals++;
   if (backend->mode == SITE_BACKEND_WRONG_INSTANCE
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -40,7 +40,8 @@
 static const char *const store_modes_[] = { [SITE_STORE_UP] = "up",
                                             [SITE_STORE_SILENT] = "silent",
                                             [SITE_STORE_UNAVAILABLE] = "busy",
-                                            [SITE_STORE_LOSE_RESPONSES] = "lost" };
+                                            [SITE_STORE_LOSE_RESPONSES] = "lost",
+                                            [SITE_STORE_MISS_CHANGES] = "blind" };
 static const char *const backend_modes_[] = {
   [SITE_BACKEND_OK] = "ok",
   [SITE_BACKEND_SHED] = "shed",
@@ -169,17 +170,24 @@
 {
   json_t *leaving = json_array ();
   json_t *paused = json_array ();
+  json_t *evacuated = json_array ();
+  json_t *received = json_array ();
 
   for (unsigned i = 0; i < site->n_backends; i++)
     {
       json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
       json_array_append_new (paused, json_integer (site->backends[i].arrivals_paused));
+      json_array_append_new (evacuated,
+                             json_integer (site->backends[i].latest_after_evacuation_ms));
+      json_array_append_new (received, json_integer (site->backends[i].arrivals));
     }
-  return json_pack ("{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "statuses",
-                    site->statuses, "consumed", site->consumed, "abandoned", (int)site->abandoned,
-                    "arrivals", (int)site->arrivals, "keys_seen", (int)site->keys_seen,
-                    "latest_after_leaving_ms", leaving, "arrivals_paused", paused, "crashes",
-                    (int)site->crashes, "crash_arrivals", (int)site->crash_arrivals);
+  return json_pack ("{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i,s:o,s:o,s:i}", "runs", site->runs,
+                    "statuses", site->statuses, "consumed", site->consumed, "abandoned",
+                    (int)site->abandoned, "arrivals", (int)site->arrivals, "keys_seen",
+                    (int)site->keys_seen, "latest_after_leaving_ms", leaving, "arrivals_paused",
+                    paused, "crashes", (int)site->crashes, "crash_arrivals",
+                    (int)site->crash_arrivals, "latest_after_evacuation_ms", evacuated, "received",
+                    received, "evacuation_calls", (int)site->evacuation_calls);
 }
 
 static bool
@@ -271,6 +279,32 @@
   return done;
 }
 
+/* Requests (or ends) the evacuation of the data centre NAME. Notes the time of the write for its
+ * backend servers. Returns false if the store had no such object to remove. */
+static bool
+set_evacuation_ (struct site *site, const char *name, bool is_evacuated)
+{
+  json_t *spec = json_object ();
+  bool done = is_evacuated ? objects_put (site->objects, SITE_KIND_EVACUATIONS, name, spec, -1)
+                           : objects_remove (site->objects, SITE_KIND_EVACUATIONS, name);
+
+  for (unsigned i = 0; i < site->n_backends; i++)
+    {
+      struct site_backend *backend = &site->backends[i];
+      g_autofree char *zone = g_strdup_printf ("zone-%u", backend->zone);
+
+      if (strcmp (zone, name) == 0)
+        {
+          backend->evacuated_since_us = is_evacuated ? g_get_monotonic_time () : 0;
+          if (is_evacuated)
+            backend->latest_after_evacuation_ms = 0;
+        }
+    }
+  json_decref (spec);
+  site_store_changed (site);
+  return done;
+}
+
 /* Restores the store as it was AGE_MS ago. The backend servers write their entries again
  * at once, and the operator writes the configuration again after OPERATOR_MS. */
 static void
@@ -335,6 +369,13 @@
       if (done)
         site->store_mode = (enum site_store_mode)mode_index;
     }
+  else if (g_str_has_prefix (session->target, "/evacuation"))
+    {
+      g_autofree char *zone = site_query (session->target, "zone");
+      g_autofree char *on = site_query (session->target, "on");
+
+      done = zone != NULL && set_evacuation_ (site, zone, g_strcmp0 (on, "1") == 0);
+    }
   else if (g_str_has_prefix (session->target, "/odd-entry"))
     {
       g_autofree char *way = site_query (session->target, "way");
@@ -377,8 +418,9 @@
   struct arg_int *models = arg_int1 (NULL, "models", "N", "model engines");
   struct arg_int *plains = arg_int1 (NULL, "plains", "N", "plain services");
   struct arg_int *pace = arg_int0 (NULL, "pace-ms", "MS", "between events (2)");
+  struct arg_int *zones = arg_int0 (NULL, "zones", "N", "data centres, in turn (1)");
   struct arg_end *end = arg_end (8);
-  void *table[] = { address, port, models, plains, pace, end };
+  void *table[] = { address, port, models, plains, pace, zones, end };
   struct site *site;
 
   if (arg_parse (argc, argv, table) != 0 || models->ival[0] + plains->ival[0] > SITE_BACKENDS_MAX)
@@ -413,6 +455,8 @@
       backend->index = site->n_backends++;
       backend->port = (unsigned)port->ival[0] + 2 + backend->index;
       backend->is_model = i < models->ival[0];
+      backend->zone
+          = 1 + backend->index % (unsigned)(zones->count > 0 ? MAX (zones->ival[0], 1) : 1);
       backend->started_ms = START_TIME_DEFAULT_MS;
       backend->site = site;
       site_backend_init (backend);
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -19,12 +19,15 @@
 /* A string value in an entry that the store writes out as odd_value of the site. */
 #define SITE_ODD_VALUE_MARK "@odd@"
 
+#define SITE_KIND_EVACUATIONS "evacuations"
+
 enum site_store_mode
 {
   SITE_STORE_UP,
-  SITE_STORE_SILENT,        /* accepts calls and sends no response */
-  SITE_STORE_UNAVAILABLE,   /* replies 503 */
-  SITE_STORE_LOSE_RESPONSES /* executes writes and sends no response to them */
+  SITE_STORE_SILENT,         /* accepts calls and sends no response */
+  SITE_STORE_UNAVAILABLE,    /* replies 503 */
+  SITE_STORE_LOSE_RESPONSES, /* executes writes and sends no response to them */
+  SITE_STORE_MISS_CHANGES    /* watches show no changes and continue after them */
 };
 
 enum site_backend_mode
@@ -101,7 +104,12 @@
   int64_t paused_until_us;   /* end of that pause */
   unsigned arrivals_paused;  /* requests received during that pause */
   int64_t leaving_since_us;  /* monotonic; 0: not leaving */
-  int64_t latest_after_leaving_ms; /* time from leaving_since_us to the last request received */
+  int64_t latest_after_leaving_ms;    /* time from leaving_since_us to the last request received */
+  unsigned zone;                      /* number of its data centre, from 1 */
+  int64_t evacuated_since_us;         /* monotonic; 0: its data centre is not evacuated */
+  int64_t latest_after_evacuation_ms; /* time from evacuated_since_us to the last request received
+                                         in any evacuation, 421 not counted */
+  unsigned arrivals;                  /* requests received */
   unsigned running;
   uv_tcp_t listener;
   GPtrArray *sessions; /* connections to this backend server */
@@ -136,9 +144,10 @@
   json_t *consumed;   /* team: tokens */
   unsigned abandoned; /* requests whose caller closed the connection while they ran */
   unsigned arrivals;
-  unsigned keys_seen;      /* requests with an Authorization header */
-  unsigned crashes;        /* ends of backend server processes because of crash_part */
-  unsigned crash_arrivals; /* requests with that part that were received */
+  unsigned evacuation_calls; /* lists and watches of evacuations */
+  unsigned keys_seen;        /* requests with an Authorization header */
+  unsigned crashes;          /* ends of backend server processes because of crash_part */
+  unsigned crash_arrivals;   /* requests with that part that were received */
 };
 
 bool site_listen (struct site *site, uv_tcp_t *listener, unsigned port, uv_connection_cb accept);
--- a/emulator/site/store.c
+++ b/emulator/site/store.c
@@ -75,6 +75,8 @@
 {
   json_t *events = objects_changes (session->site->objects, session->kind, session->after);
 
+  if (session->site->store_mode == SITE_STORE_MISS_CHANGES)
+    json_array_clear (events);
   if (json_array_size (events) == 0 && !expired)
     {
       json_decref (events);
@@ -128,6 +130,8 @@
   g_autofree char *wait_ms = site_query (session->target, "waitMs");
   json_t *object;
 
+  if (strcmp (kind, SITE_KIND_EVACUATIONS) == 0)
+    session->site->evacuation_calls++;
   if (name != NULL)
     {
       object = objects_get (objects, kind, name);
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -66,6 +66,8 @@
   g_ptr_array_add (arguments, g_strdup_printf ("%u", options->plain_backends));
   g_ptr_array_add (arguments, g_strdup ("--pace-ms"));
   g_ptr_array_add (arguments, g_strdup_printf ("%u", options->event_interval_ms));
+  g_ptr_array_add (arguments, g_strdup ("--zones"));
+  g_ptr_array_add (arguments, g_strdup_printf ("%u", MAX (options->zones, 1U)));
   fleet->platform = harness_process_new (fleet->directory, "site", arguments);
   if (!harness_process_start (fleet->platform)
       || !harness_process_wait_ready (fleet->platform, READY_LIMIT_MS)
@@ -409,13 +411,17 @@
   g_autofree char *store = fleet->options.with_proxy
                                ? g_strdup_printf ("127.0.6.%u", PROXIED_STORE_BASE + instance)
                                : g_strdup (site_address_);
+  g_autofree char *evacuation
+      = fleet->options.evacuation_limit_ms > 0
+            ? g_strdup_printf ("[evacuation]\nlimit_ms = %u\n", fleet->options.evacuation_limit_ms)
+            : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
-      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
+      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n%s",
       instance, address, address, base + ENTRY_OFFSET, address, base + READY_OFFSET,
       base + PEERS_OFFSET, store, base,
-      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8, evacuation);
 
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -21,10 +21,12 @@
   unsigned instances;
   unsigned model_backends;
   unsigned plain_backends;
-  unsigned event_interval_ms; /* between events */
-  int64_t prepaid;            /* tokens of the only team */
-  unsigned stop_limit_s;      /* time for a graceful stop; 0: 8 s */
-  bool with_proxy;            /* between each instance and the store: site_fleet_add_rule */
+  unsigned event_interval_ms;   /* between events */
+  int64_t prepaid;              /* tokens of the only team */
+  unsigned stop_limit_s;        /* time for a graceful stop; 0: 8 s */
+  unsigned zones;               /* data centres of the backend servers, in turn; 0: 1 */
+  unsigned evacuation_limit_ms; /* 0: instances don't follow evacuations */
+  bool with_proxy;              /* between each instance and the store: site_fleet_add_rule */
 };
 
 struct site_fleet
