--- a/testing/process/test-evacuation.c
+++ b/testing/process/test-evacuation.c
@@ -43,6 +43,10 @@
 
 static struct site_fleet *fleet;
 static unsigned ids;
+static struct caller_ callers[CALLERS];
+static GThread *threads[CALLERS]; /* NULL: not running */
+
+static struct caller_ stop_callers_ (void);
 
 static int
 start_fleet (void **state)
@@ -68,10 +72,12 @@
   return 0;
 }
 
-/* Ends what the case has left in force. */
+/* Ends what the case has left in force or running. */
 static int
 end_evacuations (void **state)
 {
+  if (threads[0] != NULL)
+    stop_callers_ ();
   site_fleet_control (fleet, "/store?mode=up");
   site_fleet_control (fleet, "/evacuation?zone=zone-1&on=0");
   site_fleet_control (fleet, "/evacuation?zone=zone-2&on=0");
@@ -131,7 +137,7 @@
 
 /* Sends requests all the time from now on, to PATH (NULL: all paths in turn). */
 static void
-start_callers_ (struct caller_ *callers, GThread **threads, const char *path)
+start_callers_ (const char *path)
 {
   ids++;
   for (unsigned i = 0; i < CALLERS; i++)
@@ -141,9 +147,9 @@
     }
 }
 
-/* Returns the sum over CALLERS, which have ended. */
+/* Ends the callers and returns their sum. */
 static struct caller_
-stop_callers_ (struct caller_ *callers, GThread **threads)
+stop_callers_ (void)
 {
   struct caller_ sum = { 0 };
 
@@ -151,7 +157,9 @@
     g_atomic_int_set (&callers[i].stop, 1);
   for (unsigned i = 0; i < CALLERS; i++)
     {
-      g_thread_join (threads[i]);
+      if (threads[i] != NULL)
+        g_thread_join (threads[i]);
+      threads[i] = NULL;
       sum.completed += callers[i].completed;
       sum.refused += callers[i].refused;
       sum.other += callers[i].other;
@@ -203,8 +211,6 @@
 static void
 an_evacuation_ends_new_requests_and_no_running_ones (void **state)
 {
-  struct caller_ callers[CALLERS];
-  GThread *threads[CALLERS];
   GThread *streams[LONG_STREAMS];
   struct caller_ sum;
   int64_t before;
@@ -214,7 +220,7 @@
   for (unsigned i = 0; i < LONG_STREAMS; i++)
     streams[i] = g_thread_new ("stream", run_long_stream_, GUINT_TO_POINTER (i));
   g_usleep (SETTLE_MS * US_PER_MS);
-  start_callers_ (callers, threads, NULL);
+  start_callers_ (NULL);
   g_usleep (SETTLE_MS * US_PER_MS);
   assert_true (received_ (1) > 0 && received_ (2) > 0);
   evacuate_ ("zone-1", true);
@@ -236,7 +242,7 @@
   before = received_ (1);
   evacuate_ ("zone-1", false);
   g_usleep (EFFECT_MAX_MS * US_PER_MS);
-  sum = stop_callers_ (callers, threads);
+  sum = stop_callers_ ();
   assert_true (received_ (1) > before);
   assert_true (sum.completed > 0);
   assert_int_equal (sum.refused + sum.other, 0);
@@ -246,12 +252,10 @@
 static void
 one_of_two_evacuations_is_withdrawn_at_once (void **state)
 {
-  struct caller_ callers[CALLERS];
-  GThread *threads[CALLERS];
   struct caller_ sum;
   int64_t before;
 
-  start_callers_ (callers, threads, NULL);
+  start_callers_ (NULL);
   g_usleep (SETTLE_MS * US_PER_MS);
   evacuate_ ("zone-2", true);
   evacuate_ ("zone-1", true);
@@ -261,7 +265,7 @@
   g_usleep (SETTLE_MS * US_PER_MS);
   assert_true (received_ (2) > before);
   assert_true (effect_ms_ (1) < SETTLE_MS);
-  sum = stop_callers_ (callers, threads);
+  sum = stop_callers_ ();
   assert_true (sum.completed > 0);
   assert_int_equal (sum.other, 0);
 }
@@ -328,15 +332,13 @@
 static void
 an_evacuation_that_all_watches_miss_takes_effect_in_time (void **state)
 {
-  struct caller_ callers[CALLERS];
-  GThread *threads[CALLERS];
 
   assert_true (site_fleet_control (fleet, "/store?mode=blind"));
-  start_callers_ (callers, threads, "/safe/a");
+  start_callers_ ("/safe/a");
   g_usleep (SETTLE_MS * US_PER_MS);
   evacuate_ ("zone-1", true);
   g_usleep (LIMIT_MS * US_PER_MS);
-  assert_int_equal (stop_callers_ (callers, threads).other, 0);
+  assert_int_equal (stop_callers_ ().other, 0);
   assert_true (effect_ms_ (1) < EFFECT_MAX_MS);
 }
 
@@ -365,10 +367,8 @@
 static void
 an_evacuation_that_a_restore_lost_stays_in_force (void **state)
 {
-  struct caller_ callers[CALLERS];
-  GThread *threads[CALLERS];
 
-  start_callers_ (callers, threads, "/safe/a");
+  start_callers_ ("/safe/a");
   g_usleep (1500 * US_PER_MS);
   evacuate_ ("zone-1", true);
   g_usleep (SETTLE_MS * US_PER_MS);
@@ -378,7 +378,7 @@
   /* The evacuation that is requested again counts anew: nothing may arrive after it. */
   evacuate_ ("zone-1", true);
   g_usleep ((LIMIT_MS + SETTLE_MS) * US_PER_MS);
-  assert_int_equal (stop_callers_ (callers, threads).other, 0);
+  assert_int_equal (stop_callers_ ().other, 0);
   assert_int_equal (effect_ms_ (1), 0);
 }
 
