--- a/src/gateway/evacuation-link.c
+++ b/src/gateway/evacuation-link.c
@@ -11,7 +11,7 @@
   /* A pending watch counts as one store call however long it waits, so it waits for as long as the
    * store allows. The time is random, so that the watches of the fleet do not all end together. */
   WATCH_MAX_MS = 30000,
-  WATCH_MIN_MS = 20000,
+  WATCH_MIN_MS = 24000,
   PAUSE_MS = 100, /* between a change and the next watch: one call reads evacuations that are
                      requested together */
   /* A watch can miss a change or show it late; lists in parallel with the watches find it. The
