Test of uncontrolled clients, with crowds and bounds fixed on the unchanged gateway

Checked are only: the process is alive, its peak resident memory is at most 64 MiB, it has at most 256 open descriptors, an ordinary request gets a response beside the crowd and is answered after it, and the instance is ready then. The settings keys memory_mb and descriptors are read and have no effect yet, so that the gateway is the unchanged one.

--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -12,7 +12,9 @@
 enum
 {
   PORT_MAX = 65535,
-  PART_MEMORY_MAX_S = 3600
+  PART_MEMORY_MAX_S = 3600,
+  MEMORY_MAX_MB = 1048576,
+  DESCRIPTORS_MAX = 1048576
 };
 
 #define MEMBER(member) offsetof (struct gw_settings, member)
@@ -58,6 +60,14 @@
 
 static const struct sr_ini_key limits_keys_[] = {
   { .name = "link_mbps", .type = SR_INI_TEXT, .offset = MEMBER (link_text), .default_value = "0" },
+  { .name = "memory_mb",
+    .type = SR_INI_TEXT,
+    .offset = MEMBER (memory_text),
+    .default_value = "0" },
+  { .name = "descriptors",
+    .type = SR_INI_TEXT,
+    .offset = MEMBER (descriptors_text),
+    .default_value = "0" },
 };
 
 static const struct sr_ini_key prompts_keys_[] = {
@@ -170,6 +180,8 @@
   text_free_ (settings->address);
   text_free_ (settings->retry_ratio_text);
   text_free_ (settings->link_text);
+  text_free_ (settings->memory_text);
+  text_free_ (settings->descriptors_text);
   text_free_ (settings->part_memory_text);
   text_free_ (settings->never_block_text);
   if (settings->never_blocked_parts != NULL)
@@ -188,6 +200,7 @@
 static void
 resolve_ (struct gw_settings *settings, const char *file_name, struct sr_findings *findings)
 {
+  guint64 descriptors;
   char *end;
 
   g_assert (settings->entry_text != NULL && settings->ready_text != NULL
@@ -210,6 +223,16 @@
   settings->link_megabits_per_s = g_ascii_strtod (settings->link_text->str, &end);
   if (errno != 0 || *end != '\0' || settings->link_megabits_per_s < 0)
     sr_findings_add (findings, file_name, 0, "limits", "link_mbps", "is not a number, 0 or above");
+  settings->memory_mb = g_ascii_strtod (settings->memory_text->str, &end);
+  if (errno != 0 || *end != '\0'
+      || !(settings->memory_mb >= 0 && settings->memory_mb <= MEMORY_MAX_MB))
+    sr_findings_add (findings, file_name, 0, "limits", "memory_mb",
+                     "is not a number from 0 to 1048576");
+  descriptors = g_ascii_strtoull (settings->descriptors_text->str, &end, 10);
+  if (errno != 0 || *end != '\0' || descriptors > DESCRIPTORS_MAX)
+    sr_findings_add (findings, file_name, 0, "limits", "descriptors",
+                     "is not a whole number from 0 to 1048576");
+  settings->descriptors = (unsigned)MIN (descriptors, DESCRIPTORS_MAX);
   settings->part_memory_s = g_ascii_strtod (settings->part_memory_text->str, &end);
   if (errno != 0 || *end != '\0' || settings->part_memory_s < 0
       || settings->part_memory_s > PART_MEMORY_MAX_S)
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -26,6 +26,8 @@
   unsigned retry_window_s;
   /* [limits] */
   double link_megabits_per_s; /* capacity of each direction; 0: not known */
+  double memory_mb;           /* memory of the machine in units of 1024 KiB; 0: not known */
+  unsigned descriptors;       /* file descriptors that this process may open; 0: not known */
   /* [prompts] */
   double part_memory_s;        /* a prompt part is assumed cached this long after use; 0: default */
   GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
@@ -41,6 +43,8 @@
   unsigned peer_port;
   GString *retry_ratio_text;
   GString *link_text;
+  GString *memory_text;
+  GString *descriptors_text;
   GString *part_memory_text;
   GString *never_block_text;
 };
--- a/testing/harness/process.c
+++ b/testing/harness/process.c
@@ -19,6 +19,7 @@
 };
 
 static void run_child_ (const struct harness_process *process, int log_fd, pid_t parent);
+static int64_t memory_kib_ (const struct harness_process *process, const char *field);
 static bool reap_ (struct harness_process *process, int *exit_code);
 
 /* Creates a process without starting it. Takes ownership of ARGUMENTS (char *, program first). */
@@ -146,6 +147,36 @@
 /* Resident memory in KiB, or 0. */
 int64_t
 harness_process_rss_kib (const struct harness_process *process)
+{
+  return memory_kib_ (process, "VmRSS:");
+}
+
+/* The highest resident memory since the process started in KiB, or 0. */
+int64_t
+harness_process_peak_rss_kib (const struct harness_process *process)
+{
+  return memory_kib_ (process, "VmHWM:");
+}
+
+/* The number of open descriptors, or 0. */
+unsigned
+harness_process_descriptors (const struct harness_process *process)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int)process->pid);
+  GDir *directory = g_dir_open (path, 0, NULL);
+  unsigned count = 0;
+
+  if (directory == NULL)
+    return 0;
+  while (g_dir_read_name (directory) != NULL)
+    count++;
+  g_dir_close (directory);
+  return count;
+}
+
+/* The value of FIELD, with its colon, in the status file of the process. */
+static int64_t
+memory_kib_ (const struct harness_process *process, const char *field)
 {
   g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int)process->pid);
   g_autofree char *text = NULL;
@@ -153,8 +184,8 @@
 
   if (!g_file_get_contents (path, &text, NULL, NULL))
     return 0;
-  line = strstr (text, "VmRSS:");
-  return line != NULL ? strtoll (line + strlen ("VmRSS:"), NULL, 10) : 0;
+  line = strstr (text, field);
+  return line != NULL ? strtoll (line + strlen (field), NULL, 10) : 0;
 }
 
 /* Processor time used so far, user and system, in microseconds. */
--- a/testing/harness/process.h
+++ b/testing/harness/process.h
@@ -27,5 +27,7 @@
 void harness_process_signal (struct harness_process *process, int number);
 bool harness_process_is_running (struct harness_process *process);
 int64_t harness_process_rss_kib (const struct harness_process *process);
+int64_t harness_process_peak_rss_kib (const struct harness_process *process);
+unsigned harness_process_descriptors (const struct harness_process *process);
 int64_t harness_process_cpu_us (const struct harness_process *process);
 char *harness_process_log (const struct harness_process *process);
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -17,6 +17,7 @@
   READY_LIMIT_MS = 20000,
   IDLE_TIMEOUT_MS = 15000,
   TOKENS_PER_EVENT = 6,
+  BODY_MAX_BYTES = 65536,
   SILENCE_LIMIT_S = 20,
   PROXIED_STORE_BASE = 150, /* last byte of an instance's proxied store address, less its number */
   /* Ports, as offsets from port_base, which is the store's port. */
@@ -30,6 +31,8 @@
 static const char site_address_[] = "127.0.6.100";
 
 static bool start_proxy_ (struct site_fleet *fleet);
+static int
+connect_ (struct site_fleet *fleet, unsigned instance, unsigned offset, bool has_small_windows);
 static bool write_settings_ (const struct site_fleet *fleet, unsigned instance);
 static enum site_outcome classify_ (const struct site_request *request,
                                     const struct raw_http_response *reply);
@@ -180,8 +183,9 @@
       "maxAttempts", 2, "services", "name", "model", "healthPath", "/health", "maxConns", 360,
       "engine", "slots", 64, "kvTokens", 460000, "stride", TOKENS_PER_EVENT, "name", "plain",
       "healthPath", "/health", "maxConns", 100, "limits", "maxHeaderBytes", 16384, "maxBodyBytes",
-      65536, "headerTimeoutMs", 3000, "idleTimeoutMs", (int)fleet->idle_timeout_ms, "tenants",
-      "name", "team-1", "apiKeys", "key-1", "prepaid", (json_int_t)prepaid);
+      (int)(fleet->options.body_max_bytes > 0 ? fleet->options.body_max_bytes : BODY_MAX_BYTES),
+      "headerTimeoutMs", 3000, "idleTimeoutMs", (int)fleet->idle_timeout_ms, "tenants", "name",
+      "team-1", "apiKeys", "key-1", "prepaid", (json_int_t)prepaid);
   g_autofree char *text = NULL;
   struct harness_call call = { .address = site_address_,
                                .port = fleet->options.port_base + CONTROL_OFFSET,
@@ -270,11 +274,23 @@
  * socket, which the caller closes, or -1. */
 int
 site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows)
+{
+  return connect_ (fleet, instance, ENTRY_OFFSET, has_small_windows);
+}
+
+/* Like site_connect with small windows, to the readiness listener of INSTANCE. */
+int
+site_connect_readiness (struct site_fleet *fleet, unsigned instance)
+{
+  return connect_ (fleet, instance, READY_OFFSET, true);
+}
+
+static int
+connect_ (struct site_fleet *fleet, unsigned instance, unsigned offset, bool has_small_windows)
 {
   g_autofree char *address = site_instance_address (instance);
-  struct sockaddr_in target
-      = { .sin_family = AF_INET,
-          .sin_port = htons ((uint16_t)(fleet->options.port_base + ENTRY_OFFSET)) };
+  struct sockaddr_in target = { .sin_family = AF_INET,
+                                .sin_port = htons ((uint16_t)(fleet->options.port_base + offset)) };
   const int small_buffer_bytes = 4096;
   const int segment_bytes = 1400;
   int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -409,13 +425,18 @@
   g_autofree char *store = fleet->options.with_proxy
                                ? g_strdup_printf ("127.0.6.%u", PROXIED_STORE_BASE + instance)
                                : g_strdup (site_address_);
+  g_autofree char *limits
+      = fleet->options.memory_mb > 0 || fleet->options.descriptors > 0
+            ? g_strdup_printf ("[limits]\nmemory_mb = %u\ndescriptors = %u\n",
+                               fleet->options.memory_mb, fleet->options.descriptors)
+            : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
-      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
+      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n%s",
       instance, address, address, base + ENTRY_OFFSET, address, base + READY_OFFSET,
       base + PEERS_OFFSET, store, base,
-      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8, limits);
 
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -25,6 +25,9 @@
   int64_t prepaid;            /* tokens of the only team */
   unsigned stop_limit_s;      /* time for a graceful stop; 0: 8 s */
   bool with_proxy;            /* between each instance and the store: site_fleet_add_rule */
+  unsigned body_max_bytes;    /* of a request; 0: 65536 */
+  unsigned memory_mb;         /* of an instance's machine, told in its settings; 0: not told */
+  unsigned descriptors;       /* likewise */
 };
 
 struct site_fleet
@@ -88,6 +91,7 @@
 json_t *site_fleet_counts (struct site_fleet *fleet);
 char *site_instance_address (unsigned instance);
 int site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows);
+int site_connect_readiness (struct site_fleet *fleet, unsigned instance);
 struct raw_http_response *
 site_call_raw (struct site_fleet *fleet, unsigned instance, const char *bytes);
 struct raw_http_response *site_call (struct site_fleet *fleet, const struct site_request *request);
