--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -56,6 +56,8 @@
   UNSIGNED ("answers_kept_max", answers_kept_max, 1, 1 << 20, "4096"),
   UNSIGNED ("answer_kept_s", answer_kept_s, 1, DAY_S, "600"),
   UNSIGNED ("default_deadline_ms", default_deadline_ms, 100, HOUR_MS, "60000"),
+  UNSIGNED ("memory_mb", memory_mb, 0, 1 << 20, "0"),
+  UNSIGNED ("descriptors", descriptors, 0, 1 << 20, "0"),
 };
 
 static const struct sr_ini_key backend_keys_[] = {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -37,6 +37,8 @@
   unsigned answers_kept_max; /* responses of finished requests kept for retries */
   unsigned answer_kept_s;    /* how long such a response is kept */
   unsigned default_deadline_ms;
+  unsigned memory_mb;   /* memory of the machine in units of 1024 KiB; 0: not known */
+  unsigned descriptors; /* file descriptors that this process may open; 0: not known */
   /* [backend] */
   unsigned connect_timeout_s;
   unsigned idle_timeout_s; /* longest time without data in a stream */
--- a/testing/process/test-uncontrolled-clients.c
+++ b/testing/process/test-uncontrolled-clients.c
@@ -2,11 +2,14 @@
  * such crowd may end an instance or let it exceed the memory and descriptors of its machine, and
  * ordinary callers must get responses. The crowds and the bounds were fixed when the product had
  * none of the limits that these tests guard; each test failed then. */
+#include "testing/harness/caller.h"
 #include "testing/harness/harness.h"
 #include "testing/harness/site.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -20,6 +23,7 @@
 enum
 {
   PORT_BASE = 35200,
+  OWN_PORT_BASE = 35300, /* of the fleet with the product's own interface */
   PLAIN_BACKENDS = 2,
   PREPAID_TOKENS = 1000000,
   CLIENTS = 60,
@@ -50,7 +54,16 @@
   unsigned n_clients;
 };
 
+enum target_
+{
+  TO_GATEWAY,
+  TO_READINESS,
+  TO_OWN_INTERFACE
+};
+
+/* Either of them is NULL. */
 static struct site_fleet *fleet;
+static struct harness *own_fleet;
 static unsigned ids;
 
 static int
@@ -74,17 +87,80 @@
 stop_fleet (void **state)
 {
   site_fleet_stop (fleet);
+  fleet = NULL;
   return 0;
 }
 
+static int
+start_own_fleet (void **state)
+{
+  static const char *const settings[]
+      = { "limits", "memory_mb",      "88",      "limits", "descriptors", "256",
+          "limits", "body_max_bytes", "4194304", NULL };
+  static const struct harness_options options = { .name = "uncontrolled-clients",
+                                                  .port_base = OWN_PORT_BASE,
+                                                  .instances = 1,
+                                                  .engines = 1,
+                                                  .settings = settings,
+                                                  .without_proxy = true };
+
+  own_fleet = harness_start (&options);
+  return own_fleet != NULL ? 0 : -1;
+}
+
+static int
+stop_own_fleet (void **state)
+{
+  harness_stop (own_fleet);
+  own_fleet = NULL;
+  return 0;
+}
+
+static struct harness_process *
+instance_ (void)
+{
+  return own_fleet != NULL ? own_fleet->instances[1] : fleet->instances[1];
+}
+
+static int
+connect_own_ (void)
+{
+  g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, 1, false);
+  struct sockaddr_in target
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)harness_port (own_fleet, HARNESS_PORT_ENTRY)) };
+  int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  inet_pton (AF_INET, address, &target.sin_addr);
+  if (connect (peer, (struct sockaddr *)&target, sizeof target) == 0)
+    return peer;
+  close (peer);
+  return -1;
+}
+
+static int
+connect_client_ (enum target_ target)
+{
+  switch (target)
+    {
+    case TO_GATEWAY:
+      return site_connect (fleet, 1, true);
+    case TO_READINESS:
+      return site_connect_readiness (fleet, 1);
+    case TO_OWN_INTERFACE:
+      return connect_own_ ();
+    }
+  return -1;
+}
+
 static struct crowd_
-connect_crowd_ (unsigned n_clients, bool to_readiness)
+connect_crowd_ (unsigned n_clients, enum target_ target)
 {
   struct crowd_ crowd = { .clients = g_new0 (struct client_, n_clients), .n_clients = n_clients };
 
   for (unsigned i = 0; i < n_clients; i++)
     {
-      int peer = to_readiness ? site_connect_readiness (fleet, 1) : site_connect (fleet, 1, true);
+      int peer = connect_client_ (target);
 
       crowd.clients[i].peer = peer;
       crowd.clients[i].has_failed = peer < 0 || fcntl (peer, F_SETFL, O_NONBLOCK) != 0;
@@ -147,44 +223,78 @@
   return total;
 }
 
-static struct site_response
+/* Sends an ordinary request. Returns its status, 0 if there was no complete response. */
+static int
 send_ordinary_ (void)
 {
   g_autofree char *id = g_strdup_printf ("ordinary-%u", ++ids);
   const struct site_request request = { .instance = 1, .path = "/safe/a", .id = id };
+  struct site_response response;
 
-  return site_send (fleet, &request);
+  if (own_fleet != NULL)
+    {
+      g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, 1, false);
+      const struct harness_request own = { .address = address,
+                                           .port = harness_port (own_fleet, HARNESS_PORT_ENTRY),
+                                           .service = "diary",
+                                           .team = 1,
+                                           .prompt = "How many?",
+                                           .max_tokens = 4 };
+      struct harness_result result = harness_send (&own);
+
+      return result.outcome == HARNESS_TRUNCATED || result.outcome == HARNESS_WRONG ? 0
+                                                                                    : result.status;
+    }
+  response = site_send (fleet, &request);
+  return response.outcome == SITE_TRUNCATED || response.outcome == SITE_WRONG ? 0 : response.status;
+}
+
+static int
+ready_status_ (void)
+{
+  g_autofree char *address = harness_address (HARNESS_PORT_ENTRY, 1, false);
+  struct harness_call call = { .address = address, .path = "/readyz" };
+  struct harness_http_response *reply;
+  int status;
+
+  if (own_fleet == NULL)
+    return site_fleet_ready_status (fleet, 1);
+  call.port = harness_port (own_fleet, HARNESS_PORT_ENTRY);
+  reply = harness_call (&call);
+  status = reply->status;
+  harness_reply_free (reply);
+  return status;
 }
 
 /* Lets a crowd send BYTES and checks the instance, with the crowd connected and afterwards. */
 static void
 expect_bounded_ (
-    const char *name, unsigned n_clients, bool to_readiness, const GString *bytes, bool repeats)
+    const char *name, unsigned n_clients, enum target_ target, const GString *bytes, bool repeats)
 {
-  struct crowd_ crowd = connect_crowd_ (n_clients, to_readiness);
+  struct crowd_ crowd = connect_crowd_ (n_clients, target);
   uint64_t sent = send_crowd_ (&crowd, bytes, repeats);
-  bool is_running = harness_process_is_running (fleet->instances[1]);
-  unsigned descriptors = harness_process_descriptors (fleet->instances[1]);
-  struct site_response beside = send_ordinary_ ();
+  bool is_running = harness_process_is_running (instance_ ());
+  unsigned descriptors = harness_process_descriptors (instance_ ());
+  int beside = send_ordinary_ ();
   int64_t peak_kib;
-  struct site_response after;
-  int ready_status;
+  int after;
+  int ready;
 
   close_crowd_ (&crowd);
   after = send_ordinary_ ();
-  ready_status = site_fleet_ready_status (fleet, 1);
-  peak_kib = harness_process_peak_rss_kib (fleet->instances[1]);
+  ready = ready_status_ ();
+  peak_kib = harness_process_peak_rss_kib (instance_ ());
   print_message ("%s: %u clients sent %u KiB; running %d, peak %d KiB, %u descriptors; status "
                  "beside them %d, afterwards %d, readiness %d\n",
                  name, n_clients, (unsigned)(sent / 1024), (int)is_running, (int)peak_kib,
-                 descriptors, beside.status, after.status, ready_status);
+                 descriptors, beside, after, ready);
   assert_true (is_running);
-  assert_true (harness_process_is_running (fleet->instances[1]));
+  assert_true (harness_process_is_running (instance_ ()));
   assert_true (peak_kib > 0 && peak_kib <= PEAK_MAX_KIB);
   assert_true (descriptors > 0 && descriptors <= MACHINE_DESCRIPTORS);
-  assert_int_not_equal (beside.status, 0);
-  assert_int_equal (after.outcome, SITE_COMPLETED);
-  assert_int_equal (ready_status, 200);
+  assert_int_not_equal (beside, 0);
+  assert_int_equal (after, 200);
+  assert_int_equal (ready, 200);
 }
 
 /* Responses of the readiness listener that nobody reads piled up in the instance. */
@@ -195,7 +305,7 @@
 
   while (bytes->len < CHUNK_BYTES)
     g_string_append (bytes, "GET /ready HTTP/1.1\r\nHost: probe.test\r\n\r\n");
-  expect_bounded_ ("readiness", CLIENTS, true, bytes, true);
+  expect_bounded_ ("readiness", CLIENTS, TO_READINESS, bytes, true);
 }
 
 /* Rejections that nobody reads piled up in the instance. */
@@ -206,44 +316,73 @@
 
   while (bytes->len < CHUNK_BYTES)
     g_string_append (bytes, "GET /none HTTP/1.1\r\nHost: site.test\r\n\r\n");
-  expect_bounded_ ("no route", CLIENTS, false, bytes, true);
+  expect_bounded_ ("no route", CLIENTS, TO_GATEWAY, bytes, true);
 }
 
-/* Bodies that stop just before their end stayed in the instance until the idle limit. */
+/* Appends a request without its body, which has LENGTH bytes; 0: it is chunked. */
 static void
-unfinished_bodies_are_bounded (void **state)
+append_head_ (GString *bytes, unsigned length)
+{
+  g_string_append (bytes, own_fleet != NULL ? "POST /v1/services/diary HTTP/1.1\r\n"
+                                            : "POST /safe/a HTTP/1.1\r\n");
+  g_string_append (bytes, "Host: site.test\r\nX-Request-Id: unfinished\r\n"
+                          "Authorization: Token key-1\r\n");
+  if (length > 0)
+    g_string_append_printf (bytes, "Content-Length: %u\r\n\r\n", length);
+  else
+    g_string_append (bytes, "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+static void
+append_filler_ (GString *bytes, unsigned length)
+{
+  gsize from = bytes->len;
+
+  g_string_set_size (bytes, from + length);
+  memset (bytes->str + from, 'x', length);
+}
+
+static void
+expect_bodies_bounded_ (const char *name, enum target_ target)
 {
   g_autoptr (GString) bytes = g_string_new (NULL);
 
-  g_string_printf (bytes,
-                   "POST /safe/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: unfinished\r\n"
-                   "Authorization: Token key-1\r\nContent-Length: %u\r\n\r\n",
-                   (unsigned)BODY_BYTES);
-  for (unsigned i = 0; i < BODY_BYTES - BODY_MISSING_BYTES; i++)
-    g_string_append_c (bytes, 'x');
-  expect_bounded_ ("bodies", CLIENTS, false, bytes, false);
+  append_head_ (bytes, BODY_BYTES);
+  append_filler_ (bytes, BODY_BYTES - BODY_MISSING_BYTES);
+  expect_bounded_ (name, CLIENTS, target, bytes, false);
 }
 
-/* The same for chunked bodies, of which the instance held twice what was sent. */
 static void
-unfinished_chunked_bodies_are_bounded (void **state)
+expect_chunked_bodies_bounded_ (const char *name, enum target_ target)
 {
   g_autoptr (GString) bytes = g_string_new (NULL);
   unsigned left = BODY_BYTES - BODY_MISSING_BYTES;
 
-  g_string_printf (bytes, "POST /safe/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: unfinished\r\n"
-                          "Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  append_head_ (bytes, 0);
   while (left > 0)
     {
       unsigned length = MIN (left, (unsigned)CHUNK_BYTES);
 
       g_string_append_printf (bytes, "%x\r\n", length);
-      for (unsigned i = 0; i < length; i++)
-        g_string_append_c (bytes, 'x');
+      append_filler_ (bytes, length);
       g_string_append (bytes, "\r\n");
       left -= length;
     }
-  expect_bounded_ ("chunked bodies", CLIENTS, false, bytes, false);
+  expect_bounded_ (name, CLIENTS, target, bytes, false);
+}
+
+/* Bodies that stop just before their end stayed in the instance until the idle limit. */
+static void
+unfinished_bodies_are_bounded (void **state)
+{
+  expect_bodies_bounded_ ("bodies", TO_GATEWAY);
+}
+
+/* The same for chunked bodies. */
+static void
+unfinished_chunked_bodies_are_bounded (void **state)
+{
+  expect_chunked_bodies_bounded_ ("chunked bodies", TO_GATEWAY);
 }
 
 /* Connections that send nothing took all descriptors of the machine. */
@@ -252,7 +391,7 @@
 {
   g_autoptr (GString) bytes = g_string_new ("GET");
 
-  expect_bounded_ ("silent connections", IDLE_CLIENTS, false, bytes, false);
+  expect_bounded_ ("silent connections", IDLE_CLIENTS, TO_GATEWAY, bytes, false);
 }
 
 static void
@@ -260,7 +399,38 @@
 {
   g_autoptr (GString) bytes = g_string_new ("GET");
 
-  expect_bounded_ ("silent connections to readiness", IDLE_CLIENTS, true, bytes, false);
+  expect_bounded_ ("silent connections to readiness", IDLE_CLIENTS, TO_READINESS, bytes, false);
+}
+
+/* The product's own interface: requests whose replies nobody reads. */
+static void
+own_unread_replies_are_bounded (void **state)
+{
+  g_autoptr (GString) bytes = g_string_new (NULL);
+
+  while (bytes->len < CHUNK_BYTES)
+    g_string_append (bytes, "GET /metrics HTTP/1.1\r\nHost: site.test\r\n\r\n");
+  expect_bounded_ ("own replies", CLIENTS, TO_OWN_INTERFACE, bytes, true);
+}
+
+static void
+own_unfinished_bodies_are_bounded (void **state)
+{
+  expect_bodies_bounded_ ("own bodies", TO_OWN_INTERFACE);
+}
+
+static void
+own_unfinished_chunked_bodies_are_bounded (void **state)
+{
+  expect_chunked_bodies_bounded_ ("own chunked bodies", TO_OWN_INTERFACE);
+}
+
+static void
+own_silent_connections_are_bounded (void **state)
+{
+  g_autoptr (GString) bytes = g_string_new ("GET");
+
+  expect_bounded_ ("own silent connections", IDLE_CLIENTS, TO_OWN_INTERFACE, bytes, false);
 }
 
 int
@@ -276,6 +446,14 @@
     cmocka_unit_test_setup_teardown (silent_connections_are_bounded, start_fleet, stop_fleet),
     cmocka_unit_test_setup_teardown (silent_connections_to_readiness_are_bounded, start_fleet,
                                      stop_fleet),
+    cmocka_unit_test_setup_teardown (own_unread_replies_are_bounded, start_own_fleet,
+                                     stop_own_fleet),
+    cmocka_unit_test_setup_teardown (own_unfinished_bodies_are_bounded, start_own_fleet,
+                                     stop_own_fleet),
+    cmocka_unit_test_setup_teardown (own_unfinished_chunked_bodies_are_bounded, start_own_fleet,
+                                     stop_own_fleet),
+    cmocka_unit_test_setup_teardown (own_silent_connections_are_bounded, start_own_fleet,
+                                     stop_own_fleet),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
