HTTP connections: requests wait while responses before them are unread

A server's connection reads and parses no further request while the kernel has not taken the responses before it. Until now responses were queued without a limit for a client that sends and does not read.

A connection accounts for what it holds (received bytes, unsent bytes, and what its owner adds) in the account of its options. When the account is short, connections are evicted, those that hold the most for the longest time first; when it is full, one of them makes room for a new one. The large input buffer of a connection is freed when it is empty.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -182,15 +182,12 @@
     .has_body = exchange->has_body,
   };
   GString *head = g_string_sized_new (1024);
-  struct net_string_view parts[2];
 
   if (exchange->scan.last_id[0] != '\0')
     send.last_event_id = net_string_view_of (exchange->scan.last_id);
   else if (exchange->last_event_id != NULL)
     send.last_event_id = net_string_view_of (exchange->last_event_id);
   exchange->context->dialect->encode_request (&send, head);
-  parts[0] = (struct net_string_view){ head->str, head->len };
-  parts[1] = (struct net_string_view){ (const char *)exchange->body->data, exchange->body->len };
   exchange->state = EXCHANGE_SENT;
   exchange->sent_us = now_us;
   exchange->head_received = false;
@@ -210,8 +207,8 @@
       (json_int_t)(now_us - exchange->arrived_us), "expected_ms", exchange->place.expected_ms,
       "in_flight", (int)exchange->place.in_flight, "reported", (int)exchange->place.reported_load,
       "report_age_ms", (json_int_t)exchange->place.report_age_ms);
-  gw_upstream_send (exchange->upstream, parts, exchange->body->len > 0 ? 2 : 1,
-                    strcmp (exchange->method, "HEAD") == 0);
+  gw_upstream_send (exchange->upstream, (struct net_string_view){ head->str, head->len },
+                    exchange->body, strcmp (exchange->method, "HEAD") == 0);
   g_string_free (head, TRUE);
   gw_exchange_set_timer_ (exchange);
 }
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -192,17 +192,17 @@
   return upstream->is_open;
 }
 
-/* Sends a request, given as consecutive PARTS. The connection must be ready. EXPECTS_NO_BODY: the
- * response has no body, as for HEAD. */
+/* Sends a request with HEAD and BODY, which must not change any more. The connection must be ready.
+ * EXPECTS_NO_BODY: the response has no body, as for HEAD. */
 void
 gw_upstream_send (struct gw_upstream *upstream,
-                  const struct net_string_view *parts,
-                  size_t n_parts,
+                  struct net_string_view head,
+                  GByteArray *body,
                   bool expects_no_body)
 {
   upstream->expects_no_body = expects_no_body;
   net_http_conn_expect_response (upstream->conn, expects_no_body);
-  net_http_conn_write (upstream->conn, parts, n_parts);
+  net_http_conn_write_shared (upstream->conn, head, body);
 }
 
 void
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -53,8 +53,8 @@
 struct gw_upstream *gw_upstream_open (const struct gw_upstream_options *options);
 bool gw_upstream_is_ready (const struct gw_upstream *upstream);
 void gw_upstream_send (struct gw_upstream *upstream,
-                       const struct net_string_view *parts,
-                       size_t n_parts,
+                       struct net_string_view head,
+                       GByteArray *body,
                        bool expects_no_body);
 void gw_upstream_pause (struct gw_upstream *upstream, bool pause);
 void gw_upstream_abandon (struct gw_upstream *upstream);
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -12,9 +12,14 @@
 
 enum
 {
-  READ_CHUNK_BYTES = 32768,  /* most prompts fit into one or two reads */
-  HEAD_LINES_MAX = 128,      /* far above what real messages have */
-  HELD_MAX_BYTES = 65536,    /* of pipelined requests that wait for the current one */
+  READ_CHUNK_BYTES = 32768, /* most prompts fit into one or two reads */
+  HEAD_LINES_MAX = 128,     /* far above what real messages have */
+  HELD_MAX_BYTES = 65536,   /* of pipelined requests that wait for the current one */
+  /* Requests of one connection that are handled in one iteration of the loop. What each of them has
+   * used is freed at the end of the iteration, and other connections are to have their turn. */
+  TURN_REQUESTS_MAX = 16,
+  TURN_MS = 1,               /* libuv runs a timer of 0 ms again in the same iteration */
+  INPUT_KEPT_BYTES = 4096,   /* a larger input buffer is freed once it is empty */
   LINGER_MS = 1000,          /* several round trips over any link */
   LINGER_UNREAD_MS = 300,    /* shorter, because the peer may be blocked in sending */
   LINGER_UNREAD_CHECKS = 10, /* at most, while the peer has not acknowledged the response */
@@ -53,6 +58,9 @@
   bool held;
   bool paused;
   bool reading;
+  bool awaits_turn;       /* has handled TURN_REQUESTS_MAX requests in this millisecond */
+  int64_t turn_ms;        /* time of the loop at its last request */
+  unsigned turn_requests; /* at that time */
   bool has_received;
   bool end_is_due; /* unused: nothing sets it or due_end */
   bool parsing;
@@ -61,8 +69,11 @@
   size_t queued_bytes;
   unsigned pending_requests; /* libuv requests pending on this handle */
   unsigned open_handles;
-  GByteArray *input; /* received bytes not parsed yet */
-  size_t scanned;    /* bytes of input already searched for the end of the head */
+  GByteArray *input;                  /* received bytes not parsed yet */
+  size_t input_peak_bytes;            /* highest length of input, whose memory it keeps */
+  struct net_memory_account *account; /* NULL: none */
+  struct net_memory_holder holder;    /* in the account while the connection is open */
+  size_t scanned;                     /* bytes of input already searched for the end of the head */
   struct net_http_head head;
   http_parser parser;
   uv_connect_t connect_request;
@@ -83,6 +94,7 @@
   uv_write_t request; /* first member: on_write_ casts it */
   struct net_http_conn *conn;
   size_t length;
+  GByteArray *shared; /* holds the last bytes, which are not copied; NULL: none */
   char bytes[];
 };
 
@@ -91,6 +103,11 @@
 static void on_connect_ (uv_connect_t *request, int status);
 static void on_write_ (uv_write_t *request, int status);
 static void on_shutdown_ (uv_shutdown_t *request, int status);
+static void write_ (struct net_http_conn *conn,
+                    const struct net_string_view *parts,
+                    size_t n_parts,
+                    GByteArray *shared);
+static void free_write_ (struct queued_write_ *write);
 static void finish_ (struct net_http_conn *conn, bool reads_input);
 static void start_linger_ (struct net_http_conn *conn);
 static ssize_t peek_ (const struct net_http_conn *conn);
@@ -103,6 +120,7 @@
 static void end_ (struct net_http_conn *conn, enum net_end_reason end);
 static void parse_ (struct net_http_conn *conn);
 static bool parse_head_ (struct net_http_conn *conn);
+static void on_turn_ (uv_timer_t *timer);
 static size_t find_head_end_ (struct net_http_conn *conn);
 static bool is_start_of_response_ (const uint8_t *bytes, size_t length);
 static void skip_empty_lines_ (struct net_http_conn *conn);
@@ -111,6 +129,11 @@
 static bool head_is_strict_ (const uint8_t *bytes, size_t length);
 static bool has_second_status_line_ (const uint8_t *bytes, size_t length);
 static void update_reading_ (struct net_http_conn *conn);
+static struct net_http_conn *conn_of_holder_ (struct net_memory_holder *holder);
+static int64_t now_ms_ (const struct net_http_conn *conn);
+static void release_input_ (struct net_http_conn *conn);
+static void note_unsent_ (struct net_http_conn *conn);
+static void evict_ (struct net_http_conn *conn, bool closes);
 static void set_socket_options_ (struct net_http_conn *conn);
 
 static int on_url_ (http_parser *parser, const char *at, size_t length);
@@ -188,6 +211,7 @@
   conn->is_server = options->is_server;
   conn->disable_dead_peer_detection = options->disable_dead_peer_detection;
   conn->head_max_bytes = options->head_max_bytes;
+  conn->account = options->account;
   conn->input = g_byte_array_new ();
   conn->head.headers = g_array_new (FALSE, FALSE, sizeof (struct net_header));
   uv_tcp_init (options->loop, &conn->tcp);
@@ -213,6 +237,8 @@
       return false;
     }
   conn->state = CONN_OPEN;
+  if (conn->account != NULL)
+    net_memory_holder_open (&conn->holder, conn->account, now_ms_ (conn));
   set_socket_options_ (conn);
   update_reading_ (conn);
   return true;
@@ -252,56 +278,26 @@
 }
 
 /* Sends the parts (at most 8) in order. What the kernel does not accept at once is copied and
- * queued without limit; net_http_conn_queued returns how many bytes. Does nothing unless CONN is
- * open. */
+ * queued; net_http_conn_queued returns how many bytes. A server reads and parses no further request
+ * until the queue is empty. Does nothing unless CONN is open. */
 void
 net_http_conn_write (struct net_http_conn *conn,
                      const struct net_string_view *parts,
                      size_t n_parts)
 {
-  uv_buf_t buffers[8];
-  size_t total = 0;
-  int sent = 0;
-  struct queued_write_ *write;
-  size_t at = 0;
-  int error;
+  write_ (conn, parts, n_parts, NULL);
+}
 
-  g_assert (n_parts <= G_N_ELEMENTS (buffers));
-  if (conn->state != CONN_OPEN)
-    return;
-  for (size_t i = 0; i < n_parts; i++)
-    {
-      buffers[i] = uv_buf_init ((char *)parts[i].data, (unsigned)parts[i].length);
-      total += parts[i].length;
-    }
-  traffic_.sent += total;
-  if (conn->queued_bytes == 0)
-    sent = uv_try_write ((uv_stream_t *)&conn->tcp, buffers, (unsigned)n_parts);
-  if (sent < 0)
-    sent = 0; /* the queued write or the next read reports a broken connection */
-  if ((size_t)sent == total)
-    return;
-  write = g_malloc (sizeof *write + total - (size_t)sent);
-  write->conn = conn;
-  write->length = total - (size_t)sent;
-  for (size_t i = 0; i < n_parts; i++)
-    {
-      size_t skip = MIN ((size_t)sent, parts[i].length);
+/* Sends HEAD and BODY like net_http_conn_write. What has to be queued of BODY is not copied but
+ * referenced, so it must not change any more. */
+void
+net_http_conn_write_shared (struct net_http_conn *conn,
+                            struct net_string_view head,
+                            GByteArray *body)
+{
+  const struct net_string_view parts[] = { head, { (const char *)body->data, body->len } };
 
-      memcpy (write->bytes + at, parts[i].data + skip, parts[i].length - skip);
-      at += parts[i].length - skip;
-      sent -= (int)skip;
-    }
-  buffers[0] = uv_buf_init (write->bytes, (unsigned)write->length);
-  error = uv_write (&write->request, (uv_stream_t *)&conn->tcp, buffers, 1, on_write_);
-  if (error != 0)
-    {
-      g_message ("%zu bytes of a message are dropped: %s", write->length, uv_strerror (error));
-      g_free (write);
-      return;
-    }
-  conn->pending_requests++;
-  conn->queued_bytes += write->length;
+  write_ (conn, parts, G_N_ELEMENTS (parts), body);
 }
 
 /* Returns how many written bytes the kernel has not accepted yet. */
@@ -318,6 +314,65 @@
   return conn->input->len > 0;
 }
 
+/* Returns whether requests wait until the peer has taken the responses before them, or until other
+ * connections have had their turn. */
+bool
+net_http_conn_is_backlogged (const struct net_http_conn *conn)
+{
+  return conn->is_server && (conn->queued_bytes > 0 || conn->awaits_turn);
+}
+
+/* Returns what the connection holds of its account, for its owner to add what it holds itself. */
+struct net_memory_holder *
+net_http_conn_holder (struct net_http_conn *conn)
+{
+  return &conn->holder;
+}
+
+/* Tells the account whether a complete request of the connection is being served. */
+void
+net_http_conn_note_served (struct net_http_conn *conn, bool is_served)
+{
+  net_memory_holder_set_served (&conn->holder, is_served);
+}
+
+/* Closes the connection that has been without progress for the longest time, if ACCOUNT has no
+ * place for a further one; if it FORCES that, also one that the account protects. Returns whether
+ * there is a place now. */
+bool
+net_http_account_make_room (struct net_memory_account *account, bool forces, int64_t now_ms)
+{
+  struct net_memory_holder *holder;
+
+  if (!net_memory_account_is_full (account))
+    return true;
+  for (GList *link = account->holders.head; link != NULL; link = link->next)
+    note_unsent_ (conn_of_holder_ (link->data));
+  holder = net_memory_account_pick_oldest (account, now_ms);
+  if (holder == NULL && forces)
+    holder = net_memory_account_pick_any (account);
+  if (holder == NULL)
+    return false;
+  evict_ (conn_of_holder_ (holder), true);
+  return !net_memory_account_is_full (account);
+}
+
+/* Closes connections, those that hold the most for the longest time first, if ACCOUNT is short of
+ * memory. Not to be called while one of them is parsing. */
+void
+net_http_account_relieve (struct net_memory_account *account, int64_t now_ms)
+{
+  struct net_memory_holder *holder;
+
+  if (!net_memory_account_is_short (account))
+    return;
+  for (GList *link = account->holders.head; link != NULL; link = link->next)
+    note_unsent_ (conn_of_holder_ (link->data));
+  while (net_memory_account_excess (account) > 0
+         && (holder = net_memory_account_pick_largest (account, now_ms)) != NULL)
+    evict_ (conn_of_holder_ (holder), false);
+}
+
 /* Returns whether the socket has something to read that the loop has not read yet: bytes, the end
  * of the connection, or an error. */
 bool
@@ -361,6 +416,7 @@
     return;
   note_unused_input_ (conn);
   set_sent_ (conn);
+  net_memory_holder_close (&conn->holder);
   conn->state = CONN_CLOSED;
   conn->owner = NULL;
   uv_close ((uv_handle_t *)&conn->tcp, on_handle_closed_);
@@ -457,6 +513,88 @@
   return true;
 }
 
+/* Sends the parts. SHARED, which may be NULL, holds the bytes of the last one. */
+static void
+write_ (struct net_http_conn *conn,
+        const struct net_string_view *parts,
+        size_t n_parts,
+        GByteArray *shared)
+{
+  uv_buf_t buffers[8];
+  size_t total = 0;
+  size_t sent = 0;
+  size_t copied = 0;
+  struct queued_write_ *write;
+  unsigned n_buffers = 0;
+  int error;
+
+  g_assert (n_parts <= G_N_ELEMENTS (buffers));
+  if (conn->state != CONN_OPEN)
+    return;
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      buffers[i] = uv_buf_init ((char *)parts[i].data, (unsigned)parts[i].length);
+      total += parts[i].length;
+    }
+  traffic_.sent += total;
+  if (conn->queued_bytes == 0)
+    {
+      int taken = uv_try_write ((uv_stream_t *)&conn->tcp, buffers, (unsigned)n_parts);
+
+      /* The queued write or the next read reports a broken connection. */
+      sent = taken > 0 ? (size_t)taken : 0;
+      if (taken > 0)
+        conn->holder.progress_ms = now_ms_ (conn);
+    }
+  if (sent == total)
+    return;
+  write = g_malloc (sizeof *write
+                    + (shared == NULL ? total - sent : total - parts[n_parts - 1].length));
+  write->conn = conn;
+  write->length = total - sent;
+  write->shared = shared == NULL ? NULL : g_byte_array_ref (shared);
+  for (size_t i = 0; i < n_parts; i++)
+    {
+      size_t skip = MIN (sent, parts[i].length);
+      size_t left = parts[i].length - skip;
+
+      sent -= skip;
+      if (shared != NULL && i + 1 == n_parts)
+        {
+          if (left > 0)
+            buffers[n_buffers++] = uv_buf_init ((char *)parts[i].data + skip, (unsigned)left);
+          break;
+        }
+      memcpy (write->bytes + copied, parts[i].data + skip, left);
+      copied += left;
+    }
+  if (copied > 0)
+    {
+      if (n_buffers > 0)
+        buffers[n_buffers] = buffers[0];
+      buffers[0] = uv_buf_init (write->bytes, (unsigned)copied);
+      n_buffers++;
+    }
+  error = uv_write (&write->request, (uv_stream_t *)&conn->tcp, buffers, n_buffers, on_write_);
+  if (error != 0)
+    {
+      g_message ("%zu bytes of a message are dropped: %s", write->length, uv_strerror (error));
+      free_write_ (write);
+      return;
+    }
+  conn->pending_requests++;
+  conn->queued_bytes += write->length;
+  note_unsent_ (conn);
+}
+
+static void
+free_write_ (struct queued_write_ *write)
+{
+  if (write->shared != NULL)
+    g_byte_array_unref (write->shared);
+  g_free (write);
+}
+
 static void
 finish_ (struct net_http_conn *conn, bool reads_input)
 {
@@ -467,6 +605,14 @@
     }
   conn->state = CONN_LINGERING;
   conn->owner = NULL;
+  net_memory_holder_set_served (&conn->holder, false);
+  net_memory_holder_set (&conn->holder, NET_MEMORY_BODY, 0);
+  net_memory_holder_set (&conn->holder, NET_MEMORY_RESPONSE, 0);
+  if (!conn->parsing)
+    {
+      g_byte_array_set_size (conn->input, 0);
+      release_input_ (conn);
+    }
   conn->paused = !reads_input;
   conn->lingers_unread = !reads_input;
   update_reading_ (conn);
@@ -579,8 +725,12 @@
     }
   conn->has_received = true;
   traffic_.received += (uint64_t)length;
+  conn->holder.progress_ms = now_ms_ (conn);
   g_byte_array_append (conn->input, (const guint8 *)buffer->base, (guint)length);
+  conn->input_peak_bytes = MAX (conn->input_peak_bytes, conn->input->len);
   parse_ (conn);
+  if (conn->account != NULL)
+    net_http_account_relieve (conn->account, now_ms_ (conn));
 }
 
 static void
@@ -611,13 +761,22 @@
 
   conn->pending_requests--;
   conn->queued_bytes -= write->length;
-  g_free (write);
+  free_write_ (write);
+  note_unsent_ (conn);
   if (conn->state != CONN_OPEN)
     return;
   if (status != 0)
-    end_ (conn, NET_END_RESET);
-  else if (conn->queued_bytes == 0 && (*conn->owner)->written != NULL)
+    {
+      end_ (conn, NET_END_RESET);
+      return;
+    }
+  if (conn->queued_bytes > 0)
+    return;
+  if ((*conn->owner)->written != NULL)
     (*conn->owner)->written (conn->owner);
+  /* Requests that have waited for the peer to take the responses before them. */
+  if (conn->state == CONN_OPEN && conn->is_server && !conn->parsing)
+    parse_ (conn);
 }
 
 static void
@@ -717,7 +876,7 @@
 
       if (!conn->in_body)
         {
-          if (conn->held || !parse_head_ (conn))
+          if (conn->held || net_http_conn_is_backlogged (conn) || !parse_head_ (conn))
             break;
           continue;
         }
@@ -730,10 +889,68 @@
         break;
     }
   conn->parsing = false;
+  if (conn->state == CONN_LINGERING)
+    g_byte_array_set_size (conn->input, 0);
+  if (conn->state != CONN_CLOSED)
+    release_input_ (conn);
   if (conn->state == CONN_OPEN)
     update_reading_ (conn);
 }
 
+/* Accounts for the input buffer, and frees its memory if it is large and empty. */
+static void
+release_input_ (struct net_http_conn *conn)
+{
+  if (conn->input->len == 0 && conn->input_peak_bytes > INPUT_KEPT_BYTES)
+    {
+      g_byte_array_unref (conn->input);
+      conn->input = g_byte_array_new ();
+      conn->input_peak_bytes = 0;
+    }
+  net_memory_holder_set (&conn->holder, NET_MEMORY_INPUT, conn->input_peak_bytes);
+}
+
+/* Accounts for the bytes that the kernel has not taken. */
+static void
+note_unsent_ (struct net_http_conn *conn)
+{
+  if (conn->holder.account != NULL)
+    net_memory_holder_note_unsent (&conn->holder, net_http_conn_queued (conn), now_ms_ (conn));
+}
+
+/* Ends the connection, because its account has no room for it. */
+static void
+evict_ (struct net_http_conn *conn, bool closes)
+{
+  const struct net_http_owner_vtable **owner = conn->owner;
+
+  if (owner == NULL)
+    g_message ("a finished connection that held %zu bytes is closed to free %s", conn->holder.total,
+               closes ? "its descriptor" : "memory");
+  if (owner != NULL && (*owner)->evicted != NULL)
+    (*owner)->evicted (owner, closes);
+  else
+    {
+      net_http_conn_reset (conn);
+      if (owner != NULL)
+        (*owner)->ended (owner, NET_END_RESET);
+    }
+  if (closes)
+    net_http_conn_close (conn);
+}
+
+static struct net_http_conn *
+conn_of_holder_ (struct net_memory_holder *holder)
+{
+  return (struct net_http_conn *)((char *)holder - offsetof (struct net_http_conn, holder));
+}
+
+static int64_t
+now_ms_ (const struct net_http_conn *conn)
+{
+  return (int64_t)uv_now (conn->tcp.loop);
+}
+
 /* Parses the head at the start of the buffer. Returns false when it is incomplete, or the
  * connection has ended. */
 static bool
@@ -834,10 +1051,34 @@
   if (!conn->is_server && conn->parser.status_code / 100 == 1)
     return true;
   conn->awaits_response = false;
+  if (conn->turn_ms != now_ms_ (conn))
+    {
+      conn->turn_ms = now_ms_ (conn);
+      conn->turn_requests = 0;
+    }
+  if (conn->is_server && ++conn->turn_requests >= TURN_REQUESTS_MAX)
+    {
+      conn->awaits_turn = true;
+      uv_timer_start (&conn->linger, on_turn_, TURN_MS, 0);
+    }
   (*conn->owner)->message_end (conn->owner);
   return conn->state == CONN_OPEN;
 }
 
+/* The loop has begun its next iteration. */
+static void
+on_turn_ (uv_timer_t *timer)
+{
+  struct net_http_conn *conn = timer->data;
+
+  conn->awaits_turn = false;
+  if (conn->state != CONN_OPEN)
+    return;
+  parse_ (conn);
+  if (conn->account != NULL)
+    net_http_account_relieve (conn->account, now_ms_ (conn));
+}
+
 /* Returns the length of the head including the empty line, or 0 while it is incomplete. */
 static size_t
 find_head_end_ (struct net_http_conn *conn)
@@ -905,7 +1146,9 @@
   return false;
 }
 
-/* Starts or stops reading: it stops while paused, or while too many held bytes are buffered. */
+/* Starts or stops reading: it stops while paused, while the peer does not take responses that stand
+ * before its next request, while requests wait for their turn, or while too many held bytes are
+ * buffered. */
 static void
 update_reading_ (struct net_http_conn *conn)
 {
@@ -913,7 +1156,9 @@
 
   if (conn->state != CONN_OPEN && conn->state != CONN_LINGERING)
     return;
-  wanted = !conn->paused && !(conn->held && conn->input->len > HELD_MAX_BYTES);
+  wanted = !conn->paused && !(conn->held && conn->input->len > HELD_MAX_BYTES)
+           && !(conn->state == CONN_OPEN && !conn->in_body && !conn->held
+                && (conn->awaits_turn ? conn->input->len > 0 : net_http_conn_is_backlogged (conn)));
   if (wanted == conn->reading)
     return;
   conn->reading = wanted;
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -2,6 +2,8 @@
  * Messages are passed to the owner as they arrive. A connection never retries anything itself. */
 #pragma once
 
+#include "net/memory-account.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -77,6 +79,10 @@
    * too large. The connection is still open, so that an error response can be sent; the owner must
    * close it. */
   void (*bad_request) (void *owner, enum net_end_reason end);
+  /* The account has no room for what the connection holds. The owner must finish, close or reset it
+   * before it returns; CLOSES: without a response, as the descriptor is needed. NULL: the
+   * connection is reset and `ended` called. */
+  void (*evicted) (void *owner, bool closes);
   void (*ended) (void *owner, enum net_end_reason end);
 };
 
@@ -88,6 +94,7 @@
   bool disable_dead_peer_detection;
   const struct sockaddr_in *source; /* outgoing: local address to bind; NULL: any */
   size_t head_max_bytes;
+  struct net_memory_account *account; /* servers: for what the connection holds; NULL: none */
 };
 
 struct net_http_conn *net_http_conn_new (const struct net_http_conn_options *options, void *owner);
@@ -98,8 +105,16 @@
 void net_http_conn_write (struct net_http_conn *conn,
                           const struct net_string_view *parts,
                           size_t n_parts);
+void net_http_conn_write_shared (struct net_http_conn *conn,
+                                 struct net_string_view head,
+                                 GByteArray *body);
 size_t net_http_conn_queued (const struct net_http_conn *conn);
 bool net_http_conn_has_received (const struct net_http_conn *conn);
+bool net_http_conn_is_backlogged (const struct net_http_conn *conn);
+struct net_memory_holder *net_http_conn_holder (struct net_http_conn *conn);
+void net_http_conn_note_served (struct net_http_conn *conn, bool is_served);
+bool net_http_account_make_room (struct net_memory_account *account, bool forces, int64_t now_ms);
+void net_http_account_relieve (struct net_memory_account *account, int64_t now_ms);
 bool net_http_conn_has_unread (const struct net_http_conn *conn);
 bool net_http_conn_is_clean (const struct net_http_conn *conn);
 void net_http_conn_hold_messages (struct net_http_conn *conn, bool hold);
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -18,6 +18,11 @@
   WAIT_MAX_MS = 1000,
   /* Closing goes on until a part of the limit is free again, so that not every read closes one. */
   FREE_SHARE = 8,
+  /* Requests that are served can't be closed, so they get only a part of the limit, and ones with
+   * large bodies less, so that a few of these don't keep all others out. */
+  SERVED_FREE_SHARE = 8,
+  SERVED_LARGE_FREE_SHARE = 4,
+  SERVED_LARGE_BYTES = 65536,
   /* Of the machine's memory, three eighths are for callers. The rest is for the process itself with
    * its configuration, for the kernel's buffers and for the connections to servers and the store.
    */
@@ -80,6 +85,15 @@
                                           .connections_max = limits->callers_max };
 }
 
+/* Changes the limits; what is held beyond them is closed by and by. */
+void
+net_memory_account_set_limits (struct net_memory_account *account,
+                               const struct net_memory_limits *limits)
+{
+  account->limit = limits->bytes;
+  account->connections_max = limits->callers_max;
+}
+
 /* Returns whether more is held than the limit. */
 bool
 net_memory_account_is_short (const struct net_memory_account *account)
@@ -143,6 +157,34 @@
   return picked;
 }
 
+/* Returns the holder without progress for the longest time, whatever it is doing; NULL: there is
+ * none. */
+struct net_memory_holder *
+net_memory_account_pick_any (const struct net_memory_account *account)
+{
+  struct net_memory_holder *picked = NULL;
+
+  for (const GList *link = account->holders.head; link != NULL; link = link->next)
+    {
+      struct net_memory_holder *holder = link->data;
+
+      if (picked == NULL || holder->progress_ms < picked->progress_ms)
+        picked = holder;
+    }
+  return picked;
+}
+
+/* Returns whether there is memory to serve the request of HOLDER, which has been received
+ * completely. */
+bool
+net_memory_account_admits (const struct net_memory_account *account,
+                           const struct net_memory_holder *holder)
+{
+  size_t share = holder->total > SERVED_LARGE_BYTES ? SERVED_LARGE_FREE_SHARE : SERVED_FREE_SHARE;
+
+  return account->served_total + holder->total <= account->limit - account->limit / share;
+}
+
 /* Returns the log name of KIND. */
 const char *
 net_memory_kind_to_string (enum net_memory_kind kind)
@@ -169,6 +211,7 @@
 {
   if (holder->account == NULL)
     return;
+  net_memory_holder_set_served (holder, false);
   for (unsigned kind = 0; kind < NET_MEMORY_KINDS; kind++)
     net_memory_holder_set (holder, kind, 0);
   g_queue_unlink (&holder->account->holders, &holder->link);
@@ -185,10 +228,26 @@
     return;
   account->bytes[kind] += bytes - holder->bytes[kind];
   account->total += bytes - holder->bytes[kind];
+  if (holder->is_served)
+    account->served_total += bytes - holder->bytes[kind];
   holder->total += bytes - holder->bytes[kind];
   holder->bytes[kind] = bytes;
 }
 
+/* Sets whether a complete request of the holder is being served. Does nothing if it is in no
+ * account. */
+void
+net_memory_holder_set_served (struct net_memory_holder *holder, bool is_served)
+{
+  if (holder->account == NULL || holder->is_served == is_served)
+    return;
+  holder->is_served = is_served;
+  if (is_served)
+    holder->account->served_total += holder->total;
+  else
+    holder->account->served_total -= holder->total;
+}
+
 /* Sets the unsent bytes of a response to the current number; a lower one than before is progress of
  * the caller. */
 void
--- a/src/net/memory-account.h
+++ b/src/net/memory-account.h
@@ -26,7 +26,7 @@
   size_t bytes[NET_MEMORY_KINDS];
   size_t total;
   int64_t progress_ms; /* when the caller last sent a byte or took one */
-  bool is_served;      /* a complete request is being served */
+  bool is_served;      /* a complete request is being served; see net_memory_holder_set_served */
 };
 
 struct net_memory_account
@@ -34,6 +34,7 @@
   GQueue holders; /* struct net_memory_holder */
   size_t bytes[NET_MEMORY_KINDS];
   size_t total;
+  size_t served_total; /* of holders whose request is being served */
   size_t limit;
   unsigned connections_max;
 };
@@ -48,6 +49,8 @@
 struct net_memory_limits net_memory_limits (double memory_mb, unsigned descriptors);
 void net_memory_account_init (struct net_memory_account *account,
                               const struct net_memory_limits *limits);
+void net_memory_account_set_limits (struct net_memory_account *account,
+                                    const struct net_memory_limits *limits);
 bool net_memory_account_is_short (const struct net_memory_account *account);
 bool net_memory_account_is_full (const struct net_memory_account *account);
 size_t net_memory_account_excess (const struct net_memory_account *account);
@@ -55,6 +58,9 @@
                                                            int64_t now_ms);
 struct net_memory_holder *net_memory_account_pick_oldest (const struct net_memory_account *account,
                                                           int64_t now_ms);
+struct net_memory_holder *net_memory_account_pick_any (const struct net_memory_account *account);
+bool net_memory_account_admits (const struct net_memory_account *account,
+                                const struct net_memory_holder *holder);
 const char *net_memory_kind_to_string (enum net_memory_kind kind);
 
 void net_memory_holder_open (struct net_memory_holder *holder,
@@ -63,4 +69,5 @@
 void net_memory_holder_close (struct net_memory_holder *holder);
 void
 net_memory_holder_set (struct net_memory_holder *holder, enum net_memory_kind kind, size_t bytes);
+void net_memory_holder_set_served (struct net_memory_holder *holder, bool is_served);
 void net_memory_holder_note_unsent (struct net_memory_holder *holder, size_t bytes, int64_t now_ms);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -23,7 +23,10 @@
   SLOW_READ_INTERVAL_MS = 10,
   CUT_SEEDS = 300,
   CUTS_PER_SEED = 3,
-  CUT_BYTES_MAX = 24
+  CUT_BYTES_MAX = 24,
+  PIPELINED_REQUESTS = 2000,
+  PIPELINED_RESPONSE_BYTES = 16384, /* together more than kernels buffer on both sides */
+  INPUT_MAX_BYTES = 65536
 };
 
 /* Owner of the tested connection: records its callbacks. */
@@ -47,6 +50,7 @@
   GString *headers; /* names and values of the last head */
   GString *body;
   bool holds_after_message;
+  const char *response;       /* sent at the end of each message */
   const char *early_response; /* sent as soon as the head is parsed; the body is not read */
   bool timed_out;
   GString *events;   /* what the owner was told; NULL: not recorded */
@@ -126,6 +130,12 @@
   note_ (recorder, "\nend of message");
   if (recorder->expects_more && recorder->vtable == &client_vtable_)
     net_http_conn_expect_response (recorder->conn, false);
+  if (recorder->response != NULL)
+    {
+      const struct net_string_view part = net_string_view_of (recorder->response);
+
+      net_http_conn_write (recorder->conn, &part, 1);
+    }
   if (recorder->holds_after_message)
     net_http_conn_hold_messages (recorder->conn, true);
 }
@@ -737,6 +747,89 @@
   "0\r\n\r\n",
   "stray",
 };
+/* Responses piled up without a limit when a client sent requests and read nothing. Once it reads,
+ * it gets all of them. */
+static void
+requests_wait_while_responses_are_unread (void **state)
+{
+  struct recorder_ *recorder = server_new_ ();
+  g_autofree char *response = g_strnfill (PIPELINED_RESPONSE_BYTES, 'r');
+  static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  g_autoptr (GString) requests = g_string_new (NULL);
+  struct net_memory_account account;
+  const struct net_memory_limits limits = { .bytes = 1 << 30, .callers_max = 10 };
+  uint64_t received = 0;
+  size_t sent = 0;
+  unsigned idle_turns = 0;
+  char buffer[16384];
+
+  net_memory_account_init (&account, &limits);
+  net_memory_holder_open (net_http_conn_holder (recorder->conn), &account, 0);
+  recorder->response = response;
+  for (unsigned i = 0; i < PIPELINED_REQUESTS; i++)
+    g_string_append (requests, request);
+  while (idle_turns < 100)
+    {
+      ssize_t taken = send (recorder->peer, requests->str + sent, requests->len - sent,
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      sent += taken > 0 ? (size_t)taken : 0;
+      idle_turns = taken > 0 ? 0 : idle_turns + 1;
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+      assert_true (net_http_conn_queued (recorder->conn) <= PIPELINED_RESPONSE_BYTES);
+      assert_true (account.bytes[NET_MEMORY_INPUT] <= INPUT_MAX_BYTES);
+    }
+  assert_true (net_http_conn_is_backlogged (recorder->conn));
+  assert_true (recorder->n_messages < PIPELINED_REQUESTS);
+  uv_timer_start (&recorder->timeout, on_timeout_, TIMEOUT_MS, 0);
+  while (received < (uint64_t)PIPELINED_REQUESTS * PIPELINED_RESPONSE_BYTES && !recorder->timed_out)
+    {
+      ssize_t got = recv (recorder->peer, buffer, sizeof buffer, MSG_DONTWAIT);
+      ssize_t taken = send (recorder->peer, requests->str + sent, requests->len - sent,
+                            MSG_DONTWAIT | MSG_NOSIGNAL);
+
+      received += got > 0 ? (uint64_t)got : 0;
+      sent += taken > 0 ? (size_t)taken : 0;
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+    }
+  assert_int_equal (received, (uint64_t)PIPELINED_REQUESTS * PIPELINED_RESPONSE_BYTES);
+  assert_int_equal (recorder->n_messages, PIPELINED_REQUESTS);
+  free_ (recorder);
+  assert_int_equal (account.total, 0);
+}
+
+/* A body that the peer takes slowly was copied to the queue. */
+static void
+a_shared_body_is_sent_whole_to_a_slow_peer (void **state)
+{
+  struct recorder_ *recorder = client_new_ ();
+  GByteArray *body = g_byte_array_new ();
+  g_autoptr (GByteArray) expected = g_byte_array_new ();
+  g_autoptr (GByteArray) received = g_byte_array_new ();
+  const struct net_string_view head = net_string_view_of ("POST / HTTP/1.1\r\n\r\n");
+  uint8_t buffer[SLOW_READ_BYTES];
+
+  for (unsigned i = 0; i < BLOCKS * BLOCK_BYTES / sizeof i; i++)
+    g_byte_array_append (body, (const guint8 *)&i, sizeof i);
+  g_byte_array_append (expected, (const guint8 *)head.data, (guint)head.length);
+  g_byte_array_append (expected, body->data, body->len);
+  net_http_conn_write_shared (recorder->conn, head, body);
+  g_byte_array_unref (body);
+  assert_true (net_http_conn_queued (recorder->conn) > 0);
+  uv_timer_start (&recorder->timeout, on_timeout_, TIMEOUT_MS, 0);
+  while (received->len < expected->len && !recorder->timed_out)
+    {
+      ssize_t got = recv (recorder->peer, buffer, sizeof buffer, MSG_DONTWAIT);
+
+      if (got > 0)
+        g_byte_array_append (received, buffer, (guint)got);
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+    }
+  assert_int_equal (received->len, expected->len);
+  assert_memory_equal (received->data, expected->data, expected->len);
+  free_ (recorder);
+}
+
 static const char *const request_pieces_[] = {
   "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
   "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody",
@@ -831,6 +924,8 @@
     cmocka_unit_test (a_response_beside_unread_input_is_acknowledged_before_the_reset),
     cmocka_unit_test (unsent_responses_are_cut_by_a_reset),
     cmocka_unit_test (events_do_not_depend_on_the_cut_of_the_bytes),
+    cmocka_unit_test (requests_wait_while_responses_are_unread),
+    cmocka_unit_test (a_shared_body_is_sent_whole_to_a_slow_peer),
     cmocka_unit_test (bytes_not_read_by_a_slow_peer_are_counted_as_queued),
   };
 
--- a/src/net/test-memory-account.c
+++ b/src/net/test-memory-account.c
@@ -64,7 +64,7 @@
 {
   for (unsigned i = 0; i < HOLDERS; i++)
     {
-      holders_[i].is_served = true;
+      net_memory_holder_set_served (&holders_[i], true);
       net_memory_holder_note_unsent (&holders_[i], 2 * MIB, 1000);
     }
   for (int64_t now_ms = 1000; now_ms < 60000; now_ms += STALLED_MS - 1)
@@ -91,7 +91,7 @@
 static void
 a_response_that_nobody_reads_is_closed (void **state)
 {
-  holders_[3].is_served = true;
+  net_memory_holder_set_served (&holders_[3], true);
   net_memory_holder_note_unsent (&holders_[3], 5 * MIB, 1000);
   assert_ptr_equal (net_memory_account_pick_largest (&account_, 1000 + STALLED_MS), &holders_[3]);
 }
@@ -101,10 +101,10 @@
 a_request_that_is_served_is_not_closed (void **state)
 {
   net_memory_holder_set (&holders_[1], NET_MEMORY_BODY, 5 * MIB);
-  holders_[1].is_served = true;
+  net_memory_holder_set_served (&holders_[1], true);
   assert_ptr_not_equal (net_memory_account_pick_largest (&account_, 60000), &holders_[1]);
   for (unsigned i = 0; i < HOLDERS; i++)
-    holders_[i].is_served = true;
+    net_memory_holder_set_served (&holders_[i], true);
   assert_null (net_memory_account_pick_largest (&account_, 60000));
 }
 
@@ -114,12 +114,34 @@
   assert_true (net_memory_account_is_full (&account_));
   for (unsigned i = 0; i < HOLDERS; i++)
     holders_[i].progress_ms = 2000 - i;
-  holders_[HOLDERS - 1].is_served = true;
+  net_memory_holder_set_served (&holders_[HOLDERS - 1], true);
   assert_ptr_equal (net_memory_account_pick_oldest (&account_, 3000), &holders_[HOLDERS - 2]);
   net_memory_holder_close (&holders_[HOLDERS - 2]);
   assert_false (net_memory_account_is_full (&account_));
 }
 
+/* Requests with large bodies at a slow server kept everybody else out. */
+static void
+served_requests_leave_room_for_others (void **state)
+{
+  unsigned admitted = 0;
+
+  for (unsigned i = 0; i < HOLDERS - 1; i++)
+    {
+      net_memory_holder_set (&holders_[i], NET_MEMORY_BODY, MIB);
+      if (net_memory_account_admits (&account_, &holders_[i]))
+        {
+          net_memory_holder_set_served (&holders_[i], true);
+          admitted++;
+        }
+      else
+        net_memory_holder_close (&holders_[i]);
+    }
+  assert_int_equal (admitted, 2);
+  assert_true (net_memory_account_admits (&account_, &holders_[HOLDERS - 1]));
+  assert_false (net_memory_account_is_short (&account_));
+}
+
 static void
 the_sums_are_right_after_any_changes (void **state)
 {
@@ -129,17 +151,24 @@
     {
       struct net_memory_holder *holder = &holders_[g_rand_int_range (random, 0, HOLDERS)];
       size_t total = 0;
+      size_t served = 0;
 
       if (holder->account == NULL)
         net_memory_holder_open (holder, &account_, step);
       else if (g_rand_int_range (random, 0, 10) == 0)
         net_memory_holder_close (holder);
+      else if (g_rand_int_range (random, 0, 10) == 0)
+        net_memory_holder_set_served (holder, !holder->is_served);
       else
         net_memory_holder_set (holder, g_rand_int_range (random, 0, NET_MEMORY_KINDS),
                                (size_t)g_rand_int_range (random, 0, 100 * KIB));
       for (unsigned i = 0; i < HOLDERS; i++)
-        total += holders_[i].account == NULL ? 0 : holders_[i].total;
+        {
+          total += holders_[i].account == NULL ? 0 : holders_[i].total;
+          served += holders_[i].is_served ? holders_[i].total : 0;
+        }
       assert_int_equal (account_.total, total);
+      assert_int_equal (account_.served_total, served);
       total = 0;
       for (unsigned kind = 0; kind < NET_MEMORY_KINDS; kind++)
         total += account_.bytes[kind];
@@ -192,6 +221,7 @@
     cmocka_unit_test_setup (a_response_that_nobody_reads_is_closed, open_holders),
     cmocka_unit_test_setup (a_request_that_is_served_is_not_closed, open_holders),
     cmocka_unit_test_setup (a_new_connection_takes_the_place_of_the_oldest_idle_one, open_holders),
+    cmocka_unit_test_setup (served_requests_leave_room_for_others, open_holders),
     cmocka_unit_test_setup (the_sums_are_right_after_any_changes, open_holders),
     cmocka_unit_test (limits_leave_room_for_everything_else),
   };
