Gateway: memory and connections of callers are bounded by one account

The settings keys [limits] memory_mb and descriptors, filled by the deployment, size the account: three eighths of the memory for callers; of the descriptors, what the files (200), the process itself and the two status listeners leave, three quarters for callers. Without them 512 MB and 4,096 descriptors are assumed.

Short of memory, a request that is still arriving is refused with 503 memory_short, which guarantees that it has not run, and a caller who has taken no byte of a response for 5 s is cut. A complete request is served only while what is served leaves a quarter of the limit free (an eighth for small requests), as served requests are never closed. Short of descriptors, the connection idle for the longest time is closed for a new one, or the new one is rejected. Each closed caller is logged with what it held (caller_evicted); the gauges sapphirerun_caller_bytes_* tell who holds what.

The readiness and the metrics listener have an account of their own, of up to 64 connections.

A caller who takes responses slowly is no longer refused with 408 for an incomplete head, as its next requests wait unread.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -15,6 +15,8 @@
   RESPONSE_BUFFER_MAX_BYTES
   = 262144, /* a response that is not a stream is buffered completely up to this size */
   CALLER_QUEUE_MAX_BYTES = 131072, /* reading from the server pauses while more is queued */
+  CALLER_QUEUE_SHORT_BYTES = 8192, /* the same while memory for callers is short */
+  RESPONSE_SHORT_BYTES = 16384,    /* a response that is still buffered then is given up above it */
   REMAINING_MIN_MS = 5,            /* with less time to the deadline no server can respond */
   RESPONSE_WAIT_MIN_MS = 300,      /* a repeatable request is retried elsewhere after this time */
   RESPONSE_WAIT_OBJECTIVES = 3,    /* or this many latency objectives, if that is longer */
@@ -49,6 +51,7 @@
 static bool take_retry_ (struct gw_exchange *exchange, bool executed);
 static bool is_repeatable_ (const struct gw_exchange *exchange);
 static void begin_response_ (struct gw_exchange *exchange);
+static void forward_buffered_ (struct gw_exchange *exchange);
 static void forward_ (struct gw_exchange *exchange, const char *data, size_t length);
 static void
 end_unfinished_ (struct gw_exchange *exchange, enum gw_attempt_outcome outcome, const char *reason);
@@ -377,9 +380,17 @@
       if (exchange->response_body->len > RESPONSE_BUFFER_MAX_BYTES)
         {
           begin_response_ (exchange);
-          forward_ (exchange, (const char *)exchange->response_body->data,
-                    exchange->response_body->len);
+          forward_buffered_ (exchange);
         }
+      else if (exchange->response_body->len > RESPONSE_SHORT_BYTES
+               && net_memory_account_is_short (&exchange->context->account))
+        {
+          /* Closing other callers has not made room for it. */
+          end_failed_attempt_ (exchange, "memory_short", GW_ATTEMPT_ABANDONED);
+          gw_exchange_refuse_ (exchange, 502, GW_RETRY_AFTER_BUSY, "memory_short");
+        }
+      else
+        (*exchange->caller)->buffered (exchange->caller, exchange->response_body->len);
       return;
     }
   complete = gw_event_scan_feed (&exchange->scan, data, length);
@@ -451,8 +462,7 @@
         exchange->response_length = exchange->response_body->len;
       begin_response_ (exchange);
       if (exchange->response_body->len > 0)
-        forward_ (exchange, (const char *)exchange->response_body->data,
-                  exchange->response_body->len);
+        forward_buffered_ (exchange);
     }
   if (exchange->status < 300)
     gw_exchange_note_survival_ (exchange, g_get_monotonic_time ());
@@ -605,6 +615,18 @@
   (*exchange->caller)->begin (exchange->caller, &reply);
 }
 
+/* Forwards the buffered part of a response and frees it. */
+static void
+forward_buffered_ (struct gw_exchange *exchange)
+{
+  GByteArray *body = exchange->response_body;
+
+  exchange->response_body = g_byte_array_new ();
+  forward_ (exchange, (const char *)body->data, body->len);
+  g_byte_array_unref (body);
+  (*exchange->caller)->buffered (exchange->caller, 0);
+}
+
 static void
 forward_ (struct gw_exchange *exchange, const char *data, size_t length)
 {
@@ -612,7 +634,9 @@
 
   (*exchange->caller)->body (exchange->caller, &part, 1);
   if (exchange->upstream != NULL && !exchange->reading_paused
-      && (*exchange->caller)->queued (exchange->caller) > CALLER_QUEUE_MAX_BYTES)
+      && (*exchange->caller)->queued (exchange->caller)
+             > (net_memory_account_is_short (&exchange->context->account) ? CALLER_QUEUE_SHORT_BYTES
+                                                                          : CALLER_QUEUE_MAX_BYTES))
     {
       exchange->reading_paused = true;
       gw_upstream_pause (exchange->upstream, true);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -8,6 +8,7 @@
 
 enum
 {
+  EXCHANGE_BYTES = 2048, /* of a request without its headers and body: struct and texts */
   NEW_STREAMS_WHILE_STOPPING_MS = 3000, /* time after the stop signal in which streams are still
                                            accepted; later ones would outlast a planned stop */
   LOGGED_PATH_BYTES
@@ -134,6 +135,27 @@
   gw_exchange_refuse_ (exchange, 408, GW_RETRY_AFTER_BUSY, "body_incomplete");
 }
 
+/* Refuses a request that is still arriving, as there is no memory for it, and frees the exchange.
+ */
+void
+gw_exchange_refuse_short (struct gw_exchange *exchange)
+{
+  const struct net_memory_account *account = &exchange->context->account;
+
+  g_assert (exchange->state == EXCHANGE_READING);
+  gw_exchange_refuse_with_inputs_ (
+      exchange, 503, GW_RETRY_AFTER_ELSEWHERE, "memory_short",
+      json_pack ("{s:I,s:I,s:I}", "body", (json_int_t)exchange->body->len, "held",
+                 (json_int_t)account->total, "limit", (json_int_t)account->limit));
+}
+
+/* Returns the number of bytes that the exchange holds of the request. */
+size_t
+gw_exchange_request_bytes (const struct gw_exchange *exchange)
+{
+  return EXCHANGE_BYTES + exchange->headers->len + exchange->body->len;
+}
+
 /* The request has been received completely: reserves its tokens and sends it. */
 void
 gw_exchange_start (struct gw_exchange *exchange)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -30,6 +30,8 @@
   void (*body) (void *caller, const struct net_string_view *parts, size_t n_parts);
   /* Returns the number of response bytes that are not yet written to the socket. */
   size_t (*queued) (void *caller);
+  /* Tells how many bytes of a response are held that have not been passed on. */
+  void (*buffered) (void *caller, size_t bytes);
   void (*finish) (void *caller);
   /* The response can't be completed. The connection is reset so that the caller sees it as
    * truncated. */
@@ -45,6 +47,8 @@
 bool gw_exchange_body (struct gw_exchange *exchange, const char *data, size_t length);
 void gw_exchange_refuse_too_large (struct gw_exchange *exchange);
 void gw_exchange_refuse_incomplete (struct gw_exchange *exchange);
+void gw_exchange_refuse_short (struct gw_exchange *exchange);
+size_t gw_exchange_request_bytes (const struct gw_exchange *exchange);
 void gw_exchange_start (struct gw_exchange *exchange);
 void gw_exchange_on_caller_drained (struct gw_exchange *exchange);
 void gw_exchange_abandon (struct gw_exchange *exchange);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/placement.h"
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
+#include "net/memory-account.h"
 #include "quarantine/quarantine.h"
 
 #include <glib.h>
@@ -29,6 +30,7 @@
   struct gw_retry_budget_options retry_options;
   struct gw_fleet_size fleet_size; /* that shares the fixed part of the retry budgets */
   struct gw_link_load link;
+  struct net_memory_account account; /* of what is held for callers */
   int64_t part_cache_lifetime_us; /* a prompt part is assumed cached on a server for this long; 0:
                                      default */
   unsigned instances;             /* number of instances in the fleet, including this one */
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -30,14 +30,16 @@
   CALLER_END_UNREAD_BODY, /* refused without reading the rest of the body */
   CALLER_END_MALFORMED,   /* what arrived was no valid request */
   CALLER_END_CUT,         /* a response that had begun can't be completed */
-  CALLER_END_STOPPING     /* idle at a planned stop */
+  CALLER_END_STOPPING,    /* idle at a planned stop */
+  CALLER_END_EVICTED      /* memory or descriptors have run short */
 };
 
 struct gw_ingress
 {
   struct gw_context *context;
   uv_tcp_t listener;
-  GHashTable *callers; /* struct caller_ */
+  uv_check_t memory_check; /* after each iteration of the loop */
+  GHashTable *callers;     /* struct caller_ */
 };
 
 struct caller_
@@ -72,9 +74,14 @@
 static void on_written_ (void *owner);
 static void on_ended_ (void *owner, enum net_end_reason end);
 static void on_bad_request_ (void *owner, enum net_end_reason end);
+static void on_evicted_ (void *owner, bool closes);
+static void on_memory_check_ (uv_check_t *check);
+static void reject_connection_ (struct gw_ingress *ingress, uv_stream_t *listener);
+static void set_held_ (struct caller_ *caller, enum net_memory_kind kind, size_t bytes);
 static void begin_response_ (void *user, const struct gw_caller_response *response);
 static void write_body_ (void *user, const struct net_string_view *parts, size_t n_parts);
 static size_t queued_bytes_ (void *user);
+static void note_buffered_ (void *user, size_t bytes);
 static void finish_response_ (void *user);
 static void reset_ (void *user);
 static void next_request_ (struct caller_ *caller);
@@ -93,6 +100,7 @@
   .message_end = on_message_end_,
   .written = on_written_,
   .bad_request = on_bad_request_,
+  .evicted = on_evicted_,
   .ended = on_ended_,
 };
 
@@ -100,6 +108,7 @@
   .begin = begin_response_,
   .body = write_body_,
   .queued = queued_bytes_,
+  .buffered = note_buffered_,
   .finish = finish_response_,
   .reset = reset_,
 };
@@ -113,6 +122,7 @@
   [CALLER_END_MALFORMED] = "malformed",
   [CALLER_END_CUT] = "cut",
   [CALLER_END_STOPPING] = "stopping",
+  [CALLER_END_EVICTED] = "evicted",
 };
 
 static struct sr_counter connections_counter_
@@ -135,6 +145,30 @@
                        .help = "Connections reset in the middle of a response." },
   [CALLER_END_STOPPING] = { .name = "sapphirerun_caller_connections_stopping_total",
                             .help = "Idle connections closed by a planned stop." },
+  [CALLER_END_EVICTED] = { .name = "sapphirerun_caller_connections_evicted_total",
+                           .help = "Connections of callers closed to free memory or descriptors." },
+};
+
+static struct sr_counter rejected_counter_
+    = { .name = "sapphirerun_caller_connections_rejected_total",
+        .help = "Connections closed at once, because all others were in use." };
+static struct sr_counter open_gauge_
+    = { .name = "sapphirerun_caller_connections_open", .help = "Open connections of callers." };
+static struct sr_counter open_max_gauge_
+    = { .name = "sapphirerun_caller_connections_limit", .help = "Most connections of callers." };
+static struct sr_counter bytes_max_gauge_
+    = { .name = "sapphirerun_caller_bytes_limit", .help = "Most bytes held for callers." };
+static struct sr_counter bytes_gauges_[NET_MEMORY_KINDS] = {
+  [NET_MEMORY_CONNECTION] = { .name = "sapphirerun_caller_bytes_connections",
+                              .help = "Bytes held for the connections of callers themselves." },
+  [NET_MEMORY_INPUT] = { .name = "sapphirerun_caller_bytes_input",
+                         .help = "Bytes received from callers and not parsed yet." },
+  [NET_MEMORY_BODY] = { .name = "sapphirerun_caller_bytes_requests",
+                        .help = "Bytes of requests that are read or served." },
+  [NET_MEMORY_RESPONSE] = { .name = "sapphirerun_caller_bytes_responses",
+                            .help = "Bytes of responses that are buffered until complete." },
+  [NET_MEMORY_UNSENT] = { .name = "sapphirerun_caller_bytes_unsent",
+                          .help = "Bytes of responses that callers have not taken yet." },
 };
 
 /* Listens on ADDRESS. Logs the error and returns NULL if that fails. */
@@ -149,6 +183,16 @@
   sr_counter_register (&connections_counter_);
   for (size_t i = 0; i < G_N_ELEMENTS (end_counters_); i++)
     sr_counter_register (&end_counters_[i]);
+  for (size_t i = 0; i < G_N_ELEMENTS (bytes_gauges_); i++)
+    sr_counter_register (&bytes_gauges_[i]);
+  sr_counter_register (&rejected_counter_);
+  sr_counter_register (&open_gauge_);
+  sr_counter_register (&open_max_gauge_);
+  sr_counter_register (&bytes_max_gauge_);
+  uv_check_init (context->loop, &ingress->memory_check);
+  ingress->memory_check.data = ingress;
+  uv_check_start (&ingress->memory_check, on_memory_check_);
+  uv_unref ((uv_handle_t *)&ingress->memory_check);
   uv_tcp_init (context->loop, &ingress->listener);
   ingress->listener.data = ingress;
   error = uv_tcp_bind (&ingress->listener, (const struct sockaddr *)address, 0);
@@ -204,6 +248,19 @@
     }
 }
 
+/* Sets the gauges to the current values. */
+void
+gw_ingress_update_metrics (const struct gw_ingress *ingress)
+{
+  const struct net_memory_account *account = &ingress->context->account;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bytes_gauges_); i++)
+    sr_counter_set (&bytes_gauges_[i], (int64_t)account->bytes[i]);
+  sr_counter_set (&bytes_max_gauge_, (int64_t)account->limit);
+  sr_counter_set (&open_gauge_, account->holders.length);
+  sr_counter_set (&open_max_gauge_, account->connections_max);
+}
+
 unsigned
 gw_ingress_connection_count (const struct gw_ingress *ingress)
 {
@@ -233,8 +290,10 @@
 on_connection_ (uv_stream_t *listener, int status)
 {
   struct gw_ingress *ingress = listener->data;
-  const struct net_http_conn_options options
-      = { .loop = ingress->context->loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
+  const struct net_http_conn_options options = { .loop = ingress->context->loop,
+                                                 .is_server = true,
+                                                 .head_max_bytes = HEAD_MAX_BYTES,
+                                                 .account = &ingress->context->account };
   struct caller_ *caller;
 
   if (status != 0)
@@ -242,6 +301,12 @@
       sr_event (SR_EVENT_WARNING, "accept_failed", "{s:s}", "reason", uv_strerror (status));
       return;
     }
+  if (!net_http_account_make_room (&ingress->context->account, false,
+                                   (int64_t)uv_now (ingress->context->loop)))
+    {
+      reject_connection_ (ingress, listener);
+      return;
+    }
   caller = g_new0 (struct caller_, 1);
   caller->vtable = &owner_vtable_;
   caller->response_vtable = &response_vtable_;
@@ -263,6 +328,31 @@
   begin_idle_ (caller);
 }
 
+/* Accepts and closes a connection, as all others have requests in progress. */
+static void
+reject_connection_ (struct gw_ingress *ingress, uv_stream_t *listener)
+{
+  const struct net_http_conn_options options
+      = { .loop = ingress->context->loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
+  struct net_http_conn *conn = net_http_conn_new (&options, NULL);
+
+  sr_counter_add (&rejected_counter_, 1);
+  sr_event (SR_EVENT_WARNING, "caller_rejected", "{s:s,s:i,s:i}", "reason", "descriptors", "open",
+            (int)ingress->context->account.holders.length, "limit",
+            (int)ingress->context->account.connections_max);
+  if (net_http_conn_accept (conn, listener))
+    net_http_conn_reset (conn);
+}
+
+/* Frees memory if it has run short other than by what has just been read from a caller. */
+static void
+on_memory_check_ (uv_check_t *check)
+{
+  struct gw_ingress *ingress = check->data;
+
+  net_http_account_relieve (&ingress->context->account, (int64_t)uv_now (ingress->context->loop));
+}
+
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
@@ -294,6 +384,7 @@
       return;
     }
   caller->exchange = exchange;
+  set_held_ (caller, NET_MEMORY_BODY, gw_exchange_request_bytes (exchange));
   if (head->has_length && head->length > limits_ (caller)->body_max_bytes)
     {
       caller->closes = true;
@@ -322,7 +413,9 @@
       net_http_conn_finish (caller->conn);
       caller->conn = NULL;
       free_ (caller);
+      return;
     }
+  set_held_ (caller, NET_MEMORY_BODY, gw_exchange_request_bytes (caller->exchange));
 }
 
 static void
@@ -336,7 +429,14 @@
       next_request_ (caller);
       return;
     }
+  if (!net_memory_account_admits (&caller->ingress->context->account,
+                                  net_http_conn_holder (caller->conn)))
+    {
+      gw_exchange_refuse_short (caller->exchange);
+      return;
+    }
   net_http_conn_hold_messages (caller->conn, true);
+  net_http_conn_note_served (caller->conn, true);
   gw_exchange_start (caller->exchange);
 }
 
@@ -369,6 +469,47 @@
   free_ (caller);
 }
 
+/* Memory or descriptors have run short, and this caller holds the most of it for the longest time.
+ * A request that is still arriving has not run and is refused; a response that the caller does not
+ * take is cut. */
+static void
+on_evicted_ (void *owner, bool closes)
+{
+  struct caller_ *caller = owner;
+  struct net_http_conn *conn = caller->conn;
+  const struct net_memory_holder *holder = net_http_conn_holder (conn);
+  struct gw_exchange *exchange = caller->exchange;
+
+  sr_counter_add (&end_counters_[CALLER_END_EVICTED], 1);
+  sr_event (SR_EVENT_WARNING, "caller_evicted", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:I,s:I}",
+            "reason", closes ? "descriptors" : "memory", "bytes", (json_int_t)holder->total,
+            "input", (json_int_t)holder->bytes[NET_MEMORY_INPUT], "request",
+            (json_int_t)holder->bytes[NET_MEMORY_BODY], "response",
+            (json_int_t)holder->bytes[NET_MEMORY_RESPONSE], "unsent",
+            (json_int_t)holder->bytes[NET_MEMORY_UNSENT], "idle_ms",
+            (json_int_t)((int64_t)uv_now (caller->ingress->context->loop) - holder->progress_ms),
+            "reading", (int)caller->is_reading, "held", (json_int_t)holder->account->total, "limit",
+            (json_int_t)holder->account->limit);
+  if (exchange != NULL && caller->is_reading)
+    {
+      caller->closes = true;
+      gw_exchange_refuse_short (exchange);
+      caller->conn = NULL;
+      net_http_conn_finish_unread (conn);
+      free_ (caller);
+      return;
+    }
+  caller->exchange = NULL;
+  caller->conn = NULL;
+  if (exchange != NULL)
+    gw_exchange_abandon (exchange);
+  if (net_http_conn_queued (conn) > 0)
+    net_http_conn_reset (conn);
+  else
+    net_http_conn_close (conn);
+  free_ (caller);
+}
+
 /* The bytes received are not a valid request: sends an error response, unless the request has been
  * answered already, and closes. */
 static void
@@ -445,11 +586,20 @@
   return net_http_conn_queued (caller_from_user_ (user)->conn);
 }
 
+static void
+note_buffered_ (void *user, size_t bytes)
+{
+  set_held_ (caller_from_user_ (user), NET_MEMORY_RESPONSE, bytes);
+}
+
 static void
 finish_response_ (void *user)
 {
   struct caller_ *caller = caller_from_user_ (user);
 
+  set_held_ (caller, NET_MEMORY_BODY, 0);
+  set_held_ (caller, NET_MEMORY_RESPONSE, 0);
+  net_http_conn_note_served (caller->conn, false);
   if (caller->is_chunked)
     net_http_write_last_chunk (caller->conn);
   caller->exchange = NULL;
@@ -523,7 +673,11 @@
   bool waits_for_head = caller->exchange == NULL && !caller->is_reading;
   uint64_t limit_ms = MAX (caller->idle_limit_ms, (uint64_t)limits_ (caller)->idle_timeout_ms)
                       + (waits_for_head ? IDLE_GRACE_MS : 0);
-  bool has_partial_head = waits_for_head && net_http_conn_has_received (caller->conn);
+  /* Requests that wait for the caller to take responses aren't read; it is the caller who is late.
+   */
+  bool is_backlogged = net_http_conn_is_backlogged (caller->conn);
+  bool has_partial_head
+      = waits_for_head && !is_backlogged && net_http_conn_has_received (caller->conn);
   size_t unsent = net_http_conn_queued (caller->conn);
   bool is_idle;
 
@@ -536,7 +690,7 @@
       caller->stalled = has_partial_head;
       set_timer_ (caller);
     }
-  else if (net_http_conn_has_unread (caller->conn))
+  else if (!is_backlogged && net_http_conn_has_unread (caller->conn))
     uv_timer_start (&caller->timer, on_timer_, UNREAD_WAIT_MS, 0); /* this process was late */
   else
     end_slow_ (caller);
@@ -550,7 +704,8 @@
 {
   struct net_http_conn *conn = caller->conn;
   bool has_begun = !caller->is_answered && caller->is_reading;
-  bool has_partial_head = !caller->is_reading && net_http_conn_has_received (conn);
+  bool has_partial_head = !caller->is_reading && !net_http_conn_is_backlogged (conn)
+                          && net_http_conn_has_received (conn);
 
   note_end_ (caller, has_begun || has_partial_head ? CALLER_END_INCOMPLETE : CALLER_END_IDLE);
   if (caller->exchange != NULL)
@@ -586,6 +741,12 @@
   g_free (handle->data);
 }
 
+static void
+set_held_ (struct caller_ *caller, enum net_memory_kind kind, size_t bytes)
+{
+  net_memory_holder_set (net_http_conn_holder (caller->conn), kind, bytes);
+}
+
 static const struct gw_limits *
 limits_ (const struct caller_ *caller)
 {
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -3,16 +3,21 @@
 #include "base/event-log.h"
 #include "net/http-conn.h"
 
+#include <jansson.h>
+
 enum
 {
   BACKLOG = 16,
-  HEAD_MAX_BYTES = 4096
+  HEAD_MAX_BYTES = 4096,
+  CONNECTION_MAX_BYTES
+  = 65536 /* of all connections on average: what has been read, and a response */
 };
 
 struct probe_
 {
   struct gw_probe_options options;
   uv_tcp_t listener;
+  struct net_memory_account account; /* of its connections, apart from those of callers */
 };
 
 struct client_
@@ -29,12 +34,14 @@
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
 static void on_ended_ (void *owner, enum net_end_reason end);
+static void on_evicted_ (void *owner, bool closes);
 
 static const struct net_http_owner_vtable owner_vtable_ = {
   .head = on_head_,
   .body = on_body_,
   .message_end = on_message_end_,
   .ended = on_ended_,
+  .evicted = on_evicted_,
 };
 
 /* Starts to listen. Returns false when that fails, which it logs. */
@@ -42,9 +49,13 @@
 gw_probe_listen (const struct gw_probe_options *options)
 {
   struct probe_ *probe = g_new0 (struct probe_, 1);
+  const struct net_memory_limits limits
+      = { .bytes = (size_t)options->connections_max * CONNECTION_MAX_BYTES,
+          .callers_max = options->connections_max };
   int error;
 
   probe->options = *options;
+  net_memory_account_init (&probe->account, &limits);
   uv_tcp_init (options->loop, &probe->listener);
   probe->listener.data = probe;
   error = uv_tcp_bind (&probe->listener, (const struct sockaddr *)&options->address, 0);
@@ -59,12 +70,15 @@
 on_connection_ (uv_stream_t *listener, int status)
 {
   struct probe_ *probe = listener->data;
-  const struct net_http_conn_options options
-      = { .loop = probe->options.loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
+  const struct net_http_conn_options options = { .loop = probe->options.loop,
+                                                 .is_server = true,
+                                                 .head_max_bytes = HEAD_MAX_BYTES,
+                                                 .account = &probe->account };
   struct client_ *client;
 
   if (status != 0)
     return;
+  net_http_account_make_room (&probe->account, true, (int64_t)uv_now (probe->options.loop));
   client = g_new0 (struct client_, 1);
   client->vtable = &owner_vtable_;
   client->probe = probe;
@@ -114,3 +128,19 @@
 {
   g_free (owner);
 }
+
+/* The connection was used longest ago, and a new one needs its place, or all together hold too
+ * much. */
+static void
+on_evicted_ (void *owner, bool closes)
+{
+  struct client_ *client = owner;
+  const struct net_memory_holder *holder = net_http_conn_holder (client->conn);
+
+  sr_event (SR_EVENT_WARNING, "probe_client_evicted", "{s:s,s:I,s:I,s:i}", "reason",
+            closes ? "descriptors" : "memory", "bytes", (json_int_t)holder->total, "unsent",
+            (json_int_t)holder->bytes[NET_MEMORY_UNSENT], "limit",
+            (int)client->probe->options.connections_max);
+  net_http_conn_reset (client->conn);
+  g_free (client);
+}
--- a/src/gateway/probe.h
+++ b/src/gateway/probe.h
@@ -11,6 +11,7 @@
 {
   uv_loop_t *loop;
   struct sockaddr_in address;
+  unsigned connections_max; /* beyond it, the one that was used longest ago is closed */
   void *data;
   /* Appends the body of the response to a GET of PATH; returns its HTTP status. */
   unsigned (*respond) (const char *path, GString *body, void *data);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -141,6 +141,8 @@
           &gateway->config_guard_timer, &gateway->announce_timer,  &gateway->stop_timer,
           &gateway->cancel_timer,       &gateway->quarantine_timer };
 
+  struct net_memory_limits limits;
+
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
   gateway_register_update_metrics_ ();
@@ -155,6 +157,9 @@
   context->retry_options = retry_options_from_settings_ (settings);
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
+  limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+  net_memory_account_init (&context->account, &limits);
+  probe.connections_max = limits.status_max;
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -388,6 +393,7 @@
     }
   if (strcmp (path, "/metrics") != 0)
     return 404;
+  gw_ingress_update_metrics (gateway->ingress);
   sr_counters_print (body);
   return 200;
 }
@@ -453,6 +459,7 @@
   struct gw_context *context = &gateway->context;
   struct sr_findings *findings = sr_findings_new ();
   struct gw_settings *settings = gw_settings_load (gateway->settings_path, findings);
+  struct net_memory_limits limits;
   GHashTableIter iter;
   void *budget;
 
@@ -469,6 +476,8 @@
       while (g_hash_table_iter_next (&iter, NULL, &budget))
         ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
+      limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+      net_memory_account_set_limits (&context->account, &limits);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
       gateway_set_exempt_parts_ (gateway, settings);
