Entry: memory and connections of callers are bounded by the account

The product's own interface uses the account in the same way as the gateway, sized by [limits] memory_mb and descriptors of its settings. A request that is still arriving when memory is short is refused with 429 queue_full (not run), as is a complete one for which there is no memory. The body is freed once the run has its text.

--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -92,6 +92,14 @@
     g_string_append_len (caller->body, data, (gssize)length);
 }
 
+/* Frees the body, which is not needed any more. */
+void
+sr_caller_free_body (struct sr_caller *caller)
+{
+  g_string_free (caller->body, TRUE);
+  caller->body = g_string_new (NULL);
+}
+
 /* Sets the request id, which the reply then carries. Call it at most once. */
 void
 sr_caller_set_request (struct sr_caller *caller, const char *request)
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -43,6 +43,7 @@
                                  const struct net_http_head *head);
 void sr_caller_delete (struct sr_caller *caller);
 void sr_caller_append_body (struct sr_caller *caller, const char *data, size_t length);
+void sr_caller_free_body (struct sr_caller *caller);
 void sr_caller_set_request (struct sr_caller *caller, const char *request);
 void sr_caller_attach_run (struct sr_caller *caller, struct sr_run *run);
 void sr_caller_advance (struct sr_caller *caller);
--- a/src/entry/connection.c
+++ b/src/entry/connection.c
@@ -11,6 +11,7 @@
 enum
 {
   HEAD_MAX_BYTES = 16384, /* far above the heads that the API needs */
+  CALLER_BYTES = 2048,    /* of a request without its body: struct and texts */
   IDLE_MAX_MS = 120000,   /* longer than clients usually keep an unused connection */
   MS_PER_S = 1000,
   DATE_BYTES = 32
@@ -29,6 +30,7 @@
   bool is_chunked;          /* the reply */
   bool keeps_alive;
   bool closes;           /* the connection closes after this reply */
+  bool is_refused;       /* the request is not read to its end */
   bool is_ending;        /* the reply is complete, but a part of it is still queued */
   uint64_t last_used_ms; /* time of the loop */
 };
@@ -37,6 +39,16 @@
     = { .name = "entry_open_requests", .help = "Requests of callers without a complete reply." };
 static struct sr_counter callers_left_total
     = { .name = "entry_callers_gone_total", .help = "Callers that left before their reply." };
+static struct sr_counter evicted_total
+    = { .name = "entry_connections_evicted_total",
+        .help = "Connections of callers closed to free memory or descriptors." };
+static struct sr_counter rejected_total
+    = { .name = "entry_connections_rejected_total",
+        .help = "Connections closed at once, because all others were in use." };
+static struct sr_counter open_gauge
+    = { .name = "entry_connections_open", .help = "Open connections of callers." };
+static struct sr_counter bytes_gauge
+    = { .name = "entry_caller_bytes", .help = "Bytes held for callers." };
 
 static void on_head_ (void *owner, const struct net_http_head *head);
 static void on_body_ (void *owner, const char *data, size_t length);
@@ -44,6 +56,8 @@
 static void on_written_ (void *owner);
 static void on_bad_request_ (void *owner, enum net_end_reason end);
 static void on_ended_ (void *owner, enum net_end_reason end);
+static void on_evicted_ (void *owner, bool closes);
+static void reject_ (struct sr_entry *entry);
 static void reply_complete_ (struct sr_connection *connection);
 static void release_caller_ (struct sr_connection *connection, bool is_complete);
 static void free_ (struct sr_connection *connection);
@@ -55,6 +69,7 @@
   .message_end = on_message_end_,
   .written = on_written_,
   .bad_request = on_bad_request_,
+  .evicted = on_evicted_,
   .ended = on_ended_,
 };
 
@@ -63,16 +78,36 @@
 {
   sr_counter_register (&open_requests);
   sr_counter_register (&callers_left_total);
+  sr_counter_register (&evicted_total);
+  sr_counter_register (&rejected_total);
+  sr_counter_register (&open_gauge);
+  sr_counter_register (&bytes_gauge);
+}
+
+/* Sets the gauges to the current values. */
+void
+sr_connection_update_metrics (const struct sr_entry *entry)
+{
+  sr_counter_set (&open_gauge, entry->account.holders.length);
+  sr_counter_set (&bytes_gauge, (int64_t)entry->account.total);
 }
 
 /* Accepts the next connection of ENTRY's listener; logs when that fails. */
 void
 sr_connection_accept (struct sr_entry *entry)
 {
-  const struct net_http_conn_options options
-      = { .loop = &entry->loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
-  struct sr_connection *connection = g_new0 (struct sr_connection, 1);
+  const struct net_http_conn_options options = { .loop = &entry->loop,
+                                                 .is_server = true,
+                                                 .head_max_bytes = HEAD_MAX_BYTES,
+                                                 .account = &entry->account };
+  struct sr_connection *connection;
 
+  if (!net_http_account_make_room (&entry->account, false, (int64_t)uv_now (&entry->loop)))
+    {
+      reject_ (entry);
+      return;
+    }
+  connection = g_new0 (struct sr_connection, 1);
   connection->vtable = &owner_vtable;
   connection->entry = entry;
   connection->link.data = connection;
@@ -88,6 +123,21 @@
   g_queue_push_tail_link (&entry->connections, &connection->link);
 }
 
+/* Accepts and closes a connection, as all others have requests in progress. */
+static void
+reject_ (struct sr_entry *entry)
+{
+  const struct net_http_conn_options options
+      = { .loop = &entry->loop, .is_server = true, .head_max_bytes = HEAD_MAX_BYTES };
+  struct net_http_conn *conn = net_http_conn_new (&options, NULL);
+
+  sr_counter_add (&rejected_total, 1);
+  sr_log (G_LOG_LEVEL_WARNING, "entry", "rejected a connection: %u of %u are open and in use",
+          entry->account.holders.length, entry->account.connections_max);
+  if (net_http_conn_accept (conn, (uv_stream_t *)&entry->listener))
+    net_http_conn_reset (conn);
+}
+
 /* Closes all connections of ENTRY at once; queued bytes of replies are lost. */
 void
 sr_connection_close_all (struct sr_entry *entry)
@@ -197,6 +247,18 @@
     reply_complete_ (connection);
 }
 
+/* The request of CONNECTION is complete and is going to be handled. Returns false if there is no
+ * memory for it. */
+bool
+sr_connection_begin_service (struct sr_connection *connection)
+{
+  if (!net_memory_account_admits (&connection->entry->account,
+                                  net_http_conn_holder (connection->conn)))
+    return false;
+  net_http_conn_note_served (connection->conn, true);
+  return true;
+}
+
 /* Resets the connection, so that the caller can't take the reply for complete, and frees it and its
  * caller. */
 void
@@ -211,9 +273,14 @@
 {
   connection->is_ending = false;
   release_caller_ (connection, true);
+  net_http_conn_note_served (connection->conn, false);
+  net_memory_holder_set (net_http_conn_holder (connection->conn), NET_MEMORY_BODY, 0);
   if (connection->closes)
     {
-      net_http_conn_finish (connection->conn);
+      if (connection->is_refused)
+        net_http_conn_finish_unread (connection->conn);
+      else
+        net_http_conn_finish (connection->conn);
       free_ (connection);
       return;
     }
@@ -232,6 +299,7 @@
   connection->can_chunk = head->minor_version >= 1;
   connection->keeps_alive = head->keeps_alive;
   connection->caller = sr_caller_new (connection->entry, connection, head);
+  net_memory_holder_set (net_http_conn_holder (connection->conn), NET_MEMORY_BODY, CALLER_BYTES);
   atomic_fetch_add (&connection->entry->open_requests, 1);
   sr_counter_add (&open_requests, 1);
   for (unsigned i = 0; i < head->headers->len; i++)
@@ -250,7 +318,11 @@
   struct sr_connection *connection = owner;
 
   connection->last_used_ms = uv_now (&connection->entry->loop);
+  if (connection->is_refused)
+    return;
   sr_caller_append_body (connection->caller, data, length);
+  net_memory_holder_set (net_http_conn_holder (connection->conn), NET_MEMORY_BODY,
+                         CALLER_BYTES + connection->caller->body->len);
 }
 
 static void
@@ -288,6 +360,41 @@
   free_ (connection);
 }
 
+/* Memory or descriptors have run short, and this caller holds the most of it for the longest time.
+ * A request that is still arriving has not run and is refused; a reply that the caller does not
+ * take is cut. */
+static void
+on_evicted_ (void *owner, bool closes)
+{
+  struct sr_connection *connection = owner;
+  const struct net_memory_holder *holder = net_http_conn_holder (connection->conn);
+  struct sr_caller *caller = connection->caller;
+
+  sr_counter_add (&evicted_total, 1);
+  sr_log (G_LOG_LEVEL_WARNING, "entry",
+          "closed a connection for lack of %s: it held %zu bytes (input %zu, request %zu, unsent "
+          "%zu) and was without progress for %" G_GINT64_FORMAT " ms",
+          closes ? "descriptors" : "memory", holder->total, holder->bytes[NET_MEMORY_INPUT],
+          holder->bytes[NET_MEMORY_BODY], holder->bytes[NET_MEMORY_UNSENT],
+          (int64_t)uv_now (&connection->entry->loop) - holder->progress_ms);
+  if (!closes && caller != NULL && connection->is_reading && !connection->is_refused
+      && net_http_conn_queued (connection->conn) == 0)
+    {
+      connection->closes = true;
+      connection->is_refused = true;
+      connection->is_reading = false;
+      net_http_conn_pause (connection->conn, true);
+      sr_caller_free_body (caller);
+      net_memory_holder_set (net_http_conn_holder (connection->conn), NET_MEMORY_BODY,
+                             CALLER_BYTES);
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_QUEUE_FULL,
+                             SR_ENTRY_SHORT_RETRY_AFTER_MS);
+      return;
+    }
+  net_http_conn_reset (connection->conn);
+  free_ (connection);
+}
+
 static void
 on_ended_ (void *owner, enum net_end_reason end)
 {
--- a/src/entry/connection.h
+++ b/src/entry/connection.h
@@ -17,6 +17,7 @@
 };
 
 void sr_connection_register_metrics (void);
+void sr_connection_update_metrics (const struct sr_entry *entry);
 void sr_connection_accept (struct sr_entry *entry);
 void sr_connection_close_all (struct sr_entry *entry);
 void sr_connection_close_idle (struct sr_entry *entry);
@@ -24,4 +25,5 @@
 void sr_connection_send_body (struct sr_connection *connection, const char *data, size_t length);
 size_t sr_connection_queued_bytes (const struct sr_connection *connection);
 void sr_connection_end_reply (struct sr_connection *connection);
+bool sr_connection_begin_service (struct sr_connection *connection);
 void sr_connection_reset (struct sr_connection *connection);
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/entry.h"
+#include "net/memory-account.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -9,7 +10,9 @@
 
 enum
 {
-  SR_ENTRY_STARTING_RETRY_AFTER_MS = 1000 /* for requests received before the first configuration */
+  SR_ENTRY_STARTING_RETRY_AFTER_MS
+  = 1000,                              /* for requests received before the first configuration */
+  SR_ENTRY_SHORT_RETRY_AFTER_MS = 1000 /* for requests that there is no memory for */
 };
 
 struct sr_caller;
@@ -21,7 +24,8 @@
   uv_loop_t loop;
   uv_tcp_t listener;
   uv_timer_t idle_check;
-  GQueue connections; /* struct sr_connection */
+  GQueue connections;                /* struct sr_connection */
+  struct net_memory_account account; /* of what is held for callers */
   /* Used by all threads. */
   pthread_t thread;
   uv_async_t wake;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -47,9 +47,12 @@
 struct sr_entry *
 sr_entry_new (const struct sr_entry_options *options)
 {
+  const struct net_memory_limits limits
+      = net_memory_limits (options->settings->memory_mb, options->settings->descriptors);
   struct sr_entry *entry = g_new0 (struct sr_entry, 1);
 
   entry->options = *options;
+  net_memory_account_init (&entry->account, &limits);
   pthread_mutex_init (&entry->mutex, NULL);
   sr_cond_init (&entry->listener_closed_cond);
   sr_connection_register_metrics ();
@@ -150,6 +153,12 @@
 {
   struct sr_entry *entry = caller->entry;
 
+  if (!sr_connection_begin_service (caller->connection))
+    {
+      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_QUEUE_FULL,
+                             SR_ENTRY_SHORT_RETRY_AFTER_MS);
+      return;
+    }
   if (strcmp (caller->method, "POST") == 0 && g_str_has_prefix (caller->path, services_prefix))
     handle_service_ (entry, caller, caller->path + strlen (services_prefix));
   else if (strcmp (caller->method, "GET") == 0)
@@ -298,6 +307,7 @@
       return;
     }
   caller->stream = stream;
+  sr_caller_free_body (caller); /* the run has its own text */
   begin_run_ (entry, caller, config, params);
   sr_config_unref (config);
   if (caller->run == NULL)
@@ -392,6 +402,7 @@
 {
   g_autoptr (GString) out = g_string_new (NULL);
 
+  sr_connection_update_metrics (caller->entry);
   sr_counters_print (out);
   sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain; version=0.0.4", out->str);
 }
