--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -15,6 +15,8 @@
   RESPONSE_BUFFER_MAX_BYTES
   = 262144, /* a response that is not a stream is buffered completely up to this size */
   CALLER_QUEUE_MAX_BYTES = 131072, /* reading from the server pauses while more is queued */
+  CALLER_QUEUE_SHORT_BYTES = 8192, /* the same while memory for callers is short */
+  RESPONSE_SHORT_BYTES = 16384,    /* a response that is still buffered then is given up above it */
   REMAINING_MIN_MS = 5,            /* with less time to the deadline no server can respond */
   RESPONSE_WAIT_MIN_MS = 300,      /* a repeatable request is retried elsewhere after this time */
   RESPONSE_WAIT_OBJECTIVES = 3,    /* or this many latency objectives, if that is longer */
@@ -51,6 +53,7 @@
 static bool take_retry_ (struct gw_exchange *exchange, bool executed);
 static bool is_repeatable_ (const struct gw_exchange *exchange);
 static void begin_response_ (struct gw_exchange *exchange);
+static void forward_buffered_ (struct gw_exchange *exchange);
 static void forward_ (struct gw_exchange *exchange, const char *data, size_t length);
 static void
 end_unfinished_ (struct gw_exchange *exchange, enum gw_attempt_outcome outcome, const char *reason);
@@ -221,15 +224,12 @@
     .rank = gw_request_rank (exchange->route, exchange->team),
   };
   GString *head = g_string_sized_new (1024);
-  struct net_string_view parts[2];
 
   if (exchange->scan.last_id[0] != '\0')
     send.last_event_id = net_string_view_of (exchange->scan.last_id);
   else if (exchange->last_event_id != NULL)
     send.last_event_id = net_string_view_of (exchange->last_event_id);
   exchange->context->dialect->encode_request (&send, head);
-  parts[0] = (struct net_string_view){ head->str, head->len };
-  parts[1] = (struct net_string_view){ (const char *)exchange->body->data, exchange->body->len };
   exchange->state = EXCHANGE_SENT;
   exchange->sent_us = now_us;
   exchange->head_received = false;
@@ -250,8 +250,8 @@
       (json_int_t)(now_us - exchange->arrived_us), "expected_ms", exchange->place.expected_ms,
       "in_flight", (int)exchange->place.in_flight, "reported", (int)exchange->place.reported_load,
       "report_age_ms", (json_int_t)exchange->place.report_age_ms);
-  gw_upstream_send (exchange->upstream, parts, exchange->body->len > 0 ? 2 : 1,
-                    strcmp (exchange->method, "HEAD") == 0);
+  gw_upstream_send (exchange->upstream, (struct net_string_view){ head->str, head->len },
+                    exchange->body, strcmp (exchange->method, "HEAD") == 0);
   g_string_free (head, TRUE);
   gw_exchange_set_timer_ (exchange);
 }
@@ -445,9 +445,17 @@
       if (exchange->response_body->len > RESPONSE_BUFFER_MAX_BYTES)
         {
           begin_response_ (exchange);
-          forward_ (exchange, (const char *)exchange->response_body->data,
-                    exchange->response_body->len);
+          forward_buffered_ (exchange);
         }
+      else if (exchange->response_body->len > RESPONSE_SHORT_BYTES
+               && net_memory_account_is_short (&exchange->context->account))
+        {
+          /* Closing other callers has not made room for it. */
+          end_failed_attempt_ (exchange, "memory_short", GW_ATTEMPT_ABANDONED);
+          gw_exchange_refuse_ (exchange, 502, GW_RETRY_AFTER_BUSY, "memory_short");
+        }
+      else
+        (*exchange->caller)->buffered (exchange->caller, exchange->response_body->len);
       return;
     }
   complete = gw_event_scan_feed (&exchange->scan, data, length);
@@ -519,8 +527,7 @@
         exchange->response_length = exchange->response_body->len;
       begin_response_ (exchange);
       if (exchange->response_body->len > 0)
-        forward_ (exchange, (const char *)exchange->response_body->data,
-                  exchange->response_body->len);
+        forward_buffered_ (exchange);
     }
   if (exchange->status < 300)
     gw_exchange_note_survival_ (exchange, g_get_monotonic_time ());
@@ -673,6 +680,18 @@
   (*exchange->caller)->begin (exchange->caller, &reply);
 }
 
+/* Forwards the buffered part of a response and frees it. */
+static void
+forward_buffered_ (struct gw_exchange *exchange)
+{
+  GByteArray *body = exchange->response_body;
+
+  exchange->response_body = g_byte_array_new ();
+  forward_ (exchange, (const char *)body->data, body->len);
+  g_byte_array_unref (body);
+  (*exchange->caller)->buffered (exchange->caller, 0);
+}
+
 static void
 forward_ (struct gw_exchange *exchange, const char *data, size_t length)
 {
@@ -680,7 +699,9 @@
 
   (*exchange->caller)->body (exchange->caller, &part, 1);
   if (exchange->upstream != NULL && !exchange->reading_paused
-      && (*exchange->caller)->queued (exchange->caller) > CALLER_QUEUE_MAX_BYTES)
+      && (*exchange->caller)->queued (exchange->caller)
+             > (net_memory_account_is_short (&exchange->context->account) ? CALLER_QUEUE_SHORT_BYTES
+                                                                          : CALLER_QUEUE_MAX_BYTES))
     {
       exchange->reading_paused = true;
       gw_upstream_pause (exchange->upstream, true);
