--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -158,7 +158,7 @@
       best_ms = ms;
       best_is_ejected = ejected;
     }
-  if (place->evacuated > 0 && place->evacuated == query->backends->len)
+  if (place->evacuated > 0 && query->backends != NULL && place->evacuated == query->backends->len)
     return GW_PLACEMENT_ALL_EVACUATED;
   if (place->backend == NULL && resumes_us != INT64_MAX)
     {
