--- a/src/mesh/test-mesh.c
+++ b/src/mesh/test-mesh.c
@@ -30,6 +30,7 @@
   bool cut_off;
   int64_t revision;
   unsigned received; /* updates */
+  struct mesh_update last;
   uint64_t replaced;
   int64_t leaving_started_ms;
 };
@@ -50,6 +51,7 @@
   struct mesh_update own;
 
   node->received++;
+  node->last = *update;
   if (node->cut_off || update->configuration_revision <= node->revision)
     return;
   node->revision = update->configuration_revision;
@@ -221,6 +223,37 @@
   assert_in_range (received, FLEET, 4 * FLEET);
 }
 
+/* Guards against a revision of the evacuations that is lost on the way, or read where none was
+ * sent. */
+static void
+an_update_has_the_revision_of_the_evacuations_if_there_is_one (void **state)
+{
+  static const int64_t revisions[] = { 0, INT64_C (1) << 40, 0 };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (revisions); k++)
+    {
+      const struct mesh_update update = { .era = 2,
+                                          .configuration_revision = 1,
+                                          .backends_revision = 5,
+                                          .configuration_version = 7,
+                                          .evacuations_revision = revisions[k] };
+      unsigned informed = 0;
+
+      for (unsigned i = 0; i < FLEET; i++)
+        nodes[i].received = 0;
+      mesh_announce_update (nodes[0].mesh, &update, nodes[0].random);
+      deliver ();
+      for (unsigned i = 0; i < FLEET; i++)
+        if (nodes[i].received > 0 && nodes[i].last.era == 2)
+          {
+            assert_true (nodes[i].last.evacuations_revision == revisions[k]);
+            assert_int_equal (nodes[i].last.configuration_version, 7);
+            informed++;
+          }
+      assert_true (informed > 0);
+    }
+}
+
 /* Guards against announcements that do not spread: at least nine in ten of the reachable instances
  * know of a replaced backend server at once, without repetition. */
 static void
@@ -258,6 +291,7 @@
     cmocka_unit_test (a_replaced_server_is_announced_to_the_fleet),
     cmocka_unit_test (a_leaving_server_is_announced_to_the_fleet),
     cmocka_unit_test (repeated_updates_do_not_flood_the_fleet),
+    cmocka_unit_test (an_update_has_the_revision_of_the_evacuations_if_there_is_one),
   };
 
   return cmocka_run_group_tests (tests, set_up, tear_down);
--- a/testing/process/test-evacuation.c
+++ b/testing/process/test-evacuation.c
@@ -22,7 +22,8 @@
   PREPAID_TOKENS = 100000000,
   LIMIT_MS = 5000,
   EFFECT_MAX_MS = LIMIT_MS / 2,
-  SETTLE_MS = 300, /* for a change whose watches are all in order */
+  SETTLE_MS = 300,   /* for a change whose watches are all in order */
+  ABSENCE_MS = 2500, /* of the store for one instance */
   CALLERS = 6,
   CALL_INTERVAL_MS = 2,
   PRINTED_MAX = 3, /* failures of each caller */
@@ -59,7 +60,8 @@
                                                .event_interval_ms = 2,
                                                .prepaid = PREPAID_TOKENS,
                                                .zones = ZONES,
-                                               .evacuation_limit_ms = LIMIT_MS };
+                                               .evacuation_limit_ms = LIMIT_MS,
+                                               .with_proxy = true };
 
   fleet = site_fleet_start (&options);
   return fleet != NULL ? 0 : -1;
@@ -78,6 +80,7 @@
 {
   if (threads[0] != NULL)
     stop_callers_ ();
+  site_fleet_clear_rules (fleet);
   site_fleet_control (fleet, "/store?mode=up");
   site_fleet_control (fleet, "/evacuation?zone=zone-1&on=0");
   site_fleet_control (fleet, "/evacuation?zone=zone-2&on=0");
@@ -362,6 +365,30 @@
   assert_int_equal (received_ (1), before);
 }
 
+/* Guards against an instance that was cut off from the store when the evacuation began, and learns
+ * of it late after its return: by connections that stay open and silent, and by ones that are
+ * reset. */
+static void
+an_instance_that_returns_to_the_store_follows_in_time (void **state)
+{
+  static const char *const modes[] = { "silence", "cut" };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (modes); k++)
+    {
+      assert_true (site_fleet_add_rule (fleet, 2, modes[k], 0));
+      start_callers_ ("/safe/a");
+      g_usleep (SETTLE_MS * US_PER_MS);
+      evacuate_ ("zone-1", true);
+      g_usleep (ABSENCE_MS * US_PER_MS);
+      assert_true (site_fleet_clear_rules (fleet));
+      g_usleep (LIMIT_MS * US_PER_MS);
+      assert_int_equal (stop_callers_ ().other, 0);
+      assert_true (effect_ms_ (1) < ABSENCE_MS + EFFECT_MAX_MS);
+      evacuate_ ("zone-1", false);
+      g_usleep (EFFECT_MAX_MS * US_PER_MS);
+    }
+}
+
 /* Guards against requests to an evacuated data centre after a restore of the store from a copy that
  * lacks the evacuation, until it is requested again. */
 static void
@@ -438,6 +465,8 @@
     cmocka_unit_test_teardown (an_evacuation_that_all_watches_miss_takes_effect_in_time,
                                end_evacuations),
     cmocka_unit_test_teardown (without_the_store_evacuations_stay_in_force, end_evacuations),
+    cmocka_unit_test_teardown (an_instance_that_returns_to_the_store_follows_in_time,
+                               end_evacuations),
     cmocka_unit_test_teardown (an_evacuation_that_a_restore_lost_stays_in_force, end_evacuations),
     cmocka_unit_test_teardown (a_name_that_is_not_a_data_centre_changes_nothing, end_evacuations),
     cmocka_unit_test (without_the_setting_nothing_is_called_and_nothing_changes),
