--- a/src/gateway/test-cold-start.c
+++ b/src/gateway/test-cold-start.c
@@ -72,6 +72,8 @@
   return g_rand_double (model->random) < probability;
 }
 
+static void sync_ (struct model_ *model, struct instance_ *instance);
+
 /* The keys of the servers differ between the schedules. */
 static uint64_t
 server_key_ (unsigned seed, unsigned server)
@@ -101,6 +103,7 @@
   for (unsigned i = 0; i < SERVERS; i++)
     gw_cold_server_note_remaining (&instance->servers[i], 60000, model->now_us);
   set_entry_ (model, instance, true);
+  sync_ (model, instance);
 }
 
 static void
@@ -333,6 +336,53 @@
   check_limit_ (INSTANCES_MAX);
 }
 
+/* Guards against instances that go on sending to a cold server after others have taken their place.
+ * One group of the fleet after the other loses the store, as do its entries, and goes on; at the
+ * same time as many new ones start. The rest of the fleet notices at once. */
+static void
+replaced_instances_stay_within_the_limit (void **state)
+{
+  enum
+  {
+    GROUPS = 9, /* of these, the last starts while the others are cut off */
+    GROUP_INTERVAL_US = 2 * SECOND
+  };
+  static const unsigned sizes[] = { 8, 127, INSTANCES_MAX };
+
+  for (unsigned s = 0; s < G_N_ELEMENTS (sizes); s++)
+    {
+      const unsigned n = sizes[s];
+      struct model_ model;
+      unsigned max = 0;
+
+      set_up_ (&model, n, s);
+      for (unsigned i = 0; i < n; i++)
+        if (i % GROUPS < GROUPS - 1)
+          start_ (&model, &model.instances[i]);
+      run_ (&model, GW_COLD_SETTLE_US + 5 * SECOND, 0, s);
+      for (unsigned group = 0; group + 1 < GROUPS; group++)
+        {
+          for (unsigned i = group; i < n && group + 2 < GROUPS; i += GROUPS)
+            {
+              model.instances[i].reachable_us = INT64_MAX;
+              set_entry_ (&model, &model.instances[i], false);
+            }
+          for (unsigned i = GROUPS - 1; i < n; i += GROUPS)
+            if (i / GROUPS % (GROUPS - 1) == group)
+              start_ (&model, &model.instances[i]);
+          for (unsigned i = 0; i < n; i++)
+            model.instances[i].next_sync_us = model.now_us;
+          run_ (&model, GROUP_INTERVAL_US, 0, s);
+        }
+      run_ (&model, 2 * GW_COLD_SETTLE_US, 0, s);
+      for (unsigned i = 0; i < SERVERS; i++)
+        max = MAX (max, arrivals_max_ (model.arrivals[i]));
+      print_message ("%u instances, groups replaced: %u arrivals at most in a second\n", n, max);
+      assert_true (max <= LIMIT);
+      tear_down_ (&model);
+    }
+}
+
 /* Guards against cold servers that are left idle: a fleet of any size that does not change uses
  * USED_MIN of what they sustain. */
 static void
@@ -462,6 +512,7 @@
     cmocka_unit_test (a_small_fleet_stays_within_the_limit),
     cmocka_unit_test (a_large_fleet_stays_within_the_limit),
     cmocka_unit_test (the_largest_fleet_stays_within_the_limit),
+    cmocka_unit_test (replaced_instances_stay_within_the_limit),
     cmocka_unit_test (an_unchanged_fleet_uses_cold_servers),
     cmocka_unit_test (an_instance_without_a_recent_list_sends_nothing),
     cmocka_unit_test (without_the_limit_nothing_is_withheld),
