--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -84,6 +84,7 @@
 site_backend_init (struct site_backend *backend)
 {
   backend->sessions = g_ptr_array_new ();
+  backend->cold_arrivals_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
   uv_timer_init (&backend->site->loop, &backend->restart_timer);
   backend->restart_timer.data = backend;
 }
@@ -137,16 +138,24 @@
   return false;
 }
 
+/* Returns the remaining time in which BACKEND is cold. */
+static int64_t
+cold_ms_ (const struct site_backend *backend)
+{
+  return MAX (backend->cold_until_us - g_get_monotonic_time (), 0) / 1000;
+}
+
 /* Writes the store entry of BACKEND with STATE. */
 void
 site_backend_announce (struct site_backend *backend, const char *state)
 {
   struct site *site = backend->site;
   g_autofree char *address = g_strdup_printf ("%s:%u", site->address, backend->port);
-  json_t *spec = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i,s:I}", "service", backend->is_model ? "model" : "plain",
-      "address", address, "zone", "zone-1", "version", "v1", "slots", 64, "state", state,
-      "coldRemainingMs", 0, "seq", 1, "born", (json_int_t)backend->started_ms);
+  json_t *spec = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s,s:I,s:i,s:I}", "service",
+                            backend->is_model ? "model" : "plain", "address", address, "zone",
+                            "zone-1", "version", "v1", "slots", 64, "state", state,
+                            "coldRemainingMs", (json_int_t)cold_ms_ (backend), "seq",
+                            1 + (int)backend->cold_count, "born", (json_int_t)backend->started_ms);
 
   objects_put (site->objects, "servers", backend->id, spec, -1);
   json_decref (spec);
@@ -231,9 +240,14 @@
 static char *
 response_headers_ (const struct backend_session_ *session)
 {
+  int64_t cold_ms = cold_ms_ (session->backend);
+  g_autofree char *cold
+      = cold_ms > 0 ? g_strdup_printf ("X-Cold-Ms: %" G_GINT64_FORMAT "\r\n", (gint64)cold_ms)
+                    : g_strdup ("");
+
   return g_strdup_printf (
-      "X-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\nX-Engine-Load: %u,0,64\r\n%s", session->id,
-      session->id, session->backend->running, leaving_header_ (session->backend));
+      "X-Request-Id: %s\r\nX-Response-Seal: seal-%s\r\nX-Engine-Load: %u,0,64\r\n%s%s", session->id,
+      session->id, session->backend->running, leaving_header_ (session->backend), cold);
 }
 
 static void
@@ -612,6 +626,12 @@
       net_http_conn_hold_messages (session->conn, false);
       return;
     }
+  if (cold_ms_ (backend) > 0)
+    {
+      int64_t now_us = g_get_monotonic_time ();
+
+      g_array_append_val (backend->cold_arrivals_us, now_us);
+    }
   if (backend->leaving_since_us != 0)
     backend->latest_after_leaving_ms
         = MAX (backend->latest_after_leaving_ms,
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -164,22 +164,45 @@
   g_string_append_len (((struct control_session_ *)owner)->body, data, (gssize)length);
 }
 
+/* Returns the highest number of ARRIVALS, which are in order, in any second. */
+static unsigned
+arrivals_max_ (const GArray *arrivals)
+{
+  unsigned first = 0;
+  unsigned max = 0;
+
+  for (unsigned i = 0; i < arrivals->len; i++)
+    {
+      while (g_array_index (arrivals, int64_t, i) - g_array_index (arrivals, int64_t, first)
+             >= G_USEC_PER_SEC)
+        first++;
+      max = MAX (max, i - first + 1);
+    }
+  return max;
+}
+
 static json_t *
 counts_ (const struct site *site)
 {
   json_t *leaving = json_array ();
   json_t *paused = json_array ();
+  json_t *cold = json_array ();
+  json_t *cold_max = json_array ();
 
   for (unsigned i = 0; i < site->n_backends; i++)
     {
       json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
       json_array_append_new (paused, json_integer (site->backends[i].arrivals_paused));
+      json_array_append_new (cold, json_integer (site->backends[i].cold_arrivals_us->len));
+      json_array_append_new (cold_max,
+                             json_integer (arrivals_max_ (site->backends[i].cold_arrivals_us)));
     }
-  return json_pack ("{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "statuses",
-                    site->statuses, "consumed", site->consumed, "abandoned", (int)site->abandoned,
-                    "arrivals", (int)site->arrivals, "keys_seen", (int)site->keys_seen,
-                    "latest_after_leaving_ms", leaving, "arrivals_paused", paused, "crashes",
-                    (int)site->crashes, "crash_arrivals", (int)site->crash_arrivals);
+  return json_pack (
+      "{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i,s:o,s:o}", "runs", site->runs, "statuses",
+      site->statuses, "consumed", site->consumed, "abandoned", (int)site->abandoned, "arrivals",
+      (int)site->arrivals, "keys_seen", (int)site->keys_seen, "latest_after_leaving_ms", leaving,
+      "arrivals_paused", paused, "crashes", (int)site->crashes, "crash_arrivals",
+      (int)site->crash_arrivals, "arrivals_cold", cold, "arrivals_cold_max", cold_max);
 }
 
 static bool
@@ -195,6 +218,7 @@
   g_autofree char *crash_part = site_query (target, "crash_part");
   g_autofree char *down_ms = site_query (target, "down_ms");
   g_autofree char *crash = site_query (target, "crash");
+  g_autofree char *cold_ms = site_query (target, "cold_ms");
   char *retry_after = site_query (target, "retry_after");
   unsigned backend_index
       = index == NULL ? SITE_BACKENDS_MAX : (unsigned)g_ascii_strtoull (index, NULL, 10);
@@ -222,6 +246,13 @@
       g_free (site->backends[backend_index].retry_after);
       site->backends[backend_index].retry_after = retry_after;
     }
+  if (cold_ms != NULL)
+    {
+      site->backends[backend_index].cold_until_us
+          = g_get_monotonic_time () + g_ascii_strtoll (cold_ms, NULL, 10) * 1000;
+      site->backends[backend_index].cold_count++;
+      g_array_set_size (site->backends[backend_index].cold_arrivals_us, 0);
+    }
   if (crash_part != NULL)
     site->backends[backend_index].crash_part = g_ascii_strtoull (crash_part, NULL, 16);
   if (down_ms != NULL)
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -102,6 +102,9 @@
   unsigned arrivals_paused;  /* requests received during that pause */
   int64_t leaving_since_us;  /* monotonic; 0: not leaving */
   int64_t latest_after_leaving_ms; /* time from leaving_since_us to the last request received */
+  int64_t cold_until_us;           /* monotonic */
+  unsigned cold_count;      /* how often it became cold; a part of its entry, so that it differs */
+  GArray *cold_arrivals_us; /* int64_t: requests received while cold */
   unsigned running;
   uv_tcp_t listener;
   GPtrArray *sessions; /* connections to this backend server */
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -27,6 +27,9 @@
   PEERS_OFFSET = 20
 };
 
+/* Time in which a backend server is cold after its start. */
+static const double COLD_S = 3.0;
+
 static const char site_address_[] = "127.0.6.100";
 
 static bool start_proxy_ (struct site_fleet *fleet);
@@ -191,6 +194,14 @@
   bool done;
 
   g_assert (configuration != NULL);
+  if (fleet->options.cold_per_s > 0)
+    for (size_t i = 0; i < json_array_size (json_object_get (configuration, "services")); i++)
+      {
+        json_t *service = json_array_get (json_object_get (configuration, "services"), i);
+
+        json_object_set_new (service, "coldS", json_real (COLD_S));
+        json_object_set_new (service, "coldPerS", json_real (fleet->options.cold_per_s));
+      }
   if (with_extra_route)
     json_array_append_new (json_object_get (configuration, "routes"),
                            json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i}", "name", "r-extra",
@@ -412,10 +423,11 @@
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
-      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
+      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n%s",
       instance, address, address, base + ENTRY_OFFSET, address, base + READY_OFFSET,
       base + PEERS_OFFSET, store, base,
-      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
+      fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8,
+      fleet->options.more_settings == NULL ? "" : fleet->options.more_settings);
 
   return g_file_set_contents (path, text, -1, NULL);
 }
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -25,6 +25,8 @@
   int64_t prepaid;            /* tokens of the only team */
   unsigned stop_limit_s;      /* time for a graceful stop; 0: 8 s */
   bool with_proxy;            /* between each instance and the store: site_fleet_add_rule */
+  double cold_per_s;          /* requests that a cold backend server sustains; 0: never cold */
+  const char *more_settings;  /* sections added to the settings of each instance; NULL: none */
 };
 
 struct site_fleet
