--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -264,6 +264,35 @@
   return true;
 }
 
+/* All servers of DATA_CENTRE may have become cold, as after an evacuation, with the cold times of
+ * ROUTES. Each instance notices the cause at a time of its own, and counts from then on. */
+void
+gw_backends_assume_cold (struct gw_backends *backends,
+                         const struct gw_routes *routes,
+                         const char *data_centre,
+                         int64_t now_us)
+{
+  unsigned count = 0;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, backends->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct gw_backend *backend = value;
+      const struct gw_service *service = gw_routes_service (routes, backend->facts.service);
+
+      if (service == NULL || service->cold_per_s <= 0
+          || strcmp (backend->facts.data_centre, data_centre) != 0)
+        continue;
+      gw_cold_server_note_remaining (&backend->cold, service->cold_ms, now_us);
+      count++;
+    }
+  if (count > 0)
+    sr_event (SR_EVENT_INFO, "backends_assumed_cold", "{s:s,s:i}", "data_centre", data_centre,
+              "backends", (int)count);
+}
+
 /* Returns the mean time of a response of SERVICE, which may be NULL; 0: not known. */
 int64_t
 gw_backends_mean_response_ms (const struct gw_backends *backends, const char *service)
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/cold-start.h"
+#include "gateway/routes.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -60,6 +61,10 @@
 bool gw_backends_end_list (struct gw_backends *backends, bool may_be_renewed);
 void gw_backends_drop_missing (struct gw_backends *backends);
 bool gw_backends_set_leaving (struct gw_backends *backends, uint64_t key, int64_t started_ms);
+void gw_backends_assume_cold (struct gw_backends *backends,
+                              const struct gw_routes *routes,
+                              const char *data_centre,
+                              int64_t now_us);
 int64_t gw_backends_mean_response_ms (const struct gw_backends *backends, const char *service);
 struct gw_backend *gw_backends_find (const struct gw_backends *backends, uint64_t key);
 /* Defined by the connection pool: closes the idle connections to BACKEND. */
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -690,6 +690,32 @@
   gw_cold_start_delete (cold);
 }
 
+/* Guards against a full load on servers that were not used for the time of an evacuation. */
+static void
+servers_of_a_data_centre_are_assumed_cold (void **state)
+{
+  struct fleet_ fleet;
+  struct gw_routes *routes = gw_routes_new (1);
+  struct gw_service *service = gw_routes_add_service (routes, "s");
+  int64_t now_us = 100 * SECOND;
+
+  fleet_set_up_ (&fleet, 3, false);
+  gw_routes_finish (routes);
+  service->cold_ms = 3000;
+  gw_backends_assume_cold (fleet.table, routes, "there", now_us);
+  assert_false (gw_cold_server_is_cold (&backend_ (&fleet, 1)->cold, now_us)); /* never cold */
+  service->cold_per_s = 11;
+  gw_backends_assume_cold (fleet.table, routes, "there", now_us);
+  assert_false (gw_cold_server_is_cold (&backend_ (&fleet, 0)->cold, now_us));
+  for (unsigned i = 1; i < 3; i++)
+    {
+      assert_true (gw_cold_server_is_cold (&backend_ (&fleet, i)->cold, now_us + 2999 * MS));
+      assert_false (gw_cold_server_is_cold (&backend_ (&fleet, i)->cold, now_us + 3000 * MS));
+    }
+  gw_routes_unref (routes);
+  fleet_tear_down_ (&fleet);
+}
+
 /* A link of 8 Mbit/s gets 4 Mbit/s, then 8 Mbit/s. */
 static void
 a_full_link_refuses_requests_and_a_half_full_one_does_not (void **state)
@@ -872,6 +898,7 @@
     cmocka_unit_test (a_stop_returns_tokens_before_the_process_exits),
     cmocka_unit_test (cold_servers_get_only_the_share_of_this_instance),
     cmocka_unit_test (without_the_limit_a_cold_server_is_only_less_preferred),
+    cmocka_unit_test (servers_of_a_data_centre_are_assumed_cold),
     cmocka_unit_test (all_errors_in_the_settings_are_reported),
     cmocka_unit_test (settings_without_the_cold_section_have_no_limit),
   };
--- a/src/store/test-watcher.c
+++ b/src/store/test-watcher.c
@@ -535,6 +535,30 @@
   fake_delete_ (fake);
 }
 
+/* Guards against a list of instances that counts as recent although the store has not confirmed it:
+ * more instances would then send to a cold server than it sustains. */
+static void
+failed_calls_do_not_confirm_what_is_known (void **state)
+{
+  int64_t before_us = g_get_monotonic_time ();
+  struct fake_ *fake = fake_new_ ();
+  int64_t confirmed_us;
+
+  assert_int_equal (watcher_confirmed_us (fake->watcher), 0);
+  g_usleep (2000);
+  respond_ (fake, STORE_OK, 10, 1);
+  confirmed_us = watcher_confirmed_us (fake->watcher);
+  /* A list shows what was written before its call, not before its result. */
+  assert_true (confirmed_us >= before_us && confirmed_us <= g_get_monotonic_time () - 2000);
+  respond_ (fake, STORE_UNREACHABLE, 0, 0);
+  assert_int_equal (watcher_confirmed_us (fake->watcher), confirmed_us);
+  run_until_call_ (fake);
+  /* A change may be missing in a watch that ends within seconds of it. */
+  respond_ (fake, STORE_OK, 11, 1);
+  assert_int_equal (watcher_confirmed_us (fake->watcher), confirmed_us);
+  fake_delete_ (fake);
+}
+
 /* A periodic list between two watches must not move the start of the second one: that an object is
  * missing in such a list counts only when the watch reports its removal. */
 static void
@@ -674,6 +698,7 @@
     cmocka_unit_test (a_failed_list_is_repeated_on_the_next_peer_report),
     cmocka_unit_test (a_change_before_the_position_of_the_watch_is_found),
     cmocka_unit_test (a_change_that_no_watch_showed_is_found_by_a_periodic_list),
+    cmocka_unit_test (failed_calls_do_not_confirm_what_is_known),
     cmocka_unit_test (a_periodic_list_does_not_move_the_watch),
     cmocka_unit_test (an_object_older_than_the_last_list_is_not_reported),
     cmocka_unit_test (watches_that_end_early_cause_no_busy_loop),
