--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -110,6 +110,9 @@
   int64_t latest_after_evacuation_ms; /* time from evacuated_since_us to the last request received
                                          in any evacuation, 421 not counted */
   unsigned arrivals;                  /* requests received */
+  int64_t cold_until_us;              /* monotonic */
+  unsigned cold_count;      /* how often it became cold; a part of its entry, so that it differs */
+  GArray *cold_arrivals_us; /* int64_t: requests received while cold */
   unsigned running;
   uv_tcp_t listener;
   GPtrArray *sessions; /* connections to this backend server */
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -30,6 +30,8 @@
   unsigned body_max_bytes;      /* of a request; 0: 65536 */
   unsigned memory_mb;           /* of an instance's machine, told in its settings; 0: not told */
   unsigned descriptors;         /* likewise */
+  double cold_per_s;            /* requests that a cold backend server sustains; 0: never cold */
+  const char *more_settings;    /* sections added to an instance's settings; NULL: none */
 };
 
 struct site_fleet
