Account: what the kernel holds for callers counts, and is bounded

Bytes that the kernel has received and that are not read, and ones that the caller has not acknowledged, count towards the machine's memory. Callers' sockets get a receive buffer of 128 KiB, which the kernel doubles, and hand over at most 64 KiB that is not on its way; the kernel would let both grow to megabytes (here 32 and 4). Found with the case of unread replies of the own interface: the kernel held so much for 60 clients that an ordinary request was refused for lack of memory beside them.

A caller who takes bytes of a complete response from the kernel is not closed.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -212,7 +212,11 @@
 static void
 on_idle_check_ (uv_timer_t *timer)
 {
-  sr_connection_close_idle (timer->data);
+  struct sr_entry *entry = timer->data;
+
+  sr_connection_close_idle (entry);
+  net_http_account_refresh (&entry->account, (int64_t)uv_now (&entry->loop));
+  net_http_account_relieve (&entry->account, (int64_t)uv_now (&entry->loop));
 }
 
 static void
--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -17,6 +17,7 @@
   UNREAD_WAIT_MS = 10,         /* for the loop to read what has arrived */
   IDLE_GRACE_MS = 1000,        /* for a request sent at the idle limit to arrive, as above */
   REQUEST_LINE_BYTES = 2048,   /* added to the header limit: room for the request line */
+  MEMORY_CHECK_MS = 250,
   MS_PER_S = 1000
 };
 
@@ -39,6 +40,7 @@
   struct gw_context *context;
   uv_tcp_t listener;
   uv_check_t memory_check; /* after each iteration of the loop */
+  uv_timer_t memory_timer; /* for what the kernel holds */
   GHashTable *callers;     /* struct caller_ */
 };
 
@@ -76,6 +78,7 @@
 static void on_bad_request_ (void *owner, enum net_end_reason end);
 static void on_evicted_ (void *owner, bool closes);
 static void on_memory_check_ (uv_check_t *check);
+static void on_memory_timer_ (uv_timer_t *timer);
 static void reject_connection_ (struct gw_ingress *ingress, uv_stream_t *listener);
 static void set_held_ (struct caller_ *caller, enum net_memory_kind kind, size_t bytes);
 static void begin_response_ (void *user, const struct gw_caller_response *response);
@@ -168,7 +171,9 @@
   [NET_MEMORY_RESPONSE] = { .name = "sapphirerun_caller_bytes_responses",
                             .help = "Bytes of responses that are buffered until complete." },
   [NET_MEMORY_UNSENT] = { .name = "sapphirerun_caller_bytes_unsent",
-                          .help = "Bytes of responses that callers have not taken yet." },
+                          .help = "Bytes of responses that the kernel has not taken yet." },
+  [NET_MEMORY_KERNEL] = { .name = "sapphirerun_caller_bytes_kernel",
+                          .help = "Bytes in the kernel that are not read or not acknowledged." },
 };
 
 /* Listens on ADDRESS. Logs the error and returns NULL if that fails. */
@@ -193,6 +198,10 @@
   ingress->memory_check.data = ingress;
   uv_check_start (&ingress->memory_check, on_memory_check_);
   uv_unref ((uv_handle_t *)&ingress->memory_check);
+  uv_timer_init (context->loop, &ingress->memory_timer);
+  ingress->memory_timer.data = ingress;
+  uv_timer_start (&ingress->memory_timer, on_memory_timer_, MEMORY_CHECK_MS, MEMORY_CHECK_MS);
+  uv_unref ((uv_handle_t *)&ingress->memory_timer);
   uv_tcp_init (context->loop, &ingress->listener);
   ingress->listener.data = ingress;
   error = uv_tcp_bind (&ingress->listener, (const struct sockaddr *)address, 0);
@@ -353,6 +362,16 @@
   net_http_account_relieve (&ingress->context->account, (int64_t)uv_now (ingress->context->loop));
 }
 
+static void
+on_memory_timer_ (uv_timer_t *timer)
+{
+  struct gw_ingress *ingress = timer->data;
+
+  net_http_account_refresh (
+      &ingress->context->account,
+      (int64_t)uv_now (ingress->context->loop)); /* on_memory_check_ follows */
+}
+
 static void
 on_head_ (void *owner, const struct net_http_head *head)
 {
@@ -481,12 +500,13 @@
   struct gw_exchange *exchange = caller->exchange;
 
   sr_counter_add (&end_counters_[CALLER_END_EVICTED], 1);
-  sr_event (SR_EVENT_WARNING, "caller_evicted", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:I,s:I}",
+  sr_event (SR_EVENT_WARNING, "caller_evicted", "{s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:I,s:I}",
             "reason", closes ? "descriptors" : "memory", "bytes", (json_int_t)holder->total,
             "input", (json_int_t)holder->bytes[NET_MEMORY_INPUT], "request",
             (json_int_t)holder->bytes[NET_MEMORY_BODY], "response",
             (json_int_t)holder->bytes[NET_MEMORY_RESPONSE], "unsent",
-            (json_int_t)holder->bytes[NET_MEMORY_UNSENT], "idle_ms",
+            (json_int_t)holder->bytes[NET_MEMORY_UNSENT], "kernel",
+            (json_int_t)holder->bytes[NET_MEMORY_KERNEL], "idle_ms",
             (json_int_t)((int64_t)uv_now (caller->ingress->context->loop) - holder->progress_ms),
             "reading", (int)caller->is_reading, "held", (json_int_t)holder->account->total, "limit",
             (json_int_t)holder->account->limit);
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -18,6 +18,7 @@
   /* Requests of one connection that are handled in one iteration of the loop. What each of them has
    * used is freed at the end of the iteration, and other connections are to have their turn. */
   TURN_REQUESTS_MAX = 16,
+  REFRESH_MS = 200,          /* a link of 200 Mbit/s carries 5 MB in this time */
   TURN_MS = 1,               /* libuv runs a timer of 0 ms again in the same iteration */
   INPUT_KEPT_BYTES = 4096,   /* a larger input buffer is freed once it is empty */
   LINGER_MS = 1000,          /* several round trips over any link */
@@ -25,6 +26,12 @@
   LINGER_UNREAD_CHECKS = 10, /* at most, while the peer has not acknowledged the response */
   SEND_CHECK_MS = 1000,      /* between checks whether a slow peer still takes bytes */
   SEND_STALLED_CHECKS = 5,   /* without progress, after which the rest is dropped */
+  /* Of callers' connections, what the kernel holds: it counts towards the machine's memory. The
+   * kernel would let the first grow to several megabytes for a caller who sends fast, and the
+   * second for one that does not read. The first is doubled by the kernel, and carries 200 Mbit/s
+   * over 5 ms; the second does not slow a caller down, as it leaves out what is on its way. */
+  CALLER_RECEIVE_BYTES = 131072,
+  CALLER_NOT_SENT_BYTES = 65536,
   /* An unreachable peer is detected in about 3 s, the time after a fault in which guarantees must
    * hold again: by keepalive probes when the connection is idle, by UNACKNOWLEDGED_MAX_MS when sent
    * bytes are not acknowledged. */
@@ -133,8 +140,10 @@
 static int64_t now_ms_ (const struct net_http_conn *conn);
 static void release_input_ (struct net_http_conn *conn);
 static void note_unsent_ (struct net_http_conn *conn);
+static void note_kernel_ (struct net_http_conn *conn);
 static void evict_ (struct net_http_conn *conn, bool closes);
 static void set_socket_options_ (struct net_http_conn *conn);
+static void set_options_ (int fd, const int (*options)[3], size_t n_options);
 
 static int on_url_ (http_parser *parser, const char *at, size_t length);
 static int on_status_ (http_parser *parser, const char *at, size_t length);
@@ -346,8 +355,7 @@
 
   if (!net_memory_account_is_full (account))
     return true;
-  for (GList *link = account->holders.head; link != NULL; link = link->next)
-    note_unsent_ (conn_of_holder_ (link->data));
+  net_http_account_refresh (account, now_ms);
   holder = net_memory_account_pick_oldest (account, now_ms);
   if (holder == NULL && forces)
     holder = net_memory_account_pick_any (account);
@@ -357,6 +365,24 @@
   return !net_memory_account_is_full (account);
 }
 
+/* Accounts for what callers have taken since, and for what the kernel holds for connections that
+ * aren't read: that counts towards the machine's memory, too. At most every REFRESH_MS, because it
+ * asks the kernel for each connection. */
+void
+net_http_account_refresh (struct net_memory_account *account, int64_t now_ms)
+{
+  if (now_ms - account->refreshed_ms < REFRESH_MS)
+    return;
+  account->refreshed_ms = now_ms;
+  for (GList *link = account->holders.head; link != NULL; link = link->next)
+    {
+      struct net_http_conn *conn = conn_of_holder_ (link->data);
+
+      note_unsent_ (conn);
+      note_kernel_ (conn);
+    }
+}
+
 /* Closes connections, those that hold the most for the longest time first, if ACCOUNT is short of
  * memory. Not to be called while one of them is parsing. */
 void
@@ -366,8 +392,7 @@
 
   if (!net_memory_account_is_short (account))
     return;
-  for (GList *link = account->holders.head; link != NULL; link = link->next)
-    note_unsent_ (conn_of_holder_ (link->data));
+  net_http_account_refresh (account, now_ms);
   while (net_memory_account_excess (account) > 0
          && (holder = net_memory_account_pick_largest (account, now_ms)) != NULL)
     evict_ (conn_of_holder_ (holder), false);
@@ -918,6 +943,25 @@
     net_memory_holder_note_unsent (&conn->holder, net_http_conn_queued (conn), now_ms_ (conn));
 }
 
+/* Accounts for the bytes that the kernel has received and this process does not read, and for those
+ * that the peer has not acknowledged. */
+static void
+note_kernel_ (struct net_http_conn *conn)
+{
+  uv_os_fd_t fd;
+  int unread = 0;
+  int unacknowledged = 0;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    return;
+  if (!conn->reading && ioctl (fd, SIOCINQ, &unread) != 0)
+    unread = 0;
+  if (ioctl (fd, SIOCOUTQ, &unacknowledged) != 0)
+    unacknowledged = 0;
+  net_memory_holder_note_kernel (&conn->holder, (size_t)MAX (unread, 0),
+                                 (size_t)MAX (unacknowledged, 0), now_ms_ (conn));
+}
+
 /* Ends the connection, because its account has no room for it. */
 static void
 evict_ (struct net_http_conn *conn, bool closes)
@@ -1173,6 +1217,11 @@
 static void
 set_socket_options_ (struct net_http_conn *conn)
 {
+  const int server_options[][3] = {
+    { IPPROTO_TCP, TCP_NODELAY, 1 },
+    { SOL_SOCKET, SO_RCVBUF, CALLER_RECEIVE_BYTES },
+    { IPPROTO_TCP, TCP_NOTSENT_LOWAT, CALLER_NOT_SENT_BYTES },
+  };
   const int options[][3] = {
     { IPPROTO_TCP, TCP_NODELAY, 1 },
     { SOL_SOCKET, SO_KEEPALIVE, 1 },
@@ -1185,13 +1234,19 @@
 
   if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) != 0)
     return;
-  /* Only TCP_NODELAY for servers: callers may be slow, and an idle timeout closes connections. */
-  for (size_t i = 0;
-       i < (conn->is_server || conn->disable_dead_peer_detection ? 1 : G_N_ELEMENTS (options)); i++)
-    {
-      if (setsockopt (fd, options[i][0], options[i][1], &options[i][2], sizeof (int)) != 0)
-        g_debug ("socket option %d of level %d is not available", options[i][1], options[i][0]);
-    }
+  /* No probes for servers: callers may be slow, and an idle timeout closes connections. */
+  if (conn->is_server)
+    set_options_ (fd, server_options, G_N_ELEMENTS (server_options));
+  else
+    set_options_ (fd, options, conn->disable_dead_peer_detection ? 1 : G_N_ELEMENTS (options));
+}
+
+static void
+set_options_ (int fd, const int (*options)[3], size_t n_options)
+{
+  for (size_t i = 0; i < n_options; i++)
+    if (setsockopt (fd, options[i][0], options[i][1], &options[i][2], sizeof (int)) != 0)
+      g_debug ("socket option %d of level %d is not available", options[i][1], options[i][0]);
 }
 
 static int
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -114,6 +114,7 @@
 struct net_memory_holder *net_http_conn_holder (struct net_http_conn *conn);
 void net_http_conn_note_served (struct net_http_conn *conn, bool is_served);
 bool net_http_account_make_room (struct net_memory_account *account, bool forces, int64_t now_ms);
+void net_http_account_refresh (struct net_memory_account *account, int64_t now_ms);
 void net_http_account_relieve (struct net_memory_account *account, int64_t now_ms);
 bool net_http_conn_has_unread (const struct net_http_conn *conn);
 bool net_http_conn_is_clean (const struct net_http_conn *conn);
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -1,7 +1,5 @@
 #include "net/memory-account.h"
 
-#include <string.h>
-
 enum
 {
   /* Of this process and of the kernel, for a connection that carries nothing: about 2 KiB of
@@ -10,6 +8,9 @@
   /* A caller who takes no byte of a response for this long is not reading it. The same time as a
    * finished connection waits for its caller (SEND_STALLED_CHECKS of http-conn.c). */
   STALLED_MS = 5000,
+  /* The same for a complete response that the kernel has taken. Shorter, because a client that
+   * reads nothing fills the kernel's buffers meanwhile, at the speed of its link. */
+  KERNEL_STALLED_MS = 1000,
   /* Callers that hold many bytes are closed first, and the one without progress for longer among
    * equals: the time counts from WAIT_MIN_MS, a usual pause between two segments, to WAIT_MAX_MS,
    * so that idle connections, which hold little, aren't closed by the hundred for one large body.
@@ -53,6 +54,7 @@
   [NET_MEMORY_BODY] = "body",
   [NET_MEMORY_RESPONSE] = "response",
   [NET_MEMORY_UNSENT] = "unsent",
+  [NET_MEMORY_KERNEL] = "kernel",
 };
 
 static bool may_be_closed_ (const struct net_memory_holder *holder, int64_t now_ms);
@@ -248,6 +250,20 @@
     holder->account->served_total -= holder->total;
 }
 
+/* Sets what the kernel holds of a connection: bytes that are not read, and bytes that the caller
+ * has not acknowledged. Fewer of the latter than before are progress of the caller. */
+void
+net_memory_holder_note_kernel (struct net_memory_holder *holder,
+                               size_t unread,
+                               size_t unacknowledged,
+                               int64_t now_ms)
+{
+  if (unacknowledged < holder->unacknowledged)
+    holder->progress_ms = now_ms;
+  holder->unacknowledged = unacknowledged;
+  net_memory_holder_set (holder, NET_MEMORY_KERNEL, unread + unacknowledged);
+}
+
 /* Sets the unsent bytes of a response to the current number; a lower one than before is progress of
  * the caller. */
 void
@@ -265,5 +281,7 @@
 {
   if (holder->bytes[NET_MEMORY_UNSENT] > 0)
     return now_ms - holder->progress_ms >= STALLED_MS;
-  return !holder->is_served;
+  if (holder->is_served)
+    return false;
+  return holder->unacknowledged == 0 || now_ms - holder->progress_ms >= KERNEL_STALLED_MS;
 }
--- a/src/net/memory-account.h
+++ b/src/net/memory-account.h
@@ -15,6 +15,7 @@
   NET_MEMORY_BODY,       /* of a request that is read or served, with its head */
   NET_MEMORY_RESPONSE,   /* of a server, not passed on yet */
   NET_MEMORY_UNSENT,     /* of a response, not taken by the kernel yet */
+  NET_MEMORY_KERNEL,     /* in the kernel: not read yet, or not acknowledged by the caller yet */
   NET_MEMORY_KINDS
 };
 
@@ -25,8 +26,9 @@
   struct net_memory_account *account;
   size_t bytes[NET_MEMORY_KINDS];
   size_t total;
-  int64_t progress_ms; /* when the caller last sent a byte or took one */
-  bool is_served;      /* a complete request is being served; see net_memory_holder_set_served */
+  size_t unacknowledged; /* the part of NET_MEMORY_KERNEL that the caller has not taken */
+  int64_t progress_ms;   /* when the caller last sent a byte or took one */
+  bool is_served;        /* a complete request is being served; see net_memory_holder_set_served */
 };
 
 struct net_memory_account
@@ -37,6 +39,7 @@
   size_t served_total; /* of holders whose request is being served */
   size_t limit;
   unsigned connections_max;
+  int64_t refreshed_ms; /* when its user last set what the kernel holds and has not taken */
 };
 
 struct net_memory_limits
@@ -70,4 +73,8 @@
 void
 net_memory_holder_set (struct net_memory_holder *holder, enum net_memory_kind kind, size_t bytes);
 void net_memory_holder_set_served (struct net_memory_holder *holder, bool is_served);
+void net_memory_holder_note_kernel (struct net_memory_holder *holder,
+                                    size_t unread,
+                                    size_t unacknowledged,
+                                    int64_t now_ms);
 void net_memory_holder_note_unsent (struct net_memory_holder *holder, size_t bytes, int64_t now_ms);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -780,6 +780,8 @@
       assert_true (account.bytes[NET_MEMORY_INPUT] <= INPUT_MAX_BYTES);
     }
   assert_true (net_http_conn_is_backlogged (recorder->conn));
+  net_http_account_refresh (&account, INT32_MAX);
+  assert_true (account.bytes[NET_MEMORY_KERNEL] > 0);
   assert_true (recorder->n_messages < PIPELINED_REQUESTS);
   uv_timer_start (&recorder->timeout, on_timeout_, TIMEOUT_MS, 0);
   while (received < (uint64_t)PIPELINED_REQUESTS * PIPELINED_RESPONSE_BYTES && !recorder->timed_out)
--- a/src/net/test-memory-account.c
+++ b/src/net/test-memory-account.c
@@ -88,6 +88,23 @@
   assert_null (net_memory_account_pick_largest (&account_, 1000 + STALLED_MS - 1));
 }
 
+/* The kernel has all of the response; closing the connection beside unread input would drop it. */
+static void
+a_response_in_the_kernel_that_is_read_is_not_closed (void **state)
+{
+  for (unsigned i = 1; i < HOLDERS; i++)
+    net_memory_holder_close (&holders_[i]);
+  net_memory_holder_note_kernel (&holders_[0], 5 * MIB, 100 * KIB, 1000);
+  for (int64_t now_ms = 1900; now_ms < 20000; now_ms += 900)
+    {
+      assert_null (net_memory_account_pick_largest (&account_, now_ms));
+      assert_null (net_memory_account_pick_oldest (&account_, now_ms));
+      net_memory_holder_note_kernel (&holders_[0], 5 * MIB, holders_[0].unacknowledged - KIB,
+                                     now_ms);
+    }
+  assert_ptr_equal (net_memory_account_pick_largest (&account_, 40000), &holders_[0]);
+}
+
 static void
 a_response_that_nobody_reads_is_closed (void **state)
 {
@@ -218,6 +235,7 @@
     cmocka_unit_test_setup (a_response_that_is_read_is_never_closed, open_holders),
     cmocka_unit_test_setup (a_response_that_is_read_is_never_closed_after_its_request_has_ended,
                             open_holders),
+    cmocka_unit_test_setup (a_response_in_the_kernel_that_is_read_is_not_closed, open_holders),
     cmocka_unit_test_setup (a_response_that_nobody_reads_is_closed, open_holders),
     cmocka_unit_test_setup (a_request_that_is_served_is_not_closed, open_holders),
     cmocka_unit_test_setup (a_new_connection_takes_the_place_of_the_oldest_idle_one, open_holders),
