--- a/src/entry/serve.c
+++ b/src/entry/serve.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "drain/drain.h"
 #include "entry/instance.h"
+#include "net/memory-account.h"
 
 #include <signal.h>
 
@@ -45,6 +46,7 @@
   int status = EXIT_FAILED;
 
   signal (SIGPIPE, SIG_IGN);
+  net_memory_configure_heap ();
   sr_drain_block_signals ();
   instance = sr_instance_new (settings);
   if (instance == NULL || !sr_instance_start (instance))
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -70,6 +70,7 @@
   sigaddset (&signals, SIGHUP);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
+  net_memory_configure_heap ();
   if (!sr_event_log_start (settings->name->str))
     return 1;
   gateway = g_new0 (struct gateway, 1); /* never freed: its loop keeps open handles */
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -1,5 +1,7 @@
 #include "net/memory-account.h"
 
+#include <malloc.h>
+
 enum
 {
   /* Of this process and of the kernel, for a connection that carries nothing: about 2 KiB of
@@ -48,6 +50,14 @@
   CALLERS_MIN = 4
 };
 
+enum
+{
+  /* Larger blocks, as of bodies, are mapped each on its own, grow without being copied and go back
+   * to the system at once. With the default, which adapts, the first body that is freed moves all
+   * later ones to the heap, where the gaps between them took as much memory as the bodies. */
+  HEAP_BLOCK_MAX_BYTES = 131072
+};
+
 static const char *const kind_names_[NET_MEMORY_KINDS] = {
   [NET_MEMORY_CONNECTION] = "connection",
   [NET_MEMORY_INPUT] = "input",
@@ -59,6 +69,15 @@
 
 static bool may_be_closed_ (const struct net_memory_holder *holder, int64_t now_ms);
 
+/* Makes the memory that this process has from the system follow what it holds. Call it at the
+ * start, before other threads run. */
+void
+net_memory_configure_heap (void)
+{
+  if (mallopt (M_MMAP_THRESHOLD, HEAP_BLOCK_MAX_BYTES) == 0)
+    g_debug ("the heap can't be configured");
+}
+
 /* Returns the limits for a machine with MEMORY_MB MiB of memory and DESCRIPTORS file descriptors.
  * 0: not known, a default is assumed. */
 struct net_memory_limits
--- a/src/net/memory-account.h
+++ b/src/net/memory-account.h
@@ -49,6 +49,7 @@
   unsigned status_max;  /* connections of one listener for readiness or metrics */
 };
 
+void net_memory_configure_heap (void);
 struct net_memory_limits net_memory_limits (double memory_mb, unsigned descriptors);
 void net_memory_account_init (struct net_memory_account *account,
                               const struct net_memory_limits *limits);
