--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -47,8 +47,8 @@
 struct sr_entry *
 sr_entry_new (const struct sr_entry_options *options)
 {
-  const struct net_memory_limits limits
-      = net_memory_limits (options->settings->memory_mb, options->settings->descriptors);
+  const struct net_memory_limits limits = net_memory_limits (
+      options->settings->memory_mb, net_memory_descriptors (options->settings->descriptors));
   struct sr_entry *entry = g_new0 (struct sr_entry, 1);
 
   entry->options = *options;
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -158,7 +158,7 @@
   context->retry_options = retry_options_from_settings_ (settings);
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
-  limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+  limits = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
   net_memory_account_init (&context->account, &limits);
   probe.connections_max = limits.status_max;
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
@@ -477,7 +477,8 @@
       while (g_hash_table_iter_next (&iter, NULL, &budget))
         ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
-      limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+      limits
+          = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
       net_memory_account_set_limits (&context->account, &limits);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -719,10 +719,12 @@
       = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
         "entry = 10.0.0.1:80\nready = 10.0.0.1:81\npeer_port = 82\n[store]\n"
         "address = 10.0.0.2:83\n[retries]\nratio = 0.2\nextra = 54\nwindow_s = 10\n"
+        "[limits]\nmemory_mb = 88.5\ndescriptors = 2870\n"
         "[prompts]\npart_memory_s = 7.4\nnever_block = 5c1e07a2, BAD\n[backends]\nleave_ms = 3000\n"
         "[stop]\nlimit_s = 8\n";
   const char bad[] = "[instance]\nname = a\ndata_centre = b\n[listen]\naddress = 10.0.0.1\n"
                      "entry = 10.0.0.1\nready = x\npeer_port = 82\n[store]\naddress = 10.0.0.2:83\n"
+                     "[limits]\nmemory_mb = -1\ndescriptors = 2.5\n"
                      "[retries]\nratio = 2\n[prompts]\npart_memory_s = -1\nnever_block = 5c1e,x\n";
   struct sr_findings *findings = sr_findings_new ();
   struct gw_settings *settings = gw_settings_parse ("f", good, strlen (good), findings);
@@ -732,13 +734,15 @@
   assert_int_equal (ntohs (settings->store_address.sin_port), 83);
   assert_true (settings->retry_ratio > 0.19 && settings->retry_ratio < 0.21);
   assert_true (settings->part_memory_s > 7.3 && settings->part_memory_s < 7.5);
+  assert_true (settings->memory_mb > 88.4 && settings->memory_mb < 88.6);
+  assert_int_equal (settings->descriptors, 2870);
   assert_int_equal (settings->leave_ms, 3000);
   assert_int_equal (settings->never_blocked_parts->len, 2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 0), 0x5c1e07a2);
   assert_int_equal (g_array_index (settings->never_blocked_parts, uint64_t, 1), 0xbad);
   gw_settings_delete (settings);
   assert_null (gw_settings_parse ("f", bad, strlen (bad), findings));
-  assert_int_equal (sr_findings_count (findings), 5);
+  assert_int_equal (sr_findings_count (findings), 7);
   sr_findings_delete (findings);
 }
 
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -1,6 +1,7 @@
 #include "net/memory-account.h"
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 enum
 {
@@ -35,6 +36,7 @@
   MEMORY_MIN_BYTES = 8 * 1024 * 1024, /* a few of the largest bodies */
   MIB_BYTES = 1024 * 1024,
   DESCRIPTORS_DEFAULT = 4096,
+  DESCRIPTORS_MAX = 1048576, /* of the settings */
   /* Descriptors: for files and for the loop, the store, the mesh and the listeners; on small
    * machines a share. */
   FILES_MAX = 200,
@@ -78,6 +80,19 @@
     g_debug ("the heap can't be configured");
 }
 
+/* Returns how many file descriptors this process may open: the process's own limit, or TOLD (0: not
+ * told) if that is lower. */
+unsigned
+net_memory_descriptors (unsigned told)
+{
+  struct rlimit limit;
+  unsigned own = DESCRIPTORS_DEFAULT;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) == 0)
+    own = (unsigned)MIN (limit.rlim_cur, (rlim_t)DESCRIPTORS_MAX);
+  return told > 0 ? MIN (told, own) : own;
+}
+
 /* Returns the limits for a machine with MEMORY_MB MiB of memory and DESCRIPTORS file descriptors.
  * 0: not known, a default is assumed. */
 struct net_memory_limits
--- a/src/net/memory-account.h
+++ b/src/net/memory-account.h
@@ -50,6 +50,7 @@
 };
 
 void net_memory_configure_heap (void);
+unsigned net_memory_descriptors (unsigned told);
 struct net_memory_limits net_memory_limits (double memory_mb, unsigned descriptors);
 void net_memory_account_init (struct net_memory_account *account,
                               const struct net_memory_limits *limits);
