--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -47,8 +47,8 @@
 struct sr_entry *
 sr_entry_new (const struct sr_entry_options *options)
 {
-  const struct net_memory_limits limits
-      = net_memory_limits (options->settings->memory_mb, options->settings->descriptors);
+  const struct net_memory_limits limits = net_memory_limits (
+      options->settings->memory_mb, net_memory_descriptors (options->settings->descriptors));
   struct sr_entry *entry = g_new0 (struct sr_entry, 1);
 
   entry->options = *options;
@@ -212,7 +212,11 @@
 static void
 on_idle_check_ (uv_timer_t *timer)
 {
-  sr_connection_close_idle (timer->data);
+  struct sr_entry *entry = timer->data;
+
+  sr_connection_close_idle (entry);
+  net_http_account_refresh (&entry->account, (int64_t)uv_now (&entry->loop));
+  net_http_account_relieve (&entry->account, (int64_t)uv_now (&entry->loop));
 }
 
 static void
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -71,6 +71,7 @@
   sigaddset (&signals, SIGHUP);
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
+  net_memory_configure_heap ();
   if (!sr_event_log_start (settings->name->str))
     return 1;
   gateway = g_new0 (struct gateway, 1); /* never freed: its loop keeps open handles */
@@ -158,7 +159,7 @@
   context->retry_options = retry_options_from_settings_ (settings);
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
-  limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+  limits = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
   net_memory_account_init (&context->account, &limits);
   probe.connections_max = limits.status_max;
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
@@ -483,7 +484,8 @@
       while (g_hash_table_iter_next (&iter, NULL, &budget))
         ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
-      limits = net_memory_limits (settings->memory_mb, settings->descriptors);
+      limits
+          = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
       net_memory_account_set_limits (&context->account, &limits);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -1,6 +1,7 @@
 #include "net/memory-account.h"
 
-#include <string.h>
+#include <malloc.h>
+#include <sys/resource.h>
 
 enum
 {
@@ -10,6 +11,9 @@
   /* A caller who takes no byte of a response for this long is not reading it. The same time as a
    * finished connection waits for its caller (SEND_STALLED_CHECKS of http-conn.c). */
   STALLED_MS = 5000,
+  /* The same for a complete response that the kernel has taken. Shorter, because a client that
+   * reads nothing fills the kernel's buffers meanwhile, at the speed of its link. */
+  KERNEL_STALLED_MS = 1000,
   /* Callers that hold many bytes are closed first, and the one without progress for longer among
    * equals: the time counts from WAIT_MIN_MS, a usual pause between two segments, to WAIT_MAX_MS,
    * so that idle connections, which hold little, aren't closed by the hundred for one large body.
@@ -32,6 +36,7 @@
   MEMORY_MIN_BYTES = 8 * 1024 * 1024, /* a few of the largest bodies */
   MIB_BYTES = 1024 * 1024,
   DESCRIPTORS_DEFAULT = 4096,
+  DESCRIPTORS_MAX = 1048576, /* of the settings */
   /* Descriptors: for files and for the loop, the store, the mesh and the listeners; on small
    * machines a share. */
   FILES_MAX = 200,
@@ -47,16 +52,47 @@
   CALLERS_MIN = 4
 };
 
+enum
+{
+  /* Larger blocks, as of bodies, are mapped each on its own, grow without being copied and go back
+   * to the system at once. With the default, which adapts, the first body that is freed moves all
+   * later ones to the heap, where the gaps between them took as much memory as the bodies. */
+  HEAP_BLOCK_MAX_BYTES = 131072
+};
+
 static const char *const kind_names_[NET_MEMORY_KINDS] = {
   [NET_MEMORY_CONNECTION] = "connection",
   [NET_MEMORY_INPUT] = "input",
   [NET_MEMORY_BODY] = "body",
   [NET_MEMORY_RESPONSE] = "response",
   [NET_MEMORY_UNSENT] = "unsent",
+  [NET_MEMORY_KERNEL] = "kernel",
 };
 
 static bool may_be_closed_ (const struct net_memory_holder *holder, int64_t now_ms);
 
+/* Makes the memory that this process has from the system follow what it holds. Call it at the
+ * start, before other threads run. */
+void
+net_memory_configure_heap (void)
+{
+  if (mallopt (M_MMAP_THRESHOLD, HEAP_BLOCK_MAX_BYTES) == 0)
+    g_debug ("the heap can't be configured");
+}
+
+/* Returns how many file descriptors this process may open: the process's own limit, or TOLD (0: not
+ * told) if that is lower. */
+unsigned
+net_memory_descriptors (unsigned told)
+{
+  struct rlimit limit;
+  unsigned own = DESCRIPTORS_DEFAULT;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) == 0)
+    own = (unsigned)MIN (limit.rlim_cur, (rlim_t)DESCRIPTORS_MAX);
+  return told > 0 ? MIN (told, own) : own;
+}
+
 /* Returns the limits for a machine with MEMORY_MB MiB of memory and DESCRIPTORS file descriptors.
  * 0: not known, a default is assumed. */
 struct net_memory_limits
@@ -248,6 +284,20 @@
     holder->account->served_total -= holder->total;
 }
 
+/* Sets what the kernel holds of a connection: bytes that are not read, and bytes that the caller
+ * has not acknowledged. Fewer of the latter than before are progress of the caller. */
+void
+net_memory_holder_note_kernel (struct net_memory_holder *holder,
+                               size_t unread,
+                               size_t unacknowledged,
+                               int64_t now_ms)
+{
+  if (unacknowledged < holder->unacknowledged)
+    holder->progress_ms = now_ms;
+  holder->unacknowledged = unacknowledged;
+  net_memory_holder_set (holder, NET_MEMORY_KERNEL, unread + unacknowledged);
+}
+
 /* Sets the unsent bytes of a response to the current number; a lower one than before is progress of
  * the caller. */
 void
@@ -265,5 +315,7 @@
 {
   if (holder->bytes[NET_MEMORY_UNSENT] > 0)
     return now_ms - holder->progress_ms >= STALLED_MS;
-  return !holder->is_served;
+  if (holder->is_served)
+    return false;
+  return holder->unacknowledged == 0 || now_ms - holder->progress_ms >= KERNEL_STALLED_MS;
 }
