Budgets: after a restore, an instance also puts back what it knows of others

Each instance now keeps the record as it last saw it, and merges the holders and settled tokens of others too: by the serial of a holder's last write, and by the tokens that closed holders of one instance have spent, which the record states now. Spend limits of a copy are dropped, as their holders may have raised them since, and no holder is written off while peers may be merging.

--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,7 @@
 $(BIN): $(BUILD)/src/cli/main.o $(LIB)
 	$(CC) $^ -o $@ $(LIBS)
 
-$(BUILD)/src/allotment/test-allotment $(BUILD)/src/allotment/test-allotment-schedules: $(BUILD)/testing/unit/allotment-simulation.o
+$(BUILD)/src/allotment/test-allotment $(BUILD)/src/allotment/test-allotment-schedules $(BUILD)/src/allotment/test-allotment-restores: $(BUILD)/testing/unit/allotment-simulation.o
 
 $(UNIT): $(BUILD)/%: $(BUILD)/%.o $(LIB)
 	$(CC) $(filter-out $(LIB),$^) $(LIB) -o $@ $(LIBS) -lcmocka
--- a/src/allotment/allotment-private.h
+++ b/src/allotment/allotment-private.h
@@ -80,6 +80,7 @@
   bool merge_is_due;        /* after a restore: the record lacks tokens that are held here */
   uint64_t check_call;      /* number of the read that verifies an overdue write; 0: none yet */
   struct sr_record *record; /* as last read or written; NULL: not known */
+  struct sr_record *known;  /* before a restore or a write with an unknown result; may be NULL */
   int64_t revision;         /* of record; 0: there is none yet */
   int64_t record_us;        /* when record was read or written; 0: outdated */
   struct sr_record *edited; /* being written */
@@ -126,6 +127,11 @@
 };
 
 /* After a restore of the store, see merge.c. */
+void allotment_forget_record_ (struct allotment_team *team);
+bool allotment_merge_record_ (const struct allotment_manager *manager,
+                              struct allotment_team *team,
+                              struct sr_record *record,
+                              int64_t revision);
 void allotment_set_unmerged_ (struct allotment_manager *manager, const GPtrArray *names);
 bool allotment_peers_may_be_merging_ (const struct allotment_manager *manager, int64_t now_us);
 
--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -292,9 +292,7 @@
       else
         {
           /* Only a read can show whether it took effect. */
-          team->record_us = 0;
-          sr_record_delete (team->record);
-          team->record = NULL;
+          allotment_forget_record_ (team);
           if (status != STORE_CONFLICT && status != STORE_ABSENT)
             allotment_store_failed_ (manager, team, status, now_us);
         }
@@ -596,6 +594,7 @@
   g_queue_clear_full (&team->waiters, g_free);
   g_queue_clear_full (&team->loan_requests, g_free);
   sr_record_delete (team->record);
+  sr_record_delete (team->known);
   sr_record_delete (team->edited);
   sr_ledger_delete (team->ledger);
   g_hash_table_unref (team->refused_until);
@@ -613,11 +612,10 @@
 {
   if (team->record != NULL && team->record != record)
     sr_record_delete (team->record);
-  /* While the restored store has no record (revision 0), the first one that is written to it may be
-   * another instance's: the merge stays due until a write succeeds. */
   if (manager->restored_us != 0)
-    team->merge_is_due = sr_ledger_merge (team->ledger, record, revision)
-                         || (revision == 0 && sr_ledger_needs_merge (team->ledger));
+    team->merge_is_due = allotment_merge_record_ (manager, team, record, revision);
+  if (!team->merge_is_due)
+    g_clear_pointer (&team->known, sr_record_delete);
   team->record = record;
   team->revision = revision;
   team->record_us = now_us;
--- a/src/allotment/merge.c
+++ b/src/allotment/merge.c
@@ -36,12 +36,11 @@
       team->call = 0;
       team->check_call = 0;
       sr_record_delete (team->edited);
-      sr_record_delete (team->record);
-      team->edited = team->record = NULL;
+      team->edited = NULL;
+      allotment_forget_record_ (team);
       team->revision = 0;
-      team->record_us = 0;
       sr_ledger_reset_versions (team->ledger);
-      team->merge_is_due = sr_ledger_needs_merge (team->ledger);
+      team->merge_is_due = sr_ledger_needs_merge (team->ledger) || team->known != NULL;
       allotment_process_team_ (manager, team, now_us);
     }
 }
@@ -74,6 +73,45 @@
   return true;
 }
 
+/* Notes that the record of TEAM in the store may be another one by now. What it showed is kept: the
+ * store may be restored before the record is read again. */
+void
+allotment_forget_record_ (struct allotment_team *team)
+{
+  team->record_us = 0;
+  if (team->record == NULL)
+    return;
+  sr_record_delete (team->known);
+  team->known = team->record;
+  team->record = NULL;
+}
+
+/* Puts into RECORD, read at REVISION from a restored store, what is known here and it lacks: the
+ * tokens held here, and the grants and closings of other instances that were on the record before
+ * the restore, as those instances may have ended since. Returns whether RECORD must be written. */
+bool
+allotment_merge_record_ (const struct allotment_manager *manager,
+                         struct allotment_team *team,
+                         struct sr_record *record,
+                         int64_t revision)
+{
+  bool changed;
+
+  /* The content comes from an earlier era: it is a copy, or was written by instances that had not
+   * learned of the restore. */
+  if (revision == 0)
+    sr_record_clear_limits (record);
+  changed = sr_ledger_merge (team->ledger, record, revision);
+  if (team->known != NULL
+      && sr_record_merge (record, team->known, manager->options.instance,
+                          manager->options.incarnation))
+    changed = true;
+  /* While the restored store has no record (revision 0), the first one that is written to it may be
+   * another instance's: the merge stays due until a write succeeds. */
+  return changed
+         || (revision == 0 && (sr_ledger_needs_merge (team->ledger) || team->known != NULL));
+}
+
 /* Makes NAMES (char *, copied) the peers of which no merge has been reported. */
 void
 allotment_set_unmerged_ (struct allotment_manager *manager, const GPtrArray *names)
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -504,7 +504,10 @@
   json_decref (json);
   g_assert (record != NULL);
   record->prepaid = MAX (record->prepaid, team->prepaid_tokens);
-  for (unsigned i = record->holders->len; i > 0; i--)
+  /* A holder that is written off counts as closed: a peer that knows of a larger grant could not
+   * put it back. */
+  for (unsigned i = allotment_peers_may_be_merging_ (manager, now_us) ? 0 : record->holders->len;
+       i > 0; i--)
     {
       const struct sr_record_holder *holder
           = &g_array_index (record->holders, struct sr_record_holder, i - 1);
--- a/src/budget/record.c
+++ b/src/budget/record.c
@@ -5,6 +5,7 @@
 
 enum
 {
+  CLOSED_SPENT_INDEX = 3,   /* in an entry of the list of closed holders */
   LARGEST_SHARE_DIVISOR = 4 /* a grant ahead of demand is at most 1/4 of the remaining tokens */
 };
 
@@ -13,9 +14,13 @@
 static void top_up_free_ (void *data);
 static bool parse_top_ups_ (struct sr_record *record, const json_t *list);
 static bool parse_holders_ (struct sr_record *record, const json_t *list);
-static struct sr_holder_id *last_closed_ (const struct sr_record *record, const char *instance);
+static struct sr_record_closed *closed_of_ (const struct sr_record *record, const char *instance);
 static bool is_later_ (const struct sr_holder_id *id, const struct sr_holder_id *than);
-static void set_last_closed_ (struct sr_record *record, const struct sr_holder_id *id);
+static void add_closed_ (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
+static bool merge_holder_ (struct sr_record *record, const struct sr_record_holder *known);
+static bool merge_closed_entry_ (struct sr_record *record,
+                                 const struct sr_record *known_record,
+                                 const struct sr_record_closed *known);
 static bool parse_closed_ (struct sr_record *record, json_t *list);
 static json_t *closed_to_json_ (const struct sr_record *record);
 static bool parse_limit_ (json_t *json, struct sr_spend_limit *limit);
@@ -39,10 +44,22 @@
 
   record->top_ups = g_ptr_array_new_with_free_func (top_up_free_);
   record->holders = g_array_new (FALSE, TRUE, sizeof (struct sr_record_holder));
-  record->closed = g_array_new (FALSE, TRUE, sizeof (struct sr_holder_id));
+  record->closed = g_array_new (FALSE, TRUE, sizeof (struct sr_record_closed));
   return record;
 }
 
+/* Returns a copy of RECORD, which the caller owns. */
+struct sr_record *
+sr_record_copy (const struct sr_record *record)
+{
+  json_t *json = sr_record_to_json (record);
+  struct sr_record *copy = sr_record_from_json (json);
+
+  json_decref (json);
+  g_assert (copy != NULL);
+  return copy;
+}
+
 /* Frees RECORD. NULL is allowed. */
 void
 sr_record_delete (struct sr_record *record)
@@ -202,8 +219,9 @@
 
   if (holder == NULL)
     return;
-  record->settled += CLAMP (spent, 0, holder->granted);
-  set_last_closed_ (record, id);
+  spent = CLAMP (spent, 0, holder->granted);
+  record->settled += spent;
+  add_closed_ (record, id, spent);
   g_array_remove_index (record->holders,
                         holder - &g_array_index (record->holders, struct sr_record_holder, 0));
 }
@@ -213,9 +231,9 @@
 bool
 sr_record_is_closed (const struct sr_record *record, const struct sr_holder_id *id)
 {
-  const struct sr_holder_id *last = last_closed_ (record, id->instance);
+  const struct sr_record_closed *closed = closed_of_ (record, id->instance);
 
-  return last != NULL && !is_later_ (id, last) && sr_record_find (record, id) == NULL;
+  return closed != NULL && !is_later_ (id, &closed->id) && sr_record_find (record, id) == NULL;
 }
 
 /* Makes sure that RECORD counts holder ID as closed with SPENT tokens, after a restore of the
@@ -235,20 +253,109 @@
   if (sr_record_is_closed (record, id))
     return false;
   record->settled += spent;
-  set_last_closed_ (record, id);
+  add_closed_ (record, id, spent);
+  return true;
+}
+
+/* Puts into RECORD, from a platform restored from an older copy, what KNOWN shows that it lacks:
+ * KNOWN is the record as an instance last read or wrote it before the restore. Holders of
+ * INCARNATION of INSTANCE, which is that instance, are left to sr_ledger_merge. A holder that has
+ * written its grant since, in a later write by its serial, knows better and is left as it is.
+ * Idempotent. Returns whether RECORD was changed. */
+bool
+sr_record_merge (struct sr_record *record,
+                 const struct sr_record *known,
+                 const char *instance,
+                 uint64_t incarnation)
+{
+  bool changed = false;
+
+  for (unsigned i = 0; i < known->closed->len; i++)
+    if (merge_closed_entry_ (record, known,
+                             &g_array_index (known->closed, struct sr_record_closed, i)))
+      changed = true;
+  for (unsigned i = 0; i < known->holders->len; i++)
+    {
+      const struct sr_record_holder *holder
+          = &g_array_index (known->holders, struct sr_record_holder, i);
+
+      if ((holder->id.incarnation != incarnation || strcmp (holder->id.instance, instance) != 0)
+          && merge_holder_ (record, holder))
+        changed = true;
+    }
+  return changed;
+}
+
+/* Removes the spend limits of RECORD, which was read from a platform restored from an older copy:
+ * the holders may have written higher ones since. */
+void
+sr_record_clear_limits (struct sr_record *record)
+{
+  for (unsigned i = 0; i < record->holders->len; i++)
+    g_array_index (record->holders, struct sr_record_holder, i).limit
+        = (struct sr_spend_limit){ 0 };
+}
+
+/* Makes sure that RECORD grants the holder KNOWN at least as much as KNOWN does, unless a later
+ * write is on it or the holder was closed. Its spend limit is not put back, as the holder may have
+ * written a higher one since. Returns whether RECORD was changed. */
+static bool
+merge_holder_ (struct sr_record *record, const struct sr_record_holder *known)
+{
+  struct sr_record_holder *holder = sr_record_find (record, &known->id);
+
+  if (holder == NULL && sr_record_is_closed (record, &known->id))
+    return false;
+  if (holder == NULL)
+    holder = sr_record_open (record, &known->id, known->data_centre);
+  else if (holder->serial >= known->serial)
+    return false;
+  *holder = *known;
+  holder->limit = (struct sr_spend_limit){ 0 };
   return true;
 }
 
-/* Returns the last closed holder of INSTANCE, or NULL. */
-static struct sr_holder_id *
-last_closed_ (const struct sr_record *record, const char *instance)
+/* Makes sure that RECORD counts as settled what the closed holders of one instance have spent by
+ * the entry KNOWN of KNOWN_RECORD. Returns whether RECORD was changed. */
+static bool
+merge_closed_entry_ (struct sr_record *record,
+                     const struct sr_record *known_record,
+                     const struct sr_record_closed *known)
+{
+  struct sr_record_closed *closed = closed_of_ (record, known->id.instance);
+  bool is_later = closed == NULL || is_later_ (&known->id, &closed->id);
+  int64_t missing = known->spent - (closed == NULL ? 0 : closed->spent);
+  bool changed = false;
+
+  for (unsigned i = record->holders->len; is_later && i > 0; i--)
+    {
+      const struct sr_record_holder *holder
+          = &g_array_index (record->holders, struct sr_record_holder, i - 1);
+
+      if (strcmp (holder->id.instance, known->id.instance) == 0
+          && !is_later_ (&holder->id, &known->id)
+          && sr_record_find (known_record, &holder->id) == NULL)
+        g_array_remove_index (record->holders, i - 1);
+    }
+  if (is_later || missing > 0)
+    {
+      record->settled += MAX (missing, 0);
+      add_closed_ (record, &known->id, MAX (missing, 0));
+      changed = true;
+    }
+  return changed;
+}
+
+/* Returns the entry for the closed holders of INSTANCE, or NULL. */
+static struct sr_record_closed *
+closed_of_ (const struct sr_record *record, const char *instance)
 {
   for (unsigned i = 0; i < record->closed->len; i++)
     {
-      struct sr_holder_id *id = &g_array_index (record->closed, struct sr_holder_id, i);
+      struct sr_record_closed *closed = &g_array_index (record->closed, struct sr_record_closed, i);
 
-      if (strcmp (id->instance, instance) == 0)
-        return id;
+      if (strcmp (closed->id.instance, instance) == 0)
+        return closed;
     }
   return NULL;
 }
@@ -260,15 +367,21 @@
          || (id->incarnation == than->incarnation && id->generation > than->generation);
 }
 
+/* Counts holder ID, which has spent SPENT tokens, among the closed holders of its instance. */
 static void
-set_last_closed_ (struct sr_record *record, const struct sr_holder_id *id)
+add_closed_ (struct sr_record *record, const struct sr_holder_id *id, int64_t spent)
 {
-  struct sr_holder_id *last = last_closed_ (record, id->instance);
+  const struct sr_record_closed fresh = { *id, spent };
+  struct sr_record_closed *closed = closed_of_ (record, id->instance);
 
-  if (last == NULL)
-    g_array_append_val (record->closed, *id);
-  else if (is_later_ (id, last))
-    *last = *id;
+  if (closed == NULL)
+    {
+      g_array_append_val (record->closed, fresh);
+      return;
+    }
+  closed->spent += spent;
+  if (is_later_ (id, &closed->id))
+    closed->id = *id;
 }
 
 /* Returns the most tokens that HOLDER can have spent if its process ended by END_MS, a Unix time;
@@ -398,7 +511,8 @@
   return true;
 }
 
-/* Parses the list from closed_to_json_. A missing one (NULL) means that none were closed. */
+/* Parses the list from closed_to_json_. A missing one (NULL) means that none were closed. Earlier
+ * versions write no spent tokens, which counts as 0: a merge then counts too many as settled. */
 static bool
 parse_closed_ (struct sr_record *record, json_t *list)
 {
@@ -407,17 +521,18 @@
 
   json_array_foreach (list, index, each)
   {
-    struct sr_holder_id id = { 0 };
+    struct sr_record_closed closed = { 0 };
     const char *instance;
     json_int_t incarnation;
     json_int_t generation;
 
     if (json_unpack (each, "[s,I,I]", &instance, &incarnation, &generation) != 0
-        || !copy_name_ (id.instance, instance))
+        || !copy_name_ (closed.id.instance, instance))
       return false;
-    id.incarnation = (uint64_t)incarnation;
-    id.generation = (uint64_t)generation;
-    g_array_append_val (record->closed, id);
+    closed.id.incarnation = (uint64_t)incarnation;
+    closed.id.generation = (uint64_t)generation;
+    closed.spent = json_integer_value (json_array_get (each, CLOSED_SPENT_INDEX));
+    g_array_append_val (record->closed, closed);
   }
   return true;
 }
@@ -432,10 +547,12 @@
   list = json_array ();
   for (unsigned i = 0; i < record->closed->len; i++)
     {
-      const struct sr_holder_id *id = &g_array_index (record->closed, struct sr_holder_id, i);
+      const struct sr_record_closed *closed
+          = &g_array_index (record->closed, struct sr_record_closed, i);
 
-      json_array_append_new (list, json_pack ("[s,I,I]", id->instance, (json_int_t)id->incarnation,
-                                              (json_int_t)id->generation));
+      json_array_append_new (
+          list, json_pack ("[s,I,I,I]", closed->id.instance, (json_int_t)closed->id.incarnation,
+                           (json_int_t)closed->id.generation, (json_int_t)closed->spent));
     }
   return list;
 }
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -39,6 +39,14 @@
   struct sr_spend_limit limit; /* kept by the holder from the write on */
 };
 
+/* What an instance has closed. Entries of the same instance are compared by both fields, so that
+ * records of different ages can be merged. */
+struct sr_record_closed
+{
+  struct sr_holder_id id; /* the last closed holder of the instance */
+  int64_t spent;          /* by all closed holders of the instance; part of settled */
+};
+
 struct sr_record_top_up
 {
   GString *id;
@@ -54,7 +62,7 @@
   int64_t written_off; /* part of settled that was assumed, not reported, as spent */
   GPtrArray *top_ups;  /* struct sr_record_top_up */
   GArray *holders;     /* struct sr_record_holder, open ones */
-  GArray *closed;      /* struct sr_holder_id: the last closed holder of each instance */
+  GArray *closed;      /* struct sr_record_closed, one for each instance */
 };
 
 enum sr_top_up_verdict
@@ -67,6 +75,7 @@
 
 bool sr_holder_id_equal (const struct sr_holder_id *left, const struct sr_holder_id *right);
 struct sr_record *sr_record_new (void);
+struct sr_record *sr_record_copy (const struct sr_record *record);
 void sr_record_delete (struct sr_record *record);
 struct sr_record *sr_record_parse (const char *text, size_t length);
 struct sr_record *sr_record_from_json (json_t *root);
@@ -86,6 +95,11 @@
 bool sr_record_is_closed (const struct sr_record *record, const struct sr_holder_id *id);
 bool
 sr_record_merge_closed (struct sr_record *record, const struct sr_holder_id *id, int64_t spent);
+bool sr_record_merge (struct sr_record *record,
+                      const struct sr_record *known,
+                      const char *instance,
+                      uint64_t incarnation);
+void sr_record_clear_limits (struct sr_record *record);
 int64_t sr_record_max_spent (const struct sr_record_holder *holder, int64_t end_ms);
 void sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id, int64_t end_ms);
 enum sr_top_up_verdict sr_record_top_up (
