Budgets: grants that nobody knows after a restore are frozen, not repeated

Besides, the merge that a new process announced counted as the merge of the killed process before it.

The instance next in the order of primaries now reads the record when a peer ends that may have drawn, unless it has read it since. If it could not before the restore, or if a peer that was heard of since then has not merged in time, it lists the instance on the record as missing. Once all others have merged, what is left is frozen: returned tokens and top-ups can still be granted. An instance that was only out of reach takes itself off the list when it merges, which ends the freeze.

--- a/src/allotment/allotment-private.h
+++ b/src/allotment/allotment-private.h
@@ -31,10 +31,20 @@
   char *name;
   uint64_t incarnation;     /* the highest one known; 0: none */
   int64_t started_us;       /* of that incarnation, at the latest: earlier ones had ended by then */
+  int64_t heard_us;         /* when it last sent anything, or announced itself; 0: never */
   int64_t suspect_until_us; /* not used as a lender or primary until then */
   unsigned failures;        /* unanswered loan requests in a row */
 };
 
+/* A process of a peer that has ended. */
+struct allotment_ended
+{
+  char *name;
+  uint64_t incarnation; /* 0: not known */
+  int64_t ended_us;     /* at the latest */
+  bool is_unmerged;     /* it ended after a restore of the store, and had not reported its merge */
+};
+
 /* A reservation that waits for tokens. */
 struct allotment_waiter
 {
@@ -80,6 +90,8 @@
   bool merge_is_due;        /* after a restore: the record lacks tokens that are held here */
   uint64_t check_call;      /* number of the read that verifies an overdue write; 0: none yet */
   struct sr_record *record; /* as last read or written; NULL: not known */
+  int64_t seen_us;          /* when the call that last showed the record began; 0: never */
+  int64_t seen_before_us;   /* the same before the last restore */
   struct sr_record *known;  /* before a restore or a write with an unknown result; may be NULL */
   int64_t revision;         /* of record; 0: there is none yet */
   int64_t record_us;        /* when record was read or written; 0: outdated */
@@ -122,8 +134,10 @@
   uint64_t last_call;        /* number of the last call */
   int64_t restored_us;       /* when the store was last restored; 0: never */
   GHashTable *unmerged; /* names of peers that may hold tokens which the restored records lack */
-  bool draining;        /* peers become the primaries of all teams */
-  bool stopping;        /* nothing is lent or drawn any more */
+  GHashTable *incarnations; /* name of a peer: its highest incarnation known (uint64_t) */
+  GPtrArray *ended;         /* struct allotment_ended, of the last ENDED_MEMORY_US */
+  bool draining;            /* peers become the primaries of all teams */
+  bool stopping;            /* nothing is lent or drawn any more */
 };
 
 /* After a restore of the store, see merge.c. */
@@ -131,7 +145,21 @@
 bool allotment_merge_record_ (const struct allotment_manager *manager,
                               struct allotment_team *team,
                               struct sr_record *record,
-                              int64_t revision);
+                              int64_t revision,
+                              int64_t now_us);
+void allotment_ended_free_ (void *data);
+void allotment_note_ended_ (struct allotment_manager *manager,
+                            const char *name,
+                            uint64_t incarnation,
+                            int64_t ended_us,
+                            int64_t now_us);
+bool allotment_add_missing_ (const struct allotment_manager *manager,
+                             struct allotment_team *team,
+                             struct sr_record *record,
+                             int64_t now_us);
+bool allotment_ended_holder_is_unread_ (const struct allotment_manager *manager,
+                                        const struct allotment_team *team,
+                                        int64_t now_us);
 void allotment_set_unmerged_ (struct allotment_manager *manager, const GPtrArray *names);
 bool allotment_peers_may_be_merging_ (const struct allotment_manager *manager, int64_t now_us);
 
--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -55,6 +55,8 @@
   manager->teams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free_);
   manager->peers = g_ptr_array_new ();
   manager->unmerged = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  manager->incarnations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  manager->ended = g_ptr_array_new_with_free_func (allotment_ended_free_);
   return manager;
 }
 
@@ -72,6 +74,8 @@
     }
   g_ptr_array_unref (manager->peers);
   g_hash_table_unref (manager->unmerged);
+  g_hash_table_unref (manager->incarnations);
+  g_ptr_array_unref (manager->ended);
   g_free (manager);
 }
 
@@ -309,8 +313,11 @@
                                   int64_t now_us)
 {
   struct allotment_team *team = g_hash_table_lookup (manager->teams, request->team);
+  struct allotment_peer *peer = allotment_peer_find_ (manager, request->borrower);
   struct allotment_pending_loan_request *pending;
 
+  if (peer != NULL)
+    peer->heard_us = now_us;
   if (team == NULL)
     return; /* its configuration is not known here yet: the borrower sends the request again */
   for (GList *link = team->loan_requests.head; link != NULL; link = link->next)
@@ -354,6 +361,7 @@
 
   if (peer != NULL)
     {
+      peer->heard_us = now_us;
       peer->failures = 0;
       peer->suspect_until_us = reply->is_draining ? now_us + SUSPECT_MAX_US : 0;
     }
@@ -443,12 +451,22 @@
 allotment_manager_peer_started (struct allotment_manager *manager,
                                 const char *name,
                                 uint64_t incarnation,
-                                int64_t started_us)
+                                int64_t started_us,
+                                int64_t now_us)
 {
   struct allotment_peer *peer = allotment_peer_find_ (manager, name);
+  const uint64_t *known = g_hash_table_lookup (manager->incarnations, name);
 
+  if (strcmp (name, manager->options.instance) == 0)
+    return;
+  if (known != NULL && incarnation > *known)
+    allotment_note_ended_ (manager, name, *known, started_us, now_us);
+  if (known == NULL || incarnation > *known)
+    g_hash_table_replace (manager->incarnations, g_strdup (name),
+                          g_memdup2 (&incarnation, sizeof incarnation));
   if (peer == NULL)
     return;
+  peer->heard_us = now_us;
   if (incarnation > peer->incarnation)
     {
       peer->incarnation = incarnation;
@@ -458,6 +476,18 @@
   peer->suspect_until_us = 0;
 }
 
+/* Reports that peer NAME has ended, as its announcement was removed. */
+void
+allotment_manager_peer_ended (struct allotment_manager *manager, const char *name, int64_t now_us)
+{
+  const uint64_t *known = g_hash_table_lookup (manager->incarnations, name);
+
+  if (strcmp (name, manager->options.instance) == 0)
+    return;
+  allotment_note_ended_ (manager, name, known == NULL ? 0 : *known, now_us, now_us);
+  g_hash_table_remove (manager->incarnations, name);
+}
+
 /* Reports that the store's watcher can't reach the store: it is not called again until
  * allotment_manager_store_reachable. */
 void
@@ -613,12 +643,13 @@
   if (team->record != NULL && team->record != record)
     sr_record_delete (team->record);
   if (manager->restored_us != 0)
-    team->merge_is_due = allotment_merge_record_ (manager, team, record, revision);
+    team->merge_is_due = allotment_merge_record_ (manager, team, record, revision, now_us);
   if (!team->merge_is_due)
     g_clear_pointer (&team->known, sr_record_delete);
   team->record = record;
   team->revision = revision;
   team->record_us = now_us;
+  team->seen_us = team->step_started_us;
   team->store_is_down = false;
   sr_ledger_apply_read (team->ledger, record, revision);
 }
--- a/src/allotment/allotment.h
+++ b/src/allotment/allotment.h
@@ -141,7 +141,10 @@
 void allotment_manager_peer_started (struct allotment_manager *manager,
                                      const char *name,
                                      uint64_t incarnation,
-                                     int64_t started_us);
+                                     int64_t started_us,
+                                     int64_t now_us);
+void
+allotment_manager_peer_ended (struct allotment_manager *manager, const char *name, int64_t now_us);
 void allotment_manager_store_unreachable (struct allotment_manager *manager);
 void allotment_manager_store_reachable (struct allotment_manager *manager, int64_t now_us);
 void allotment_manager_store_restored (struct allotment_manager *manager,
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -38,6 +38,9 @@
 static void write_record_if_due_ (struct allotment_manager *manager,
                                   struct allotment_team *team,
                                   int64_t now_us);
+static bool freeze_is_due_ (const struct allotment_manager *manager,
+                            const struct allotment_team *team,
+                            int64_t now_us);
 static void
 process_team_once_ (struct allotment_manager *manager, struct allotment_team *team, int64_t now_us);
 static bool store_is_unavailable_ (const struct allotment_manager *manager,
@@ -481,6 +484,10 @@
   if (record->written_off > team->record->written_off)
     sr_event (SR_EVENT_INFO, "allotment_written_off", "{s:s,s:I}", "team", team->name, "tokens",
               (json_int_t)(record->written_off - team->record->written_off));
+  if (record->missing->len > 0 && record->frozen >= 0 && team->record->frozen != record->frozen)
+    sr_event (SR_EVENT_WARNING, "tokens_frozen", "{s:s,s:I,s:s}", "team", team->name, "tokens",
+              (json_int_t)record->frozen, "instance",
+              g_array_index (record->missing, struct sr_record_missing, 0).instance);
   team->step = STEP_WRITING;
   team->step_started_us = now_us;
   team->edited = record;
@@ -491,8 +498,9 @@
 }
 
 /* Returns a copy of the record to be written, with the updates that every write makes: the prepaid
- * total is raised, dead holders are closed with what they may have spent, and this instance's
- * earlier records shrink or close, see sr_ledger_close_retired. */
+ * total is raised, dead holders are closed with what they may have spent, what instances that are
+ * missing after a restore may have been granted is frozen, and this instance's earlier records
+ * shrink or close, see sr_ledger_close_retired. */
 static struct sr_record *
 copy_record_for_write_ (struct allotment_manager *manager,
                         struct allotment_team *team,
@@ -522,6 +530,9 @@
       if (end_ms != SR_TIME_UNKNOWN || !holder->limit.is_set)
         sr_record_write_off (record, &id, end_ms);
     }
+  allotment_add_missing_ (manager, team, record, now_us);
+  if (!allotment_peers_may_be_merging_ (manager, now_us))
+    sr_record_freeze (record);
   sr_ledger_close_retired (team->ledger, record,
                            manager->stopping ? SR_LEDGER_CLOSE : SR_LEDGER_KEEP_OPEN);
   return record;
@@ -567,7 +578,12 @@
 
   if (!may_call_store_ (manager, team, now_us))
     return;
-  if (!team->merge_is_due
+  if (allotment_ended_holder_is_unread_ (manager, team, now_us))
+    {
+      read_ (manager, team, now_us);
+      return;
+    }
+  if (!team->merge_is_due && !freeze_is_due_ (manager, team, now_us)
       && (team->ledger->own == NULL || !allotment_spend_limit_is_due_ (manager, team, now_us)))
     return;
   if (team->record == NULL)
@@ -581,6 +597,17 @@
   write_ (manager, team, record, 0, now_us);
 }
 
+/* Returns whether what is left must be frozen on the record: all merges are on it, and an instance
+ * is missing. */
+static bool
+freeze_is_due_ (const struct allotment_manager *manager,
+                const struct allotment_team *team,
+                int64_t now_us)
+{
+  return team->record != NULL && team->record->missing->len > 0 && team->record->frozen < 0
+         && !allotment_peers_may_be_merging_ (manager, now_us);
+}
+
 /* Sends a loan request for NEED more tokens to LENDER. Nothing is borrowed ahead of demand: the
  * lender is one round trip away, and tokens spread over borrowers can't serve a large request. */
 static void
--- a/src/budget/record.c
+++ b/src/budget/record.c
@@ -22,6 +22,9 @@
                                  const struct sr_record *known_record,
                                  const struct sr_record_closed *known);
 static bool parse_closed_ (struct sr_record *record, json_t *list);
+static int64_t unassigned_ (const struct sr_record *record);
+static bool parse_missing_ (struct sr_record *record, json_t *list);
+static json_t *missing_to_json_ (const struct sr_record *record);
 static json_t *closed_to_json_ (const struct sr_record *record);
 static bool parse_limit_ (json_t *json, struct sr_spend_limit *limit);
 static json_t *limit_to_json_ (const struct sr_spend_limit *limit);
@@ -45,6 +48,7 @@
   record->top_ups = g_ptr_array_new_with_free_func (top_up_free_);
   record->holders = g_array_new (FALSE, TRUE, sizeof (struct sr_record_holder));
   record->closed = g_array_new (FALSE, TRUE, sizeof (struct sr_record_closed));
+  record->missing = g_array_new (FALSE, TRUE, sizeof (struct sr_record_missing));
   return record;
 }
 
@@ -69,6 +73,7 @@
   g_ptr_array_unref (record->top_ups);
   g_array_unref (record->holders);
   g_array_unref (record->closed);
+  g_array_unref (record->missing);
   g_free (record);
 }
 
@@ -93,23 +98,27 @@
   json_t *top_ups;
   json_t *holders;
   json_t *closed = NULL;
+  json_t *missing = NULL;
+  json_int_t frozen = 0;
   json_int_t prepaid;
   json_int_t settled;
   json_int_t written_off;
   bool is_valid;
 
-  is_valid = root != NULL
-             && json_unpack (root, "{s:I,s:I,s:I,s:o,s:o,s?o}", "prepaid", &prepaid, "settled",
-                             &settled, "written_off", &written_off, "top_ups", &top_ups, "holders",
-                             &holders, "closed", &closed)
-                    == 0
-             && parse_top_ups_ (record, top_ups) && parse_holders_ (record, holders)
-             && parse_closed_ (record, closed);
+  is_valid
+      = root != NULL
+        && json_unpack (root, "{s:I,s:I,s:I,s:o,s:o,s?o,s?o,s?I}", "prepaid", &prepaid, "settled",
+                        &settled, "written_off", &written_off, "top_ups", &top_ups, "holders",
+                        &holders, "closed", &closed, "missing", &missing, "frozen", &frozen)
+               == 0
+        && parse_top_ups_ (record, top_ups) && parse_holders_ (record, holders)
+        && parse_closed_ (record, closed) && parse_missing_ (record, missing);
   if (is_valid)
     {
       record->prepaid = prepaid;
       record->settled = settled;
       record->written_off = written_off;
+      record->frozen = frozen;
     }
   if (is_valid)
     return record;
@@ -135,15 +144,18 @@
 {
   json_t *top_ups = json_array ();
   json_t *holders = json_array ();
+  json_t *missing = missing_to_json_ (record);
 
   for (unsigned i = 0; i < record->top_ups->len; i++)
     json_array_append_new (top_ups, top_up_to_json_ (record->top_ups->pdata[i]));
   for (unsigned i = 0; i < record->holders->len; i++)
     json_array_append_new (
         holders, holder_to_json_ (&g_array_index (record->holders, struct sr_record_holder, i)));
-  return json_pack ("{s:I,s:I,s:I,s:o,s:o,s:o*}", "prepaid", (json_int_t)record->prepaid, "settled",
-                    (json_int_t)record->settled, "written_off", (json_int_t)record->written_off,
-                    "top_ups", top_ups, "holders", holders, "closed", closed_to_json_ (record));
+  return json_pack ("{s:I,s:I,s:I,s:o,s:o,s:o*,s:o*,s:o*}", "prepaid", (json_int_t)record->prepaid,
+                    "settled", (json_int_t)record->settled, "written_off",
+                    (json_int_t)record->written_off, "top_ups", top_ups, "holders", holders,
+                    "closed", closed_to_json_ (record), "missing", missing, "frozen",
+                    missing == NULL ? NULL : json_integer ((json_int_t)record->frozen));
 }
 
 /* Returns the tokens granted to the open holders, spent or not. */
@@ -158,13 +170,76 @@
 }
 
 /* Returns the tokens that can still be granted. Negative after a correction that removed tokens
- * already granted or settled. */
+ * already granted or settled, or while tokens are frozen that were granted after all. */
 int64_t
 sr_record_remaining (const struct sr_record *record)
+{
+  if (record->missing->len > 0 && record->frozen < 0)
+    return MIN (unassigned_ (record), 0);
+  return unassigned_ (record) - (record->missing->len > 0 ? record->frozen : 0);
+}
+
+/* Returns the tokens that are neither granted nor settled, frozen or not. */
+static int64_t
+unassigned_ (const struct sr_record *record)
 {
   return record->prepaid - record->settled - sr_record_outstanding (record);
 }
 
+/* Notes that INCARNATION of INSTANCE may have been granted tokens that RECORD, after a restore of
+ * the platform, does not show: nothing is granted until sr_record_freeze. Returns whether RECORD
+ * was changed. */
+bool
+sr_record_add_missing (struct sr_record *record, const char *instance, uint64_t incarnation)
+{
+  struct sr_record_missing fresh = { .incarnation = incarnation };
+
+  for (unsigned i = 0; i < record->missing->len; i++)
+    {
+      const struct sr_record_missing *missing
+          = &g_array_index (record->missing, struct sr_record_missing, i);
+
+      if (missing->incarnation == incarnation && strcmp (missing->instance, instance) == 0)
+        return false;
+    }
+  g_strlcpy (fresh.instance, instance, sizeof fresh.instance);
+  g_array_append_val (record->missing, fresh);
+  record->frozen = -1;
+  return true;
+}
+
+/* Notes that what INCARNATION of INSTANCE was granted is in RECORD. When no others are missing, the
+ * frozen tokens can be granted again. Returns whether RECORD was changed. */
+bool
+sr_record_remove_missing (struct sr_record *record, const char *instance, uint64_t incarnation)
+{
+  for (unsigned i = 0; i < record->missing->len; i++)
+    {
+      const struct sr_record_missing *missing
+          = &g_array_index (record->missing, struct sr_record_missing, i);
+
+      if (missing->incarnation != incarnation || strcmp (missing->instance, instance) != 0)
+        continue;
+      g_array_remove_index (record->missing, i);
+      if (record->missing->len == 0)
+        record->frozen = 0;
+      return true;
+    }
+  return false;
+}
+
+/* Determines the frozen tokens of RECORD, if instances are missing and that has not been done:
+ * everything that is left. Call when all other instances have put back what they were granted.
+ * Returns whether RECORD was changed. */
+bool
+sr_record_freeze (struct sr_record *record)
+{
+  if (record->missing->len == 0 || record->frozen >= 0)
+    return false;
+  record->frozen = MAX (unassigned_ (record), 0);
+  return true;
+}
+
 /* Returns the open holder ID of RECORD, or NULL. Valid until a holder is added or removed. */
 struct sr_record_holder *
 sr_record_find (const struct sr_record *record, const struct sr_holder_id *id)
@@ -283,6 +358,14 @@
           && merge_holder_ (record, holder))
         changed = true;
     }
+  for (unsigned i = 0; i < known->missing->len; i++)
+    {
+      const struct sr_record_missing *missing
+          = &g_array_index (known->missing, struct sr_record_missing, i);
+
+      if (sr_record_add_missing (record, missing->instance, missing->incarnation))
+        changed = true;
+    }
   return changed;
 }
 
@@ -557,6 +640,47 @@
   return list;
 }
 
+/* Parses the list from missing_to_json_. A missing one (NULL) means that there are none. */
+static bool
+parse_missing_ (struct sr_record *record, json_t *list)
+{
+  size_t index;
+  json_t *each;
+
+  json_array_foreach (list, index, each)
+  {
+    struct sr_record_missing missing = { 0 };
+    const char *instance;
+    json_int_t incarnation;
+
+    if (json_unpack (each, "[s,I]", &instance, &incarnation) != 0
+        || !copy_name_ (missing.instance, instance))
+      return false;
+    missing.incarnation = (uint64_t)incarnation;
+    g_array_append_val (record->missing, missing);
+  }
+  return true;
+}
+
+static json_t *
+missing_to_json_ (const struct sr_record *record)
+{
+  json_t *list;
+
+  if (record->missing->len == 0)
+    return NULL;
+  list = json_array ();
+  for (unsigned i = 0; i < record->missing->len; i++)
+    {
+      const struct sr_record_missing *missing
+          = &g_array_index (record->missing, struct sr_record_missing, i);
+
+      json_array_append_new (
+          list, json_pack ("[s,I]", missing->instance, (json_int_t)missing->incarnation));
+    }
+  return list;
+}
+
 /* Parses the object from limit_to_json_. A missing one (NULL) means that no limit is set. */
 static bool
 parse_limit_ (json_t *json, struct sr_spend_limit *limit)
--- a/src/budget/record.h
+++ b/src/budget/record.h
@@ -47,6 +47,14 @@
   int64_t spent;          /* by all closed holders of the instance; part of settled */
 };
 
+/* An instance that ended around a restore of the platform, or was out of reach, so that nobody
+ * knows what it had been granted since the copy. */
+struct sr_record_missing
+{
+  char instance[SR_BUDGET_NAME_MAX_BYTES];
+  uint64_t incarnation;
+};
+
 struct sr_record_top_up
 {
   GString *id;
@@ -63,6 +71,9 @@
   GPtrArray *top_ups;  /* struct sr_record_top_up */
   GArray *holders;     /* struct sr_record_holder, open ones */
   GArray *closed;      /* struct sr_record_closed, one for each instance */
+  GArray *missing;     /* struct sr_record_missing */
+  int64_t frozen;      /* if any are missing: not granted, as they may have been granted it; -1: not
+                          determined yet, nothing is granted */
 };
 
 enum sr_top_up_verdict
@@ -99,6 +110,10 @@
                       const struct sr_record *known,
                       const char *instance,
                       uint64_t incarnation);
+bool sr_record_add_missing (struct sr_record *record, const char *instance, uint64_t incarnation);
+bool
+sr_record_remove_missing (struct sr_record *record, const char *instance, uint64_t incarnation);
+bool sr_record_freeze (struct sr_record *record);
 void sr_record_clear_limits (struct sr_record *record);
 int64_t sr_record_max_spent (const struct sr_record_holder *holder, int64_t end_ms);
 void sr_record_write_off (struct sr_record *record, const struct sr_holder_id *id, int64_t end_ms);
--- a/src/gateway/updates.c
+++ b/src/gateway/updates.c
@@ -353,16 +353,19 @@
       json_int_t merged_era
           = json_integer_value (json_object_get (object->content, FIELD_MERGED_ERA));
 
-      if (object->deleted || (merged_era != 0 && merged_era == gateway->store->era))
-        allotment_manager_peer_merged (gateway->context.allotments, object->name,
-                                       g_get_monotonic_time ());
-
-      /* The revision of an announcement determines the incarnation only until the announcement is
+      /* First, as the merge that a new process announces says nothing of the one before it. The
+       * revision of an announcement determines the incarnation only until the announcement is
        * rewritten with the leaving flag. */
       if (!object->deleted && !g_hash_table_contains (gateway->leaving_instances, object->name))
         allotment_manager_peer_started (gateway->context.allotments, object->name,
                                         gateway_incarnation_ (gateway, object),
-                                        process_started_us_ (object));
+                                        process_started_us_ (object), g_get_monotonic_time ());
+      if (object->deleted || (merged_era != 0 && merged_era == gateway->store->era))
+        allotment_manager_peer_merged (gateway->context.allotments, object->name,
+                                       g_get_monotonic_time ());
+      if (object->deleted)
+        allotment_manager_peer_ended (gateway->context.allotments, object->name,
+                                      g_get_monotonic_time ());
     }
 }
 
--- a/testing/unit/allotment-simulation.c
+++ b/testing/unit/allotment-simulation.c
@@ -361,9 +361,11 @@
     if (&simulation->instances[i] != instance && simulation->instances[i].manager != NULL)
       {
         allotment_manager_peer_started (simulation->instances[i].manager, instance->name,
-                                        instance->incarnation, simulation->now_us);
+                                        instance->incarnation, simulation->now_us,
+                                        simulation->now_us);
         allotment_manager_peer_started (instance->manager, simulation->instances[i].name,
-                                        simulation->instances[i].incarnation, simulation->now_us);
+                                        simulation->instances[i].incarnation, simulation->now_us,
+                                        simulation->now_us);
         if (simulation->instances[i].merged_era == simulation->era)
           allotment_manager_peer_merged (instance->manager, simulation->instances[i].name,
                                          simulation->now_us);
@@ -777,6 +779,19 @@
   return primary;
 }
 
+/* Returns whether the current era's record says that tokens are frozen, as an instance that may
+ * have been granted them ended around a restore of the store. */
+bool
+allotment_simulation_has_frozen (const struct allotment_simulation *simulation)
+{
+  g_autofree char *kind = simulation->era == STORE_ERA_FIRST
+                              ? g_strdup ("budgets")
+                              : g_strdup_printf ("budgets-%d", (int)simulation->era);
+  const json_t *content = json_object_get (json_object_get (simulation->objects, kind), "content");
+
+  return json_integer_value (json_object_get (content, "frozen")) > 0;
+}
+
 /* Kills all instances and starts them again after a second, then runs for two more. */
 void
 allotment_simulation_crash_all (struct allotment_simulation *simulation)
--- a/testing/unit/allotment-simulation.h
+++ b/testing/unit/allotment-simulation.h
@@ -79,6 +79,7 @@
 void allotment_simulation_cut_all (struct allotment_simulation *simulation);
 void allotment_simulation_reconnect_all (struct allotment_simulation *simulation);
 void allotment_simulation_restore_store (struct allotment_simulation *simulation, int64_t age_us);
+bool allotment_simulation_has_frozen (const struct allotment_simulation *simulation);
 struct simulated_instance *allotment_simulation_primary (struct allotment_simulation *simulation);
 bool allotment_simulation_delay_loan_request (struct allotment_simulation *simulation,
                                               const struct simulated_instance *from,
