Budgets: look for unread ends once a tick, not with every reservation

The check compares the weights of all peers while a peer has ended within the last minute; with 620 instances that replace each other it would run with every request.

--- a/src/allotment/allotment-private.h
+++ b/src/allotment/allotment-private.h
@@ -153,6 +153,7 @@
                             uint64_t incarnation,
                             int64_t ended_us,
                             int64_t now_us);
+void allotment_prune_ended_ (struct allotment_manager *manager, int64_t now_us);
 bool allotment_add_missing_ (const struct allotment_manager *manager,
                              struct allotment_team *team,
                              struct sr_record *record,
@@ -187,6 +188,9 @@
 void allotment_process_team_ (struct allotment_manager *manager,
                               struct allotment_team *team,
                               int64_t now_us);
+void allotment_read_after_end_ (struct allotment_manager *manager,
+                                struct allotment_team *team,
+                                int64_t now_us);
 void allotment_return_idle_ (struct allotment_manager *manager,
                              struct allotment_team *team,
                              int64_t now_us);
--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -411,6 +411,7 @@
   GHashTableIter iter;
   void *value;
 
+  allotment_prune_ended_ (manager, now_us);
   g_hash_table_iter_init (&iter, manager->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -436,6 +437,7 @@
         }
       allotment_process_team_ (manager, team, now_us);
       allotment_return_idle_ (manager, team, now_us);
+      allotment_read_after_end_ (manager, team, now_us);
       if (team->is_borrowing)
         due_us = MIN (due_us, team->request_sent_us
                                   + ((int64_t)REQUEST_RETRY_US << (team->request_attempts - 1)));
--- a/src/allotment/merge.c
+++ b/src/allotment/merge.c
@@ -17,7 +17,6 @@
 };
 
 static bool ended_recently_ (const struct allotment_manager *manager, const char *name);
-static void prune_ended_ (struct allotment_manager *manager, int64_t now_us);
 static bool answers_for_ended_ (const struct allotment_manager *manager,
                                 const struct allotment_team *team,
                                 int64_t now_us);
@@ -38,7 +37,7 @@
   void *value;
 
   manager->restored_us = now_us;
-  prune_ended_ (manager, now_us);
+  allotment_prune_ended_ (manager, now_us);
   allotment_set_unmerged_ (manager, instances);
   g_hash_table_iter_init (&iter, manager->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -177,7 +176,7 @@
   GHashTableIter iter;
   void *value;
 
-  prune_ended_ (manager, now_us);
+  allotment_prune_ended_ (manager, now_us);
   *ended = (struct allotment_ended){ g_strdup (name), incarnation, MIN (ended_us, now_us),
                                      g_hash_table_contains (manager->unmerged, name) };
   g_ptr_array_add (manager->ended, ended);
@@ -209,7 +208,9 @@
   GHashTableIter iter;
   void *name;
 
-  if (manager->restored_us == 0 || !answers_for_ended_ (manager, team, now_us))
+  if (manager->restored_us == 0
+      || (manager->ended->len == 0 && g_hash_table_size (manager->unmerged) == 0)
+      || !answers_for_ended_ (manager, team, now_us))
     return false;
   for (unsigned i = 0; i < manager->ended->len; i++)
     {
@@ -254,20 +255,21 @@
 {
   const struct sr_record *record = team->record != NULL ? team->record : team->known;
 
-  if (manager->stopping || !answers_for_ended_ (manager, team, now_us))
+  if (manager->stopping)
     return false;
   for (unsigned i = 0; i < manager->ended->len; i++)
     {
       const struct allotment_ended *ended = manager->ended->pdata[i];
 
       if (team->seen_us <= ended->ended_us && may_have_drawn_ (manager, team, record, ended->name))
-        return true;
+        return answers_for_ended_ (manager, team, now_us);
     }
   return false;
 }
 
-static void
-prune_ended_ (struct allotment_manager *manager, int64_t now_us)
+/* Forgets the ends that are too long ago to matter in a restore. */
+void
+allotment_prune_ended_ (struct allotment_manager *manager, int64_t now_us)
 {
   for (unsigned i = manager->ended->len; i > 0; i--)
     if (now_us - ((const struct allotment_ended *)manager->ended->pdata[i - 1])->ended_us
--- a/src/allotment/supply.c
+++ b/src/allotment/supply.c
@@ -275,6 +275,18 @@
   return NULL;
 }
 
+/* Reads the record of TEAM if a peer has ended that may have drawn since the last read: after a
+ * restore of the store, what it drew would be known to nobody. */
+void
+allotment_read_after_end_ (struct allotment_manager *manager,
+                           struct allotment_team *team,
+                           int64_t now_us)
+{
+  if (may_call_store_ (manager, team, now_us)
+      && allotment_ended_holder_is_unread_ (manager, team, now_us))
+    read_ (manager, team, now_us);
+}
+
 /* Obtains NEED tokens for waiting reservations: from the first instance in the team's rendezvous
  * order that can be expected to have or draw them. Refuses the reservations if there is none. */
 static void
@@ -578,11 +590,6 @@
 
   if (!may_call_store_ (manager, team, now_us))
     return;
-  if (allotment_ended_holder_is_unread_ (manager, team, now_us))
-    {
-      read_ (manager, team, now_us);
-      return;
-    }
   if (!team->merge_is_due && !freeze_is_due_ (manager, team, now_us)
       && (team->ledger->own == NULL || !allotment_spend_limit_is_due_ (manager, team, now_us)))
     return;
