--- a/src/budget/test-ledger-merge.c
+++ b/src/budget/test-ledger-merge.c
@@ -200,6 +200,116 @@
   sr_ledger_delete (ledger);
 }
 
+static struct sr_holder_id
+id_ (const char *instance, uint64_t generation)
+{
+  struct sr_holder_id id = { .incarnation = 1, .generation = generation };
+
+  g_strlcpy (id.instance, instance, sizeof id.instance);
+  return id;
+}
+
+static struct sr_record_holder *
+open_ (struct sr_record *record, const struct sr_holder_id *id, int64_t granted, uint64_t serial)
+{
+  struct sr_record_holder *holder = sr_record_open (record, id, "makole");
+
+  holder->granted = granted;
+  holder->serial = serial;
+  return holder;
+}
+
+/* Another instance's holder is opened or granted more after the copy: what an instance saw of it
+ * must be put back once, without the spend limit, which the holder may have raised since. */
+static void
+holders_of_others_are_put_back (void **state)
+{
+  const struct sr_holder_id first = id_ ("front-2", 1);
+  const struct sr_holder_id second = id_ ("front-3", 1);
+  struct sr_record *known = record_new_ ();
+  struct sr_record *copy = record_new_ ();
+
+  open_ (copy, &first, GRANTED, 1);
+  open_ (known, &first, 3 * GRANTED, 4)->limit = (struct sr_spend_limit){ .is_set = true };
+  open_ (known, &second, GRANTED, 1);
+  assert_true (sr_record_merge (copy, known, "front-1", 1));
+  assert_int_equal (sr_record_outstanding (copy), 4 * GRANTED);
+  assert_false (sr_record_find (copy, &first)->limit.is_set);
+  assert_false (sr_record_merge (copy, known, "front-1", 1));
+  sr_record_delete (copy);
+  sr_record_delete (known);
+}
+
+/* A holder has given tokens back, and written that into the restored record, after an instance saw
+ * its grant: the merge must not raise it again. */
+static void
+a_later_write_of_a_holder_is_kept (void **state)
+{
+  const struct sr_holder_id id = id_ ("front-2", 1);
+  struct sr_record *known = record_new_ ();
+  struct sr_record *record = record_new_ ();
+
+  open_ (known, &id, 3 * GRANTED, 4);
+  open_ (record, &id, GRANTED, 5);
+  assert_false (sr_record_merge (record, known, "front-1", 1));
+  assert_int_equal (sr_record_outstanding (record), GRANTED);
+  sr_record_delete (record);
+  sr_record_delete (known);
+}
+
+/* Two instances have closed holders after the copy. One has put its closing back already: the merge
+ * must add what the other one had spent, not only raise the sum to the known one. */
+static void
+tokens_settled_by_others_are_put_back (void **state)
+{
+  const struct sr_holder_id first = id_ ("front-2", 1);
+  const struct sr_holder_id second = id_ ("front-3", 1);
+  struct sr_record *known = record_new_ ();
+  struct sr_record *copy = record_new_ ();
+  struct sr_record *parsed;
+
+  open_ (copy, &first, GRANTED, 1);
+  open_ (known, &first, GRANTED, 1);
+  sr_record_close (known, &first, USED);
+  assert_true (sr_record_merge_closed (copy, &second, GRANTED)); /* by its holder */
+  parsed = copy_ (known);
+  assert_true (sr_record_merge (copy, parsed, "front-1", 1));
+  assert_int_equal (copy->settled, USED + GRANTED);
+  assert_int_equal (sr_record_outstanding (copy), 0);
+  assert_false (sr_record_merge (copy, parsed, "front-1", 1));
+  sr_record_delete (parsed);
+  sr_record_delete (copy);
+  sr_record_delete (known);
+}
+
+/* While an instance is missing after a restore, nothing that was left may be granted, also after
+ * the record was stored and read; what is returned and topped up later may. */
+static void
+tokens_of_missing_instances_are_frozen (void **state)
+{
+  const struct sr_holder_id id = id_ ("front-2", 1);
+  struct sr_record *record = record_new_ ();
+  struct sr_record *read;
+
+  open_ (record, &id, GRANTED, 1);
+  assert_true (sr_record_add_missing (record, "front-3", 7));
+  assert_false (sr_record_add_missing (record, "front-3", 7));
+  assert_int_equal (sr_record_remaining (record), 0);
+  assert_true (sr_record_freeze (record));
+  assert_false (sr_record_freeze (record));
+  read = copy_ (record);
+  assert_int_equal (sr_record_remaining (read), 0);
+  sr_record_close (read, &id, USED);
+  assert_int_equal (sr_record_remaining (read), GRANTED - USED);
+  read->prepaid += PREPAID;
+  assert_int_equal (sr_record_remaining (read), PREPAID + GRANTED - USED);
+  assert_false (sr_record_remove_missing (read, "front-3", 8));
+  assert_true (sr_record_remove_missing (read, "front-3", 7));
+  assert_int_equal (sr_record_remaining (read), 2 * PREPAID - USED);
+  sr_record_delete (read);
+  sr_record_delete (record);
+}
+
 int
 main (void)
 {
@@ -209,6 +319,10 @@
     cmocka_unit_test (a_record_restored_as_closed_is_not_reopened),
     cmocka_unit_test (a_draw_before_the_restore_is_not_taken_for_a_later_one),
     cmocka_unit_test (a_merge_is_repeated_while_its_write_is_in_doubt),
+    cmocka_unit_test (holders_of_others_are_put_back),
+    cmocka_unit_test (a_later_write_of_a_holder_is_kept),
+    cmocka_unit_test (tokens_settled_by_others_are_put_back),
+    cmocka_unit_test (tokens_of_missing_instances_are_frozen),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
