Competing requests are refused early, by rank and team volume

While servers could not serve all, every class waited in their queues and was late, and a team that sent many times its usual volume took the others' capacity. Where callers compete, each request asks the precedence of its service before it is first sent, and is refused (503 outranked) if others take precedence; first bytes, requests overdue at 75% of their objective and refusals by servers tell it how things go. Retry-After spreads the returns (GW_RETRY_AFTER_OUTRANKED). Without [callers] compete nothing changes.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -140,7 +140,10 @@
                      (json_int_t)((now_us - context->store_outage_since_us) / GW_US_PER_MS)));
       return;
     }
-  if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_ALL_FULL)
+  if (verdict != GW_PLACEMENT_NO_BACKEND && gw_exchange_refuse_outranked_ (exchange, verdict))
+    return;
+  if (verdict == GW_PLACEMENT_NO_BACKEND
+      || (verdict == GW_PLACEMENT_ALL_FULL && !gw_exchange_outranks_queue_ (exchange)))
     {
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_BUSY,
@@ -277,6 +280,8 @@
       exchange->runs--;
       if (head->status == HTTP_MISDIRECTED)
         report_replaced_backend_ (exchange, now_us);
+      else
+        gw_exchange_note_not_served_ (exchange, now_us);
       gw_exchange_end_attempt_ (exchange, head->status == HTTP_MISDIRECTED
                                               ? GW_ATTEMPT_MISDIRECTED
                                               : GW_ATTEMPT_NOT_EXECUTED);
@@ -312,6 +317,7 @@
                            response->is_encoded ? "encoded_answer" : "unclear_answer");
       return;
     }
+  gw_exchange_note_served_ (exchange, now_us);
   exchange->head_received = true;
   exchange->status = head->status;
   exchange->is_event_stream = response->is_event_stream;
@@ -631,7 +637,7 @@
 gw_exchange_set_timer_ (struct gw_exchange *exchange)
 {
   int64_t now_us = g_get_monotonic_time ();
-  int64_t due_us = exchange->deadline_us;
+  int64_t due_us = MIN (exchange->deadline_us, gw_exchange_overdue_us_ (exchange));
 
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
     due_us
@@ -687,6 +693,11 @@
   int64_t now_us = g_get_monotonic_time ();
   bool server_is_silent = false;
 
+  if (now_us < exchange->deadline_us && gw_exchange_note_overdue_ (exchange, now_us))
+    {
+      gw_exchange_set_timer_ (exchange);
+      return;
+    }
   if (now_us >= exchange->deadline_us)
     {
       end_unfinished_ (
--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -1,5 +1,6 @@
 /* State shared by exchange.c, the life cycle of an exchange, attempt.c, its attempts at backend
- * servers, and exchange-quarantine.c, what it reports to and asks of the quarantine. */
+ * servers, exchange-quarantine.c, what it reports to and asks of the quarantine, and
+ * exchange-precedence.c, the same for the precedence. */
 #pragma once
 
 #include "base/counters.h"
@@ -59,6 +60,11 @@
   int64_t used_tokens; /* set when the reservation is settled */
   GArray *parts;       /* of the reservation; NULL: none, or settled */
   unsigned runs;       /* attempts that a backend server may have executed */
+  struct gw_precedence
+      *precedence;     /* of the service; NULL: callers do not compete, or not admitted */
+  double cost;         /* as counted there */
+  int64_t admitted_us; /* when it was admitted there */
+  bool result_noted;   /* there */
   /* The current attempt. */
   unsigned attempts; /* requests sent so far, over all attempts */
   struct gw_upstream *upstream;
@@ -112,6 +118,14 @@
 enum quarantine_progress gw_exchange_progress_ (const struct gw_exchange *exchange);
 void gw_exchange_note_survival_ (struct gw_exchange *exchange, int64_t now_us);
 json_t *gw_exchange_parts_to_json_ (const struct gw_exchange *exchange);
+void gw_exchange_register_precedence_metrics_ (void);
+bool gw_exchange_refuse_outranked_ (struct gw_exchange *exchange,
+                                    enum gw_placement_verdict verdict);
+bool gw_exchange_outranks_queue_ (struct gw_exchange *exchange);
+void gw_exchange_note_served_ (struct gw_exchange *exchange, int64_t now_us);
+void gw_exchange_note_not_served_ (struct gw_exchange *exchange, int64_t now_us);
+int64_t gw_exchange_overdue_us_ (const struct gw_exchange *exchange);
+bool gw_exchange_note_overdue_ (struct gw_exchange *exchange, int64_t now_us);
 void gw_exchange_register_attempt_metrics_ (void);
 const struct gw_upstream_user_vtable *gw_exchange_upstream_vtable_ (void);
 const char *gw_exchange_state_to_string_ (enum gw_exchange_state state);
--- a/src/gateway/exchange.c
+++ b/src/gateway/exchange.c
@@ -54,6 +54,7 @@
 gw_exchange_register_metrics (void)
 {
   gw_exchange_register_attempt_metrics_ ();
+  gw_exchange_register_precedence_metrics_ ();
   sr_counter_register (&requests_counter_);
   sr_counter_register (&refused_counter_);
   sr_counter_register (&failed_counter_);
@@ -426,6 +427,8 @@
     .cause = cause,
     .response_ms = gw_backends_mean_response_ms (context->backends, exchange->service_name),
     .pause_ms = exchange->place.resumes_in_ms,
+    .outranked_ms
+    = exchange->precedence == NULL ? 0 : gw_precedence_retry_ms (exchange->precedence),
     .outage_ms = (now_us - outage_since_us) / GW_US_PER_MS,
     .remaining_ms
     = exchange->deadline_us == INT64_MAX ? 0 : (exchange->deadline_us - now_us) / GW_US_PER_MS,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/dialect.h"
 #include "gateway/link-load.h"
 #include "gateway/placement.h"
+#include "gateway/precedence.h"
 #include "gateway/retry-budget.h"
 #include "gateway/routes.h"
 #include "quarantine/quarantine.h"
@@ -36,7 +37,8 @@
   int64_t store_outage_since_us;  /* start of the store outage; 0: the store is reachable */
   int64_t backend_leave_limit_us; /* a backend server must get no new requests once this long has
                                      passed since it announced its shutdown */
-  bool callers_compete; /* for too little capacity: servers are told the ranks of requests */
+  bool callers_compete;    /* for too little capacity: servers are told the ranks of requests */
+  GHashTable *precedences; /* service name: struct gw_precedence; used while callers compete */
   GRand *random;
   bool stopping;
   int64_t stopping_since_us;
@@ -50,4 +52,5 @@
   void (*announce_replaced) (struct gw_context *context, const struct gw_backend *backend);
 };
 
+struct gw_precedence *gw_context_precedence (struct gw_context *context, const char *service);
 struct gw_retry_budget *gw_context_retry_budget (struct gw_context *context, const char *service);
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -32,10 +32,11 @@
   WORK_TIME_USUAL_PERCENT = 100,
   WORK_TIME_MIN_PERCENT = 25, /* limits of what a report can change, also a false one */
   WORK_TIME_MAX_PERCENT = 1000,
-  REPORT_DECAY_US = 600000, /* time constant of a load report, which is soon outdated */
-  SILENCE_US = 700000,      /* without a byte while requests run: ten times the longest step */
-  EJECT_FIRST_US = 500000,  /* after a broken connection; doubles with each further one */
-  EJECT_MAX_US = 8000000,   /* a crashed server has commonly restarted by then */
+  QUEUE_REPORT_US = 1000000, /* a reported queue is assumed to last this long */
+  REPORT_DECAY_US = 600000,  /* time constant of a load report, which is soon outdated */
+  SILENCE_US = 700000,       /* without a byte while requests run: ten times the longest step */
+  EJECT_FIRST_US = 500000,   /* after a broken connection; doubles with each further one */
+  EJECT_MAX_US = 8000000,    /* a crashed server has commonly restarted by then */
   REPLACED_US = 10000000,   /* ejection of a replaced server: the longest store outage, during which
                                its entry stays */
   PART_CACHED_US = 9000000, /* a prompt part is assumed cached this long after use, by default */
@@ -309,6 +310,17 @@
   return backend->load->in_flight > 0 && now_us - backend->load->silent_since_us > SILENCE_US;
 }
 
+/* Returns whether requests wait at BACKEND: it has reported so lately, or more requests are there
+ * than it runs at once. */
+bool
+gw_placement_has_queue (const struct gw_backend *backend, int64_t now_us)
+{
+  const struct gw_backend_load *load = backend->load;
+
+  return (load->reported_waiting > 0 && now_us - load->reported_us < QUEUE_REPORT_US)
+         || load->in_flight + peer_requests_ (load, now_us) >= MAX (backend->facts.slots, 1U);
+}
+
 static double
 expected_ms_ (const struct gw_placement_query *query,
               const struct gw_backend *backend,
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -82,4 +82,5 @@
 bool gw_placement_set_replaced (struct gw_backend *backend, int64_t now_us);
 void gw_placement_pause (struct gw_backend *backend, int64_t pause_ms, int64_t now_us);
 bool gw_placement_is_paused (const struct gw_backend *backend, int64_t now_us);
+bool gw_placement_has_queue (const struct gw_backend *backend, int64_t now_us);
 bool gw_placement_is_silent (const struct gw_backend *backend, int64_t now_us);
--- a/src/gateway/retry-after.c
+++ b/src/gateway/retry-after.c
@@ -71,6 +71,8 @@
       return MAX (query->pause_ms, 1);
     case GW_RETRY_AFTER_BUSY:
       return CLAMP (query->response_ms / 2, SLOTS_MIN_MS, SLOTS_MAX_MS);
+    case GW_RETRY_AFTER_OUTRANKED:
+      return MAX (query->outranked_ms, SLOTS_MIN_MS);
     case GW_RETRY_AFTER_OUTAGE:
       /* An outage is likely to last as long again as it has lasted so far. */
       return CLAMP (query->outage_ms / 2, OUTAGE_MIN_MS, OUTAGE_MAX_MS);
--- a/src/gateway/retry-after.h
+++ b/src/gateway/retry-after.h
@@ -11,6 +11,7 @@
   GW_RETRY_AFTER_ELSEWHERE, /* a peer has capacity now */
   GW_RETRY_AFTER_BUSY,      /* slots of backend servers become free all the time */
   GW_RETRY_AFTER_PAUSE,     /* backend servers accept no requests before a known time */
+  GW_RETRY_AFTER_OUTRANKED, /* servers have too little capacity for all, for an unknown time */
   GW_RETRY_AFTER_OUTAGE     /* something is unreachable, often for an unknown time */
 };
 
@@ -19,6 +20,7 @@
   enum gw_retry_after_cause cause;
   int64_t response_ms;     /* GW_RETRY_AFTER_BUSY: mean time of a response; 0: unknown */
   int64_t pause_ms;        /* GW_RETRY_AFTER_PAUSE: remaining time of the pause */
+  int64_t outranked_ms;    /* GW_RETRY_AFTER_OUTRANKED: earliest time, without a deadline */
   int64_t outage_ms;       /* GW_RETRY_AFTER_OUTAGE: its duration so far */
   int64_t available_in_ms; /* GW_RETRY_AFTER_OUTAGE: until tokens are available without the store;
                               0: unknown */
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -111,6 +111,20 @@
   return budget;
 }
 
+/* Returns the precedence among requests to SERVICE, which is created on first use. */
+struct gw_precedence *
+gw_context_precedence (struct gw_context *context, const char *service)
+{
+  struct gw_precedence *precedence = g_hash_table_lookup (context->precedences, service);
+
+  if (precedence == NULL)
+    {
+      precedence = gw_precedence_new (g_get_monotonic_time ());
+      g_hash_table_insert (context->precedences, g_strdup (service), precedence);
+    }
+  return precedence;
+}
+
 static bool
 start_ (struct gateway *gateway)
 {
@@ -153,6 +167,8 @@
   context->backends = gw_backends_new ();
   gw_backends_set_leaving_func (context->backends, gateway_on_backend_leaving_, gateway);
   context->retry_budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  context->precedences = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                                (GDestroyNotify)gw_precedence_delete);
   context->retry_options = retry_options_from_settings_ (settings);
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
--- a/src/gateway/test-retry-after.c
+++ b/src/gateway/test-retry-after.c
@@ -159,6 +159,24 @@
   assert_true (retries.last_s <= 0.05);
 }
 
+/* Guards against callers that come back together, or beyond their time, after a refusal in favour
+ * of others. */
+static void
+outranked_callers_come_back_spread_over_time (void **state)
+{
+  struct gw_retry_after_query query
+      = { .cause = GW_RETRY_AFTER_OUTRANKED, .outranked_ms = 1200, .remaining_ms = 15000 };
+  struct retries_ retries;
+
+  refuse_ (&query, &retries);
+  assert_true (retries.first_s >= 1.2);
+  assert_true (retries.last_s <= 2.4);
+  assert_true (retries.max <= CALLERS / 15);
+  query.remaining_ms = 1500;
+  refuse_ (&query, &retries);
+  assert_true (retries.last_s <= 0.5);
+}
+
 int
 main (void)
 {
@@ -170,6 +188,7 @@
     cmocka_unit_test (no_retry_before_tokens_are_available),
     cmocka_unit_test (no_retry_before_a_pause_ends),
     cmocka_unit_test (no_wait_where_a_peer_has_capacity),
+    cmocka_unit_test (outranked_callers_come_back_spread_over_time),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
