--- a/src/gateway/precedence.c
+++ b/src/gateway/precedence.c
@@ -15,6 +15,16 @@
 static const double CUT_PER_LATE_SHARE = 0.2;
 /* Growth of the limit in each second without late results. */
 static const double GROWTH_PER_S = 0.04;
+/* The same while servers have room, or below FAST_BELOW of the capacity known, as after an outage.
+ */
+static const double FAST_GROWTH_PER_S = 0.3;
+/* Servers have room if at most this share of ROOM_RESULTS results had a queue. */
+static const double ROOM_QUEUED_SHARE = 0.1;
+static const double ROOM_RESULTS = 5;
+static const double FAST_BELOW = 0.8;
+/* Part of the capacity known that is always admitted: nothing is learned about servers that get
+ * nothing. */
+static const double PROBE_PART = 0.1;
 /* Bound of the growth: the limit has no effect above the arrivals, and a later cut must have one at
  * once. */
 static const double LIMIT_MAX_PER_ARRIVALS = 1.5;
@@ -38,6 +48,8 @@
   RANKS = 10,          /* higher ranks count as the last one */
   RATE_US = 2000000,   /* time constant of the rates of arrivals and of work done */
   TEAM_US = 5000000, /* time constant of a team's present volume; long enough for a few requests */
+  CAPACITY_US = 60000000,       /* time constant of the capacity known */
+  LOST_CAPACITY_US = 300000000, /* the same while far less is served */
   USUAL_US = 60000000,          /* time constant of a team's usual volume */
   JUDGE_US = 200000,            /* results are judged together for this long at least */
   RESULTS_US = 4000000,         /* time constant of the counts of results */
@@ -67,6 +79,7 @@
   int64_t started_us;
   int64_t updated_us;           /* of the sums below, which decay with RATE_US */
   double arrived[TIERS][RANKS]; /* cost of all requests */
+  double capacity;              /* most that was served, decaying with CAPACITY_US */
   double served;                /* cost of requests with a result that is a response */
   double mean_cost;
   double limit;       /* of the cost of requests admitted; INFINITY: none */
@@ -76,11 +89,14 @@
   /* Results of requests admitted since the limit was last reduced. */
   double results[RANKS];
   double late[RANKS];
+  double queued; /* of servers that had a queue */
   unsigned active_teams;
   double rise;       /* present volume of the median team relative to its usual one */
   GHashTable *teams; /* hash (uint64_t): struct team_ */
 };
 
+static void learn_capacity_ (struct gw_precedence *precedence, int64_t now_us);
+static bool servers_have_room_ (const struct gw_precedence *precedence);
 static void decay_ (struct gw_precedence *precedence, int64_t now_us);
 static void
 update_team_ (const struct gw_precedence *precedence, struct team_ *team, int64_t now_us);
@@ -171,6 +187,7 @@
     return;
   precedence->results[rank]++;
   precedence->late[rank] += is_slow;
+  precedence->queued += result->server_has_queue;
   judge_ (precedence, now_us);
 }
 
@@ -217,14 +234,20 @@
       precedence->limit
           = MAX (MIN (precedence->limit, precedence->served) * (1 - late * CUT_PER_LATE_SHARE),
                  precedence->served * LIMIT_MIN_PER_SERVED);
+      precedence->limit
+          = MAX (precedence->limit, MAX (precedence->capacity * PROBE_PART, precedence->mean_cost));
       precedence->limited_us = now_us;
+      precedence->queued = 0;
       memset (precedence->results, 0, sizeof precedence->results);
       memset (precedence->late, 0, sizeof precedence->late);
     }
   else if (isfinite (precedence->limit) && now_us - precedence->late_us > JUDGE_US)
     {
-      precedence->limit
-          *= 1 + GROWTH_PER_S * (double)MIN (span_us, GROWTH_SPAN_MAX_US) / G_USEC_PER_SEC;
+      bool has_room = precedence->limit < FAST_BELOW * precedence->capacity
+                      || servers_have_room_ (precedence);
+      double growth = has_room ? FAST_GROWTH_PER_S : GROWTH_PER_S;
+
+      precedence->limit *= 1 + growth * (double)MIN (span_us, GROWTH_SPAN_MAX_US) / G_USEC_PER_SEC;
       if (precedence->limit > arrived_ (precedence) * LIMIT_MAX_PER_ARRIVALS
           && now_us - precedence->late_us > CONTENTION_US)
         precedence->limit = INFINITY;
@@ -233,6 +256,17 @@
   survey_teams_ (precedence, now_us);
 }
 
+/* Returns whether hardly any of the servers that responded lately had a queue. */
+static bool
+servers_have_room_ (const struct gw_precedence *precedence)
+{
+  double results = 0;
+
+  for (unsigned rank = 0; rank < RANKS; rank++)
+    results += precedence->results[rank];
+  return results >= ROOM_RESULTS && precedence->queued < results * ROOM_QUEUED_SHARE;
+}
+
 /* Returns the part of the requests of RANK in TIER that the limit leaves room for after all that
  * take precedence over them. */
 static double
@@ -276,6 +310,21 @@
   return sum;
 }
 
+/* Follows the work that is served, more slowly while far less is served: servers that fail for some
+ * time have the same capacity afterwards. */
+static void
+learn_capacity_ (struct gw_precedence *precedence, int64_t now_us)
+{
+  double age_us = (double)(now_us - precedence->started_us);
+  double elapsed_us = (double)(now_us - precedence->updated_us);
+  double constant_us = precedence->served < precedence->capacity * FAST_BELOW
+                           ? LOST_CAPACITY_US
+                           : CLAMP (age_us, RATE_US, CAPACITY_US);
+
+  precedence->capacity
+      += (precedence->served - precedence->capacity) * (1 - exp (-elapsed_us / constant_us));
+}
+
 static void
 decay_ (struct gw_precedence *precedence, int64_t now_us)
 {
@@ -285,7 +334,9 @@
     for (unsigned rank = 0; rank < RANKS; rank++)
       precedence->arrived[tier][rank] *= factor;
   precedence->served *= factor;
+  learn_capacity_ (precedence, now_us);
   factor = exp (-(double)(now_us - precedence->updated_us) / RESULTS_US);
+  precedence->queued *= factor;
   for (unsigned rank = 0; rank < RANKS; rank++)
     {
       precedence->results[rank] *= factor;
--- a/src/gateway/test-precedence.c
+++ b/src/gateway/test-precedence.c
@@ -23,6 +23,7 @@
   PHASE_MS = 40000, /* the load that is judged */
   CALM_MS = 30000,  /* usual load afterwards */
   END_MS = WARM_UP_MS + PHASE_MS + CALM_MS,
+  LATE_CALM_MS = 15000,
   SETTLE_MS = 5000, /* after the begin and the end of an overload */
   FLOOD_TEAM = 0,
   SEED = 5
@@ -40,6 +41,7 @@
   double flood;      /* factor of the requests of FLOOD_TEAM in that phase; 1: none */
   int flood_class;   /* the flood is of this class; -1: of all */
   double slow_share; /* of responses that are late through a fault of a server, without a queue */
+  int64_t outage_ms; /* at the end of that phase, in which the servers do no work */
   bool is_undecided; /* nothing is refused, for comparison */
 };
 
@@ -75,6 +77,7 @@
   struct outcome_ classes[CLASSES];
   struct outcome_ teams[TEAMS];
   struct outcome_ usual[CLASSES]; /* of the teams other than FLOOD_TEAM */
+  struct outcome_ late_calm;      /* of those that arrived LATE_CALM_MS after it */
   struct outcome_ calm;           /* of callers that arrived SETTLE_MS after the phase */
   double value;
 };
@@ -99,7 +102,11 @@
       simulation->value += on_time ? class_values_[caller->class] : 0;
     }
   else if (caller->first_ms >= WARM_UP_MS + PHASE_MS + SETTLE_MS)
-    outcomes[0] = &simulation->calm;
+    {
+      outcomes[0] = &simulation->calm;
+      if (caller->first_ms >= WARM_UP_MS + PHASE_MS + LATE_CALM_MS)
+        outcomes[1] = &simulation->late_calm;
+    }
   for (unsigned i = 0; i < G_N_ELEMENTS (outcomes); i++)
     if (outcomes[i] != NULL)
       {
@@ -200,6 +207,9 @@
 static void
 step_ (struct simulation_ *simulation)
 {
+  bool is_out = simulation->now_ms >= WARM_UP_MS + PHASE_MS - simulation->load->outage_ms
+                && simulation->now_ms < WARM_UP_MS + PHASE_MS;
+
   for (GList *each = simulation->running.head; each != NULL;)
     {
       GList *following = each->next;
@@ -235,7 +245,8 @@
               note_ (simulation, caller, 1, true);
             }
         }
-      while (!g_queue_is_empty (queue) && g_queue_get_length (&simulation->running) < SLOTS)
+      while (!is_out && !g_queue_is_empty (queue)
+             && g_queue_get_length (&simulation->running) < SLOTS)
         begin_work_ (simulation, g_queue_pop_head (queue));
     }
   for (GList *each = simulation->refused.head; each != NULL;)
@@ -411,6 +422,27 @@
       }
 }
 
+/* Guards against requests that are refused for good after an outage, as nothing is learned about
+ * servers that get none. */
+static void
+servers_are_used_again_after_an_outage (void **state)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (fleets_); i++)
+    {
+      const struct load_ load = { .instances = fleets_[i],
+                                  .usual = 0.7,
+                                  .load = 0.7,
+                                  .flood = 1,
+                                  .flood_class = -1,
+                                  .outage_ms = 15000 };
+      struct simulation_ simulation;
+
+      play_ (&simulation, &load);
+      assert_true (percent_ (&simulation.calm) >= 75);
+      assert_true (percent_ (&simulation.late_calm) >= 98);
+    }
+}
+
 int
 main (void)
 {
@@ -419,6 +451,7 @@
     cmocka_unit_test (a_faulty_server_without_a_queue_refuses_nobody),
     cmocka_unit_test (an_overload_is_served_by_rank),
     cmocka_unit_test (a_flooding_team_takes_nothing_from_others),
+    cmocka_unit_test (servers_are_used_again_after_an_outage),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
