--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -551,6 +551,7 @@
   struct backend_session_ *session = owner;
   g_autofree char *key = site_header (head, "Authorization");
   g_autofree char *last_event_id = site_header (head, "Last-Event-Id");
+  g_autofree char *urgency = site_header (head, "X-Request-Urgency");
 
   g_free (session->method);
   g_free (session->path);
@@ -567,6 +568,9 @@
   session->expected = site_header (head, "X-Expect-Instance");
   session->parts = site_header (head, "X-Prompt-Prefix");
   session->next_event = last_event_id == NULL ? 1 : g_ascii_strtoll (last_event_id, NULL, 10) + 1;
+  if (session->id != NULL)
+    json_object_set_new (session->backend->site->urgencies, session->id,
+                         urgency == NULL ? json_null () : json_string (urgency));
   if (key != NULL)
     session->backend->site->keys_seen++;
 }
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -175,9 +175,10 @@
       json_array_append_new (leaving, json_integer (site->backends[i].latest_after_leaving_ms));
       json_array_append_new (paused, json_integer (site->backends[i].arrivals_paused));
     }
-  return json_pack ("{s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs, "statuses",
-                    site->statuses, "consumed", site->consumed, "abandoned", (int)site->abandoned,
-                    "arrivals", (int)site->arrivals, "keys_seen", (int)site->keys_seen,
+  return json_pack ("{s:O,s:O,s:O,s:O,s:i,s:i,s:i,s:o,s:o,s:i,s:i}", "runs", site->runs,
+                    "urgencies", site->urgencies, "statuses", site->statuses, "consumed",
+                    site->consumed, "abandoned", (int)site->abandoned, "arrivals",
+                    (int)site->arrivals, "keys_seen", (int)site->keys_seen,
                     "latest_after_leaving_ms", leaving, "arrivals_paused", paused, "crashes",
                     (int)site->crashes, "crash_arrivals", (int)site->crash_arrivals);
 }
@@ -398,6 +399,7 @@
   site->runs = json_object ();
   site->statuses = json_object ();
   site->consumed = json_object ();
+  site->urgencies = json_object ();
   site->store_listener.data = site->control_listener.data = site;
   if (!site_listen (site, &site->store_listener, (unsigned)port->ival[0], site_store_accept)
       || !site_listen (site, &site->control_listener, (unsigned)port->ival[0] + 1,
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -133,6 +133,7 @@
   /* Counts for the tests. */
   json_t *runs;       /* request id: array of backend ids */
   json_t *statuses;   /* request id: array of the statuses that plain servers answered */
+  json_t *urgencies;  /* request id: urgency that the last request with this id stated, or null */
   json_t *consumed;   /* team: tokens */
   unsigned abandoned; /* requests whose caller closed the connection while they ran */
   unsigned arrivals;
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -191,6 +191,10 @@
   bool done;
 
   g_assert (configuration != NULL);
+  if (fleet->options.contracts != NULL)
+    for (size_t i = 0; i < json_array_size (json_object_get (configuration, "routes")); i++)
+      json_object_set_new (json_array_get (json_object_get (configuration, "routes"), i),
+                           "priority", json_integer (SITE_FIRST_PRIORITY + (json_int_t)i));
   if (with_extra_route)
     json_array_append_new (json_object_get (configuration, "routes"),
                            json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:i}", "name", "r-extra",
@@ -412,9 +416,12 @@
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = instance-%u\ndata_centre = zone-1\n[listen]\naddress = %s\n"
       "entry = %s:%u\nready = %s:%u\npeer_port = %u\n[store]\naddress = %s:%u\n"
-      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n[stop]\nlimit_s = %u\n",
+      "[retries]\nratio = 0.2\nextra = 50\nwindow_s = 10\n%s%s%s[stop]\nlimit_s = %u\n",
       instance, address, address, base + ENTRY_OFFSET, address, base + READY_OFFSET,
       base + PEERS_OFFSET, store, base,
+      fleet->options.contracts == NULL ? "" : "[callers]\ncontracts = ",
+      fleet->options.contracts == NULL ? "" : fleet->options.contracts,
+      fleet->options.contracts == NULL ? "" : "\n",
       fleet->options.stop_limit_s > 0 ? fleet->options.stop_limit_s : 8);
 
   return g_file_set_contents (path, text, -1, NULL);
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -11,6 +11,7 @@
 
 enum
 {
+  SITE_FIRST_PRIORITY = 2, /* of the route /stream/; the others have the next ones */
   SITE_INSTANCES_MAX = 16
 };
 
@@ -24,6 +25,7 @@
   unsigned event_interval_ms; /* between events */
   int64_t prepaid;            /* tokens of the only team */
   unsigned stop_limit_s;      /* time for a graceful stop; 0: 8 s */
+  const char *contracts;      /* of the settings; NULL: none, and routes have no priority */
   bool with_proxy;            /* between each instance and the store: site_fleet_add_rule */
 };
 
