Placement keeps the memory of a server free of more than it has, over all instances

Each instance counted only its own requests, so several of them together filled servers beyond their memory, which crashes them. Where callers compete, a server gets no request that may exceed its memory together with those of this instance and an estimate of the peers' ones (number by the server's report, mean of the service, 1.5 standard deviations). It is no hard bound with several instances; a fixed share for each would leave most of the memory unused.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -99,6 +99,8 @@
     .part_cache_lifetime_us = context->part_cache_lifetime_us,
     .excluded = exchange->tried,
     .responded_since_us = required_response_since_us_ (context, now_us),
+    .instances = context->callers_compete ? MAX (context->instances, 1U) : 0,
+    .rank = gw_request_rank (exchange->route, exchange->team),
     .now_us = now_us,
   };
   struct gw_upstream_options options = {
@@ -142,12 +144,16 @@
     }
   if (verdict != GW_PLACEMENT_NO_BACKEND && gw_exchange_refuse_outranked_ (exchange, verdict))
     return;
-  if (verdict == GW_PLACEMENT_NO_BACKEND
+  if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_NO_MEMORY
       || (verdict == GW_PLACEMENT_ALL_FULL && !gw_exchange_outranks_queue_ (exchange)))
     {
+      if (verdict == GW_PLACEMENT_NO_MEMORY)
+        gw_exchange_note_not_served_ (exchange, now_us);
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_BUSY,
-          verdict == GW_PLACEMENT_NO_BACKEND ? "no_backend" : "all_full",
+          verdict == GW_PLACEMENT_NO_BACKEND  ? "no_backend"
+          : verdict == GW_PLACEMENT_NO_MEMORY ? "no_memory"
+                                              : "all_full",
           json_pack ("{s:i,s:i,s:f}", "backends",
                      query.backends == NULL ? 0 : (int)query.backends->len, "tried",
                      (int)exchange->tried->len, "expected_ms", place->expected_ms));
--- a/src/gateway/exchange-precedence.c
+++ b/src/gateway/exchange-precedence.c
@@ -113,7 +113,7 @@
          / ((double)exchange->route->objective_ms * GW_US_PER_MS);
 }
 
-/* Notes the result once for each request. */
+/* Notes the result once for each request. Without a server, none had room for it. */
 static void
 note_result_ (struct gw_exchange *exchange, double objective_part, int64_t now_us)
 {
@@ -123,7 +123,7 @@
       = { .rank = gw_request_rank (exchange->route, exchange->team),
           .admitted_us = exchange->admitted_us,
           .objective_part = objective_part,
-          .server_has_queue = backend != NULL && gw_placement_has_queue (backend, now_us) };
+          .server_has_queue = backend == NULL || gw_placement_has_queue (backend, now_us) };
 
   if (exchange->result_noted)
     return;
--- a/src/gateway/latency-model.c
+++ b/src/gateway/latency-model.c
@@ -23,9 +23,11 @@
 enum
 {
   US_PER_MS = 1000,
-  SAMPLE_MIN_TOKENS = 2000, /* shorter prompts take one or two decoding steps, so that the sample
-                               would measure the step time */
-  STEP_HALVING_SAMPLES = 8  /* after this many samples the step is half the initial one */
+  MEMORY_INITIAL_SAMPLES = 20, /* the memory that requests need differs a hundredfold */
+  MEMORY_SAMPLES_MAX = 400,    /* the mean covers about the last ones of this number */
+  SAMPLE_MIN_TOKENS = 2000,    /* shorter prompts take one or two decoding steps, so that the sample
+                                  would measure the step time */
+  STEP_HALVING_SAMPLES = 8     /* after this many samples the step is half the initial one */
 };
 
 struct gw_latency_model
@@ -34,6 +36,8 @@
   unsigned n_samples; /* of the prefill speed */
   double response_ms;
   unsigned n_responses;
+  double memory_tokens; /* mean, without the initial assumption */
+  unsigned n_memory;
 };
 
 /* Creates a model with initial assumptions. The caller owns a reference. */
@@ -95,6 +99,23 @@
   model->n_samples++;
 }
 
+/* Returns the mean cache memory of a request. INITIAL_TOKENS is assumed at first, and counts as
+ * MEMORY_INITIAL_SAMPLES. */
+double
+gw_latency_model_memory_tokens (const struct gw_latency_model *model, double initial_tokens)
+{
+  return (initial_tokens * MEMORY_INITIAL_SAMPLES + model->memory_tokens * model->n_memory)
+         / (MEMORY_INITIAL_SAMPLES + model->n_memory);
+}
+
+/* Adds a sample: a request may come to need MEMORY_TOKENS of cache memory. */
+void
+gw_latency_model_note_memory (struct gw_latency_model *model, int64_t memory_tokens)
+{
+  model->n_memory = MIN (model->n_memory + 1, (unsigned)MEMORY_SAMPLES_MAX);
+  model->memory_tokens += ((double)memory_tokens - model->memory_tokens) / model->n_memory;
+}
+
 /* Adds a sample: a whole response was received TOOK_US after its request was sent. */
 void
 gw_latency_model_note_response (struct gw_latency_model *model, int64_t took_us)
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -15,6 +15,14 @@
 static const double RANDOM_MAX_MS = 4;
 /* A server without enough free cache memory keeps the request waiting until others end. */
 static const double MEMORY_SHORT_MS = 1500;
+/* Part of a server's memory that requests of rank 0 may use, less for each further rank: what peers
+ * send at the same moment is not known, and urgent requests should find room. */
+static const double MEMORY_PART_MAX = 0.95;
+static const double MEMORY_PART_PER_RANK = 0.05;
+static const double MEMORY_PART_MIN = 0.8;
+/* Requests need more or less memory than the mean, by about the mean: the sum of those of peers is
+ * assumed this many standard deviations above what it is on average. */
+static const double MEMORY_DEVIATIONS = 1.5;
 /* Cost of a failure rate of 1 above ERROR_RATE_USUAL; a rate of one half outweighs any queue. */
 static const double ERROR_MS = 4000;
 /* Some requests fail whichever server runs them; only a higher rate counts against a server. */
@@ -27,6 +35,7 @@
 enum
 {
   ERROR_DECAY_US = 4000000,    /* time constant of the failure rate: a fault counts for seconds */
+  MEMORY_REPORT_US = 2000000,  /* a usual response takes about as long */
   WORK_TIME_DECAY_US = 200000, /* time constant of the reported time of work, which changes many
                                   times per second */
   WORK_TIME_USUAL_PERCENT = 100,
@@ -84,6 +93,10 @@
 static void describe_load_ (struct gw_placement *place, int64_t now_us);
 static double peer_requests_ (const struct gw_backend_load *load, int64_t now_us);
 static double work_time_factor_ (const struct gw_backend_load *load, int64_t now_us);
+static bool memory_is_short_ (const struct gw_placement_query *query,
+                              const struct gw_backend *backend);
+static double peer_memory_tokens_ (const struct gw_placement_query *query,
+                                   const struct gw_backend *backend);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
@@ -118,6 +131,7 @@
   bool best_is_ejected = true;
   bool all_full = true;
   bool some_unresponsive = false;
+  bool some_short = false; /* of memory */
   double best_ms = INFINITY;
   int64_t resumes_us = INT64_MAX;
 
@@ -144,6 +158,11 @@
           resumes_us = MIN (resumes_us, load->paused_until_us);
           continue;
         }
+      if (memory_is_short_ (query, backend))
+        {
+          some_short = true;
+          continue;
+        }
       uncached = uncached_tokens_ (query, backend, affinity, &cached_elsewhere);
       ms = expected_ms_ (query, backend, uncached + cached_elsewhere);
       if (load->in_flight + peer_requests_ (load, query->now_us)
@@ -160,6 +179,8 @@
       best_ms = ms;
       best_is_ejected = ejected;
     }
+  if (place->backend == NULL && some_short)
+    return GW_PLACEMENT_NO_MEMORY;
   if (place->backend == NULL && resumes_us != INT64_MAX)
     {
       place->resumes_in_ms = (resumes_us - query->now_us + 999) / 1000;
@@ -185,6 +206,8 @@
     load->silent_since_us = query->now_us;
   load->uncached_tokens += place->uncached_tokens;
   load->memory_tokens += memory_tokens;
+  if (memory_tokens > 0)
+    gw_latency_model_note_memory (place->backend->latency_model, memory_tokens);
   if (g_hash_table_size (load->part_uses) > PARTS_MAX)
     g_hash_table_remove_all (load->part_uses);
   for (unsigned i = 0; prompt != NULL && i + 1 < prompt->n_parts; i++)
@@ -310,6 +333,43 @@
   return backend->load->in_flight > 0 && now_us - backend->load->silent_since_us > SILENCE_US;
 }
 
+/* Returns whether the request of QUERY may exceed the memory of BACKEND, with what this instance
+ * and its peers have there. A server that is likely to be empty takes any request. */
+static bool
+memory_is_short_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+{
+  const struct gw_prompt *prompt = query->prompt;
+  double part = MAX (MEMORY_PART_MAX - query->rank * MEMORY_PART_PER_RANK, MEMORY_PART_MIN);
+  double needed;
+  double used;
+
+  if (query->instances == 0 || query->service == NULL || query->service->memory_tokens <= 0
+      || prompt == NULL || !prompt->is_declared)
+    return false;
+  needed = (double)(prompt->input_tokens + prompt->output_tokens_max);
+  used = (double)backend->load->memory_tokens + peer_memory_tokens_ (query, backend);
+  return used >= 1 && used + needed > part * (double)query->service->memory_tokens;
+}
+
+/* Returns the memory that requests of peers are assumed to need at BACKEND: by its last report, or,
+ * if that is old, as much as this instance has at the service's servers on average, for each peer.
+ * Unlike a queue, memory stays in use for seconds, so a report does not decay before it is old. */
+static double
+peer_memory_tokens_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+{
+  const struct gw_backend_load *load = backend->load;
+  double mean = gw_latency_model_memory_tokens (backend->latency_model,
+                                                (double)query->service->memory_tokens
+                                                    / MAX (query->service->slots, 1U));
+  double own = 0;
+
+  if (load->reported_us != 0 && query->now_us - load->reported_us < MEMORY_REPORT_US)
+    return load->reported_load * mean + MEMORY_DEVIATIONS * mean * sqrt (load->reported_load);
+  for (unsigned i = 0; i < query->backends->len; i++)
+    own += (double)((const struct gw_backend *)query->backends->pdata[i])->load->memory_tokens;
+  return own / query->backends->len * (query->instances - 1);
+}
+
 /* Returns whether requests wait at BACKEND: it has reported so lately, or more requests are there
  * than it runs at once. */
 bool
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -23,6 +23,8 @@
   int64_t part_cache_lifetime_us; /* a prompt part is assumed cached this long after use; 0: 9 s */
   const GPtrArray *excluded;  /* struct gw_backend: servers of earlier attempts at this request */
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
+  unsigned instances;         /* that share the memory of the servers; 0: it is not bounded */
+  unsigned rank;              /* urgent requests may use more of the memory */
   int64_t now_us;
 };
 
@@ -32,6 +34,7 @@
   GW_PLACEMENT_ALL_FULL,           /* a server is set, but all candidates have overlong queues */
   GW_PLACEMENT_ALL_PAUSED,         /* all candidates have asked for no requests for some time */
   GW_PLACEMENT_NO_RECENT_RESPONSE, /* no candidate has responded recently enough for the query */
+  GW_PLACEMENT_NO_MEMORY,          /* the memory of all candidates is in use */
   GW_PLACEMENT_NO_BACKEND          /* no server takes new requests */
 };
 
