Large prompts are placed beside few streams

Where callers compete, placement weighs the delay that a prompt causes to the requests running at a server, and one server of four is meant for large prompts: 30 ms more for small ones there.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -100,6 +100,7 @@
     .excluded = exchange->tried,
     .responded_since_us = required_response_since_us_ (context, now_us),
     .instances = context->callers_compete ? MAX (context->instances, 1U) : 0,
+    .protects_streams = context->callers_compete,
     .rank = gw_request_rank (exchange->route, exchange->team),
     .now_us = now_us,
   };
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -15,6 +15,13 @@
 static const double RANDOM_MAX_MS = 4;
 /* A server without enough free cache memory keeps the request waiting until others end. */
 static const double MEMORY_SHORT_MS = 1500;
+/* A delay of this length makes a stream late; a shorter one costs less than its length. */
+static const double STREAM_GAP_MS = 400;
+/* Cost of the delay of one running request, relative to that of the request to be placed. */
+static const double STREAM_DELAY_WEIGHT = 1;
+/* Cost of a small prompt at a server that is meant for large ones. They go there nevertheless when
+ * the others have much to do. */
+static const double LARGE_PROMPT_SERVER_MS = 30;
 /* Part of a server's memory that requests of rank 0 may use, less for each further rank: what peers
  * send at the same moment is not known, and urgent requests should find room. */
 static const double MEMORY_PART_MAX = 0.95;
@@ -36,6 +43,7 @@
 {
   ERROR_DECAY_US = 4000000,    /* time constant of the failure rate: a fault counts for seconds */
   MEMORY_REPORT_US = 2000000,  /* a usual response takes about as long */
+  LARGE_PROMPT_SERVERS = 4,    /* one of so many servers is meant for large prompts */
   WORK_TIME_DECAY_US = 200000, /* time constant of the reported time of work, which changes many
                                   times per second */
   WORK_TIME_USUAL_PERCENT = 100,
@@ -93,6 +101,10 @@
 static void describe_load_ (struct gw_placement *place, int64_t now_us);
 static double peer_requests_ (const struct gw_backend_load *load, int64_t now_us);
 static double work_time_factor_ (const struct gw_backend_load *load, int64_t now_us);
+static double stream_delay_cost_ms_ (const struct gw_placement_query *query,
+                                     const struct gw_backend *backend,
+                                     int64_t uncached_tokens,
+                                     double running);
 static bool memory_is_short_ (const struct gw_placement_query *query,
                               const struct gw_backend *backend);
 static double peer_memory_tokens_ (const struct gw_placement_query *query,
@@ -399,6 +411,7 @@
       ms += gw_latency_model_prefill_ms (backend->latency_model,
                                          (double)(uncached_tokens + load->uncached_tokens));
       ms += total * RUNNING_REQUEST_MS;
+      ms += stream_delay_cost_ms_ (query, backend, uncached_tokens, total);
       if (query->service->memory_tokens > 0 && prompt->is_declared
           && load->memory_tokens + prompt->input_tokens + prompt->output_tokens_max
                  > query->service->memory_tokens)
@@ -421,6 +434,25 @@
   return ms + MAX (error_rate_ (load, query->now_us) - ERROR_RATE_USUAL, 0) * ERROR_MS;
 }
 
+/* Returns the cost of the delay that UNCACHED_TOKENS of the prompt of QUERY cause to the RUNNING
+ * requests at BACKEND, which get no event while it is prefilled. Small prompts avoid some servers,
+ * which all instances agree on, so that large ones find servers with few streams. */
+static double
+stream_delay_cost_ms_ (const struct gw_placement_query *query,
+                       const struct gw_backend *backend,
+                       int64_t uncached_tokens,
+                       double running)
+{
+  double delay_ms = gw_latency_model_prefill_ms (backend->latency_model, (double)uncached_tokens);
+  double cost_ms = 0;
+
+  if (!query->protects_streams)
+    return 0;
+  if (backend->key % LARGE_PROMPT_SERVERS == 0 && delay_ms < STREAM_GAP_MS / 2)
+    cost_ms = LARGE_PROMPT_SERVER_MS;
+  return cost_ms + delay_ms * MIN (delay_ms / STREAM_GAP_MS, 1) * running * STREAM_DELAY_WEIGHT;
+}
+
 /* Returns the uncached tokens of the prompt at BACKEND, and in CACHED_ELSEWHERE those of shared
  * parts among them, which other servers are assumed to have cached. Parts count as cached up to the
  * first one that is not. Peers send the same parts to AFFINITY, so they are assumed cached there.
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -24,7 +24,8 @@
   const GPtrArray *excluded;  /* struct gw_backend: servers of earlier attempts at this request */
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
   unsigned instances;         /* that share the memory of the servers; 0: it is not bounded */
-  unsigned rank;              /* urgent requests may use more of the memory */
+  bool protects_streams; /* weighs the delay that the prompt causes to requests running there */
+  unsigned rank;         /* urgent requests may use more of the memory */
   int64_t now_us;
 };
 
