--- a/src/gateway/test-memory.c
+++ b/src/gateway/test-memory.c
@@ -54,26 +54,40 @@
                        : g_rand_int_range (random, 14000, 54600);
 }
 
-/* Plays LOAD, relative to the memory of all servers, at a fleet of INSTANCES. */
-static struct result_
-play_ (unsigned instances, double load, bool is_bounded)
+struct simulation_
 {
-  const struct gw_service service
-      = { .is_model = true, .slots = SLOTS, .memory_tokens = MEMORY_TOKENS };
-  GRand *random = g_rand_new_with_seed (SEED);
+  unsigned n_instances;
+  bool is_bounded;
+  GRand *random;
+  struct gw_service service;
   struct gw_backends *tables[INSTANCES_MAX];
-  GQueue held = G_QUEUE_INIT;
-  int64_t used[SERVERS] = { 0 };
-  unsigned running[SERVERS] = { 0 };
-  double per_ms = load * SERVERS * MEMORY_TOKENS / MEAN_TOKENS / HOLD_MS;
-  struct result_ result = { 0 };
-  unsigned arrivals = 0;
-  unsigned refused = 0;
-  unsigned over = 0;
+  GQueue held; /* struct held_ */
+  int64_t used[SERVERS];
+  unsigned running[SERVERS];
+  int64_t now_ms;
+  unsigned arrivals;
+  unsigned refused;
+};
 
-  for (unsigned i = 0; i < instances; i++)
+static int64_t
+now_us_ (const struct simulation_ *simulation)
+{
+  return (1000000 + simulation->now_ms) * MS;
+}
+
+static void
+set_up_ (struct simulation_ *simulation, unsigned n_instances, bool is_bounded)
+{
+  *simulation = (struct simulation_){
+    .n_instances = n_instances,
+    .is_bounded = is_bounded,
+    .random = g_rand_new_with_seed (SEED),
+    .service = { .is_model = true, .slots = SLOTS, .memory_tokens = MEMORY_TOKENS },
+    .held = G_QUEUE_INIT,
+  };
+  for (unsigned i = 0; i < n_instances; i++)
     {
-      tables[i] = gw_backends_new ();
+      simulation->tables[i] = gw_backends_new ();
       for (unsigned k = 0; k < SERVERS; k++)
         {
           struct gw_backend_facts facts = { .id = g_strdup_printf ("i-%u", k),
@@ -81,98 +95,122 @@
                                             .data_centre = g_strdup ("here"),
                                             .slots = SLOTS };
 
-          gw_backends_put (tables[i], &facts);
+          gw_backends_put (simulation->tables[i], &facts);
         }
     }
-  for (int64_t now_ms = 0; now_ms < LOAD_MS + 3 * HOLD_MS; now_ms++)
+}
+
+static void
+arrive_ (struct simulation_ *simulation)
+{
+  unsigned instance
+      = (unsigned)g_rand_int_range (simulation->random, 0, (gint32)simulation->n_instances);
+  int64_t tokens = draw_tokens_ (simulation->random);
+  const struct gw_prompt prompt
+      = { .is_declared = true, .input_tokens = tokens - 100, .output_tokens_max = 100 };
+  const struct gw_placement_query query
+      = { .backends = gw_backends_of_service (simulation->tables[instance], "s"),
+          .service = &simulation->service,
+          .prompt = &prompt,
+          .data_centre = "here",
+          .instances = simulation->is_bounded ? simulation->n_instances : 0,
+          .rank = 0,
+          .now_us = now_us_ (simulation) };
+  struct gw_placement place;
+  struct held_ *request;
+  unsigned server = 0;
+
+  simulation->arrivals++;
+  if (gw_placement_pick (&query, simulation->random, &place) != GW_PLACEMENT_PICKED)
+    {
+      simulation->refused++;
+      return;
+    }
+  gw_placement_begin_request (&place, &query, tokens);
+  while (query.backends->pdata[server] != place.backend)
+    server++;
+  request = g_new0 (struct held_, 1);
+  request->instance = instance;
+  request->server = server;
+  request->tokens = tokens;
+  request->head_ms = simulation->now_ms + FIRST_MS;
+  request->end_ms
+      = simulation->now_ms + g_rand_int_range (simulation->random, HOLD_MS / 2, HOLD_MS * 3 / 2);
+  g_queue_push_tail (&simulation->held, request);
+  simulation->used[server] += tokens;
+  simulation->running[server]++;
+}
+
+/* Sends the response heads that are due, and ends the requests that are. */
+static void
+step_ (struct simulation_ *simulation)
+{
+  for (GList *each = simulation->held.head; each != NULL;)
     {
-      int64_t now_us = (1000000 + now_ms) * MS;
-
-      for (double due = now_ms < LOAD_MS ? per_ms : 0; due > 0; due--)
-        if (g_rand_double (random) < due)
-          {
-            unsigned instance = (unsigned)g_rand_int_range (random, 0, (gint32)instances);
-            int64_t tokens = draw_tokens_ (random);
-            const struct gw_prompt prompt
-                = { .is_declared = true, .input_tokens = tokens - 100, .output_tokens_max = 100 };
-            const struct gw_placement_query query
-                = { .backends = gw_backends_of_service (tables[instance], "s"),
-                    .service = &service,
-                    .prompt = &prompt,
-                    .data_centre = "here",
-                    .instances = is_bounded ? instances : 0,
-                    .rank = 0,
-                    .now_us = now_us };
-            struct gw_placement place;
-
-            arrivals++;
-            if (gw_placement_pick (&query, random, &place) != GW_PLACEMENT_PICKED)
-              {
-                refused++;
-                continue;
-              }
-            gw_placement_begin_request (&place, &query, tokens);
-            for (unsigned k = 0; k < SERVERS; k++)
-              if (query.backends->pdata[k] == place.backend)
-                {
-                  struct held_ *request = g_new0 (struct held_, 1);
-
-                  *request = (struct held_){
-                    .instance = instance,
-                    .server = k,
-                    .tokens = tokens,
-                    .head_ms = now_ms + FIRST_MS,
-                    .end_ms = now_ms + g_rand_int_range (random, HOLD_MS / 2, HOLD_MS * 3 / 2)
-                  };
-                  g_queue_push_tail (&held, request);
-                  used[k] += tokens;
-                  running[k]++;
-                }
-          }
-      for (GList *each = held.head; each != NULL;)
+      GList *following = each->next;
+      struct held_ *request = each->data;
+      struct gw_backend *backend
+          = gw_backends_of_service (simulation->tables[request->instance], "s")
+                ->pdata[request->server];
+
+      if (!request->has_head && request->head_ms <= simulation->now_ms)
+        {
+          const struct gw_response_head response
+              = { .has_load = true,
+                  .running = simulation->running[request->server],
+                  .slots = SLOTS,
+                  .work_time_percent = 100 };
+
+          request->has_head = true;
+          gw_placement_note_response (backend, &response, now_us_ (simulation));
+          gw_placement_note_first_byte (backend, request->tokens - 100, now_us_ (simulation));
+        }
+      if (request->end_ms <= simulation->now_ms)
         {
-          GList *following = each->next;
-          struct held_ *request = each->data;
-          struct gw_backend *backend
-              = gw_backends_of_service (tables[request->instance], "s")->pdata[request->server];
-
-          if (!request->has_head && request->head_ms <= now_ms)
-            {
-              const struct gw_response_head response = { .has_load = true,
-                                                         .running = running[request->server],
-                                                         .slots = SLOTS,
-                                                         .work_time_percent = 100 };
-
-              request->has_head = true;
-              gw_placement_note_response (backend, &response, now_us);
-              gw_placement_note_first_byte (backend, request->tokens - 100, now_us);
-            }
-          if (request->end_ms <= now_ms)
-            {
-              used[request->server] -= request->tokens;
-              running[request->server]--;
-              gw_placement_end_request (backend, 0, request->tokens, GW_ATTEMPT_OK, now_us);
-              g_queue_delete_link (&held, each);
-              g_free (request);
-            }
-          each = following;
+          simulation->used[request->server] -= request->tokens;
+          simulation->running[request->server]--;
+          gw_placement_end_request (backend, 0, request->tokens, GW_ATTEMPT_OK,
+                                    now_us_ (simulation));
+          g_queue_delete_link (&simulation->held, each);
+          g_free (request);
         }
+      each = following;
+    }
+}
+
+/* Plays LOAD, relative to the memory of all servers, at a fleet of INSTANCES. */
+static struct result_
+play_ (unsigned instances, double load, bool is_bounded)
+{
+  double per_ms = load * SERVERS * MEMORY_TOKENS / MEAN_TOKENS / HOLD_MS;
+  struct simulation_ simulation;
+  struct result_ result = { 0 };
+  unsigned over = 0;
+
+  set_up_ (&simulation, instances, is_bounded);
+  for (; simulation.now_ms < LOAD_MS + 3 * HOLD_MS; simulation.now_ms++)
+    {
+      for (unsigned i = 0; simulation.now_ms < LOAD_MS && i < (unsigned)ceil (per_ms); i++)
+        if (g_rand_double (simulation.random) < per_ms - i)
+          arrive_ (&simulation);
+      step_ (&simulation);
       for (unsigned k = 0; k < SERVERS; k++)
         {
-          result.most_percent = MAX (result.most_percent, 100.0 * (double)used[k] / MEMORY_TOKENS);
-          over += used[k] > MEMORY_TOKENS;
+          result.most_percent
+              = MAX (result.most_percent, 100.0 * (double)simulation.used[k] / MEMORY_TOKENS);
+          over += simulation.used[k] > MEMORY_TOKENS;
         }
     }
-  assert_true (g_queue_is_empty (&held));
-  result.refused_percent = 100.0 * refused / arrivals;
+  assert_true (g_queue_is_empty (&simulation.held));
+  result.refused_percent = 100.0 * simulation.refused / simulation.arrivals;
   result.over_percent = 100.0 * over / (LOAD_MS * SERVERS);
   print_message ("%u instances, load %.1f, %s: at most %.0f%% in use, over it %.2f%% of the time, "
                  "%.1f%% refused\n",
                  instances, load, is_bounded ? "bounded" : "unbounded", result.most_percent,
                  result.over_percent, result.refused_percent);
   for (unsigned i = 0; i < instances; i++)
-    gw_backends_delete (tables[i]);
-  g_rand_free (random);
+    gw_backends_delete (simulation.tables[i]);
+  g_rand_free (simulation.random);
   return result;
 }
 
--- a/src/gateway/test-precedence.c
+++ b/src/gateway/test-precedence.c
@@ -2,6 +2,7 @@
  * callers get. The servers serve the most urgent request first. */
 #include "gateway/precedence.h"
 
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -166,8 +167,8 @@
 static void
 arrive_ (struct simulation_ *simulation, unsigned team, unsigned class, double per_ms)
 {
-  for (; per_ms > 0; per_ms--)
-    if (g_rand_double (simulation->random) < per_ms)
+  for (unsigned i = 0; i < (unsigned)ceil (per_ms); i++)
+    if (g_rand_double (simulation->random) < per_ms - i)
       {
         struct caller_ *caller = g_new0 (struct caller_, 1);
 
--- a/src/gateway/test-stream-gaps.c
+++ b/src/gateway/test-stream-gaps.c
@@ -5,6 +5,7 @@
 #include "gateway/latency-model.h"
 #include "gateway/placement.h"
 
+#include <math.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -63,129 +64,164 @@
                        : g_rand_int_range (random, LARGE_MIN, 54600);
 }
 
-/* Plays LOAD, relative to the prefill speed of all servers, at a fleet of INSTANCES. */
-static struct result_
-play_ (unsigned instances, double load, bool protects_streams)
+struct simulation_
 {
-  const struct gw_service service = { .is_model = true, .slots = SLOTS };
-  GRand *arrivals = g_rand_new_with_seed (SEED);
-  GRand *random = g_rand_new_with_seed (SEED);
+  unsigned n_instances;
+  bool protects_streams;
+  GRand *arrivals;
+  GRand *random; /* of the placement */
+  struct gw_service service;
   struct gw_backends *tables[INSTANCES_MAX];
-  struct server_ servers[SERVERS] = { 0 };
-  double per_ms = load * SERVERS * TOKENS_PER_MS / MEAN_TOKENS;
-  struct result_ result = { 0 };
-  unsigned ended = 0;
-  unsigned late = 0;
-  unsigned on_time = 0;
+  struct server_ servers[SERVERS];
+  int64_t now_ms;
+  unsigned ended;
+  unsigned late;
+  unsigned on_time;
+};
 
-  for (unsigned i = 0; i < instances; i++)
+static int64_t
+now_us_ (const struct simulation_ *simulation)
+{
+  return (1000000 + simulation->now_ms) * MS;
+}
+
+static void
+set_up_ (struct simulation_ *simulation, unsigned n_instances, bool protects_streams)
+{
+  *simulation = (struct simulation_){ .n_instances = n_instances,
+                                      .protects_streams = protects_streams,
+                                      .arrivals = g_rand_new_with_seed (SEED),
+                                      .random = g_rand_new_with_seed (SEED),
+                                      .service = { .is_model = true, .slots = SLOTS } };
+  for (unsigned i = 0; i < n_instances; i++)
     {
-      tables[i] = gw_backends_new ();
+      const struct gw_backend *backend;
+
+      simulation->tables[i] = gw_backends_new ();
       for (unsigned k = 0; k < SERVERS; k++)
         {
           struct gw_backend_facts facts = { .id = g_strdup_printf ("i-%u", k),
                                             .service = g_strdup ("s"),
                                             .data_centre = g_strdup ("here"),
                                             .slots = SLOTS };
-          struct gw_backend *backend;
 
-          gw_backends_put (tables[i], &facts);
-          backend = gw_backends_of_service (tables[i], "s")->pdata[k];
-          for (unsigned n = 0; k == 0 && n < SAMPLES; n++)
-            gw_latency_model_note_prefill (backend->latency_model, 10000,
-                                           10000 / TOKENS_PER_MS * MS);
+          gw_backends_put (simulation->tables[i], &facts);
         }
+      backend = gw_backends_of_service (simulation->tables[i], "s")->pdata[0];
+      for (unsigned n = 0; n < SAMPLES; n++)
+        gw_latency_model_note_prefill (backend->latency_model, 10000, 10000 / TOKENS_PER_MS * MS);
     }
-  for (int64_t now_ms = 1; now_ms < 2 * LOAD_MS; now_ms++)
+}
+
+static void
+arrive_ (struct simulation_ *simulation)
+{
+  struct request_ *request = g_new0 (struct request_, 1);
+  struct gw_prompt prompt = { .is_declared = true, .output_tokens_max = 100 };
+  struct gw_placement_query query = { .service = &simulation->service,
+                                      .prompt = &prompt,
+                                      .data_centre = "here",
+                                      .protects_streams = simulation->protects_streams,
+                                      .now_us = now_us_ (simulation) };
+
+  request->instance
+      = (unsigned)g_rand_int_range (simulation->arrivals, 0, (gint32)simulation->n_instances);
+  request->tokens = request->left = prompt.input_tokens = draw_tokens_ (simulation->arrivals);
+  request->arrived_ms = simulation->now_ms;
+  query.backends = gw_backends_of_service (simulation->tables[request->instance], "s");
+  assert_int_equal (gw_placement_pick (&query, simulation->random, &request->place),
+                    GW_PLACEMENT_PICKED);
+  gw_placement_begin_request (&request->place, &query, 0);
+  for (unsigned k = 0; k < SERVERS; k++)
+    if (query.backends->pdata[k] == request->place.backend)
+      g_queue_push_tail (&simulation->servers[k].waiting, request);
+}
+
+/* Prefills the first prompt that waits at SERVER for one millisecond. */
+static void
+prefill_ (struct simulation_ *simulation, struct server_ *server)
+{
+  struct request_ *first = g_queue_peek_head (&server->waiting);
+  const struct gw_response_head response = { .has_load = true,
+                                             .running = g_queue_get_length (&server->running) + 1,
+                                             .waiting = g_queue_get_length (&server->waiting) - 1,
+                                             .slots = SLOTS,
+                                             .work_time_percent = 100 };
+
+  if (server->began_ms == 0)
+    server->began_ms = simulation->now_ms;
+  for (GList *each = server->running.head; each != NULL; each = each->next)
+    if (simulation->now_ms - server->began_ms > GAP_MS)
+      ((struct request_ *)each->data)->is_late = true;
+  first->left -= TOKENS_PER_MS;
+  if (first->left > 0)
+    return;
+  g_queue_pop_head (&server->waiting);
+  server->began_ms = 0;
+  simulation->on_time += simulation->now_ms - first->arrived_ms <= OBJECTIVE_MS;
+  gw_placement_note_response (first->place.backend, &response, now_us_ (simulation));
+  gw_placement_note_first_byte (first->place.backend, first->place.uncached_tokens,
+                                now_us_ (simulation));
+  first->left = g_rand_int_range (simulation->arrivals, STREAM_MS / 2, STREAM_MS * 3 / 2);
+  g_queue_push_tail (&server->running, first);
+}
+
+/* Runs the streams of SERVER for one millisecond. */
+static void
+run_ (struct simulation_ *simulation, struct server_ *server)
+{
+  for (GList *each = server->running.head; each != NULL;)
     {
-      int64_t now_us = (1000000 + now_ms) * MS;
-
-      for (double due = now_ms < LOAD_MS ? per_ms : 0; due > 0; due--)
-        if (g_rand_double (arrivals) < due)
-          {
-            struct request_ *request = g_new0 (struct request_, 1);
-            struct gw_prompt prompt = { .is_declared = true, .output_tokens_max = 100 };
-            struct gw_placement_query query = { .service = &service,
-                                                .prompt = &prompt,
-                                                .data_centre = "here",
-                                                .protects_streams = protects_streams,
-                                                .now_us = now_us };
-
-            request->instance = (unsigned)g_rand_int_range (arrivals, 0, (gint32)instances);
-            request->tokens = request->left = prompt.input_tokens = draw_tokens_ (arrivals);
-            request->arrived_ms = now_ms;
-            query.backends = gw_backends_of_service (tables[request->instance], "s");
-            assert_int_equal (gw_placement_pick (&query, random, &request->place),
-                              GW_PLACEMENT_PICKED);
-            gw_placement_begin_request (&request->place, &query, 0);
-            for (unsigned k = 0; k < SERVERS; k++)
-              if (query.backends->pdata[k] == request->place.backend)
-                g_queue_push_tail (&servers[k].waiting, request);
-          }
-      for (unsigned k = 0; k < SERVERS; k++)
+      GList *following = each->next;
+      struct request_ *request = each->data;
+
+      gw_placement_note_received (request->place.backend, now_us_ (simulation));
+      if (--request->left <= 0)
         {
-          struct server_ *server = &servers[k];
-          struct request_ *first = g_queue_peek_head (&server->waiting);
-
-          if (first != NULL)
-            {
-              if (server->began_ms == 0)
-                server->began_ms = now_ms;
-              for (GList *each = server->running.head; each != NULL; each = each->next)
-                if (now_ms - server->began_ms > GAP_MS)
-                  ((struct request_ *)each->data)->is_late = true;
-              first->left -= TOKENS_PER_MS;
-              if (first->left > 0)
-                continue;
-              g_queue_pop_head (&server->waiting);
-              server->began_ms = 0;
-              on_time += now_ms - first->arrived_ms <= OBJECTIVE_MS;
-              {
-                const struct gw_response_head response
-                    = { .has_load = true,
-                        .running = g_queue_get_length (&server->running) + 1,
-                        .waiting = g_queue_get_length (&server->waiting),
-                        .slots = SLOTS,
-                        .work_time_percent = 100 };
-
-                gw_placement_note_response (first->place.backend, &response, now_us);
-                gw_placement_note_first_byte (first->place.backend, first->place.uncached_tokens,
-                                              now_us);
-              }
-              first->left = g_rand_int_range (arrivals, STREAM_MS / 2, STREAM_MS * 3 / 2);
-              g_queue_push_tail (&server->running, first);
-              continue;
-            }
-          for (GList *each = server->running.head; each != NULL;)
-            {
-              GList *following = each->next;
-              struct request_ *request = each->data;
-
-              gw_placement_note_received (request->place.backend, now_us);
-              if (--request->left <= 0)
-                {
-                  ended++;
-                  late += request->is_late;
-                  gw_placement_end_request (request->place.backend, 0, 0, GW_ATTEMPT_OK, now_us);
-                  g_queue_delete_link (&server->running, each);
-                  g_free (request);
-                }
-              each = following;
-            }
+          simulation->ended++;
+          simulation->late += request->is_late;
+          gw_placement_end_request (request->place.backend, 0, 0, GW_ATTEMPT_OK,
+                                    now_us_ (simulation));
+          g_queue_delete_link (&server->running, each);
+          g_free (request);
         }
+      each = following;
+    }
+}
+
+/* Plays LOAD, relative to the prefill speed of all servers, at a fleet of INSTANCES. */
+static struct result_
+play_ (unsigned instances, double load, bool protects_streams)
+{
+  double per_ms = load * SERVERS * TOKENS_PER_MS / MEAN_TOKENS;
+  struct simulation_ simulation;
+  struct result_ result;
+
+  set_up_ (&simulation, instances, protects_streams);
+  for (simulation.now_ms = 1; simulation.now_ms < 2 * LOAD_MS; simulation.now_ms++)
+    {
+      for (unsigned i = 0; simulation.now_ms < LOAD_MS && i < (unsigned)ceil (per_ms); i++)
+        if (g_rand_double (simulation.arrivals) < per_ms - i)
+          arrive_ (&simulation);
+      for (unsigned k = 0; k < SERVERS; k++)
+        if (g_queue_is_empty (&simulation.servers[k].waiting))
+          run_ (&simulation, &simulation.servers[k]);
+        else
+          prefill_ (&simulation, &simulation.servers[k]);
     }
   for (unsigned k = 0; k < SERVERS; k++)
-    assert_true (g_queue_is_empty (&servers[k].waiting) && g_queue_is_empty (&servers[k].running));
-  result.late_streams_percent = 100.0 * late / ended;
-  result.first_byte_percent = 100.0 * on_time / ended;
+    assert_true (g_queue_is_empty (&simulation.servers[k].waiting)
+                 && g_queue_is_empty (&simulation.servers[k].running));
+  result.late_streams_percent = 100.0 * simulation.late / simulation.ended;
+  result.first_byte_percent = 100.0 * simulation.on_time / simulation.ended;
   print_message ("%u instances, load %.1f, %s: %.1f%% of streams late, %.1f%% of first bytes on "
                  "time\n",
                  instances, load, protects_streams ? "protected" : "not protected",
                  result.late_streams_percent, result.first_byte_percent);
   for (unsigned i = 0; i < instances; i++)
-    gw_backends_delete (tables[i]);
-  g_rand_free (arrivals);
-  g_rand_free (random);
+    gw_backends_delete (simulation.tables[i]);
+  g_rand_free (simulation.arrivals);
+  g_rand_free (simulation.random);
   return result;
 }
 
