--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -115,6 +115,9 @@
     .responded_since_us = required_response_since_us_ (context, now_us),
     .evacuation = context->evacuation,
     .cold_start = context->cold_start,
+    .instances = context->callers_compete ? MAX (context->instances, 1U) : 0,
+    .protects_streams = context->callers_compete,
+    .rank = gw_request_rank (exchange->route, exchange->team),
     .now_us = now_us,
   };
   struct gw_upstream_options options = {
@@ -178,11 +181,18 @@
                      "evacuated", (int)place->evacuated));
       return;
     }
-  if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_ALL_FULL)
+  if (verdict != GW_PLACEMENT_NO_BACKEND && gw_exchange_refuse_outranked_ (exchange, verdict))
+    return;
+  if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_NO_MEMORY
+      || (verdict == GW_PLACEMENT_ALL_FULL && !gw_exchange_outranks_queue_ (exchange)))
     {
+      if (verdict == GW_PLACEMENT_NO_MEMORY)
+        gw_exchange_note_not_served_ (exchange, now_us);
       gw_exchange_refuse_with_inputs_ (
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_BUSY,
-          verdict == GW_PLACEMENT_NO_BACKEND ? "no_backend" : "all_full",
+          verdict == GW_PLACEMENT_NO_BACKEND  ? "no_backend"
+          : verdict == GW_PLACEMENT_NO_MEMORY ? "no_memory"
+                                              : "all_full",
           json_pack ("{s:i,s:i,s:f,s:i}", "backends",
                      query.backends == NULL ? 0 : (int)query.backends->len, "tried",
                      (int)exchange->tried->len, "expected_ms", place->expected_ms, "evacuated",
@@ -339,6 +349,8 @@
       exchange->runs--;
       if (head->status == HTTP_MISDIRECTED)
         report_replaced_backend_ (exchange, now_us);
+      else
+        gw_exchange_note_not_served_ (exchange, now_us);
       gw_exchange_end_attempt_ (exchange, head->status == HTTP_MISDIRECTED
                                               ? GW_ATTEMPT_MISDIRECTED
                                               : GW_ATTEMPT_NOT_EXECUTED);
@@ -374,6 +386,7 @@
                            response->is_encoded ? "encoded_answer" : "unclear_answer");
       return;
     }
+  gw_exchange_note_served_ (exchange, now_us);
   exchange->head_received = true;
   exchange->status = head->status;
   exchange->is_event_stream = response->is_event_stream;
@@ -714,7 +727,7 @@
 gw_exchange_set_timer_ (struct gw_exchange *exchange)
 {
   int64_t now_us = g_get_monotonic_time ();
-  int64_t due_us = exchange->deadline_us;
+  int64_t due_us = MIN (exchange->deadline_us, gw_exchange_overdue_us_ (exchange));
 
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
     due_us
@@ -770,6 +783,11 @@
   int64_t now_us = g_get_monotonic_time ();
   bool server_is_silent = false;
 
+  if (now_us < exchange->deadline_us && gw_exchange_note_overdue_ (exchange, now_us))
+    {
+      gw_exchange_set_timer_ (exchange);
+      return;
+    }
   if (now_us >= exchange->deadline_us)
     {
       end_unfinished_ (
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -26,6 +26,9 @@
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
   const struct evacuation *evacuation;    /* NULL: evacuations are not followed */
   const struct gw_cold_start *cold_start; /* limit for cold servers; NULL: off */
+  unsigned instances;    /* that share the memory of the servers; 0: it is not bounded */
+  bool protects_streams; /* weighs the delay that the prompt causes to requests running there */
+  unsigned rank;         /* urgent requests may use more of the memory */
   int64_t now_us;
 };
 
@@ -38,6 +41,7 @@
                           */
   GW_PLACEMENT_NO_RECENT_RESPONSE, /* no candidate has responded recently enough for the query */
   GW_PLACEMENT_ALL_EVACUATED,      /* every data centre with servers of the service is evacuated */
+  GW_PLACEMENT_NO_MEMORY,          /* the memory of all candidates is in use */
   GW_PLACEMENT_NO_BACKEND          /* no server takes new requests */
 };
 
@@ -94,4 +98,5 @@
                                    const struct gw_backend *backend,
                                    int64_t now_us);
 bool gw_placement_is_paused (const struct gw_backend *backend, int64_t now_us);
+bool gw_placement_has_queue (const struct gw_backend *backend, int64_t now_us);
 bool gw_placement_is_silent (const struct gw_backend *backend, int64_t now_us);
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -11,6 +11,7 @@
 
 enum
 {
+  SITE_FIRST_PRIORITY = 2, /* of the route /stream/; the others have the next ones */
   SITE_INSTANCES_MAX = 16
 };
 
@@ -32,6 +33,7 @@
   unsigned descriptors;         /* likewise */
   double cold_per_s;            /* requests that a cold backend server sustains; 0: never cold */
   const char *more_settings;    /* sections added to an instance's settings; NULL: none */
+  const char *contracts;        /* of the settings; NULL: none, and routes have no priority */
 };
 
 struct site_fleet
