Placement: a refusal says nothing about the memory of a server

After all servers had refused requests for a moment, the memory bound took each of them as full for two seconds after every refusal, and the precedence took that as lack of capacity: test-competing-callers failed, 910 requests refused as outranked and 69 for want of memory in 20 s.

--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -70,6 +70,9 @@
   unsigned reported_load;  /* running and waiting requests, without those in flight from here */
   unsigned reported_waiting;
   int64_t reported_us;
+  unsigned
+      peer_requests; /* running and waiting there by its last report, without those from here */
+  int64_t peer_requests_us;   /* when it reported them; 0: not yet */
   unsigned work_time_percent; /* last reported */
   int64_t work_time_us;       /* when it was reported; 0: not yet */
   int64_t responded_us;       /* when the head of its last response was received */
@@ -267,6 +270,8 @@
   load->reported_load = total > load->in_flight ? total - load->in_flight : 0;
   load->reported_waiting = response->waiting;
   load->reported_us = now_us;
+  load->peer_requests = load->reported_load;
+  load->peer_requests_us = now_us;
   load->work_time_percent = response->work_time_percent;
   load->work_time_us = now_us;
 }
@@ -365,7 +370,8 @@
 
 /* Returns the memory that requests of peers are assumed to need at BACKEND: by its last report, or,
  * if that is old, as much as this instance has at the service's servers on average, for each peer.
- * Unlike a queue, memory stays in use for seconds, so a report does not decay before it is old. */
+ * Unlike a queue, memory stays in use for seconds, so a report does not decay before it is old. A
+ * refusal says nothing about it. */
 static double
 peer_memory_tokens_ (const struct gw_placement_query *query, const struct gw_backend *backend)
 {
@@ -375,8 +381,8 @@
                                                     / MAX (query->service->slots, 1U));
   double own = 0;
 
-  if (load->reported_us != 0 && query->now_us - load->reported_us < MEMORY_REPORT_US)
-    return load->reported_load * mean + MEMORY_DEVIATIONS * mean * sqrt (load->reported_load);
+  if (load->peer_requests_us != 0 && query->now_us - load->peer_requests_us < MEMORY_REPORT_US)
+    return load->peer_requests * mean + MEMORY_DEVIATIONS * mean * sqrt (load->peer_requests);
   for (unsigned i = 0; i < query->backends->len; i++)
     own += (double)((const struct gw_backend *)query->backends->pdata[i])->load->memory_tokens;
   return own / query->backends->len * (query->instances - 1);
--- a/src/gateway/precedence.c
+++ b/src/gateway/precedence.c
@@ -20,7 +20,7 @@
 static const double FAST_GROWTH_PER_S = 0.3;
 /* Servers have room if at most this share of ROOM_RESULTS results had a queue. */
 static const double ROOM_QUEUED_SHARE = 0.1;
-static const double ROOM_RESULTS = 5;
+static const double ROOM_RESULTS = 2;
 static const double FAST_BELOW = 0.8;
 /* Part of the capacity known that is always admitted: nothing is learned about servers that get
  * nothing. */
--- a/src/gateway/test-memory.c
+++ b/src/gateway/test-memory.c
@@ -237,11 +237,43 @@
       }
 }
 
+/* Guards against servers that get nothing for want of memory, after they have refused a request
+ * without a report of their load. */
+static void
+a_refusal_says_nothing_about_memory (void **state)
+{
+  const struct gw_prompt prompt
+      = { .is_declared = true, .input_tokens = 40000, .output_tokens_max = 12 };
+  struct simulation_ simulation;
+  struct gw_placement_query query;
+  struct gw_placement place;
+
+  set_up_ (&simulation, 8, true);
+  query
+      = (struct gw_placement_query){ .backends = gw_backends_of_service (simulation.tables[0], "s"),
+                                     .service = &simulation.service,
+                                     .prompt = &prompt,
+                                     .data_centre = "here",
+                                     .instances = 8,
+                                     .now_us = now_us_ (&simulation) };
+  for (unsigned k = 0; k < SERVERS; k++)
+    {
+      place = (struct gw_placement){ .backend = query.backends->pdata[k] };
+      gw_placement_begin_request (&place, &query, 112);
+      gw_placement_end_request (place.backend, 0, 112, GW_ATTEMPT_NOT_EXECUTED, query.now_us);
+    }
+  assert_int_equal (gw_placement_pick (&query, simulation.random, &place), GW_PLACEMENT_PICKED);
+  for (unsigned i = 0; i < simulation.n_instances; i++)
+    gw_backends_delete (simulation.tables[i]);
+  g_rand_free (simulation.random);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (memory_is_seldom_exceeded_by_all_instances_together),
+    cmocka_unit_test (a_refusal_says_nothing_about_memory),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
