--- a/src/gateway/exchange-precedence.c
+++ b/src/gateway/exchange-precedence.c
@@ -20,9 +20,9 @@
   sr_counter_register (&outranked_counter_);
 }
 
-/* Refuses the request if callers compete and others take precedence over it, or if its place has no
- * room: VERDICT is the one of the placement. Returns whether it did, and the exchange is freed. A
- * request that was admitted once is not refused for others later. */
+/* Refuses the request if the settings ask for early refusal and others take precedence over it, or
+ * if its place has no room: VERDICT is the one of the placement. Returns whether it did, and the
+ * exchange is freed. A request that was admitted once is not refused for others later. */
 bool
 gw_exchange_refuse_outranked_ (struct gw_exchange *exchange, enum gw_placement_verdict verdict)
 {
@@ -33,7 +33,7 @@
           .team_hash = exchange->team_hash,
           .cost = 1 + (double)exchange->place.uncached_tokens / COST_TOKENS };
 
-  if (!context->callers_compete || exchange->precedence != NULL || exchange->runs > 0
+  if (!context->refuses_early || exchange->precedence != NULL || exchange->runs > 0
       || exchange->response_began)
     return false;
   exchange->precedence = gw_context_precedence (context, exchange->service_name);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,7 @@
   int64_t store_outage_since_us;  /* start of the store outage; 0: the store is reachable */
   int64_t backend_leave_limit_us; /* a backend server must get no new requests once this long has
                                      passed since it announced its shutdown */
+  bool refuses_early;             /* while callers compete: see precedence.h */
   bool callers_compete;    /* for too little capacity: servers are told the ranks of requests */
   GHashTable *precedences; /* service name: struct gw_precedence; used while callers compete */
   GRand *random;
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -181,6 +181,7 @@
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   context->callers_compete = callers_compete_ (gateway, settings);
+  context->refuses_early = context->callers_compete && settings->refuses_early;
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->cold_start = gw_cold_start_new (settings->name->str);
   gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
@@ -506,6 +507,7 @@
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
       context->callers_compete = callers_compete_ (gateway, settings);
+      context->refuses_early = context->callers_compete && settings->refuses_early;
       gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
       gateway_set_exempt_parts_ (gateway, settings);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -96,6 +96,10 @@
     .type = SR_INI_BOOL,
     .offset = MEMBER (callers_compete),
     .default_value = "no" },
+  { .name = "early_refusal",
+    .type = SR_INI_BOOL,
+    .offset = MEMBER (refuses_early),
+    .default_value = "yes" },
   { .name = "contracts", .type = SR_INI_LIST, .offset = MEMBER (contracts) },
 };
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -35,6 +35,7 @@
   unsigned leave_ms; /* upper bound until a leaving server gets no new request */
   /* [callers] */
   bool callers_compete; /* callers compete for too little capacity; see gw_platform as well */
+  bool refuses_early;   /* while callers compete: some are refused so that others are in time */
   GPtrArray *contracts; /* GString: names that the platform adapter knows */
   /* [evacuation] */
   unsigned evacuation_limit_ms; /* upper bound until the servers of an evacuated data centre get no
