--- a/src/allotment/allotment.c
+++ b/src/allotment/allotment.c
@@ -647,7 +647,10 @@
   if (manager->restored_us != 0)
     team->merge_is_due = allotment_merge_record_ (manager, team, record, revision, now_us);
   if (!team->merge_is_due)
-    g_clear_pointer (&team->known, sr_record_delete);
+    {
+      sr_record_delete (team->known);
+      team->known = NULL;
+    }
   team->record = record;
   team->revision = revision;
   team->record_us = now_us;
