test-uncontrolled-clients: what clients do within the limits is served as before

Forty pipelined requests are answered in order to a client that sends them all first and reads slowly, and twenty bodies of the largest size, one at a time, are served in the bound for memory. Both new cases are guards; they were not run on the code before.

--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -40,6 +40,7 @@
 static bool is_ready_ (const struct gateway *gateway);
 static void on_stop_signal_ (uv_signal_t *handle, int number);
 static void on_hang_up_ (uv_signal_t *handle, int number);
+static struct net_memory_limits memory_limits_from_settings_ (const struct gw_settings *settings);
 static struct gw_retry_budget_options
 retry_options_from_settings_ (const struct gw_settings *settings);
 static void on_withdrawn_ (const struct store_result *result, void *data);
@@ -115,6 +116,7 @@
 start_ (struct gateway *gateway)
 {
   const struct gw_settings *settings = gateway->settings;
+  const struct net_memory_limits limits = memory_limits_from_settings_ (settings);
   struct gw_context *context = &gateway->context;
   struct watcher_options watch
       = { .loop = &gateway->loop, .wait_max_ms = GATEWAY_WATCH_MIN_MS, .data = gateway };
@@ -135,6 +137,7 @@
   };
   struct gw_probe_options probe = { .loop = &gateway->loop,
                                     .address = settings->ready_address,
+                                    .connections_max = limits.status_max,
                                     .data = gateway,
                                     .respond = respond_readiness_ };
   uv_timer_t *timers[]
@@ -142,8 +145,6 @@
           &gateway->config_guard_timer, &gateway->announce_timer,  &gateway->stop_timer,
           &gateway->cancel_timer,       &gateway->quarantine_timer };
 
-  struct net_memory_limits limits;
-
   gw_exchange_register_metrics ();
   gw_upstream_register_metrics ();
   gateway_register_update_metrics_ ();
@@ -158,9 +159,7 @@
   context->retry_options = retry_options_from_settings_ (settings);
   context->instances = 1;
   gw_link_load_init (&context->link, settings->link_megabits_per_s);
-  limits = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
   net_memory_account_init (&context->account, &limits);
-  probe.connections_max = limits.status_max;
   context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -477,8 +476,7 @@
       while (g_hash_table_iter_next (&iter, NULL, &budget))
         ((struct gw_retry_budget *)budget)->options = context->retry_options;
       gw_link_load_init (&context->link, settings->link_megabits_per_s);
-      limits
-          = net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
+      limits = memory_limits_from_settings_ (settings);
       net_memory_account_set_limits (&context->account, &limits);
       context->part_cache_lifetime_us = (int64_t)(settings->part_memory_s * G_USEC_PER_SEC);
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
@@ -491,6 +489,12 @@
   sr_findings_delete (findings);
 }
 
+static struct net_memory_limits
+memory_limits_from_settings_ (const struct gw_settings *settings)
+{
+  return net_memory_limits (settings->memory_mb, net_memory_descriptors (settings->descriptors));
+}
+
 static struct gw_retry_budget_options
 retry_options_from_settings_ (const struct gw_settings *settings)
 {
--- a/testing/process/test-uncontrolled-clients.c
+++ b/testing/process/test-uncontrolled-clients.c
@@ -36,7 +36,9 @@
   /* The rest of the machine's memory is for the kernel's buffers of the connections. */
   PEAK_MAX_KIB = 64 * 1024,
   SENDING_MAX_S = 12,
-  STUCK_MS = 1000 /* a crowd of which nobody can send for this long has sent all it can */
+  PIPELINED = 40,
+  LARGEST_BODIES = 20, /* together more than the memory of the machine */
+  STUCK_MS = 1000      /* a crowd of which nobody can send for this long has sent all it can */
 };
 
 /* One client of a crowd. It sends its bytes, from the beginning again if it repeats, and reads
@@ -402,6 +404,63 @@
   expect_bounded_ ("silent connections to readiness", IDLE_CLIENTS, TO_READINESS, bytes, false);
 }
 
+/* What a client does within the limits must be served as before: it sends some requests before it
+ * reads, and reads slowly. */
+static void
+pipelined_requests_are_all_answered (void **state)
+{
+  static const char ending[] = "answer to pipelined-";
+  g_autoptr (GString) bytes = g_string_new (NULL);
+  g_autoptr (GString) received = g_string_new (NULL);
+  const struct timeval limit = { .tv_sec = SENDING_MAX_S };
+  int peer = site_connect (fleet, 1, true);
+  unsigned answers = 0;
+  char part[64];
+  ssize_t got;
+
+  for (unsigned i = 0; i < PIPELINED; i++)
+    g_string_append_printf (bytes,
+                            "POST /safe/a HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: "
+                            "pipelined-%u\r\nAuthorization: Token key-1\r\n%s"
+                            "Content-Length: 4\r\n\r\nbody",
+                            i, i + 1 == PIPELINED ? "Connection: close\r\n" : "");
+  assert_int_equal (send (peer, bytes->str, bytes->len, MSG_NOSIGNAL), bytes->len);
+  setsockopt (peer, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  while ((got = recv (peer, part, sizeof part, 0)) > 0)
+    {
+      g_string_append_len (received, part, got);
+      g_usleep (1000);
+    }
+  close (peer);
+  for (const char *at = received->str; (at = strstr (at, ending)) != NULL; at++)
+    {
+      g_autofree char *expected = g_strdup_printf ("%s%u", ending, answers);
+
+      assert_true (g_str_has_prefix (at, expected)); /* in order */
+      answers++;
+    }
+  assert_int_equal (answers, PIPELINED);
+}
+
+/* The largest bodies that the configuration allows, one at a time. */
+static void
+largest_bodies_are_served (void **state)
+{
+  for (unsigned i = 0; i < LARGEST_BODIES; i++)
+    {
+      g_autoptr (GString) bytes = g_string_new (NULL);
+      struct raw_http_response *reply;
+
+      append_head_ (bytes, BODY_BYTES);
+      append_filler_ (bytes, BODY_BYTES);
+      reply = site_call_raw (fleet, 1, bytes->str);
+      assert_int_equal (reply->status, 200);
+      assert_true (reply->complete);
+      raw_reply_free (reply);
+    }
+  assert_true (harness_process_peak_rss_kib (instance_ ()) <= PEAK_MAX_KIB);
+}
+
 /* The product's own interface: requests whose replies nobody reads. */
 static void
 own_unread_replies_are_bounded (void **state)
@@ -446,6 +505,8 @@
     cmocka_unit_test_setup_teardown (silent_connections_are_bounded, start_fleet, stop_fleet),
     cmocka_unit_test_setup_teardown (silent_connections_to_readiness_are_bounded, start_fleet,
                                      stop_fleet),
+    cmocka_unit_test_setup_teardown (pipelined_requests_are_all_answered, start_fleet, stop_fleet),
+    cmocka_unit_test_setup_teardown (largest_bodies_are_served, start_fleet, stop_fleet),
     cmocka_unit_test_setup_teardown (own_unread_replies_are_bounded, start_own_fleet,
                                      stop_own_fleet),
     cmocka_unit_test_setup_teardown (own_unfinished_bodies_are_bounded, start_own_fleet,
