test-uncontrolled-clients: complete requests with large bodies at silent servers

A thirteenth case: 60 clients send whole requests of 4 MiB to a service whose servers do not answer. Served requests are never closed, so this guards the limit on how many are served.

Bytes that a caller sends while it takes nothing of a response no longer count as progress, as they would have protected a client that reads nothing.

--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -750,7 +750,8 @@
     }
   conn->has_received = true;
   traffic_.received += (uint64_t)length;
-  conn->holder.progress_ms = now_ms_ (conn);
+  if (conn->queued_bytes == 0)
+    conn->holder.progress_ms = now_ms_ (conn); /* else only what the peer takes is progress */
   g_byte_array_append (conn->input, (const guint8 *)buffer->base, (guint)length);
   conn->input_peak_bytes = MAX (conn->input_peak_bytes, conn->input->len);
   parse_ (conn);
--- a/src/net/memory-account.h
+++ b/src/net/memory-account.h
@@ -27,7 +27,7 @@
   size_t bytes[NET_MEMORY_KINDS];
   size_t total;
   size_t unacknowledged; /* the part of NET_MEMORY_KERNEL that the caller has not taken */
-  int64_t progress_ms;   /* when the caller last sent a byte or took one */
+  int64_t progress_ms;   /* when the caller last sent a byte, or took one if responses are unsent */
   bool is_served;        /* a complete request is being served; see net_memory_holder_set_served */
 };
 
--- a/testing/process/test-uncontrolled-clients.c
+++ b/testing/process/test-uncontrolled-clients.c
@@ -36,6 +36,7 @@
   /* The rest of the machine's memory is for the kernel's buffers of the connections. */
   PEAK_MAX_KIB = 64 * 1024,
   SENDING_MAX_S = 12,
+  RECOVERY_MAX_S = 30, /* servers that did not answer are ejected for some seconds */
   PIPELINED = 40,
   LARGEST_BODIES = 20, /* together more than the memory of the machine */
   STUCK_MS = 1000      /* a crowd of which nobody can send for this long has sent all it can */
@@ -67,6 +68,7 @@
 static struct site_fleet *fleet;
 static struct harness *own_fleet;
 static unsigned ids;
+static bool servers_are_silent;
 
 static int
 start_fleet (void **state)
@@ -268,6 +270,18 @@
   return status;
 }
 
+/* The servers answer again; waits until they are used. */
+static void
+end_silence_ (void)
+{
+  int64_t end_us = g_get_monotonic_time () + RECOVERY_MAX_S * G_USEC_PER_SEC;
+
+  servers_are_silent = false;
+  assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, "mode=ok"));
+  while (send_ordinary_ () != 200 && g_get_monotonic_time () < end_us)
+    g_usleep (G_USEC_PER_SEC / 10);
+}
+
 /* Lets a crowd send BYTES and checks the instance, with the crowd connected and afterwards. */
 static void
 expect_bounded_ (
@@ -283,6 +297,8 @@
   int ready;
 
   close_crowd_ (&crowd);
+  if (servers_are_silent)
+    end_silence_ ();
   after = send_ordinary_ ();
   ready = ready_status_ ();
   peak_kib = harness_process_peak_rss_kib (instance_ ());
@@ -387,6 +403,20 @@
   expect_chunked_bodies_bounded_ ("chunked bodies", TO_GATEWAY);
 }
 
+/* Complete requests with the largest bodies at servers that do not answer: served requests can't be
+ * closed, so not all may be served. */
+static void
+complete_bodies_at_silent_servers_are_bounded (void **state)
+{
+  g_autoptr (GString) bytes = g_string_new (NULL);
+
+  assert_true (site_fleet_set_backends (fleet, 0, PLAIN_BACKENDS, "mode=silent"));
+  servers_are_silent = true;
+  append_head_ (bytes, BODY_BYTES);
+  append_filler_ (bytes, BODY_BYTES);
+  expect_bounded_ ("complete bodies", CLIENTS, TO_GATEWAY, bytes, false);
+}
+
 /* Connections that send nothing took all descriptors of the machine. */
 static void
 silent_connections_are_bounded (void **state)
@@ -502,6 +532,8 @@
     cmocka_unit_test_setup_teardown (unfinished_bodies_are_bounded, start_fleet, stop_fleet),
     cmocka_unit_test_setup_teardown (unfinished_chunked_bodies_are_bounded, start_fleet,
                                      stop_fleet),
+    cmocka_unit_test_setup_teardown (complete_bodies_at_silent_servers_are_bounded, start_fleet,
+                                     stop_fleet),
     cmocka_unit_test_setup_teardown (silent_connections_are_bounded, start_fleet, stop_fleet),
     cmocka_unit_test_setup_teardown (silent_connections_to_readiness_are_bounded, start_fleet,
                                      stop_fleet),
