Watcher: a result that was read late confirms only the start of its watch

A process that was suspended reads results that have waited for it. Counted from the reading, a list of instances would seem recent that is older than the limit for cold servers allows.

--- a/src/store/watcher.c
+++ b/src/store/watcher.c
@@ -76,6 +76,8 @@
 static void report_changes_ (struct watcher *watcher, const struct store_result *result);
 static void on_listed_ (const struct store_result *result, void *data);
 static void on_changed_ (const struct store_result *result, void *data);
+static int64_t confirmed_by_watch_us_ (const struct watcher *watcher,
+                                       const struct store_result *result);
 static void retry_ (struct watcher *watcher, enum store_status status);
 static void set_reachable_ (struct watcher *watcher, bool reachable, enum store_status status);
 static void retry_now_ (struct watcher *watcher);
@@ -480,7 +482,7 @@
   set_reachable_ (watcher, true, result->status);
   watcher->retry_ms = RETRY_FIRST_MS;
   report_changes_ (watcher, result);
-  watcher->confirmed_us = MAX (watcher->confirmed_us, g_get_monotonic_time () - WATCH_DELAY_US);
+  watcher->confirmed_us = MAX (watcher->confirmed_us, confirmed_by_watch_us_ (watcher, result));
   if (result->n_objects > 0)
     start_call_after_pause_ (watcher);
   else if (call_duration_ms_ (watcher) < watcher->call_wait_ms / 2)
@@ -489,6 +491,19 @@
     start_call_ (watcher);
 }
 
+/* Returns the time up to which RESULT of the last watch shows all changes. The result may have
+ * waited to be read, as in a process that was suspended: only one that is empty after the whole
+ * duration is known to be later than the start of the watch. */
+static int64_t
+confirmed_by_watch_us_ (const struct watcher *watcher, const struct store_result *result)
+{
+  int64_t wait_us = (int64_t)watcher->call_wait_ms * US_PER_MS;
+
+  if (result->n_objects > 0 || call_duration_ms_ (watcher) < watcher->call_wait_ms)
+    return watcher->call_started_us;
+  return watcher->call_started_us + MAX (wait_us - WATCH_DELAY_US, 0);
+}
+
 /* Retries after a delay, which doubles up to RETRY_MAX_MS. While the leader can't reach the store
  * either, retries rarely, as the leader reports the end of the outage. */
 static void
