Cold servers: a list is used for 32 s

A watch that ends with a change confirms the list only up to its start, so that a list of up to 31 s is usual after a change. With 24 s cold servers would be left idle for up to 7 s after it. The other two times grow by as much.

--- a/src/gateway/cold-start.h
+++ b/src/gateway/cold-start.h
@@ -12,10 +12,10 @@
 
 enum
 {
-  GW_COLD_STALE_US = 24000000, /* an older list of instances is not used: the longest watch of the
-                                * list (15 s), the delay of its changes (3 s) and a margin for a
-                                * slow store */
-  GW_COLD_SETTLE_US = 28000000 /* until all lists in use show that an instance was added:
+  GW_COLD_STALE_US = 32000000, /* an older list of instances is not used: a watch of the list (15 s)
+                                * that ended late with a change, the pause after it, the next watch
+                                * and a margin */
+  GW_COLD_SETTLE_US = 36000000 /* until all lists in use show that an instance was added:
                                 * GW_COLD_STALE_US, the window and a margin for delays */
 };
 
--- a/testing/process/test-cold-servers.c
+++ b/testing/process/test-cold-servers.c
@@ -19,7 +19,7 @@
   CALLER_PAUSE_US = 10000, /* between two requests: together far more than cold servers sustain */
   COLD_MS = 3000,
   FOUND_MS = 500,    /* until all instances have read a changed entry */
-  SETTLE_MS = 29000, /* GW_COLD_SETTLE_US after the start, and a second */
+  SETTLE_MS = 37000, /* GW_COLD_SETTLE_US after the start, and a second */
   LIMIT_PER_S = 21,  /* 11 x 1.5 + 5 = 21.5 */
   REFUSAL_MAX_MS = 500,
   TOLERANCE_MS = 1000 /* for a machine under load */
