--- a/src/gateway/test-pace.c
+++ b/src/gateway/test-pace.c
@@ -206,15 +206,14 @@
 simulate_ (const struct simulation_ *settings)
 {
   struct simulation_ *simulation = g_memdup2 (settings, sizeof *settings);
-  double per_ms = LOAD * SERVERS * SLOTS / RESPONSE_MS;
+  double per_ms = LOAD * SERVERS * SLOTS / RESPONSE_MS; /* less than one */
 
   simulation->random = g_rand_new_with_seed (SEED + settings->seed);
   begin_ (simulation);
   for (; simulation->now_ms < DURATION_MS; simulation->now_ms++)
     {
-      for (double due = per_ms; due > 0; due--)
-        if (g_rand_double (simulation->random) < due)
-          arrive_ (simulation);
+      if (g_rand_double (simulation->random) < per_ms)
+        arrive_ (simulation);
       if (simulation->end_ms != 0 && simulation->now_ms == simulation->end_ms)
         {
           end_ (simulation);
