--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -29,6 +29,9 @@
 };
 
 static int64_t required_response_since_us_ (const struct gw_context *context, int64_t now_us);
+static bool refuse_unplaced_ (struct gw_exchange *exchange,
+                              enum gw_placement_verdict verdict,
+                              unsigned n_backends);
 static void send_request_ (struct gw_exchange *exchange);
 static void note_sent_to_cold_ (const struct gw_exchange *exchange, int64_t now_us);
 static bool is_withheld_from_cold_ (const struct gw_exchange *exchange);
@@ -144,6 +147,34 @@
   if (gw_exchange_refuse_blocked_ (exchange))
     return;
   verdict = gw_placement_pick (&query, context->random, place);
+  if (refuse_unplaced_ (exchange, verdict, query.backends == NULL ? 0 : query.backends->len))
+    return;
+  exchange->backend = gw_backend_ref (place->backend);
+  exchange->uncached_tokens = place->uncached_tokens;
+  exchange->memory_tokens = exchange->prompt.is_declared
+                                ? exchange->prompt.input_tokens + exchange->prompt.output_tokens_max
+                                : 0;
+  gw_placement_begin_request (place, &query, exchange->memory_tokens);
+  exchange->state = EXCHANGE_CONNECTING;
+  options.backend = place->backend;
+  exchange->upstream = gw_upstream_open (&options);
+  if (exchange->upstream == NULL)
+    on_failed_ (exchange, GW_UPSTREAM_NOT_CONNECTED);
+  else if (gw_upstream_is_ready (exchange->upstream))
+    send_request_ (exchange);
+}
+
+/* Refuses the request if VERDICT of the placement, among N_BACKENDS, is that no server can take it
+ * now, or if others take precedence. Returns whether it did, and the exchange is freed. */
+static bool
+refuse_unplaced_ (struct gw_exchange *exchange,
+                  enum gw_placement_verdict verdict,
+                  unsigned n_backends)
+{
+  const struct gw_context *context = exchange->context;
+  const struct gw_placement *place = &exchange->place;
+  int64_t now_us = g_get_monotonic_time ();
+
   if (verdict == GW_PLACEMENT_ALL_EVACUATED)
     {
       bool is_known = evacuation_is_known (context->evacuation);
@@ -153,7 +184,7 @@
           is_known ? "all_evacuated" : "evacuations_unknown",
           json_pack ("{s:i,s:i}", "evacuated", (int)place->evacuated, "data_centres",
                      (int)evacuation_count (context->evacuation)));
-      return;
+      return true;
     }
   sr_counter_add (&cold_withheld_counter_, place->cold_withheld > 0);
   if (verdict == GW_PLACEMENT_ALL_COLD)
@@ -162,7 +193,7 @@
                                        GW_RETRY_AFTER_PAUSE, "all_cold",
                                        json_pack ("{s:i,s:I}", "cold", (int)place->cold_withheld,
                                                   "wait_ms", (json_int_t)place->resumes_in_ms));
-      return;
+      return true;
     }
   if (verdict == GW_PLACEMENT_ALL_PAUSED)
     {
@@ -170,7 +201,7 @@
           exchange, exchange->runs > 0 ? 502 : 503, GW_RETRY_AFTER_PAUSE, "all_paused",
           json_pack ("{s:I,s:i}", "paused_ms", (json_int_t)place->resumes_in_ms, "evacuated",
                      (int)place->evacuated));
-      return;
+      return true;
     }
   if (verdict == GW_PLACEMENT_NO_RECENT_RESPONSE)
     {
@@ -179,10 +210,10 @@
           json_pack ("{s:I,s:i}", "store_out_ms",
                      (json_int_t)((now_us - context->store_outage_since_us) / GW_US_PER_MS),
                      "evacuated", (int)place->evacuated));
-      return;
+      return true;
     }
   if (verdict != GW_PLACEMENT_NO_BACKEND && gw_exchange_refuse_outranked_ (exchange, verdict))
-    return;
+    return true;
   if (verdict == GW_PLACEMENT_NO_BACKEND || verdict == GW_PLACEMENT_NO_MEMORY
       || (verdict == GW_PLACEMENT_ALL_FULL && !gw_exchange_outranks_queue_ (exchange)))
     {
@@ -193,25 +224,12 @@
           verdict == GW_PLACEMENT_NO_BACKEND  ? "no_backend"
           : verdict == GW_PLACEMENT_NO_MEMORY ? "no_memory"
                                               : "all_full",
-          json_pack ("{s:i,s:i,s:f,s:i}", "backends",
-                     query.backends == NULL ? 0 : (int)query.backends->len, "tried",
+          json_pack ("{s:i,s:i,s:f,s:i}", "backends", (int)n_backends, "tried",
                      (int)exchange->tried->len, "expected_ms", place->expected_ms, "evacuated",
                      (int)place->evacuated));
-      return;
+      return true;
     }
-  exchange->backend = gw_backend_ref (place->backend);
-  exchange->uncached_tokens = place->uncached_tokens;
-  exchange->memory_tokens = exchange->prompt.is_declared
-                                ? exchange->prompt.input_tokens + exchange->prompt.output_tokens_max
-                                : 0;
-  gw_placement_begin_request (place, &query, exchange->memory_tokens);
-  exchange->state = EXCHANGE_CONNECTING;
-  options.backend = place->backend;
-  exchange->upstream = gw_upstream_open (&options);
-  if (exchange->upstream == NULL)
-    on_failed_ (exchange, GW_UPSTREAM_NOT_CONNECTED);
-  else if (gw_upstream_is_ready (exchange->upstream))
-    send_request_ (exchange);
+  return false;
 }
 
 static void
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -26,6 +26,7 @@
 #define KIND_INSTANCES "sapphirerun-instances"
 
 static bool start_ (struct gateway *gateway);
+static void open_watchers_ (struct gateway *gateway);
 static void handle_signals_ (struct gateway *gateway);
 static void on_announcement_read_ (const struct store_result *result, void *data);
 static bool announcement_is_current_ (const struct gateway *gateway, json_t *content);
@@ -133,8 +134,6 @@
   const struct gw_settings *settings = gateway->settings;
   const struct net_memory_limits limits = memory_limits_from_settings_ (settings);
   struct gw_context *context = &gateway->context;
-  struct watcher_options watch
-      = { .loop = &gateway->loop, .wait_max_ms = GATEWAY_WATCH_MIN_MS, .data = gateway };
   const struct mesh_options mesh = {
     .loop = &gateway->loop,
     .address = settings->peer_address,
@@ -202,7 +201,24 @@
     return false;
   handle_signals_ (gateway);
 
-  gateway->store = gateway->platform->open_store (&gateway->loop, settings);
+  open_watchers_ (gateway);
+  g_snprintf (gateway->nonce, sizeof gateway->nonce, "%08x%08x", g_rand_int (context->random),
+              g_rand_int (context->random));
+  gateway_announce_ (gateway);
+  uv_timer_start (&gateway->gossip_timer, gateway_on_gossip_timer_, GOSSIP_INTERVAL_MS,
+                  GOSSIP_INTERVAL_MS);
+  gateway_on_quarantine_timer_ (&gateway->quarantine_timer);
+  return true;
+}
+
+/* Opens the store, and follows its objects. */
+static void
+open_watchers_ (struct gateway *gateway)
+{
+  struct watcher_options watch
+      = { .loop = &gateway->loop, .wait_max_ms = GATEWAY_WATCH_MIN_MS, .data = gateway };
+
+  gateway->store = gateway->platform->open_store (&gateway->loop, gateway->settings);
   store_on_restored (gateway->store, gateway_on_restored_, gateway);
   watch.store = gateway->store;
   watch.kind = gateway->platform->backend_kind;
@@ -228,13 +244,6 @@
   gateway->instances_watcher = watcher_new (&watch);
   watcher_start (gateway->routes_watcher);
   watcher_start (gateway->backends_watcher);
-  g_snprintf (gateway->nonce, sizeof gateway->nonce, "%08x%08x", g_rand_int (context->random),
-              g_rand_int (context->random));
-  gateway_announce_ (gateway);
-  uv_timer_start (&gateway->gossip_timer, gateway_on_gossip_timer_, GOSSIP_INTERVAL_MS,
-                  GOSSIP_INTERVAL_MS);
-  gateway_on_quarantine_timer_ (&gateway->quarantine_timer);
-  return true;
 }
 
 static void
