Pace: new and returning servers, where the settings ask for it

A server that had just appeared looked empty to all instances: 256 of 256 requests of 64 instances went to it at once, 1 with the pace (test-paced-placement). After broken connections it is tried again every half second by its pace in place of ejections of up to 8 s.

--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -107,6 +107,8 @@
 {
   struct gw_context *context = exchange->context;
   int64_t now_us = g_get_monotonic_time ();
+  const struct gw_placement_fleet fleet
+      = { .instance_hash = context->instance_hash, .instances = MAX (context->instances, 1U) };
   const struct gw_placement_query query = {
     .backends = gw_backends_of_service (context->backends, exchange->service_name),
     .service = exchange->service,
@@ -118,6 +120,7 @@
     .responded_since_us = required_response_since_us_ (context, now_us),
     .evacuation = context->evacuation,
     .cold_start = context->cold_start,
+    .paced = context->paces_backends ? &fleet : NULL,
     .instances = context->callers_compete ? MAX (context->instances, 1U) : 0,
     .protects_streams = context->callers_compete,
     .rank = gw_request_rank (exchange->route, exchange->team),
@@ -359,6 +362,8 @@
         && (head->status != 200 || !response->is_event_stream || response->is_encoded);
 
   gw_placement_note_first_byte (exchange->backend, exchange->uncached_tokens, now_us);
+  gw_placement_note_latency (exchange->backend, exchange->place.expected_ms,
+                             (now_us - exchange->sent_us) / GW_US_PER_MS, now_us);
   exchange->uncached_tokens = 0;
   if (response->not_executed)
     {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -31,7 +31,8 @@
   void *on_leaving_data;
   GHashTable *by_service; /* service: GPtrArray of struct gw_backend, without removed ones */
   GHashTable
-      *models; /* service: struct gw_latency_model; they outlive the servers they learned from */
+      *models;   /* service: struct gw_latency_model; they outlive the servers they learned from */
+  bool has_list; /* a complete list has been read */
   GHashTable *listed; /* ids put since gw_backends_begin_list; NULL: no list is being read */
 };
 
@@ -153,6 +154,7 @@
   known->facts = *facts;
   known->key = key;
   *facts = (struct gw_backend_facts){ 0 };
+  known->is_new = backends->has_list;
   known->load = gw_backend_load_new ();
   known->latency_model = gw_latency_model_ref (model_of_ (backends, known->facts.service));
   g_queue_init (&known->idle_connections);
@@ -210,6 +212,7 @@
     }
   g_hash_table_unref (backends->listed);
   backends->listed = NULL;
+  backends->has_list = true;
   return some_missing;
 }
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -32,6 +32,7 @@
   struct gw_backend_facts facts;
   uint64_t key;    /* gw_backend_key of the id */
   bool is_removed; /* removed from the table: no new requests, those running may finish */
+  bool is_new;     /* appeared after the first complete list */
   bool is_missing; /* not listed after a store outage: removed unless listed again in time */
   struct gw_backend_load *load; /* owned by the placement */
   struct gw_cold_server cold;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,8 @@
   int64_t backend_leave_limit_us; /* a backend server must get no new requests once this long has
                                      passed since it announced its shutdown */
   bool refuses_early;             /* while callers compete: see precedence.h */
+  bool paces_backends;            /* new and returning ones: see pace.h */
+  uint64_t instance_hash;         /* of the name of this instance */
   bool callers_compete;    /* for too little capacity: servers are told the ranks of requests */
   GHashTable *precedences; /* service name: struct gw_precedence; used while callers compete */
   GRand *random;
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -1,6 +1,7 @@
 #include "gateway/placement.h"
 
 #include "gateway/latency-model.h"
+#include "gateway/pace.h"
 
 #include <math.h>
 #include <string.h>
@@ -39,9 +40,14 @@
 /* Cost of a server that is still warming up. */
 static const double WARM_UP_MS = 100;
 
+/* A first byte is late beyond what explains it after this multiple of the expected time, and
+ * LATE_SLACK_MS. */
+static const double LATE_MULTIPLE = 3;
+
 enum
 {
-  ERROR_DECAY_US = 4000000,    /* time constant of the failure rate: a fault counts for seconds */
+  LATE_SLACK_MS = 200,      /* several steps of a busy server; expected times are often a few ms */
+  ERROR_DECAY_US = 4000000, /* time constant of the failure rate: a fault counts for seconds */
   MEMORY_REPORT_US = 2000000,  /* a usual response takes about as long */
   LARGE_PROMPT_SERVERS = 4,    /* one of so many servers is meant for large prompts */
   WORK_TIME_DECAY_US = 200000, /* time constant of the reported time of work, which changes many
@@ -81,6 +87,9 @@
   unsigned consecutive_breaks;
   int64_t ejected_until_us;
   int64_t replaced_until_us;
+  struct gw_pace pace;     /* not used where the query has none */
+  bool is_paced;           /* the pace of this server has begun once, or it needed none */
+  bool has_returned;       /* a connection broke since: the pace begins again */
   int64_t paused_until_us; /* it has refused a request and asked for none before this time */
   int64_t silent_since_us; /* last byte received, or when the first request in flight was sent */
   GHashTable *part_uses;   /* id (uint64_t): struct part_use_ */
@@ -115,6 +124,8 @@
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
 static bool is_ejected_ (const struct gw_backend_load *load, int64_t now_us);
+static bool is_over_pace_ (const struct gw_placement_query *query,
+                           const struct gw_backend *backend);
 static bool is_cold_ (const struct gw_placement_query *query, const struct gw_backend *backend);
 static bool is_excluded_ (const struct gw_placement_query *query, const struct gw_backend *backend);
 static bool is_evacuated_ (const struct gw_placement_query *query,
@@ -158,7 +169,7 @@
     {
       struct gw_backend *backend = query->backends->pdata[i];
       const struct gw_backend_load *load = backend->load;
-      bool ejected = is_ejected_ (load, query->now_us);
+      bool ejected = is_ejected_ (load, query->now_us) || is_over_pace_ (query, backend);
       unsigned slots = MAX (backend->facts.slots, 1U);
       int64_t uncached;
       int64_t cached_elsewhere;
@@ -274,6 +285,20 @@
   gw_placement_note_received (backend, now_us);
 }
 
+/* Notes that the first byte of a response was received TOOK_MS after the request was sent, where
+ * EXPECTED_MS were expected when it was placed. */
+void
+gw_placement_note_latency (struct gw_backend *backend,
+                           double expected_ms,
+                           int64_t took_ms,
+                           int64_t now_us)
+{
+  if ((double)took_ms > expected_ms * LATE_MULTIPLE + LATE_SLACK_MS)
+    gw_pace_note_bad (&backend->load->pace, now_us);
+  else
+    gw_pace_note_good (&backend->load->pace, backend->load->in_flight, now_us);
+}
+
 /* Notes that BACKEND has responded, and the load that RESPONSE reports, if any. */
 void
 gw_placement_note_response (struct gw_backend *backend,
@@ -321,12 +346,18 @@
       break;
     case GW_ATTEMPT_BROKEN:
       count_error_ (load, true, now_us);
-      load->ejected_until_us = now_us
-                               + MIN ((int64_t)EJECT_FIRST_US << MIN (load->consecutive_breaks, 8U),
-                                      (int64_t)EJECT_MAX_US);
+      /* The pace keeps out a server that goes on failing. */
+      load->ejected_until_us
+          = now_us
+            + (load->is_paced ? (int64_t)EJECT_FIRST_US
+                              : MIN ((int64_t)EJECT_FIRST_US << MIN (load->consecutive_breaks, 8U),
+                                     (int64_t)EJECT_MAX_US));
+      load->has_returned = true;
+      gw_pace_note_bad (&load->pace, now_us);
       load->consecutive_breaks++;
       break;
     case GW_ATTEMPT_NOT_EXECUTED:
+      gw_pace_note_bad (&load->pace, now_us);
       load->reported_load = MAX (load->reported_load, backend->facts.slots);
       load->reported_us = now_us;
       break;
@@ -627,6 +658,31 @@
   return gw_cold_server_is_cold (&backend->cold, query->now_us);
 }
 
+/* Returns whether this instance has as many requests at BACKEND as its pace allows. The pace begins
+ * when the server is first looked at after it has appeared or returned. */
+static bool
+is_over_pace_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+{
+  struct gw_backend_load *load = backend->load;
+  bool begins = load->has_returned ? !load->pace.is_active : backend->is_new && !load->is_paced;
+
+  if (query->paced == NULL || is_ejected_ (load, query->now_us))
+    return false;
+  if (begins)
+    {
+      uint64_t hash
+          = XXH3_64bits_withSeed (&backend->key, sizeof backend->key, query->paced->instance_hash);
+      const struct gw_pace_options options = { .position = (double)hash / (double)UINT64_MAX,
+                                               .instances = query->paced->instances,
+                                               .slots = MAX (backend->facts.slots, 1U) };
+
+      gw_pace_begin (&load->pace, &options, query->now_us);
+    }
+  load->is_paced = true;
+  load->has_returned = false;
+  return load->in_flight >= gw_pace_limit (&load->pace, query->now_us);
+}
+
 static bool
 is_excluded_ (const struct gw_placement_query *query, const struct gw_backend *backend)
 {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -14,6 +14,13 @@
 
 struct gw_backend_load;
 
+/* This instance among those that pace new and returning servers. */
+struct gw_placement_fleet
+{
+  uint64_t instance_hash; /* of its name */
+  unsigned instances;     /* with this one */
+};
+
 struct gw_placement_query
 {
   const GPtrArray *backends; /* struct gw_backend, of the service; may be NULL */
@@ -26,6 +33,7 @@
   int64_t responded_since_us; /* only servers that have responded since then; 0: any */
   const struct evacuation *evacuation;    /* NULL: evacuations are not followed */
   const struct gw_cold_start *cold_start; /* limit for cold servers; NULL: off */
+  const struct gw_placement_fleet *paced; /* new and returning servers have a pace; NULL: off */
   unsigned instances;    /* that share the memory of the servers; 0: it is not bounded */
   bool protects_streams; /* weighs the delay that the prompt causes to requests running there */
   unsigned rank;         /* urgent requests may use more of the memory */
@@ -83,6 +91,10 @@
 void gw_placement_note_received (struct gw_backend *backend, int64_t now_us);
 void
 gw_placement_note_first_byte (struct gw_backend *backend, int64_t uncached_tokens, int64_t now_us);
+void gw_placement_note_latency (struct gw_backend *backend,
+                                double expected_ms,
+                                int64_t took_ms,
+                                int64_t now_us);
 void gw_placement_note_response (struct gw_backend *backend,
                                  const struct gw_response_head *response,
                                  int64_t now_us);
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -10,6 +10,7 @@
 #include <pthread.h>
 #include <signal.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -180,6 +181,8 @@
   context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
   context->callers_compete = callers_compete_ (gateway, settings);
   context->refuses_early = context->callers_compete && settings->refuses_early;
+  context->paces_backends = settings->paces_backends;
+  context->instance_hash = XXH3_64bits (settings->name->str, settings->name->len);
   gateway->leaving_instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   context->cold_start = gw_cold_start_new (settings->name->str);
   gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
@@ -515,6 +518,7 @@
       context->backend_leave_limit_us = (int64_t)settings->leave_ms * GATEWAY_US_PER_MS;
       context->callers_compete = callers_compete_ (gateway, settings);
       context->refuses_early = context->callers_compete && settings->refuses_early;
+      context->paces_backends = settings->paces_backends;
       gw_cold_start_set_limits (context->cold_start, settings->cold_overage, settings->cold_slack);
       gateway_set_exempt_parts_ (gateway, settings);
       sr_event (SR_EVENT_INFO, "settings_reloaded", "{s:f,s:i,s:f}", "retry_ratio",
--- a/src/gateway/settings.c
+++ b/src/gateway/settings.c
@@ -89,6 +89,7 @@
     .min = 1,
     .max = 600000,
     .default_value = "2000" },
+  { .name = "pace", .type = SR_INI_BOOL, .offset = MEMBER (paces_backends), .default_value = "no" },
 };
 
 static const struct sr_ini_key callers_keys_[] = {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -32,7 +32,8 @@
   double part_memory_s;        /* a prompt part is assumed cached this long after use; 0: default */
   GArray *never_blocked_parts; /* uint64_t: ids of prompt parts */
   /* [backends] */
-  unsigned leave_ms; /* upper bound until a leaving server gets no new request */
+  unsigned leave_ms;   /* upper bound until a leaving server gets no new request */
+  bool paces_backends; /* new and returning servers get requests by how they respond */
   /* [callers] */
   bool callers_compete; /* callers compete for too little capacity; see gw_platform as well */
   bool refuses_early;   /* while callers compete: some are refused so that others are in time */
