Evacuation: the servers of a data centre count as cold when its evacuation ends

They got no requests meanwhile and may have become cold; their entries say so up to a heartbeat later, and until then the whole fleet would send at full rate.

--- a/src/gateway/evacuation-link.c
+++ b/src/gateway/evacuation-link.c
@@ -169,6 +169,11 @@
             (json_int_t)gateway_evacuations_revision_ (gateway), "era",
             (json_int_t)gateway->store->era);
   sr_counter_set (&evacuated_gauge_, evacuation_count (gateway->context.evacuation));
+  /* The servers got no requests meanwhile, and their entries may not say yet that they are cold. */
+  if (!is_evacuated && gateway->context.routes != NULL
+      && gw_cold_start_is_on (gateway->context.cold_start))
+    gw_backends_assume_cold (gateway->context.backends, gateway->context.routes, data_centre,
+                             g_get_monotonic_time ());
 }
 
 static void
