--- a/src/entry/connection.c
+++ b/src/entry/connection.c
@@ -391,7 +391,10 @@
                              SR_ENTRY_SHORT_RETRY_AFTER_MS);
       return;
     }
-  net_http_conn_reset (connection->conn);
+  if (net_http_conn_queued (connection->conn) > 0)
+    net_http_conn_reset (connection->conn);
+  else
+    net_http_conn_close (connection->conn);
   free_ (connection);
 }
 
--- a/src/gateway/probe.c
+++ b/src/gateway/probe.c
@@ -141,6 +141,9 @@
             closes ? "descriptors" : "memory", "bytes", (json_int_t)holder->total, "unsent",
             (json_int_t)holder->bytes[NET_MEMORY_UNSENT], "limit",
             (int)client->probe->options.connections_max);
-  net_http_conn_reset (client->conn);
+  if (net_http_conn_queued (client->conn) > 0)
+    net_http_conn_reset (client->conn);
+  else
+    net_http_conn_close (client->conn);
   g_free (client);
 }
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -569,7 +569,11 @@
       /* The queued write or the next read reports a broken connection. */
       sent = taken > 0 ? (size_t)taken : 0;
       if (taken > 0)
-        conn->holder.progress_ms = now_ms_ (conn);
+        {
+          conn->holder.progress_ms = now_ms_ (conn);
+          /* Until the kernel is asked for the bytes that it still holds. */
+          conn->holder.unacknowledged += sent;
+        }
     }
   if (sent == total)
     return;
@@ -976,7 +980,11 @@
     (*owner)->evicted (owner, closes);
   else
     {
-      net_http_conn_reset (conn);
+      /* A response that the kernel has taken is still sent. */
+      if (conn->queued_bytes > 0)
+        net_http_conn_reset (conn);
+      else
+        net_http_conn_close (conn);
       if (owner != NULL)
         (*owner)->ended (owner, NET_END_RESET);
     }
--- a/src/net/memory-account.c
+++ b/src/net/memory-account.c
@@ -22,6 +22,7 @@
   WAIT_MAX_MS = 1000,
   /* Closing goes on until a part of the limit is free again, so that not every read closes one. */
   FREE_SHARE = 8,
+  PIPELINED_MAX_BYTES = 65536, /* behind a served request: many small ones, or one large head */
   /* Requests that are served can't be closed, so they get only a part of the limit, and ones with
    * large bodies less, so that a few of these don't keep all others out. */
   SERVED_FREE_SHARE = 8,
@@ -315,7 +316,9 @@
 {
   if (holder->bytes[NET_MEMORY_UNSENT] > 0)
     return now_ms - holder->progress_ms >= STALLED_MS;
+  /* A served request is kept, but not what its caller sends far ahead behind it. */
   if (holder->is_served)
-    return false;
+    return holder->bytes[NET_MEMORY_INPUT] + holder->bytes[NET_MEMORY_KERNEL]
+           > PIPELINED_MAX_BYTES + holder->unacknowledged;
   return holder->unacknowledged == 0 || now_ms - holder->progress_ms >= KERNEL_STALLED_MS;
 }
--- a/src/net/test-memory-account.c
+++ b/src/net/test-memory-account.c
@@ -105,6 +105,21 @@
   assert_ptr_equal (net_memory_account_pick_largest (&account_, 40000), &holders_[0]);
 }
 
+/* Guards against clients that have one request served and send far ahead behind it: what they hold
+ * could not be freed, and other callers were closed instead. */
+static void
+a_served_request_does_not_protect_what_is_sent_far_ahead (void **state)
+{
+  for (unsigned i = 0; i < HOLDERS; i++)
+    net_memory_holder_set_served (&holders_[i], true);
+  net_memory_holder_set (&holders_[0], NET_MEMORY_INPUT, 60 * KIB);
+  net_memory_holder_set (&holders_[1], NET_MEMORY_INPUT, 96 * KIB);
+  net_memory_holder_note_kernel (&holders_[1], 5 * MIB, 0, 1000);
+  assert_ptr_equal (net_memory_account_pick_largest (&account_, 1001), &holders_[1]);
+  net_memory_holder_close (&holders_[1]);
+  assert_null (net_memory_account_pick_largest (&account_, 1001));
+}
+
 static void
 a_response_that_nobody_reads_is_closed (void **state)
 {
@@ -238,6 +253,7 @@
     cmocka_unit_test_setup (a_response_in_the_kernel_that_is_read_is_not_closed, open_holders),
     cmocka_unit_test_setup (a_response_that_nobody_reads_is_closed, open_holders),
     cmocka_unit_test_setup (a_request_that_is_served_is_not_closed, open_holders),
+    cmocka_unit_test_setup (a_served_request_does_not_protect_what_is_sent_far_ahead, open_holders),
     cmocka_unit_test_setup (a_new_connection_takes_the_place_of_the_oldest_idle_one, open_holders),
     cmocka_unit_test_setup (served_requests_leave_room_for_others, open_holders),
     cmocka_unit_test_setup (the_sums_are_right_after_any_changes, open_holders),
