--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -16,7 +16,7 @@
   = 262144, /* a response that is not a stream is buffered completely up to this size */
   CALLER_QUEUE_MAX_BYTES = 131072, /* reading from the server pauses while more is queued */
   CALLER_QUEUE_SHORT_BYTES = 8192, /* the same while memory for callers is short */
-  RESPONSE_SHORT_BYTES = 16384,    /* a response that is still buffered then is given up above it */
+  RESPONSE_SHORT_BYTES = 16384,    /* up to which a response is buffered then */
   REMAINING_MIN_MS = 5,            /* with less time to the deadline no server can respond */
   RESPONSE_WAIT_MIN_MS = 300,      /* a repeatable request is retried elsewhere after this time */
   RESPONSE_WAIT_OBJECTIVES = 3,    /* or this many latency objectives, if that is longer */
@@ -60,6 +60,7 @@
 static void forward_ (struct gw_exchange *exchange, const char *data, size_t length);
 static void
 end_unfinished_ (struct gw_exchange *exchange, enum gw_attempt_outcome outcome, const char *reason);
+static int64_t response_wait_end_us_ (const struct gw_exchange *exchange);
 static void on_timer_ (uv_timer_t *timer);
 
 static const struct gw_upstream_user_vtable upstream_vtable_ = {
@@ -362,8 +363,6 @@
         && (head->status != 200 || !response->is_event_stream || response->is_encoded);
 
   gw_placement_note_first_byte (exchange->backend, exchange->uncached_tokens, now_us);
-  gw_placement_note_latency (exchange->backend, exchange->place.expected_ms,
-                             (now_us - exchange->sent_us) / GW_US_PER_MS, now_us);
   exchange->uncached_tokens = 0;
   if (response->not_executed)
     {
@@ -386,6 +385,8 @@
                              "not_executed");
       return;
     }
+  gw_placement_note_latency (exchange->backend, failed, exchange->place.expected_ms,
+                             (now_us - exchange->sent_us) / GW_US_PER_MS, now_us);
   if ((failed || breaks_stream) && take_retry_ (exchange, true))
     {
       sr_event (SR_EVENT_INFO, "request_repeated", "{s:s,s:s,s:i}", "request", exchange->id,
@@ -478,18 +479,14 @@
           return;
         }
       g_byte_array_append (exchange->response_body, (const guint8 *)data, (guint)length);
-      if (exchange->response_body->len > RESPONSE_BUFFER_MAX_BYTES)
+      /* While memory is short no more is buffered than needed. */
+      if (exchange->response_body->len > RESPONSE_BUFFER_MAX_BYTES
+          || (exchange->response_body->len > RESPONSE_SHORT_BYTES
+              && net_memory_account_is_short (&exchange->context->account)))
         {
           begin_response_ (exchange);
           forward_buffered_ (exchange);
         }
-      else if (exchange->response_body->len > RESPONSE_SHORT_BYTES
-               && net_memory_account_is_short (&exchange->context->account))
-        {
-          /* Closing other callers has not made room for it. */
-          end_failed_attempt_ (exchange, "memory_short", GW_ATTEMPT_ABANDONED);
-          gw_exchange_refuse_ (exchange, 502, GW_RETRY_AFTER_BUSY, "memory_short");
-        }
       else
         (*exchange->caller)->buffered (exchange->caller, exchange->response_body->len);
       return;
@@ -744,6 +741,16 @@
     }
 }
 
+/* Returns until when the response to a repeatable request is waited for. */
+static int64_t
+response_wait_end_us_ (const struct gw_exchange *exchange)
+{
+  return exchange->sent_us
+         + MAX (RESPONSE_WAIT_OBJECTIVES * (int64_t)exchange->route->objective_ms,
+                RESPONSE_WAIT_MIN_MS)
+               * GW_US_PER_MS;
+}
+
 /* Starts the timer for the request's deadline or the next check for a silent server, whichever is
  * earlier. */
 void
@@ -753,11 +760,7 @@
   int64_t due_us = MIN (exchange->deadline_us, gw_exchange_overdue_us_ (exchange));
 
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
-    due_us
-        = MIN (due_us, exchange->sent_us
-                           + MAX (RESPONSE_WAIT_OBJECTIVES * (int64_t)exchange->route->objective_ms,
-                                  RESPONSE_WAIT_MIN_MS)
-                                 * GW_US_PER_MS);
+    due_us = MIN (due_us, response_wait_end_us_ (exchange));
   if ((exchange->state == EXCHANGE_SENT || exchange->state == EXCHANGE_RESPONDING)
       && exchange->route->kind == GW_ROUTE_STREAM && exchange->route->resumable)
     due_us = MIN (due_us, now_us + STREAM_CHECK_INTERVAL_MS * GW_US_PER_MS);
@@ -818,8 +821,9 @@
           "timeout");
       return;
     }
+  /* The loop's clock lags, so that a timer may end early. */
   if (exchange->state == EXCHANGE_SENT && exchange->route->kind == GW_ROUTE_REPEATABLE)
-    server_is_silent = true;
+    server_is_silent = now_us >= response_wait_end_us_ (exchange);
   else if (exchange->backend != NULL && exchange->route->resumable)
     server_is_silent = gw_placement_is_silent (exchange->backend, now_us)
                        && now_us - MAX (exchange->sent_us, exchange->response_head_us)
--- a/src/gateway/pace.c
+++ b/src/gateway/pace.c
@@ -46,6 +46,8 @@
 
   if (!pace->is_active)
     return G_MAXUINT;
+  if (now_us < pace->closed_until_us)
+    return 0;
   limit = fleet_limit_ (pace, now_us);
   if (limit >= END_PART * pace->options.slots
       && (pace->bad_us == 0 || now_us - pace->bad_us >= 2 * DOUBLE_US))
@@ -53,8 +55,6 @@
       pace->is_active = false;
       return G_MAXUINT;
     }
-  if (now_us < pace->closed_until_us)
-    return 0;
   share = limit / MAX (pace->options.instances, 1U);
   share = floor (share) + (pace->options.position < share - floor (share));
   return (unsigned)MIN (share, MAX (pace->window, 1));
@@ -89,6 +89,8 @@
   pace->window = 1;
   pace->closed_until_us
       = now_us + (int64_t)((double)pace->close_us * (0.5 + pace->options.position));
+  /* A server that gets nothing shows nothing: the limit for the fleet waits. */
+  pace->since_us = MAX (pace->since_us, pace->closed_until_us);
   pace->close_us = MIN (2 * pace->close_us, (int64_t)CLOSE_MAX_US);
 }
 
--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -46,6 +46,7 @@
 
 enum
 {
+  OWN_REQUESTS_MIN = 4,     /* from which the requests of peers are estimated */
   LATE_SLACK_MS = 200,      /* several steps of a busy server; expected times are often a few ms */
   ERROR_DECAY_US = 4000000, /* time constant of the failure rate: a fault counts for seconds */
   MEMORY_REPORT_US = 2000000,  /* a usual response takes about as long */
@@ -169,7 +170,7 @@
     {
       struct gw_backend *backend = query->backends->pdata[i];
       const struct gw_backend_load *load = backend->load;
-      bool ejected = is_ejected_ (load, query->now_us) || is_over_pace_ (query, backend);
+      bool ejected = is_ejected_ (load, query->now_us);
       unsigned slots = MAX (backend->facts.slots, 1U);
       int64_t uncached;
       int64_t cached_elsewhere;
@@ -206,6 +207,7 @@
           some_short = true;
           continue;
         }
+      ejected = is_over_pace_ (query, backend) || ejected;
       uncached = uncached_tokens_ (query, backend, affinity, &cached_elsewhere);
       ms = expected_ms_ (query, backend, uncached + cached_elsewhere);
       if (load->in_flight + peer_requests_ (load, query->now_us)
@@ -286,14 +288,15 @@
 }
 
 /* Notes that the first byte of a response was received TOOK_MS after the request was sent, where
- * EXPECTED_MS were expected when it was placed. */
+ * EXPECTED_MS were expected when it was placed, and whether it is a failure of the server. */
 void
 gw_placement_note_latency (struct gw_backend *backend,
+                           bool has_failed,
                            double expected_ms,
                            int64_t took_ms,
                            int64_t now_us)
 {
-  if ((double)took_ms > expected_ms * LATE_MULTIPLE + LATE_SLACK_MS)
+  if (has_failed || (double)took_ms > expected_ms * LATE_MULTIPLE + LATE_SLACK_MS)
     gw_pace_note_bad (&backend->load->pace, now_us);
   else
     gw_pace_note_good (&backend->load->pace, backend->load->in_flight, now_us);
@@ -445,11 +448,21 @@
                                                 (double)query->service->memory_tokens
                                                     / MAX (query->service->slots, 1U));
   double own = 0;
+  unsigned own_requests = 0;
 
   if (load->peer_requests_us != 0 && query->now_us - load->peer_requests_us < MEMORY_REPORT_US)
     return load->peer_requests * mean + MEMORY_DEVIATIONS * mean * sqrt (load->peer_requests);
   for (unsigned i = 0; i < query->backends->len; i++)
-    own += (double)((const struct gw_backend *)query->backends->pdata[i])->load->memory_tokens;
+    {
+      const struct gw_backend_load *each
+          = ((const struct gw_backend *)query->backends->pdata[i])->load;
+
+      own += (double)each->memory_tokens;
+      own_requests += each->in_flight;
+    }
+  /* A few requests of this instance tell nothing about those of hundreds of others. */
+  if (own_requests < OWN_REQUESTS_MIN)
+    return 0;
   return own / query->backends->len * (query->instances - 1);
 }
 
@@ -666,7 +679,12 @@
   struct gw_backend_load *load = backend->load;
   bool begins = load->has_returned ? !load->pace.is_active : backend->is_new && !load->is_paced;
 
-  if (query->paced == NULL || is_ejected_ (load, query->now_us))
+  if (query->paced == NULL)
+    {
+      load->is_paced = load->pace.is_active = false;
+      return false;
+    }
+  if (is_ejected_ (load, query->now_us))
     return false;
   if (begins)
     {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -92,6 +92,7 @@
 void
 gw_placement_note_first_byte (struct gw_backend *backend, int64_t uncached_tokens, int64_t now_us);
 void gw_placement_note_latency (struct gw_backend *backend,
+                                bool has_failed,
                                 double expected_ms,
                                 int64_t took_ms,
                                 int64_t now_us);
