--- a/src/gateway/evacuation-link.c
+++ b/src/gateway/evacuation-link.c
@@ -24,8 +24,8 @@
   LIST_MIN_PERCENT = 24,
   LIST_MIN_MS = 100,
   /* An instance that receives nothing from peers for so long depends on its own lists. With
-   * repeated updates of all peers twice a second, that happens by chance to one of 50 at most. */
-  ALONE_US = 1000000
+   * repeated updates of all peers twice a second, that happens by chance to one of 2,500 at most. */
+  ALONE_US = 2000000
 };
 
 static void on_listed_ (const struct store_result *result, void *data);
@@ -80,8 +80,9 @@
     return;
   if (g_get_monotonic_time () - mesh_last_received_us (gateway->mesh) > ALONE_US)
     interval_ms = min_ms;
-  /* A shorter interval takes effect at once, not after the current one. */
-  if (interval_ms < gateway->evacuation_list_ms)
+  /* A much shorter interval takes effect at once, not after the current one; a fleet that shrinks
+   * one by one would otherwise put off its lists again and again. */
+  if (interval_ms < gateway->evacuation_list_ms / 2)
     watcher_set_list_interval (gateway->evacuations_watcher, 0);
   watcher_set_list_interval (gateway->evacuations_watcher, interval_ms);
   gateway->evacuation_list_ms = interval_ms;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -596,7 +596,8 @@
   struct quarantine_report reports[MESH_PART_REPORTS_MAX] = { 0 };
   unsigned n_reports;
 
-  if (is_over_limit_ (mesh, &mesh->reports_received, bytes))
+  if (peer != NULL && handle_of_ (peer) == handle_of_ (from)
+      && is_over_limit_ (mesh, &mesh->reports_received, bytes))
     return;
   if (peer == NULL || handle_of_ (peer) != handle_of_ (from)
       || !part_reports_xdr (xdr, reports, &n_reports, g_get_monotonic_time ()))
