--- a/src/gateway/evacuation-link.c
+++ b/src/gateway/evacuation-link.c
@@ -24,7 +24,8 @@
   LIST_MIN_PERCENT = 24,
   LIST_MIN_MS = 100,
   /* An instance that receives nothing from peers for so long depends on its own lists. With
-   * repeated updates of all peers twice a second, that happens by chance to one of 2,500 at most. */
+   * repeated updates of all peers twice a second, that happens by chance to one of 2,500 at most.
+   */
   ALONE_US = 2000000
 };
 
