Placement: the own requests at all servers are summed once for each choice

Where callers compete, each server without a recent report was estimated by a sum over all servers: nine million steps a choice with 3,000 servers.

--- a/src/gateway/placement.c
+++ b/src/gateway/placement.c
@@ -96,6 +96,13 @@
   GHashTable *part_uses;   /* id (uint64_t): struct part_use_ */
 };
 
+/* The requests of this instance at all servers of a service. */
+struct own_requests_
+{
+  double tokens; /* of cache memory that they may come to need */
+  unsigned requests;
+};
+
 /* Last use of a prompt part at one server. */
 struct part_use_
 {
@@ -118,9 +125,12 @@
                                      const struct gw_backend *backend,
                                      int64_t uncached_tokens,
                                      double running);
+static struct own_requests_ count_own_requests_ (const struct gw_placement_query *query);
 static bool memory_is_short_ (const struct gw_placement_query *query,
+                              const struct own_requests_ *own,
                               const struct gw_backend *backend);
 static double peer_memory_tokens_ (const struct gw_placement_query *query,
+                                   const struct own_requests_ *own,
                                    const struct gw_backend *backend);
 static double error_rate_ (const struct gw_backend_load *load, int64_t now_us);
 static void count_error_ (struct gw_backend_load *load, bool failed, int64_t now_us);
@@ -162,6 +172,7 @@
   bool all_full = true;
   bool some_unresponsive = false;
   bool some_short = false; /* of memory */
+  const struct own_requests_ own = count_own_requests_ (query);
   double best_ms = INFINITY;
   int64_t resumes_us = INT64_MAX;
 
@@ -202,7 +213,7 @@
           resumes_us = MIN (resumes_us, query->now_us + cold_us);
           continue;
         }
-      if (memory_is_short_ (query, backend))
+      if (memory_is_short_ (query, &own, backend))
         {
           some_short = true;
           continue;
@@ -418,10 +429,29 @@
   return backend->load->in_flight > 0 && now_us - backend->load->silent_since_us > SILENCE_US;
 }
 
+static struct own_requests_
+count_own_requests_ (const struct gw_placement_query *query)
+{
+  struct own_requests_ own = { 0 };
+
+  for (unsigned i = 0; query->instances > 0 && query->backends != NULL && i < query->backends->len;
+       i++)
+    {
+      const struct gw_backend_load *load
+          = ((const struct gw_backend *)query->backends->pdata[i])->load;
+
+      own.tokens += (double)load->memory_tokens;
+      own.requests += load->in_flight;
+    }
+  return own;
+}
+
 /* Returns whether the request of QUERY may exceed the memory of BACKEND, with what this instance
  * and its peers have there. A server that is likely to be empty takes any request. */
 static bool
-memory_is_short_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+memory_is_short_ (const struct gw_placement_query *query,
+                  const struct own_requests_ *own,
+                  const struct gw_backend *backend)
 {
   const struct gw_prompt *prompt = query->prompt;
   double part = MAX (MEMORY_PART_MAX - query->rank * MEMORY_PART_PER_RANK, MEMORY_PART_MIN);
@@ -432,7 +462,7 @@
       || prompt == NULL || !prompt->is_declared)
     return false;
   needed = (double)(prompt->input_tokens + prompt->output_tokens_max);
-  used = (double)backend->load->memory_tokens + peer_memory_tokens_ (query, backend);
+  used = (double)backend->load->memory_tokens + peer_memory_tokens_ (query, own, backend);
   return used >= 1 && used + needed > part * (double)query->service->memory_tokens;
 }
 
@@ -441,29 +471,21 @@
  * Unlike a queue, memory stays in use for seconds, so a report does not decay before it is old. A
  * refusal says nothing about it. */
 static double
-peer_memory_tokens_ (const struct gw_placement_query *query, const struct gw_backend *backend)
+peer_memory_tokens_ (const struct gw_placement_query *query,
+                     const struct own_requests_ *own,
+                     const struct gw_backend *backend)
 {
   const struct gw_backend_load *load = backend->load;
   double mean = gw_latency_model_memory_tokens (backend->latency_model,
                                                 (double)query->service->memory_tokens
                                                     / MAX (query->service->slots, 1U));
-  double own = 0;
-  unsigned own_requests = 0;
 
   if (load->peer_requests_us != 0 && query->now_us - load->peer_requests_us < MEMORY_REPORT_US)
     return load->peer_requests * mean + MEMORY_DEVIATIONS * mean * sqrt (load->peer_requests);
-  for (unsigned i = 0; i < query->backends->len; i++)
-    {
-      const struct gw_backend_load *each
-          = ((const struct gw_backend *)query->backends->pdata[i])->load;
-
-      own += (double)each->memory_tokens;
-      own_requests += each->in_flight;
-    }
   /* A few requests of this instance tell nothing about those of hundreds of others. */
-  if (own_requests < OWN_REQUESTS_MIN)
+  if (own->requests < OWN_REQUESTS_MIN)
     return 0;
-  return own / query->backends->len * (query->instances - 1);
+  return own->tokens / query->backends->len * (query->instances - 1);
 }
 
 /* Returns whether requests wait at BACKEND: it has reported so lately, or more requests are there
