--- a/review/harness-2/harness.c
+++ b/review/harness-2/harness.c
@@ -292,6 +292,20 @@
   return text;
 }
 
+/* Creates an object of the store; OBJECT is its whole text. */
+void
+deployment_put_object (const struct deployment *deployment, const char *kind, const char *object)
+{
+  char path[100];
+  char *text;
+
+  snprintf (path, sizeof path, "/objects/%s", kind);
+  text = call_ (deployment->base_port, "POST", path, object);
+  if (text == NULL || strncmp (text, "HTTP/1.1 200", 12) != 0)
+    fail_to_run ("the store did not take an object");
+  free (text);
+}
+
 void
 deployment_control (const struct deployment *deployment, const char *path)
 {
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -60,6 +60,8 @@
 char *deployment_counts (const struct deployment *deployment);
 char *
 deployment_object (const struct deployment *deployment, const char *kind, const char *name);
+void
+deployment_put_object (const struct deployment *deployment, const char *kind, const char *object);
 int deployment_connect (const struct deployment *deployment, unsigned gateway);
 bool deployment_log_has (const struct deployment *deployment, unsigned gateway, const char *text);
 unsigned
