Stop: the process ends only when no further request can be read

Cause: the check that finds no request in progress ended the loop, while the listener and connections without a request were still open. libuv polls once more after uv_stop in a timer: what arrived with the check was read and sent on over an idle connection to a server. `stopped` logged it as unfinished. Ruled out: a request that the check missed (the count of exchanges is right: 0 at the check, 8 at the exit).

Change: a further step closes the listener and waits for the connections of callers, and for finished ones whose callers have not taken all bytes; at the end of the grace all connections are closed before the loop is stopped.

Why it works: nothing that a request could be read from is open when the loop polls for the last time.

--- a/src/gateway/ingress.c
+++ b/src/gateway/ingress.c
@@ -240,6 +240,44 @@
     }
 }
 
+/* Accepts no further connections. Those that the kernel has accepted in the meantime are reset with
+ * their requests unread. */
+void
+gw_ingress_stop_listening (struct gw_ingress *ingress)
+{
+  if (gw_ingress_is_listening (ingress))
+    uv_close ((uv_handle_t *)&ingress->listener, NULL);
+}
+
+bool
+gw_ingress_is_listening (const struct gw_ingress *ingress)
+{
+  return !uv_is_closing ((const uv_handle_t *)&ingress->listener);
+}
+
+/* Closes all connections, as the process is about to exit and no request is in progress. Those with
+ * unsent bytes are reset, so that no response looks complete. */
+void
+gw_ingress_close_all (struct gw_ingress *ingress)
+{
+  g_autoptr (GList) callers = g_hash_table_get_keys (ingress->callers);
+
+  for (GList *link = callers; link != NULL; link = link->next)
+    {
+      struct caller_ *caller = link->data;
+      struct net_http_conn *conn = caller->conn;
+
+      g_assert (caller->exchange == NULL);
+      note_end_ (caller, CALLER_END_STOPPING);
+      caller->conn = NULL;
+      if (net_http_conn_queued (conn) > 0)
+        net_http_conn_reset (conn);
+      else
+        net_http_conn_close (conn);
+      free_ (caller);
+    }
+}
+
 /* Ends all requests in progress, as the process is about to exit: each is refused, or its response,
  * which has begun, is cut. */
 void
--- a/src/gateway/serve.c
+++ b/src/gateway/serve.c
@@ -89,8 +89,9 @@
                 "store", settings->store_host->str);
       pthread_sigmask (SIG_UNBLOCK, &signals, NULL);
       uv_run (&gateway->loop, UV_RUN_DEFAULT);
-      sr_event (SR_EVENT_INFO, "stopped", "{s:i,s:b}", "unfinished",
-                (int)gateway->context.exchanges, "tokens_returned",
+      sr_event (SR_EVENT_INFO, "stopped", "{s:i,s:i,s:b}", "unfinished",
+                (int)gateway->context.exchanges, "finishing", (int)net_http_finished_count (),
+                "tokens_returned",
                 gateway->context.allotments == NULL
                     || allotment_manager_has_returned_all (gateway->context.allotments));
       code = 0;
@@ -573,7 +574,9 @@
     .limit_ms = (int64_t)gateway->settings->stop_limit_s * 1000,
     .requests = (unsigned)gateway->context.exchanges + net_http_unsent_count (),
     .connections = gw_ingress_connection_count (gateway->ingress),
+    .finishing = net_http_finished_count (),
     .is_returning_tokens = gateway->returning_tokens,
+    .is_listening = gw_ingress_is_listening (gateway->ingress),
     .has_tokens = allotments != NULL && !allotment_manager_has_returned_all (allotments),
   };
 
@@ -595,12 +598,20 @@
       if (allotments != NULL)
         allotment_manager_stop (allotments, now_us);
       break;
+    case GW_STOP_CLOSE_LISTENER:
+      gw_ingress_stop_listening (gateway->ingress);
+      gw_ingress_close_idle (gateway->ingress);
+      break;
     case GW_STOP_END:
+      gw_ingress_stop_listening (gateway->ingress);
       if (gateway->context.exchanges > 0)
         {
           gw_ingress_end_requests (gateway->ingress); /* sent until the next check */
           break;
         }
+      /* The loop polls once more after uv_stop: no connection may be left to read a request from.
+       */
+      gw_ingress_close_all (gateway->ingress);
       net_http_reset_unsent ();
       uv_stop (&gateway->loop);
       break;
--- a/src/gateway/stop.c
+++ b/src/gateway/stop.c
@@ -7,7 +7,8 @@
 };
 
 /* Returns the step for STATE: serve until the balancer has moved the callers to peers, let running
- * requests finish, return the tokens, end. Ends at the limit in any case. */
+ * requests finish, return the tokens, close what requests could still arrive on, end. Ends at the
+ * limit in any case. */
 enum gw_stop_step
 gw_stop_next (const struct gw_stop_state *state)
 {
@@ -21,5 +22,8 @@
   if (!state->is_returning_tokens
       || (state->elapsed_ms < last_ms && (state->requests > 0 || state->has_tokens)))
     return GW_STOP_RETURN_TOKENS;
+  if (state->elapsed_ms < last_ms
+      && (state->is_listening || state->connections > 0 || state->finishing > 0))
+    return GW_STOP_CLOSE_LISTENER;
   return GW_STOP_END;
 }
--- a/src/gateway/test-gateway.c
+++ b/src/gateway/test-gateway.c
@@ -794,7 +794,8 @@
 static void
 a_stop_returns_tokens_before_the_process_exits (void **state)
 {
-  struct gw_stop_state stop = { .limit_ms = 8000, .requests = 1, .connections = 2 };
+  struct gw_stop_state stop
+      = { .limit_ms = 8000, .requests = 1, .connections = 2, .is_listening = true };
 
   assert_int_equal (gw_stop_next (&stop), GW_STOP_SERVE);
   stop.elapsed_ms = 4000;
@@ -811,13 +812,36 @@
   stop.elapsed_ms = 7650;
   assert_int_equal (gw_stop_next (&stop), GW_STOP_RETURN_TOKENS);
   stop.has_tokens = false;
-  assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_CLOSE_LISTENER);
   stop.requests = 1;
   assert_int_equal (gw_stop_next (&stop), GW_STOP_RETURN_TOKENS);
   stop.elapsed_ms = 7700;
   assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
 }
 
+/* A process that ended while callers could still send requests once lost those that arrived with
+ * its last check. */
+static void
+a_stop_ends_only_when_no_request_can_arrive (void **state)
+{
+  struct gw_stop_state stop
+      = { .limit_ms = 8000, .elapsed_ms = 3300, .is_returning_tokens = true, .is_listening = true };
+
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_CLOSE_LISTENER);
+  stop.is_listening = false;
+  stop.connections = 1;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_CLOSE_LISTENER);
+  stop.connections = 0;
+  stop.finishing = 1;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_CLOSE_LISTENER);
+  stop.finishing = 0;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
+  stop.connections = 1;
+  stop.finishing = 1;
+  stop.elapsed_ms = 7700;
+  assert_int_equal (gw_stop_next (&stop), GW_STOP_END);
+}
+
 /* Guards against callers' urgency taken from the wrong place, and against competition that no
  * setting asks for. */
 static void
@@ -946,6 +970,7 @@
     cmocka_unit_test (an_instance_reports_overload_before_its_link_is_full),
     cmocka_unit_test (the_two_directions_of_a_link_are_measured_separately),
     cmocka_unit_test (a_stop_returns_tokens_before_the_process_exits),
+    cmocka_unit_test (a_stop_ends_only_when_no_request_can_arrive),
     cmocka_unit_test (a_team_with_a_priority_overrides_the_rank_of_the_route),
     cmocka_unit_test (without_a_limit_evacuations_are_off),
     cmocka_unit_test (cold_servers_get_only_the_share_of_this_instance),
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -86,9 +86,8 @@
   uv_connect_t connect_request;
   uv_shutdown_t shutdown_request;
   uv_timer_t linger;
-  /* Finished connections whose queued bytes are not sent yet. */
-  GList unsent_link;
-  bool is_unsent;
+  GList finished_link; /* in finished_ */
+  bool is_unsent;      /* finished, and its queued bytes are not all sent */
   bool lingers_unread;
   unsigned linger_checks; /* while it lingers unread */
   uint64_t dropped_bytes; /* received after the last response */
@@ -176,7 +175,8 @@
  * share them without locks. */
 static _Thread_local struct net_traffic traffic_;
 static _Thread_local char read_buffer_[READ_CHUNK_BYTES];
-static _Thread_local GQueue unsent_ = G_QUEUE_INIT;
+static _Thread_local GQueue finished_ = G_QUEUE_INIT; /* connections in CONN_LINGERING */
+static _Thread_local unsigned unsent_count_;
 
 const struct net_traffic *
 net_traffic (void)
@@ -189,15 +189,29 @@
 unsigned
 net_http_unsent_count (void)
 {
-  return unsent_.length;
+  return unsent_count_;
+}
+
+/* Returns how many connections of this thread were finished and still wait for their peers to take
+ * all bytes and close. */
+unsigned
+net_http_finished_count (void)
+{
+  return finished_.length;
 }
 
 /* Resets the connections that net_http_unsent_count counts. */
 void
 net_http_reset_unsent (void)
 {
-  while (unsent_.length > 0)
-    net_http_conn_reset (unsent_.head->data);
+  for (GList *link = finished_.head; link != NULL;)
+    {
+      struct net_http_conn *conn = link->data;
+
+      link = link->next;
+      if (conn->is_unsent)
+        net_http_conn_reset (conn);
+    }
 }
 
 /* Returns the name of END for log lines. */
@@ -441,6 +455,8 @@
     return;
   note_unused_input_ (conn);
   set_sent_ (conn);
+  if (conn->state == CONN_LINGERING)
+    g_queue_unlink (&finished_, &conn->finished_link);
   net_memory_holder_close (&conn->holder);
   conn->state = CONN_CLOSED;
   conn->owner = NULL;
@@ -633,6 +649,8 @@
       return;
     }
   conn->state = CONN_LINGERING;
+  conn->finished_link.data = conn;
+  g_queue_push_tail_link (&finished_, &conn->finished_link);
   conn->owner = NULL;
   net_memory_holder_set_served (&conn->holder, false);
   net_memory_holder_set (&conn->holder, NET_MEMORY_BODY, 0);
@@ -648,9 +666,8 @@
   if (conn->queued_bytes > 0)
     {
       conn->is_unsent = true;
-      conn->unsent_link.data = conn;
+      unsent_count_++;
       conn->unsent_bytes = conn->queued_bytes;
-      g_queue_push_tail_link (&unsent_, &conn->unsent_link);
       uv_timer_start (&conn->linger, on_send_check_, SEND_CHECK_MS, SEND_CHECK_MS);
     }
   else
@@ -703,7 +720,7 @@
   if (!conn->is_unsent)
     return;
   conn->is_unsent = false;
-  g_queue_unlink (&unsent_, &conn->unsent_link);
+  unsent_count_--;
 }
 
 /* Resets a finished connection whose peer has stopped taking bytes. */
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -60,6 +60,7 @@
 
 const struct net_traffic *net_traffic (void);
 unsigned net_http_unsent_count (void);
+unsigned net_http_finished_count (void);
 void net_http_reset_unsent (void);
 const char *net_end_reason_to_string (enum net_end_reason end);
 
--- a/testing/harness/site.c
+++ b/testing/harness/site.c
@@ -286,6 +286,20 @@
   return harness_get_json (site_address_, fleet->options.port_base + CONTROL_OFFSET, "/counts");
 }
 
+/* Returns whether the store has the object NAME of KIND. */
+bool
+site_fleet_has_object (struct site_fleet *fleet, const char *kind, const char *name)
+{
+  g_autofree char *path = g_strdup_printf ("/objects/%s/%s", kind, name);
+  const struct harness_call call
+      = { .address = site_address_, .port = fleet->options.port_base, .path = path };
+  struct harness_http_response *reply = harness_call (&call);
+  bool has_object = reply->status == 200;
+
+  harness_reply_free (reply);
+  return has_object;
+}
+
 /* Opens a connection to the entry of INSTANCE. HAS_SMALL_WINDOWS: with segments and a receive
  * buffer as on a slow link, so that the instance's kernel can take few bytes ahead. Returns its
  * socket, which the caller closes, or -1. */
--- a/testing/harness/site.h
+++ b/testing/harness/site.h
@@ -95,6 +95,7 @@
 site_fleet_add_rule (struct site_fleet *fleet, unsigned instance, const char *mode, int delay_ms);
 bool site_fleet_clear_rules (struct site_fleet *fleet);
 json_t *site_fleet_counts (struct site_fleet *fleet);
+bool site_fleet_has_object (struct site_fleet *fleet, const char *kind, const char *name);
 char *site_instance_address (unsigned instance);
 int site_connect (struct site_fleet *fleet, unsigned instance, bool has_small_windows);
 int site_connect_readiness (struct site_fleet *fleet, unsigned instance);
--- a/testing/process/test-planned-stop.c
+++ b/testing/process/test-planned-stop.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,6 +30,10 @@
   SLOW_BODY_BYTES = 240000, /* short enough for the gateway to queue it whole */
   SLOW_READ_BYTES = 4096,
   SLOW_READ_INTERVAL_MS = 15,
+  LAST_CALLERS = 8,
+  LAST_ROUNDS = 4,
+  ACCEPT_MS = 4,       /* for the process to accept connections; far less than between two checks */
+  STANDSTILL_MS = 120, /* longer than between two checks */
   SLOW_BEGIN_MS = 3000, /* after the signal: the answer is queued when the stop ends what is idle */
   US_PER_MS = 1000
 };
@@ -315,10 +320,97 @@
   assert_true (site_fleet_wait_ready (fleet, 1, 20000));
 }
 
+/* Sends requests one by one, so that there are idle connections to the servers, until the instance
+ * has withdrawn its announcement: its next check finds no request in progress and ends the stop. */
+static void
+call_until_the_last_check (unsigned round)
+{
+  for (unsigned i = 0; site_fleet_has_object (fleet, "sapphirerun-instances", "instance-1"); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("before-%u-%u", round, i);
+      const struct site_request request
+          = { .instance = 1, .path = i % 2 == 0 ? "/once/a" : "/safe/a", .id = id };
+
+      if (i % 16 == 0)
+        site_send (fleet, &request);
+      g_usleep (US_PER_MS);
+    }
+}
+
+/* Returns the status of the response on PEER, or 0 if the connection ends without one. */
+static unsigned
+read_status (int peer)
+{
+  char buffer[2048] = "";
+  unsigned status = 0;
+
+  if (recv (peer, buffer, sizeof buffer - 1, 0) > 0)
+    sscanf (buffer, "HTTP/1.1 %u ", &status);
+  return status;
+}
+
+/* After the check that finds no request in progress, the loop once polled again: requests that
+ * arrived with it were sent to servers, and the process exited before their answers. The standstill
+ * lets the check come before the poll. */
+static void
+requests_that_arrive_with_the_last_check_are_answered_or_not_read (void **state)
+{
+  unsigned lost = 0;
+
+  for (unsigned round = 0; round < LAST_ROUNDS; round++)
+    {
+      int peers[LAST_CALLERS];
+      int exit_code = -1;
+      json_t *counts;
+
+      harness_process_signal (fleet->instances[1], SIGTERM);
+      call_until_the_last_check (round);
+      for (unsigned i = 0; i < LAST_CALLERS; i++)
+        peers[i] = site_connect (fleet, 1, false);
+      g_usleep (ACCEPT_MS * US_PER_MS);
+      harness_process_signal (fleet->instances[1], SIGSTOP);
+      for (unsigned i = 0; i < LAST_CALLERS; i++)
+        {
+          g_autofree char *request = g_strdup_printf (
+              "POST %s HTTP/1.1\r\nHost: site.test\r\nX-Request-Id: last-%u-%u\r\n"
+              "X-Deadline-Ms: 1000\r\nAuthorization: Token key-1\r\n"
+              "Content-Length: 4\r\n\r\nbody",
+              i % 2 == 0 ? "/once/a" : "/safe/a", round, i);
+
+          if (peers[i] >= 0)
+            send (peers[i], request, strlen (request), MSG_NOSIGNAL);
+        }
+      g_usleep (STANDSTILL_MS * US_PER_MS);
+      harness_process_signal (fleet->instances[1], SIGCONT);
+      counts = NULL;
+      for (unsigned i = 0; i < LAST_CALLERS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("last-%u-%u", round, i);
+          unsigned status = peers[i] < 0 ? 0 : read_status (peers[i]);
+
+          if (peers[i] >= 0)
+            close (peers[i]);
+          counts = site_fleet_counts (fleet);
+          if (status == 0 && site_run_count (counts, id) > 0)
+            {
+              print_message ("%s: run, and no answer\n", id);
+              lost++;
+            }
+          json_decref (counts);
+        }
+      assert_true (harness_process_wait (fleet->instances[1], EXIT_LIMIT_MS, &exit_code));
+      assert_int_equal (exit_code, 0);
+      assert_true (site_fleet_start_instance (fleet, 1));
+      assert_true (site_fleet_wait_ready (fleet, 1, 20000));
+    }
+  assert_int_equal (lost, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (requests_that_arrive_with_the_last_check_are_answered_or_not_read),
     cmocka_unit_test (what_is_left_at_the_end_of_the_grace_is_refused),
     cmocka_unit_test (answers_to_slow_callers_are_sent_whole_before_the_exit),
     cmocka_unit_test (requests_at_the_end_of_the_grace_are_answered),
