Entry: requests on open connections are refused once the listener is closed

What callers would have seen: during the hand-over at the end of a planned stop of the product's own interface, an order on an open connection was run by a server, and its connection ended without an answer.

Cause: the close step closed the listener only; the state "no new requests are accepted" did not hold for open connections, while the hand-over begins at the first count of 0 requests in progress.

Change: after the close step such requests get 503 `stopping`, with the outcome that a refusal of a retry has (unknown where an earlier attempt may have run).

Why it works: the flag is set on the thread that handles requests before the count is taken, so that a count of 0 is final.

--- a/src/entry/caller.c
+++ b/src/entry/caller.c
@@ -136,6 +136,18 @@
   sr_caller_advance (caller);
 }
 
+/* Returns the outcome to report for a request that is refused before it has a run; see
+ * sr_run_refusal_outcome. */
+enum sr_outcome
+sr_caller_refusal_outcome (const struct sr_caller *caller)
+{
+  const struct sr_run_params params
+      = { .id_is_from_caller = caller->headers[SR_HEADER_IDEMPOTENCY_KEY] != NULL,
+          .is_first_attempt = g_strcmp0 (caller->headers[SR_HEADER_ATTEMPT], "1") == 0 };
+
+  return sr_run_refusal_outcome (&params);
+}
+
 /* Replies with HTTP STATUS and body TEXT of media type TYPE. CALLER may be freed by it. */
 void
 sr_caller_reply_text (struct sr_caller *caller, unsigned status, const char *type, const char *text)
--- a/src/entry/caller.h
+++ b/src/entry/caller.h
@@ -48,6 +48,7 @@
 void sr_caller_attach_run (struct sr_caller *caller, struct sr_run *run);
 void sr_caller_advance (struct sr_caller *caller);
 void sr_caller_drained (struct sr_caller *caller);
+enum sr_outcome sr_caller_refusal_outcome (const struct sr_caller *caller);
 void sr_caller_reply_text (struct sr_caller *caller,
                            unsigned status,
                            const char *type,
--- a/src/entry/entry-private.h
+++ b/src/entry/entry-private.h
@@ -11,8 +11,9 @@
 enum
 {
   SR_ENTRY_STARTING_RETRY_AFTER_MS
-  = 1000,                              /* for requests received before the first configuration */
-  SR_ENTRY_SHORT_RETRY_AFTER_MS = 1000 /* for requests that there is no memory for */
+  = 1000, /* for requests received before the first configuration */
+  SR_ENTRY_STOPPING_RETRY_AFTER_MS = 1000, /* balancers have removed this instance by then */
+  SR_ENTRY_SHORT_RETRY_AFTER_MS = 1000     /* for requests that there is no memory for */
 };
 
 struct sr_caller;
@@ -35,7 +36,7 @@
   bool listener_closed; /* protected by mutex */
   bool started;
   atomic_bool ready;
-  atomic_bool closed; /* no new connections, and every reply closes its connection */
+  atomic_bool closed; /* no new connections and requests; every reply closes its connection */
   atomic_bool stopping;
   atomic_uint open_requests;
   _Atomic uint64_t next_id; /* for request ids generated here */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -28,6 +28,7 @@
 static void on_idle_check_ (uv_timer_t *timer);
 static void on_listener_closed_ (uv_handle_t *handle);
 static struct sr_caller *next_woken_ (struct sr_entry *entry);
+static bool refuse_if_closed_ (struct sr_caller *caller, enum sr_outcome outcome);
 static void handle_get_ (struct sr_entry *entry, struct sr_caller *caller);
 static void handle_service_ (struct sr_entry *entry, struct sr_caller *caller, const char *service);
 static void handle_request_ (struct sr_entry *entry, struct sr_caller *caller, const char *id);
@@ -125,8 +126,9 @@
   atomic_store (&entry->ready, ready);
 }
 
-/* Closes the listener and waits until it is closed. Open connections continue and close after their
- * next reply. */
+/* Closes the listener and waits until it is closed. Requests in progress continue; those that
+ * arrive on open connections from now on are refused, so that none is in progress any more once
+ * sr_entry_open_requests has returned 0. */
 void
 sr_entry_close_listener (struct sr_entry *entry)
 {
@@ -147,6 +149,17 @@
   return atomic_load (&entry->open_requests);
 }
 
+/* Refuses the request of CALLER with OUTCOME, and frees CALLER, if the listener has been closed:
+ * what began now could outlast the process. Returns whether it did. */
+static bool
+refuse_if_closed_ (struct sr_caller *caller, enum sr_outcome outcome)
+{
+  if (!atomic_load (&caller->entry->closed))
+    return false;
+  sr_caller_reply_error (caller, outcome, SR_ERROR_STOPPING, SR_ENTRY_STOPPING_RETRY_AFTER_MS);
+  return true;
+}
+
 /* Handles the request of CALLER once its body is complete. CALLER may be freed by it. */
 void
 sr_entry_handle_ (struct sr_caller *caller)
@@ -160,7 +173,10 @@
       return;
     }
   if (strcmp (caller->method, "POST") == 0 && g_str_has_prefix (caller->path, services_prefix))
-    handle_service_ (entry, caller, caller->path + strlen (services_prefix));
+    {
+      if (!refuse_if_closed_ (caller, sr_caller_refusal_outcome (caller)))
+        handle_service_ (entry, caller, caller->path + strlen (services_prefix));
+    }
   else if (strcmp (caller->method, "GET") == 0)
     handle_get_ (entry, caller);
   else
@@ -254,7 +270,11 @@
   bool ready = atomic_load (&entry->ready);
 
   if (g_str_has_prefix (path, requests_prefix))
-    handle_request_ (entry, caller, path + strlen (requests_prefix));
+    {
+      /* Says nothing about the request that is asked for, which may have run. */
+      if (!refuse_if_closed_ (caller, SR_OUTCOME_UNKNOWN))
+        handle_request_ (entry, caller, path + strlen (requests_prefix));
+    }
   else if (strcmp (path, "/healthz") == 0)
     sr_caller_reply_text (caller, SR_HTTP_OK, "text/plain", "ok\n");
   else if (strcmp (path, "/readyz") == 0)
