--- a/testing/soak/soak.c
+++ b/testing/soak/soak.c
@@ -7,6 +7,7 @@
  * - a request that is not repeatable runs at most once;
  * - no budget is overspent;
  * - an instance exits only on request, and then with exit code 0;
+ * - with --stops: a request that has run is answered, also by an instance that stops;
  * - after all faults have been cleared, every instance completes requests again. */
 #include "testing/harness/harness.h"
 #include "testing/harness/site.h"
@@ -67,6 +68,7 @@
   GRand *headers_random;
   GRand *restores_random; /* selects restores of the store from a copy; NULL: none */
   GRand *crashes_random;  /* selects ends of backend servers and misleading responses; NULL: none */
+  bool is_planned;        /* planned work only: stops, reloads and configurations */
   bool announces_leaving[MODEL_BACKENDS + PLAIN_BACKENDS];
   unsigned backend_restarts; /* restarts of backend servers, counted for their start times */
   int64_t prepaid;
@@ -114,6 +116,13 @@
   { "reload", reload_ },
 };
 
+static const struct fault_ planned_work_[] = {
+  { "stop", stop_instance_ },
+  { "stop", stop_instance_ },
+  { "configure", change_configuration_ },
+  { "reload", reload_ },
+};
+
 static void
 report_violation_ (struct run_ *run, const char *guarantee, const char *what)
 {
@@ -376,6 +385,9 @@
                              sent->id);
         if (sent->outcome == SITE_NOT_RUN && runs > 0)
           report_violation_ (run, "a request refused as not run has not run", sent->id);
+        if (run->is_planned && runs > 0
+            && (sent->outcome == SITE_NO_RESPONSE || sent->outcome == SITE_TRUNCATED))
+          report_violation_ (run, "a request that has run is answered", sent->id);
         if (!sent->repeatable && runs > 1)
           report_violation_ (run, "a request that is not repeatable runs at most once", sent->id);
       }
@@ -420,12 +432,26 @@
     }
 }
 
+static void
+inject_ (struct run_ *run)
+{
+  const struct fault_ *faults = run->is_planned ? planned_work_ : faults_;
+  size_t count = run->is_planned ? G_N_ELEMENTS (planned_work_) : G_N_ELEMENTS (faults_);
+
+  faults[g_rand_int_range (run->random, 0, (gint32)count)].inject (run);
+}
+
 /* Runs one seed. Returns the number of violations. */
 static unsigned
-run_seed_ (
-    uint32_t seed, unsigned seconds, unsigned instances, bool with_restores, bool with_crashes)
+run_seed_ (uint32_t seed,
+           unsigned seconds,
+           unsigned instances,
+           bool with_restores,
+           bool with_crashes,
+           bool is_planned)
 {
-  struct run_ run = { .seed = seed, .seconds = seconds, .instances = instances };
+  struct run_ run
+      = { .seed = seed, .seconds = seconds, .instances = instances, .is_planned = is_planned };
   const struct site_options options = { .name = "soak",
                                         .port_base = PORT_BASE,
                                         .instances = instances,
@@ -467,10 +493,7 @@
   end_us = g_get_monotonic_time () + (int64_t)seconds * G_USEC_PER_SEC;
   while (g_get_monotonic_time () < end_us)
     {
-      const struct fault_ *fault
-          = &faults_[g_rand_int_range (run.random, 0, G_N_ELEMENTS (faults_))];
-
-      fault->inject (&run);
+      inject_ (&run);
       if (with_restores && g_rand_int_range (run.restores_random, 0, RESTORE_ONE_IN) == 0)
         restore_store_ (&run);
       if (with_crashes && g_rand_int_range (run.crashes_random, 0, CRASH_ONE_IN) == 0)
@@ -507,8 +530,9 @@
       = arg_lit0 (NULL, "returns", "restore the store from copies during the run");
   struct arg_lit *crashes
       = arg_lit0 (NULL, "crashes", "end model engines, and a part of prompts that ends them");
+  struct arg_lit *stops = arg_lit0 (NULL, "stops", "planned stops and changes only");
   struct arg_end *end = arg_end (8);
-  void *table[] = { seed, count, seconds, instances, returns, crashes, end };
+  void *table[] = { seed, count, seconds, instances, returns, crashes, stops, end };
   unsigned passed = 0;
   unsigned failed = 0;
   uint32_t first;
@@ -524,7 +548,7 @@
   for (int i = 0; i < (count->count > 0 ? count->ival[0] : 1); i++)
     if (run_seed_ (first + (uint32_t)i, seconds->count > 0 ? (unsigned)seconds->ival[0] : 8,
                    instances->count > 0 ? (unsigned)instances->ival[0] : 4, returns->count > 0,
-                   crashes->count > 0)
+                   crashes->count > 0, stops->count > 0)
         == 0)
       passed++;
     else
