HTTP: a response without a length that ends by a reset is not complete

An early response with a length was lost (502) when the rest of the request met the reset first.

Cause: libuv reports the end of the input when it finds the connection closed in both directions behind a short read, without asking whether by a reset; and the kernel reports a reset to one call only, so that a read after a failed write or a check for unread bytes sees an orderly end. A failed write was ignored, or ended the connection with the whole response unread.

Change: the connection keeps the fact that a call on its socket has failed, and takes an end for orderly only if none has and a read of its own says so. After a failed write of a request the response is still read to its end. An event and two counters tell cuts from orderly ends.

Why it works: whichever call meets the reset, the judgement at the end of the input knows of it; the readers of gateways, of the store and of the product's own interface all use this connection.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -193,6 +193,19 @@
   on_ended_ (session, NET_END_EOF);
 }
 
+/* Ends the connection behind a response: in order, or by a reset with its last bytes. */
+static void
+end_connection_ (struct backend_session_ *session, bool by_reset)
+{
+  session->backend->running--;
+  session->is_running = false;
+  if (by_reset)
+    net_http_conn_reset (session->conn);
+  else
+    net_http_conn_finish (session->conn);
+  on_ended_ (session, NET_END_EOF);
+}
+
 static void
 write_ (struct backend_session_ *session, const char *text)
 {
@@ -314,17 +327,13 @@
                            (gssize)stray->len);
     }
   g_string_free (stray, TRUE);
-  if (form->cut_bytes > 0)
+  if (form->cut_bytes > 0 || form->is_unframed || form->resets)
     {
-      struct net_http_conn *conn = session->conn;
-
-      g_string_truncate (text, form->cut_bytes);
+      if (form->cut_bytes > 0)
+        g_string_truncate (text, form->cut_bytes);
       write_string_ (session, text);
       g_string_free (text, TRUE);
-      session->backend->running--;
-      session->is_running = false;
-      net_http_conn_finish (conn);
-      on_ended_ (session, NET_END_EOF);
+      end_connection_ (session, form->resets);
       return;
     }
   if (form->in_pieces)
@@ -352,13 +361,8 @@
 
   if (mode == SITE_BACKEND_CUT || mode == SITE_BACKEND_UNFRAMED)
     {
-      struct net_http_conn *conn = session->conn;
-
       write_ (session, partial);
-      session->backend->running--;
-      session->is_running = false;
-      net_http_conn_finish (conn);
-      on_ended_ (session, NET_END_EOF);
+      end_connection_ (session, false);
       return;
     }
   site_reply (session->conn, status, headers, body);
@@ -384,10 +388,7 @@
       end_run_ (session);
       return;
     }
-  session->backend->running--;
-  session->is_running = false;
-  net_http_conn_finish (session->conn);
-  on_ended_ (session, NET_END_EOF);
+  end_connection_ (session, false);
 }
 
 static void
@@ -433,6 +434,12 @@
                            (gint64)session->next_event, session->id, (gint64)session->next_event);
   write_event_ (session, event);
   consume_ (session, SITE_TOKENS_PER_EVENT);
+  if (session->backend->mode == SITE_BACKEND_RESET_UNFRAMED
+      && session->next_event > session->events / 2)
+    {
+      end_connection_ (session, true);
+      return;
+    }
   session->next_event++;
   uv_timer_start (timer, on_event_, session->backend->site->event_interval_ms, 0);
 }
@@ -448,7 +455,8 @@
   g_autofree char *head = NULL;
 
   session->is_unframed = session->backend->mode == SITE_BACKEND_UNFRAMED
-                         || session->backend->mode == SITE_BACKEND_TORN_UNFRAMED;
+                         || session->backend->mode == SITE_BACKEND_TORN_UNFRAMED
+                         || session->backend->mode == SITE_BACKEND_RESET_UNFRAMED;
   head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n%s\r\n", headers,
                           session->is_unframed ? "" : "Transfer-Encoding: chunked\r\n");
 
@@ -588,6 +596,11 @@
                          urgency == NULL ? json_null () : json_string (urgency));
   if (key != NULL)
     session->backend->site->keys_seen++;
+  if (session->backend->mode == SITE_BACKEND_OK && session->backend->form.is_early)
+    {
+      net_http_conn_pause (session->conn, true);
+      on_message_end_ (session);
+    }
 }
 
 static void
--- a/emulator/site/reply-form.c
+++ b/emulator/site/reply-form.c
@@ -14,16 +14,16 @@
   [SITE_STRAY_LATE] = "late",
 };
 
-/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, pieces, filler,
- * cut. What is not given is off. */
+static bool is_on_ (const char *target, const char *name);
+
+/* Sets FORM from the query of TARGET: stray (hexadecimal), place, status, chunked, unframed, early,
+ * reset, pieces, filler, cut. What is not given is off. */
 void
 site_reply_form_set (struct site_reply_form *form, const char *target)
 {
   g_autofree char *stray = site_query (target, "stray");
   g_autofree char *place = site_query (target, "place");
   g_autofree char *status = site_query (target, "status");
-  g_autofree char *chunked = site_query (target, "chunked");
-  g_autofree char *pieces = site_query (target, "pieces");
   g_autofree char *filler = site_query (target, "filler");
   g_autofree char *cut = site_query (target, "cut");
 
@@ -31,8 +31,11 @@
     g_bytes_unref (form->stray);
   *form = (struct site_reply_form){
     .status = status == NULL ? 0 : (unsigned)g_ascii_strtoull (status, NULL, 10),
-    .is_chunked = g_strcmp0 (chunked, "1") == 0,
-    .in_pieces = g_strcmp0 (pieces, "1") == 0,
+    .is_chunked = is_on_ (target, "chunked"),
+    .is_unframed = is_on_ (target, "unframed"),
+    .is_early = is_on_ (target, "early"),
+    .resets = is_on_ (target, "reset"),
+    .in_pieces = is_on_ (target, "pieces"),
     .filler_bytes = filler == NULL ? 0 : (unsigned)g_ascii_strtoull (filler, NULL, 10),
     .cut_bytes = cut == NULL ? 0 : (unsigned)g_ascii_strtoull (cut, NULL, 10),
   };
@@ -53,6 +56,15 @@
     }
 }
 
+/* Returns whether the query of TARGET has NAME with the value 1. */
+static bool
+is_on_ (const char *target, const char *name)
+{
+  g_autofree char *value = site_query (target, name);
+
+  return g_strcmp0 (value, "1") == 0;
+}
+
 /* Returns the stray bytes of a response to request ID; the caller owns them. */
 GString *
 site_reply_form_stray (const struct site_reply_form *form, const char *id)
@@ -80,7 +92,9 @@
 
   g_string_printf (out, "HTTP/1.1 %u %s\r\n%s", status, status == STATUS_OK ? "OK" : "Error",
                    headers);
-  if (form->is_chunked)
+  if (form->is_unframed)
+    g_string_append_printf (out, "\r\n%s", body);
+  else if (form->is_chunked)
     g_string_append_printf (out, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
                             strlen (body), body);
   else
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -48,6 +48,7 @@
   SITE_BACKEND_JSON_ERROR,     /* runs the request and replies 200 with an error in JSON */
   SITE_BACKEND_TORN,           /* streams end inside an event, as if they were complete */
   SITE_BACKEND_TORN_UNFRAMED,  /* the same without chunks: with the connection */
+  SITE_BACKEND_RESET_UNFRAMED, /* streams without chunks, reset with their middle event */
   SITE_BACKEND_UNNAMED_421,    /* replies 421 without saying which instance it is */
   SITE_BACKEND_REPEAT          /* streams send their events a second time behind the last one */
 };
@@ -83,6 +84,9 @@
   enum site_stray_place place;
   unsigned status; /* 0: 200 */
   bool is_chunked;
+  bool is_unframed;      /* neither a length nor chunks: it ends with its connection */
+  bool is_early;         /* sent while the request's body is left unread */
+  bool resets;           /* the connection is reset with the last bytes */
   bool in_pieces;        /* with a pause in the middle of the head */
   unsigned filler_bytes; /* added to the body */
   unsigned cut_bytes;    /* the connection ends after so many bytes of the response; 0: never */
--- a/src/gateway/upstream.c
+++ b/src/gateway/upstream.c
@@ -50,12 +50,14 @@
   const struct gw_upstream_user_vtable **user; /* NULL while idle */
   char *request_id;                            /* of the current request; NULL while idle */
   GString *headers;
-  int64_t opened_us;      /* start of the handshake */
-  bool is_open;           /* the handshake is complete */
-  bool discards_response; /* discarding a response to another request */
-  bool has_strayed;       /* has carried bytes that belonged to no request: it is not reused */
-  bool expects_no_body;   /* the response to the current request has no body, as for HEAD */
-  bool keeps_alive;       /* the response allows reuse of the connection */
+  int64_t opened_us;         /* start of the handshake */
+  bool is_open;              /* the handshake is complete */
+  bool discards_response;    /* discarding a response to another request */
+  bool has_strayed;          /* has carried bytes that belonged to no request: it is not reused */
+  bool expects_no_body;      /* the response to the current request has no body, as for HEAD */
+  bool keeps_alive;          /* the response allows reuse of the connection */
+  bool in_response;          /* the user has got the head of a response and not its end */
+  bool ends_with_connection; /* this response */
   bool is_closed;
   uint64_t idle_since_ms;
   unsigned idle_max_ms;
@@ -65,6 +67,7 @@
 static void on_head_ (void *owner, const struct net_http_head *head);
 static void refuse_bytes_ (struct gw_upstream *upstream, enum refused_bytes_ kind);
 static bool note_refused_end_ (struct gw_upstream *upstream, enum net_end_reason end);
+static void note_cut_ (const struct gw_upstream *upstream, enum net_end_reason end);
 static bool is_reusable_ (const struct gw_upstream *upstream);
 static void on_body_ (void *owner, const char *data, size_t length);
 static void on_message_end_ (void *owner);
@@ -126,6 +129,13 @@
                       .help = "Answers of backend servers that named no request." },
 };
 
+static struct sr_counter cut_counter_
+    = { .name = "sapphirerun_backend_answers_cut_total",
+        .help = "Responses of backend servers whose connection ended before they did." };
+static struct sr_counter ended_counter_
+    = { .name = "sapphirerun_backend_answers_ended_by_close_total",
+        .help = "Responses of backend servers that an orderly end of their connection completed." };
+
 /* Returns the log name of FAILURE. */
 const char *
 gw_upstream_failure_to_string (enum gw_upstream_failure failure)
@@ -139,6 +149,8 @@
 gw_upstream_register_metrics (void)
 {
   sr_counter_register (&opened_counter_);
+  sr_counter_register (&cut_counter_);
+  sr_counter_register (&ended_counter_);
   for (size_t i = 0; i < G_N_ELEMENTS (refused_counters_); i++)
     sr_counter_register (&refused_counters_[i]);
 }
@@ -287,6 +299,8 @@
         = response.idle_timeout_ms > KEEP_ALIVE_MARGIN_MS
               ? MIN (response.idle_timeout_ms - KEEP_ALIVE_MARGIN_MS, (unsigned)IDLE_MAX_MS)
               : 0;
+  upstream->in_response = true;
+  upstream->ends_with_connection = head->ends_with_connection;
   (*upstream->user)->head (upstream->user, head, &response, upstream->headers);
 }
 
@@ -325,6 +339,16 @@
   g_assert_not_reached ();
 }
 
+/* Counts and logs that the END of the connection has cut the response. */
+static void
+note_cut_ (const struct gw_upstream *upstream, enum net_end_reason end)
+{
+  sr_counter_add (&cut_counter_, 1);
+  sr_event (SR_EVENT_WARNING, "backend_answer_cut", "{s:s,s:s,s:s,s:b}", "backend",
+            upstream->backend->facts.id, "request", upstream->request_id, "end",
+            net_end_reason_to_string (end), "without_length", (int)upstream->ends_with_connection);
+}
+
 static void
 on_body_ (void *owner, const char *data, size_t length)
 {
@@ -347,6 +371,8 @@
       return;
     }
   upstream->user = NULL;
+  upstream->in_response = false;
+  sr_counter_add (&ended_counter_, upstream->ends_with_connection);
   if (net_http_conn_has_received (upstream->conn))
     refuse_bytes_ (upstream, REFUSED_AFTER_MESSAGE);
   g_clear_pointer (&upstream->request_id, g_free);
@@ -380,6 +406,8 @@
   struct gw_upstream *upstream = owner;
   bool is_refused = note_refused_end_ (upstream, end);
 
+  if (upstream->in_response)
+    note_cut_ (upstream, end);
   if (upstream->is_open)
     upstream->backend->connections_lost++;
   upstream->conn = NULL;
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -69,9 +69,8 @@
   int64_t turn_ms;        /* time of the loop at its last request */
   unsigned turn_requests; /* at that time */
   bool has_received;
-  bool end_is_due; /* unused: nothing sets it or due_end */
   bool parsing;
-  enum net_end_reason due_end;
+  bool has_failed; /* a call on the socket; see fail_ */
   size_t head_max_bytes;
   size_t queued_bytes;
   unsigned pending_requests; /* libuv requests pending on this handle */
@@ -116,8 +115,11 @@
 static void free_write_ (struct queued_write_ *write);
 static void finish_ (struct net_http_conn *conn, bool reads_input);
 static void start_linger_ (struct net_http_conn *conn);
-static ssize_t peek_ (const struct net_http_conn *conn);
-static void note_unused_input_ (const struct net_http_conn *conn);
+static ssize_t peek_ (struct net_http_conn *conn);
+static void fail_ (struct net_http_conn *conn, int error);
+static void fail_sending_ (struct net_http_conn *conn, int error);
+static bool has_ended_in_order_ (struct net_http_conn *conn);
+static void note_unused_input_ (struct net_http_conn *conn);
 static void set_sent_ (struct net_http_conn *conn);
 static void on_send_check_ (uv_timer_t *timer);
 static void on_linger_timeout_ (uv_timer_t *timer);
@@ -415,15 +417,15 @@
 /* Returns whether the socket has something to read that the loop has not read yet: bytes, the end
  * of the connection, or an error. */
 bool
-net_http_conn_has_unread (const struct net_http_conn *conn)
+net_http_conn_has_unread (struct net_http_conn *conn)
 {
-  return peek_ (conn) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return peek_ (conn) >= 0 || conn->has_failed;
 }
 
 /* Returns whether CONN is open and between two messages: everything written has been sent, and the
  * peer has sent nothing since the last message, also not into the socket's buffer. */
 bool
-net_http_conn_is_clean (const struct net_http_conn *conn)
+net_http_conn_is_clean (struct net_http_conn *conn)
 {
   return conn->state == CONN_OPEN && !conn->in_body && !conn->awaits_response
          && conn->input->len == 0 && conn->queued_bytes == 0 && !net_http_conn_has_unread (conn);
@@ -570,7 +572,7 @@
   int error;
 
   g_assert (n_parts <= G_N_ELEMENTS (buffers));
-  if (conn->state != CONN_OPEN)
+  if (conn->state != CONN_OPEN || (conn->has_failed && !conn->is_server))
     return;
   for (size_t i = 0; i < n_parts; i++)
     {
@@ -582,7 +584,12 @@
     {
       int taken = uv_try_write ((uv_stream_t *)&conn->tcp, buffers, (unsigned)n_parts);
 
-      /* The queued write or the next read reports a broken connection. */
+      if (taken < 0 && taken != UV_EAGAIN)
+        {
+          fail_sending_ (conn, taken);
+          if (!conn->is_server)
+            return;
+        }
       sent = taken > 0 ? (size_t)taken : 0;
       if (taken > 0)
         {
@@ -685,22 +692,61 @@
                   conn->lingers_unread ? LINGER_UNREAD_MS : LINGER_MS, 0);
 }
 
-/* Returns 1 if the socket has bytes to read, 0 at their end, -1 otherwise, with errno set. */
+/* Returns 1 if the socket has bytes to read, 0 at their end, -1 if there are none yet or on an
+ * error, which it notes. */
 static ssize_t
-peek_ (const struct net_http_conn *conn)
+peek_ (struct net_http_conn *conn)
 {
   uv_os_fd_t fd;
   char byte;
+  ssize_t length;
+
+  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) != 0)
+    {
+      fail_ (conn, UV_EBADF);
+      return -1;
+    }
+  length = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (length < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+    fail_ (conn, uv_translate_sys_error (errno));
+  return length;
+}
+
+/* A call on the socket has failed with ERROR of libuv. The kernel reports a reset or a time-out to
+ * one call only: to later reads the connection seems to have ended in order. */
+static void
+fail_ (struct net_http_conn *conn, int error)
+{
+  if (!conn->has_failed)
+    g_debug ("a connection has failed: %s", uv_strerror (error));
+  conn->has_failed = true;
+}
+
+/* Sending has failed with ERROR of libuv. An outgoing connection is still read to its end, as a
+ * whole response may have come before; shutting it down makes sure that there is an end. */
+static void
+fail_sending_ (struct net_http_conn *conn, int error)
+{
+  uv_os_fd_t fd;
+
+  fail_ (conn, error);
+  if (!conn->is_server && uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0
+      && shutdown (fd, SHUT_RDWR) != 0 && errno != ENOTCONN)
+    g_debug ("a connection that can't send is not shut down: %s", g_strerror (errno));
+}
 
-  if (uv_fileno ((const uv_handle_t *)&conn->tcp, &fd) == 0)
-    return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  errno = EBADF;
-  return -1;
+/* Returns whether the peer has ended its side of the connection in order, after libuv has reported
+ * the end of the input. libuv reports it also when it finds the connection closed in both
+ * directions behind the last bytes, without asking whether that was by a reset. */
+static bool
+has_ended_in_order_ (struct net_http_conn *conn)
+{
+  return !conn->has_failed && peek_ (conn) == 0;
 }
 
 /* Logs what a finished connection, which is about to be closed, received without using it. */
 static void
-note_unused_input_ (const struct net_http_conn *conn)
+note_unused_input_ (struct net_http_conn *conn)
 {
   bool is_unread;
 
@@ -766,7 +812,9 @@
     }
   if (length < 0)
     {
-      end_ (conn, length == UV_EOF ? NET_END_EOF : NET_END_RESET);
+      if (length != UV_EOF)
+        fail_ (conn, (int)length);
+      end_ (conn, length == UV_EOF && has_ended_in_order_ (conn) ? NET_END_EOF : NET_END_RESET);
       return;
     }
   conn->has_received = true;
@@ -814,7 +862,9 @@
     return;
   if (status != 0)
     {
-      end_ (conn, NET_END_RESET);
+      fail_sending_ (conn, status);
+      if (conn->is_server)
+        end_ (conn, NET_END_RESET);
       return;
     }
   if (conn->queued_bytes > 0)
--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -44,8 +44,8 @@
 enum net_end_reason
 {
   NET_END_CONNECT_FAILED, /* no connection, so nothing was sent */
-  NET_END_EOF,            /* the peer closed; a message that has begun is incomplete */
-  NET_END_RESET,          /* socket error */
+  NET_END_EOF,            /* the peer closed in order; a message that has begun is incomplete */
+  NET_END_RESET,          /* a reset, a time-out of TCP or another error */
   NET_END_MALFORMED,      /* not valid HTTP */
   NET_END_HEAD_TOO_LARGE,
   NET_END_UNSOLICITED /* outgoing connections: bytes arrived while no response was expected */
@@ -117,8 +117,8 @@
 bool net_http_account_make_room (struct net_memory_account *account, bool forces, int64_t now_ms);
 void net_http_account_refresh (struct net_memory_account *account, int64_t now_ms);
 void net_http_account_relieve (struct net_memory_account *account, int64_t now_ms);
-bool net_http_conn_has_unread (const struct net_http_conn *conn);
-bool net_http_conn_is_clean (const struct net_http_conn *conn);
+bool net_http_conn_has_unread (struct net_http_conn *conn);
+bool net_http_conn_is_clean (struct net_http_conn *conn);
 void net_http_conn_hold_messages (struct net_http_conn *conn, bool hold);
 void net_http_conn_pause (struct net_http_conn *conn, bool pause);
 void net_http_conn_close (struct net_http_conn *conn);
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -21,6 +21,7 @@
   SLOW_MS = 1600, /* longer than a finished connection lingers */
   SLOW_READ_BYTES = 65536,
   SLOW_READ_INTERVAL_MS = 10,
+  RESETS = 20, /* with each call that may be the first to meet them */
   CUT_SEEDS = 300,
   CUTS_PER_SEED = 3,
   CUT_BYTES_MAX = 24,
@@ -518,6 +519,101 @@
   free_ (recorder);
 }
 
+/* Which call on the socket is the first to meet the reset. The kernel reports it to that one only.
+ */
+enum first_call_
+{
+  FIRST_READ,
+  FIRST_WRITE, /* of the request, after the response */
+  FIRST_QUEUED_WRITE,
+  FIRST_CHECK, /* whether there is something to read */
+  FIRST_READ_AFTER_PAUSE,
+  FIRST_CALLS
+};
+
+/* A server answers while the request is still being sent, and resets the connection with the last
+ * bytes of RESPONSE. */
+static struct recorder_ *
+answer_and_reset_ (const char *response, enum first_call_ first)
+{
+  struct recorder_ *recorder = client_new_ ();
+  g_autofree char *block = g_strnfill (BLOCK_BYTES, 'x');
+  const struct net_string_view part = { block, BLOCK_BYTES };
+
+  if (first == FIRST_QUEUED_WRITE)
+    while (net_http_conn_queued (recorder->conn) == 0)
+      net_http_conn_write (recorder->conn, &part, 1);
+  if (first == FIRST_READ_AFTER_PAUSE)
+    net_http_conn_pause (recorder->conn, true);
+  send_text_ (recorder, response);
+  close_peer_ (recorder, true);
+  if (first == FIRST_WRITE)
+    net_http_conn_write (recorder->conn, &part, 1);
+  if (first == FIRST_CHECK)
+    assert_true (net_http_conn_has_unread (recorder->conn));
+  if (first == FIRST_READ_AFTER_PAUSE)
+    {
+      uv_run (&recorder->loop, UV_RUN_NOWAIT);
+      net_http_conn_pause (recorder->conn, false);
+    }
+  RUN_UNTIL (recorder, recorder->ended);
+  return recorder;
+}
+
+/* The end of such a body is vouched for by an orderly end of the connection only. libuv reports one
+ * when a reset arrives with the last bytes, and so does the kernel to a read after another call has
+ * met the reset. */
+static void
+response_without_length_is_not_complete_at_a_reset_with_its_last_bytes (void **state)
+{
+  for (unsigned i = 0; i < RESETS * FIRST_CALLS; i++)
+    {
+      struct recorder_ *recorder
+          = answer_and_reset_ ("HTTP/1.1 200 OK\r\n\r\nabc", i % FIRST_CALLS);
+
+      assert_int_equal (recorder->n_messages, 0);
+      assert_int_equal (recorder->end, NET_END_RESET);
+      free_ (recorder);
+    }
+}
+
+/* A whole response was dropped when the rest of the request, which its server did not read, could
+ * not be sent. */
+static void
+response_with_its_end_is_complete_although_its_request_can_not_be_sent (void **state)
+{
+  static const char *const responses[]
+      = { "HTTP/1.1 413 No\r\nContent-Length: 3\r\n\r\nabc",
+          "HTTP/1.1 413 No\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" };
+
+  for (unsigned i = 0; i < RESETS * FIRST_CALLS; i++)
+    {
+      struct recorder_ *recorder
+          = answer_and_reset_ (responses[i / FIRST_CALLS % 2], i % FIRST_CALLS);
+
+      assert_int_equal (recorder->n_messages, 1);
+      assert_string_equal (recorder->body->str, "abc");
+      free_ (recorder);
+    }
+}
+
+static void
+response_without_length_is_complete_at_an_orderly_end_before_its_request_is_sent (void **state)
+{
+  struct recorder_ *recorder = client_new_ ();
+  g_autofree char *block = g_strnfill (BLOCK_BYTES, 'x');
+  const struct net_string_view part = { block, BLOCK_BYTES };
+
+  while (net_http_conn_queued (recorder->conn) == 0)
+    net_http_conn_write (recorder->conn, &part, 1);
+  send_text_ (recorder, "HTTP/1.1 200 OK\r\n\r\nabc");
+  shutdown (recorder->peer, SHUT_WR);
+  RUN_UNTIL (recorder, recorder->ended);
+  assert_int_equal (recorder->n_messages, 1);
+  assert_int_equal (recorder->end, NET_END_EOF);
+  free_ (recorder);
+}
+
 static void
 malformed_response_ends_the_connection (void **state)
 {
@@ -918,6 +1014,10 @@
     cmocka_unit_test (held_request_is_not_parsed_and_peer_close_is_reported),
     cmocka_unit_test (truncated_response_is_not_reported_complete),
     cmocka_unit_test (response_without_length_is_complete_at_eof_but_not_at_reset),
+    cmocka_unit_test (response_without_length_is_not_complete_at_a_reset_with_its_last_bytes),
+    cmocka_unit_test (response_with_its_end_is_complete_although_its_request_can_not_be_sent),
+    cmocka_unit_test (
+        response_without_length_is_complete_at_an_orderly_end_before_its_request_is_sent),
     cmocka_unit_test (malformed_response_ends_the_connection),
     cmocka_unit_test (body_is_not_read_after_early_response),
     cmocka_unit_test (bytes_behind_a_response_end_the_connection),
