--- a/src/net/http-conn.h
+++ b/src/net/http-conn.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/memory-account.h"
+#include "net/string-view.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -10,13 +11,6 @@
 #include <stdint.h>
 #include <uv.h>
 
-/* String view: not terminated by NUL, the memory is owned elsewhere. */
-struct net_string_view
-{
-  const char *data;
-  size_t length;
-};
-
 struct net_header
 {
   struct net_string_view name;
@@ -125,10 +119,3 @@
 void net_http_conn_finish (struct net_http_conn *conn);
 void net_http_conn_finish_unread (struct net_http_conn *conn);
 void net_http_conn_reset (struct net_http_conn *conn);
-
-bool net_string_view_equal (struct net_string_view left, struct net_string_view right);
-bool net_string_view_is (struct net_string_view text, const char *value);
-bool net_string_view_is_nocase (struct net_string_view text, const char *value);
-struct net_string_view net_string_view_of (const char *value);
-char *net_string_view_dup (struct net_string_view text);
-bool net_string_view_to_int (struct net_string_view text, int64_t *value);
