HTTP: a head is a response only with a status of three digits, 100 to 599

A status 000 and names of fields that are no tokens were refused by all readers, which tests now show for each.

Cause: the parser skips zeros and blanks in front of a status, and the connection looked at the number only. A 101, which no request asks for, counted as an interim response.

Change: the checks of heads are a module (net/http-head) and include the status line and the names of fields, for interim heads as well. The checks that http-conn.c had are moved there.

Why it works: the bytes of the whole head are checked before the parser sees them, so the result does not depend on how they are cut.

--- a/src/http/test-exchange.c
+++ b/src/http/test-exchange.c
@@ -17,6 +17,8 @@
 {
   REQUEST_MAX_BYTES = 8192,
   BODY_MAX_BYTES = 4096,
+  RESETS = 5,
+  REST_DELAY_US = 20000,
   TIMEOUT_S = 1 /* for connecting, and while the server sends nothing */
 };
 
@@ -27,8 +29,9 @@
   unsigned port;
   pthread_t thread;
   const char *response;
-  bool resets; /* closes the connection with a TCP reset */
-  bool stalls; /* keeps the connection open after RESPONSE */
+  const char *rest; /* sent REST_DELAY_US after RESPONSE; NULL: nothing */
+  bool resets;      /* closes the connection with a TCP reset */
+  bool stalls;      /* keeps the connection open after RESPONSE */
   char request[REQUEST_MAX_BYTES];
   char peer[INET_ADDRSTRLEN];
 };
@@ -56,6 +59,11 @@
     }
   if (server->response != NULL)
     (void)!write (fd, server->response, strlen (server->response));
+  if (server->rest != NULL)
+    {
+      usleep (REST_DELAY_US);
+      (void)!write (fd, server->rest, strlen (server->rest));
+    }
   if (server->stalls)
     (void)!read (fd, server->request + got, 1);
   if (server->resets)
@@ -195,6 +203,42 @@
   stop_ (&stalling);
 }
 
+/* The last bytes and the reset are read together. */
+static void
+response_without_length_that_is_reset_is_broken (void **state)
+{
+  for (unsigned i = 0; i < RESETS; i++)
+    {
+      struct server server
+          = { .response = "HTTP/1.1 200 OK\r\n\r\n", .rest = "a part", .resets = true };
+      g_autoptr (GString) read = g_string_new (NULL);
+      struct sr_exchange *exchange;
+
+      start_ (&server);
+      exchange = exchange_new_ (&server, NULL);
+      assert_int_equal (sr_exchange_begin (exchange), SR_EXCHANGE_OK);
+      usleep (4 * REST_DELAY_US);
+      assert_int_equal (sr_exchange_read_all (exchange, read, BODY_MAX_BYTES), SR_EXCHANGE_BROKEN);
+      sr_exchange_delete (exchange);
+      stop_ (&server);
+    }
+}
+
+static void
+response_that_is_none_is_broken (void **state)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n",
+          "HTTP/1.1 200 OK\r\nX\x01: 1\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      g_autofree char *response = g_strconcat (heads[i], "Content-Length: 2\r\n\r\nok", NULL);
+
+      assert_response_ (response, SR_EXCHANGE_BROKEN, SR_EXCHANGE_BROKEN, NULL);
+    }
+}
+
 /* A time-out in the middle of a body must not look like the end of the body. */
 static void
 stalled_body_is_broken (void **state)
@@ -247,6 +291,8 @@
     cmocka_unit_test (request_line_headers_and_body_length_are_sent),
     cmocka_unit_test (truncated_or_malformed_response_is_broken),
     cmocka_unit_test (reset_is_broken_and_silence_is_timeout),
+    cmocka_unit_test (response_without_length_that_is_reset_is_broken),
+    cmocka_unit_test (response_that_is_none_is_broken),
     cmocka_unit_test (stalled_body_is_broken),
     cmocka_unit_test (refused_connection_is_not_sent),
     cmocka_unit_test (host_name_as_address_is_rejected),
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -1,5 +1,7 @@
 #include "net/http-conn.h"
 
+#include "net/http-head.h"
+
 #include <errno.h>
 #include <http_parser.h>
 #include <netinet/in.h>
@@ -11,8 +13,8 @@
 
 enum
 {
+  SWITCHING_PROTOCOLS = 101,
   READ_CHUNK_BYTES = 32768, /* most prompts fit into one or two reads */
-  HEAD_LINES_MAX = 128,     /* far above what real messages have */
   HELD_MAX_BYTES = 65536,   /* of pipelined requests that wait for the current one */
   /* Requests of one connection that are handled in one iteration of the loop. What each of them has
    * used is freed at the end of the iteration, and other connections are to have their turn. */
@@ -129,12 +131,10 @@
 static bool parse_head_ (struct net_http_conn *conn);
 static void on_turn_ (uv_timer_t *timer);
 static size_t find_head_end_ (struct net_http_conn *conn);
-static bool is_start_of_response_ (const uint8_t *bytes, size_t length);
+static bool head_is_valid_ (const struct net_http_conn *conn, size_t length);
 static void skip_empty_lines_ (struct net_http_conn *conn);
 static bool parse_failed_ (struct net_http_conn *conn);
 static bool finish_message_ (struct net_http_conn *conn);
-static bool head_is_strict_ (const uint8_t *bytes, size_t length);
-static bool has_second_status_line_ (const uint8_t *bytes, size_t length);
 static void update_reading_ (struct net_http_conn *conn);
 static struct net_http_conn *conn_of_holder_ (struct net_memory_holder *holder);
 static int64_t now_ms_ (const struct net_http_conn *conn);
@@ -1030,7 +1030,7 @@
       end_ (conn, NET_END_UNSOLICITED);
       return false;
     }
-  else if (!is_start_of_response_ (conn->input->data, conn->input->len))
+  else if (!net_http_may_begin_response (conn->input->data, conn->input->len))
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
@@ -1043,8 +1043,7 @@
       end_ (conn, NET_END_HEAD_TOO_LARGE);
       return false;
     }
-  if (!head_is_strict_ (conn->input->data, length)
-      || (!conn->is_server && has_second_status_line_ (conn->input->data, length)))
+  if (!head_is_valid_ (conn, length))
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
@@ -1068,13 +1067,16 @@
   return finish_message_ (conn);
 }
 
-/* Returns false if BYTES, the first ones of a message, can't begin a response. */
+/* Returns whether the first LENGTH bytes of the buffer can be the head of a message. */
 static bool
-is_start_of_response_ (const uint8_t *bytes, size_t length)
+head_is_valid_ (const struct net_http_conn *conn, size_t length)
 {
-  static const char start[] = "HTTP/1.";
+  const uint8_t *bytes = conn->input->data;
 
-  return memcmp (bytes, start, MIN (length, sizeof start - 1)) == 0;
+  return net_http_head_lines_are_valid (bytes, length)
+         && (conn->is_server
+             || (net_http_status_line_is_valid (bytes, length)
+                 && !net_http_head_has_second_status_line (bytes, length)));
 }
 
 /* Removes empty lines in front of a request, which some callers send after a body. */
@@ -1158,59 +1160,6 @@
   return found == NULL ? 0 : (size_t)(found - conn->input->data) + 4;
 }
 
-/* Returns false for heads that two parsers could split differently, which allows request smuggling:
- * bare CR or LF, NUL, folded lines, white space in a field name, lines without a colon. Also for
- * more than HEAD_LINES_MAX lines. */
-static bool
-head_is_strict_ (const uint8_t *bytes, size_t length)
-{
-  unsigned lines = 0;
-  size_t line = 0;      /* offset of the current line */
-  bool in_name = false; /* in a header line, before the colon */
-
-  for (size_t i = 0; i < length; i++)
-    {
-      if (in_name && (bytes[i] == ' ' || bytes[i] == '\t'))
-        return false;
-      if (bytes[i] == ':')
-        in_name = false;
-      if (bytes[i] == '\r' && (i + 1 == length || bytes[i + 1] != '\n'))
-        return false;
-      if (bytes[i] == 0)
-        return false;
-      if (bytes[i] != '\n')
-        continue;
-      if (i == 0 || bytes[i - 1] != '\r' || ++lines > HEAD_LINES_MAX)
-        return false;
-      if (in_name && i - line > 1)
-        return false;
-      line = i + 1;
-      in_name = true; /* this rejects folded lines, which begin with a blank */
-    }
-  return true;
-}
-
-/* Returns whether a status line stands in the head behind its first one: a response that was broken
- * off, and the next one right behind it, would be read as one message. */
-static bool
-has_second_status_line_ (const uint8_t *bytes, size_t length)
-{
-  static const char start[] = "HTTP/1.";
-  const size_t line_bytes = strlen ("HTTP/1.1 200");
-  const uint8_t *at = bytes + 1;
-  const uint8_t *end = bytes + length;
-
-  while ((at = memmem (at, (size_t)(end - at), start, sizeof start - 1)) != NULL)
-    {
-      if ((size_t)(end - at) > line_bytes && g_ascii_isdigit (at[7]) && at[8] == ' '
-          && g_ascii_isdigit (at[9]) && g_ascii_isdigit (at[10]) && g_ascii_isdigit (at[11])
-          && (at[12] == ' ' || at[12] == '\r'))
-        return true;
-      at++;
-    }
-  return false;
-}
-
 /* Starts or stops reading: it stops while paused, while the peer does not take responses that stand
  * before its next request, while requests wait for their turn, or while too many held bytes are
  * buffered. */
@@ -1325,8 +1274,8 @@
   conn->head_complete = true;
   if (parser->upgrade || parser->http_major != 1)
     return -1;
-  if (!conn->is_server && (parser->status_code < 100 || parser->status_code > 599))
-    return -1;
+  if (!conn->is_server && parser->status_code == SWITCHING_PROTOCOLS)
+    return -1; /* no request asks for it */
   if (!conn->is_server && parser->status_code / 100 == 1)
     return 1; /* interim response, without a body: the final one follows */
   head->minor_version = parser->http_minor;
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -1001,10 +1001,81 @@
     }
 }
 
+/* Asserts that BYTES, from a server, are no response, however they are cut. */
+static void
+assert_no_response_ (const char *bytes)
+{
+  g_autoptr (GString) text = g_string_new (bytes);
+  GRand *random = g_rand_new_with_seed ((guint32)text->len);
+
+  for (unsigned i = 0; i <= CUTS_PER_SEED; i++)
+    {
+      g_autoptr (GString) events = g_string_new (NULL);
+
+      record_events_ (false, text, i == 0 ? NULL : random, events);
+      if (strcmp (events->str, "malformed\n") != 0)
+        print_message ("%s\n", bytes);
+      assert_string_equal (events->str, "malformed\n");
+    }
+  g_rand_free (random);
+}
+
+static const char sound_response_[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/* A status is three digits from 100 to 599 behind one blank. Callers got others as answers, or as
+ * 200 where the parser skipped zeros and blanks. No protocol is ever switched to (101). */
+static void
+a_status_line_of_another_form_is_no_response (void **state)
+{
+  static const char *const lines[]
+      = { "HTTP/1.1 000 OK",   "HTTP/1.1 0200 OK",    "HTTP/1.1 00200 OK", "HTTP/1.1  200 OK",
+          "HTTP/1.1\t200 OK",  "HTTP/1.1 \t200 OK",   "HTTP/1.1 099 OK",   "HTTP/1.1 99 OK",
+          "HTTP/1.1 600 OK",   "HTTP/1.1 999 OK",     "HTTP/1.1 1000 OK",  "HTTP/1.1 2000 OK",
+          "HTTP/1.1 200OK",    "HTTP/1.1 200\tOK",    "HTTP/1.1 +200 OK",  "HTTP/1.1 -200 OK",
+          "HTTP/1.1 2 00 OK",  "HTTP/1.1 0x200 OK",   "HTTP/1.1 OK",       "HTTP/1.1",
+          "HTTP/1.1 ",         "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 \x7f", "HTTP/1.11 200 OK",
+          "HTTP/1.01 200 OK",  "HTTP/2.1 200 OK",     "http/1.1 200 OK",   "HTTP/1.1 101 Other",
+          "HTTP/1.1 0100 More" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      g_autofree char *final = g_strconcat (lines[i], "\r\nContent-Length: 2\r\n\r\nok", NULL);
+      g_autofree char *interim = g_strconcat (lines[i], "\r\n\r\n", sound_response_, NULL);
+
+      assert_no_response_ (final);
+      assert_no_response_ (interim);
+    }
+}
+
+/* The names of fields are tokens (RFC 9110, 5.6.2). Callers got a response with the line passed on,
+ * or read its body differently. */
+static void
+a_field_name_that_is_no_token_makes_no_response (void **state)
+{
+  for (unsigned byte = 1; byte < 256; byte++)
+    for (unsigned place = 0; place < 3; place++)
+      {
+        char name[] = "Abc";
+        g_autofree char *final = NULL;
+        g_autofree char *interim = NULL;
+
+        if (byte == ':' || g_ascii_isalnum ((char)byte)
+            || strchr ("!#$%&'*+-.^_`|~", (int)byte) != NULL)
+          continue;
+        name[place] = (char)byte;
+        final = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s: v\r\nContent-Length: 2\r\n\r\nok", name);
+        interim = g_strdup_printf ("HTTP/1.1 103 Hints\r\n%s: v\r\n\r\n%s", name, sound_response_);
+        assert_no_response_ (final);
+        assert_no_response_ (interim);
+      }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_status_line_of_another_form_is_no_response),
+    cmocka_unit_test (a_field_name_that_is_no_token_makes_no_response),
     cmocka_unit_test (request_split_over_reads_is_parsed),
     cmocka_unit_test (ambiguous_framing_is_rejected),
     cmocka_unit_test (ambiguous_response_head_is_rejected),
--- a/testing/process/test-cut-answers.c
+++ b/testing/process/test-cut-answers.c
@@ -1,6 +1,6 @@
 /* Servers that break their responses off by a reset, with the last bytes that they send, and those
  * that end them in order; also while the request is still being sent. Responses without a length
- * are complete only in the second case. */
+ * are complete only in the second case. And servers that send what is no response. */
 #include "testing/harness/harness.h"
 #include "testing/harness/site.h"
 
@@ -176,12 +176,75 @@
     }
 }
 
+/* "@" stands for the id of the request. All but one thing is as in a sound response. */
+#define SOUND_FIELDS "X-Request-Id: @\r\nX-Response-Seal: seal-@\r\n"
+#define SOUND_END "Content-Length: 6\r\n\r\nanswer"
+
+static const char *const no_responses[] = {
+  "HTTP/1.1 000 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 0200 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1  200 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 099 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 600 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 200 O\x01K\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 101 Other\r\n\r\nHTTP/1.1 200 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 000 More\r\n\r\nHTTP/1.1 200 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 100 More\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\n" SOUND_FIELDS SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "X Y: 1\r\n" SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS " X: 1\r\n" SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "X : 1\r\n" SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "X\x01Y: 1\r\n" SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "X\x7f: 1\r\n" SOUND_END,
+  "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "Content\tLength: 2\r\n" SOUND_END,
+  "HTTP/1.1 500 Error\r\n" SOUND_FIELDS "X Y: 1\r\n" SOUND_END,
+  "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" SOUND_FIELDS "X Y: 1\r\n" SOUND_END,
+};
+
+/* Sends REQUESTS for each of RESPONSES, which servers send in place of a sound one and whose status
+ * is that of a success: callers get neither them nor a promise that their request has not run. */
+static void
+assert_no_responses_ (const char *const *responses, size_t count)
+{
+  for (unsigned i = 0; i < count * 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+      g_autoptr (GString) form = g_string_new ("mode=ok&place=instead&stray=");
+      bool is_once = i % 2 == 0;
+      struct raw_http_response *reply;
+
+      for (const char *at = responses[i / 4]; *at != '\0'; at++)
+        g_string_append_printf (form, "%02x", (unsigned)(guint8)*at);
+      g_string_append_printf (form, "&pieces=%u", i / 2 % 2);
+      assert_true (site_fleet_set_backends (fleet, MODEL_BACKENDS, MODEL_BACKENDS + PLAIN_BACKENDS,
+                                            form->str));
+      reply = call (is_once ? "/once/a" : "/safe/a", id, 4);
+      if (reply->status != 502)
+        print_message ("%s: status %d\n", responses[i / 4], reply->status);
+      assert_int_equal (reply->status, 502);
+      assert_int_equal (reply->seal->len, 0);
+      if (is_once)
+        assert_int_equal (run_count (id), 1);
+      raw_reply_free (reply);
+      assert_int_equal (clear_faults (NULL), 0);
+      reply = call ("/once/a", id, 4);
+      assert_int_equal (reply->status, 200);
+      raw_reply_free (reply);
+    }
+}
+
+static void
+a_head_that_is_none_is_not_passed_on (void **state)
+{
+  assert_no_responses_ (no_responses, G_N_ELEMENTS (no_responses));
+}
+
 #define CASE(function) cmocka_unit_test_teardown (function, clear_faults)
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    CASE (a_head_that_is_none_is_not_passed_on),
     CASE (a_response_without_length_that_is_reset_is_not_passed_on_as_complete),
     CASE (a_stream_without_length_that_is_reset_is_not_passed_on_as_complete),
     CASE (a_response_without_length_that_ends_in_order_is_passed_on_whole),
