HTTP: chunks and trailers are held to their form

What callers saw: a chunked response whose size line, end of a chunk or trailers had another form as a whole one: two bytes of any value behind a chunk, a blank in the name of a trailer, bare LF, folded lines (MIXED, as in heads).

Cause: the parser that Debian ships is built without its strict checks and skips these bytes; the checks of heads did not see trailers.

Change: net/http-body reads the body behind each head and alone decides whether it is complete: by its length, by its last chunk, or by an orderly end of the connection. The parser only sees heads.

Why it works: each byte of the framing has one place in a small state machine that knows nothing of segments; what is not named there is rejected.

--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -1,5 +1,6 @@
 #include "net/http-conn.h"
 
+#include "net/http-body.h"
 #include "net/http-head.h"
 
 #include <errno.h>
@@ -14,6 +15,7 @@
 enum
 {
   SWITCHING_PROTOCOLS = 101,
+  SKIP_BODY = 1,            /* to the parser, which only sees heads */
   READ_CHUNK_BYTES = 32768, /* most prompts fit into one or two reads */
   HELD_MAX_BYTES = 65536,   /* of pipelined requests that wait for the current one */
   /* Requests of one connection that are handled in one iteration of the loop. What each of them has
@@ -58,11 +60,9 @@
   bool is_server;
   bool disable_dead_peer_detection;
   bool awaits_response; /* outgoing: a request was sent and its response is not complete */
-  bool in_body;
+  bool in_body;         /* of a message whose head has been parsed, or that has no body */
   bool skips_body;
-  bool parsing_head;     /* the parser is given a complete head */
-  bool head_complete;    /* the parser has found the end of that head */
-  bool message_complete; /* the parser has found the end of the message */
+  bool head_complete; /* the parser has found the end of the head that it was given */
   bool held;
   bool paused;
   bool reading;
@@ -82,7 +82,8 @@
   struct net_memory_holder holder;    /* in the account while the connection is open */
   size_t scanned;                     /* bytes of input already searched for the end of the head */
   struct net_http_head head;
-  http_parser parser;
+  http_parser parser; /* for heads */
+  struct net_http_body body;
   uv_connect_t connect_request;
   uv_shutdown_t shutdown_request;
   uv_timer_t linger;
@@ -133,7 +134,7 @@
 static size_t find_head_end_ (struct net_http_conn *conn);
 static bool head_is_valid_ (const struct net_http_conn *conn, size_t length);
 static void skip_empty_lines_ (struct net_http_conn *conn);
-static bool parse_failed_ (struct net_http_conn *conn);
+static bool parse_body_ (struct net_http_conn *conn);
 static bool finish_message_ (struct net_http_conn *conn);
 static void update_reading_ (struct net_http_conn *conn);
 static struct net_http_conn *conn_of_holder_ (struct net_memory_holder *holder);
@@ -150,8 +151,6 @@
 static int on_field_ (http_parser *parser, const char *at, size_t length);
 static int on_value_ (http_parser *parser, const char *at, size_t length);
 static int on_headers_complete_ (http_parser *parser);
-static int on_body_ (http_parser *parser, const char *at, size_t length);
-static int on_message_complete_ (http_parser *parser);
 
 static const http_parser_settings parser_settings_ = {
   .on_url = on_url_,
@@ -159,8 +158,6 @@
   .on_header_field = on_field_,
   .on_header_value = on_value_,
   .on_headers_complete = on_headers_complete_,
-  .on_body = on_body_,
-  .on_message_complete = on_message_complete_,
 };
 
 static const char *const end_names_[] = {
@@ -246,7 +243,6 @@
   if (options->source != NULL
       && uv_tcp_bind (&conn->tcp, (const struct sockaddr *)options->source, 0) != 0)
     g_warning ("binding the source address failed; the kernel chooses one");
-  http_parser_init (&conn->parser, conn->is_server ? HTTP_REQUEST : HTTP_RESPONSE);
   conn->parser.data = conn;
   return conn;
 }
@@ -887,12 +883,11 @@
 
   if (conn->state == CONN_CLOSED || owner == NULL)
     return;
-  if (end == NET_END_EOF && conn->in_body && conn->head.ends_with_connection)
+  if (conn->in_body && (end == NET_END_EOF || end == NET_END_RESET))
     {
+      net_http_body_end_input (&conn->body, end == NET_END_EOF);
       conn->parsing = true;
-      http_parser_execute (&conn->parser, &parser_settings_, NULL, 0);
-      if (conn->state == CONN_OPEN)
-        finish_message_ (conn);
+      finish_message_ (conn);
       conn->parsing = false;
     }
   if (conn->state == CONN_CLOSED || conn->owner == NULL)
@@ -914,20 +909,9 @@
   conn->parsing = true;
   while (conn->state == CONN_OPEN && conn->input->len > 0)
     {
-      size_t used;
-
-      if (!conn->in_body)
-        {
-          if (conn->held || net_http_conn_is_backlogged (conn) || !parse_head_ (conn))
-            break;
-          continue;
-        }
-      used = http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data,
-                                  conn->input->len);
-      if (conn->state != CONN_OPEN || parse_failed_ (conn))
+      if (!conn->in_body && (conn->held || net_http_conn_is_backlogged (conn)))
         break;
-      g_byte_array_remove_range (conn->input, 0, (guint)used);
-      if (!finish_message_ (conn))
+      if (conn->in_body ? !parse_body_ (conn) : !parse_head_ (conn))
         break;
     }
   conn->parsing = false;
@@ -1050,14 +1034,12 @@
     }
   g_array_set_size (conn->head.headers, 0);
   conn->head.reason = (struct net_string_view){ "", 0 };
-  conn->in_body = true;
-  conn->parsing_head = true;
   conn->head_complete = false;
+  http_parser_init (&conn->parser, conn->is_server ? HTTP_REQUEST : HTTP_RESPONSE);
   http_parser_execute (&conn->parser, &parser_settings_, (const char *)conn->input->data, length);
-  conn->parsing_head = false;
-  if (conn->state != CONN_OPEN || parse_failed_ (conn))
+  if (conn->state != CONN_OPEN)
     return false;
-  if (!conn->head_complete)
+  if (!conn->head_complete || HTTP_PARSER_ERRNO (&conn->parser) != HPE_OK)
     {
       end_ (conn, NET_END_MALFORMED);
       return false;
@@ -1093,26 +1075,39 @@
   conn->scanned = 0;
 }
 
-/* Returns true if the parser has found an error, and then ends the connection. */
+/* Passes on the body in the buffer. Returns false if the connection has ended. */
 static bool
-parse_failed_ (struct net_http_conn *conn)
+parse_body_ (struct net_http_conn *conn)
 {
-  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_PAUSED)
-    http_parser_pause (&conn->parser, 0);
-  if (HTTP_PARSER_ERRNO (&conn->parser) == HPE_OK)
-    return false;
-  end_ (conn, NET_END_MALFORMED);
-  return true;
+  size_t read = 0;
+
+  while (read < conn->input->len && conn->body.state == NET_BODY_READING)
+    {
+      const struct net_string_view bytes
+          = { (const char *)conn->input->data + read, conn->input->len - read };
+      struct net_string_view payload;
+
+      read += net_http_body_read (&conn->body, bytes, &payload);
+      if (payload.length > 0)
+        (*conn->owner)->body (conn->owner, payload.data, payload.length);
+      if (conn->state != CONN_OPEN)
+        return false;
+    }
+  g_byte_array_remove_range (conn->input, 0, (guint)read);
+  if (conn->body.state == NET_BODY_MALFORMED)
+    {
+      end_ (conn, NET_END_MALFORMED);
+      return false;
+    }
+  return finish_message_ (conn);
 }
 
-/* Reports the end of the message, if the parser has found it. Returns false if the connection has
- * ended. */
+/* Reports the end of the message if it is complete. Returns false if the connection has ended. */
 static bool
 finish_message_ (struct net_http_conn *conn)
 {
-  if (!conn->message_complete)
+  if (conn->body.state != NET_BODY_COMPLETE)
     return true;
-  conn->message_complete = false;
   conn->in_body = false;
   conn->scanned = 0;
   if (!conn->is_server && conn->parser.status_code / 100 == 1)
@@ -1243,8 +1238,6 @@
   struct net_http_conn *conn = parser->data;
   struct net_header header = { .name = { at, length }, .value = { "", 0 } };
 
-  if (!conn->parsing_head)
-    return 0; /* trailers are not reported */
   g_array_append_val (conn->head.headers, header);
   return 0;
 }
@@ -1255,8 +1248,6 @@
   struct net_http_conn *conn = parser->data;
   GArray *headers = conn->head.headers;
 
-  if (!conn->parsing_head)
-    return 0;
   if (headers->len == 0)
     return -1;
   g_array_index (headers, struct net_header, headers->len - 1).value
@@ -1269,53 +1260,37 @@
 {
   struct net_http_conn *conn = parser->data;
   struct net_http_head *head = &conn->head;
-  bool body_is_absent = false;
+  enum net_body_framing framing = NET_BODY_ABSENT;
 
   conn->head_complete = true;
   if (parser->upgrade || parser->http_major != 1)
     return -1;
   if (!conn->is_server && parser->status_code == SWITCHING_PROTOCOLS)
     return -1; /* no request asks for it */
+  conn->in_body = true;
+  net_http_body_begin (&conn->body, NET_BODY_ABSENT, 0);
   if (!conn->is_server && parser->status_code / 100 == 1)
-    return 1; /* interim response, without a body: the final one follows */
+    return SKIP_BODY; /* interim response, without a body: the final one follows */
   head->minor_version = parser->http_minor;
   head->is_chunked = (parser->flags & F_CHUNKED) != 0;
   head->has_length = !head->is_chunked && (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
   head->keeps_alive = http_should_keep_alive (parser);
-  head->ends_with_connection = false;
   if (conn->is_server)
     head->method = net_string_view_of (http_method_str (parser->method));
   else
-    {
-      head->status = parser->status_code;
-      body_is_absent = conn->skips_body || head->status == 204 || head->status == 304;
-      head->ends_with_connection = !body_is_absent && !head->is_chunked && !head->has_length;
-    }
+    head->status = parser->status_code;
+  if (!conn->is_server && (conn->skips_body || head->status == 204 || head->status == 304))
+    framing = NET_BODY_ABSENT;
+  else if (head->is_chunked)
+    framing = NET_BODY_CHUNKED;
+  else if (head->has_length)
+    framing = NET_BODY_LENGTH;
+  else if (!conn->is_server)
+    framing = NET_BODY_CONNECTION;
+  net_http_body_begin (&conn->body, framing, head->length);
+  head->ends_with_connection = framing == NET_BODY_CONNECTION;
   conn->skips_body = false;
   (*conn->owner)->head (conn->owner, head);
-  if (conn->state != CONN_OPEN)
-    return -1;
-  return body_is_absent ? 1 : 0;
-}
-
-static int
-on_body_ (http_parser *parser, const char *at, size_t length)
-{
-  struct net_http_conn *conn = parser->data;
-
-  (*conn->owner)->body (conn->owner, at, length);
-  return conn->state == CONN_OPEN ? 0 : -1;
-}
-
-/* Pauses the parser, because parse_head_ checks the next head before the parser sees it. The owner
- * is told when the message is out of the buffer, so that it can see whether bytes follow. */
-static int
-on_message_complete_ (http_parser *parser)
-{
-  struct net_http_conn *conn = parser->data;
-
-  http_parser_pause (parser, 1);
-  conn->message_complete = true;
-  return 0;
+  return SKIP_BODY;
 }
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -1070,10 +1070,44 @@
       }
 }
 
+/* Callers got such responses as whole ones, some with a body that was not the server's. */
+static void
+chunks_and_trailers_of_another_form_cut_the_message (void **state)
+{
+  static const char *const bodies[] = {
+    "2\r\nokXY0\r\n\r\n",
+    "2\rxok\r\n0\r\n\r\n",
+    "2;a\nb\r\nok\r\n0\r\n\r\n",
+    "2 x\r\nok\r\n0\r\n\r\n",
+    "2\r\nok\r\n0\r\n\n",
+    "2\r\nok\r\n0\r\nX Y: a\r\n\r\n",
+    "2\r\nok\r\n0\r\nX : a\r\n\r\n",
+    "2\r\nok\r\n0\r\nX: a\n\r\n",
+    "2\r\nok\r\n0\r\nX\x01: a\r\n\r\n",
+    "2\r\nok\r\n0\r\nA: b\r\n c\r\n\r\n",
+  };
+
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (bodies); i++)
+    {
+      bool is_server = i % 2 == 0;
+      g_autoptr (GString) bytes
+          = g_string_new (is_server ? "POST / HTTP/1.1\r\nHost: h\r\n" : "HTTP/1.1 200 OK\r\n");
+      g_autoptr (GString) events = g_string_new (NULL);
+
+      g_string_append_printf (bytes, "Transfer-Encoding: chunked\r\n\r\n%s", bodies[i / 2]);
+      record_events_ (is_server, bytes, NULL, events);
+      if (!g_str_has_suffix (events->str, "malformed\n"))
+        print_message ("%s\n", bodies[i / 2]);
+      assert_true (g_str_has_suffix (events->str, "malformed\n"));
+      assert_null (strstr (events->str, "end of message"));
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (chunks_and_trailers_of_another_form_cut_the_message),
     cmocka_unit_test (a_status_line_of_another_form_is_no_response),
     cmocka_unit_test (a_field_name_that_is_no_token_makes_no_response),
     cmocka_unit_test (request_split_over_reads_is_parsed),
--- a/testing/process/test-cut-answers.c
+++ b/testing/process/test-cut-answers.c
@@ -238,6 +238,23 @@
   assert_no_responses_ (no_responses, G_N_ELEMENTS (no_responses));
 }
 
+#define CHUNKED_HEAD "HTTP/1.1 200 OK\r\n" SOUND_FIELDS "Transfer-Encoding: chunked\r\n\r\n"
+
+static const char *const no_bodies[] = {
+  CHUNKED_HEAD "6\r\nanswerXY0\r\n\r\n",
+  CHUNKED_HEAD "6 x\r\nanswer\r\n0\r\n\r\n",
+  CHUNKED_HEAD "6\r\nanswer\r\n0\r\nX Y: 1\r\n\r\n",
+  CHUNKED_HEAD "6\r\nanswer\r\n0\r\nX : 1\r\n\r\n",
+  CHUNKED_HEAD "6\r\nanswer\r\n0\r\nX\x01Y: 1\r\n\r\n",
+  CHUNKED_HEAD "6\r\nanswer\r\n0\r\nX: 1\n\r\n",
+};
+
+static void
+a_chunked_body_that_is_none_is_not_passed_on (void **state)
+{
+  assert_no_responses_ (no_bodies, G_N_ELEMENTS (no_bodies));
+}
+
 #define CASE(function) cmocka_unit_test_teardown (function, clear_faults)
 
 int
@@ -245,6 +262,7 @@
 {
   const struct CMUnitTest tests[] = {
     CASE (a_head_that_is_none_is_not_passed_on),
+    CASE (a_chunked_body_that_is_none_is_not_passed_on),
     CASE (a_response_without_length_that_is_reset_is_not_passed_on_as_complete),
     CASE (a_stream_without_length_that_is_reset_is_not_passed_on_as_complete),
     CASE (a_response_without_length_that_ends_in_order_is_passed_on_whole),
