HTTP: transfer codings other than chunked are rejected

What callers saw: a response with "Transfer-Encoding: gzip" (or identity, or "chunked;x") as one that ends with its connection, its framing in the body; one with "gzip, chunked" as chunks whose coding nobody told the caller.

Cause: the parser looks for the word chunked at the end, and takes a response with another coding for one without framing.

Change: the head is valid with chunked alone, once, in HTTP/1.1, or without a coding.

Why it works: no coding is ever asked for, so a sound peer sends no other.

Measured: test-http-conn/transfer_codings_other_than_chunked_are_rejected, 11 forms in both directions, red before.

--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -151,6 +151,7 @@
 static int on_field_ (http_parser *parser, const char *at, size_t length);
 static int on_value_ (http_parser *parser, const char *at, size_t length);
 static int on_headers_complete_ (http_parser *parser);
+static bool read_transfer_coding_ (struct net_http_head *head);
 
 static const http_parser_settings parser_settings_ = {
   .on_url = on_url_,
@@ -1272,7 +1273,8 @@
   if (!conn->is_server && parser->status_code / 100 == 1)
     return SKIP_BODY; /* interim response, without a body: the final one follows */
   head->minor_version = parser->http_minor;
-  head->is_chunked = (parser->flags & F_CHUNKED) != 0;
+  if (!read_transfer_coding_ (head))
+    return -1;
   head->has_length = !head->is_chunked && (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
   head->keeps_alive = http_should_keep_alive (parser);
@@ -1294,3 +1296,28 @@
   (*conn->owner)->head (conn->owner, head);
   return SKIP_BODY;
 }
+
+/* Sets is_chunked. Returns false unless HEAD has no transfer coding, or chunked alone as an
+ * HTTP/1.1 message may: no other is ever asked for, and the fields that say how a body is coded are
+ * not passed on. */
+static bool
+read_transfer_coding_ (struct net_http_head *head)
+{
+  head->is_chunked = false;
+  for (unsigned i = 0; i < head->headers->len; i++)
+    {
+      const struct net_header *header = &g_array_index (head->headers, struct net_header, i);
+
+      struct net_string_view coding = header->value;
+
+      if (!net_string_view_is_nocase (header->name, "Transfer-Encoding"))
+        continue;
+      while (coding.length > 0 && strchr (" \t", coding.data[coding.length - 1]) != NULL)
+        coding.length--;
+      if (head->is_chunked || head->minor_version == 0
+          || !net_string_view_is_nocase (coding, "chunked"))
+        return false;
+      head->is_chunked = true;
+    }
+  return true;
+}
--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -1103,10 +1103,60 @@
     }
 }
 
+/* Such bodies were taken for ones that end with the connection, or passed on without saying how
+ * they are coded. */
+static void
+transfer_codings_other_than_chunked_are_rejected (void **state)
+{
+  static const char *const fields[] = {
+    "Transfer-Encoding: gzip\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, gzip\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding: chunked;x\r\n",
+    "Transfer-Encoding: \x0b"
+    "chunked\r\n",
+    "Transfer-Encoding:\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+    "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+  };
+
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (fields); i++)
+    {
+      bool is_server = i % 2 == 0;
+      g_autoptr (GString) bytes
+          = g_string_new (is_server ? "POST / HTTP/1.1\r\nHost: h\r\n" : "HTTP/1.1 200 OK\r\n");
+      g_autoptr (GString) events = g_string_new (NULL);
+
+      g_string_append_printf (bytes, "%s\r\n2\r\nok\r\n0\r\n\r\n", fields[i / 2]);
+      record_events_ (is_server, bytes, NULL, events);
+      if (strcmp (events->str, "malformed\n") != 0)
+        print_message ("%s%s", fields[i / 2], events->str);
+      assert_string_equal (events->str, "malformed\n");
+    }
+  assert_no_response_ ("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+}
+
+static void
+a_transfer_coding_between_blanks_is_known (void **state)
+{
+  g_autoptr (GString) bytes
+      = g_string_new ("HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunked \t\r\n\r\n"
+                      "2\r\nok\r\n0\r\n\r\n");
+  g_autoptr (GString) events = g_string_new (NULL);
+
+  record_events_ (false, bytes, NULL, events);
+  assert_non_null (strstr (events->str, "body ok\nend of message"));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (transfer_codings_other_than_chunked_are_rejected),
+    cmocka_unit_test (a_transfer_coding_between_blanks_is_known),
     cmocka_unit_test (chunks_and_trailers_of_another_form_cut_the_message),
     cmocka_unit_test (a_status_line_of_another_form_is_no_response),
     cmocka_unit_test (a_field_name_that_is_no_token_makes_no_response),
