--- a/src/net/test-http-conn.c
+++ b/src/net/test-http-conn.c
@@ -1115,8 +1115,7 @@
     "Transfer-Encoding: identity\r\n",
     "Transfer-Encoding: xchunked\r\n",
     "Transfer-Encoding: chunked;x\r\n",
-    "Transfer-Encoding: \x0b"
-    "chunked\r\n",
+    "Transfer-Encoding: \013chunked\r\n",
     "Transfer-Encoding:\r\n",
     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
     "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
