Streams: an end of the connection does not complete a stream begun in chunks

Cause: a stream whose first server sent chunks was resumed at a server that sends neither a length nor chunks. Its close became a last chunk, for which no server had vouched.

Change: such an end is the end of an attempt: the stream is resumed once more where that is allowed, else cut.

Why it works: a last chunk goes to the caller only behind a last chunk of a server, or behind a length.

--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -434,10 +434,11 @@
                            (gint64)session->next_event, session->id, (gint64)session->next_event);
   write_event_ (session, event);
   consume_ (session, SITE_TOKENS_PER_EVENT);
-  if (session->backend->mode == SITE_BACKEND_RESET_UNFRAMED
+  if ((session->backend->mode == SITE_BACKEND_RESET_UNFRAMED
+       || session->backend->mode == SITE_BACKEND_SHORT_UNFRAMED)
       && session->next_event > session->events / 2)
     {
-      end_connection_ (session, true);
+      end_connection_ (session, session->backend->mode == SITE_BACKEND_RESET_UNFRAMED);
       return;
     }
   session->next_event++;
@@ -456,7 +457,8 @@
 
   session->is_unframed = session->backend->mode == SITE_BACKEND_UNFRAMED
                          || session->backend->mode == SITE_BACKEND_TORN_UNFRAMED
-                         || session->backend->mode == SITE_BACKEND_RESET_UNFRAMED;
+                         || session->backend->mode == SITE_BACKEND_RESET_UNFRAMED
+                         || session->backend->mode == SITE_BACKEND_SHORT_UNFRAMED;
   head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n%s\r\n", headers,
                           session->is_unframed ? "" : "Transfer-Encoding: chunked\r\n");
 
--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -59,6 +59,7 @@
   [SITE_BACKEND_TORN] = "torn",
   [SITE_BACKEND_TORN_UNFRAMED] = "torn_unframed",
   [SITE_BACKEND_RESET_UNFRAMED] = "reset_unframed",
+  [SITE_BACKEND_SHORT_UNFRAMED] = "short_unframed",
   [SITE_BACKEND_UNNAMED_421] = "unnamed421",
   [SITE_BACKEND_REPEAT] = "repeat",
 };
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -49,6 +49,7 @@
   SITE_BACKEND_TORN,           /* streams end inside an event, as if they were complete */
   SITE_BACKEND_TORN_UNFRAMED,  /* the same without chunks: with the connection */
   SITE_BACKEND_RESET_UNFRAMED, /* streams without chunks, reset with their middle event */
+  SITE_BACKEND_SHORT_UNFRAMED, /* streams without chunks, ended in order after their middle event */
   SITE_BACKEND_UNNAMED_421,    /* replies 421 without saying which instance it is */
   SITE_BACKEND_REPEAT          /* streams send their events a second time behind the last one */
 };
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -553,6 +553,13 @@
       retry_or_end_ (exchange, true, "torn_event");
       return;
     }
+  if (exchange->response_ends_with_connection && exchange->response_is_framed)
+    {
+      /* The end of the connection does not vouch for as much as a last chunk would. */
+      end_failed_attempt_ (exchange, "unframed_end", GW_ATTEMPT_ABANDONED);
+      retry_or_end_ (exchange, true, "unframed_end");
+      return;
+    }
   if (!exchange->response_began)
     {
       exchange->response_has_length = !exchange->response_ends_with_connection;
@@ -710,6 +717,7 @@
 
   exchange->state = EXCHANGE_RESPONDING;
   exchange->response_began = true;
+  exchange->response_is_framed = !exchange->response_ends_with_connection;
   (*exchange->caller)->begin (exchange->caller, &reply);
 }
 
--- a/src/gateway/exchange-private.h
+++ b/src/gateway/exchange-private.h
@@ -85,6 +85,7 @@
   GString *response_headers;
   bool response_has_length;
   bool response_ends_with_connection;
+  bool response_is_framed; /* towards the caller: by a length or chunks */
   uint64_t response_length;
   GByteArray *response_body; /* a response that is not a stream, buffered until it is complete */
   bool is_event_stream;
--- a/testing/process/test-faulty-responses.c
+++ b/testing/process/test-faulty-responses.c
@@ -268,6 +268,38 @@
     }
 }
 
+/* A stream that began in chunks got its last chunk when the server that went on with it, without a
+ * length or chunks, ended its connection between two events: nobody had said that it was whole. */
+static void
+a_resumed_stream_without_length_does_not_complete_a_chunked_one (void **state)
+{
+  unsigned began_in_chunks = 0;
+
+  for (unsigned i = 0; i < REQUESTS * SOUND_PER_RETRY; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+      const struct site_request request = {
+        .instance = 1, .path = "/resume/a", .id = id, .input_tokens = 1000, .output_tokens = 60
+      };
+      bool is_faulty = i % SOUND_PER_RETRY == SOUND_PER_RETRY - 1;
+      g_autoptr (GString) expected = site_expected_events (&request);
+      struct raw_http_response *reply;
+
+      set_mode (0, MODEL_BACKENDS, "ok");
+      if (is_faulty)
+        {
+          set_mode (0, MODEL_BACKENDS, "short_unframed");
+          set_mode (i / SOUND_PER_RETRY % MODEL_BACKENDS, i / SOUND_PER_RETRY % MODEL_BACKENDS + 1,
+                    "cut");
+        }
+      reply = site_call (fleet, &request);
+      began_in_chunks += is_faulty && !reply->closed;
+      assert_true (!reply->complete || g_string_equal (expected, reply->body));
+      raw_reply_free (reply);
+    }
+  assert_true (began_in_chunks > 0);
+}
+
 #define CASE(function) cmocka_unit_test_teardown (function, clear_faults)
 
 int
@@ -276,6 +308,7 @@
   /* The case that needs retries comes before those that use up the budget for them. */
   const struct CMUnitTest tests[] = {
     CASE (a_resumable_stream_that_ends_inside_an_event_goes_on_at_another_server),
+    CASE (a_resumed_stream_without_length_does_not_complete_a_chunked_one),
     CASE (an_earlier_refusal_on_a_kept_connection_is_no_answer),
     CASE (an_earlier_misdirection_on_a_kept_connection_is_no_answer),
     CASE (a_misdirection_without_the_servers_id_does_not_end_the_process),
