--- a/src/net/http-body.h
+++ b/src/net/http-body.h
@@ -23,7 +23,7 @@
   NET_BODY_MALFORMED
 };
 
-/* Its users read the state only. */
+/* Its users read the framing and the state only. */
 struct net_http_body
 {
   enum net_body_framing framing;
--- a/src/net/http-conn.c
+++ b/src/net/http-conn.c
@@ -60,7 +60,7 @@
   bool is_server;
   bool disable_dead_peer_detection;
   bool awaits_response; /* outgoing: a request was sent and its response is not complete */
-  bool in_body;         /* of a message whose head has been parsed, or that has no body */
+  bool in_body;         /* the head of a message has been parsed, its end has not been found */
   bool skips_body;
   bool head_complete; /* the parser has found the end of the head that it was given */
   bool held;
@@ -151,6 +151,7 @@
 static int on_field_ (http_parser *parser, const char *at, size_t length);
 static int on_value_ (http_parser *parser, const char *at, size_t length);
 static int on_headers_complete_ (http_parser *parser);
+static enum net_body_framing framing_ (const struct net_http_conn *conn);
 static bool read_transfer_coding_ (struct net_http_head *head);
 
 static const http_parser_settings parser_settings_ = {
@@ -1261,20 +1262,20 @@
 {
   struct net_http_conn *conn = parser->data;
   struct net_http_head *head = &conn->head;
-  enum net_body_framing framing = NET_BODY_ABSENT;
+  bool is_interim = !conn->is_server && parser->status_code / 100 == 1;
 
   conn->head_complete = true;
-  if (parser->upgrade || parser->http_major != 1)
+  head->minor_version = parser->http_minor;
+  if (parser->upgrade || parser->http_major != 1 || !read_transfer_coding_ (head))
     return -1;
   if (!conn->is_server && parser->status_code == SWITCHING_PROTOCOLS)
     return -1; /* no request asks for it */
   conn->in_body = true;
-  net_http_body_begin (&conn->body, NET_BODY_ABSENT, 0);
-  if (!conn->is_server && parser->status_code / 100 == 1)
-    return SKIP_BODY; /* interim response, without a body: the final one follows */
-  head->minor_version = parser->http_minor;
-  if (!read_transfer_coding_ (head))
-    return -1;
+  if (is_interim)
+    {
+      net_http_body_begin (&conn->body, NET_BODY_ABSENT, 0);
+      return SKIP_BODY; /* the final response follows */
+    }
   head->has_length = !head->is_chunked && (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
   head->keeps_alive = http_should_keep_alive (parser);
@@ -1282,21 +1283,28 @@
     head->method = net_string_view_of (http_method_str (parser->method));
   else
     head->status = parser->status_code;
-  if (!conn->is_server && (conn->skips_body || head->status == 204 || head->status == 304))
-    framing = NET_BODY_ABSENT;
-  else if (head->is_chunked)
-    framing = NET_BODY_CHUNKED;
-  else if (head->has_length)
-    framing = NET_BODY_LENGTH;
-  else if (!conn->is_server)
-    framing = NET_BODY_CONNECTION;
-  net_http_body_begin (&conn->body, framing, head->length);
-  head->ends_with_connection = framing == NET_BODY_CONNECTION;
+  net_http_body_begin (&conn->body, framing_ (conn), head->length);
+  head->ends_with_connection = conn->body.framing == NET_BODY_CONNECTION;
   conn->skips_body = false;
   (*conn->owner)->head (conn->owner, head);
   return SKIP_BODY;
 }
 
+/* Returns how the body behind the head just parsed is framed. */
+static enum net_body_framing
+framing_ (const struct net_http_conn *conn)
+{
+  const struct net_http_head *head = &conn->head;
+
+  if (!conn->is_server && (conn->skips_body || head->status == 204 || head->status == 304))
+    return NET_BODY_ABSENT;
+  if (head->is_chunked)
+    return NET_BODY_CHUNKED;
+  if (head->has_length)
+    return NET_BODY_LENGTH;
+  return conn->is_server ? NET_BODY_ABSENT : NET_BODY_CONNECTION;
+}
+
 /* Sets is_chunked. Returns false unless HEAD has no transfer coding, or chunked alone as an
  * HTTP/1.1 message may: no other is ever asked for, and the fields that say how a body is coded are
  * not passed on. */
