Entry: early refusals of a retry don't say that its request has not run

What callers saw: a retry with their own key and without X-Attempt: 1 that was refused before it had a run (no configuration yet, no memory, a key of no team, a body beyond the limit, the same key with another body) got "not run" although an earlier attempt may have run, against docs/API.md. So did a question for the outcome of a request at an instance that starts.

Cause: these places had the outcome as a constant.

Change: they use the outcome that refusals of runs have.

Measured: test-entry/early_refusal_of_a_retry_does_not_say_that_it_has_not_run, red before.

--- a/src/entry/connection.c
+++ b/src/entry/connection.c
@@ -387,7 +387,7 @@
       sr_caller_free_body (caller);
       net_memory_holder_set (net_http_conn_holder (connection->conn), NET_MEMORY_BODY,
                              CALLER_BYTES);
-      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_QUEUE_FULL,
+      sr_caller_reply_error (caller, sr_caller_refusal_outcome (caller), SR_ERROR_QUEUE_FULL,
                              SR_ENTRY_SHORT_RETRY_AFTER_MS);
       return;
     }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -168,7 +168,7 @@
 
   if (!sr_connection_begin_service (caller->connection))
     {
-      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_QUEUE_FULL,
+      sr_caller_reply_error (caller, sr_caller_refusal_outcome (caller), SR_ERROR_QUEUE_FULL,
                              SR_ENTRY_SHORT_RETRY_AFTER_MS);
       return;
     }
@@ -312,7 +312,7 @@
 
   if (config == NULL)
     {
-      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING,
+      sr_caller_reply_error (caller, sr_caller_refusal_outcome (caller), SR_ERROR_STARTING,
                              SR_ENTRY_STARTING_RETRY_AFTER_MS);
       return;
     }
@@ -327,7 +327,7 @@
   if (error != SR_ERROR_NONE)
     {
       sr_config_unref (config);
-      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, error, 0);
+      sr_caller_reply_error (caller, sr_caller_refusal_outcome (caller), error, 0);
       return;
     }
   caller->stream = stream;
@@ -335,7 +335,7 @@
   begin_run_ (entry, caller, config, params);
   sr_config_unref (config);
   if (caller->run == NULL)
-    sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_KEY_REUSED, 0);
+    sr_caller_reply_error (caller, sr_caller_refusal_outcome (caller), SR_ERROR_KEY_REUSED, 0);
   else
     sr_caller_advance (caller);
 }
@@ -372,7 +372,7 @@
 
   if (config == NULL)
     {
-      sr_caller_reply_error (caller, SR_OUTCOME_NOT_RUN, SR_ERROR_STARTING,
+      sr_caller_reply_error (caller, SR_OUTCOME_UNKNOWN, SR_ERROR_STARTING,
                              SR_ENTRY_STARTING_RETRY_AFTER_MS);
       return;
     }
--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -312,6 +312,39 @@
   assert_int_equal (sr_entry_open_requests (entry), expected);
 }
 
+/* A retry may follow an attempt that ran at another instance; callers were told that their request
+ * had not run. */
+static void
+early_refusal_of_a_retry_does_not_say_that_it_has_not_run (void **state)
+{
+  static const struct
+  {
+    const char *headers;
+    const char *outcome;
+  } cases[] = { { "", "\"not run\"" },
+                { "Idempotency-Key: k\r\nX-Attempt: 1\r\n", "\"not run\"" },
+                { "Idempotency-Key: k\r\nX-Attempt: 2\r\n", "\"unknown\"" },
+                { "Idempotency-Key: k\r\n", "\"unknown\"" } };
+  g_autofree char *long_body = g_strnfill (BODY_MAX_BYTES + 1, 'x');
+  const char *const bodies[] = { "{}", long_body };
+
+  for (unsigned i = 0; i < 2 * G_N_ELEMENTS (cases); i++)
+    {
+      /* No key of a team, and a body beyond the limit. */
+      const char *text = bodies[i / G_N_ELEMENTS (cases) == 1];
+      g_autofree char *request = g_strdup_printf (
+          "POST /v1/services/s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %zu\r\n\r\n%s",
+          cases[i % G_N_ELEMENTS (cases)].headers, strlen (text), text);
+      g_autoptr (GString) received = g_string_new (NULL);
+      int fd = connect_ ();
+
+      send_ (fd, request);
+      assert_true (read_until_ (fd, received, "}"));
+      assert_non_null (strstr (received->str, cases[i % G_N_ELEMENTS (cases)].outcome));
+      close (fd);
+    }
+}
+
 static void
 streamed_reply_is_sent_while_the_run_continues (void **state)
 {
@@ -489,6 +522,8 @@
     cmocka_unit_test_setup_teardown (malformed_or_oversized_head_is_rejected, set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (expect_continue_is_answered_and_oversized_body_is_refused,
                                      set_up_, tear_down_),
+    cmocka_unit_test_setup_teardown (early_refusal_of_a_retry_does_not_say_that_it_has_not_run,
+                                     set_up_, tear_down_),
     cmocka_unit_test_setup_teardown (streamed_reply_is_sent_while_the_run_continues, set_up_,
                                      tear_down_),
     cmocka_unit_test_setup_teardown (http_1_0_caller_gets_stream_without_chunked_encoding, set_up_,
