--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -149,17 +149,6 @@
   return atomic_load (&entry->open_requests);
 }
 
-/* Refuses the request of CALLER with OUTCOME, and frees CALLER, if the listener has been closed:
- * what began now could outlast the process. Returns whether it did. */
-static bool
-refuse_if_closed_ (struct sr_caller *caller, enum sr_outcome outcome)
-{
-  if (!atomic_load (&caller->entry->closed))
-    return false;
-  sr_caller_reply_error (caller, outcome, SR_ERROR_STOPPING, SR_ENTRY_STOPPING_RETRY_AFTER_MS);
-  return true;
-}
-
 /* Handles the request of CALLER once its body is complete. CALLER may be freed by it. */
 void
 sr_entry_handle_ (struct sr_caller *caller)
@@ -263,6 +252,17 @@
   return caller;
 }
 
+/* Refuses the request of CALLER with OUTCOME, and frees CALLER, if the listener has been closed:
+ * what began now could outlast the process. Returns whether it did. */
+static bool
+refuse_if_closed_ (struct sr_caller *caller, enum sr_outcome outcome)
+{
+  if (!atomic_load (&caller->entry->closed))
+    return false;
+  sr_caller_reply_error (caller, outcome, SR_ERROR_STOPPING, SR_ENTRY_STOPPING_RETRY_AFTER_MS);
+  return true;
+}
+
 static void
 handle_get_ (struct sr_entry *entry, struct sr_caller *caller)
 {
--- a/src/entry/test-entry.c
+++ b/src/entry/test-entry.c
@@ -331,7 +331,7 @@
   for (unsigned i = 0; i < 2 * G_N_ELEMENTS (cases); i++)
     {
       /* No key of a team, and a body beyond the limit. */
-      const char *text = bodies[i / G_N_ELEMENTS (cases) == 1];
+      const char *text = bodies[i / G_N_ELEMENTS (cases)];
       g_autofree char *request = g_strdup_printf (
           "POST /v1/services/s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %zu\r\n\r\n%s",
           cases[i % G_N_ELEMENTS (cases)].headers, strlen (text), text);
--- a/src/gateway/attempt.c
+++ b/src/gateway/attempt.c
@@ -555,7 +555,7 @@
     }
   if (exchange->response_ends_with_connection && exchange->response_is_framed)
     {
-      /* The end of the connection does not vouch for as much as a last chunk would. */
+      /* Unlike a last chunk, the end of the connection does not say that the stream is whole. */
       end_failed_attempt_ (exchange, "unframed_end", GW_ATTEMPT_ABANDONED);
       retry_or_end_ (exchange, true, "unframed_end");
       return;
