--- a/emulator/site/backend.c
+++ b/emulator/site/backend.c
@@ -424,7 +424,7 @@
     }
   if (session->backend->mode == SITE_BACKEND_CUT && session->next_event > session->events / 2)
     {
-      write_ (session, "5\r\nid: \r\n"); /* in the middle of an event */
+      write_ (session, "4\r\nid: \r\n"); /* in the middle of an event */
       session->backend->running--;
       session->is_running = false;
       close_ (session);
