--- a/emulator/site/main.c
+++ b/emulator/site/main.c
@@ -118,11 +118,14 @@
   return NULL;
 }
 
-/* Returns the value of NAME in the query of TARGET, owned by the caller, or NULL. */
+/* Returns the value of NAME in the query of TARGET as it stands there, owned by the caller, or
+ * NULL.
+ */
 char *
 site_query (const char *target, const char *name)
 {
-  const char *query = strchr (target, '?');
+  g_autofree char *before_fragment = g_strndup (target, strcspn (target, "#"));
+  const char *query = strchr (before_fragment, '?');
   g_auto (GStrv) pairs = g_strsplit (query == NULL ? "" : query + 1, "&", -1);
   size_t length = strlen (name);
 
@@ -132,6 +135,16 @@
   return NULL;
 }
 
+/* Decodes VALUE of a query: percent-encoding, and a plus sign for a blank. Returns NULL if it is
+ * not valid; the caller owns the result. */
+char *
+site_decode (const char *value)
+{
+  g_autofree char *copy = g_strdelimit (g_strdup (value), "+", ' ');
+
+  return g_uri_unescape_string (copy, NULL);
+}
+
 /* Accepts a connection to the control port. */
 void
 site_control_accept (uv_stream_t *listener, int status)
@@ -277,10 +290,10 @@
   return true;
 }
 
-/* Another program writes an entry among those of the backend servers that is odd in one WAY.
- * Returns false if that is not known. */
+/* Another program writes an entry NAME (NULL: "odd") among those of the backend servers, which is
+ * odd in its name or in one WAY. Returns false if that is not known. */
 static bool
-write_odd_entry_ (struct site *site, const char *way)
+write_odd_entry_ (struct site *site, const char *way, const char *name)
 {
   json_t *spec
       = json_pack ("{s:s,s:s,s:s,s:s,s:i,s:s}", "service", "model", "address", "127.0.6.100:9",
@@ -303,10 +316,15 @@
     site->odd_value = g_strdup ("\"\xff\\u0000\"");
   else if (g_strcmp0 (way, "port") == 0)
     json_object_set_new (spec, "address", json_string ("127.0.6.100:99999"));
+  else if (g_strcmp0 (way, "unnamed") == 0)
+    {
+      name = SITE_ODD_VALUE_MARK;
+      site->odd_value = g_strdup ("\"\xff\"");
+    }
   else
-    done = false;
+    done = g_strcmp0 (way, "name") == 0 && name != NULL;
   if (done)
-    objects_put (site->objects, "servers", "odd", spec, -1);
+    objects_put (site->objects, "servers", name == NULL ? "odd" : name, spec, -1);
   json_decref (spec);
   site_store_changed (site);
   return done;
@@ -412,8 +430,18 @@
   else if (g_str_has_prefix (session->target, "/odd-entry"))
     {
       g_autofree char *way = site_query (session->target, "way");
+      g_autofree char *encoded = site_query (session->target, "name");
+      g_autofree char *name = encoded == NULL ? NULL : site_decode (encoded);
 
-      done = write_odd_entry_ (site, way);
+      done = write_odd_entry_ (site, way, name);
+    }
+  else if (g_str_has_prefix (session->target, "/page"))
+    {
+      g_autofree char *count = site_query (session->target, "objects");
+
+      done = count != NULL && atoi (count) > 0;
+      if (done)
+        site->page_objects = (unsigned)atoi (count);
     }
   else if (g_str_has_prefix (session->target, "/backend"))
     done = set_backend_ (site, session->target);
@@ -469,6 +497,7 @@
   site->address = address->sval[0];
   site->event_interval_ms = pace->count > 0 ? (unsigned)pace->ival[0] : 2;
   site->objects = objects_new ();
+  site->page_objects = SITE_PAGE_OBJECTS;
   site->watches = g_ptr_array_new ();
   site->runs = json_object ();
   site->statuses = json_object ();
--- a/emulator/site/objects.c
+++ b/emulator/site/objects.c
@@ -37,6 +37,7 @@
 static GPtrArray *copy_objects_ (const GPtrArray *objects);
 static void take_snapshot_ (struct objects *objects);
 static struct object_ *find_ (const struct objects *objects, const char *kind, const char *name);
+static int compare_names_ (const void *left, const void *right);
 static json_t *to_json_ (const struct object_ *object);
 
 /* Creates an empty store. It is never freed. */
@@ -78,19 +79,27 @@
   objects->revision = snapshot->revision;
 }
 
-/* Returns an array of all objects of KIND; the caller owns it. */
+/* Returns an array of up to LIMIT objects of KIND in the order of their names, those behind AFTER
+ * (NULL: from the first); the caller owns it. MORE is set if others follow. */
 json_t *
-objects_list (const struct objects *objects, const char *kind)
+objects_list (
+    const struct objects *objects, const char *kind, const char *after, unsigned limit, bool *more)
 {
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
   json_t *list = json_array ();
 
   for (unsigned i = 0; i < objects->objects->len; i++)
     {
-      const struct object_ *object = objects->objects->pdata[i];
+      struct object_ *object = objects->objects->pdata[i];
 
-      if (!object->deleted && strcmp (object->kind, kind) == 0)
-        json_array_append_new (list, to_json_ (object));
+      if (!object->deleted && strcmp (object->kind, kind) == 0
+          && (after == NULL || strcmp (object->name, after) > 0))
+        g_ptr_array_add (found, object);
     }
+  g_ptr_array_sort (found, compare_names_);
+  for (unsigned i = 0; i < MIN (found->len, limit); i++)
+    json_array_append_new (list, to_json_ (found->pdata[i]));
+  *more = found->len > limit;
   return list;
 }
 
@@ -229,6 +238,12 @@
   return NULL;
 }
 
+static int
+compare_names_ (const void *left, const void *right)
+{
+  return strcmp ((*(struct object_ *const *)left)->name, (*(struct object_ *const *)right)->name);
+}
+
 static json_t *
 to_json_ (const struct object_ *object)
 {
--- a/emulator/site/objects.h
+++ b/emulator/site/objects.h
@@ -10,7 +10,8 @@
 struct objects;
 
 struct objects *objects_new (void);
-json_t *objects_list (const struct objects *objects, const char *kind);
+json_t *objects_list (
+    const struct objects *objects, const char *kind, const char *after, unsigned limit, bool *more);
 json_t *objects_get (const struct objects *objects, const char *kind, const char *name);
 int64_t objects_revision (const struct objects *objects);
 bool objects_put (
--- a/emulator/site/site.h
+++ b/emulator/site/site.h
@@ -19,6 +19,11 @@
 /* A string value in an entry that the store writes out as odd_value of the site. */
 #define SITE_ODD_VALUE_MARK "@odd@"
 
+enum
+{
+  SITE_PAGE_OBJECTS = 500 /* of a list of the store, until a test sets another number */
+};
+
 #define SITE_KIND_EVACUATIONS "evacuations"
 
 enum site_store_mode
@@ -137,6 +142,7 @@
   unsigned event_interval_ms; /* between the events of a stream */
   struct objects *objects;
   enum site_store_mode store_mode;
+  unsigned page_objects;       /* most objects in one page of a list */
   char *odd_value;             /* JSON text that is written for SITE_ODD_VALUE_MARK; NULL: none */
   json_t *saved_configuration; /* configuration before a restore, written again by the operator
                                   timer; or NULL */
@@ -175,3 +181,4 @@
 site_reply (struct net_http_conn *conn, unsigned status, const char *headers, const char *body);
 char *site_header (const struct net_http_head *head, const char *name);
 char *site_query (const char *target, const char *name);
+char *site_decode (const char *value);
--- a/emulator/site/store.c
+++ b/emulator/site/store.c
@@ -122,6 +122,26 @@
   g_string_append_len (((struct store_session_ *)owner)->body, data, (gssize)length);
 }
 
+static void
+list_ (struct store_session_ *session, const char *kind)
+{
+  struct objects *objects = session->site->objects;
+  g_autofree char *encoded = site_query (session->target, "afterRev");
+  g_autofree char *after = encoded == NULL ? NULL : site_decode (encoded);
+  bool more;
+  json_t *items;
+
+  if (encoded != NULL && after == NULL)
+    {
+      reply_json_ (session, 400, NULL);
+      return;
+    }
+  items = objects_list (objects, kind, after, session->site->page_objects, &more);
+  reply_json_ (session, 200,
+               json_pack ("{s:o,s:b,s:I}", "items", items, "hasMore", more, "at",
+                          (json_int_t)objects_revision (objects)));
+}
+
 static void
 get_ (struct store_session_ *session, const char *kind, const char *name)
 {
@@ -140,9 +160,7 @@
     }
   if (after == NULL)
     {
-      reply_json_ (session, 200,
-                   json_pack ("{s:o,s:b,s:I}", "items", objects_list (objects, kind), "hasMore",
-                              false, "at", (json_int_t)objects_revision (objects)));
+      list_ (session, kind);
       return;
     }
   g_free (session->kind);
@@ -183,10 +201,11 @@
 on_message_end_ (void *owner)
 {
   struct store_session_ *session = owner;
-  g_autofree char *path = g_strndup (session->target, strcspn (session->target, "?"));
+  g_autofree char *path = g_strndup (session->target, strcspn (session->target, "?#"));
   g_auto (GStrv) parts = g_strsplit (path, "/", 5);
   const char *kind = parts[0] != NULL && parts[1] != NULL ? parts[2] : NULL;
-  const char *name = kind != NULL ? parts[3] : NULL;
+  const char *encoded = kind != NULL ? parts[3] : NULL;
+  g_autofree char *name = encoded == NULL ? NULL : g_uri_unescape_string (encoded, NULL);
 
   net_http_conn_hold_messages (session->conn, true);
   if (session->site->store_mode == SITE_STORE_SILENT)
@@ -195,6 +214,8 @@
     reply_json_ (session, 503, NULL);
   else if (kind == NULL || strcmp (parts[1], "objects") != 0)
     reply_json_ (session, 404, NULL);
+  else if (encoded != NULL && (name == NULL || parts[4] != NULL))
+    reply_json_ (session, 400, NULL);
   else if (strcmp (session->method, "GET") == 0)
     get_ (session, kind, name);
   else if (strcmp (session->method, "DELETE") == 0 && name != NULL)
--- a/testing/process/test-odd-entries.c
+++ b/testing/process/test-odd-entries.c
@@ -1,4 +1,4 @@
-/* Another program writes one odd entry among those of the backend servers: the instances go on to
+/* Another program writes odd entries among those of the backend servers: the instances go on to
  * follow the other entries, and instances that start later become ready. */
 #include "testing/harness/harness.h"
 #include "testing/harness/site.h"
@@ -55,6 +55,15 @@
   return site_send (fleet, &request).outcome;
 }
 
+static enum site_outcome
+send_plain_ (unsigned instance)
+{
+  g_autofree char *id = g_strdup_printf ("id-%u", ++ids);
+  const struct site_request request = { .instance = instance, .path = "/safe/a", .id = id };
+
+  return site_send (fleet, &request).outcome;
+}
+
 static int64_t
 latest_after_leaving_ms (void)
 {
@@ -116,6 +125,44 @@
   assert_followed_after ("bytes");
 }
 
+/* Starts all processes anew and checks that each of them has the whole list. */
+static void
+assert_listed_after_restart (void)
+{
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    harness_process_kill (fleet->instances[i]);
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    assert_true (site_fleet_start_instance (fleet, i));
+  for (unsigned i = 1; i <= INSTANCES; i++)
+    {
+      assert_true (site_fleet_wait_ready (fleet, i, HARNESS_WAIT_MS));
+      assert_int_equal (send_ (i), SITE_COMPLETED);
+      /* The only plain server is the last one of the list. */
+      assert_int_equal (send_plain_ (i), SITE_COMPLETED);
+    }
+}
+
+/* A list was not continued behind a name that was written into the request as it was: no instance
+ * that started had any backend server. */
+static void
+a_list_continues_behind_any_name (void **state)
+{
+  static const char *const names[]
+      = { "i-1&x", "i-1+x", "i-1#x", "i-1%x",    "i-1%41",   "i-1 x",      "&",
+          "#",     "?=/",   "\"",    "\r\nX: y", "\xc3\xa9", "i-1\r\nX: y" };
+
+  assert_true (site_fleet_control (fleet, "/page?objects=1"));
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      g_autofree char *encoded = g_uri_escape_string (names[i], NULL, FALSE);
+      g_autofree char *odd = g_strdup_printf ("/odd-entry?way=name&name=%s", encoded);
+
+      assert_true (site_fleet_control (fleet, odd));
+      assert_listed_after_restart ();
+    }
+  assert_true (site_fleet_control (fleet, "/page?objects=500"));
+}
+
 int
 main (void)
 {
@@ -124,6 +171,7 @@
     cmocka_unit_test (a_deeply_nested_entry_hides_no_other_one),
     cmocka_unit_test (an_entry_with_too_large_a_number_hides_no_other_one),
     cmocka_unit_test (an_entry_that_is_no_text_hides_no_other_one),
+    cmocka_unit_test (a_list_continues_behind_any_name),
   };
 
   return cmocka_run_group_tests (tests, start_fleet, stop_fleet);
