--- a/testing/process/test-odd-entries.c
+++ b/testing/process/test-odd-entries.c
@@ -142,6 +142,18 @@
     }
 }
 
+/* A list ended at a page whose last entry has no name that can be read. */
+static void
+a_list_continues_behind_an_entry_without_a_name (void **state)
+{
+  /* The first two entries of the list, and so its first page. */
+  assert_true (site_fleet_control (fleet, "/odd-entry?way=name&name=!"));
+  assert_true (site_fleet_control (fleet, "/odd-entry?way=unnamed"));
+  assert_true (site_fleet_control (fleet, "/page?objects=2"));
+  assert_listed_after_restart ();
+  assert_true (site_fleet_control (fleet, "/page?objects=500"));
+}
+
 /* A list was not continued behind a name that was written into the request as it was: no instance
  * that started had any backend server. */
 static void
@@ -171,6 +183,7 @@
     cmocka_unit_test (a_deeply_nested_entry_hides_no_other_one),
     cmocka_unit_test (an_entry_with_too_large_a_number_hides_no_other_one),
     cmocka_unit_test (an_entry_that_is_no_text_hides_no_other_one),
+    cmocka_unit_test (a_list_continues_behind_an_entry_without_a_name),
     cmocka_unit_test (a_list_continues_behind_any_name),
   };
 
