Platform client: names are percent-encoded, and each page of a list has a name

What operators would see: a name of the platform with a character such as & or % in the list of budgets, bills, claims or audit entries ended or repeated the reading of that list; a name of more than about 490 bytes was cut and addressed another object. A page without a readable name that said more would follow ended an audit or a bill as if it were whole, and the removal of expired claims read in front of its first name.

Names are percent-encoded; a list that says that more follows, but names nothing to continue behind, has failed.

The platform of the product's own interface allows letters, digits and ._:- in names, so that no caller is known to have met this.

--- a/src/platform/platform-http.c
+++ b/src/platform/platform-http.c
@@ -12,7 +12,6 @@
 enum
 {
   BODY_MAX_BYTES = 4 << 20,
-  PATH_MAX_BYTES = 512,
   HTTP_OK = 200,
   HTTP_NO_CONTENT = 204,
   HTTP_NOT_FOUND = 404,
@@ -106,6 +105,7 @@
 static bool breaker_allow_ (struct http_platform_ *http);
 static void breaker_record_ (struct http_platform_ *http, bool failed);
 static bool list_decode_ (const GString *response, GPtrArray *names, bool *more);
+static char *object_path_ (const char *collection, const char *kind, const char *name);
 
 static const struct sr_platform_vtable http_vtable = {
   .get = get_,
@@ -144,11 +144,10 @@
       GString *body,
       int64_t *version)
 {
-  char path[PATH_MAX_BYTES];
+  g_autofree char *path = object_path_ ("objects", kind, name);
   struct http_call_ call = { .method = "GET", .path = path, .response = body };
   enum sr_platform_status status;
 
-  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
   status = call_ ((struct http_platform_ *)platform, &call);
   *version = call.version;
   return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_UNREACHABLE : status;
@@ -163,7 +162,7 @@
       int64_t expected_version,
       int64_t *version)
 {
-  char path[PATH_MAX_BYTES];
+  g_autofree char *path = object_path_ ("objects", kind, name);
   g_autoptr (GString) response = g_string_new (NULL);
   struct http_call_ call = { .method = "PUT",
                              .path = path,
@@ -174,7 +173,6 @@
                              .response = response };
   enum sr_platform_status status;
 
-  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
   status = call_ ((struct http_platform_ *)platform, &call);
   *version = call.version;
   return status;
@@ -189,13 +187,14 @@
        GPtrArray *names,
        bool *more)
 {
-  char path[PATH_MAX_BYTES];
+  g_autofree char *encoded_prefix = g_uri_escape_string (prefix != NULL ? prefix : "", NULL, FALSE);
+  g_autofree char *encoded_after = g_uri_escape_string (after != NULL ? after : "", NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/v1/objects/%s?prefix=%s&after=%s&limit=%u", kind,
+                                           encoded_prefix, encoded_after, limit);
   g_autoptr (GString) response = g_string_new (NULL);
   struct http_call_ call = { .method = "GET", .path = path, .response = response };
   enum sr_platform_status status;
 
-  snprintf (path, sizeof path, "/v1/objects/%s?prefix=%s&after=%s&limit=%u", kind,
-            prefix != NULL ? prefix : "", after != NULL ? after : "", limit);
   status = call_ ((struct http_platform_ *)platform, &call);
   if (status == SR_PLATFORM_OK && !list_decode_ (response, names, more))
     return SR_PLATFORM_UNREACHABLE;
@@ -211,15 +210,15 @@
         GString *body,
         int64_t *version)
 {
-  char path[PATH_MAX_BYTES];
+  g_autofree char *object = object_path_ ("watch", kind, name);
+  g_autofree char *path = g_strdup_printf ("%s?after=%" G_GINT64_FORMAT "&wait_ms=%d", object,
+                                           after_version, wait_ms);
   struct http_call_ call = { .method = "GET",
                              .path = path,
                              .response = body,
                              .watch_wait_s = (wait_ms + MS_PER_S - 1) / MS_PER_S };
   enum sr_platform_status status;
 
-  snprintf (path, sizeof path, "/v1/watch/%s/%s?after=%" G_GINT64_FORMAT "&wait_ms=%d", kind, name,
-            after_version, wait_ms);
   status = call_ ((struct http_platform_ *)platform, &call);
   *version = call.version;
   return status == SR_PLATFORM_UNKNOWN ? SR_PLATFORM_UNREACHABLE : status;
@@ -237,7 +236,7 @@
 static enum sr_platform_status
 remove_ (struct sr_platform *platform, const char *kind, const char *name, int64_t expected_version)
 {
-  char path[PATH_MAX_BYTES];
+  g_autofree char *path = object_path_ ("objects", kind, name);
   g_autoptr (GString) response = g_string_new (NULL);
   struct http_call_ call = { .method = "DELETE",
                              .path = path,
@@ -245,7 +244,6 @@
                              .is_conditional = true,
                              .response = response };
 
-  snprintf (path, sizeof path, "/v1/objects/%s/%s", kind, name);
   return call_ ((struct http_platform_ *)platform, &call);
 }
 
@@ -373,9 +371,11 @@
             is_open ? "out" : "back");
 }
 
+/* Returns false for a response that is malformed, or by which the list can't be continued. */
 static bool
 list_decode_ (const GString *response, GPtrArray *names, bool *more)
 {
+  unsigned n_before = names->len;
   json_t *root = json_loadb (response->str, response->len, 0, NULL);
   json_t *objects = json_object_get (root, "objects");
   json_t *each;
@@ -390,10 +390,19 @@
   {
     const char *name = json_string_value (json_object_get (each, "name"));
 
-    if (name != NULL)
+    if (name != NULL && *name != '\0')
       g_ptr_array_add (names, g_strdup (name));
   }
   *more = json_is_true (json_object_get (root, "more"));
   json_decref (root);
-  return true;
+  return !*more || names->len > n_before;
+}
+
+/* Returns the path of object NAME of KIND, owned by the caller. A name may hold any character. */
+static char *
+object_path_ (const char *collection, const char *kind, const char *name)
+{
+  g_autofree char *encoded = g_uri_escape_string (name, NULL, FALSE);
+
+  return g_strdup_printf ("/v1/%s/%s/%s", collection, kind, encoded);
 }
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -50,7 +50,8 @@
 }
 
 /* Appends to NAMES (strings freed by the array) up to LIMIT names of KIND that start with PREFIX
- * and sort after AFTER (NULL: from the start), in order. *MORE is set if further names follow. */
+ * and sort after AFTER (NULL: from the start), in order. *MORE is set if further names follow; at
+ * least one is appended then. */
 enum sr_platform_status
 sr_platform_list (struct sr_platform *platform,
                   const char *kind,
