--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -1,6 +1,6 @@
-# Functions of the scripts of cases 11, 13, 14 and 15: a small fleet of gateways (the command of the deploy
-# file, with settings as deploy/instance.ini has them) in front of the project's stand-in for the
-# store and the engines. Sourced by run.sh, which sets CASE to its folder.
+# Functions of the scripts of cases 11, 13, 14 and 15: a small fleet of gateways (the command of the
+# deploy file, with settings as deploy/instance.ini has them) in front of the project's stand-in for
+# the store and the engines, or of review/engine-3.c. Sourced by run.sh, which sets CASE to its folder.
 
 ROOT=$(cd "$CASE/../.." && pwd)
 RECORD=$CASE/record.txt
@@ -47,24 +47,8 @@
   unable "the stand-in for the store did not start"
 }
 
-# start_proxy N: between gateways 1 to N and the store, so that single ones can be cut off from it.
-start_proxy() {
-  local links=()
-  for i in $(seq "$1"); do
-    links+=("--link=127.0.61.$((150 + i)):$BASE=$SITE:$BASE")
-  done
-  target/standin-proxy --control-address=$SITE --control-port=$((BASE + 17)) "${links[@]}" \
-    > "$WORK/proxy.out" 2>&1 &
-  PIDS[proxy]=$!
-  wait_for_line "$WORK/proxy.out" ready || unable "the proxy did not start"
-  PROXIED=1
-}
-
-# Calls of the control ports of the stand-in for the store and of the proxy.
+# control PATH [BODY]: a call of the control port of the stand-in for the store.
 control() { note "control $1"; timeout 5 bash -c "exec 9<>/dev/tcp/$SITE/$((BASE + 1)); printf 'POST %s HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n%s' '$1' ${#2} '$2' >&9; head -n 1 <&9" > /dev/null; }
-proxy_rule() { note "proxy $1"; timeout 5 bash -c "exec 9<>/dev/tcp/$SITE/$((BASE + 17)); printf 'POST %s HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n' '$1' >&9; head -n 1 <&9" > /dev/null; }
-cut_store() { proxy_rule "/control/rule?from=*&to=127.0.61.$((150 + $1))&mode=silence&delay_ms=0"; }
-heal_store() { proxy_rule "/control/clear"; }
 
 # The tokens that the servers have given to tenant team-1 so far.
 consumed() {
@@ -81,8 +65,7 @@
 
 # start_gateway I: gateway I, with the settings that the platform fills in.
 start_gateway() {
-  local ip=127.0.61.$1 store=$SITE
-  [ -n "${PROXIED:-}" ] && store=127.0.61.$((150 + $1))
+  local ip=127.0.61.$1
   cat > "$WORK/instance-$1.ini" << END
 [instance]
 name = front-lahore-a-$1
@@ -93,7 +76,7 @@
 ready = $ip:$((BASE + 19))
 peer_port = $((BASE + 20))
 [store]
-address = $store:$BASE
+address = $SITE:$BASE
 [retries]
 ratio = 0.2
 extra = 54
--- a/review/engine-3.c
+++ b/review/engine-3.c
@@ -1,4 +1,4 @@
-/* A model engine for the scripts of cases 13 and 14: one thread for each connection, HTTP/1.1 with
+/* A model engine for the scripts of cases 11 and 13: one thread for each connection, HTTP/1.1 with
  * Content-Length bodies. It runs a request if X-Expect-Instance names it, answers with a stream of
  * events of 6 tokens each, and prints one line for each request that it runs.
  *
